--- /dev/null
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -0,0 +1,216 @@
+//! The commands of the tool.
+
+use crate::api::NodeApi;
+use crate::print::{print_json, print_plan, print_sample, print_table};
+use crate::{CommandError, Exit};
+use hyper::Method;
+use pico_args::Arguments;
+use serde_json::{Value, json};
+use trestlerack::process::parse_settings;
+use trestlerack::request::Sample;
+use trestlerack::schema::DocumentFault;
+use trestlerack::trace::replay_trace;
+use trestlerack::version::{ChangePlan, parse_declaration};
+
+/// Options that every command takes.
+struct Options {
+    node: Option<String>,
+    key_file: Option<String>,
+    json: bool,
+}
+
+/// Runs the command that the arguments name.
+pub fn run(mut arguments: Arguments) -> Result<(), CommandError> {
+    let options = Options {
+        node: option(&mut arguments, "--node")?.or_else(|| std::env::var("TRESTLERACK_NODE").ok()),
+        key_file: option(&mut arguments, "--key-file")?.or_else(|| std::env::var("TRESTLERACK_KEY_FILE").ok()),
+        json: arguments.contains("--json"),
+    };
+    let command = arguments.subcommand().map_err(|error| usage(&error.to_string()))?;
+    match command.as_deref() {
+        Some("check") => check(arguments),
+        Some("plan") => plan(&options, arguments),
+        Some("confirm") => confirm(&options, arguments),
+        Some("show") => show(&options, arguments),
+        Some("drain") => drain(&options, arguments),
+        Some("trace") => trace(&options, arguments),
+        Some("replay") => replay(arguments),
+        Some(other) => Err(usage(&format!("unknown command {other:?}"))),
+        None => Err(usage("expected a command")),
+    }
+}
+
+fn usage(message: &str) -> CommandError {
+    CommandError::new(Exit::Usage, format!("{message}; see trestlerack --help"))
+}
+
+fn option(arguments: &mut Arguments, name: &'static str) -> Result<Option<String>, CommandError> {
+    arguments.opt_value_from_str(name).map_err(|error| usage(&error.to_string()))
+}
+
+/// Returns the free arguments, between `min` and `max` of them.
+fn words(arguments: Arguments, min: usize, max: usize) -> Result<Vec<String>, CommandError> {
+    let words: Vec<String> = arguments.finish().into_iter().map(|word| word.to_string_lossy().into_owned()).collect();
+    if let Some(unknown) = words.iter().find(|word| word.starts_with("--")) {
+        return Err(usage(&format!("unknown option {unknown}")));
+    }
+    if !(min..=max).contains(&words.len()) {
+        return Err(usage("wrong number of arguments"));
+    }
+    Ok(words)
+}
+
+fn read_file(file: &str) -> Result<String, CommandError> {
+    std::fs::read_to_string(file)
+        .map_err(|error| CommandError::new(Exit::Usage, format!("cannot read {file}: {error}")))
+}
+
+fn node_api(options: &Options) -> Result<NodeApi, CommandError> {
+    let address = options.node.clone().ok_or_else(|| usage("expected --node ADDRESS"))?;
+    let file = options.key_file.as_deref().ok_or_else(|| usage("expected --key-file FILE"))?;
+    let key = read_file(file)?.trim().to_owned();
+    Ok(NodeApi { address, key })
+}
+
+fn invalid(faults: &[DocumentFault]) -> CommandError {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    CommandError::new(Exit::Invalid, format!("{} faults\n{}", faults.len(), lines.join("\n")))
+}
+
+fn check(mut arguments: Arguments) -> Result<(), CommandError> {
+    let is_settings = arguments.contains("--settings");
+    let words = words(arguments, 1, 1)?;
+    let text = read_file(&words[0])?;
+    if is_settings {
+        parse_settings(&words[0], &text).map_err(|faults| invalid(&faults))?;
+        println!("{}: the settings are well formed", words[0]);
+        return Ok(());
+    }
+    let declaration = parse_declaration(&words[0], &text).map_err(|faults| invalid(&faults))?;
+    println!(
+        "{}: scope {} declares {} zones, {} backend servers, {} users, {} campaigns",
+        words[0],
+        declaration.scope,
+        declaration.zones.len(),
+        declaration.backends.len(),
+        declaration.users.len(),
+        declaration.campaigns.len()
+    );
+    Ok(())
+}
+
+fn plan(options: &Options, mut arguments: Arguments) -> Result<(), CommandError> {
+    let out = option(&mut arguments, "--out")?;
+    let words = words(arguments, 1, 1)?;
+    let text = read_file(&words[0])?;
+    parse_declaration(&words[0], &text).map_err(|faults| invalid(&faults))?;
+    let body = json!({ "file": words[0], "text": text });
+    let value = node_api(options)?.send(Method::POST, "/v1/plans", &body)?;
+    if let Some(out) = out {
+        std::fs::write(&out, value.to_string())
+            .map_err(|error| CommandError::new(Exit::Usage, format!("cannot write {out}: {error}")))?;
+    }
+    if options.json {
+        print_json(&value);
+    } else {
+        let plan: ChangePlan = decode(value)?;
+        print_plan(&plan);
+    }
+    Ok(())
+}
+
+fn decode<T: serde::de::DeserializeOwned>(value: Value) -> Result<T, CommandError> {
+    serde_json::from_value(value)
+        .map_err(|error| CommandError::new(Exit::Refused, format!("the node's answer is not as expected: {error}")))
+}
+
+fn confirm(options: &Options, mut arguments: Arguments) -> Result<(), CommandError> {
+    let plan_file = option(&mut arguments, "--plan")?.ok_or_else(|| usage("expected --plan PLAN"))?;
+    let words = words(arguments, 1, 1)?;
+    let text = read_file(&words[0])?;
+    let plan: ChangePlan = serde_json::from_str(&read_file(&plan_file)?)
+        .map_err(|error| CommandError::new(Exit::Usage, format!("{plan_file} is not a plan: {error}")))?;
+    let body = json!({ "file": words[0], "text": text, "made_from": plan.made_from, "digest": plan.digest });
+    let value = node_api(options)?.send(Method::POST, "/v1/plans/confirm", &body)?;
+    if options.json {
+        print_json(&value);
+    } else {
+        println!("generation {} is in force on the node that was asked", value["generation"]);
+    }
+    Ok(())
+}
+
+fn show(options: &Options, arguments: Arguments) -> Result<(), CommandError> {
+    let words = words(arguments, 1, 2)?;
+    let (path, columns): (String, &[&str]) = match (words[0].as_str(), words.get(1)) {
+        ("nodes", None) => ("/v1/nodes".into(), &["name", "zone", "liveness", "generation", "in_progress", "spooled"]),
+        ("backends", None) => {
+            let columns = &["name", "kind", "zone", "service", "receives_work", "owner", "held_version"];
+            ("/v1/backends".into(), columns)
+        }
+        ("campaigns", None) => {
+            let columns = &["name", "user", "model", "places", "max_staleness_versions"];
+            ("/v1/campaigns".into(), columns)
+        }
+        ("steps", Some(campaign)) => {
+            let columns = &["step", "state", "consume_version", "groups"];
+            (format!("/v1/campaigns/{campaign}/steps"), columns)
+        }
+        _ => return Err(usage("expected show nodes, backends, campaigns or steps CAMPAIGN")),
+    };
+    let value = node_api(options)?.send(Method::GET, &path, &Value::Null)?;
+    if options.json {
+        print_json(&value);
+    } else {
+        print_table(&value, columns);
+    }
+    Ok(())
+}
+
+fn drain(options: &Options, mut arguments: Arguments) -> Result<(), CommandError> {
+    let method = if arguments.contains("--undo") { Method::DELETE } else { Method::POST };
+    let words = words(arguments, 1, 1)?;
+    let path = format!("/v1/backends/{}/drain", words[0]);
+    let value = node_api(options)?.send(method, &path, &Value::Null)?;
+    if options.json {
+        print_json(&value);
+    } else {
+        println!("{} receives new work: {}", words[0], value["receives_work"]);
+    }
+    Ok(())
+}
+
+fn trace(options: &Options, arguments: Arguments) -> Result<(), CommandError> {
+    let words = words(arguments, 1, 1)?;
+    let parts: Vec<&str> = words[0].split('/').collect();
+    let [campaign, step, group, index] = parts.as_slice() else {
+        return Err(usage("expected a sample as campaign/step/group/index"));
+    };
+    let path = format!("/v1/campaigns/{campaign}/steps/{step}/groups/{group}/{index}");
+    let value = node_api(options)?.send(Method::GET, &path, &Value::Null)?;
+    if options.json {
+        print_json(&value);
+    } else {
+        let sample: Sample = decode(value)?;
+        print_sample(&sample);
+    }
+    Ok(())
+}
+
+fn replay(arguments: Arguments) -> Result<(), CommandError> {
+    let files = words(arguments, 1, usize::MAX)?;
+    let mut differing = 0;
+    for file in &files {
+        match replay_trace(&read_file(file)?) {
+            Ok(report) => println!("{file}: {} decisions as recorded", report.decisions),
+            Err(error) => {
+                differing += 1;
+                println!("{file}: {error}");
+            }
+        }
+    }
+    if differing > 0 {
+        return Err(CommandError::new(Exit::Differs, format!("{differing} of {} traces differ", files.len())));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/trestlerack/src/connection/reassembly.rs
@@ -0,0 +1,56 @@
+//! Puts the parts of a stream back in order and notices when one is missing.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Why a stream cannot be put together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReassemblyError {
+    /// Too many parts came in ahead of a missing one.
+    Gap {
+        /// Position of the missing part.
+        missing: u64,
+    },
+}
+
+impl fmt::Display for ReassemblyError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Gap { missing } => write!(formatter, "part {missing} of the stream is missing"),
+        }
+    }
+}
+
+impl std::error::Error for ReassemblyError {}
+
+/// Reorders the parts of one stream within a bounded window and drops repeated ones.
+#[derive(Clone, Debug)]
+pub struct StreamReassembler<T> {
+    next: u64,
+    window: usize,
+    early: BTreeMap<u64, T>,
+}
+
+impl<T> StreamReassembler<T> {
+    /// Builds a reassembler that holds at most `window` parts ahead of a missing one.
+    pub fn new(window: usize) -> Self {
+        Self { next: 0, window, early: BTreeMap::new() }
+    }
+
+    /// Takes in the part at `sequence` and returns the parts that are now in order.
+    pub fn accept(&mut self, sequence: u64, part: T) -> Result<Vec<T>, ReassemblyError> {
+        if sequence < self.next {
+            return Ok(Vec::new());
+        }
+        self.early.insert(sequence, part);
+        let mut ready = Vec::new();
+        while let Some(part) = self.early.remove(&self.next) {
+            ready.push(part);
+            self.next += 1;
+        }
+        if self.early.len() > self.window {
+            return Err(ReassemblyError::Gap { missing: self.next });
+        }
+        Ok(ready)
+    }
+}
--- /dev/null
+++ b/crates/trestlerack/src/event.rs
@@ -0,0 +1,108 @@
+//! Numbered log events; [docs/EVENTS.md](../../../docs/EVENTS.md) is their catalogue.
+
+use std::fmt;
+
+/// Severity of a log event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Severity {
+    /// Something an operator should look at now.
+    Error,
+    /// Something that the system handled and that may need a look.
+    Warn,
+    /// A normal change of state.
+    Info,
+}
+
+/// A numbered log event. The number never changes its meaning; a retired number is not reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogEvent {
+    /// Number in the catalogue.
+    pub number: u16,
+    /// Short stable name.
+    pub name: &'static str,
+    /// Severity at which it is written.
+    pub severity: Severity,
+}
+
+impl fmt::Display for LogEvent {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "event=TR{:04} name={}", self.number, self.name)
+    }
+}
+
+macro_rules! log_events {
+    ($($(#[$doc:meta])* $ident:ident = ($number:literal, $name:literal, $severity:ident);)*) => {
+        $($(#[$doc])* pub const $ident: LogEvent =
+            LogEvent { number: $number, name: $name, severity: Severity::$severity };)*
+
+        /// Every event that the daemon can write, in number order.
+        pub const ALL_EVENTS: &[LogEvent] = &[$($ident),*];
+    };
+}
+
+log_events! {
+    /// The daemon listens and serves.
+    NODE_STARTED = (1001, "node-started", Info);
+    /// A planned stop began.
+    STOP_BEGUN = (1002, "stop-begun", Info);
+    /// A planned stop ended with every request answered.
+    STOP_ENDED = (1003, "stop-ended", Info);
+    /// A planned stop reached its limit with requests still in progress.
+    STOP_OVERRUN = (1004, "stop-overrun", Error);
+    /// A peer's liveness changed.
+    PEER_CHANGED = (1101, "peer-changed", Info);
+    /// A link frame or handshake was refused.
+    LINK_REFUSED = (1102, "link-refused", Warn);
+    /// A link to a peer broke.
+    LINK_BROKEN = (1103, "link-broken", Warn);
+    /// The platform's membership list could not be read.
+    LIST_UNAVAILABLE = (1104, "list-unavailable", Warn);
+    /// A configuration generation took effect on this node.
+    GENERATION_APPLIED = (1201, "generation-applied", Info);
+    /// A plan was confirmed and committed by this node.
+    PLAN_CONFIRMED = (1202, "plan-confirmed", Info);
+    /// A plan was refused because another intent came between.
+    PLAN_REFUSED = (1203, "plan-refused", Warn);
+    /// The table service failed a call.
+    TABLE_FAILED = (1301, "table-failed", Warn);
+    /// The object store failed a call.
+    OBJECT_FAILED = (1302, "object-failed", Warn);
+    /// A lease was taken by this node.
+    LEASE_TAKEN = (1401, "lease-taken", Info);
+    /// A lease was lost or given back by this node.
+    LEASE_LOST = (1402, "lease-lost", Warn);
+    /// A new weight version became the target of a model.
+    WEIGHTS_TARGETED = (1403, "weights-targeted", Info);
+    /// An engine reported that it holds the target version.
+    WEIGHTS_HELD = (1404, "weights-held", Info);
+    /// An order to an engine failed and will be tried again.
+    ORDER_FAILED = (1405, "order-failed", Warn);
+    /// An engine failed its orders too often and was set aside.
+    ENGINE_SET_ASIDE = (1406, "engine-set-aside", Error);
+    /// An engine was ejected after bad answers.
+    ENGINE_EJECTED = (1501, "engine-ejected", Warn);
+    /// An engine can be reached again, or no longer.
+    ENGINE_REACHABLE = (1503, "engine-reachable", Warn);
+    /// A call to an engine broke and was resumed or given up.
+    CALL_BROKEN = (1502, "call-broken", Warn);
+    /// A step was accepted from a trainer.
+    STEP_ACCEPTED = (1601, "step-accepted", Info);
+    /// A group was recorded by this node.
+    GROUP_RECORDED = (1602, "group-recorded", Info);
+    /// A group was made by another node first.
+    GROUP_SUPERSEDED = (1603, "group-superseded", Info);
+    /// A group could not be made and will be tried again.
+    GROUP_FAILED = (1604, "group-failed", Warn);
+    /// A sample would be too old for its step and is made again.
+    SAMPLE_TOO_OLD = (1605, "sample-too-old", Warn);
+    /// A step was sealed by this node.
+    STEP_SEALED = (1606, "step-sealed", Info);
+    /// A trainer acknowledged a step.
+    STEP_ACKNOWLEDGED = (1607, "step-acknowledged", Info);
+    /// A made group waits in the spool because the store is down.
+    GROUP_SPOOLED = (1608, "group-spooled", Warn);
+    /// A request was refused.
+    REQUEST_REFUSED = (1701, "request-refused", Warn);
+    /// A plain call ended without a whole answer.
+    PLAIN_BROKEN = (1702, "plain-broken", Warn);
+}
--- /dev/null
+++ b/crates/trestlerack/src/hash.rs
@@ -0,0 +1,29 @@
+//! Rendezvous hashing, so that every node computes the same owner without asking anyone.
+
+use twox_hash::XxHash64;
+
+/// Separates the parts of a key, so that `("ab", "c")` and `("a", "bc")` hash apart.
+const PART_SEPARATOR: [u8; 1] = [0xff];
+
+/// Hashes the parts of a key to 64 bits; the same on every node and in every release.
+pub fn hash_parts(parts: &[&str]) -> u64 {
+    use std::hash::Hasher;
+    let mut hasher = XxHash64::with_seed(0);
+    for part in parts {
+        hasher.write(part.as_bytes());
+        hasher.write(&PART_SEPARATOR);
+    }
+    hasher.finish()
+}
+
+/// Returns the rendezvous weight of `candidate` for `key`; the highest weight owns the key.
+pub fn rendezvous_weight(key: u64, candidate: &str) -> u64 {
+    XxHash64::oneshot(key, candidate.as_bytes())
+}
+
+/// Returns a lower-case hexadecimal digest of `bytes`, for content addressed object names.
+pub fn digest_hex(bytes: &[u8]) -> String {
+    let low = XxHash64::oneshot(0, bytes);
+    let high = XxHash64::oneshot(low, bytes);
+    format!("{high:016x}{low:016x}")
+}
--- /dev/null
+++ b/crates/trestlerack/src/process/limiter.rs
@@ -0,0 +1,92 @@
+//! Token buckets: per-user rate limits and retry budgets.
+
+use crate::{Name, Timestamp};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// A bucket that fills at a rate and never holds more than its burst.
+#[derive(Clone, Copy, Debug)]
+struct TokenBucket {
+    tokens: f64,
+    filled_at: Timestamp,
+}
+
+impl TokenBucket {
+    fn full(now: Timestamp, burst: f64) -> Self {
+        Self { tokens: burst, filled_at: now }
+    }
+
+    fn fill(&mut self, now: Timestamp, per_second: f64, burst: f64) {
+        let seconds = now.since(self.filled_at).as_secs_f64();
+        self.tokens = (self.tokens + seconds * per_second).min(burst);
+        self.filled_at = self.filled_at.max(now);
+    }
+}
+
+/// Limits the calls of each user on this node to its share of the user's limit.
+///
+/// The share is the limit over the number of live nodes, because the platform's balancer spreads
+/// calls evenly. The sum over all nodes therefore stays under the limit without any message; the
+/// ways that were weighed are in [docs/DESIGN.md](../../../../docs/DESIGN.md#rate-limits).
+#[derive(Clone, Debug, Default)]
+pub struct UserLimiter {
+    buckets: HashMap<Name, TokenBucket>,
+}
+
+impl UserLimiter {
+    /// Admits a call at `now`, or returns how long to wait.
+    ///
+    /// `limit` is in calls per second over all `nodes` together.
+    pub fn admit(&mut self, now: Timestamp, user: &Name, limit: u32, nodes: usize) -> Result<(), Duration> {
+        let share = f64::from(limit) / nodes.max(1) as f64;
+        let burst = share.max(1.0);
+        let bucket = self.buckets.entry(user.clone()).or_insert_with(|| TokenBucket::full(now, burst));
+        bucket.fill(now, share, burst);
+        if bucket.tokens < 1.0 {
+            return Err(Duration::from_secs_f64((1.0 - bucket.tokens) / share));
+        }
+        bucket.tokens -= 1.0;
+        Ok(())
+    }
+}
+
+/// Bounds retries and hedges to a share of first attempts, per user and service.
+///
+/// A failing service then sees at most `ratio` more calls than it would without retries, plus a
+/// small reserve that lets a quiet caller retry at all.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    ratio: f64,
+    reserve: f64,
+    balances: HashMap<(Name, Name), f64>,
+}
+
+impl RetryBudget {
+    /// Builds a budget that earns `ratio` of a retry per first attempt and starts with `reserve`.
+    pub fn new(ratio: f64, reserve: f64) -> Self {
+        Self { ratio, reserve, balances: HashMap::new() }
+    }
+
+    /// Records a first attempt.
+    pub fn earn(&mut self, user: &Name, service: &Name) {
+        let (ratio, limit) = (self.ratio, self.reserve);
+        let balance = self.balance(user, service);
+        *balance = (*balance + ratio).min(limit);
+    }
+
+    /// Takes one retry or hedge out of the budget, or returns `false` if it is used up.
+    #[must_use]
+    pub fn spend(&mut self, user: &Name, service: &Name) -> bool {
+        let balance = self.balance(user, service);
+        if *balance < 1.0 {
+            return false;
+        }
+        *balance -= 1.0;
+        true
+    }
+
+    fn balance(&mut self, user: &Name, service: &Name) -> &mut f64 {
+        let reserve = self.reserve;
+        self.balances.entry((user.clone(), service.clone())).or_insert(reserve)
+    }
+}
--- /dev/null
+++ b/crates/trestlerack/src/process/mod.rs
@@ -0,0 +1,28 @@
+//! What lives as long as the process: peers, ownership, leases, limits, steps and the spool.
+
+mod broadcast;
+mod lease;
+mod leaving;
+mod limiter;
+mod membership;
+mod outlier;
+mod ownership;
+mod settings;
+mod spool;
+mod step;
+
+pub use broadcast::BroadcastQueue;
+pub use lease::{LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep};
+pub use leaving::LeavingBoard;
+pub use limiter::{RetryBudget, UserLimiter};
+pub use membership::{
+    Heartbeat, Liveness, MembershipAction, MembershipEvent, MembershipSettings, PeerInfo, PeerMembership, PeerUpdate,
+};
+pub use outlier::{OutlierDetector, OutlierSettings};
+pub use ownership::{ModelOwner, NodeView, OwnerTable, OwnershipView};
+pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
+pub use spool::{SampleSpool, SpoolSettings};
+pub use step::{
+    GroupRow, GroupSpec, SealDecision, SealedGroup, StepRow, StepState, StepSubmission, decide_seal, group_key,
+    group_prefix, open_key, step_key,
+};
--- /dev/null
+++ b/crates/trestlerack/src/request/group.rs
@@ -0,0 +1,196 @@
+//! Drives the samples of one group: starts them, tries them again and hedges stragglers.
+
+use crate::Timestamp;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Settings of a [`GroupDriver`].
+#[derive(Clone, Debug)]
+pub struct GroupSettings {
+    /// Attempts for a sample at most, hedges included.
+    pub max_attempts: u32,
+    /// Wait before a failed sample is tried again; it doubles with each failure.
+    pub retry_wait: Duration,
+    /// A sample is a straggler once it runs longer than this many times the median of those done;
+    /// 0 turns hedging off.
+    pub hedge_factor: f64,
+    /// Shortest run time at which a sample counts as a straggler.
+    pub hedge_floor: Duration,
+}
+
+impl Default for GroupSettings {
+    fn default() -> Self {
+        Self {
+            max_attempts: 12,
+            retry_wait: Duration::from_millis(100),
+            hedge_factor: 2.5,
+            hedge_floor: Duration::from_millis(250),
+        }
+    }
+}
+
+/// What a driver is told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GroupEvent {
+    /// The group begins.
+    Begin,
+    /// An attempt at a sample succeeded.
+    Finished {
+        /// Index of the sample.
+        index: usize,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// An attempt at a sample failed.
+    Failed {
+        /// Index of the sample.
+        index: usize,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What a driver asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GroupAction {
+    /// Start an attempt at a sample.
+    Start {
+        /// Index of the sample.
+        index: usize,
+        /// Number of the attempt, from 1.
+        attempt: u32,
+        /// Whether it runs beside an earlier attempt that is late.
+        hedge: bool,
+    },
+    /// Cancel an attempt whose sample was finished by another one.
+    Cancel {
+        /// Index of the sample.
+        index: usize,
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// Every sample is finished.
+    Complete,
+    /// A sample used up its attempts; the group is given up on this node.
+    GiveUp,
+}
+
+#[derive(Clone, Debug, Default)]
+struct SampleState {
+    attempts: u32,
+    running: BTreeMap<u32, Timestamp>,
+    failures: u32,
+    not_before: Option<Timestamp>,
+    done: bool,
+}
+
+/// Drives one group of samples.
+#[derive(Clone, Debug)]
+pub struct GroupDriver {
+    settings: GroupSettings,
+    samples: Vec<SampleState>,
+    run_times: Vec<Duration>,
+    ended: bool,
+}
+
+impl GroupDriver {
+    /// Builds a driver for `size` samples.
+    pub fn new(settings: GroupSettings, size: usize) -> Self {
+        let samples = vec![SampleState::default(); size];
+        Self { settings, samples, run_times: Vec::new(), ended: false }
+    }
+
+    /// Handles one event. `may_hedge` is asked once for each hedge, since asking spends budget.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        event: &GroupEvent,
+        mut may_hedge: impl FnMut() -> bool,
+    ) -> Vec<GroupAction> {
+        if self.ended {
+            return Vec::new();
+        }
+        match *event {
+            GroupEvent::Begin => (0..self.samples.len()).map(|index| self.start(now, index, false)).collect(),
+            GroupEvent::Finished { index, attempt } => self.finish(now, index, attempt),
+            GroupEvent::Failed { index, attempt } => self.fail(now, index, attempt),
+            GroupEvent::Tick => self.tick(now, &mut may_hedge),
+        }
+    }
+
+    fn start(&mut self, now: Timestamp, index: usize, hedge: bool) -> GroupAction {
+        let sample = &mut self.samples[index];
+        sample.attempts += 1;
+        sample.not_before = None;
+        sample.running.insert(sample.attempts, now);
+        GroupAction::Start { index, attempt: sample.attempts, hedge }
+    }
+
+    fn finish(&mut self, now: Timestamp, index: usize, attempt: u32) -> Vec<GroupAction> {
+        let sample = &mut self.samples[index];
+        let Some(started) = sample.running.remove(&attempt) else { return Vec::new() };
+        if sample.done {
+            return Vec::new();
+        }
+        sample.done = true;
+        let losers = std::mem::take(&mut sample.running);
+        self.run_times.push(now.since(started));
+        let mut actions: Vec<GroupAction> =
+            losers.into_keys().map(|attempt| GroupAction::Cancel { index, attempt }).collect();
+        if self.samples.iter().all(|sample| sample.done) {
+            self.ended = true;
+            actions.push(GroupAction::Complete);
+        }
+        actions
+    }
+
+    fn fail(&mut self, now: Timestamp, index: usize, attempt: u32) -> Vec<GroupAction> {
+        let sample = &mut self.samples[index];
+        if sample.running.remove(&attempt).is_none() || sample.done || !sample.running.is_empty() {
+            return Vec::new();
+        }
+        sample.failures += 1;
+        if sample.attempts >= self.settings.max_attempts {
+            self.ended = true;
+            return vec![GroupAction::GiveUp];
+        }
+        let doublings = (sample.failures - 1).min(6);
+        sample.not_before = Some(now + self.settings.retry_wait * 2_u32.pow(doublings));
+        Vec::new()
+    }
+
+    fn tick(&mut self, now: Timestamp, may_hedge: &mut impl FnMut() -> bool) -> Vec<GroupAction> {
+        let mut actions = Vec::new();
+        for index in 0..self.samples.len() {
+            if self.samples[index].not_before.is_some_and(|at| now >= at) {
+                actions.push(self.start(now, index, false));
+            } else if self.is_straggler(now, index) && may_hedge() {
+                actions.push(self.start(now, index, true));
+            }
+        }
+        actions
+    }
+
+    /// A sample is a straggler when it has one attempt running, at least half of the group is
+    /// done, and it runs much longer than those did.
+    fn is_straggler(&self, now: Timestamp, index: usize) -> bool {
+        let sample = &self.samples[index];
+        let alone = !sample.done && sample.running.len() == 1 && sample.attempts < self.settings.max_attempts;
+        let enough_done = self.run_times.len() * 2 >= self.samples.len();
+        if self.settings.hedge_factor <= 0.0 || !alone || !enough_done {
+            return false;
+        }
+        let started = sample.running.values().next().copied().unwrap_or(now);
+        let limit = self.median().mul_f64(self.settings.hedge_factor).max(self.settings.hedge_floor);
+        now.since(started) > limit
+    }
+
+    fn median(&self) -> Duration {
+        let mut sorted = self.run_times.clone();
+        sorted.sort_unstable();
+        sorted.get(sorted.len() / 2).copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/trestlerack/src/request/mod.rs
@@ -0,0 +1,15 @@
+//! What lives as long as a request: admission, engine choice, claims, samples and groups.
+
+mod choice;
+mod claim;
+mod dispatcher;
+mod group;
+mod resume;
+mod sample;
+
+pub use choice::{ChoicePolicy, EngineChooser, EngineView};
+pub use claim::{ClaimDecision, ClaimRow, ClaimState, claim_key, decide_claim};
+pub use dispatcher::{DispatchAction, DispatchEngine, DispatchEvent, DispatchSettings, EngineDispatcher, QueuedCall};
+pub use group::{GroupAction, GroupDriver, GroupEvent, GroupSettings};
+pub use resume::{ResumeDecision, ResumePolicy, decide_resume};
+pub use sample::{Sample, SampleAssembler, SampleError, VersionRange};
--- /dev/null
+++ b/crates/trestlerack/src/time.rs
@@ -0,0 +1,40 @@
+//! Monotonic time as the decision core sees it: milliseconds handed in by the caller.
+
+use serde::{Deserialize, Serialize};
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// A point on a monotonic clock in milliseconds, comparable only within one process.
+///
+/// It is passed in with every event, so a test or a replayed trace can decide what time it is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Timestamp(pub u64);
+
+impl Timestamp {
+    /// Returns the time since `earlier`, or zero where `earlier` is in fact later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(millis(span)))
+    }
+}
+
+impl Sub<Duration> for Timestamp {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(millis(span)))
+    }
+}
+
+/// Converts a duration to whole milliseconds, saturating where it does not fit.
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/trestlerack/src/version/mod.rs
@@ -0,0 +1,19 @@
+//! What lives as long as a version: configuration generations and weight versions.
+
+mod configuration;
+mod declaration;
+mod follower;
+mod plan;
+mod rollout;
+mod staleness;
+
+pub use configuration::{ConfigDelta, Configuration, Item, ItemBody};
+pub use declaration::{
+    Backend, BackendKind, Campaign, DECLARATION_SECTIONS, Declaration, User, Zone, parse_declaration,
+};
+pub use follower::{ConfigFollower, FollowAction, FollowEvent};
+pub use plan::{ChangePlan, PlanError, plan_change};
+pub use rollout::{
+    EngineOrder, EngineRollout, RolloutEngine, RolloutEvent, RolloutPlanner, RolloutSettings, WeightTarget,
+};
+pub use staleness::{SampleAge, StalenessRule, WeightVersion};
--- /dev/null
+++ b/crates/trestlerackd/src/connection/http_client.rs
@@ -0,0 +1,131 @@
+//! HTTP towards back ends and the platform, with a verdict for every failure.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use trestlerack::verdict::Reason;
+use trestlerack::{Failure, Name};
+
+/// Idle connections kept per backend server.
+const MAX_IDLE: usize = 64;
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest answer that is read whole, in bytes.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// A whole answer.
+pub struct HttpAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Content type, or an empty name.
+    pub content_type: Name,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A client with pooled connections.
+#[derive(Clone)]
+pub struct HttpClient {
+    pooled: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// Builds a client.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let pooled = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(MAX_IDLE).build(connector);
+        Self { pooled }
+    }
+
+    /// Sends a request that may be repeated and returns the answer's head.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+        self.pooled.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                Failure::not_run(Reason::BackendFailed, "cannot connect to the backend server")
+            } else {
+                broken(&error)
+            }
+        })
+    }
+
+    /// Sends a request that must not be repeated, once, on a connection of its own.
+    ///
+    /// A pooled connection may turn out to be closed after the first bytes were written, and then
+    /// nobody can tell whether the request ran. On a fresh one, not-run can be told apart.
+    pub async fn send_once(&self, address: &str, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+        let not_run = |detail: &str| Failure::not_run(Reason::BackendFailed, detail);
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let stream = match connecting.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) => return Err(not_run("cannot connect to the backend server")),
+            Err(_) => return Err(not_run("connecting to the backend server took too long")),
+        };
+        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = handshake.map_err(|_| not_run("cannot open the connection"))?;
+        tokio::spawn(connection);
+        sender.send_request(request).await.map_err(|error| broken(&error))
+    }
+
+    /// Sends bytes and returns the whole answer.
+    pub async fn send_bytes(
+        &self,
+        method: Method,
+        address: &str,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<HttpAnswer, Failure> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| Failure::not_run(Reason::BadRequest, "the address or path cannot be used"))?;
+        let exchange = async { read_whole(self.send(request).await?).await };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => Err(Failure::may_have_run(Reason::BackendFailed, "no answer in time")),
+        }
+    }
+
+    /// Sends JSON and returns the whole answer.
+    pub async fn post_json(
+        &self,
+        address: &str,
+        path: &str,
+        body: &serde_json::Value,
+        timeout: Duration,
+    ) -> Result<HttpAnswer, Failure> {
+        self.send_bytes(Method::POST, address, path, body.to_string().into_bytes(), timeout).await
+    }
+}
+
+/// Reads the whole body of an answer. A body that breaks off is never passed on as whole.
+pub async fn read_whole(response: Response<Incoming>) -> Result<HttpAnswer, Failure> {
+    let status = response.status();
+    let content_type = response.headers().get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or("").into();
+    let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await;
+    match body {
+        Ok(body) => Ok(HttpAnswer { status, content_type, body: body.to_bytes() }),
+        Err(error) => {
+            let detail = format!("the answer broke off: {error}");
+            Err(Failure::may_have_run(Reason::BackendFailed, detail))
+        }
+    }
+}
+
+fn broken(error: &dyn std::error::Error) -> Failure {
+    let cause = error.source().map_or_else(|| error.to_string(), ToString::to_string);
+    Failure::may_have_run(Reason::BackendFailed, format!("the connection to the backend server broke: {cause}"))
+}
--- /dev/null
+++ b/crates/trestlerackd/src/connection/links.rs
@@ -0,0 +1,314 @@
+//! Links to peers: one WebSocket per peer for what this node asks of it.
+
+use crate::node::Node;
+use crate::process::logs;
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::client::IntoClientRequest;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{Bytes, Message};
+use trestlerack::connection::{CallEvent, CallOutcome, CorrelationIds, LinkFrame, NodeLoad, StreamReassembler};
+use trestlerack::process::PeerInfo;
+use trestlerack::verdict::Reason;
+use trestlerack::{Failure, Name, event};
+
+/// Longest frame accepted from a peer, in bytes.
+pub const MAX_FRAME: usize = 16 * 1024 * 1024;
+
+/// Frames that wait to be sent to one peer.
+const OUTBOX_FRAMES: usize = 1_024;
+
+/// Parts of one answer that wait for their reader.
+const ANSWER_PARTS: usize = 1_024;
+
+/// Parts of one answer that may come in ahead of a missing one.
+const REORDER_WINDOW: usize = 64;
+
+/// Time to open a link.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Buffers of a link; small, because a node holds one for each peer.
+const LINK_BUFFER: usize = 4 * 1024;
+
+/// Returns the WebSocket settings of a link.
+pub fn socket_config() -> WebSocketConfig {
+    let mut config = WebSocketConfig::default();
+    config.max_message_size = Some(MAX_FRAME);
+    config.max_frame_size = Some(MAX_FRAME);
+    config.read_buffer_size = LINK_BUFFER;
+    config.write_buffer_size = 0;
+    config
+}
+
+/// A received part of an answer and the load of the node that sent it.
+pub type AnswerPart = (CallEvent, NodeLoad);
+
+enum Pending {
+    Frame(oneshot::Sender<LinkFrame>),
+    Call { parts: mpsc::Sender<AnswerPart>, order: StreamReassembler<AnswerPart> },
+}
+
+/// An open link to one peer.
+pub struct PeerLink {
+    outbox: mpsc::Sender<LinkFrame>,
+    ids: Mutex<CorrelationIds>,
+    pending: Mutex<HashMap<u64, Pending>>,
+}
+
+/// The links of this node by peer.
+#[derive(Default)]
+pub struct LinkTable {
+    links: Mutex<HashMap<Name, Arc<PeerLink>>>,
+}
+
+impl LinkTable {
+    /// Closes the link to a peer; whatever waits on it fails at once.
+    pub fn drop_link(&self, peer: &str) {
+        let link = self.links.lock().unwrap().remove(peer);
+        if let Some(link) = link {
+            link.fail_pending();
+        }
+    }
+
+    /// Returns how many links are open.
+    pub fn len(&self) -> usize {
+        self.links.lock().unwrap().len()
+    }
+
+    fn open_link(&self, peer: &str) -> Option<Arc<PeerLink>> {
+        let links = self.links.lock().unwrap();
+        links.get(peer).filter(|link| !link.outbox.is_closed()).cloned()
+    }
+}
+
+impl PeerLink {
+    /// Drops whoever waits for an answer; they see the channel close.
+    fn fail_pending(&self) {
+        self.pending.lock().unwrap().clear();
+    }
+
+    fn next_id(&self) -> u64 {
+        self.ids.lock().unwrap().next_id()
+    }
+
+    fn deliver(&self, frame: LinkFrame) {
+        match frame {
+            LinkFrame::ProbeAnswer { id, .. } => self.deliver_frame(id, frame),
+            LinkFrame::CallPart { id, sequence, event, load } => self.deliver_part(id, sequence, (event, load)),
+            _ => {}
+        }
+    }
+
+    fn deliver_frame(&self, id: u64, frame: LinkFrame) {
+        let pending = self.pending.lock().unwrap().remove(&id);
+        if let Some(Pending::Frame(sender)) = pending {
+            // The asking task may have timed out; then nobody wants the answer.
+            let _ = sender.send(frame);
+        }
+    }
+
+    /// Passes on the parts that are in order. A gap, or a reader that fell too far behind, ends
+    /// the call: its reader sees the channel close without an end, which is never a whole answer.
+    fn deliver_part(&self, id: u64, sequence: u64, part: AnswerPart) {
+        let mut pending = self.pending.lock().unwrap();
+        let Some(Pending::Call { parts, order }) = pending.get_mut(&id) else { return };
+        let Ok(ready) = order.accept(sequence, part) else {
+            pending.remove(&id);
+            return;
+        };
+        for part in ready {
+            let is_last = matches!(part.0, CallEvent::Ended(_));
+            let is_delivered = parts.try_send(part).is_ok();
+            if is_last || !is_delivered {
+                pending.remove(&id);
+                return;
+            }
+        }
+    }
+}
+
+/// Sends a frame that needs no answer; a peer that cannot be reached misses it.
+pub async fn post(node: &Arc<Node>, peer: &str, frame: LinkFrame) {
+    let info = node.membership.lock().unwrap().peer(peer).cloned();
+    let Some(info) = info else { return };
+    if let Ok(link) = open(node, &info).await {
+        // A full or closed outbox loses the frame; every post is repeated or backed by a poll.
+        let _ = link.outbox.send(frame).await;
+    }
+}
+
+/// Sends a frame built around a fresh id and waits for its answer.
+pub async fn request(
+    node: &Arc<Node>,
+    peer: &PeerInfo,
+    build: impl FnOnce(u64) -> LinkFrame,
+    timeout: Duration,
+) -> Result<LinkFrame, Failure> {
+    let exchange = async {
+        let link = open(node, peer).await?;
+        let id = link.next_id();
+        let (sender, answer) = oneshot::channel();
+        link.pending.lock().unwrap().insert(id, Pending::Frame(sender));
+        let sent = link.outbox.send(build(id)).await;
+        sent.map_err(|_| link_failure("the link is closed"))?;
+        answer.await.map_err(|_| link_failure("the link broke"))
+    };
+    let outcome = tokio::time::timeout(timeout, exchange).await;
+    outcome.unwrap_or_else(|_| Err(link_failure("no answer in time")))
+}
+
+/// A call that runs on a peer; dropping it cancels the call there.
+pub struct RemoteCall {
+    link: Arc<PeerLink>,
+    id: u64,
+    parts: mpsc::Receiver<AnswerPart>,
+    ended: bool,
+}
+
+impl RemoteCall {
+    /// Returns the next part, or `None` if the link broke before the explicit end.
+    pub async fn next(&mut self) -> Option<AnswerPart> {
+        let part = self.parts.recv().await;
+        self.ended = part.as_ref().is_none_or(|(event, _)| matches!(event, CallEvent::Ended(_)));
+        part
+    }
+}
+
+impl Drop for RemoteCall {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        self.link.pending.lock().unwrap().remove(&self.id);
+        // If the outbox is full the peer notices at its own deadline.
+        let _ = self.link.outbox.try_send(LinkFrame::Cancel { id: self.id });
+    }
+}
+
+/// Starts a call on a peer. A failure here means that the call was not sent.
+pub async fn call(
+    node: &Arc<Node>,
+    peer: &PeerInfo,
+    spec: Box<trestlerack::connection::CallSpec>,
+) -> Result<RemoteCall, Failure> {
+    let link = open(node, peer).await?;
+    let id = link.next_id();
+    let (sender, parts) = mpsc::channel(ANSWER_PARTS);
+    let pending = Pending::Call { parts: sender, order: StreamReassembler::new(REORDER_WINDOW) };
+    link.pending.lock().unwrap().insert(id, pending);
+    let sent = link.outbox.send(LinkFrame::Call { id, spec }).await;
+    sent.map_err(|_| link_failure("the link is closed"))?;
+    Ok(RemoteCall { link, id, parts, ended: false })
+}
+
+/// Builds the outcome of a call whose link broke: the owner may have sent it to an engine.
+pub fn broken_call() -> CallOutcome {
+    CallOutcome::Failed(Failure::may_have_run(Reason::BackendFailed, "the link to the owner broke"))
+}
+
+fn link_failure(detail: &str) -> Failure {
+    Failure::not_run(Reason::BackendFailed, detail)
+}
+
+async fn open(node: &Arc<Node>, peer: &PeerInfo) -> Result<Arc<PeerLink>, Failure> {
+    if let Some(link) = node.links.open_link(&peer.name) {
+        return Ok(link);
+    }
+    let socket = tokio::time::timeout(CONNECT_TIMEOUT, connect(node, peer)).await;
+    let socket = match socket {
+        Ok(Ok(socket)) => socket,
+        Ok(Err(error)) => return Err(link_failure(&format!("cannot open a link: {error:#}"))),
+        Err(_) => return Err(link_failure("opening a link took too long")),
+    };
+    let (sink, stream) = socket.split();
+    let (outbox, inbox) = mpsc::channel(OUTBOX_FRAMES);
+    let link = Arc::new(PeerLink { outbox, ids: Mutex::default(), pending: Mutex::default() });
+    let held = {
+        let mut links = node.links.links.lock().unwrap();
+        let held = links.get(&peer.name).filter(|held| !held.outbox.is_closed()).cloned();
+        if held.is_none() {
+            links.insert(peer.name.clone(), link.clone());
+        }
+        held
+    };
+    // Two tasks may open a link at the same time; the first one is kept.
+    if let Some(held) = held {
+        return Ok(held);
+    }
+    tokio::spawn(write_frames(node.clone(), sink, inbox));
+    tokio::spawn(read_frames(node.clone(), peer.clone(), stream, link.clone()));
+    // A link that this node cannot greet on is noticed by its reader.
+    let _ = link.outbox.send(LinkFrame::Hello { node: node.name().clone() }).await;
+    Ok(link)
+}
+
+async fn connect(node: &Node, peer: &PeerInfo) -> anyhow::Result<WebSocketStream<TcpStream>> {
+    let stream = TcpStream::connect(peer.link.as_ref()).await?;
+    stream.set_nodelay(true)?;
+    let mut request = format!("ws://{}/link", peer.link).into_client_request()?;
+    let key = format!("Bearer {}", node.keys.link_key()).parse()?;
+    request.headers_mut().insert("authorization", key);
+    let config = Some(socket_config());
+    let (socket, _) = tokio_tungstenite::client_async_with_config(request, stream, config).await?;
+    Ok(socket)
+}
+
+/// Encodes a frame as CBOR.
+pub fn encode(frame: &LinkFrame) -> Option<Bytes> {
+    let mut content = Vec::new();
+    ciborium::into_writer(frame, &mut content).ok()?;
+    Some(content.into())
+}
+
+/// Writes frames until the link closes.
+pub async fn write_frames<S>(
+    node: Arc<Node>,
+    mut sink: SplitSink<WebSocketStream<S>, Message>,
+    mut inbox: mpsc::Receiver<LinkFrame>,
+) where
+    S: tokio::io::AsyncRead + tokio::io::AsyncWrite + Unpin,
+{
+    while let Some(frame) = inbox.recv().await {
+        let Some(content) = encode(&frame) else { continue };
+        node.telemetry.link_bytes.add(content.len() as u64, &[]);
+        if sink.send(Message::Binary(content)).await.is_err() {
+            return;
+        }
+    }
+    // The peer sees the connection close either way.
+    let _ = sink.close().await;
+}
+
+async fn read_frames(
+    node: Arc<Node>,
+    peer: PeerInfo,
+    mut stream: SplitStream<WebSocketStream<TcpStream>>,
+    link: Arc<PeerLink>,
+) {
+    while let Some(Ok(message)) = stream.next().await {
+        let Message::Binary(content) = message else { continue };
+        match ciborium::from_reader::<LinkFrame, _>(content.as_ref()) {
+            Ok(LinkFrame::ConfigDeltas(deltas)) => {
+                crate::version::config_loop::take_deltas(&node, deltas, Some(&peer));
+            }
+            Ok(LinkFrame::ConfigSnapshot(snapshot)) => {
+                crate::version::config_loop::take_snapshot(&node, snapshot);
+            }
+            Ok(frame) => link.deliver(frame),
+            Err(_) => break,
+        }
+    }
+    logs::write(event::LINK_BROKEN, &[("peer", &peer.name)]);
+    let mut links = node.links.links.lock().unwrap();
+    if links.get(&peer.name).is_some_and(|held| Arc::ptr_eq(held, &link)) {
+        links.remove(&peer.name);
+    }
+    drop(links);
+    link.fail_pending();
+}
--- /dev/null
+++ b/crates/trestlerackd/src/process/member_loop.rs
@@ -0,0 +1,99 @@
+//! Probes peers and reads the platform's list.
+
+use super::logs;
+use crate::connection::links;
+use crate::node::Node;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::connection::LinkFrame;
+use trestlerack::event;
+use trestlerack::process::{Heartbeat, Liveness, MembershipAction, MembershipEvent, PeerInfo};
+use trestlerack::version::FollowEvent;
+
+/// Interval at which the platform's list is read.
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Part of the heartbeat interval after which a probe counts as unanswered.
+const PROBE_TIMEOUT_PARTS: u32 = 1;
+
+/// Probes one peer per interval.
+pub async fn probe_peers(node: Arc<Node>) {
+    let interval = Duration::from_millis(node.settings.heartbeat_ms);
+    let mut ticks = tokio::time::interval(interval);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        tell(&node, MembershipEvent::Tick);
+        node.refresh_ownership();
+    }
+}
+
+/// Reads the platform's list; what it says is merged and never trusted over a peer's own word.
+pub async fn read_list(node: Arc<Node>) {
+    loop {
+        match node.list.list().await {
+            Ok(list) => {
+                tell(&node, MembershipEvent::Listed(list.nodes));
+                for backend in list.backends {
+                    node.desks.listed_leaving(node.now(), &backend.name, backend.leaving);
+                    node.plain.set_leaving(&backend.name, backend.leaving);
+                }
+                node.refresh_ownership();
+            }
+            Err(error) => logs::write(event::LIST_UNAVAILABLE, &[("error", &error)]),
+        }
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
+
+/// Feeds an event to the membership and carries out what it asks for.
+pub fn tell(node: &Arc<Node>, event: MembershipEvent) {
+    let actions = node.membership.lock().unwrap().handle(node.now(), event);
+    for action in actions {
+        match action {
+            MembershipAction::Probe(peer) => {
+                tokio::spawn(probe(node.clone(), peer));
+            }
+            MembershipAction::Changed(update) => {
+                let liveness = format!("{:?}", update.liveness).to_lowercase();
+                logs::write(event::PEER_CHANGED, &[("peer", &update.peer.name), ("liveness", &liveness)]);
+                if update.liveness == Liveness::Dead {
+                    node.links.drop_link(&update.peer.name);
+                    node.spool.release_copies_of(&update.peer.name);
+                }
+            }
+        }
+    }
+}
+
+async fn probe(node: Arc<Node>, peer: PeerInfo) {
+    let timeout = Duration::from_millis(node.settings.heartbeat_ms) * PROBE_TIMEOUT_PARTS;
+    let heartbeat = node.membership.lock().unwrap().heartbeat();
+    let generation = node.config.current().generation;
+    let backends = node.desks.take_news();
+    let build = |id| LinkFrame::Probe { id, heartbeat, generation, backends };
+    match links::request(&node, &peer, build, timeout).await {
+        Ok(LinkFrame::ProbeAnswer { heartbeat, generation, backends, .. }) => {
+            hear(&node, heartbeat, generation, backends);
+        }
+        Ok(_) | Err(_) => tell(&node, MembershipEvent::Unanswered(peer.name)),
+    }
+}
+
+/// Takes in what a peer said in a probe or in its answer.
+pub fn hear(
+    node: &Arc<Node>,
+    heartbeat: Heartbeat,
+    generation: u64,
+    backends: Vec<trestlerack::connection::BackendNews>,
+) {
+    let sender = heartbeat.sender.peer.clone();
+    tell(node, MembershipEvent::Received(heartbeat));
+    for news in backends {
+        node.desks.hear_news(node.now(), news);
+    }
+    let action = node.config.handle(FollowEvent::Heard { generation });
+    if let Some(action) = action {
+        crate::version::config_loop::carry_out(node, action, Some(sender));
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/process/platform.rs
@@ -0,0 +1,118 @@
+//! The platform's table service, object store and membership list, met over HTTP.
+
+use crate::connection::http_client::{HttpAnswer, HttpClient};
+use async_trait::async_trait;
+use hyper::{Method, StatusCode};
+use serde_json::Value;
+use std::time::Duration;
+use trestlerack::border::{
+    CommitOutcome, MembershipList, MembershipSource, ObjectStore, StoreError, TableRow, TableStore, TableTransaction,
+};
+use trestlerack::{Failure, Name, Verdict};
+
+/// Time after which a call of the platform counts as lost.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The table service over HTTP.
+pub struct HttpTableStore {
+    http: HttpClient,
+    address: Name,
+}
+
+impl HttpTableStore {
+    /// Builds a client of the table service at `address`.
+    pub fn new(http: HttpClient, address: Name) -> Self {
+        Self { http, address }
+    }
+}
+
+#[async_trait]
+impl TableStore for HttpTableStore {
+    async fn read(&self, key: &str) -> Result<Option<TableRow>, StoreError> {
+        let body = serde_json::json!({ "key": key });
+        let answer = self.http.post_json(&self.address, "/table/read", &body, CALL_TIMEOUT).await;
+        decode(answer)
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<TableRow>, StoreError> {
+        let body = serde_json::json!({ "prefix": prefix, "after": after, "limit": limit });
+        let answer = self.http.post_json(&self.address, "/table/scan", &body, CALL_TIMEOUT).await;
+        decode(answer)
+    }
+
+    async fn commit(&self, transaction: TableTransaction) -> Result<CommitOutcome, StoreError> {
+        let body = serde_json::to_value(&transaction).map_err(|_| StoreError::Unavailable)?;
+        let answer = self.http.post_json(&self.address, "/table/commit", &body, CALL_TIMEOUT).await;
+        decode(answer)
+    }
+}
+
+/// The object store over HTTP.
+pub struct HttpObjectStore {
+    http: HttpClient,
+    address: Name,
+}
+
+impl HttpObjectStore {
+    /// Builds a client of the object store at `address`.
+    pub fn new(http: HttpClient, address: Name) -> Self {
+        Self { http, address }
+    }
+}
+
+#[async_trait]
+impl ObjectStore for HttpObjectStore {
+    async fn put(&self, key: &str, content: Vec<u8>) -> Result<(), StoreError> {
+        let path = format!("/objects/{key}");
+        let answer = self.http.send_bytes(Method::PUT, &self.address, &path, content, CALL_TIMEOUT).await;
+        accepted(answer).map(|_| ())
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Vec<u8>>, StoreError> {
+        let path = format!("/objects/{key}");
+        let answer = self.http.send_bytes(Method::GET, &self.address, &path, Vec::new(), CALL_TIMEOUT).await;
+        match &answer {
+            Ok(answer) if answer.status == StatusCode::NOT_FOUND => Ok(None),
+            _ => accepted(answer).map(|answer| Some(answer.body.to_vec())),
+        }
+    }
+}
+
+/// The membership list over HTTP.
+pub struct HttpMembershipSource {
+    http: HttpClient,
+    address: Name,
+}
+
+impl HttpMembershipSource {
+    /// Builds a client of the membership list at `address`.
+    pub fn new(http: HttpClient, address: Name) -> Self {
+        Self { http, address }
+    }
+}
+
+#[async_trait]
+impl MembershipSource for HttpMembershipSource {
+    async fn list(&self) -> Result<MembershipList, StoreError> {
+        let answer = self.http.send_bytes(Method::GET, &self.address, "/members", Vec::new(), CALL_TIMEOUT).await;
+        decode(answer)
+    }
+}
+
+/// Returns the answer if the store acted on the call. A refusal was not applied; a call without
+/// an answer may have been.
+fn accepted(answer: Result<HttpAnswer, Failure>) -> Result<HttpAnswer, StoreError> {
+    match answer {
+        Ok(answer) if answer.status.is_success() => Ok(answer),
+        Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
+        Ok(_) => Err(StoreError::Unknown),
+        Err(failure) if failure.verdict == Verdict::NotRun => Err(StoreError::Unavailable),
+        Err(_) => Err(StoreError::Unknown),
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(answer: Result<HttpAnswer, Failure>) -> Result<T, StoreError> {
+    let answer = accepted(answer)?;
+    let value: Value = serde_json::from_slice(&answer.body).map_err(|_| StoreError::Unknown)?;
+    serde_json::from_value(value).map_err(|_| StoreError::Unknown)
+}
--- /dev/null
+++ b/crates/trestlerackd/src/request/call_driver.rs
@@ -0,0 +1,100 @@
+//! Drives one call to its whole answer over as many attempts as it takes and is allowed.
+
+use super::call_router::{choose_owner, route};
+use crate::node::Node;
+use crate::process::logs;
+use async_trait::async_trait;
+use rand::Rng;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::connection::{CallEvent, CallOutcome, CallSpec, TokenChunk};
+use trestlerack::request::{ResumeDecision, ResumePolicy, decide_resume};
+use trestlerack::verdict::Reason;
+use trestlerack::{Failure, Name, Timestamp, event};
+
+/// Wait before the first resumption, before jitter; it doubles with each further one.
+const FIRST_WAIT: Duration = Duration::from_millis(25);
+
+/// Largest number of doublings of the wait.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// Takes the parts of an answer over all its attempts.
+#[async_trait]
+pub trait CallSink: Send {
+    /// An attempt runs on an engine.
+    fn started(&mut self, engine: Name, zone: Name, owner: Name);
+
+    /// Takes a chunk; a failure ends the call.
+    async fn chunk(&mut self, chunk: TokenChunk) -> Result<(), Failure>;
+
+    /// Returns the tokens and the text held so far, from which the next attempt goes on.
+    fn held(&self) -> (u32, &str);
+}
+
+/// Drives a call until it is whole, and returns how many attempts that took.
+pub async fn drive(
+    node: &Arc<Node>,
+    spec: &CallSpec,
+    deadline: Timestamp,
+    policy: ResumePolicy,
+    sink: &mut dyn CallSink,
+) -> Result<u32, Failure> {
+    node.budget.lock().unwrap().earn(&spec.account, &spec.model);
+    let mut attempts = 0;
+    let mut avoid = Vec::new();
+    loop {
+        attempts += 1;
+        let Err(failure) = attempt(node, spec, deadline, sink, &mut avoid).await else { return Ok(attempts) };
+        let in_budget = || node.budget.lock().unwrap().spend(&spec.account, &spec.model);
+        let elsewhere = choose_owner(node, spec, &avoid).is_ok();
+        let policy = ResumePolicy { patient: policy.patient || elsewhere, ..policy };
+        match decide_resume(&failure, policy, node.now(), deadline, in_budget) {
+            ResumeDecision::Resume => {
+                logs::write(event::CALL_BROKEN, &[("account", &spec.account), ("cause", &failure)]);
+                // Another owner may serve the call at once; only when all of them failed is it time to wait.
+                if !elsewhere {
+                    avoid.clear();
+                    tokio::time::sleep(wait_before(attempts, &failure)).await;
+                }
+            }
+            ResumeDecision::GiveUp(failure) => return Err(failure),
+        }
+    }
+}
+
+/// Returns a jittered wait, so that calls that broke together do not come back together.
+fn wait_before(attempts: u32, failure: &Failure) -> Duration {
+    let doubled = FIRST_WAIT * 2_u32.pow((attempts - 1).min(MAX_DOUBLINGS));
+    let base = failure.retry_after.unwrap_or(doubled).max(doubled);
+    base.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
+async fn attempt(
+    node: &Arc<Node>,
+    spec: &CallSpec,
+    deadline: Timestamp,
+    sink: &mut dyn CallSink,
+    avoid: &mut Vec<Name>,
+) -> Result<(), Failure> {
+    let deadline_ms = node.left_ms(deadline);
+    if deadline_ms == 0 {
+        return Err(Failure::not_run(Reason::DeadlineExceeded, "the deadline passed"));
+    }
+    let (offset, text) = sink.held();
+    if offset >= spec.max_tokens {
+        return Ok(());
+    }
+    let prompt = format!("{}{text}", spec.prompt);
+    let spec = CallSpec { offset, prompt, deadline_ms, ..spec.clone() };
+    let owner = choose_owner(node, &spec, avoid)?;
+    avoid.push(owner.clone());
+    let mut call = route(node, owner, spec).await?;
+    loop {
+        match call.next().await {
+            CallEvent::Started { engine, zone, owner, .. } => sink.started(engine, zone, owner),
+            CallEvent::Chunk(chunk) => sink.chunk(chunk).await?,
+            CallEvent::Ended(CallOutcome::Whole) => return Ok(()),
+            CallEvent::Ended(CallOutcome::Failed(failure)) => return Err(failure),
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/request/engine_client.rs
@@ -0,0 +1,182 @@
+//! Model engines, met by the completions protocol with server-sent events.
+
+use crate::connection::http_client::{HttpAnswer, HttpClient, read_whole};
+use async_trait::async_trait;
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, header};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use trestlerack::border::{ChunkSink, EngineClient, EngineStatus};
+use trestlerack::connection::{CallSpec, TokenChunk};
+use trestlerack::verdict::Reason;
+use trestlerack::version::{EngineOrder, WeightVersion};
+use trestlerack::{Failure, Name};
+
+/// Data of the event that ends a stream.
+pub const DONE: &str = "[DONE]";
+
+/// Longest silence of an engine within a stream.
+const CHUNK_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time for a status answer.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Header with which a backend server says that it is leaving.
+const LEAVING_HEADER: &str = "x-leaving";
+
+/// Model engines over HTTP.
+pub struct HttpEngineClient {
+    http: HttpClient,
+    order_timeout: Duration,
+}
+
+impl HttpEngineClient {
+    /// Builds a client whose orders may take `order_timeout`.
+    pub fn new(http: HttpClient, order_timeout: Duration) -> Self {
+        Self { http, order_timeout }
+    }
+}
+
+#[derive(Serialize)]
+struct CompletionBody<'a> {
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u32,
+    stream: bool,
+    priority: u8,
+    seed: u64,
+    offset: u32,
+}
+
+/// One event of a completion stream, as engines send it and as callers get it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CompletionEvent {
+    /// Kind of object; fixed by the protocol.
+    pub object: Name,
+    /// Model.
+    pub model: Name,
+    /// Generated text; one choice only.
+    pub choices: Vec<CompletionChoice>,
+    /// Weight version that made the tokens.
+    #[serde(default)]
+    pub weight_version: Option<WeightVersion>,
+    /// Incarnation of the engine.
+    #[serde(default)]
+    pub engine_incarnation: Option<Name>,
+    /// Index of the first token.
+    #[serde(default)]
+    pub offset: u32,
+    /// Number of tokens.
+    #[serde(default)]
+    pub tokens: u32,
+}
+
+/// One choice of a completion.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CompletionChoice {
+    /// Index of the choice; always 0.
+    pub index: u32,
+    /// Text.
+    pub text: String,
+    /// Why generation ended, on the last event.
+    pub finish_reason: Option<Name>,
+}
+
+impl CompletionEvent {
+    fn into_chunk(self) -> TokenChunk {
+        TokenChunk {
+            offset: self.offset,
+            tokens: self.tokens,
+            finish_reason: self.choices.iter().find_map(|choice| choice.finish_reason.clone()),
+            text: self.choices.into_iter().map(|choice| choice.text).collect(),
+            version: self.weight_version,
+            incarnation: self.engine_incarnation.unwrap_or_else(|| "".into()),
+        }
+    }
+}
+
+#[async_trait]
+impl EngineClient for HttpEngineClient {
+    async fn complete(&self, address: &str, call: &CallSpec, sink: &mut dyn ChunkSink) -> Result<(), Failure> {
+        let response = self.http.send(completion_request(address, call)?).await?;
+        if !response.status().is_success() {
+            return Err(refusal(read_whole(response).await?));
+        }
+        let mut events = response.into_body().into_data_stream().eventsource();
+        loop {
+            let event = match tokio::time::timeout(CHUNK_TIMEOUT, events.next()).await {
+                Ok(Some(Ok(event))) => event,
+                Ok(Some(Err(error))) => return Err(broken(&format!("the stream broke: {error}"))),
+                Ok(None) => return Err(broken("the stream ended without its end mark")),
+                Err(_) => return Err(broken("the engine fell silent")),
+            };
+            if event.data == DONE {
+                return Ok(());
+            }
+            let parsed = serde_json::from_str::<CompletionEvent>(&event.data);
+            let parsed = parsed.map_err(|error| broken(&format!("not a completion event: {error}")))?;
+            if parsed.tokens > 0 && !sink.accept(parsed.into_chunk()).await {
+                return Err(broken("the rest of the answer is not wanted"));
+            }
+        }
+    }
+
+    async fn status(&self, address: &str) -> Result<EngineStatus, Failure> {
+        let answer = self.http.send_bytes(hyper::Method::GET, address, "/status", Vec::new(), STATUS_TIMEOUT);
+        decode_status(answer.await?)
+    }
+
+    async fn order(&self, address: &str, order: &EngineOrder) -> Result<EngineStatus, Failure> {
+        let body = serde_json::json!({ "hold_version": order.version, "fence": order.fence });
+        let answer = self.http.post_json(address, "/orders", &body, self.order_timeout).await?;
+        decode_status(answer)
+    }
+}
+
+fn completion_request(address: &str, call: &CallSpec) -> Result<Request<Full<Bytes>>, Failure> {
+    let body = CompletionBody {
+        model: &call.model,
+        prompt: &call.prompt,
+        max_tokens: call.max_tokens,
+        stream: true,
+        priority: call.priority,
+        seed: call.seed,
+        offset: call.offset,
+    };
+    let encoded = serde_json::to_vec(&body).expect("a completion request always encodes");
+    let mut request = Request::builder()
+        .method(hyper::Method::POST)
+        .uri(format!("http://{address}/v1/completions"))
+        .header(header::CONTENT_TYPE, "application/json");
+    if let Some(traceparent) = &call.traceparent {
+        request = request.header("traceparent", traceparent.as_ref());
+    }
+    request
+        .body(Full::new(Bytes::from(encoded)))
+        .map_err(|_| Failure::not_run(Reason::BadRequest, "the engine's address cannot be used"))
+}
+
+/// An engine that refuses with an explicit status did not run the call.
+fn refusal(answer: HttpAnswer) -> Failure {
+    let detail = String::from_utf8_lossy(&answer.body).into_owned();
+    Failure::not_run(Reason::BackendFailed, format!("the engine refused with {}: {detail}", answer.status))
+}
+
+fn decode_status(answer: HttpAnswer) -> Result<EngineStatus, Failure> {
+    if !answer.status.is_success() {
+        return Err(refusal(answer));
+    }
+    serde_json::from_slice(&answer.body).map_err(|error| broken(&format!("not a status: {error}")))
+}
+
+fn broken(detail: &str) -> Failure {
+    Failure::may_have_run(Reason::BackendFailed, detail)
+}
+
+/// Returns whether a backend server says in its answer's header that it is leaving.
+pub fn says_leaving(headers: &hyper::HeaderMap) -> bool {
+    headers.contains_key(LEAVING_HEADER)
+}
--- /dev/null
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -0,0 +1,286 @@
+//! Makes the samples of a group that this node owns.
+
+use super::call_driver::{CallSink, drive};
+use super::group_record::{MadeGroup, RecordError, record};
+use crate::node::Node;
+use crate::process::stop::WorkGuard;
+use crate::process::{logs, spool, step_loop};
+use async_trait::async_trait;
+use opentelemetry::trace::SpanKind;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use trestlerack::connection::{CallSpec, GroupWanted, TokenChunk};
+use trestlerack::hash::hash_parts;
+use trestlerack::request::{
+    GroupAction, GroupDriver, GroupEvent, GroupSettings, ResumePolicy, Sample, SampleAssembler,
+};
+use trestlerack::verdict::Reason;
+use trestlerack::version::{BackendKind, Campaign};
+use trestlerack::{Failure, Name, event};
+
+/// Interval at which stragglers and waits are looked at.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Time that a sample's call may take in all.
+const SAMPLE_DEADLINE: Duration = Duration::from_secs(120);
+
+/// Priority of a sample's first attempt; applications' calls go before it.
+const SAMPLE_PRIORITY: u8 = 10;
+
+/// Priority of a hedge, which holds up a whole step.
+const HEDGE_PRIORITY: u8 = 20;
+
+/// Tries at scoring a sample, each on another scoring service.
+const SCORE_TRIES: usize = 3;
+
+type AttemptEnd = (usize, u32, Result<Sample, Failure>);
+
+/// Begins a group, unless it is in progress here or this node can take on nothing new.
+pub fn begin(node: &Arc<Node>, wanted: GroupWanted) {
+    if node.stop.is_stopping() || !node.spool.has_room() {
+        return;
+    }
+    let Some(key) = node.wanted.begin(&wanted) else { return };
+    let node = node.clone();
+    tokio::spawn(async move {
+        let _work = WorkGuard::new(&node);
+        run_group(&node, &wanted).await;
+        node.wanted.end(&key);
+    });
+}
+
+async fn run_group(node: &Arc<Node>, wanted: &GroupWanted) {
+    let Some(campaign) = node.config.current().campaign(&wanted.campaign).cloned() else { return };
+    if !campaign.places.allows(&node.settings.zone) {
+        return;
+    }
+    let Some(samples) = make_samples(node, &campaign, wanted).await else {
+        let key = &wanted.spec.group;
+        logs::write(event::GROUP_FAILED, &[("campaign", &campaign.name), ("step", &wanted.step), ("group", key)]);
+        return;
+    };
+    let group = made_group(node, wanted, &samples);
+    match record(node, &group).await {
+        Ok(_) => step_loop::nudge_owner(node, &campaign).await,
+        Err(RecordError::Store(_)) => spool::store(node, group).await,
+    }
+}
+
+fn made_group(node: &Node, wanted: &GroupWanted, samples: &[Sample]) -> MadeGroup {
+    let mut lines = String::new();
+    for sample in samples {
+        lines.push_str(&serde_json::to_string(sample).expect("a sample always encodes"));
+        lines.push('\n');
+    }
+    MadeGroup {
+        campaign: wanted.campaign.clone(),
+        step: wanted.step,
+        group: wanted.spec.group.clone(),
+        oldest_version: samples.iter().map(Sample::oldest_version).min().unwrap_or(0),
+        first_unix: samples.iter().map(|sample| sample.first_unix).min().unwrap_or(0),
+        operation: node.operation_id(),
+        lines,
+    }
+}
+
+/// Runs the group's driver until every sample is made, or `None` if it is given up here.
+async fn make_samples(node: &Arc<Node>, campaign: &Campaign, wanted: &GroupWanted) -> Option<Vec<Sample>> {
+    let size = wanted.spec.size;
+    let mut driver = GroupDriver::new(GroupSettings::default(), size);
+    let (sender, mut ends) = mpsc::channel::<AttemptEnd>(size.max(1));
+    let mut samples: Vec<Option<Sample>> = vec![None; size];
+    let mut running = AttemptTasks::default();
+    let mut ticks = tokio::time::interval(TICK);
+    let mut event = GroupEvent::Begin;
+    loop {
+        let may_hedge = || node.budget.lock().unwrap().spend(&campaign.name, &campaign.model);
+        for action in driver.handle(node.now(), &event, may_hedge) {
+            match action {
+                GroupAction::Start { index, attempt, hedge } => {
+                    let attempt = SampleAttempt { index, number: attempt, hedge };
+                    let task = run_attempt(node.clone(), campaign.clone(), wanted.clone(), attempt, sender.clone());
+                    running.start((index, attempt.number), task);
+                }
+                GroupAction::Cancel { index, attempt } => running.cancel((index, attempt)),
+                GroupAction::Complete => return samples.into_iter().collect(),
+                GroupAction::GiveUp => return None,
+            }
+        }
+        event = tokio::select! {
+            Some(end) = ends.recv() => settle_attempt(node, &mut samples, end),
+            _ = ticks.tick() => GroupEvent::Tick,
+        };
+    }
+}
+
+/// The running attempts of a group; dropping it cancels them all.
+#[derive(Default)]
+struct AttemptTasks {
+    tasks: HashMap<(usize, u32), tokio::task::AbortHandle>,
+}
+
+impl AttemptTasks {
+    fn start(&mut self, key: (usize, u32), task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.insert(key, tokio::spawn(task).abort_handle());
+    }
+
+    fn cancel(&mut self, key: (usize, u32)) {
+        if let Some(task) = self.tasks.remove(&key) {
+            task.abort();
+        }
+    }
+}
+
+impl Drop for AttemptTasks {
+    fn drop(&mut self) {
+        for task in self.tasks.values() {
+            task.abort();
+        }
+    }
+}
+
+fn settle_attempt(node: &Node, samples: &mut [Option<Sample>], (index, attempt, result): AttemptEnd) -> GroupEvent {
+    match result {
+        Ok(sample) => {
+            node.telemetry.samples.add(1, &[]);
+            samples[index].get_or_insert(sample);
+            GroupEvent::Finished { index, attempt }
+        }
+        Err(failure) => {
+            node.telemetry.remade.add(1, &[opentelemetry::KeyValue::new("cause", failure.reason.as_str())]);
+            logs::write(event::CALL_BROKEN, &[("sample", &index), ("attempt", &attempt), ("cause", &failure)]);
+            GroupEvent::Failed { index, attempt }
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+struct SampleAttempt {
+    index: usize,
+    number: u32,
+    hedge: bool,
+}
+
+async fn run_attempt(
+    node: Arc<Node>,
+    campaign: Campaign,
+    wanted: GroupWanted,
+    attempt: SampleAttempt,
+    sender: mpsc::Sender<AttemptEnd>,
+) {
+    let slots = node.sample_slots.clone();
+    let Ok(_slot) = slots.acquire().await else { return };
+    let result = make_sample(&node, &campaign, &wanted, attempt).await;
+    // A group that ended meanwhile needs no more attempts.
+    let _ = sender.send((attempt.index, attempt.number, result)).await;
+}
+
+async fn make_sample(
+    node: &Arc<Node>,
+    campaign: &Campaign,
+    wanted: &GroupWanted,
+    attempt: SampleAttempt,
+) -> Result<Sample, Failure> {
+    let span = node.telemetry.hop("sample", SpanKind::Internal, None);
+    let id = sample_id(wanted, attempt.index);
+    span.set("sample", id.to_string());
+    let first_unix = node.clock.unix_seconds();
+    let min_version = campaign.staleness_rule().oldest_acceptable(wanted.consume_version);
+    let spec = call_spec(node, campaign, wanted, attempt, span.traceparent.clone());
+    let mut sink = SampleSink { assembler: SampleAssembler::new(min_version) };
+    let deadline = node.now() + SAMPLE_DEADLINE;
+    let policy = ResumePolicy { repeatable: true, patient: true };
+    let attempts = drive(node, &spec, deadline, policy, &mut sink).await?;
+    let (text, tokens, versions) = sink.assembler.finish();
+    let places = node.config.current().campaign(&campaign.name).map(|campaign| campaign.places.clone());
+    let is_allowed = |zone: &Name| places.as_ref().is_some_and(|places| places.allows(zone));
+    if !versions.iter().all(|range| is_allowed(&range.zone)) {
+        return Err(Failure::may_have_run(Reason::NoBackend, "the campaign's places changed; the sample is discarded"));
+    }
+    let score = score(node, campaign, &wanted.spec.prompt, &text).await?;
+    Ok(Sample {
+        id,
+        prompt: wanted.spec.prompt.clone(),
+        text,
+        tokens,
+        versions,
+        score,
+        attempts: attempts + attempt.number - 1,
+        driver: node.name().clone(),
+        first_unix,
+    })
+}
+
+fn sample_id(wanted: &GroupWanted, index: usize) -> Name {
+    format!("{}/{}/{}/{index}", wanted.campaign, wanted.step, wanted.spec.group).into()
+}
+
+fn call_spec(
+    node: &Node,
+    campaign: &Campaign,
+    wanted: &GroupWanted,
+    attempt: SampleAttempt,
+    traceparent: Option<Name>,
+) -> CallSpec {
+    let step = wanted.step.to_string();
+    let index = attempt.index.to_string();
+    CallSpec {
+        account: campaign.name.clone(),
+        weight: campaign.weight,
+        model: campaign.model.clone(),
+        places: campaign.places.clone(),
+        prompt: wanted.spec.prompt.clone(),
+        offset: 0,
+        max_tokens: campaign.max_tokens,
+        seed: hash_parts(&[&campaign.name, &step, &wanted.spec.group, &index]),
+        priority: if attempt.hedge { HEDGE_PRIORITY } else { SAMPLE_PRIORITY },
+        prefix: hash_parts(&[&wanted.spec.prompt]),
+        min_version: campaign.staleness_rule().oldest_acceptable(wanted.consume_version),
+        needs_version: true,
+        deadline_ms: node.left_ms(node.now() + SAMPLE_DEADLINE),
+        traceparent,
+    }
+}
+
+/// Scores a sample on a scoring service in the campaign's places.
+async fn score(node: &Arc<Node>, campaign: &Campaign, prompt: &str, text: &str) -> Result<f64, Failure> {
+    let backends = node.plain.backends(BackendKind::Scoring, &campaign.scoring, &campaign.places);
+    let mut tried = Vec::new();
+    let mut last = Failure::not_run(Reason::NoBackend, "no scoring service in an allowed place");
+    for _ in 0..SCORE_TRIES {
+        let chosen = node.plain.choose(node.now(), &backends, &tried, |name| node.desks.is_leaving(name));
+        let Some(backend) = chosen else { break };
+        let result = node.scoring.score(&backend.address, prompt, text).await;
+        node.plain.ended(node.now(), &backend, result.is_ok());
+        match result {
+            Ok(score) => return Ok(score),
+            Err(failure) => last = failure,
+        }
+        tried.push(backend.name);
+    }
+    Err(last)
+}
+
+struct SampleSink {
+    assembler: SampleAssembler,
+}
+
+#[async_trait]
+impl CallSink for SampleSink {
+    fn started(&mut self, engine: Name, zone: Name, owner: Name) {
+        self.assembler.start_attempt(engine, zone, owner);
+    }
+
+    async fn chunk(&mut self, chunk: TokenChunk) -> Result<(), Failure> {
+        self.assembler.accept(&chunk).map_err(|error| {
+            // The chunk was not taken in, so the call can be resumed from the tokens before it.
+            Failure::may_have_run(Reason::BackendFailed, error.to_string())
+        })
+    }
+
+    fn held(&self) -> (u32, &str) {
+        (self.assembler.tokens(), self.assembler.text())
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/request/mod.rs
@@ -0,0 +1,18 @@
+//! What lives as long as a request: routes, calls, steps and operators' requests.
+
+pub mod answer;
+pub mod call_driver;
+pub mod call_router;
+pub mod completions;
+pub mod desks;
+pub mod engine_client;
+pub mod group_record;
+pub mod group_runner;
+pub mod loads;
+pub mod operators;
+pub mod plain;
+pub mod plain_pool;
+pub mod routes;
+pub mod scoring_client;
+pub mod shards;
+pub mod steps;
--- /dev/null
+++ b/crates/trestlerackd/src/request/plain.rs
@@ -0,0 +1,280 @@
+//! Calls to plain services, some of which must not run twice.
+
+use super::answer::{ApiCall, serve};
+use crate::connection::http_client::{HttpAnswer, read_whole};
+use crate::node::Node;
+use crate::process::logs;
+use crate::process::rollout_loop::store_failed;
+use bytes::Bytes;
+use gotham::handler::HandlerResult;
+use gotham::helpers::http::Body;
+use gotham::state::State;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Response, StatusCode, header};
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::border::{CommitOutcome, StoreError, TableRow, TableTransaction};
+use trestlerack::hash::digest_hex;
+use trestlerack::request::{
+    ClaimDecision, ClaimRow, ClaimState, ResumeDecision, ResumePolicy, claim_key, decide_claim, decide_resume,
+};
+use trestlerack::verdict::Reason;
+use trestlerack::version::{Backend, BackendKind};
+use trestlerack::{Failure, Name, Timestamp, Verdict, event};
+
+/// Header that carries an idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Longest idempotency key.
+const MAX_KEY: usize = 128;
+
+/// Segments of the path before the service's own path: `v1`, `services` and the service.
+const OWN_SEGMENTS: usize = 3;
+
+/// Wait named to a caller whose claim could not be written.
+const STORE_RETRY: Duration = Duration::from_secs(2);
+
+/// Tries at writing the end of a claim.
+const FINISH_TRIES: usize = 3;
+
+/// Largest answer that is recorded for repeated calls, in bytes.
+const MAX_RECORDED: usize = 64 * 1024;
+
+/// `/v1/services/{service}/{path}`.
+pub async fn call(state: State) -> HandlerResult {
+    serve(state, "services", run).await
+}
+
+/// A plain call on its way to a backend server.
+struct PlainCall {
+    user: Name,
+    service: Name,
+    method: Method,
+    target: String,
+    content_type: String,
+    body: Bytes,
+    key: Option<String>,
+    traceparent: Option<Name>,
+    deadline: Timestamp,
+    repeatable: bool,
+}
+
+async fn run(call: ApiCall) -> Result<Response<Body>, Failure> {
+    let user = call.require_user()?;
+    let service: Name = call.segment(2).into();
+    let config = call.node.config.current();
+    let places = config.user(&user).map(|user| user.places.clone()).unwrap_or_default();
+    let backends = call.node.plain.backends(BackendKind::Plain, &service, &places);
+    if backends.is_empty() {
+        let detail = format!("no plain service {service} in the user's places");
+        return Err(Failure::not_run(Reason::NotFound, detail));
+    }
+    let plain = plain_call(&call, user, service, &backends)?;
+    let is_claimed = plain.key.is_some() && !plain.repeatable && !backends[0].honours_keys;
+    let answer = if is_claimed {
+        send_claimed(&call.node, &plain, &backends).await
+    } else {
+        send(&call.node, &plain, &backends).await
+    };
+    answer.map(plain_response)
+}
+
+fn plain_call(call: &ApiCall, user: Name, service: Name, backends: &[Backend]) -> Result<PlainCall, Failure> {
+    let key = call.header(KEY_HEADER).map(str::to_owned);
+    let is_fine = |key: &String| {
+        !key.is_empty() && key.len() <= MAX_KEY && key.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'/')
+    };
+    if key.as_ref().is_some_and(|key| !is_fine(key)) {
+        let detail = format!("{KEY_HEADER}: expected 1 to {MAX_KEY} visible characters without /");
+        return Err(Failure::not_run(Reason::BadRequest, detail));
+    }
+    let path: Vec<&str> = call.uri.path().split('/').skip(1 + OWN_SEGMENTS).collect();
+    let query = call.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    let is_safe = matches!(call.method, Method::GET | Method::HEAD);
+    Ok(PlainCall {
+        repeatable: is_safe || backends.iter().all(|backend| backend.idempotent),
+        user,
+        service,
+        method: call.method.clone(),
+        target: format!("/{}{query}", path.join("/")),
+        content_type: call.header("content-type").unwrap_or("application/octet-stream").to_owned(),
+        body: call.body.clone(),
+        key,
+        traceparent: call.span.traceparent.clone(),
+        deadline: call.node.now() + call.time_allowed()?,
+    })
+}
+
+/// Sends a call that needs no claim: repeatable, without a key, or with a key that the service
+/// itself honours.
+async fn send(node: &Arc<Node>, call: &PlainCall, backends: &[Backend]) -> Result<HttpAnswer, Failure> {
+    node.budget.lock().unwrap().earn(&call.user, &call.service);
+    let policy = ResumePolicy { repeatable: call.repeatable, patient: false };
+    let mut tried = Vec::new();
+    loop {
+        let chosen = node.plain.choose(node.now(), backends, &tried, |name| node.desks.is_leaving(name));
+        let Some(backend) = chosen else {
+            let failure = Failure::not_run(Reason::NoBackend, "no backend server of the service takes requests");
+            return Err(failure.retry_after(Duration::from_secs(1)));
+        };
+        let result = send_once(node, call, &backend).await;
+        let is_good = result.as_ref().is_ok_and(|answer| !answer.status.is_server_error());
+        node.plain.ended(node.now(), &backend, is_good);
+        let failure = match result {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        };
+        logs::write(event::PLAIN_BROKEN, &[("backend", &backend.name), ("failure", &failure)]);
+        let in_budget = || node.budget.lock().unwrap().spend(&call.user, &call.service);
+        tried.push(backend.name);
+        if let ResumeDecision::GiveUp(failure) = decide_resume(&failure, policy, node.now(), call.deadline, in_budget) {
+            return Err(failure);
+        }
+        if tried.len() == backends.len() {
+            return Err(failure);
+        }
+    }
+}
+
+async fn send_once(node: &Arc<Node>, call: &PlainCall, backend: &Backend) -> Result<HttpAnswer, Failure> {
+    let request = build_request(call, backend)?;
+    let left = call.deadline.since(node.now());
+    if left.is_zero() {
+        return Err(Failure::not_run(Reason::DeadlineExceeded, "the deadline passed"));
+    }
+    let exchange = async {
+        let response = if call.repeatable {
+            node.http.send(request).await?
+        } else {
+            node.http.send_once(&backend.address, request).await?
+        };
+        let is_leaving = super::engine_client::says_leaving(response.headers());
+        node.desks.engine_answered(node.now(), &backend.name, is_leaving);
+        read_whole(response).await
+    };
+    let answer = tokio::time::timeout(left, exchange).await;
+    answer
+        .unwrap_or_else(|_| Err(Failure::may_have_run(Reason::DeadlineExceeded, "the service did not answer in time")))
+}
+
+fn build_request(call: &PlainCall, backend: &Backend) -> Result<Request<Full<Bytes>>, Failure> {
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(format!("http://{}{}", backend.address, call.target))
+        .header(header::HOST, backend.address.as_ref())
+        .header(header::CONTENT_TYPE, &call.content_type);
+    if let Some(key) = &call.key {
+        request = request.header(KEY_HEADER, key);
+    }
+    if let Some(traceparent) = &call.traceparent {
+        request = request.header("traceparent", traceparent.as_ref());
+    }
+    request
+        .body(Full::new(call.body.clone()))
+        .map_err(|_| Failure::not_run(Reason::BadRequest, "the path cannot be passed on"))
+}
+
+/// Claims a keyed call in the table before it is sent, so that a retry through another node meets
+/// the claim.
+async fn send_claimed(node: &Arc<Node>, call: &PlainCall, backends: &[Backend]) -> Result<HttpAnswer, Failure> {
+    let key = claim_key(&call.user, &call.service, call.key.as_deref().unwrap_or(""));
+    let digest: Name =
+        digest_hex(&[call.method.as_str().as_bytes(), b" ", call.target.as_bytes(), b"\n", &call.body].concat()).into();
+    let attempt = node.operation_id();
+    let held = read_claim(node, &key).await?;
+    let row = held.as_ref().map(|(_, row)| row);
+    match decide_claim(row, &digest, &attempt) {
+        ClaimDecision::Claim => {}
+        other => return answer_without_sending(other),
+    }
+    let claim = ClaimRow { digest, attempt: attempt.clone(), state: ClaimState::Claimed };
+    if !write_claim(node, &key, held.as_ref().map(|(row, _)| row), &claim).await? {
+        let held = read_claim(node, &key).await?;
+        let decision = decide_claim(held.as_ref().map(|(_, row)| row), &claim.digest, &attempt);
+        if decision != ClaimDecision::Send {
+            return answer_without_sending(decision);
+        }
+    }
+    let result = send(node, call, backends).await;
+    finish_claim(node, &key, claim, &result).await;
+    result
+}
+
+fn answer_without_sending(decision: ClaimDecision) -> Result<HttpAnswer, Failure> {
+    match decision {
+        ClaimDecision::Replay { status, content_type, body } => Ok(HttpAnswer {
+            status: StatusCode::from_u16(status).unwrap_or(StatusCode::OK),
+            content_type,
+            body: Bytes::from(body),
+        }),
+        ClaimDecision::Refuse(failure) => Err(failure),
+        ClaimDecision::Claim | ClaimDecision::Send => Err(no_claim()),
+    }
+}
+
+/// The failure of a call whose claim could not be written for certain; nothing was sent.
+fn no_claim() -> Failure {
+    let failure = Failure::not_run(Reason::StoreUnavailable, "the call cannot be claimed now, so it was not sent");
+    failure.retry_after(STORE_RETRY)
+}
+
+async fn read_claim(node: &Node, key: &str) -> Result<Option<(TableRow, ClaimRow)>, Failure> {
+    let row = node.table.read(key).await.map_err(|error| {
+        store_failed(node, "read claim", error);
+        no_claim()
+    })?;
+    let Some(row) = row else { return Ok(None) };
+    let claim = serde_json::from_value(row.value.clone()).map_err(|_| no_claim())?;
+    Ok(Some((row, claim)))
+}
+
+/// Writes a claim; `false` means that the row must be read to learn whose claim stands.
+async fn write_claim(node: &Node, key: &str, held: Option<&TableRow>, claim: &ClaimRow) -> Result<bool, Failure> {
+    let value = serde_json::to_value(claim).expect("a claim always encodes");
+    let expectation = TableTransaction::expectation_of(held);
+    let transaction = TableTransaction::default().expect(key, expectation).put(key, value);
+    match node.table.commit(transaction).await {
+        Ok(CommitOutcome::Committed) => Ok(true),
+        Ok(CommitOutcome::Conflict) | Err(StoreError::Unknown) => Ok(false),
+        Err(error) => {
+            store_failed(node, "write claim", error);
+            Err(no_claim())
+        }
+    }
+}
+
+/// Records how a claimed call ended. If that cannot be written the claim stays as it is, and a
+/// repeated call is told that it may have run.
+async fn finish_claim(node: &Node, key: &str, claim: ClaimRow, result: &Result<HttpAnswer, Failure>) {
+    let state = match result {
+        Ok(answer) if answer.body.len() <= MAX_RECORDED => ClaimState::Answered {
+            status: answer.status.as_u16(),
+            content_type: answer.content_type.clone(),
+            body: String::from_utf8_lossy(&answer.body).into_owned(),
+        },
+        Ok(_) => ClaimState::Uncertain,
+        Err(failure) => ClaimState::after_failure(failure.verdict),
+    };
+    let ended = ClaimRow { state, ..claim };
+    for _ in 0..FINISH_TRIES {
+        let Ok(Some((row, held))) = read_claim(node, key).await else { continue };
+        if held.attempt != ended.attempt || held.state == ended.state {
+            return;
+        }
+        if write_claim(node, key, Some(&row), &ended).await == Ok(true) {
+            return;
+        }
+    }
+}
+
+fn plain_response(answer: HttpAnswer) -> Response<Body> {
+    let body = Full::new(answer.body).map_err(|never| match never {}).boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = answer.status;
+    if let Ok(value) = header::HeaderValue::from_str(&answer.content_type) {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    let verdict = header::HeaderValue::from_static(Verdict::Ran.as_str());
+    response.headers_mut().insert(super::answer::VERDICT_HEADER, verdict);
+    response
+}
--- /dev/null
+++ b/crates/trestlerackd/src/request/plain_pool.rs
@@ -0,0 +1,109 @@
+//! Chooses among the backend servers of a plain or scoring service.
+
+use super::shards::Sharded;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::{Arc, Mutex, RwLock};
+use trestlerack::process::{OutlierDetector, OutlierSettings};
+use trestlerack::request::{ChoicePolicy, EngineChooser, EngineView};
+use trestlerack::version::{Backend, BackendKind, Configuration};
+use trestlerack::{Name, PlaceSet, Timestamp};
+
+/// Requests that a backend server of a service counts as able to hold for balancing.
+const BALANCE_SLOTS: u32 = 64;
+
+struct ServiceState {
+    outliers: OutlierDetector,
+    in_flight: HashMap<Name, u32>,
+    chooser: EngineChooser,
+}
+
+impl Default for ServiceState {
+    fn default() -> Self {
+        let random = Pcg64Mcg::from_rng(&mut rand::rng());
+        Self {
+            outliers: OutlierDetector::new(OutlierSettings::default()),
+            in_flight: HashMap::new(),
+            chooser: EngineChooser::new(ChoicePolicy::TwoChoices, random),
+        }
+    }
+}
+
+/// Backend servers by service, with what this node has seen of them.
+#[derive(Default)]
+pub struct PlainPool {
+    backends: RwLock<Arc<BTreeMap<Name, Vec<Backend>>>>,
+    leaving: Mutex<HashSet<Name>>,
+    states: Sharded<HashMap<Name, ServiceState>>,
+}
+
+impl PlainPool {
+    /// Takes over the backend servers of a new generation.
+    pub fn set_backends(&self, config: &Configuration) {
+        let mut services: BTreeMap<Name, Vec<Backend>> = BTreeMap::new();
+        for backend in config.backends().filter(|backend| backend.kind != BackendKind::Engine) {
+            services.entry(backend.service.clone()).or_default().push(backend.clone());
+        }
+        *self.backends.write().unwrap() = Arc::new(services);
+    }
+
+    /// Records whether a backend server receives no new work.
+    pub fn set_leaving(&self, backend: &Name, leaving: bool) {
+        let mut members = self.leaving.lock().unwrap();
+        if leaving {
+            members.insert(backend.clone());
+        } else {
+            members.remove(backend);
+        }
+    }
+
+    /// Returns the backend servers of a service in the allowed zones.
+    pub fn backends(&self, kind: BackendKind, service: &str, places: &PlaceSet) -> Vec<Backend> {
+        let services = self.backends.read().unwrap().clone();
+        let Some(backends) = services.get(service) else { return Vec::new() };
+        let allowed = |backend: &&Backend| backend.kind == kind && places.allows(&backend.zone);
+        backends.iter().filter(allowed).cloned().collect()
+    }
+
+    /// Chooses a backend server that is not among `tried` and counts a request on it.
+    ///
+    /// `is_leaving` adds what peers and answers say about leaving.
+    pub fn choose(
+        &self,
+        now: Timestamp,
+        backends: &[Backend],
+        tried: &[Name],
+        is_leaving: impl Fn(&str) -> bool,
+    ) -> Option<Backend> {
+        let service = &backends.first()?.service;
+        let leaving = self.leaving.lock().unwrap().clone();
+        let mut shard = self.states.lock(service);
+        let state = shard.entry(service.clone()).or_default();
+        let mut candidates = Vec::new();
+        for backend in backends {
+            let left = backend.leaving || leaving.contains(&backend.name) || is_leaving(&backend.name);
+            let limit = state.outliers.limit(now, &backend.name, BALANCE_SLOTS);
+            let in_flight = state.in_flight.get(&backend.name).copied().unwrap_or(0);
+            if !left && limit > 0 && !tried.contains(&backend.name) {
+                candidates.push(EngineView { name: &backend.name, in_flight, slots: limit });
+            }
+        }
+        let index = state.chooser.choose(0, &candidates)?;
+        let name = candidates[index].name;
+        let chosen = backends.iter().find(|backend| backend.name == *name)?.clone();
+        *state.in_flight.entry(chosen.name.clone()).or_default() += 1;
+        Some(chosen)
+    }
+
+    /// Records the end of a request.
+    pub fn ended(&self, now: Timestamp, backend: &Backend, good: bool) {
+        let count = self.backends.read().unwrap().get(&backend.service).map_or(0, Vec::len);
+        let mut shard = self.states.lock(&backend.service);
+        let state = shard.entry(backend.service.clone()).or_default();
+        if let Some(in_flight) = state.in_flight.get_mut(&backend.name) {
+            *in_flight = in_flight.saturating_sub(1);
+        }
+        state.outliers.record(now, &backend.name, good, count);
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/request/steps.rs
@@ -0,0 +1,296 @@
+//! Trainers' requests: submit a step, take its samples, acknowledge it, publish weights.
+
+use super::answer::{ApiCall, Principal, bytes_response, json_response, serve};
+use crate::node::Node;
+use crate::process::rollout_loop::weights_key;
+use crate::process::{logs, step_loop};
+use gotham::handler::HandlerResult;
+use gotham::helpers::http::Body;
+use gotham::state::State;
+use hyper::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::border::{CommitOutcome, Expectation, StoreError, TableRow, TableTransaction};
+use trestlerack::hash::digest_hex;
+use trestlerack::process::{StepRow, StepState, StepSubmission, open_key, step_key};
+use trestlerack::request::Sample;
+use trestlerack::verdict::Reason;
+use trestlerack::version::{Campaign, SampleAge, WeightVersion};
+use trestlerack::{Failure, Name, event};
+
+/// Wait named to a trainer whose step is not sealed yet.
+const NOT_SEALED_RETRY: Duration = Duration::from_millis(200);
+
+/// Wait named while the store is down.
+const STORE_RETRY: Duration = Duration::from_secs(2);
+
+/// Steps listed at most.
+const LIST_LIMIT: usize = 1_000;
+
+/// Tries at a write that others' writes get in the way of.
+const WRITE_TRIES: usize = 8;
+
+/// `PUT /v1/campaigns/{campaign}/steps/{step}`.
+pub async fn submit(state: State) -> HandlerResult {
+    serve(state, "submit-step", submit_step).await
+}
+
+/// `GET /v1/campaigns/{campaign}/steps/{step}/samples`.
+pub async fn take(state: State) -> HandlerResult {
+    serve(state, "take-step", take_step).await
+}
+
+/// `POST /v1/campaigns/{campaign}/steps/{step}/ack`.
+pub async fn acknowledge(state: State) -> HandlerResult {
+    serve(state, "acknowledge-step", acknowledge_step).await
+}
+
+/// `GET /v1/campaigns/{campaign}/steps`.
+pub async fn list(state: State) -> HandlerResult {
+    serve(state, "list-steps", list_steps).await
+}
+
+/// `GET /v1/campaigns/{campaign}/steps/{step}/groups/{group}/{index}`.
+pub async fn trace(state: State) -> HandlerResult {
+    serve(state, "trace-sample", trace_sample).await
+}
+
+/// `POST /v1/models/{model}/weights`.
+pub async fn publish(state: State) -> HandlerResult {
+    serve(state, "publish-weights", publish_weights).await
+}
+
+/// The answer to a submission.
+#[derive(Serialize)]
+struct Accepted {
+    campaign: Name,
+    step: u64,
+    groups: usize,
+    state: StepState,
+}
+
+fn campaign_of(call: &ApiCall) -> Result<Campaign, Failure> {
+    let name = call.segment(2);
+    let principal = call.principal()?;
+    let config = call.node.config.current();
+    let campaign = config.campaign(name).cloned();
+    let campaign = campaign.ok_or_else(|| Failure::not_run(Reason::NotFound, format!("no campaign {name}")))?;
+    match principal {
+        Principal::Operator => Ok(campaign),
+        Principal::User(user) if user == campaign.user => Ok(campaign),
+        Principal::User(_) => Err(Failure::not_run(Reason::Forbidden, "the campaign belongs to another user")),
+    }
+}
+
+fn store_down(error: StoreError) -> Failure {
+    let failure = match error {
+        StoreError::Unavailable => Failure::not_run(Reason::StoreUnavailable, error.to_string()),
+        StoreError::Unknown => Failure::may_have_run(Reason::StoreUnavailable, error.to_string()),
+    };
+    failure.retry_after(STORE_RETRY)
+}
+
+async fn read_step(node: &Node, campaign: &str, step: u64) -> Result<Option<(TableRow, StepRow)>, Failure> {
+    let row = node.table.read(&step_key(campaign, step)).await.map_err(store_down)?;
+    let Some(row) = row else { return Ok(None) };
+    let step = serde_json::from_value(row.value.clone()).map_err(|_| store_down(StoreError::Unknown))?;
+    Ok(Some((row, step)))
+}
+
+async fn submit_step(call: ApiCall) -> Result<Response<Body>, Failure> {
+    let campaign = campaign_of(&call)?;
+    let step = call.number(4)?;
+    let submission: StepSubmission = call.json()?;
+    if let Some(fault) = submission.fault() {
+        return Err(Failure::not_run(Reason::BadRequest, fault));
+    }
+    let content = serde_json::to_vec(&submission).expect("a submission always encodes");
+    let digest: Name = digest_hex(&content).into();
+    let manifest: Name = format!("manifests/{}/{step:012}/{digest}", campaign.name).into();
+    call.node.objects.put(&manifest, content).await.map_err(store_down)?;
+    let row = StepRow {
+        campaign: campaign.name.clone(),
+        step,
+        state: StepState::Open,
+        consume_version: submission.consume_version,
+        digest,
+        manifest,
+        groups: submission.groups.len(),
+        sealed: Vec::new(),
+        operation: call.node.operation_id(),
+    };
+    let state = open_step(&call.node, &campaign, &row).await?;
+    json_response(&Accepted { campaign: campaign.name, step, groups: row.groups, state })
+}
+
+/// Opens a step. A repeated submission finds its own row, whichever node it came through first.
+async fn open_step(node: &Arc<Node>, campaign: &Campaign, row: &StepRow) -> Result<StepState, Failure> {
+    let key = step_key(&row.campaign, row.step);
+    let transaction = TableTransaction::default()
+        .expect(&key, Expectation::Absent)
+        .put(&key, serde_json::to_value(row).expect("a step row always encodes"))
+        .put(open_key(&row.campaign, row.step), serde_json::json!({ "step": row.step }));
+    match node.table.commit(transaction).await {
+        Ok(CommitOutcome::Committed) => {
+            logs::write(
+                event::STEP_ACCEPTED,
+                &[("campaign", &row.campaign), ("step", &row.step), ("groups", &row.groups)],
+            );
+            step_loop::nudge_owner(node, campaign).await;
+            return Ok(StepState::Open);
+        }
+        Ok(CommitOutcome::Conflict) | Err(StoreError::Unknown) => {}
+        Err(StoreError::Unavailable) => return Err(store_down(StoreError::Unavailable)),
+    }
+    let Some((_, held)) = read_step(node, &row.campaign, row.step).await? else {
+        return Err(store_down(StoreError::Unknown));
+    };
+    if held.digest != row.digest {
+        let detail = "the step was submitted before with other groups";
+        return Err(Failure::not_run(Reason::Conflict, detail));
+    }
+    step_loop::nudge_owner(node, campaign).await;
+    Ok(held.state)
+}
+
+async fn take_step(call: ApiCall) -> Result<Response<Body>, Failure> {
+    let campaign = campaign_of(&call)?;
+    let step = call.number(4)?;
+    let (_, row) = require_step(&call.node, &campaign.name, step).await?;
+    if row.state == StepState::Open {
+        let failure = Failure::not_run(Reason::NotReady, "the step is not sealed yet");
+        return Err(failure.retry_after(NOT_SEALED_RETRY));
+    }
+    check_delivery(&call, &campaign, &row)?;
+    let mut lines = Vec::new();
+    for group in &row.sealed {
+        let content = call.node.objects.get(&group.object).await.map_err(store_down)?;
+        // A short step is never passed off as a whole one.
+        lines.extend(content.ok_or_else(|| store_down(StoreError::Unavailable))?);
+    }
+    Ok(bytes_response(StatusCode::OK, "application/jsonl", lines))
+}
+
+async fn require_step(node: &Node, campaign: &str, step: u64) -> Result<(TableRow, StepRow), Failure> {
+    let found = read_step(node, campaign, step).await?;
+    found.ok_or_else(|| Failure::not_run(Reason::NotFound, format!("no step {step} of {campaign}")))
+}
+
+/// Checks the age of a sealed step's samples once more, at the version that the trainer has now.
+fn check_delivery(call: &ApiCall, campaign: &Campaign, row: &StepRow) -> Result<(), Failure> {
+    let stated = call.query("trainer_version").map(str::parse::<WeightVersion>);
+    let consume_version = match stated {
+        None => row.consume_version,
+        Some(Ok(version)) => version.max(row.consume_version),
+        Some(Err(_)) => return Err(Failure::not_run(Reason::BadRequest, "trainer_version: expected a number")),
+    };
+    if row.state == StepState::Acknowledged {
+        return Ok(());
+    }
+    let rule = campaign.staleness_rule();
+    let now = call.node.clock.unix_seconds();
+    let stale = row.sealed.iter().find(|group| {
+        let versions = consume_version.saturating_sub(group.oldest_version);
+        !rule.accepts(SampleAge { versions, seconds: now.saturating_sub(group.first_unix) })
+    });
+    match stale {
+        None => Ok(()),
+        Some(group) => {
+            let detail =
+                format!("group {} is past the campaign's staleness bound at version {consume_version}", group.group);
+            Err(Failure::not_run(Reason::TooStale, detail))
+        }
+    }
+}
+
+async fn acknowledge_step(call: ApiCall) -> Result<Response<Body>, Failure> {
+    let campaign = campaign_of(&call)?;
+    let step = call.number(4)?;
+    for _ in 0..WRITE_TRIES {
+        let (held, row) = require_step(&call.node, &campaign.name, step).await?;
+        match row.state {
+            StepState::Open => {
+                return Err(Failure::not_run(Reason::Conflict, "the step is not sealed yet"));
+            }
+            StepState::Acknowledged => return json_response(&row),
+            StepState::Sealed => {}
+        }
+        let next = StepRow { state: StepState::Acknowledged, operation: call.node.operation_id(), ..row };
+        let transaction = TableTransaction::default()
+            .expect(&held.key, TableTransaction::expectation_of(Some(&held)))
+            .put(&held.key, serde_json::to_value(&next).expect("a step row always encodes"));
+        // A lost answer is settled by the next round, which reads the row back.
+        match call.node.table.commit(transaction).await {
+            Ok(CommitOutcome::Committed) => {
+                logs::write(event::STEP_ACKNOWLEDGED, &[("campaign", &campaign.name), ("step", &step)]);
+                return json_response(&next);
+            }
+            Ok(CommitOutcome::Conflict) | Err(StoreError::Unknown) => {}
+            Err(error) => return Err(store_down(error)),
+        }
+    }
+    Err(store_down(StoreError::Unknown))
+}
+
+async fn list_steps(call: ApiCall) -> Result<Response<Body>, Failure> {
+    let campaign = campaign_of(&call)?;
+    let prefix = format!("step/{}/", campaign.name);
+    let rows = call.node.table.scan(&prefix, "", LIST_LIMIT).await.map_err(store_down)?;
+    let steps: Vec<StepRow> = rows.into_iter().filter_map(|row| serde_json::from_value(row.value).ok()).collect();
+    json_response(&steps)
+}
+
+async fn trace_sample(call: ApiCall) -> Result<Response<Body>, Failure> {
+    let campaign = campaign_of(&call)?;
+    let step = call.number(4)?;
+    let (group, index) = (call.segment(6), call.number(7)?);
+    let (_, row) = require_step(&call.node, &campaign.name, step).await?;
+    let missing = || Failure::not_run(Reason::NotFound, "the sample is in no sealed step");
+    let sealed = row.sealed.iter().find(|sealed| sealed.group.as_ref() == group).ok_or_else(missing)?;
+    let content = call.node.objects.get(&sealed.object).await.map_err(store_down)?.ok_or_else(missing)?;
+    let text = String::from_utf8_lossy(&content);
+    let line = text.lines().nth(usize::try_from(index).unwrap_or(usize::MAX)).ok_or_else(missing)?;
+    let sample: Sample = serde_json::from_str(line).map_err(|_| missing())?;
+    json_response(&sample)
+}
+
+#[derive(Deserialize)]
+struct Published {
+    version: WeightVersion,
+}
+
+/// Records that a trainer put new weights into the weight store. The version only grows.
+async fn publish_weights(call: ApiCall) -> Result<Response<Body>, Failure> {
+    let model: Name = call.segment(2).into();
+    let principal = call.principal()?;
+    let published: Published = call.json()?;
+    let config = call.node.config.current();
+    let mut campaigns = config.campaigns().filter(|campaign| campaign.model == model);
+    let is_allowed = match &principal {
+        Principal::Operator => true,
+        Principal::User(user) => campaigns.any(|campaign| campaign.user == *user),
+    };
+    if !is_allowed {
+        return Err(Failure::not_run(Reason::Forbidden, "no campaign of the user trains this model"));
+    }
+    let key = weights_key(&model);
+    for _ in 0..WRITE_TRIES {
+        let held = call.node.table.read(&key).await.map_err(store_down)?;
+        let newest = held.as_ref().and_then(|row| row.value.get("version")?.as_u64());
+        if newest.is_some_and(|newest| newest > published.version) {
+            return Err(Failure::not_run(Reason::Conflict, "a newer version was published before"));
+        }
+        if newest == Some(published.version) {
+            return json_response(&serde_json::json!({ "model": model, "version": published.version }));
+        }
+        let transaction = TableTransaction::default()
+            .expect(&key, TableTransaction::expectation_of(held.as_ref()))
+            .put(&key, serde_json::json!({ "version": published.version }));
+        // Conflicts and lost answers are settled by reading back in the next round.
+        if let Err(StoreError::Unavailable) = call.node.table.commit(transaction).await {
+            return Err(store_down(StoreError::Unavailable));
+        }
+    }
+    Err(store_down(StoreError::Unknown))
+}
--- /dev/null
+++ b/crates/trestlerackd/src/version/config_loop.rs
@@ -0,0 +1,169 @@
+//! Follows the configuration: pushed by peers, polled from the table as a backstop.
+
+use crate::connection::links;
+use crate::node::Node;
+use crate::process::logs;
+use crate::process::rollout_loop::store_failed;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::border::{StoreError, TableRow};
+use trestlerack::connection::LinkFrame;
+use trestlerack::process::{Liveness, PeerInfo};
+use trestlerack::version::{BackendKind, ConfigDelta, Configuration, FollowAction, FollowEvent, ItemBody};
+use trestlerack::{Name, event};
+
+/// Key of the row that names the newest generation.
+pub const HEAD_KEY: &str = "config/head";
+
+/// Interval of the poll that backs up the push.
+const POLL_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Interval of the poll until a first configuration is in force.
+const FIRST_POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Peers to which a new generation is pushed at once; the rest hear of it from them and by probes.
+const PUSH_FANOUT: usize = 3;
+
+/// Deltas read from the table in one scan.
+const SCAN_LIMIT: usize = 256;
+
+/// The row that names the newest generation and the newest snapshot.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ConfigHead {
+    /// Newest generation.
+    pub generation: u64,
+    /// Generation of the newest snapshot.
+    pub snapshot_generation: u64,
+    /// Object with the newest snapshot; empty before the first one.
+    pub snapshot: Name,
+}
+
+/// Returns the key of the row with the delta that leads to `generation`.
+pub fn change_key(generation: u64) -> String {
+    format!("config/change/{generation:012}")
+}
+
+/// Reads the head row.
+pub async fn read_head(node: &Node) -> Result<(Option<TableRow>, ConfigHead), StoreError> {
+    let row = node.table.read(HEAD_KEY).await?;
+    let head = row.as_ref().and_then(|row| serde_json::from_value(row.value.clone()).ok());
+    Ok((row, head.unwrap_or_default()))
+}
+
+/// Polls the table for as long as the process lives.
+pub async fn follow_table(node: Arc<Node>) {
+    loop {
+        if let Err(error) = catch_up(&node).await {
+            store_failed(&node, "follow configuration", error);
+        }
+        let is_first = node.config.current().generation == 0;
+        tokio::time::sleep(if is_first { FIRST_POLL_INTERVAL } else { POLL_INTERVAL }).await;
+    }
+}
+
+/// Brings this node up to the newest generation in the table.
+pub async fn catch_up(node: &Arc<Node>) -> Result<(), StoreError> {
+    let (_, head) = read_head(node).await?;
+    let mut held = node.config.current().generation;
+    if head.generation <= held {
+        return Ok(());
+    }
+    if head.snapshot_generation > held && !head.snapshot.is_empty() {
+        let content = node.objects.get(&head.snapshot).await?;
+        let snapshot = content.and_then(|content| serde_json::from_slice(&content).ok());
+        if let Some(snapshot) = snapshot {
+            take_snapshot(node, snapshot);
+        }
+        held = node.config.current().generation;
+    }
+    while held < head.generation {
+        let rows = node.table.scan("config/change/", &change_key(held), SCAN_LIMIT).await?;
+        let deltas: Vec<ConfigDelta> =
+            rows.into_iter().filter_map(|row| serde_json::from_value(row.value).ok()).collect();
+        take_deltas(node, deltas, None);
+        let reached = node.config.current().generation;
+        if reached == held {
+            return Ok(());
+        }
+        held = reached;
+    }
+    Ok(())
+}
+
+/// Takes in deltas from a peer or from the table.
+pub fn take_deltas(node: &Arc<Node>, deltas: Vec<ConfigDelta>, from: Option<&PeerInfo>) {
+    let before = node.config.current();
+    let action = node.config.handle(FollowEvent::Deltas(deltas));
+    if let Some(action) = action {
+        put_in_force(node, &before);
+        carry_out(node, action, from.cloned());
+    }
+}
+
+/// Takes in a whole configuration.
+pub fn take_snapshot(node: &Arc<Node>, snapshot: Configuration) {
+    let before = node.config.current();
+    let action = node.config.handle(FollowEvent::Snapshot(snapshot));
+    if let Some(action) = action {
+        put_in_force(node, &before);
+        carry_out(node, action, None);
+    }
+}
+
+/// Carries out what the follower asked for. `from` is the peer that claimed a newer generation.
+pub fn carry_out(node: &Arc<Node>, action: FollowAction, from: Option<PeerInfo>) {
+    match action {
+        FollowAction::Fetch { after } => {
+            let Some(peer) = from else { return };
+            let node = node.clone();
+            tokio::spawn(async move { links::post(&node, &peer.name, LinkFrame::ConfigFetch { after }).await });
+        }
+        FollowAction::Applied { generation } => {
+            logs::write(event::GENERATION_APPLIED, &[("generation", &generation)]);
+            push(node, generation);
+        }
+    }
+}
+
+fn push(node: &Arc<Node>, generation: u64) {
+    let Some(deltas) = node.config.deltas_after(generation.saturating_sub(1)) else { return };
+    if deltas.is_empty() {
+        return;
+    }
+    let alive: Vec<Name> = {
+        let membership = node.membership.lock().unwrap();
+        let alive = membership.peers().filter(|update| update.liveness == Liveness::Alive);
+        alive.map(|update| update.peer.name).collect()
+    };
+    let chosen: Vec<Name> = alive.choose_multiple(&mut rand::rng(), PUSH_FANOUT).cloned().collect();
+    for peer in chosen {
+        let node = node.clone();
+        let frame = LinkFrame::ConfigDeltas(deltas.clone());
+        tokio::spawn(async move { links::post(&node, &peer, frame).await });
+    }
+}
+
+/// Hands the changed engines to the owner table and the dispatchers.
+fn put_in_force(node: &Arc<Node>, before: &Configuration) {
+    let after = node.config.current();
+    let mut owners = node.owners.write().unwrap();
+    let keys: BTreeSet<&Name> = before.items.keys().chain(after.items.keys()).collect();
+    for key in keys.into_iter().filter(|key| key.starts_with("backend/")) {
+        let (old, new) = (before.items.get(key), after.items.get(key));
+        if old == new {
+            continue;
+        }
+        match new.map(|item| &item.body) {
+            Some(ItemBody::Backend(backend)) if backend.kind == BackendKind::Engine => {
+                owners.set_engine(&backend.name, &backend.service, &backend.zone, backend.slots);
+            }
+            _ => owners.remove_engine(key.trim_start_matches("backend/")),
+        }
+    }
+    drop(owners);
+    node.plain.set_backends(&after);
+    node.refresh_desks();
+}
