Prove the promises on the core under kills, lost answers and races

Cause: the promises rested on code inside the daemon's tasks, where no test could kill a task between a write and its answer.

Change: what the stores are asked moved from the daemon into the library (step, claim and configuration stores over the border traits).

Found, each red first: - dispatch: a call that no engine could serve and whose deadline had passed was answered twice, because both lists were drawn up before either was acted on.

Demo: the application now sends half of its records a second time while the first is in progress.

--- a/crates/trestlerack-standins/src/application.rs
+++ b/crates/trestlerack-standins/src/application.rs
@@ -14,7 +14,8 @@
 /// What an application reports at its end.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct ApplicationResult {
-    /// Records that were sent with a key, each also a second time through another node.
+    /// Records that were sent with a key, each also a second time through another node, half of
+    /// them while the first send is in progress.
     pub records: usize,
     /// Records that were answered.
     pub answered: usize,
@@ -80,8 +81,12 @@
         let (node, path, key, text) = (node.to_owned(), path.clone(), key.clone(), text.clone());
         async move { client.send(Method::POST, &node, &path, Some(&key), text).await.ok() }
     };
-    let first = send(first).await;
-    let second = send(second).await;
+    // A balancer sends a call again while the first one is in progress, or after it was answered.
+    let (first, second) = if round.is_multiple_of(2) {
+        tokio::join!(send(first), send(second))
+    } else {
+        (send(first).await, send(second).await)
+    };
     Record { text, first, second }
 }
 
--- a/crates/trestlerack/src/process/limiter.rs
+++ b/crates/trestlerack/src/process/limiter.rs
@@ -23,6 +23,9 @@
     }
 }
 
+/// Shortest wait that is named, so that rounding never tells a caller to return at once.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+
 /// Limits the calls of each user on this node to its share of the user's limit.
 ///
 /// The share is the limit over the number of live nodes, because the platform's balancer spreads
@@ -43,7 +46,8 @@
         let bucket = self.buckets.entry(user.clone()).or_insert_with(|| TokenBucket::full(now, burst));
         bucket.fill(now, share, burst);
         if bucket.tokens < 1.0 {
-            return Err(Duration::from_secs_f64((1.0 - bucket.tokens) / share));
+            let wait = Duration::from_secs_f64((1.0 - bucket.tokens) / share);
+            return Err(wait.max(SHORTEST_WAIT));
         }
         bucket.tokens -= 1.0;
         Ok(())
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod settings;
 mod spool;
 mod step;
+mod step_store;
 
 pub use broadcast::BroadcastQueue;
 pub use lease::{LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep};
@@ -26,3 +27,4 @@
     GroupRow, GroupSpec, SealDecision, SealedGroup, StepRow, StepState, StepSubmission, decide_seal, group_key,
     group_prefix, open_key, step_key,
 };
+pub use step_store::{MadeGroup, ManifestCache, Opened, Recorded, StepLook, StepStore};
--- a/crates/trestlerack/src/request/dispatcher.rs
+++ b/crates/trestlerack/src/request/dispatcher.rs
@@ -378,10 +378,10 @@
     /// Answers calls that no engine here can serve any more, or that can no longer be whole in
     /// time, rather than at their deadline.
     fn refuse_hopeless(&mut self, now: Timestamp) -> Vec<DispatchAction> {
+        let mut actions = self.refuse_unservable(now);
         let hopeless = |call: &QueuedCall| now + self.service_time(call.cost) > call.deadline;
         let is_late = |call: &QueuedCall| if self.settings.admission { hopeless(call) } else { now > call.deadline };
         let late: Vec<u64> = self.queue.values().filter(|call| is_late(call)).map(|call| call.id).collect();
-        let mut actions = self.refuse_unservable(now);
         for id in late {
             self.dequeue(id);
             let failure = Failure::not_run(Reason::DeadlineExceeded, "no engine came free in time");
--- a/crates/trestlerack/src/request/mod.rs
+++ b/crates/trestlerack/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod claim;
+mod claim_store;
 mod dispatcher;
 mod group;
 mod resume;
@@ -9,6 +10,7 @@
 
 pub use choice::{ChoicePolicy, EngineChooser, EngineView};
 pub use claim::{ClaimDecision, ClaimRow, ClaimState, claim_key, decide_claim};
+pub use claim_store::ClaimStore;
 pub use dispatcher::{DispatchAction, DispatchEngine, DispatchEvent, DispatchSettings, EngineDispatcher, QueuedCall};
 pub use group::{GroupAction, GroupDriver, GroupEvent, GroupSettings};
 pub use resume::{ResumeDecision, ResumePolicy, decide_resume};
--- a/crates/trestlerack/src/version/mod.rs
+++ b/crates/trestlerack/src/version/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as a version: configuration generations and weight versions.
 
+mod config_store;
 mod configuration;
 mod declaration;
 mod follower;
@@ -7,6 +8,7 @@
 mod rollout;
 mod staleness;
 
+pub use config_store::{CommitTry, ConfigStore, Confirmation};
 pub use configuration::{ConfigDelta, Configuration, Item, ItemBody};
 pub use declaration::{
     Backend, BackendKind, Campaign, DECLARATION_SECTIONS, Declaration, User, Zone, parse_declaration,
--- a/crates/trestlerackd/src/node.rs
+++ b/crates/trestlerackd/src/node.rs
@@ -24,9 +24,10 @@
 use tokio::sync::Semaphore;
 use trestlerack::border::{Clock, EngineClient, MembershipSource, ObjectStore, ScoringClient, TableStore};
 use trestlerack::process::{
-    DaemonSettings, MembershipSettings, OwnerTable, OwnershipView, PeerInfo, PeerMembership, RetryBudget,
+    DaemonSettings, MembershipSettings, OwnerTable, OwnershipView, PeerInfo, PeerMembership, RetryBudget, StepStore,
 };
 use trestlerack::time::millis;
+use trestlerack::version::ConfigStore;
 use trestlerack::{Name, Timestamp};
 
 /// Retries and hedges earned per first attempt.
@@ -161,6 +162,16 @@
         format!("{}-{}-{number}", self.settings.name, self.incarnation).into()
     }
 
+    /// Returns the steps and groups in the platform's stores.
+    pub fn step_store(&self) -> StepStore<'_> {
+        StepStore::new(self.table.as_ref(), self.objects.as_ref())
+    }
+
+    /// Returns the configuration in the platform's stores.
+    pub fn config_store(&self) -> ConfigStore<'_> {
+        ConfigStore::new(self.table.as_ref(), self.objects.as_ref())
+    }
+
     /// Takes over the nodes that may own something, if they have changed.
     pub fn refresh_ownership(&self) {
         let eligible = self.membership.lock().unwrap().eligible(self.now());
--- a/crates/trestlerackd/src/process/spool.rs
+++ b/crates/trestlerackd/src/process/spool.rs
@@ -3,14 +3,14 @@
 use super::logs;
 use crate::connection::links;
 use crate::node::Node;
-use crate::request::group_record::{MadeGroup, RecordError, record};
+use crate::request::group_record::record;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use trestlerack::Name;
 use trestlerack::connection::LinkFrame;
 use trestlerack::event;
-use trestlerack::process::{SampleSpool, SpoolSettings};
+use trestlerack::process::{MadeGroup, SampleSpool, SpoolSettings};
 
 /// Interval at which the spool is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
@@ -103,7 +103,7 @@
                 node.spool.own.lock().unwrap().stored();
                 send_copy(&node, &group, String::new()).await;
             }
-            Err(RecordError::Store(_)) => {
+            Err(_) => {
                 node.spool.own.lock().unwrap().failed(node.now(), group, size);
             }
         }
--- a/crates/trestlerackd/src/process/step_loop.rs
+++ b/crates/trestlerackd/src/process/step_loop.rs
@@ -5,16 +5,12 @@
 use crate::connection::links;
 use crate::node::Node;
 use crate::request::group_runner;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
-use trestlerack::border::{CommitOutcome, StoreError, TableRow, TableTransaction};
 use trestlerack::connection::{GroupWanted, LinkFrame};
-use trestlerack::process::{
-    GroupRow, SealDecision, StepRow, StepState, StepSubmission, decide_seal, group_key, group_prefix, open_key,
-    step_key,
-};
+use trestlerack::process::{ManifestCache, StepLook, StepRow, StepSubmission, group_key};
 use trestlerack::version::Campaign;
 use trestlerack::{Name, Timestamp, event};
 
@@ -24,15 +20,12 @@
 /// Time after which a missing group is asked for again although its owner has not changed.
 const ASK_AGAIN: Duration = Duration::from_secs(10);
 
-/// Rows read in one scan.
-const SCAN_LIMIT: usize = 1_000;
-
 /// Wakes the watch and remembers who was asked for which group.
 #[derive(Default)]
 pub struct StepWatch {
     nudged: Notify,
     asked: Mutex<HashMap<String, (Name, Timestamp)>>,
-    manifests: Mutex<HashMap<Name, Arc<StepSubmission>>>,
+    manifests: ManifestCache,
 }
 
 impl StepWatch {
@@ -84,113 +77,52 @@
 }
 
 async fn look_at_campaign(node: &Arc<Node>, campaign: &Campaign) {
-    let prefix = format!("open/{}/", campaign.name);
-    let rows = match node.table.scan(&prefix, "", SCAN_LIMIT).await {
-        Ok(rows) => rows,
-        Err(error) => return store_failed(node, "scan open steps", error),
+    let steps = match node.step_store().list_open(&campaign.name).await {
+        Ok(steps) => steps,
+        Err(error) => return store_failed(node, "list open steps", error),
     };
-    for open in rows {
-        let Some(step) = open.value.get("step").and_then(serde_json::Value::as_u64) else { continue };
-        if let Err(error) = look_at_step(node, campaign, step).await {
-            store_failed(node, "look at step", error);
+    for step in steps {
+        let store = node.step_store();
+        let look = store.look(
+            &campaign.name,
+            step,
+            campaign.staleness_rule(),
+            node.clock.unix_seconds(),
+            node.operation_id(),
+            &node.steps.manifests,
+        );
+        match look.await {
+            Ok(look) => act_on_look(node, campaign, look).await,
+            Err(error) => store_failed(node, "look at step", error),
         }
     }
 }
 
-async fn look_at_step(node: &Arc<Node>, campaign: &Campaign, step: u64) -> Result<(), StoreError> {
-    let key = step_key(&campaign.name, step);
-    let Some(row) = node.table.read(&key).await? else { return Ok(()) };
-    let Ok(step_row) = serde_json::from_value::<StepRow>(row.value.clone()) else { return Ok(()) };
-    if step_row.state != StepState::Open {
-        return Ok(());
-    }
-    let Some(submission) = load_manifest(node, &step_row.manifest).await? else { return Ok(()) };
-    let made = read_groups(node, &campaign.name, step).await?;
-    let submitted: Vec<Name> = submission.groups.iter().map(|group| group.group.clone()).collect();
-    let rows: BTreeMap<Name, GroupRow> = made.iter().map(|(name, (_, group))| (name.clone(), group.clone())).collect();
-    let rule = campaign.staleness_rule();
-    match decide_seal(&step_row, &submitted, &rows, rule, node.clock.unix_seconds()) {
-        SealDecision::Seal(sealed) => seal(node, &row, sealed).await,
-        SealDecision::Missing(missing) => {
-            ask_for_groups(node, campaign, &step_row, &submission, &missing).await;
-            Ok(())
+async fn act_on_look(node: &Arc<Node>, campaign: &Campaign, look: StepLook) {
+    match look {
+        StepLook::Closed => {}
+        StepLook::Sealed(row) => logs::write(
+            event::STEP_SEALED,
+            &[("campaign", &row.campaign), ("step", &row.step), ("groups", &row.groups)],
+        ),
+        StepLook::Missing { row, submission, missing } => {
+            ask_for_groups(node, campaign, &row, &submission, &missing).await;
         }
-        SealDecision::TooOld(groups) => remove_groups(node, &step_row, &groups, &made).await,
-    }
-}
-
-/// Returns the submitted groups of a step; they never change, so they are read once.
-pub async fn load_manifest(node: &Node, key: &Name) -> Result<Option<Arc<StepSubmission>>, StoreError> {
-    if let Some(held) = node.steps.manifests.lock().unwrap().get(key) {
-        return Ok(Some(held.clone()));
-    }
-    let Some(content) = node.objects.get(key).await? else { return Ok(None) };
-    let Ok(submission) = serde_json::from_slice::<StepSubmission>(&content) else { return Ok(None) };
-    let submission = Arc::new(submission);
-    node.steps.manifests.lock().unwrap().insert(key.clone(), submission.clone());
-    Ok(Some(submission))
-}
-
-async fn read_groups(
-    node: &Node,
-    campaign: &str,
-    step: u64,
-) -> Result<BTreeMap<Name, (TableRow, GroupRow)>, StoreError> {
-    let prefix = group_prefix(campaign, step);
-    let mut groups = BTreeMap::new();
-    let mut after = String::new();
-    loop {
-        let rows = node.table.scan(&prefix, &after, SCAN_LIMIT).await?;
-        let is_last = rows.len() < SCAN_LIMIT;
-        after = rows.last().map(|row| row.key.clone()).unwrap_or_default();
-        for row in rows {
-            if let Ok(group) = serde_json::from_value::<GroupRow>(row.value.clone()) {
-                groups.insert(group.group.clone(), (row, group));
+        StepLook::Removed { row, removed } => {
+            for group in &removed {
+                forget_removed(node, &row, group);
             }
+            node.steps.nudge();
         }
-        if is_last {
-            return Ok(groups);
-        }
-    }
-}
-
-/// Seals a step: one transaction that names its samples once and for all.
-async fn seal(node: &Arc<Node>, row: &TableRow, sealed: StepRow) -> Result<(), StoreError> {
-    let sealed = StepRow { operation: node.operation_id(), ..sealed };
-    let value = serde_json::to_value(&sealed).map_err(|_| StoreError::Unavailable)?;
-    let transaction = TableTransaction::default()
-        .expect(&row.key, TableTransaction::expectation_of(Some(row)))
-        .put(&row.key, value)
-        .remove(open_key(&sealed.campaign, sealed.step));
-    if node.table.commit(transaction).await? == CommitOutcome::Committed {
-        logs::write(
-            event::STEP_SEALED,
-            &[("campaign", &sealed.campaign), ("step", &sealed.step), ("groups", &sealed.groups)],
-        );
-        node.steps.manifests.lock().unwrap().remove(&sealed.manifest);
     }
-    Ok(())
 }
 
-/// Removes the rows of groups that are too old, so that they are made again.
-async fn remove_groups(
-    node: &Arc<Node>,
-    step: &StepRow,
-    groups: &[Name],
-    made: &BTreeMap<Name, (TableRow, GroupRow)>,
-) -> Result<(), StoreError> {
-    for group in groups {
-        let (row, _) = &made[group];
-        let transaction =
-            TableTransaction::default().expect(&row.key, TableTransaction::expectation_of(Some(row))).remove(&row.key);
-        node.table.commit(transaction).await?;
-        node.telemetry.remade.add(1, &[opentelemetry::KeyValue::new("cause", "too-old")]);
-        logs::write(event::SAMPLE_TOO_OLD, &[("campaign", &step.campaign), ("step", &step.step), ("group", group)]);
-        let key = group_key(&step.campaign, step.step, group);
-        node.steps.asked.lock().unwrap().remove(&key);
-    }
-    node.steps.nudge();
-    Ok(())
+/// Lets a group that was too old be asked for again at once.
+fn forget_removed(node: &Node, row: &StepRow, group: &Name) {
+    node.telemetry.remade.add(1, &[opentelemetry::KeyValue::new("cause", "too-old")]);
+    logs::write(event::SAMPLE_TOO_OLD, &[("campaign", &row.campaign), ("step", &row.step), ("group", group)]);
+    let key = group_key(&row.campaign, row.step, group);
+    node.steps.asked.lock().unwrap().remove(&key);
 }
 
 async fn ask_for_groups(
--- a/crates/trestlerackd/src/request/group_runner.rs
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -1,7 +1,7 @@
 //! Makes the samples of a group that this node owns.
 
 use super::call_driver::{CallSink, drive};
-use super::group_record::{MadeGroup, RecordError, record};
+use super::group_record::record;
 use crate::node::Node;
 use crate::process::stop::WorkGuard;
 use crate::process::{logs, spool, step_loop};
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 use trestlerack::connection::{CallSpec, GroupWanted, TokenChunk};
 use trestlerack::hash::hash_parts;
+use trestlerack::process::MadeGroup;
 use trestlerack::request::{
     GroupAction, GroupDriver, GroupEvent, GroupSettings, ResumePolicy, Sample, SampleAssembler,
 };
@@ -64,7 +65,7 @@
     let group = made_group(node, wanted, &samples);
     match record(node, &group).await {
         Ok(_) => step_loop::nudge_owner(node, &campaign).await,
-        Err(RecordError::Store(_)) => spool::store(node, group).await,
+        Err(_) => spool::store(node, group).await,
     }
 }
 
--- a/crates/trestlerackd/src/request/plain.rs
+++ b/crates/trestlerackd/src/request/plain.rs
@@ -4,7 +4,6 @@
 use crate::connection::http_client::{HttpAnswer, read_whole};
 use crate::node::Node;
 use crate::process::logs;
-use crate::process::rollout_loop::store_failed;
 use bytes::Bytes;
 use gotham::handler::HandlerResult;
 use gotham::helpers::http::Body;
@@ -13,10 +12,9 @@
 use hyper::{Method, Request, Response, StatusCode, header};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::border::{CommitOutcome, StoreError, TableRow, TableTransaction};
 use trestlerack::hash::digest_hex;
 use trestlerack::request::{
-    ClaimDecision, ClaimRow, ClaimState, ResumeDecision, ResumePolicy, claim_key, decide_claim, decide_resume,
+    ClaimDecision, ClaimState, ClaimStore, ResumeDecision, ResumePolicy, claim_key, decide_resume,
 };
 use trestlerack::verdict::Reason;
 use trestlerack::version::{Backend, BackendKind};
@@ -31,12 +29,6 @@
 /// Segments of the path before the service's own path: `v1`, `services` and the service.
 const OWN_SEGMENTS: usize = 3;
 
-/// Wait named to a caller whose claim could not be written.
-const STORE_RETRY: Duration = Duration::from_secs(2);
-
-/// Tries at writing the end of a claim.
-const FINISH_TRIES: usize = 3;
-
 /// Largest answer that is recorded for repeated calls, in bytes.
 const MAX_RECORDED: usize = 64 * 1024;
 
@@ -181,22 +173,13 @@
     let digest: Name =
         digest_hex(&[call.method.as_str().as_bytes(), b" ", call.target.as_bytes(), b"\n", &call.body].concat()).into();
     let attempt = node.operation_id();
-    let held = read_claim(node, &key).await?;
-    let row = held.as_ref().map(|(_, row)| row);
-    match decide_claim(row, &digest, &attempt) {
-        ClaimDecision::Claim => {}
+    let claims = ClaimStore::new(node.table.as_ref());
+    match claims.begin(&key, &digest, &attempt).await {
+        ClaimDecision::Send => {}
         other => return answer_without_sending(other),
     }
-    let claim = ClaimRow { digest, attempt: attempt.clone(), state: ClaimState::Claimed };
-    if !write_claim(node, &key, held.as_ref().map(|(row, _)| row), &claim).await? {
-        let held = read_claim(node, &key).await?;
-        let decision = decide_claim(held.as_ref().map(|(_, row)| row), &claim.digest, &attempt);
-        if decision != ClaimDecision::Send {
-            return answer_without_sending(decision);
-        }
-    }
     let result = send(node, call, backends).await;
-    finish_claim(node, &key, claim, &result).await;
+    claims.finish(&key, &attempt, end_of_claim(&result)).await;
     result
 }
 
@@ -208,45 +191,15 @@
             body: Bytes::from(body),
         }),
         ClaimDecision::Refuse(failure) => Err(failure),
-        ClaimDecision::Claim | ClaimDecision::Send => Err(no_claim()),
-    }
-}
-
-/// The failure of a call whose claim could not be written for certain; nothing was sent.
-fn no_claim() -> Failure {
-    let failure = Failure::not_run(Reason::StoreUnavailable, "the call cannot be claimed now, so it was not sent");
-    failure.retry_after(STORE_RETRY)
-}
-
-async fn read_claim(node: &Node, key: &str) -> Result<Option<(TableRow, ClaimRow)>, Failure> {
-    let row = node.table.read(key).await.map_err(|error| {
-        store_failed(node, "read claim", error);
-        no_claim()
-    })?;
-    let Some(row) = row else { return Ok(None) };
-    let claim = serde_json::from_value(row.value.clone()).map_err(|_| no_claim())?;
-    Ok(Some((row, claim)))
-}
-
-/// Writes a claim; `false` means that the row must be read to learn whose claim stands.
-async fn write_claim(node: &Node, key: &str, held: Option<&TableRow>, claim: &ClaimRow) -> Result<bool, Failure> {
-    let value = serde_json::to_value(claim).expect("a claim always encodes");
-    let expectation = TableTransaction::expectation_of(held);
-    let transaction = TableTransaction::default().expect(key, expectation).put(key, value);
-    match node.table.commit(transaction).await {
-        Ok(CommitOutcome::Committed) => Ok(true),
-        Ok(CommitOutcome::Conflict) | Err(StoreError::Unknown) => Ok(false),
-        Err(error) => {
-            store_failed(node, "write claim", error);
-            Err(no_claim())
+        // The claim store turns these into the others before it answers.
+        ClaimDecision::Claim | ClaimDecision::Send => {
+            Err(Failure::not_run(Reason::StoreUnavailable, "the call could not be claimed"))
         }
     }
 }
 
-/// Records how a claimed call ended. If that cannot be written the claim stays as it is, and a
-/// repeated call is told that it may have run.
-async fn finish_claim(node: &Node, key: &str, claim: ClaimRow, result: &Result<HttpAnswer, Failure>) {
-    let state = match result {
+fn end_of_claim(result: &Result<HttpAnswer, Failure>) -> ClaimState {
+    match result {
         Ok(answer) if answer.body.len() <= MAX_RECORDED => ClaimState::Answered {
             status: answer.status.as_u16(),
             content_type: answer.content_type.clone(),
@@ -254,16 +207,6 @@
         },
         Ok(_) => ClaimState::Uncertain,
         Err(failure) => ClaimState::after_failure(failure.verdict),
-    };
-    let ended = ClaimRow { state, ..claim };
-    for _ in 0..FINISH_TRIES {
-        let Ok(Some((row, held))) = read_claim(node, key).await else { continue };
-        if held.attempt != ended.attempt || held.state == ended.state {
-            return;
-        }
-        if write_claim(node, key, Some(&row), &ended).await == Ok(true) {
-            return;
-        }
     }
 }
 
--- a/crates/trestlerackd/src/request/steps.rs
+++ b/crates/trestlerackd/src/request/steps.rs
@@ -9,11 +9,9 @@
 use gotham::state::State;
 use hyper::{Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::border::{CommitOutcome, Expectation, StoreError, TableRow, TableTransaction};
-use trestlerack::hash::digest_hex;
-use trestlerack::process::{StepRow, StepState, StepSubmission, open_key, step_key};
+use trestlerack::border::{StoreError, TableTransaction};
+use trestlerack::process::{Opened, StepRow, StepState, StepSubmission};
 use trestlerack::request::Sample;
 use trestlerack::verdict::Reason;
 use trestlerack::version::{Campaign, SampleAge, WeightVersion};
@@ -91,13 +89,6 @@
     failure.retry_after(STORE_RETRY)
 }
 
-async fn read_step(node: &Node, campaign: &str, step: u64) -> Result<Option<(TableRow, StepRow)>, Failure> {
-    let row = node.table.read(&step_key(campaign, step)).await.map_err(store_down)?;
-    let Some(row) = row else { return Ok(None) };
-    let step = serde_json::from_value(row.value.clone()).map_err(|_| store_down(StoreError::Unknown))?;
-    Ok(Some((row, step)))
-}
-
 async fn submit_step(call: ApiCall) -> Result<Response<Body>, Failure> {
     let campaign = campaign_of(&call)?;
     let step = call.number(4)?;
@@ -105,59 +96,30 @@
     if let Some(fault) = submission.fault() {
         return Err(Failure::not_run(Reason::BadRequest, fault));
     }
-    let content = serde_json::to_vec(&submission).expect("a submission always encodes");
-    let digest: Name = digest_hex(&content).into();
-    let manifest: Name = format!("manifests/{}/{step:012}/{digest}", campaign.name).into();
-    call.node.objects.put(&manifest, content).await.map_err(store_down)?;
-    let row = StepRow {
-        campaign: campaign.name.clone(),
-        step,
-        state: StepState::Open,
-        consume_version: submission.consume_version,
-        digest,
-        manifest,
-        groups: submission.groups.len(),
-        sealed: Vec::new(),
-        operation: call.node.operation_id(),
-    };
-    let state = open_step(&call.node, &campaign, &row).await?;
-    json_response(&Accepted { campaign: campaign.name, step, groups: row.groups, state })
-}
-
-/// Opens a step. A repeated submission finds its own row, whichever node it came through first.
-async fn open_step(node: &Arc<Node>, campaign: &Campaign, row: &StepRow) -> Result<StepState, Failure> {
-    let key = step_key(&row.campaign, row.step);
-    let transaction = TableTransaction::default()
-        .expect(&key, Expectation::Absent)
-        .put(&key, serde_json::to_value(row).expect("a step row always encodes"))
-        .put(open_key(&row.campaign, row.step), serde_json::json!({ "step": row.step }));
-    match node.table.commit(transaction).await {
-        Ok(CommitOutcome::Committed) => {
-            logs::write(
-                event::STEP_ACCEPTED,
-                &[("campaign", &row.campaign), ("step", &row.step), ("groups", &row.groups)],
-            );
-            step_loop::nudge_owner(node, campaign).await;
-            return Ok(StepState::Open);
+    let operation = call.node.operation_id();
+    let opened = call.node.step_store().open(&campaign.name, step, &submission, operation).await;
+    let groups = submission.groups.len();
+    let state = match opened.map_err(store_down)? {
+        Opened::New => {
+            let fields: [(&str, &dyn std::fmt::Display); 3] =
+                [("campaign", &campaign.name), ("step", &step), ("groups", &groups)];
+            logs::write(event::STEP_ACCEPTED, &fields);
+            StepState::Open
+        }
+        Opened::Again(state) => state,
+        Opened::Conflict => {
+            let detail = "the step was submitted before with other groups";
+            return Err(Failure::not_run(Reason::Conflict, detail));
         }
-        Ok(CommitOutcome::Conflict) | Err(StoreError::Unknown) => {}
-        Err(StoreError::Unavailable) => return Err(store_down(StoreError::Unavailable)),
-    }
-    let Some((_, held)) = read_step(node, &row.campaign, row.step).await? else {
-        return Err(store_down(StoreError::Unknown));
     };
-    if held.digest != row.digest {
-        let detail = "the step was submitted before with other groups";
-        return Err(Failure::not_run(Reason::Conflict, detail));
-    }
-    step_loop::nudge_owner(node, campaign).await;
-    Ok(held.state)
+    step_loop::nudge_owner(&call.node, &campaign).await;
+    json_response(&Accepted { campaign: campaign.name, step, groups, state })
 }
 
 async fn take_step(call: ApiCall) -> Result<Response<Body>, Failure> {
     let campaign = campaign_of(&call)?;
     let step = call.number(4)?;
-    let (_, row) = require_step(&call.node, &campaign.name, step).await?;
+    let row = require_step(&call.node, &campaign.name, step).await?;
     if row.state == StepState::Open {
         let failure = Failure::not_run(Reason::NotReady, "the step is not sealed yet");
         return Err(failure.retry_after(NOT_SEALED_RETRY));
@@ -172,8 +134,9 @@
     Ok(bytes_response(StatusCode::OK, "application/jsonl", lines))
 }
 
-async fn require_step(node: &Node, campaign: &str, step: u64) -> Result<(TableRow, StepRow), Failure> {
-    let found = read_step(node, campaign, step).await?;
+async fn require_step(node: &Node, campaign: &str, step: u64) -> Result<StepRow, Failure> {
+    let found = node.step_store().read(campaign, step).await.map_err(store_down)?;
+    let found = found.map(|(_, row)| row);
     found.ok_or_else(|| Failure::not_run(Reason::NotFound, format!("no step {step} of {campaign}")))
 }
 
@@ -207,30 +170,14 @@
 async fn acknowledge_step(call: ApiCall) -> Result<Response<Body>, Failure> {
     let campaign = campaign_of(&call)?;
     let step = call.number(4)?;
-    for _ in 0..WRITE_TRIES {
-        let (held, row) = require_step(&call.node, &campaign.name, step).await?;
-        match row.state {
-            StepState::Open => {
-                return Err(Failure::not_run(Reason::Conflict, "the step is not sealed yet"));
-            }
-            StepState::Acknowledged => return json_response(&row),
-            StepState::Sealed => {}
-        }
-        let next = StepRow { state: StepState::Acknowledged, operation: call.node.operation_id(), ..row };
-        let transaction = TableTransaction::default()
-            .expect(&held.key, TableTransaction::expectation_of(Some(&held)))
-            .put(&held.key, serde_json::to_value(&next).expect("a step row always encodes"));
-        // A lost answer is settled by the next round, which reads the row back.
-        match call.node.table.commit(transaction).await {
-            Ok(CommitOutcome::Committed) => {
-                logs::write(event::STEP_ACKNOWLEDGED, &[("campaign", &campaign.name), ("step", &step)]);
-                return json_response(&next);
-            }
-            Ok(CommitOutcome::Conflict) | Err(StoreError::Unknown) => {}
-            Err(error) => return Err(store_down(error)),
-        }
+    let operation = call.node.operation_id();
+    let row = call.node.step_store().acknowledge(&campaign.name, step, operation).await.map_err(store_down)?;
+    let row = row.ok_or_else(|| Failure::not_run(Reason::NotFound, format!("no step {step} of {}", campaign.name)))?;
+    if row.state == StepState::Open {
+        return Err(Failure::not_run(Reason::Conflict, "the step is not sealed yet"));
     }
-    Err(store_down(StoreError::Unknown))
+    logs::write(event::STEP_ACKNOWLEDGED, &[("campaign", &campaign.name), ("step", &step)]);
+    json_response(&row)
 }
 
 async fn list_steps(call: ApiCall) -> Result<Response<Body>, Failure> {
@@ -245,7 +192,7 @@
     let campaign = campaign_of(&call)?;
     let step = call.number(4)?;
     let (group, index) = (call.segment(6), call.number(7)?);
-    let (_, row) = require_step(&call.node, &campaign.name, step).await?;
+    let row = require_step(&call.node, &campaign.name, step).await?;
     let missing = || Failure::not_run(Reason::NotFound, "the sample is in no sealed step");
     let sealed = row.sealed.iter().find(|sealed| sealed.group.as_ref() == group).ok_or_else(missing)?;
     let content = call.node.objects.get(&sealed.object).await.map_err(store_down)?.ok_or_else(missing)?;
--- a/crates/trestlerackd/src/version/config_loop.rs
+++ b/crates/trestlerackd/src/version/config_loop.rs
@@ -5,19 +5,15 @@
 use crate::process::logs;
 use crate::process::rollout_loop::store_failed;
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::border::{StoreError, TableRow};
+use trestlerack::border::StoreError;
 use trestlerack::connection::LinkFrame;
 use trestlerack::process::{Liveness, PeerInfo};
 use trestlerack::version::{BackendKind, ConfigDelta, Configuration, FollowAction, FollowEvent, ItemBody};
 use trestlerack::{Name, event};
 
-/// Key of the row that names the newest generation.
-pub const HEAD_KEY: &str = "config/head";
-
 /// Interval of the poll that backs up the push.
 const POLL_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -27,32 +23,6 @@
 /// Peers to which a new generation is pushed at once; the rest hear of it from them and by probes.
 const PUSH_FANOUT: usize = 3;
 
-/// Deltas read from the table in one scan.
-const SCAN_LIMIT: usize = 256;
-
-/// The row that names the newest generation and the newest snapshot.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct ConfigHead {
-    /// Newest generation.
-    pub generation: u64,
-    /// Generation of the newest snapshot.
-    pub snapshot_generation: u64,
-    /// Object with the newest snapshot; empty before the first one.
-    pub snapshot: Name,
-}
-
-/// Returns the key of the row with the delta that leads to `generation`.
-pub fn change_key(generation: u64) -> String {
-    format!("config/change/{generation:012}")
-}
-
-/// Reads the head row.
-pub async fn read_head(node: &Node) -> Result<(Option<TableRow>, ConfigHead), StoreError> {
-    let row = node.table.read(HEAD_KEY).await?;
-    let head = row.as_ref().and_then(|row| serde_json::from_value(row.value.clone()).ok());
-    Ok((row, head.unwrap_or_default()))
-}
-
 /// Polls the table for as long as the process lives.
 pub async fn follow_table(node: Arc<Node>) {
     loop {
@@ -66,29 +36,13 @@
 
 /// Brings this node up to the newest generation in the table.
 pub async fn catch_up(node: &Arc<Node>) -> Result<(), StoreError> {
-    let (_, head) = read_head(node).await?;
-    let mut held = node.config.current().generation;
-    if head.generation <= held {
-        return Ok(());
-    }
-    if head.snapshot_generation > held && !head.snapshot.is_empty() {
-        let content = node.objects.get(&head.snapshot).await?;
-        let snapshot = content.and_then(|content| serde_json::from_slice(&content).ok());
-        if let Some(snapshot) = snapshot {
-            take_snapshot(node, snapshot);
-        }
-        held = node.config.current().generation;
-    }
-    while held < head.generation {
-        let rows = node.table.scan("config/change/", &change_key(held), SCAN_LIMIT).await?;
-        let deltas: Vec<ConfigDelta> =
-            rows.into_iter().filter_map(|row| serde_json::from_value(row.value).ok()).collect();
-        take_deltas(node, deltas, None);
-        let reached = node.config.current().generation;
-        if reached == held {
-            return Ok(());
+    let held = node.config.current().generation;
+    for event in node.config_store().missing(held).await? {
+        match event {
+            FollowEvent::Snapshot(snapshot) => take_snapshot(node, snapshot),
+            FollowEvent::Deltas(deltas) => take_deltas(node, deltas, None),
+            FollowEvent::Heard { .. } => {}
         }
-        held = reached;
     }
     Ok(())
 }
