Nudge the lease holder on new weights, give leases back, serve the next step first

Cause: in the demo's logs weights were targeted up to 0.5 s after they were published (a quarter of the lease's life; 1.5 s with default settings), a node that was no longer a candidate kept its lease until it lapsed, and step 1 was sealed before step 0 because both had one priority.

Ruled out: engine speed (32 samples of a step need about 0.2 s of 16 slots).

Change: publishing nudges the lease candidates; a node that is no candidate releases; samples of a campaign's first open step go before those of later ones.

The ordering fault is mended whatever the gain.

--- a/crates/trestlerack/src/connection/frame.rs
+++ b/crates/trestlerack/src/connection/frame.rs
@@ -141,6 +141,11 @@
         /// Campaign.
         campaign: Name,
     },
+    /// Tells the candidates for a model's lease that newer weights were published.
+    ModelNudge {
+        /// Model.
+        model: Name,
+    },
     /// Asks the owner of a group to make it.
     GroupWanted(GroupWanted),
     /// Asks the peer to run a call on an engine that it owns.
@@ -184,6 +189,8 @@
     pub step: u64,
     /// Trainer's version at the consuming step.
     pub consume_version: WeightVersion,
+    /// Whether the step is the first open one of its campaign, which the trainer waits for next.
+    pub is_next: bool,
     /// The group.
     pub spec: GroupSpec,
 }
--- a/crates/trestlerackd/src/connection/link_server.rs
+++ b/crates/trestlerackd/src/connection/link_server.rs
@@ -103,6 +103,7 @@
             LinkFrame::ConfigSnapshot(snapshot) => config_loop::take_snapshot(node, snapshot),
             LinkFrame::Target(target) => rollout_loop::accept_target(node, target),
             LinkFrame::CampaignNudge { .. } => node.steps.nudge(),
+            LinkFrame::ModelNudge { .. } => node.leases.nudge(),
             LinkFrame::GroupWanted(wanted) => group_runner::begin(node, wanted),
             LinkFrame::Call { id, spec } => self.start_call(node, id, *spec),
             LinkFrame::Cancel { id } => self.cancel(id),
--- a/crates/trestlerackd/src/process/rollout_loop.rs
+++ b/crates/trestlerackd/src/process/rollout_loop.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::sync::Notify;
 use trestlerack::border::{CommitOutcome, StoreError, TableRow, TableTransaction};
 use trestlerack::connection::LinkFrame;
 use trestlerack::event;
@@ -17,6 +18,14 @@
 #[derive(Default)]
 pub struct HeldLeases {
     keepers: Mutex<HashMap<Name, LeaseKeeper>>,
+    nudged: Notify,
+}
+
+impl HeldLeases {
+    /// Asks for a look at the published weights now.
+    pub fn nudge(&self) {
+        self.nudged.notify_one();
+    }
 }
 
 /// Parts of a lease's life after which it is renewed.
@@ -43,28 +52,47 @@
         for model in models(&config) {
             if is_candidate(&node, &model) {
                 watch_lease(&node, &config, &model).await;
+            } else {
+                // A candidate then need not wait for the lease to lapse.
+                release_lease(&node, &model).await;
             }
         }
-        tokio::time::sleep(pause).await;
+        // A nudge ends the pause early; without one the pause is the backstop.
+        let _ = tokio::time::timeout(pause, node.leases.nudged.notified()).await;
+    }
+}
+
+/// Tells the candidates for a model's lease that newer weights were published.
+pub async fn nudge_candidates(node: &Arc<Node>, model: &Name) {
+    let view = node.ownership.read().unwrap().clone();
+    for candidate in view.lease_candidates(model) {
+        if candidate.name == *node.name() {
+            node.leases.nudge();
+        } else {
+            let frame = LinkFrame::ModelNudge { model: model.clone() };
+            links::post(node, &candidate.name, frame).await;
+        }
     }
 }
 
 /// Gives back every lease, so that the next holder need not wait for it to lapse.
 pub async fn release_leases(node: &Arc<Node>) {
-    let rows: Vec<(Name, LeaseRow)> = {
-        let mut keepers = node.leases.keepers.lock().unwrap();
-        let released = keepers.iter_mut().filter_map(|(model, keeper)| Some((model.clone(), keeper.release()?)));
-        released.collect()
-    };
-    for (model, row) in rows {
-        let key = lease_key(&model);
-        let Ok(Some(held)) = node.table.read(&key).await else { continue };
-        if decode_lease(&held).is_some_and(|held| held.fence == row.fence) {
-            let transaction = lease_write(&key, Some(&held), &row);
-            // If this fails the lease lapses by itself.
-            let _ = node.table.commit(transaction).await;
-            logs::write(event::LEASE_LOST, &[("model", &model), ("cause", &"released")]);
-        }
+    let models: Vec<Name> = node.leases.keepers.lock().unwrap().keys().cloned().collect();
+    for model in models {
+        release_lease(node, &model).await;
+    }
+}
+
+async fn release_lease(node: &Arc<Node>, model: &Name) {
+    let released = node.leases.keepers.lock().unwrap().get_mut(model).and_then(LeaseKeeper::release);
+    let Some(row) = released else { return };
+    let key = lease_key(model);
+    let Ok(Some(held)) = node.table.read(&key).await else { return };
+    if decode_lease(&held).is_some_and(|held| held.fence == row.fence) {
+        let transaction = lease_write(&key, Some(&held), &row);
+        // If this fails the lease lapses by itself.
+        let _ = node.table.commit(transaction).await;
+        logs::write(event::LEASE_LOST, &[("model", model), ("cause", &"released")]);
     }
 }
 
--- a/crates/trestlerackd/src/process/step_loop.rs
+++ b/crates/trestlerackd/src/process/step_loop.rs
@@ -81,6 +81,7 @@
         Ok(steps) => steps,
         Err(error) => return store_failed(node, "list open steps", error),
     };
+    let next = steps.first().copied();
     for step in steps {
         let store = node.step_store();
         let look = store.look(
@@ -92,13 +93,13 @@
             &node.steps.manifests,
         );
         match look.await {
-            Ok(look) => act_on_look(node, campaign, look).await,
+            Ok(look) => act_on_look(node, campaign, look, next == Some(step)).await,
             Err(error) => store_failed(node, "look at step", error),
         }
     }
 }
 
-async fn act_on_look(node: &Arc<Node>, campaign: &Campaign, look: StepLook) {
+async fn act_on_look(node: &Arc<Node>, campaign: &Campaign, look: StepLook, is_next: bool) {
     match look {
         StepLook::Closed => {}
         StepLook::Sealed(row) => logs::write(
@@ -106,7 +107,8 @@
             &[("campaign", &row.campaign), ("step", &row.step), ("groups", &row.groups)],
         ),
         StepLook::Missing { row, submission, missing } => {
-            ask_for_groups(node, campaign, &row, &submission, &missing).await;
+            let open = OpenStep { row: &row, submission: &submission, is_next };
+            ask_for_groups(node, campaign, open, &missing).await;
         }
         StepLook::Removed { row, removed } => {
             for group in &removed {
@@ -125,15 +127,18 @@
     node.steps.asked.lock().unwrap().remove(&key);
 }
 
-async fn ask_for_groups(
-    node: &Arc<Node>,
-    campaign: &Campaign,
-    step: &StepRow,
-    submission: &StepSubmission,
-    missing: &[Name],
-) {
+/// An open step whose groups are asked for.
+#[derive(Clone, Copy)]
+struct OpenStep<'a> {
+    row: &'a StepRow,
+    submission: &'a StepSubmission,
+    is_next: bool,
+}
+
+async fn ask_for_groups(node: &Arc<Node>, campaign: &Campaign, open: OpenStep<'_>, missing: &[Name]) {
+    let step = open.row;
     let view = node.ownership.read().unwrap().clone();
-    for spec in submission.groups.iter().filter(|spec| missing.contains(&spec.group)) {
+    for spec in open.submission.groups.iter().filter(|spec| missing.contains(&spec.group)) {
         let owner = view.group_owner(&campaign.name, step.step, &spec.group, &campaign.places);
         let Some(owner) = owner.map(|owner| owner.name.clone()) else { continue };
         if !should_ask(node, &group_key(&campaign.name, step.step, &spec.group), &owner) {
@@ -143,6 +148,7 @@
             campaign: campaign.name.clone(),
             step: step.step,
             consume_version: step.consume_version,
+            is_next: open.is_next,
             spec: spec.clone(),
         };
         if owner == *node.name() {
--- a/crates/trestlerackd/src/request/group_runner.rs
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -27,9 +27,12 @@
 /// Time that a sample's call may take in all.
 const SAMPLE_DEADLINE: Duration = Duration::from_secs(120);
 
-/// Priority of a sample's first attempt; applications' calls go before it.
+/// Priority of a sample of a step that is not the next one; applications' calls go before it.
 const SAMPLE_PRIORITY: u8 = 10;
 
+/// Priority of a sample of the step that its trainer waits for next.
+const NEXT_STEP_PRIORITY: u8 = 15;
+
 /// Priority of a hedge, which holds up a whole step.
 const HEDGE_PRIORITY: u8 = 20;
 
@@ -236,7 +239,11 @@
         offset: 0,
         max_tokens: campaign.max_tokens,
         seed: hash_parts(&[&campaign.name, &step, &wanted.spec.group, &index]),
-        priority: if attempt.hedge { HEDGE_PRIORITY } else { SAMPLE_PRIORITY },
+        priority: match (attempt.hedge, wanted.is_next) {
+            (true, _) => HEDGE_PRIORITY,
+            (false, true) => NEXT_STEP_PRIORITY,
+            (false, false) => SAMPLE_PRIORITY,
+        },
         prefix: hash_parts(&[&wanted.spec.prompt]),
         min_version: campaign.staleness_rule().oldest_acceptable(wanted.consume_version),
         needs_version: true,
--- a/crates/trestlerackd/src/request/steps.rs
+++ b/crates/trestlerackd/src/request/steps.rs
@@ -2,7 +2,7 @@
 
 use super::answer::{ApiCall, Principal, bytes_response, json_response, serve};
 use crate::node::Node;
-use crate::process::rollout_loop::weights_key;
+use crate::process::rollout_loop::{self, weights_key};
 use crate::process::{logs, step_loop};
 use gotham::handler::HandlerResult;
 use gotham::helpers::http::Body;
@@ -18,7 +18,7 @@
 use trestlerack::{Failure, Name, event};
 
 /// Wait named to a trainer whose step is not sealed yet.
-const NOT_SEALED_RETRY: Duration = Duration::from_millis(200);
+const NOT_SEALED_RETRY: Duration = Duration::from_millis(100);
 
 /// Wait named while the store is down.
 const STORE_RETRY: Duration = Duration::from_secs(2);
@@ -238,6 +238,7 @@
         if let Err(StoreError::Unavailable) = call.node.table.commit(transaction).await {
             return Err(store_down(StoreError::Unavailable));
         }
+        rollout_loop::nudge_candidates(&call.node, &model).await;
     }
     Err(store_down(StoreError::Unknown))
 }
