Measure decisions and idle nodes; put configuration changes in force by the change

Cause: docs/CAPACITY.md needs slopes. The daemon walked all items of the configuration for each delta, a term of order engines per change on every node.

--- a/crates/trestlerack-standins/src/main.rs
+++ b/crates/trestlerack-standins/src/main.rs
@@ -5,9 +5,11 @@
 
 mod application;
 mod checks;
+mod churn;
 mod client;
 mod engine;
 mod faults;
+mod footprint;
 mod members;
 mod objects;
 mod plain;
@@ -37,6 +39,8 @@
   trainer  --campaign C --model M --nodes A,B --key K --steps N --groups G --size S --train-ms T
            --zones Z,Y --staleness V --out FILE
   application --nodes A,B --key K --service S --backends C,D --model M --rounds N --out FILE
+  churn    --nodes A,B --key K --changes N --per-second R
+  footprint [--seconds S] [--label L] PID@ADDRESS...
   call     METHOD ADDRESS PATH [BODY [KEY]]
   report   FILE...     sum up trainers' results; exit 1 if a promise broke
 
@@ -72,6 +76,8 @@
         "plain" => plain::run(arguments).await?,
         "members" => members::run(arguments).await?,
         "application" => application::run(arguments).await?,
+        "churn" => churn::run(arguments).await?,
+        "footprint" => footprint::run(arguments).await?,
         "call" => return client::run(arguments).await,
         "trainer" => trainer::run(arguments).await?,
         "report" => return report::run(arguments),
--- /dev/null
+++ b/crates/trestlerack/benches/decisions.rs
@@ -0,0 +1,254 @@
+//! Cost of a decision at growing numbers of engines and nodes.
+//!
+//! `cargo bench --locked -p trestlerack` prints the table that docs/CAPACITY.md draws on.
+
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::hint::black_box;
+use std::time::Duration;
+use trestlerack::process::{
+    Heartbeat, Liveness, MembershipEvent, MembershipSettings, NodeView, OwnerTable, OwnershipView, PeerInfo,
+    PeerMembership, PeerUpdate,
+};
+use trestlerack::request::{
+    ChoicePolicy, DispatchEngine, DispatchEvent, DispatchSettings, EngineChooser, EngineDispatcher, EngineView,
+    GroupDriver, GroupEvent, GroupSettings, QueuedCall,
+};
+use trestlerack::version::{
+    Backend, BackendKind, ConfigDelta, ConfigFollower, FollowEvent, Item, ItemBody, RolloutEngine, RolloutEvent,
+    RolloutPlanner, RolloutSettings, WeightTarget,
+};
+use trestlerack::{Name, PlaceSet, Timestamp};
+
+const ENGINES: [usize; 4] = [10, 100, 1_000, 12_000];
+const NODES: [usize; 2] = [13, 370];
+const ZONES: usize = 8;
+
+fn zone(number: usize) -> Name {
+    format!("zone-{}", number % ZONES).into()
+}
+
+fn engine_name(number: usize) -> Name {
+    format!("engine-{number}").into()
+}
+
+fn view(nodes: usize) -> OwnershipView {
+    let node = |number| NodeView { name: format!("node-{number:03}").into(), zone: zone(number) };
+    OwnershipView::new((0..nodes).map(node).collect())
+}
+
+fn places() -> PlaceSet {
+    PlaceSet::new((0..ZONES).map(zone))
+}
+
+fn call(id: u64) -> QueuedCall {
+    QueuedCall {
+        id,
+        account: "campaign".into(),
+        weight: 1,
+        places: places(),
+        priority: 10,
+        prefix: id,
+        min_version: 0,
+        needs_version: false,
+        deadline: Timestamp(u64::MAX / 2),
+        cost: 100,
+    }
+}
+
+fn choose_engine(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("choose-engine");
+    for engines in ENGINES {
+        let names: Vec<Name> = (0..engines).map(engine_name).collect();
+        let views: Vec<EngineView<'_>> = names.iter().map(|name| EngineView { name, in_flight: 1, slots: 4 }).collect();
+        let policy = ChoicePolicy::PrefixAffinity { bound: 1.25 };
+        let mut chooser = EngineChooser::new(policy, Pcg64Mcg::seed_from_u64(0));
+        group.bench_with_input(BenchmarkId::from_parameter(engines), &views, |bench, views| {
+            let mut prefix = 0;
+            bench.iter(|| {
+                prefix += 1;
+                black_box(chooser.choose(prefix, views))
+            });
+        });
+    }
+}
+
+fn admit_and_end(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("admit-start-end");
+    for engines in ENGINES {
+        let mut dispatcher = EngineDispatcher::new(DispatchSettings::default());
+        let listed =
+            (0..engines).map(|number| DispatchEngine { name: engine_name(number), zone: zone(number), slots: 4 });
+        dispatcher.handle(Timestamp(1), DispatchEvent::Engines(listed.collect()));
+        group.bench_function(BenchmarkId::from_parameter(engines), |bench| {
+            let mut id = 0;
+            bench.iter(|| {
+                id += 1;
+                black_box(dispatcher.handle(Timestamp(id), DispatchEvent::Arrived(call(id))));
+                let end = DispatchEvent::Ended { id, good: true, tokens: 100 };
+                black_box(dispatcher.handle(Timestamp(id + 1), end))
+            });
+        });
+    }
+}
+
+fn group_event(criterion: &mut Criterion) {
+    criterion.bench_function("group-of-8-whole", |bench| {
+        bench.iter(|| {
+            let mut driver = GroupDriver::new(GroupSettings::default(), 8);
+            driver.handle(Timestamp(1), &GroupEvent::Begin, || true);
+            for index in 0..8 {
+                let event = GroupEvent::Finished { index, attempt: 1 };
+                black_box(driver.handle(Timestamp(2), &event, || true));
+            }
+        });
+    });
+}
+
+fn rollout_event(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("rollout-held");
+    for engines in [10, 32, 100, 1_000] {
+        let mut planner = RolloutPlanner::new(RolloutSettings::default());
+        let listed = (0..engines).map(|number| RolloutEngine { name: engine_name(number), checks_fencing: true });
+        planner.handle(Timestamp(1), RolloutEvent::Engines(listed.collect()));
+        let target = WeightTarget { model: "m".into(), version: 1, fence: 1, serving_percent: 50, quiet_over: true };
+        planner.handle(Timestamp(1), RolloutEvent::Target(target));
+        group.bench_function(BenchmarkId::from_parameter(engines), |bench| {
+            let event = RolloutEvent::Held { engine: engine_name(1), version: 1 };
+            bench.iter(|| black_box(planner.handle(Timestamp(2), event.clone())));
+        });
+    }
+}
+
+fn heartbeat(from: usize, nodes: usize) -> Heartbeat {
+    let peer = |number: usize| PeerInfo {
+        name: format!("node-{number:03}").into(),
+        zone: zone(number),
+        link: "10.0.0.1:7001".into(),
+        incarnation: 1,
+    };
+    let update = |number: usize| PeerUpdate { peer: peer(number % nodes), liveness: Liveness::Alive };
+    Heartbeat { sender: update(from), updates: (from..from + 8).map(update).collect() }
+}
+
+fn membership_event(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("membership-receive-and-answer");
+    for nodes in NODES {
+        let own = PeerInfo { name: "own".into(), zone: zone(0), link: "10.0.0.2:7001".into(), incarnation: 1 };
+        let mut membership = PeerMembership::new(MembershipSettings::default(), own, 0);
+        for from in 0..nodes {
+            membership.handle(Timestamp(1), MembershipEvent::Received(heartbeat(from, nodes)));
+        }
+        group.bench_function(BenchmarkId::from_parameter(nodes), |bench| {
+            let mut from = 0;
+            bench.iter(|| {
+                from = (from + 1) % nodes;
+                let event = MembershipEvent::Received(heartbeat(from, nodes));
+                black_box(membership.handle(Timestamp(2), event));
+                black_box(membership.heartbeat())
+            });
+        });
+    }
+    group.finish();
+    let mut group = criterion.benchmark_group("membership-tick");
+    for nodes in NODES {
+        let own = PeerInfo { name: "own".into(), zone: zone(0), link: "10.0.0.2:7001".into(), incarnation: 1 };
+        let mut membership = PeerMembership::new(MembershipSettings::default(), own, 0);
+        for from in 0..nodes {
+            membership.handle(Timestamp(1), MembershipEvent::Received(heartbeat(from, nodes)));
+        }
+        group.bench_function(BenchmarkId::from_parameter(nodes), |bench| {
+            bench.iter(|| {
+                black_box(membership.handle(Timestamp(2), MembershipEvent::Tick));
+                black_box(membership.eligible(Timestamp(2)))
+            });
+        });
+    }
+}
+
+fn owner_change(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("owners-after-a-node-left");
+    for (nodes, engines) in [(13, 100), (13, 1_000), (370, 1_000), (370, 12_000)] {
+        let mut table = OwnerTable::default();
+        table.set_nodes(view(nodes));
+        for number in 0..engines {
+            table.set_engine(&engine_name(number), &"m".into(), &zone(number), 4);
+        }
+        let name = format!("{nodes}-nodes-{engines}-engines");
+        group.bench_function(BenchmarkId::from_parameter(name), |bench| {
+            bench.iter_batched_ref(|| table.clone(), |table| table.set_nodes(view(nodes - 1)), BatchSize::LargeInput);
+        });
+    }
+    group.finish();
+    let mut group = criterion.benchmark_group("owners-of-a-model");
+    for nodes in NODES {
+        let mut table = OwnerTable::default();
+        table.set_nodes(view(nodes));
+        for number in 0..12_000 {
+            table.set_engine(&engine_name(number), &"m".into(), &zone(number), 4);
+        }
+        let places = places();
+        group.bench_function(BenchmarkId::from_parameter(nodes), |bench| {
+            bench.iter(|| black_box(table.owners("m", &places)));
+        });
+    }
+}
+
+fn item(number: usize, slots: u32) -> (Name, Item) {
+    let backend = Backend {
+        name: engine_name(number),
+        kind: BackendKind::Engine,
+        zone: zone(number),
+        address: "10.0.0.3:8000".into(),
+        service: "m".into(),
+        slots,
+        checks_fencing: true,
+        idempotent: false,
+        honours_keys: false,
+        leaving: false,
+    };
+    let body = ItemBody::Backend(backend);
+    (body.key(), Item { scope: "scope".into(), body })
+}
+
+fn configuration_change(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("configuration-change");
+    for engines in ENGINES {
+        let mut follower = ConfigFollower::default();
+        let delta = |generation, changes| ConfigDelta {
+            generation,
+            scope: "scope".into(),
+            operation: "operation".into(),
+            changes,
+        };
+        let all = (0..engines).map(|number| item(number, 4)).map(|(key, item)| (key, Some(item)));
+        follower.handle(FollowEvent::Deltas(vec![delta(1, all.collect())]));
+        group.bench_function(BenchmarkId::from_parameter(engines), |bench| {
+            let mut generation = 1;
+            bench.iter(|| {
+                generation += 1;
+                let (key, item) = item(generation as usize % engines, generation as u32);
+                follower.handle(FollowEvent::Deltas(vec![delta(generation, vec![(key, Some(item))])]));
+                // The daemon publishes a copy of the configuration in force to its readers.
+                black_box(follower.current().clone())
+            });
+        });
+    }
+}
+
+fn settings() -> Criterion {
+    Criterion::default()
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_millis(1_000))
+        .sample_size(20)
+        .without_plots()
+}
+
+criterion_group! {
+    name = decisions;
+    config = settings();
+    targets = choose_engine, admit_and_end, group_event, rollout_event, membership_event, owner_change,
+        configuration_change
+}
+criterion_main!(decisions);
--- a/crates/trestlerackd/src/request/desks.rs
+++ b/crates/trestlerackd/src/request/desks.rs
@@ -80,11 +80,6 @@
                 engines.insert(name.clone(), backend.clone());
             }
         }
-        let mut leaving = self.leaving.lock().unwrap();
-        for backend in config.backends() {
-            leaving.set_declared(&backend.name, backend.leaving);
-        }
-        drop(leaving);
         let mut by_model: BTreeMap<Name, Vec<Backend>> = BTreeMap::new();
         for backend in engines.values() {
             by_model.entry(backend.service.clone()).or_default().push(backend.clone());
@@ -212,6 +207,11 @@
         models
     }
 
+    /// Takes in what the configuration says of a backend server.
+    pub fn set_declared(&self, backend: &Name, leaving: bool) {
+        self.leaving.lock().unwrap().set_declared(backend, leaving);
+    }
+
     /// Takes in what the platform's list says of a backend server.
     pub fn listed_leaving(&self, now: Timestamp, backend: &Name, leaving: bool) {
         self.leaving.lock().unwrap().set_listed(backend, leaving);
--- a/crates/trestlerackd/src/version/config_loop.rs
+++ b/crates/trestlerackd/src/version/config_loop.rs
@@ -11,7 +11,7 @@
 use trestlerack::border::StoreError;
 use trestlerack::connection::LinkFrame;
 use trestlerack::process::{Liveness, PeerInfo};
-use trestlerack::version::{BackendKind, ConfigDelta, Configuration, FollowAction, FollowEvent, ItemBody};
+use trestlerack::version::{Backend, BackendKind, ConfigDelta, Configuration, FollowAction, FollowEvent, ItemBody};
 use trestlerack::{Name, event};
 
 /// Interval of the poll that backs up the push.
@@ -50,9 +50,11 @@
 /// Takes in deltas from a peer or from the table.
 pub fn take_deltas(node: &Arc<Node>, deltas: Vec<ConfigDelta>, from: Option<&PeerInfo>) {
     let before = node.config.current();
+    let keys: BTreeSet<Name> =
+        deltas.iter().flat_map(|delta| delta.changes.iter().map(|(key, _)| key.clone())).collect();
     let action = node.config.handle(FollowEvent::Deltas(deltas));
     if let Some(action) = action {
-        put_in_force(node, &before);
+        put_in_force(node, &before, &keys);
         carry_out(node, action, from.cloned());
     }
 }
@@ -62,7 +64,9 @@
     let before = node.config.current();
     let action = node.config.handle(FollowEvent::Snapshot(snapshot));
     if let Some(action) = action {
-        put_in_force(node, &before);
+        let after = node.config.current();
+        let keys = before.items.keys().chain(after.items.keys()).cloned().collect();
+        put_in_force(node, &before, &keys);
         carry_out(node, action, None);
     }
 }
@@ -100,24 +104,32 @@
     }
 }
 
-/// Hands the changed engines to the owner table and the dispatchers.
-fn put_in_force(node: &Arc<Node>, before: &Configuration) {
+/// Hands the changed backend servers to whoever chooses among them. The cost is that of the change,
+/// not that of the whole configuration.
+fn put_in_force(node: &Arc<Node>, before: &Configuration, keys: &BTreeSet<Name>) {
     let after = node.config.current();
-    let mut owners = node.owners.write().unwrap();
-    let keys: BTreeSet<&Name> = before.items.keys().chain(after.items.keys()).collect();
-    for key in keys.into_iter().filter(|key| key.starts_with("backend/")) {
-        let (old, new) = (before.items.get(key), after.items.get(key));
-        if old == new {
-            continue;
-        }
-        match new.map(|item| &item.body) {
-            Some(ItemBody::Backend(backend)) if backend.kind == BackendKind::Engine => {
-                owners.set_engine(&backend.name, &backend.service, &backend.zone, backend.slots);
-            }
-            _ => owners.remove_engine(key.trim_start_matches("backend/")),
-        }
+    let is_changed = |key: &&Name| key.starts_with("backend/") && before.items.get(*key) != after.items.get(*key);
+    let changed: Vec<&Name> = keys.iter().filter(is_changed).collect();
+    if changed.is_empty() {
+        return;
+    }
+    for key in &changed {
+        let name: Name = key.trim_start_matches("backend/").into();
+        let backend = after.items.get(*key).and_then(|item| match &item.body {
+            ItemBody::Backend(backend) => Some(backend),
+            _ => None,
+        });
+        set_backend(node, &name, backend);
     }
-    drop(owners);
     node.plain.set_backends(&after);
     node.refresh_desks();
 }
+
+fn set_backend(node: &Node, name: &Name, backend: Option<&Backend>) {
+    node.desks.set_declared(name, backend.is_some_and(|backend| backend.leaving));
+    let mut owners = node.owners.write().unwrap();
+    match backend.filter(|backend| backend.kind == BackendKind::Engine) {
+        Some(engine) => owners.set_engine(&engine.name, &engine.service, &engine.zone, engine.slots),
+        None => owners.remove_engine(name),
+    }
+}
