Test real daemons under kills, freezes, outages, bad input and planned stops

Cause: faults of processes, sockets and links live outside the decision core.

What is asserted is what the outside sees: the trainer's samples against their tokens, the plain service's own count of runs, the bytes of a stream, exit codes.

--- /dev/null
+++ b/crates/trestlerack-standins/tests/failures.rs
@@ -0,0 +1,199 @@
+//! Failures of processes: kills, freezes, outages, leaving and planned stops.
+
+mod support;
+
+use serde_json::{Value, json};
+use std::time::Duration;
+use support::{Cluster, OPERATOR_KEY, Reply, USER_KEY, check_samples, eventually, request};
+
+const PLACES: [&str; 2] = ["a", "b"];
+
+/// Three daemons and four engines in two allowed zones, one engine in a zone that is not allowed.
+fn campaign_cluster(token_ms: &str) -> Cluster {
+    let mut cluster = Cluster::new();
+    for zone in ["a", "a", "b", "b", "c"] {
+        cluster.engine(zone, token_ms);
+    }
+    cluster.service("scoring", "a");
+    cluster.service("plain", "a");
+    cluster.service("plain", "b");
+    for zone in ["a", "b", "a"] {
+        cluster.daemon(zone);
+    }
+    cluster.declare(&PLACES);
+    cluster.settle();
+    cluster.publish(1);
+    cluster
+}
+
+fn complete(cluster: &Cluster, daemon: usize, tokens: u32) -> Reply {
+    let body = json!({ "model": "model", "prompt": "p", "max_tokens": tokens, "stream": true, "seed": 1 });
+    let address = &cluster.daemons[daemon].address;
+    request("POST", address, "/v1/completions", &[USER_KEY], body.to_string().as_bytes())
+}
+
+fn is_whole(reply: &Reply, tokens: usize) -> bool {
+    let data = reply.body.lines().filter_map(|line| line.strip_prefix("data: "));
+    let events: Vec<Value> = data.filter_map(|data| serde_json::from_str(data).ok()).collect();
+    let text: String = events.iter().filter_map(|event| event.pointer("/choices/0/text")?.as_str()).collect();
+    let indices: Vec<String> =
+        text.split_whitespace().filter_map(|word| Some(word.split('/').nth(2)?.to_owned())).collect();
+    let expected: Vec<String> = (0..tokens).map(|index| index.to_string()).collect();
+    reply.status == 200 && reply.body.trim_end().ends_with("data: [DONE]") && indices == expected
+}
+
+fn record(cluster: &Cluster, daemon: usize, key: Option<&str>, text: &str) -> Reply {
+    let header = key.map(|key| format!("idempotency-key: {key}"));
+    let mut extra = vec![USER_KEY];
+    extra.extend(header.as_deref());
+    let address = &cluster.daemons[daemon].address;
+    request("POST", address, "/v1/services/plain/records", &extra, text.as_bytes())
+}
+
+fn runs(cluster: &Cluster, text: &str) -> u64 {
+    let plains = cluster.backends.iter().filter(|(declared, _)| declared["kind"] == "plain");
+    let counts = plains.map(|(_, process)| request("GET", &process.address, "/runs", &[], b"").json());
+    counts.map(|runs| runs[text].as_u64().unwrap_or(0)).sum()
+}
+
+#[test]
+fn a_step_is_whole_and_once_when_a_daemon_is_killed_and_another_frozen() {
+    let mut cluster = campaign_cluster("3");
+    assert_eq!(cluster.submit(0, 0, 1, 6).status, 200);
+    std::thread::sleep(Duration::from_millis(150));
+    cluster.daemons[2].child.kill().unwrap();
+    cluster.daemons[1].signal("STOP");
+    std::thread::sleep(Duration::from_millis(1_500));
+    cluster.daemons[1].signal("CONT");
+    let samples = cluster.take(0, 0);
+    check_samples(&samples, 12, &PLACES);
+    let again = cluster.take(1, 0);
+    assert_eq!(samples, again, "the same bytes through another node");
+}
+
+#[test]
+fn a_step_is_whole_and_once_over_an_outage_of_both_stores_and_lost_answers() {
+    let cluster = campaign_cluster("3");
+    assert_eq!(cluster.submit(0, 0, 1, 6).status, 200);
+    eventually("samples are in the making", || {
+        cluster.daemons.iter().any(|daemon| {
+            let reply = request("GET", &daemon.address, "/v1/nodes", &[OPERATOR_KEY], b"");
+            reply.json()[0]["groups"].as_u64() > Some(0)
+        })
+    });
+    cluster.table.fault(json!({ "mode": "down", "for_ms": 3_000 }));
+    cluster.objects.fault(json!({ "mode": "down", "for_ms": 2_000 }));
+    eventually("a made group waits in a spool", || {
+        cluster.daemons.iter().any(|daemon| daemon.log().contains("name=group-spooled"))
+    });
+    let refused = record(&cluster, 0, Some("key-1"), "in-outage");
+    assert_eq!((refused.status, refused.json()["verdict"].as_str()), (503, Some("not-run")));
+    assert!(refused.header("retry-after").is_some(), "with a time to return");
+    assert_eq!(runs(&cluster, "in-outage"), 0, "not run means not run");
+    assert_eq!(record(&cluster, 1, None, "without-key").status, 200, "a call without a key needs no store");
+    assert!(is_whole(&complete(&cluster, 2, 8), 8), "a completion needs no store");
+    eventually("the outage ends", || {
+        request("POST", &cluster.table.address, "/table/read", &[], br#"{"key":"x"}"#).status == 200
+    });
+    cluster.table.fault(json!({ "mode": "lose-answer", "count": 6 }));
+    check_samples(&cluster.take(0, 0), 12, &PLACES);
+}
+
+#[test]
+fn a_stream_goes_on_over_an_engine_crash() {
+    let cluster = campaign_cluster("3");
+    for (declared, engine) in &cluster.backends {
+        if declared["kind"] == "engine" {
+            engine.fault(json!({ "mode": "crash", "count": 1 }));
+        }
+    }
+    for round in 0..4 {
+        let reply = complete(&cluster, round % 3, 40);
+        assert!(is_whole(&reply, 40), "{}", reply.body);
+    }
+}
+
+#[test]
+fn a_planned_stop_cuts_off_no_stream_and_exits_cleanly() {
+    let mut cluster = campaign_cluster("10");
+    let address = cluster.daemons[0].address.clone();
+    let body = json!({ "model": "model", "prompt": "p", "max_tokens": 150, "stream": true }).to_string();
+    let call = std::thread::spawn(move || request("POST", &address, "/v1/completions", &[USER_KEY], body.as_bytes()));
+    eventually("the call is in progress", || {
+        let reply = request("GET", &cluster.daemons[0].address, "/v1/nodes", &[OPERATOR_KEY], b"");
+        reply.json()[0]["in_progress"].as_u64() > Some(0)
+    });
+    cluster.daemons[0].signal("TERM");
+    eventually("it says that it is not ready", || {
+        request("GET", &cluster.daemons[0].address, "/readyz", &[], b"").status == 503
+    });
+    let reply = call.join().unwrap();
+    assert!(is_whole(&reply, 150), "{}", reply.body);
+    assert_eq!(cluster.daemons[0].wait(), Some(0));
+    assert!(cluster.daemons[0].log().contains("name=stop-ended"));
+}
+
+#[test]
+fn a_drained_backend_gets_no_new_work_from_any_node_with_the_stores_down() {
+    let cluster = campaign_cluster("3");
+    cluster.table.fault(json!({ "mode": "down" }));
+    cluster.members.fault(json!({ "mode": "down" }));
+    let (declared, left) = cluster.backends.iter().find(|(declared, _)| declared["kind"] == "plain").unwrap();
+    let path = format!("/v1/backends/{}/drain", declared["name"].as_str().unwrap());
+    assert_eq!(request("POST", &cluster.daemons[0].address, &path, &[OPERATOR_KEY], b"").status, 200);
+    for daemon in &cluster.daemons {
+        eventually("every node knows", || {
+            let backends = request("GET", &daemon.address, "/v1/backends", &[OPERATOR_KEY], b"").json();
+            let backends = backends.as_array().cloned().unwrap_or_default();
+            backends.iter().any(|backend| backend["name"] == declared["name"] && backend["receives_work"] == false)
+        });
+    }
+    let before = request("GET", &left.address, "/runs", &[], b"").body;
+    for round in 0..12 {
+        assert_eq!(record(&cluster, round % 3, None, &format!("after-{round}")).status, 200);
+    }
+    assert_eq!(request("GET", &left.address, "/runs", &[], b"").body, before, "no new work");
+}
+
+#[test]
+fn a_call_that_must_not_repeat_is_sent_once_when_the_service_breaks() {
+    let cluster = campaign_cluster("3");
+    for (declared, process) in &cluster.backends {
+        if declared["kind"] == "plain" {
+            process.fault(json!({ "mode": "lose-answer", "count": 1 }));
+        }
+    }
+    let first = record(&cluster, 0, Some("key-2"), "lost-answer");
+    assert_eq!((first.status, first.json()["verdict"].as_str()), (502, Some("may-have-run")));
+    let second = record(&cluster, 1, Some("key-2"), "lost-answer");
+    assert_eq!(second.json()["verdict"].as_str(), Some("may-have-run"), "{}", second.body);
+    assert_eq!(runs(&cluster, "lost-answer"), 1);
+    let unkeyed = record(&cluster, 2, None, "lost-unkeyed");
+    assert_eq!((unkeyed.status, unkeyed.json()["verdict"].as_str()), (502, Some("may-have-run")));
+    assert_eq!(runs(&cluster, "lost-unkeyed"), 1, "not tried again on the other backend server");
+}
+
+#[test]
+fn an_engine_that_names_no_version_makes_no_sample() {
+    let cluster = campaign_cluster("3");
+    cluster.backends[0].1.fault(json!({ "mode": "unlabelled" }));
+    cluster.backends[2].1.fault(json!({ "mode": "swap-fails", "count": 3 }));
+    cluster.publish(2);
+    assert_eq!(cluster.submit(0, 0, 2, 4).status, 200);
+    let samples = cluster.take(0, 0);
+    check_samples(&samples, 8, &PLACES);
+    let unlabelled = cluster.backends[0].0["name"].clone();
+    let used =
+        |sample: &Value| sample["versions"].as_array().unwrap().iter().any(|range| range["engine"] == unlabelled);
+    assert!(!samples.iter().any(used));
+}
+
+#[test]
+fn a_restarted_daemon_takes_the_generation_of_its_peers_with_the_stores_down() {
+    let mut cluster = campaign_cluster("3");
+    cluster.table.fault(json!({ "mode": "down" }));
+    cluster.objects.fault(json!({ "mode": "down" }));
+    let fresh = cluster.daemon("b").address.clone();
+    eventually("the new node is ready", || request("GET", &fresh, "/readyz", &[], b"").status == 200);
+    assert!(is_whole(&complete(&cluster, 3, 8), 8));
+}
