--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -9,7 +9,7 @@
 use trestlerack::process::parse_settings;
 use trestlerack::request::Sample;
 use trestlerack::schema::DocumentFault;
-use trestlerack::trace::replay_trace;
+use trestlerack::trace::{replay_trace, restate_trace};
 use trestlerack::version::{ChangePlan, parse_declaration};
 
 /// Options that every command takes.
@@ -197,8 +197,12 @@
     Ok(())
 }
 
-fn replay(arguments: Arguments) -> Result<(), CommandError> {
+fn replay(mut arguments: Arguments) -> Result<(), CommandError> {
+    let restate = arguments.contains("--restate");
     let files = words(arguments, 1, usize::MAX)?;
+    if restate {
+        return files.iter().try_for_each(|file| restate_file(file));
+    }
     let mut differing = 0;
     for file in &files {
         match replay_trace(&read_file(file)?) {
@@ -214,3 +218,10 @@
     }
     Ok(())
 }
+
+fn restate_file(file: &str) -> Result<(), CommandError> {
+    let restated = restate_trace(&read_file(file)?)
+        .map_err(|error| CommandError::new(Exit::Differs, format!("{file}: {error}")))?;
+    std::fs::write(file, restated)
+        .map_err(|error| CommandError::new(Exit::Usage, format!("cannot write {file}: {error}")))
+}
--- a/crates/trestlerack-cli/src/main.rs
+++ b/crates/trestlerack-cli/src/main.rs
@@ -17,7 +17,9 @@
   show nodes|backends|campaigns|steps CAMPAIGN
   drain BACKEND [--undo]   send a backend server no new work, or use it again
   trace SAMPLE             show what made a sample (campaign/step/group/index)
-  replay FILE...           replay recorded decisions and compare their outcomes, offline
+  replay FILE... [--restate]
+                           replay recorded decisions and compare their outcomes, offline, or
+                           state the outcomes anew
 
 Options:
   --node ADDRESS           node to ask (default: $TRESTLERACK_NODE)
--- a/crates/trestlerack-standins/src/engine.rs
+++ b/crates/trestlerack-standins/src/engine.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 use std::collections::{BinaryHeap, VecDeque};
 use std::io::Write;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -44,6 +45,7 @@
     prefill_ms: f64,
     cache_entries: usize,
     swap_ms: u64,
+    load_ms: u64,
     tail: bool,
     checks_fencing: bool,
     weights: String,
@@ -98,6 +100,7 @@
     cache: Mutex<VecDeque<u64>>,
     log: Mutex<Option<std::fs::File>>,
     http: Client<HttpConnector, Full<Bytes>>,
+    pauses: AtomicU32,
     faults: Faults,
 }
 
@@ -112,6 +115,7 @@
         prefill_ms: arguments.opt_value_from_str("--prefill-ms")?.unwrap_or(20.0),
         cache_entries: arguments.opt_value_from_str("--cache-entries")?.unwrap_or(8),
         swap_ms: arguments.opt_value_from_str("--swap-ms")?.unwrap_or(50),
+        load_ms: arguments.opt_value_from_str("--load-ms")?.unwrap_or(0),
         tail: arguments.contains("--tail"),
         checks_fencing: arguments.contains("--checks-fencing"),
         weights: arguments.value_from_str("--weights")?,
@@ -128,6 +132,7 @@
         cache: Mutex::default(),
         log: Mutex::new(log.map(open_log).transpose()?),
         http: Client::builder(TokioExecutor::new()).build(HttpConnector::new()),
+        pauses: AtomicU32::new(0),
         faults: Faults::default(),
     });
     tokio::spawn(report_load(engine.clone()));
@@ -169,6 +174,12 @@
 struct OrderBody {
     hold_version: u64,
     fence: u64,
+    #[serde(default = "default_staged")]
+    staged: bool,
+}
+
+fn default_staged() -> bool {
+    true
 }
 
 async fn take_order(engine: Arc<Engine>, request: ReadRequest) -> Answer {
@@ -183,15 +194,37 @@
     if engine.faults.strikes(FaultMode::SwapFails) {
         return bytes(StatusCode::INTERNAL_SERVER_ERROR, "the swap failed");
     }
+    // Without staging the old weights make room first, so nothing is generated while loading.
+    let mut pause = (!order.staged).then(|| SwapPause::begin(&engine));
     if let Err(refusal) = fetch_weights(&engine, order.hold_version).await {
         return refusal;
     }
+    tokio::time::sleep(Duration::from_millis(engine.options.load_ms)).await;
+    pause.get_or_insert_with(|| SwapPause::begin(&engine));
     tokio::time::sleep(Duration::from_millis(engine.options.swap_ms)).await;
     engine.held.lock().unwrap().version = Some(order.hold_version);
     let answer = engine_status(&engine);
     engine.faults.after(answer)
 }
 
+/// Stops generation until it is dropped.
+struct SwapPause {
+    engine: Arc<Engine>,
+}
+
+impl SwapPause {
+    fn begin(engine: &Arc<Engine>) -> Self {
+        engine.pauses.fetch_add(1, Ordering::SeqCst);
+        Self { engine: engine.clone() }
+    }
+}
+
+impl Drop for SwapPause {
+    fn drop(&mut self) {
+        self.engine.pauses.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 async fn fetch_weights(engine: &Engine, version: u64) -> Result<(), Answer> {
     let uri = format!("http://{}/weights/{}/{version}", engine.options.weights, engine.options.model);
     loop {
@@ -290,8 +323,8 @@
         let tokens = TOKENS_PER_EVENT.min(length - index);
         let time = engine.options.token_ms * f64::from(tokens);
         tokio::time::sleep(Duration::from_secs_f64(time / 1_000.0)).await;
-        while engine.faults.mode() == FaultMode::Freeze {
-            tokio::time::sleep(Duration::from_millis(20)).await;
+        while engine.faults.mode() == FaultMode::Freeze || engine.pauses.load(Ordering::SeqCst) > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
         if engine.faults.strikes(FaultMode::Crash) {
             // The reader may be gone already.
--- a/crates/trestlerack-standins/src/main.rs
+++ b/crates/trestlerack-standins/src/main.rs
@@ -16,6 +16,7 @@
 mod report;
 mod scoring;
 mod server;
+mod summary;
 mod table;
 mod tokens;
 mod trainer;
@@ -40,6 +41,7 @@
            --zones Z,Y --staleness V --out FILE
   application --nodes A,B --key K --service S --backends C,D --model M --rounds N --out FILE
   churn    --nodes A,B --key K --changes N --per-second R
+  summary, plot        rows and the plot of measure/policies.sh
   footprint [--seconds S] [--label L] PID@ADDRESS...
   call     METHOD ADDRESS PATH [BODY [KEY]]
   report   FILE...     sum up trainers' results; exit 1 if a promise broke
@@ -78,6 +80,8 @@
         "application" => application::run(arguments).await?,
         "churn" => churn::run(arguments).await?,
         "footprint" => footprint::run(arguments).await?,
+        "summary" => summary::run(arguments)?,
+        "plot" => summary::plot(arguments)?,
         "call" => return client::run(arguments).await,
         "trainer" => trainer::run(arguments).await?,
         "report" => return report::run(arguments),
--- a/crates/trestlerack-standins/src/trainer.rs
+++ b/crates/trestlerack-standins/src/trainer.rs
@@ -27,6 +27,8 @@
     pub idle_ms: u64,
     /// Time from the first submission to the end, in milliseconds.
     pub total_ms: u64,
+    /// Part of the idle time spent on the first step, which nothing could be made ahead of.
+    pub first_wait_ms: u64,
     /// Longest wait for one step, in milliseconds.
     pub longest_wait_ms: u64,
     /// Requests that were sent again, also through another node.
@@ -96,6 +98,9 @@
             let samples = self.take(step).await?;
             let waited = u64::try_from(waiting.elapsed().as_millis())?;
             self.result.idle_ms += waited;
+            if step == 0 {
+                self.result.first_wait_ms = waited;
+            }
             self.result.longest_wait_ms = self.result.longest_wait_ms.max(waited);
             self.check(step, &samples);
             self.acknowledge(step).await?;
--- a/crates/trestlerack/src/process/lease.rs
+++ b/crates/trestlerack/src/process/lease.rs
@@ -20,7 +20,8 @@
 }
 
 /// Settings of a [`LeaseKeeper`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
 pub struct LeaseSettings {
     /// Time for which a renewal holds, counted from just before it was sent.
     pub ttl: Duration,
--- a/crates/trestlerack/src/process/membership.rs
+++ b/crates/trestlerack/src/process/membership.rs
@@ -6,6 +6,7 @@
 
 use super::{BroadcastQueue, NodeView};
 use crate::border::ListedNode;
+use crate::trace::TraceHead;
 use crate::{Name, Timestamp};
 use rand::Rng;
 use rand::SeedableRng;
@@ -61,7 +62,8 @@
 }
 
 /// Settings of a [`PeerMembership`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
 pub struct MembershipSettings {
     /// How long a suspect may stay silent before it counts as dead.
     pub suspicion: Duration,
@@ -132,6 +134,7 @@
     peers: BTreeMap<Name, PeerState>,
     probe_order: Vec<Name>,
     news: BroadcastQueue<PeerUpdate>,
+    seed: u64,
     random: Pcg64Mcg,
 }
 
@@ -152,6 +155,7 @@
             peers: BTreeMap::new(),
             probe_order: Vec::new(),
             news: BroadcastQueue::default(),
+            seed,
             random: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -161,6 +165,11 @@
         self.own.link = link;
     }
 
+    /// Returns the first line of a trace of this membership, before its first event.
+    pub fn trace_head(&self) -> TraceHead {
+        TraceHead::Membership { settings: self.settings.clone(), own: self.own.clone(), seed: self.seed }
+    }
+
     /// Handles one event.
     pub fn handle(&mut self, now: Timestamp, event: MembershipEvent) -> Vec<MembershipAction> {
         match event {
--- a/crates/trestlerack/src/process/outlier.rs
+++ b/crates/trestlerack/src/process/outlier.rs
@@ -1,11 +1,13 @@
 //! Sets aside backend servers that look healthy and answer badly, and lets them back in steps.
 
 use crate::{Name, Timestamp};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Settings of an [`OutlierDetector`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
 pub struct OutlierSettings {
     /// Bad answers in a row after which a backend server is ejected.
     pub max_failures: u32,
--- a/crates/trestlerack/src/process/settings.rs
+++ b/crates/trestlerack/src/process/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the daemon, checked whole before anything starts.
 
 use crate::Name;
+use crate::request::ChoicePolicy;
 use crate::schema::{DocumentFault, FieldKind, FieldSpec, check_document};
 use serde::Deserialize;
 
@@ -34,8 +35,8 @@
     pub log_level: Name,
     /// Address of an OTLP collector; empty for none.
     pub otlp_endpoint: String,
-    /// File to which decisions are recorded; empty for none.
-    pub trace_file: String,
+    /// Folder in which decisions are recorded; empty for none.
+    pub trace_dir: String,
     /// Longest request body, in bytes.
     pub max_body_bytes: usize,
     /// Time to read a request's header, in milliseconds.
@@ -64,8 +65,31 @@
     pub max_queue: usize,
     /// Bytes of made groups held while the store is down.
     pub spool_bytes: usize,
+    /// How engines and their owners are chosen.
+    pub policy_choice: Name,
+    /// Whether a call whose projected wait is past its deadline is refused at once.
+    pub policy_admission: bool,
+    /// Whether stragglers are hedged.
+    pub policy_hedging: bool,
+    /// Whether engines load new weights beside the old ones before they switch.
+    pub policy_staged_swap: bool,
 }
 
+impl DaemonSettings {
+    /// Returns how engines and their owners are chosen.
+    pub fn choice_policy(&self) -> ChoicePolicy {
+        match self.policy_choice.as_ref() {
+            "random" => ChoicePolicy::Random,
+            "least-in-flight" => ChoicePolicy::LeastInFlight,
+            "two-choices" => ChoicePolicy::TwoChoices,
+            _ => ChoicePolicy::PrefixAffinity { bound: AFFINITY_BOUND },
+        }
+    }
+}
+
+/// Load relative to the mean up to which a prefix keeps to its engine.
+const AFFINITY_BOUND: f64 = 1.25;
+
 impl Default for DaemonSettings {
     fn default() -> Self {
         Self {
@@ -82,7 +106,7 @@
             address_file: String::new(),
             log_level: "info".into(),
             otlp_endpoint: String::new(),
-            trace_file: String::new(),
+            trace_dir: String::new(),
             max_body_bytes: 8 * 1024 * 1024,
             header_timeout_ms: 5_000,
             body_timeout_ms: 20_000,
@@ -97,6 +121,10 @@
             max_samples: 256,
             max_queue: 4_096,
             spool_bytes: 16 * 1024 * 1024,
+            policy_choice: "prefix-affinity".into(),
+            policy_admission: true,
+            policy_hedging: true,
+            policy_staged_swap: true,
         }
     }
 }
@@ -139,7 +167,7 @@
         "Least severe level that is logged.",
     ),
     optional("otlp_endpoint", FieldKind::Text, "", "URL of an OTLP collector for spans; none if left out."),
-    optional("trace_file", FieldKind::Text, "", "File to which decisions are recorded; none if left out."),
+    optional("trace_dir", FieldKind::Text, "", "Folder in which decisions are recorded for replay; none if left out."),
     size("max_body_bytes", 1 << 30, "8388608", "Longest request body, in bytes."),
     span("header_timeout_ms", "5000", "Time to read a request's header."),
     span("body_timeout_ms", "20000", "Time to read a request's body."),
@@ -154,6 +182,25 @@
     size("max_samples", 1_000_000, "256", "Samples that this node makes at once."),
     size("max_queue", 1_000_000, "4096", "Calls that wait for one model's engines on this node."),
     size("spool_bytes", 1 << 32, "16777216", "Bytes of made groups held while the store is down."),
+    optional(
+        "policy_choice",
+        FieldKind::Choice(&["prefix-affinity", "random", "least-in-flight", "two-choices"]),
+        "prefix-affinity",
+        "How engines and their owners are chosen; the others are baselines for measurements.",
+    ),
+    optional(
+        "policy_admission",
+        FieldKind::Flag,
+        "true",
+        "Whether a call that cannot be whole in time is refused at once.",
+    ),
+    optional("policy_hedging", FieldKind::Flag, "true", "Whether stragglers are hedged."),
+    optional(
+        "policy_staged_swap",
+        FieldKind::Flag,
+        "true",
+        "Whether engines load weights beside the old ones and then switch.",
+    ),
 ];
 
 /// Parses a settings file and reports every fault of it at once.
--- a/crates/trestlerack/src/request/choice.rs
+++ b/crates/trestlerack/src/request/choice.rs
@@ -4,12 +4,14 @@
 use crate::hash::rendezvous_weight;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
 
 /// How an engine is chosen among those that may serve a call.
 ///
 /// Only [`ChoicePolicy::PrefixAffinity`] is used in production; the others are the baselines that
 /// [docs/MEASUREMENTS.md](../../../../docs/MEASUREMENTS.md) compares it with.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum ChoicePolicy {
     /// Any engine.
     Random,
--- a/crates/trestlerack/src/request/dispatcher.rs
+++ b/crates/trestlerack/src/request/dispatcher.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 /// Settings of an [`EngineDispatcher`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
 pub struct DispatchSettings {
     /// Calls that may wait.
     pub max_queue: usize,
--- a/crates/trestlerack/src/request/group.rs
+++ b/crates/trestlerack/src/request/group.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 /// Settings of a [`GroupDriver`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
 pub struct GroupSettings {
     /// Attempts for a sample at most, hedges included.
     pub max_attempts: u32,
--- a/crates/trestlerack/src/trace.rs
+++ b/crates/trestlerack/src/trace.rs
@@ -18,31 +18,45 @@
 use serde_json::Value;
 use std::fmt;
 
-/// The first line of a trace: which decision maker it is about.
+/// The first line of a trace: which decision maker it is about and with which settings.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "maker", rename_all = "kebab-case")]
 pub enum TraceHead {
-    /// An [`EngineDispatcher`] with default settings but for what is stated.
+    /// An [`EngineDispatcher`].
     Dispatcher {
-        /// Calls that may wait.
-        max_queue: usize,
+        /// Settings; those left out have their defaults.
+        #[serde(default)]
+        settings: DispatchSettings,
     },
-    /// A [`GroupDriver`] with default settings.
+    /// A [`GroupDriver`].
     Group {
+        /// Settings; those left out have their defaults.
+        #[serde(default)]
+        settings: GroupSettings,
         /// Samples in the group.
         size: usize,
     },
-    /// A [`RolloutPlanner`] with default settings.
-    Rollout,
-    /// A [`LeaseKeeper`] with default settings.
+    /// A [`RolloutPlanner`].
+    Rollout {
+        /// Settings; those left out have their defaults.
+        #[serde(default)]
+        settings: RolloutSettings,
+    },
+    /// A [`LeaseKeeper`].
     Lease {
+        /// Settings; those left out have their defaults.
+        #[serde(default)]
+        settings: LeaseSettings,
         /// Name of the node.
         name: crate::Name,
         /// Incarnation of the node.
         incarnation: u64,
     },
-    /// A [`PeerMembership`] with default settings.
+    /// A [`PeerMembership`].
     Membership {
+        /// Settings; those left out have their defaults.
+        #[serde(default)]
+        settings: MembershipSettings,
         /// The node itself.
         own: PeerInfo,
         /// Seed of its random choices.
@@ -81,6 +95,7 @@
     /// The event.
     pub event: Value,
     /// The actions that must follow.
+    #[serde(default)]
     pub actions: Value,
 }
 
@@ -178,33 +193,55 @@
 
 fn build(head: TraceHead) -> Box<dyn TracedMaker> {
     match head {
-        TraceHead::Dispatcher { max_queue } => {
-            Box::new(EngineDispatcher::new(DispatchSettings { max_queue, ..DispatchSettings::default() }))
-        }
-        TraceHead::Group { size } => Box::new(GroupDriver::new(GroupSettings::default(), size)),
-        TraceHead::Rollout => Box::new(RolloutPlanner::new(RolloutSettings::default())),
-        TraceHead::Lease { name, incarnation } => {
-            Box::new(LeaseKeeper::new(LeaseSettings::default(), name, incarnation))
-        }
-        TraceHead::Membership { own, seed } => Box::new(PeerMembership::new(MembershipSettings::default(), own, seed)),
+        TraceHead::Dispatcher { settings } => Box::new(EngineDispatcher::new(settings)),
+        TraceHead::Group { settings, size } => Box::new(GroupDriver::new(settings, size)),
+        TraceHead::Rollout { settings } => Box::new(RolloutPlanner::new(settings)),
+        TraceHead::Lease { settings, name, incarnation } => Box::new(LeaseKeeper::new(settings, name, incarnation)),
+        TraceHead::Membership { settings, own, seed } => Box::new(PeerMembership::new(settings, own, seed)),
     }
 }
 
 /// Replays a trace and compares every action with the stated one.
 pub fn replay_trace(text: &str) -> Result<ReplayReport, ReplayError> {
+    let mut decisions = 0;
+    replay_lines(text, |number, line, found| {
+        decisions += 1;
+        if found == line.actions {
+            return Ok(());
+        }
+        Err(ReplayError::Differs { line: number + 1, stated: line.actions.clone(), found })
+    })?;
+    Ok(ReplayReport { decisions })
+}
+
+/// Replays a trace and states the actions that followed, for a trace whose events were written by
+/// hand or whose outcome was changed on purpose.
+pub fn restate_trace(text: &str) -> Result<String, ReplayError> {
+    let mut restated = text.lines().next().unwrap_or("").to_owned();
+    replay_lines(text, |_, line, found| {
+        let line = TraceLine { actions: found, ..line.clone() };
+        restated.push('\n');
+        restated.push_str(&serde_json::to_string(&line).expect("a trace line always encodes"));
+        Ok(())
+    })?;
+    restated.push('\n');
+    Ok(restated)
+}
+
+/// Feeds each line of a trace to its decision maker and hands on what followed.
+fn replay_lines(
+    text: &str,
+    mut compare: impl FnMut(usize, &TraceLine, Value) -> Result<(), ReplayError>,
+) -> Result<(), ReplayError> {
     let mut lines = text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty());
     let malformed = |line: usize, cause: String| ReplayError::Malformed { line: line + 1, cause };
     let (number, head) = lines.next().ok_or_else(|| malformed(0, "the trace is empty".into()))?;
     let head = serde_json::from_str(head).map_err(|error| malformed(number, error.to_string()))?;
     let mut maker = build(head);
-    let mut decisions = 0;
     for (number, line) in lines {
         let line: TraceLine = serde_json::from_str(line).map_err(|error| malformed(number, error.to_string()))?;
-        let found = maker.handle(line.at, line.event).map_err(|error| malformed(number, error.to_string()))?;
-        if found != line.actions {
-            return Err(ReplayError::Differs { line: number + 1, stated: line.actions, found });
-        }
-        decisions += 1;
+        let found = maker.handle(line.at, line.event.clone()).map_err(|error| malformed(number, error.to_string()))?;
+        compare(number, &line, found)?;
     }
-    Ok(ReplayReport { decisions })
+    Ok(())
 }
--- a/crates/trestlerack/src/version/rollout.rs
+++ b/crates/trestlerack/src/version/rollout.rs
@@ -33,7 +33,8 @@
 }
 
 /// Settings of a [`RolloutPlanner`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
 pub struct RolloutSettings {
     /// How long an order may take before it counts as lost.
     pub order_timeout: Duration,
--- a/crates/trestlerackd/src/node.rs
+++ b/crates/trestlerackd/src/node.rs
@@ -5,6 +5,7 @@
 use crate::process::clock::SystemClock;
 use crate::process::keys::KeyRing;
 use crate::process::platform::{HttpMembershipSource, HttpObjectStore, HttpTableStore};
+use crate::process::recorder::TraceRecorder;
 use crate::process::rollout_loop::HeldLeases;
 use crate::process::spool::GroupSpool;
 use crate::process::step_loop::StepWatch;
@@ -88,6 +89,8 @@
     pub spool: GroupSpool,
     /// Bounds the samples made at once.
     pub sample_slots: Arc<Semaphore>,
+    /// Recorder of decisions.
+    pub recorder: Arc<TraceRecorder>,
     /// Metrics and spans.
     pub telemetry: Telemetry,
     /// Planned stop.
@@ -113,19 +116,21 @@
             suspicion: Duration::from_millis(settings.suspicion_ms),
             ..MembershipSettings::default()
         };
+        let recorder = Arc::new(TraceRecorder::new(&settings.trace_dir));
         let order_timeout = Duration::from_millis(settings.order_timeout_ms);
         Ok(Self {
             incarnation,
             table: Arc::new(HttpTableStore::new(http.clone(), settings.table.clone())),
             objects: Arc::new(HttpObjectStore::new(http.clone(), settings.objects.clone())),
             list: Arc::new(HttpMembershipSource::new(http.clone(), settings.membership.clone())),
-            engines: Arc::new(HttpEngineClient::new(http.clone(), order_timeout)),
+            engines: Arc::new(HttpEngineClient::new(http.clone(), order_timeout, settings.policy_staged_swap)),
             scoring: Arc::new(HttpScoringClient::new(http.clone())),
             config: ConfigCell::default(),
             membership: Mutex::new(PeerMembership::new(member_settings, own, incarnation)),
             ownership: RwLock::default(),
             owners: RwLock::default(),
-            desks: DeskTable::new(&settings),
+            desks: DeskTable::new(&settings, recorder.clone()),
+            recorder,
             leases: HeldLeases::default(),
             steps: StepWatch::default(),
             loads: LoadTable::default(),
--- a/crates/trestlerackd/src/process/member_loop.rs
+++ b/crates/trestlerackd/src/process/member_loop.rs
@@ -48,8 +48,7 @@
 
 /// Feeds an event to the membership and carries out what it asks for.
 pub fn tell(node: &Arc<Node>, event: MembershipEvent) {
-    let actions = node.membership.lock().unwrap().handle(node.now(), event);
-    for action in actions {
+    for action in decide(node, event) {
         match action {
             MembershipAction::Probe(peer) => {
                 tokio::spawn(probe(node.clone(), peer));
@@ -66,6 +65,15 @@
     }
 }
 
+fn decide(node: &Node, event: MembershipEvent) -> Vec<MembershipAction> {
+    let captured = node.recorder.capture(&event);
+    let mut membership = node.membership.lock().unwrap();
+    let now = node.now();
+    let actions = membership.handle(now, event);
+    node.recorder.record("membership", || membership.trace_head(), now, captured, &actions);
+    actions
+}
+
 async fn probe(node: Arc<Node>, peer: PeerInfo) {
     let timeout = Duration::from_millis(node.settings.heartbeat_ms) * PROBE_TIMEOUT_PARTS;
     let heartbeat = node.membership.lock().unwrap().heartbeat();
--- a/crates/trestlerackd/src/process/mod.rs
+++ b/crates/trestlerackd/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod logs;
 pub mod member_loop;
 pub mod platform;
+pub mod recorder;
 pub mod rollout_loop;
 pub mod spool;
 pub mod step_loop;
--- /dev/null
+++ b/crates/trestlerackd/src/process/recorder.rs
@@ -0,0 +1,57 @@
+//! Records what decision makers were given and answered, for `trestlerack replay`.
+
+use serde::Serialize;
+use std::collections::HashMap;
+use std::fs::File;
+use std::io::Write;
+use std::path::PathBuf;
+use std::sync::Mutex;
+use trestlerack::Timestamp;
+use trestlerack::trace::{TraceHead, TraceLine};
+
+/// Writes a trace file per decision maker, or nothing where the settings name no folder.
+pub struct TraceRecorder {
+    dir: Option<PathBuf>,
+    files: Mutex<HashMap<String, File>>,
+}
+
+impl TraceRecorder {
+    /// Builds a recorder that writes into `dir`, or none if it is empty.
+    pub fn new(dir: &str) -> Self {
+        let dir = (!dir.is_empty()).then(|| PathBuf::from(dir));
+        Self { dir, files: Mutex::default() }
+    }
+
+    /// Returns an event in the form of a trace, before its decision maker consumes it.
+    pub fn capture(&self, event: &impl Serialize) -> Option<serde_json::Value> {
+        self.dir.as_ref()?;
+        serde_json::to_value(event).ok()
+    }
+
+    /// Records the actions that followed a captured event of the decision maker `name`.
+    pub fn record(
+        &self,
+        name: &str,
+        head: impl FnOnce() -> TraceHead,
+        at: Timestamp,
+        event: Option<serde_json::Value>,
+        actions: &impl Serialize,
+    ) {
+        let (Some(dir), Some(event)) = (&self.dir, event) else { return };
+        let Ok(actions) = serde_json::to_value(actions) else { return };
+        let mut files = self.files.lock().unwrap();
+        if !files.contains_key(name) {
+            let Ok(file) = File::create(dir.join(format!("{name}.jsonl"))) else { return };
+            write_line(&file, &head());
+            files.insert(name.to_owned(), file);
+        }
+        write_line(&files[name], &TraceLine { at, event, actions });
+    }
+}
+
+/// A line that cannot be written is missing from the trace, which the replay then shows.
+fn write_line(mut file: &File, line: &impl Serialize) {
+    if let Ok(text) = serde_json::to_string(line) {
+        let _ = writeln!(file, "{text}");
+    }
+}
--- a/crates/trestlerackd/src/process/stop.rs
+++ b/crates/trestlerackd/src/process/stop.rs
@@ -72,7 +72,7 @@
 pub async fn stop_as_planned(node: &Arc<Node>) {
     logs::write(event::STOP_BEGUN, &[("in_progress", &node.stop.in_progress())]);
     node.stop.stopping.store(true, Ordering::SeqCst);
-    node.membership.lock().unwrap().handle(node.now(), MembershipEvent::Leave);
+    super::member_loop::tell(node, MembershipEvent::Leave);
     node.refresh_ownership();
     tokio::time::sleep(NOT_READY_TIME).await;
     node.stop.closed.send_replace(true);
--- a/crates/trestlerackd/src/request/call_router.rs
+++ b/crates/trestlerackd/src/request/call_router.rs
@@ -15,13 +15,10 @@
 use trestlerack::border::ChunkSink;
 use trestlerack::connection::{CallEvent, CallOutcome, CallSpec, TokenChunk};
 use trestlerack::process::PeerInfo;
-use trestlerack::request::{ChoicePolicy, EngineChooser, EngineView, QueuedCall};
+use trestlerack::request::{EngineChooser, EngineView, QueuedCall};
 use trestlerack::verdict::Reason;
 use trestlerack::{Failure, Name, Timestamp, Verdict};
 
-/// Load bound for the choice among owners.
-const OWNER_LOAD_BOUND: f64 = 1.25;
-
 /// Wait named when no owner has an engine in an allowed place.
 const NO_OWNER_RETRY: Duration = Duration::from_millis(500);
 
@@ -94,8 +91,8 @@
         .zip(&calls)
         .map(|(owner, calls)| EngineView { name: &owner.node, in_flight: *calls, slots: owner.slots.max(1) })
         .collect();
-    let policy = ChoicePolicy::PrefixAffinity { bound: OWNER_LOAD_BOUND };
-    let mut chooser = EngineChooser::new(policy, Pcg64Mcg::seed_from_u64(spec.prefix));
+    let policy = node.settings.choice_policy();
+    let mut chooser = EngineChooser::new(policy, Pcg64Mcg::from_rng(&mut rand::rng()));
     let index = chooser.choose(spec.prefix, &views).ok_or_else(|| {
         let failure = Failure::not_run(Reason::NoBackend, "no engine in an allowed place serves the model");
         failure.retry_after(NO_OWNER_RETRY)
--- a/crates/trestlerackd/src/request/desks.rs
+++ b/crates/trestlerackd/src/request/desks.rs
@@ -3,9 +3,10 @@
 use super::shards::Sharded;
 use crate::process::clock::SystemClock;
 use crate::process::logs;
+use crate::process::recorder::TraceRecorder;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use trestlerack::border::EngineStatus;
@@ -14,6 +15,7 @@
 use trestlerack::request::{
     DispatchAction, DispatchEngine, DispatchEvent, DispatchSettings, EngineDispatcher, QueuedCall,
 };
+use trestlerack::trace::TraceHead;
 use trestlerack::version::{
     Backend, Configuration, EngineOrder, ItemBody, RolloutEngine, RolloutEvent, RolloutPlanner, RolloutSettings,
     WeightTarget, WeightVersion,
@@ -34,6 +36,7 @@
 pub type GrantResult = Result<Grant, Failure>;
 
 struct ModelDesk {
+    model: Name,
     dispatcher: EngineDispatcher,
     rollout: RolloutPlanner,
     waiting: HashMap<u64, oneshot::Sender<GrantResult>>,
@@ -50,24 +53,31 @@
     leaving: Mutex<LeavingBoard>,
     unreachable: Mutex<HashSet<Name>>,
     last_id: AtomicU64,
+    recorder: Arc<TraceRecorder>,
 }
 
 impl DeskTable {
     /// Builds an empty table.
-    pub fn new(settings: &DaemonSettings) -> Self {
+    pub fn new(settings: &DaemonSettings, recorder: Arc<TraceRecorder>) -> Self {
         let rollout_settings = RolloutSettings {
             order_timeout: Duration::from_millis(settings.order_timeout_ms),
             target_ttl: Duration::from_millis(settings.lease_ttl_ms),
             ..RolloutSettings::default()
         };
         Self {
-            dispatch_settings: DispatchSettings { max_queue: settings.max_queue, ..DispatchSettings::default() },
+            dispatch_settings: DispatchSettings {
+                max_queue: settings.max_queue,
+                policy: settings.choice_policy(),
+                admission: settings.policy_admission,
+                ..DispatchSettings::default()
+            },
             rollout_settings,
             desks: Sharded::default(),
             engines: RwLock::default(),
             leaving: Mutex::default(),
             unreachable: Mutex::default(),
             last_id: AtomicU64::new(0),
+            recorder,
         }
     }
 
@@ -288,6 +298,7 @@
 
     fn desk<'a>(&self, shard: &'a mut ModelDesks, model: &Name) -> &'a mut ModelDesk {
         shard.entry(model.clone()).or_insert_with(|| ModelDesk {
+            model: model.clone(),
             dispatcher: EngineDispatcher::new(self.dispatch_settings.clone()),
             rollout: RolloutPlanner::new(self.rollout_settings.clone()),
             waiting: HashMap::new(),
@@ -313,7 +324,11 @@
     }
 
     fn dispatch(&self, now: Timestamp, desk: &mut ModelDesk, event: DispatchEvent) {
-        for action in desk.dispatcher.handle(now, event) {
+        let captured = self.recorder.capture(&event);
+        let actions = desk.dispatcher.handle(now, event);
+        let head = || TraceHead::Dispatcher { settings: self.dispatch_settings.clone() };
+        self.recorder.record(&format!("dispatcher-{}", desk.model), head, now, captured, &actions);
+        for action in actions {
             match action {
                 DispatchAction::Start { id, engine } => self.grant(now, desk, id, &engine),
                 DispatchAction::Refuse { id, failure } => {
--- a/crates/trestlerackd/src/request/engine_client.rs
+++ b/crates/trestlerackd/src/request/engine_client.rs
@@ -31,12 +31,13 @@
 pub struct HttpEngineClient {
     http: HttpClient,
     order_timeout: Duration,
+    staged_swap: bool,
 }
 
 impl HttpEngineClient {
-    /// Builds a client whose orders may take `order_timeout`.
-    pub fn new(http: HttpClient, order_timeout: Duration) -> Self {
-        Self { http, order_timeout }
+    /// Builds a client whose orders may take `order_timeout` and ask for a staged swap or not.
+    pub fn new(http: HttpClient, order_timeout: Duration, staged_swap: bool) -> Self {
+        Self { http, order_timeout, staged_swap }
     }
 }
 
@@ -130,7 +131,8 @@
     }
 
     async fn order(&self, address: &str, order: &EngineOrder) -> Result<EngineStatus, Failure> {
-        let body = serde_json::json!({ "hold_version": order.version, "fence": order.fence });
+        let body =
+            serde_json::json!({ "hold_version": order.version, "fence": order.fence, "staged": self.staged_swap });
         let answer = self.http.post_json(address, "/orders", &body, self.order_timeout).await?;
         decode_status(answer)
     }
--- a/crates/trestlerackd/src/request/group_runner.rs
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -92,7 +92,7 @@
 /// Runs the group's driver until every sample is made, or `None` if it is given up here.
 async fn make_samples(node: &Arc<Node>, campaign: &Campaign, wanted: &GroupWanted) -> Option<Vec<Sample>> {
     let size = wanted.spec.size;
-    let mut driver = GroupDriver::new(GroupSettings::default(), size);
+    let mut driver = GroupDriver::new(group_settings(node), size);
     let (sender, mut ends) = mpsc::channel::<AttemptEnd>(size.max(1));
     let mut samples: Vec<Option<Sample>> = vec![None; size];
     let mut running = AttemptTasks::default();
@@ -119,6 +119,12 @@
     }
 }
 
+fn group_settings(node: &Node) -> GroupSettings {
+    let defaults = GroupSettings::default();
+    let hedge_factor = if node.settings.policy_hedging { defaults.hedge_factor } else { 0.0 };
+    GroupSettings { hedge_factor, ..defaults }
+}
+
 /// The running attempts of a group; dropping it cancels them all.
 #[derive(Default)]
 struct AttemptTasks {
