Choose by speed, let reported loads fade, hedge from the tokens already made

Calls were spread by count, so an engine three times slower got as many as the others and held up each step; a load that an owner reported stayed believed until the owner was asked again, which a busy-looking owner never was; a hedge began its sample anew, on the same owner.

Ruled out: weight swaps (targets followed publishing within 5 ms) and the engines' capacity (1.02 s a step).

Change: capacity is slots over the observed time per token, per engine and per owner; reports fade in 300 ms; a hedge and a retried sample go on from the furthest tokens of any attempt, on another owner.

--- a/crates/trestlerack/src/connection/frame.rs
+++ b/crates/trestlerack/src/connection/frame.rs
@@ -93,6 +93,8 @@
     pub in_flight: u32,
     /// Calls that wait.
     pub queued: u32,
+    /// Time that its engines take for a token, in milliseconds; `None` before one was observed.
+    pub millis_per_token: Option<f64>,
 }
 
 /// A frame on a node link.
--- a/crates/trestlerack/src/request/choice.rs
+++ b/crates/trestlerack/src/request/choice.rs
@@ -36,6 +36,8 @@
     pub in_flight: u32,
     /// Calls that it may work on.
     pub slots: u32,
+    /// Time that it takes for a token, in milliseconds; `None` before one was observed.
+    pub millis_per_token: Option<f64>,
 }
 
 /// Chooses engines by a policy.
@@ -56,39 +58,52 @@
         if engines.is_empty() {
             return None;
         }
+        let capacities = capacities(engines);
         match self.policy {
             ChoicePolicy::Random => Some(self.random.random_range(0..engines.len())),
-            ChoicePolicy::LeastInFlight => least_loaded(engines, 0..engines.len()),
+            ChoicePolicy::LeastInFlight => least_loaded(engines, &capacities, 0..engines.len()),
             ChoicePolicy::TwoChoices => {
                 let first = self.random.random_range(0..engines.len());
                 let second = self.random.random_range(0..engines.len());
-                least_loaded(engines, [first, second])
+                least_loaded(engines, &capacities, [first, second])
             }
-            ChoicePolicy::PrefixAffinity { bound } => by_prefix(prefix, engines, bound),
+            ChoicePolicy::PrefixAffinity { bound } => by_prefix(prefix, engines, &capacities, bound),
         }
     }
 }
 
-fn least_loaded(engines: &[EngineView<'_>], indices: impl IntoIterator<Item = usize>) -> Option<usize> {
-    indices.into_iter().min_by(|left, right| load(&engines[*left]).total_cmp(&load(&engines[*right])))
+/// Returns how much each engine gets done relative to the others: slots over time per token. An
+/// engine that was not observed yet counts as average.
+fn capacities(engines: &[EngineView<'_>]) -> Vec<f64> {
+    let known: Vec<f64> = engines.iter().filter_map(|engine| engine.millis_per_token).collect();
+    let average = if known.is_empty() { 1.0 } else { known.iter().sum::<f64>() / known.len() as f64 };
+    let speed = |engine: &EngineView<'_>| 1.0 / engine.millis_per_token.unwrap_or(average).max(SHORTEST_TOKEN);
+    engines.iter().map(|engine| f64::from(engine.slots.max(1)) * speed(engine)).collect()
 }
 
-fn load(engine: &EngineView<'_>) -> f64 {
-    f64::from(engine.in_flight) / f64::from(engine.slots.max(1))
+/// Shortest time per token that is believed, in milliseconds, so that no engine looks endless.
+const SHORTEST_TOKEN: f64 = 0.001;
+
+fn least_loaded(
+    engines: &[EngineView<'_>],
+    capacities: &[f64],
+    indices: impl IntoIterator<Item = usize>,
+) -> Option<usize> {
+    let load = |index: &usize| f64::from(engines[*index].in_flight + 1) / capacities[*index];
+    indices.into_iter().min_by(|left, right| load(left).total_cmp(&load(right)))
 }
 
 /// The load bound keeps a popular prefix from queueing behind itself while other engines idle. Each
-/// engine's bound is its share of the slots, and the call itself counts, so that an idle set of
+/// engine's bound is its share of the capacity, and the call itself counts, so that an idle set of
 /// engines accepts it anywhere.
-fn by_prefix(prefix: u64, engines: &[EngineView<'_>], bound: f64) -> Option<usize> {
+fn by_prefix(prefix: u64, engines: &[EngineView<'_>], capacities: &[f64], bound: f64) -> Option<usize> {
     let in_flight: u32 = engines.iter().map(|engine| engine.in_flight).sum();
-    let slots: u32 = engines.iter().map(|engine| engine.slots.max(1)).sum();
-    let per_slot = bound * f64::from(in_flight + 1) / f64::from(slots);
+    let per_capacity = bound * f64::from(in_flight + 1) / capacities.iter().sum::<f64>();
     let within = |index: &usize| {
-        let limit = (per_slot * f64::from(engines[*index].slots.max(1))).ceil();
+        let limit = (per_capacity * capacities[*index]).ceil();
         f64::from(engines[*index].in_flight + 1) <= limit
     };
     let candidates = (0..engines.len()).filter(within);
     let weight = |index: &usize| rendezvous_weight(prefix, engines[*index].name);
-    candidates.max_by_key(weight).or_else(|| least_loaded(engines, 0..engines.len()))
+    candidates.max_by_key(weight).or_else(|| least_loaded(engines, capacities, 0..engines.len()))
 }
--- a/crates/trestlerack/src/request/dispatcher.rs
+++ b/crates/trestlerack/src/request/dispatcher.rs
@@ -147,6 +147,7 @@
     version: Option<WeightVersion>,
     open: bool,
     owned: bool,
+    millis_per_token: Option<f64>,
 }
 
 impl EngineState {
@@ -226,6 +227,12 @@
         (slots, self.in_flight(), queued)
     }
 
+    /// Returns the mean time per token of the engines observed so far, in milliseconds.
+    pub fn millis_per_token(&self) -> Option<f64> {
+        let known: Vec<f64> = self.engines.values().filter_map(|engine| engine.millis_per_token).collect();
+        (!known.is_empty()).then(|| known.iter().sum::<f64>() / known.len() as f64)
+    }
+
     /// Handles one event and returns what to do.
     pub fn handle(&mut self, now: Timestamp, event: DispatchEvent) -> Vec<DispatchAction> {
         let mut actions = Vec::new();
@@ -255,6 +262,7 @@
                 version: None,
                 open: true,
                 owned: true,
+                millis_per_token: None,
             };
             let state = self.engines.entry(engine.name).or_insert(fresh);
             state.zone = engine.zone;
@@ -340,13 +348,21 @@
         self.release(&running.engine);
         if good && tokens > 0 {
             let observed = now.since(running.started).as_millis() as f64 / f64::from(tokens);
-            self.millis_per_token += RATE_SMOOTHING * (observed - self.millis_per_token);
+            self.observe(&running.engine, observed);
         }
         let engines = self.engines.len();
         let ejected = self.outliers.record(now, &running.engine, good, engines);
         ejected.then_some(DispatchAction::Ejected { engine: running.engine })
     }
 
+    fn observe(&mut self, engine: &Name, observed: f64) {
+        self.millis_per_token += RATE_SMOOTHING * (observed - self.millis_per_token);
+        if let Some(state) = self.engines.get_mut(engine) {
+            let held = state.millis_per_token.unwrap_or(observed);
+            state.millis_per_token = Some(held + RATE_SMOOTHING * (observed - held));
+        }
+    }
+
     fn cancel(&mut self, id: u64) {
         if self.dequeue(id).is_some() {
             return;
@@ -446,7 +462,12 @@
         for (name, engine) in &self.engines {
             let limit = self.usable_slots(now, name, engine);
             if engine.in_flight < limit && engine.suits(call) {
-                candidates.push(EngineView { name, in_flight: engine.in_flight, slots: limit });
+                candidates.push(EngineView {
+                    name,
+                    in_flight: engine.in_flight,
+                    slots: limit,
+                    millis_per_token: engine.millis_per_token,
+                });
             }
         }
         let index = self.chooser.choose(call.prefix, &candidates)?;
--- a/crates/trestlerack/src/request/sample.rs
+++ b/crates/trestlerack/src/request/sample.rs
@@ -105,6 +105,11 @@
         self.engine = Some((engine, zone, owner));
     }
 
+    /// Returns the node that dispatched the latest attempt.
+    pub fn owner(&self) -> Option<&Name> {
+        self.engine.as_ref().map(|(_, _, owner)| owner)
+    }
+
     /// Returns how many tokens are held.
     pub fn tokens(&self) -> u32 {
         self.tokens
--- a/crates/trestlerackd/src/request/call_driver.rs
+++ b/crates/trestlerackd/src/request/call_driver.rs
@@ -27,6 +27,11 @@
     /// Takes a chunk; a failure ends the call.
     async fn chunk(&mut self, chunk: TokenChunk) -> Result<(), Failure>;
 
+    /// Returns owners that the first attempt should avoid.
+    fn avoided(&self) -> Vec<Name> {
+        Vec::new()
+    }
+
     /// Returns the tokens and the text held so far, from which the next attempt goes on.
     fn held(&self) -> (u32, &str);
 }
@@ -41,7 +46,7 @@
 ) -> Result<u32, Failure> {
     node.budget.lock().unwrap().earn(&spec.account, &spec.model);
     let mut attempts = 0;
-    let mut avoid = Vec::new();
+    let mut avoid = sink.avoided();
     loop {
         attempts += 1;
         let Err(failure) = attempt(node, spec, deadline, sink, &mut avoid).await else { return Ok(attempts) };
--- a/crates/trestlerackd/src/request/call_router.rs
+++ b/crates/trestlerackd/src/request/call_router.rs
@@ -44,11 +44,13 @@
         match &mut self.source {
             CallSource::Here { parts, .. } => {
                 let part = parts.recv().await;
+                let load = self.node.desks.load(self.node.now(), &self.model);
+                self.node.loads.report(self.node.now(), &self.model, &self.owner, &load);
                 part.unwrap_or_else(|| CallEvent::Ended(links::broken_call()))
             }
             CallSource::Peer(call) => match call.next().await {
                 Some((event, load)) => {
-                    self.node.loads.report(&self.model, &self.owner, &load);
+                    self.node.loads.report(self.node.now(), &self.model, &self.owner, &load);
                     event
                 }
                 None => CallEvent::Ended(links::broken_call()),
@@ -85,11 +87,16 @@
 pub fn choose_owner(node: &Node, spec: &CallSpec, avoid: &[Name]) -> Result<Name, Failure> {
     let mut owners = node.owners.read().unwrap().owners(&spec.model, &spec.places);
     owners.retain(|owner| !avoid.contains(&owner.node));
-    let calls: Vec<u32> = owners.iter().map(|owner| node.loads.calls(&spec.model, &owner.node)).collect();
+    let beliefs: Vec<_> = owners.iter().map(|owner| node.loads.belief(node.now(), &spec.model, &owner.node)).collect();
     let views: Vec<EngineView<'_>> = owners
         .iter()
-        .zip(&calls)
-        .map(|(owner, calls)| EngineView { name: &owner.node, in_flight: *calls, slots: owner.slots.max(1) })
+        .zip(&beliefs)
+        .map(|(owner, (calls, millis_per_token))| EngineView {
+            name: &owner.node,
+            in_flight: *calls,
+            slots: owner.slots,
+            millis_per_token: *millis_per_token,
+        })
         .collect();
     let policy = node.settings.choice_policy();
     let mut chooser = EngineChooser::new(policy, Pcg64Mcg::from_rng(&mut rand::rng()));
--- a/crates/trestlerackd/src/request/desks.rs
+++ b/crates/trestlerackd/src/request/desks.rs
@@ -136,9 +136,9 @@
     /// Returns the load of this node's engines of one model.
     pub fn load(&self, now: Timestamp, model: &Name) -> NodeLoad {
         let shard = self.desks.lock(model);
-        let load = shard.get(model).map(|desk| desk.dispatcher.load(now));
-        let (slots, in_flight, queued) = load.unwrap_or_default();
-        NodeLoad { slots, in_flight, queued }
+        let Some(desk) = shard.get(model) else { return NodeLoad::default() };
+        let (slots, in_flight, queued) = desk.dispatcher.load(now);
+        NodeLoad { slots, in_flight, queued, millis_per_token: desk.dispatcher.millis_per_token() }
     }
 
     /// Lets time pass; returns the orders to send.
--- a/crates/trestlerackd/src/request/group_runner.rs
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -8,7 +8,7 @@
 use async_trait::async_trait;
 use opentelemetry::trace::SpanKind;
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use trestlerack::connection::{CallSpec, GroupWanted, TokenChunk};
@@ -18,7 +18,7 @@
     GroupAction, GroupDriver, GroupEvent, GroupSettings, ResumePolicy, Sample, SampleAssembler,
 };
 use trestlerack::verdict::Reason;
-use trestlerack::version::{BackendKind, Campaign};
+use trestlerack::version::{BackendKind, Campaign, WeightVersion};
 use trestlerack::{Failure, Name, event};
 
 /// Interval at which stragglers and waits are looked at.
@@ -95,6 +95,7 @@
     let mut driver = GroupDriver::new(group_settings(node), size);
     let (sender, mut ends) = mpsc::channel::<AttemptEnd>(size.max(1));
     let mut samples: Vec<Option<Sample>> = vec![None; size];
+    let progress: Vec<SharedProgress> = (0..size).map(|_| SharedProgress::default()).collect();
     let mut running = AttemptTasks::default();
     let mut ticks = tokio::time::interval(TICK);
     let mut event = GroupEvent::Begin;
@@ -103,9 +104,11 @@
         for action in driver.handle(node.now(), &event, may_hedge) {
             match action {
                 GroupAction::Start { index, attempt, hedge } => {
-                    let attempt = SampleAttempt { index, number: attempt, hedge };
+                    let shared = progress[index].clone();
+                    let attempt = SampleAttempt { index, number: attempt, hedge, progress: shared };
+                    let key = (index, attempt.number);
                     let task = run_attempt(node.clone(), campaign.clone(), wanted.clone(), attempt, sender.clone());
-                    running.start((index, attempt.number), task);
+                    running.start(key, task);
                 }
                 GroupAction::Cancel { index, attempt } => running.cancel((index, attempt)),
                 GroupAction::Complete => return samples.into_iter().collect(),
@@ -166,11 +169,17 @@
     }
 }
 
-#[derive(Clone, Copy)]
+/// The furthest that any attempt at a sample has come; later attempts go on from there.
+type SharedProgress = Arc<Mutex<Option<SampleAssembler>>>;
+
+/// Chunks after which an attempt shares how far it has come.
+const SHARE_EVERY: u32 = 4;
+
 struct SampleAttempt {
     index: usize,
     number: u32,
     hedge: bool,
+    progress: SharedProgress,
 }
 
 async fn run_attempt(
@@ -182,7 +191,7 @@
 ) {
     let slots = node.sample_slots.clone();
     let Ok(_slot) = slots.acquire().await else { return };
-    let result = make_sample(&node, &campaign, &wanted, attempt).await;
+    let result = make_sample(&node, &campaign, &wanted, &attempt).await;
     // A group that ended meanwhile needs no more attempts.
     let _ = sender.send((attempt.index, attempt.number, result)).await;
 }
@@ -191,7 +200,7 @@
     node: &Arc<Node>,
     campaign: &Campaign,
     wanted: &GroupWanted,
-    attempt: SampleAttempt,
+    attempt: &SampleAttempt,
 ) -> Result<Sample, Failure> {
     let span = node.telemetry.hop("sample", SpanKind::Internal, None);
     let id = sample_id(wanted, attempt.index);
@@ -199,7 +208,7 @@
     let first_unix = node.clock.unix_seconds();
     let min_version = campaign.staleness_rule().oldest_acceptable(wanted.consume_version);
     let spec = call_spec(node, campaign, wanted, attempt, span.traceparent.clone());
-    let mut sink = SampleSink { assembler: SampleAssembler::new(min_version) };
+    let mut sink = SampleSink::new(min_version, attempt);
     let deadline = node.now() + SAMPLE_DEADLINE;
     let policy = ResumePolicy { repeatable: true, patient: true };
     let attempts = drive(node, &spec, deadline, policy, &mut sink).await?;
@@ -231,7 +240,7 @@
     node: &Node,
     campaign: &Campaign,
     wanted: &GroupWanted,
-    attempt: SampleAttempt,
+    attempt: &SampleAttempt,
     traceparent: Option<Name>,
 ) -> CallSpec {
     let step = wanted.step.to_string();
@@ -279,19 +288,54 @@
 
 struct SampleSink {
     assembler: SampleAssembler,
+    progress: SharedProgress,
+    avoided: Vec<Name>,
+    chunks: u32,
+}
+
+impl SampleSink {
+    /// Goes on from the tokens that an earlier attempt shared, and on another owner than its.
+    fn new(min_version: WeightVersion, attempt: &SampleAttempt) -> Self {
+        let shared = attempt.progress.lock().unwrap().clone();
+        let avoided = shared.as_ref().and_then(|shared| shared.owner().cloned());
+        Self {
+            assembler: shared.unwrap_or_else(|| SampleAssembler::new(min_version)),
+            progress: attempt.progress.clone(),
+            avoided: avoided.into_iter().collect(),
+            chunks: 0,
+        }
+    }
+
+    fn share(&self) {
+        let mut shared = self.progress.lock().unwrap();
+        if shared.as_ref().is_none_or(|shared| shared.tokens() <= self.assembler.tokens()) {
+            *shared = Some(self.assembler.clone());
+        }
+    }
 }
 
 #[async_trait]
 impl CallSink for SampleSink {
     fn started(&mut self, engine: Name, zone: Name, owner: Name) {
         self.assembler.start_attempt(engine, zone, owner);
+        // Tells a hedge which owner to avoid, also before the first token.
+        self.share();
     }
 
     async fn chunk(&mut self, chunk: TokenChunk) -> Result<(), Failure> {
         self.assembler.accept(&chunk).map_err(|error| {
             // The chunk was not taken in, so the call can be resumed from the tokens before it.
             Failure::may_have_run(Reason::BackendFailed, error.to_string())
-        })
+        })?;
+        self.chunks += 1;
+        if self.chunks.is_multiple_of(SHARE_EVERY) {
+            self.share();
+        }
+        Ok(())
+    }
+
+    fn avoided(&self) -> Vec<Name> {
+        self.avoided.clone()
     }
 
     fn held(&self) -> (u32, &str) {
--- a/crates/trestlerackd/src/request/plain_pool.rs
+++ b/crates/trestlerackd/src/request/plain_pool.rs
@@ -86,7 +86,7 @@
             let limit = state.outliers.limit(now, &backend.name, BALANCE_SLOTS);
             let in_flight = state.in_flight.get(&backend.name).copied().unwrap_or(0);
             if !left && limit > 0 && !tried.contains(&backend.name) {
-                candidates.push(EngineView { name: &backend.name, in_flight, slots: limit });
+                candidates.push(EngineView { name: &backend.name, in_flight, slots: limit, millis_per_token: None });
             }
         }
         let index = state.chooser.choose(0, &candidates)?;
