--- a/crates/trestlerack-standins/src/footprint.rs
+++ b/crates/trestlerack-standins/src/footprint.rs
@@ -66,9 +66,7 @@
 }
 
 async fn read(client: &ApiClient, process: &Process) -> anyhow::Result<Reading> {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", process.pid))?;
-    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-    let ticks: f64 = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
+    let cpu_seconds = cpu_seconds(process.pid)?;
     let status = std::fs::read_to_string(format!("/proc/{}/status", process.pid))?;
     let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("0 kB");
     let resident_kib = resident.split_whitespace().next().unwrap_or("0").parse()?;
@@ -76,7 +74,15 @@
     let page = String::from_utf8_lossy(&page.body).into_owned();
     let lines = page.lines().filter(|line| line.starts_with("trestlerack_link_bytes_total"));
     let link_bytes = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum();
-    Ok(Reading { cpu_seconds: ticks / TICKS_PER_SECOND, resident_kib, link_bytes })
+    Ok(Reading { cpu_seconds, resident_kib, link_bytes })
+}
+
+/// Returns the processor time that a process has used so far.
+pub fn cpu_seconds(pid: u32) -> anyhow::Result<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks: f64 = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
+    Ok(ticks / TICKS_PER_SECOND)
 }
 
 fn mean(values: &[f64]) -> f64 {
--- a/crates/trestlerack-standins/src/main.rs
+++ b/crates/trestlerack-standins/src/main.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod faults;
 mod footprint;
+mod hops;
 mod members;
 mod objects;
 mod plain;
@@ -41,6 +42,7 @@
            --zones Z,Y --staleness V --out FILE
   application --nodes A,B --key K --service S --backends C,D --model M --rounds N --out FILE
   churn    --nodes A,B --key K --changes N --per-second R
+  hops                 latency and throughput, for measure/hops.sh
   summary, plot        rows and the plot of measure/policies.sh
   footprint [--seconds S] [--label L] PID@ADDRESS...
   call     METHOD ADDRESS PATH [BODY [KEY]]
@@ -80,6 +82,7 @@
         "application" => application::run(arguments).await?,
         "churn" => churn::run(arguments).await?,
         "footprint" => footprint::run(arguments).await?,
+        "hops" => hops::run(arguments).await?,
         "summary" => summary::run(arguments)?,
         "plot" => summary::plot(arguments)?,
         "call" => return client::run(arguments).await,
--- a/crates/trestlerack-standins/tests/failures.rs
+++ b/crates/trestlerack-standins/tests/failures.rs
@@ -160,7 +160,8 @@
     let cluster = campaign_cluster("3");
     for (declared, process) in &cluster.backends {
         if declared["kind"] == "plain" {
-            process.fault(json!({ "mode": "lose-answer", "count": 1 }));
+            // Two each, so that both calls below meet it whichever backend server they are sent to.
+            process.fault(json!({ "mode": "lose-answer", "count": 2 }));
         }
     }
     let first = record(&cluster, 0, Some("key-2"), "lost-answer");
@@ -197,3 +198,26 @@
     eventually("the new node is ready", || request("GET", &fresh, "/readyz", &[], b"").status == 200);
     assert!(is_whole(&complete(&cluster, 3, 8), 8));
 }
+
+#[test]
+fn a_keyed_call_is_ended_although_its_caller_went_away() {
+    let cluster = campaign_cluster("3");
+    for (declared, process) in &cluster.backends {
+        if declared["kind"] == "plain" {
+            process.fault(json!({ "mode": "slow", "delay_ms": 700, "count": 100 }));
+        }
+    }
+    let address = &cluster.daemons[0].address;
+    let head = format!(
+        "POST /v1/services/plain/records HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {USER_KEY}\r\n\
+         idempotency-key: key-3\r\ncontent-length: 9\r\n\r\nwent-away"
+    );
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    std::io::Write::write_all(&mut stream, head.as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+    drop(stream);
+    eventually("the retry through another node gets the answer", || {
+        record(&cluster, 1, Some("key-3"), "went-away").status == 200
+    });
+    assert_eq!(runs(&cluster, "went-away"), 1);
+}
--- a/crates/trestlerack/benches/decisions.rs
+++ b/crates/trestlerack/benches/decisions.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::hint::black_box;
+use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::process::{
     Heartbeat, Liveness, MembershipEvent, MembershipSettings, NodeView, OwnerTable, OwnershipView, PeerInfo,
@@ -198,7 +199,7 @@
     }
 }
 
-fn item(number: usize, slots: u32) -> (Name, Item) {
+fn item(number: usize, slots: u32) -> (Name, Arc<Item>) {
     let backend = Backend {
         name: engine_name(number),
         kind: BackendKind::Engine,
@@ -212,7 +213,7 @@
         leaving: false,
     };
     let body = ItemBody::Backend(backend);
-    (body.key(), Item { scope: "scope".into(), body })
+    (body.key(), Arc::new(Item { scope: "scope".into(), body }))
 }
 
 fn configuration_change(criterion: &mut Criterion) {
--- a/crates/trestlerack/src/version/configuration.rs
+++ b/crates/trestlerack/src/version/configuration.rs
@@ -4,6 +4,7 @@
 use crate::Name;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// The content of one configuration item.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,7 +52,7 @@
     /// Id of the confirmation that committed it, for settling a lost answer.
     pub operation: Name,
     /// New content by key; `None` removes the item.
-    pub changes: Vec<(Name, Option<Item>)>,
+    pub changes: Vec<(Name, Option<Arc<Item>>)>,
 }
 
 /// One generation of the configuration.
@@ -59,8 +60,8 @@
 pub struct Configuration {
     /// Number of the generation; 0 is the empty configuration.
     pub generation: u64,
-    /// Items by key.
-    pub items: BTreeMap<Name, Item>,
+    /// Items by key, shared between the generations that hold them unchanged.
+    pub items: BTreeMap<Name, Arc<Item>>,
     /// Generation at which each scope last changed.
     pub scopes: BTreeMap<Name, u64>,
 }
@@ -90,24 +91,24 @@
 
     /// Returns the campaign called `name`.
     pub fn campaign(&self, name: &str) -> Option<&Campaign> {
-        match self.items.get(format!("campaign/{name}").as_str()) {
-            Some(Item { body: ItemBody::Campaign(campaign), .. }) => Some(campaign),
+        match self.body(&format!("campaign/{name}")) {
+            Some(ItemBody::Campaign(campaign)) => Some(campaign),
             _ => None,
         }
     }
 
     /// Returns the user called `name`.
     pub fn user(&self, name: &str) -> Option<&User> {
-        match self.items.get(format!("user/{name}").as_str()) {
-            Some(Item { body: ItemBody::User(user), .. }) => Some(user),
+        match self.body(&format!("user/{name}")) {
+            Some(ItemBody::User(user)) => Some(user),
             _ => None,
         }
     }
 
     /// Returns the region of the zone called `name`.
     pub fn region(&self, name: &str) -> Option<&Name> {
-        match self.items.get(format!("zone/{name}").as_str()) {
-            Some(Item { body: ItemBody::Zone(zone), .. }) => Some(&zone.region),
+        match self.body(&format!("zone/{name}")) {
+            Some(ItemBody::Zone(zone)) => Some(&zone.region),
             _ => None,
         }
     }
@@ -133,9 +134,21 @@
         self.backends().filter(move |backend| backend.kind == kind && backend.service.as_ref() == service)
     }
 
+    /// Returns the backend server called `name`.
+    pub fn backend(&self, name: &str) -> Option<&Backend> {
+        match self.body(&format!("backend/{name}")) {
+            Some(ItemBody::Backend(backend)) => Some(backend),
+            _ => None,
+        }
+    }
+
+    fn body(&self, key: &str) -> Option<&ItemBody> {
+        self.items.get(key).map(|item| &item.body)
+    }
+
     fn section<'a>(&'a self, prefix: &'static str) -> impl Iterator<Item = &'a Item> {
         let first: Name = prefix.into();
         let rest = self.items.range(first..);
-        rest.take_while(move |(key, _)| key.starts_with(prefix)).map(|(_, item)| item)
+        rest.take_while(move |(key, _)| key.starts_with(prefix)).map(|(_, item)| item.as_ref())
     }
 }
--- a/crates/trestlerack/src/version/follower.rs
+++ b/crates/trestlerack/src/version/follower.rs
@@ -2,6 +2,7 @@
 
 use super::{ConfigDelta, Configuration};
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 /// Recent deltas kept for peers that are a little behind.
 const KEPT_DELTAS: usize = 256;
@@ -41,13 +42,13 @@
 /// stale read, a restart or a partition can delay a change and can never take one back.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigFollower {
-    current: Configuration,
+    current: Arc<Configuration>,
     recent: VecDeque<ConfigDelta>,
 }
 
 impl ConfigFollower {
     /// Returns the configuration in force.
-    pub fn current(&self) -> &Configuration {
+    pub fn current(&self) -> &Arc<Configuration> {
         &self.current
     }
 
@@ -76,7 +77,9 @@
         let before = self.current.generation;
         let newest = deltas.iter().map(|delta| delta.generation).max().unwrap_or(0);
         for delta in deltas {
-            if self.current.apply(&delta) {
+            // Readers keep the generation that they hold; the items of both are shared.
+            let is_next = delta.generation == self.current.generation + 1;
+            if is_next && Arc::make_mut(&mut self.current).apply(&delta) {
                 self.keep(delta);
             }
         }
@@ -90,7 +93,7 @@
         if snapshot.generation <= self.current.generation {
             return None;
         }
-        self.current = snapshot;
+        self.current = Arc::new(snapshot);
         self.recent.clear();
         Some(FollowAction::Applied { generation: self.current.generation })
     }
--- a/crates/trestlerack/src/version/plan.rs
+++ b/crates/trestlerack/src/version/plan.rs
@@ -5,6 +5,7 @@
 use crate::hash::digest_hex;
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::sync::Arc;
 
 /// A plan for an operator to confirm.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,7 +22,7 @@
     /// What would change, a sentence each.
     pub effects: Vec<Name>,
     /// The changes themselves.
-    pub changes: Vec<(Name, Option<Item>)>,
+    pub changes: Vec<(Name, Option<Arc<Item>>)>,
 }
 
 impl ChangePlan {
@@ -65,9 +66,9 @@
         if let Some(held) = held.filter(|held| held.scope != declaration.scope) {
             return Err(PlanError::OwnedElsewhere { key: key.clone(), owner: held.scope.clone() });
         }
-        if held != Some(item) {
-            effects.push(describe_change(key, held, item));
-            changes.push((key.clone(), Some(item.clone())));
+        if held.map(Arc::as_ref) != Some(item) {
+            effects.push(describe_change(key, held.map(Arc::as_ref), item));
+            changes.push((key.clone(), Some(Arc::new(item.clone()))));
         }
     }
     let dropped =
--- a/crates/trestlerack/src/version/staleness.rs
+++ b/crates/trestlerack/src/version/staleness.rs
@@ -17,7 +17,7 @@
 /// The bound that a campaign sets on the age of its samples.
 ///
 /// It is applied three times: projected at dispatch, exact at sealing and again at delivery
-/// ([docs/DESIGN.md](../../../docs/DESIGN.md#staleness)).
+/// ([docs/DESIGN.md](../../../../docs/DESIGN.md#staleness)).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StalenessRule {
     /// Largest accepted age in weight versions.
--- a/crates/trestlerack/tests/configuration.rs
+++ b/crates/trestlerack/tests/configuration.rs
@@ -117,7 +117,7 @@
         let _ = follower.handle(event);
         let now = follower.current();
         assert!(now.generation >= before, "a node never goes back");
-        assert_eq!(*now, states[now.generation as usize], "a node holds exactly some generation");
+        assert_eq!(**now, states[now.generation as usize], "a node holds exactly some generation");
     }
 }
 
--- a/crates/trestlerackd/src/connection/link_server.rs
+++ b/crates/trestlerackd/src/connection/link_server.rs
@@ -139,6 +139,8 @@
         let run = call_router::run_here(node.clone(), spec, sender);
         let session = self.clone();
         let node = node.clone();
+        // The task cannot take itself off the list before it is on it.
+        let mut calls = self.calls.lock().unwrap();
         let task = tokio::spawn(async move {
             let relay = async {
                 let mut sequence = 0;
@@ -151,9 +153,7 @@
             tokio::join!(run, relay);
             session.calls.lock().unwrap().remove(&id);
         });
-        if !task.is_finished() {
-            self.calls.lock().unwrap().insert(id, task.abort_handle());
-        }
+        calls.insert(id, task.abort_handle());
     }
 
     async fn send_part(&self, id: u64, sequence: u64, event: CallEvent, load: NodeLoad) {
--- a/crates/trestlerackd/src/connection/links.rs
+++ b/crates/trestlerackd/src/connection/links.rs
@@ -155,6 +155,7 @@
         let id = link.next_id();
         let (sender, answer) = oneshot::channel();
         link.pending.lock().unwrap().insert(id, Pending::Frame(sender));
+        let _pending = PendingGuard { link: link.clone(), id };
         let sent = link.outbox.send(build(id)).await;
         sent.map_err(|_| link_failure("the link is closed"))?;
         answer.await.map_err(|_| link_failure("the link broke"))
@@ -163,6 +164,18 @@
     outcome.unwrap_or_else(|_| Err(link_failure("no answer in time")))
 }
 
+/// Forgets a pending answer when nobody waits for it any more, such as after a timeout.
+struct PendingGuard {
+    link: Arc<PeerLink>,
+    id: u64,
+}
+
+impl Drop for PendingGuard {
+    fn drop(&mut self) {
+        self.link.pending.lock().unwrap().remove(&self.id);
+    }
+}
+
 /// A call that runs on a peer; dropping it cancels the call there.
 pub struct RemoteCall {
     link: Arc<PeerLink>,
@@ -172,10 +185,11 @@
 }
 
 impl RemoteCall {
-    /// Returns the next part, or `None` if the link broke before the explicit end.
+    /// Returns the next part, or `None` if the link broke, or this reader fell too far behind,
+    /// before the explicit end.
     pub async fn next(&mut self) -> Option<AnswerPart> {
         let part = self.parts.recv().await;
-        self.ended = part.as_ref().is_none_or(|(event, _)| matches!(event, CallEvent::Ended(_)));
+        self.ended = matches!(&part, Some((CallEvent::Ended(_), _)));
         part
     }
 }
--- a/crates/trestlerackd/src/process/rollout_loop.rs
+++ b/crates/trestlerackd/src/process/rollout_loop.rs
@@ -153,7 +153,7 @@
 
 /// Logs and counts a failed call of the table service.
 pub fn store_failed(node: &Node, call: &'static str, error: StoreError) {
-    node.telemetry.store_calls.add(1, &[opentelemetry::KeyValue::new("outcome", "failed")]);
+    node.telemetry.store_failures.add(1, &[]);
     logs::write(event::TABLE_FAILED, &[("call", &call), ("error", &error)]);
 }
 
--- a/crates/trestlerackd/src/process/telemetry.rs
+++ b/crates/trestlerackd/src/process/telemetry.rs
@@ -32,8 +32,8 @@
     pub tokens: Counter<u64>,
     /// Time spent in the queue of an engine, in milliseconds.
     pub queue_time: Histogram<u64>,
-    /// Calls of the platform's stores by kind and outcome.
-    pub store_calls: Counter<u64>,
+    /// Failed calls of the table service.
+    pub store_failures: Counter<u64>,
     /// Samples finished.
     pub samples: Counter<u64>,
     /// Samples that were made again, by cause.
@@ -58,7 +58,7 @@
             engine_calls: meter.u64_counter("trestlerack.engine.calls").build(),
             tokens: meter.u64_counter("trestlerack.tokens").build(),
             queue_time: meter.u64_histogram("trestlerack.queue.time.ms").build(),
-            store_calls: meter.u64_counter("trestlerack.store.calls").build(),
+            store_failures: meter.u64_counter("trestlerack.store.failures").build(),
             samples: meter.u64_counter("trestlerack.samples").build(),
             remade: meter.u64_counter("trestlerack.samples.remade").build(),
             link_bytes: meter.u64_counter("trestlerack.link.bytes").build(),
--- a/crates/trestlerackd/src/request/desks.rs
+++ b/crates/trestlerackd/src/request/desks.rs
@@ -17,8 +17,8 @@
 };
 use trestlerack::trace::TraceHead;
 use trestlerack::version::{
-    Backend, Configuration, EngineOrder, ItemBody, RolloutEngine, RolloutEvent, RolloutPlanner, RolloutSettings,
-    WeightTarget, WeightVersion,
+    Backend, Configuration, EngineOrder, RolloutEngine, RolloutEvent, RolloutPlanner, RolloutSettings, WeightTarget,
+    WeightVersion,
 };
 use trestlerack::{Failure, Name, Timestamp, event};
 
@@ -85,8 +85,7 @@
     pub fn set_owned(&self, now: Timestamp, config: &Configuration, owned: &[Name]) {
         let mut engines = BTreeMap::new();
         for name in owned {
-            let item = config.items.get(format!("backend/{name}").as_str());
-            if let Some(ItemBody::Backend(backend)) = item.map(|item| &item.body) {
+            if let Some(backend) = config.backend(name) {
                 engines.insert(name.clone(), backend.clone());
             }
         }
--- a/crates/trestlerackd/src/request/plain.rs
+++ b/crates/trestlerackd/src/request/plain.rs
@@ -4,6 +4,7 @@
 use crate::connection::http_client::{HttpAnswer, read_whole};
 use crate::node::Node;
 use crate::process::logs;
+use crate::process::stop::WorkGuard;
 use bytes::Bytes;
 use gotham::handler::HandlerResult;
 use gotham::helpers::http::Body;
@@ -62,15 +63,28 @@
         return Err(Failure::not_run(Reason::NotFound, detail));
     }
     let plain = plain_call(&call, user, service, &backends)?;
-    let is_claimed = plain.key.is_some() && !plain.repeatable && !backends[0].honours_keys;
-    let answer = if is_claimed {
-        send_claimed(&call.node, &plain, &backends).await
-    } else {
+    let answer = if plain.repeatable {
         send(&call.node, &plain, &backends).await
+    } else {
+        send_detached(&call, plain, backends).await
     };
     answer.map(plain_response)
 }
 
+/// Sends a call that must not be repeated in a task of its own, which goes on when the caller goes
+/// away: the caller's next try then meets the recorded answer and not a claim that was never ended.
+async fn send_detached(call: &ApiCall, plain: PlainCall, backends: Vec<Backend>) -> Result<HttpAnswer, Failure> {
+    let node = call.node.clone();
+    let work = WorkGuard::new(&node);
+    let is_claimed = plain.key.is_some() && !backends[0].honours_keys;
+    let task = tokio::spawn(async move {
+        let _work = work;
+        if is_claimed { send_claimed(&node, &plain, &backends).await } else { send(&node, &plain, &backends).await }
+    });
+    let lost = |_| Err(Failure::may_have_run(Reason::BackendFailed, "the call ended without an answer"));
+    task.await.unwrap_or_else(lost)
+}
+
 fn plain_call(call: &ApiCall, user: Name, service: Name, backends: &[Backend]) -> Result<PlainCall, Failure> {
     let key = call.header(KEY_HEADER).map(str::to_owned);
     let is_fine = |key: &String| {
--- a/crates/trestlerackd/src/version/config_cell.rs
+++ b/crates/trestlerackd/src/version/config_cell.rs
@@ -21,7 +21,7 @@
         let mut follower = self.follower.lock().unwrap();
         let action = follower.handle(event);
         if let Some(FollowAction::Applied { .. }) = action {
-            *self.current.write().unwrap() = Arc::new(follower.current().clone());
+            *self.current.write().unwrap() = follower.current().clone();
         }
         action
     }
--- a/crates/trestlerackd/src/version/config_loop.rs
+++ b/crates/trestlerackd/src/version/config_loop.rs
@@ -11,7 +11,7 @@
 use trestlerack::border::StoreError;
 use trestlerack::connection::LinkFrame;
 use trestlerack::process::{Liveness, PeerInfo};
-use trestlerack::version::{Backend, BackendKind, ConfigDelta, Configuration, FollowAction, FollowEvent, ItemBody};
+use trestlerack::version::{Backend, BackendKind, ConfigDelta, Configuration, FollowAction, FollowEvent};
 use trestlerack::{Name, event};
 
 /// Interval of the poll that backs up the push.
@@ -115,11 +115,7 @@
     }
     for key in &changed {
         let name: Name = key.trim_start_matches("backend/").into();
-        let backend = after.items.get(*key).and_then(|item| match &item.body {
-            ItemBody::Backend(backend) => Some(backend),
-            _ => None,
-        });
-        set_backend(node, &name, backend);
+        set_backend(node, &name, after.backend(&name));
     }
     node.plain.set_backends(&after);
     node.refresh_desks();
