Hold samples back until an owner has room; ask for a lost node's groups at once

Cause: at 90 % load a step took 1.31 s where its work takes 1.02 s. Calls were sent to owners as soon as they were made, some 25 deep in each queue, and then were bound to that owner however long the calls before them turned out; the slowest owner ended the step. When a node was killed its groups were asked for again at the next poll, up to 2 s after its death was known.

Change: a sample waits on the node that drives it, first come first served for each campaign and model, until some owner is believed to have fewer than 1.5 calls per slot. One waiter looks every 10 ms and the others stand behind it, so the cost does not grow with the line. Weighed: a bound on the owners' queues with refusals, which costs a refusal per waiting call and try. A change of ownership nudges the watch of open steps.

--- a/crates/trestlerackd/src/node.rs
+++ b/crates/trestlerackd/src/node.rs
@@ -18,6 +18,7 @@
 use crate::request::plain_pool::PlainPool;
 use crate::request::scoring_client::HttpScoringClient;
 use crate::request::shards::UserLimits;
+use crate::request::turnstile::Turnstiles;
 use crate::version::config_cell::ConfigCell;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
@@ -75,6 +76,8 @@
     pub steps: StepWatch,
     /// Loads of peers.
     pub loads: LoadTable,
+    /// Lines of samples that wait for an owner with room.
+    pub turnstiles: Turnstiles,
     /// Links to peers.
     pub links: LinkTable,
     /// Retry budgets.
@@ -134,6 +137,7 @@
             leases: HeldLeases::default(),
             steps: StepWatch::default(),
             loads: LoadTable::default(),
+            turnstiles: Turnstiles::default(),
             links: LinkTable::default(),
             budget: Mutex::new(RetryBudget::new(RETRY_RATIO, RETRY_RESERVE)),
             limits: UserLimits::default(),
@@ -188,6 +192,8 @@
         *self.ownership.write().unwrap() = view.clone();
         self.owners.write().unwrap().set_nodes(view);
         self.refresh_desks();
+        // Groups of a node that went away are asked for again at once.
+        self.steps.nudge();
     }
 
     /// Hands the owned engines to the dispatchers.
--- a/crates/trestlerackd/src/request/call_driver.rs
+++ b/crates/trestlerackd/src/request/call_driver.rs
@@ -1,6 +1,7 @@
 //! Drives one call to its whole answer over as many attempts as it takes and is allowed.
 
 use super::call_router::{choose_owner, route};
+use super::turnstile::wait_for_room;
 use crate::node::Node;
 use crate::process::logs;
 use async_trait::async_trait;
@@ -12,6 +13,9 @@
 use trestlerack::verdict::Reason;
 use trestlerack::{Failure, Name, Timestamp, event};
 
+/// Priority of a hedge, which holds up a whole step.
+pub const HEDGE_PRIORITY: u8 = 20;
+
 /// Wait before the first resumption, before jitter; it doubles with each further one.
 const FIRST_WAIT: Duration = Duration::from_millis(25);
 
@@ -46,10 +50,14 @@
 ) -> Result<u32, Failure> {
     node.budget.lock().unwrap().earn(&spec.account, &spec.model);
     let mut attempts = 0;
+    // A hedge is late already, and an application's call is refused rather than held back.
+    let waits_for_room = policy.patient && spec.priority < HEDGE_PRIORITY;
     let mut avoid = sink.avoided();
     loop {
         attempts += 1;
-        let Err(failure) = attempt(node, spec, deadline, sink, &mut avoid).await else { return Ok(attempts) };
+        let Err(failure) = attempt(node, spec, deadline, sink, &mut avoid, waits_for_room).await else {
+            return Ok(attempts);
+        };
         let in_budget = || node.budget.lock().unwrap().spend(&spec.account, &spec.model);
         let elsewhere = choose_owner(node, spec, &avoid).is_ok();
         let policy = ResumePolicy { patient: policy.patient || elsewhere, ..policy };
@@ -80,6 +88,7 @@
     deadline: Timestamp,
     sink: &mut dyn CallSink,
     avoid: &mut Vec<Name>,
+    waits_for_room: bool,
 ) -> Result<(), Failure> {
     let deadline_ms = node.left_ms(deadline);
     if deadline_ms == 0 {
@@ -91,9 +100,15 @@
     }
     let prompt = format!("{}{text}", spec.prompt);
     let spec = CallSpec { offset, prompt, deadline_ms, ..spec.clone() };
-    let owner = choose_owner(node, &spec, avoid)?;
+    let (turn, owner) = if waits_for_room {
+        let (turn, owner) = wait_for_room(node, &spec, avoid, deadline).await?;
+        (Some(turn), owner)
+    } else {
+        (None, choose_owner(node, &spec, avoid)?.owner)
+    };
     avoid.push(owner.clone());
     let mut call = route(node, owner, spec).await?;
+    drop(turn);
     loop {
         match call.next().await {
             CallEvent::Started { engine, zone, owner, .. } => sink.started(engine, zone, owner),
--- a/crates/trestlerackd/src/request/call_router.rs
+++ b/crates/trestlerackd/src/request/call_router.rs
@@ -83,8 +83,27 @@
     }
 }
 
+/// An owner that was chosen for a call, and what it is believed to be doing.
+pub struct OwnerChoice {
+    /// Name of the node.
+    pub owner: Name,
+    /// Calls that it is believed to have.
+    calls: u32,
+    /// Slots of its engines.
+    slots: u32,
+}
+
+/// Calls per slot up to which an owner counts as having room; a little over one keeps a slot from
+/// standing empty while the next call is on its way.
+const ROOM_PER_SLOT: f64 = 1.5;
+
+/// Returns whether the chosen owner would start another call soon.
+pub fn has_room(choice: &OwnerChoice) -> bool {
+    f64::from(choice.calls) < f64::from(choice.slots) * ROOM_PER_SLOT
+}
+
 /// Returns the owner that a call's prefix and the owners' load point to, without those to `avoid`.
-pub fn choose_owner(node: &Node, spec: &CallSpec, avoid: &[Name]) -> Result<Name, Failure> {
+pub fn choose_owner(node: &Node, spec: &CallSpec, avoid: &[Name]) -> Result<OwnerChoice, Failure> {
     let mut owners = node.owners.read().unwrap().owners(&spec.model, &spec.places);
     owners.retain(|owner| !avoid.contains(&owner.node));
     let beliefs: Vec<_> = owners.iter().map(|owner| node.loads.belief(node.now(), &spec.model, &owner.node)).collect();
@@ -104,7 +123,8 @@
         let failure = Failure::not_run(Reason::NoBackend, "no engine in an allowed place serves the model");
         failure.retry_after(NO_OWNER_RETRY)
     })?;
-    Ok(owners[index].node.clone())
+    let owner = &owners[index];
+    Ok(OwnerChoice { owner: owner.node.clone(), calls: beliefs[index].0, slots: owner.slots })
 }
 
 fn start_here(node: &Arc<Node>, spec: CallSpec) -> CallSource {
--- a/crates/trestlerackd/src/request/group_runner.rs
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -1,6 +1,6 @@
 //! Makes the samples of a group that this node owns.
 
-use super::call_driver::{CallSink, drive};
+use super::call_driver::{CallSink, HEDGE_PRIORITY, drive};
 use super::group_record::record;
 use crate::node::Node;
 use crate::process::stop::WorkGuard;
@@ -33,9 +33,6 @@
 /// Priority of a sample of the step that its trainer waits for next.
 const NEXT_STEP_PRIORITY: u8 = 15;
 
-/// Priority of a hedge, which holds up a whole step.
-const HEDGE_PRIORITY: u8 = 20;
-
 /// Tries at scoring a sample, each on another scoring service.
 const SCORE_TRIES: usize = 3;
 
--- a/crates/trestlerackd/src/request/mod.rs
+++ b/crates/trestlerackd/src/request/mod.rs
@@ -16,3 +16,4 @@
 pub mod scoring_client;
 pub mod shards;
 pub mod steps;
+pub mod turnstile;
