Share the check of preconditions and the benchmark's memberships

Cause: the stand-in table and the fake store of the tests each decided for themselves whether a transaction's preconditions hold, and a benchmark built its membership twice.

Change: the rule is a method of the transaction; the benchmark has one builder. No behaviour changes: the library's tests pass as before. Nothing was measured, since nothing that runs in the daemon changed.

Conclusion: a store stand-in can no longer drift from the contract that the product relies on.

--- a/crates/trestlerack-standins/src/table.rs
+++ b/crates/trestlerack-standins/src/table.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use trestlerack::border::{CommitOutcome, Expectation, TableRow, TableTransaction};
+use trestlerack::border::{CommitOutcome, TableRow, TableTransaction};
 
 #[derive(Default)]
 struct Rows {
@@ -16,16 +16,8 @@
 }
 
 impl Rows {
-    fn holds(&self, (key, expectation): &(String, Expectation)) -> bool {
-        match (self.rows.get(key), expectation) {
-            (None, Expectation::Absent) => true,
-            (Some(row), Expectation::Version(version)) => row.version == *version,
-            _ => false,
-        }
-    }
-
     fn commit(&mut self, transaction: TableTransaction) -> CommitOutcome {
-        if !transaction.expect.iter().all(|expected| self.holds(expected)) {
+        if !transaction.is_applicable(|key| self.rows.get(key).map(|row| row.version)) {
             return CommitOutcome::Conflict;
         }
         for (key, value) in transaction.write {
--- a/crates/trestlerack/benches/decisions.rs
+++ b/crates/trestlerack/benches/decisions.rs
@@ -136,14 +136,20 @@
     Heartbeat { sender: update(from), updates: (from..from + 8).map(update).collect() }
 }
 
+/// A membership that has heard from every node.
+fn membership(nodes: usize) -> PeerMembership {
+    let own = PeerInfo { name: "own".into(), zone: zone(0), link: "10.0.0.2:7001".into(), incarnation: 1 };
+    let mut membership = PeerMembership::new(MembershipSettings::default(), own, 0);
+    for from in 0..nodes {
+        membership.handle(Timestamp(1), MembershipEvent::Received(heartbeat(from, nodes)));
+    }
+    membership
+}
+
 fn membership_event(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("membership-receive-and-answer");
     for nodes in NODES {
-        let own = PeerInfo { name: "own".into(), zone: zone(0), link: "10.0.0.2:7001".into(), incarnation: 1 };
-        let mut membership = PeerMembership::new(MembershipSettings::default(), own, 0);
-        for from in 0..nodes {
-            membership.handle(Timestamp(1), MembershipEvent::Received(heartbeat(from, nodes)));
-        }
+        let mut membership = membership(nodes);
         group.bench_function(BenchmarkId::from_parameter(nodes), |bench| {
             let mut from = 0;
             bench.iter(|| {
@@ -157,11 +163,7 @@
     group.finish();
     let mut group = criterion.benchmark_group("membership-tick");
     for nodes in NODES {
-        let own = PeerInfo { name: "own".into(), zone: zone(0), link: "10.0.0.2:7001".into(), incarnation: 1 };
-        let mut membership = PeerMembership::new(MembershipSettings::default(), own, 0);
-        for from in 0..nodes {
-            membership.handle(Timestamp(1), MembershipEvent::Received(heartbeat(from, nodes)));
-        }
+        let mut membership = membership(nodes);
         group.bench_function(BenchmarkId::from_parameter(nodes), |bench| {
             bench.iter(|| {
                 black_box(membership.handle(Timestamp(2), MembershipEvent::Tick));
--- a/crates/trestlerack/src/border.rs
+++ b/crates/trestlerack/src/border.rs
@@ -62,6 +62,15 @@
         self
     }
 
+    /// Returns whether every precondition holds, given the version of each row that exists.
+    pub fn is_applicable(&self, version_of: impl Fn(&str) -> Option<u64>) -> bool {
+        self.expect.iter().all(|(key, expectation)| match (version_of(key), expectation) {
+            (None, Expectation::Absent) => true,
+            (Some(held), Expectation::Version(version)) => held == *version,
+            _ => false,
+        })
+    }
+
     /// Returns the expectation that holds for what was read: absent, or this version.
     pub fn expectation_of(row: Option<&TableRow>) -> Expectation {
         row.map_or(Expectation::Absent, |row| Expectation::Version(row.version))
--- a/crates/trestlerack/tests/support/mod.rs
+++ b/crates/trestlerack/tests/support/mod.rs
@@ -10,9 +10,7 @@
 use std::pin::Pin;
 use std::sync::Mutex;
 use std::task::{Context, Poll, Waker};
-use trestlerack::border::{
-    CommitOutcome, Expectation, ObjectStore, StoreError, TableRow, TableStore, TableTransaction,
-};
+use trestlerack::border::{CommitOutcome, ObjectStore, StoreError, TableRow, TableStore, TableTransaction};
 
 /// Runs a property over many seeds; the same ones in every run.
 pub fn for_seeds(iterations: usize, check: impl Fn(u64) + std::panic::RefUnwindSafe) {
@@ -97,12 +95,8 @@
     }
 
     fn apply(&mut self, transaction: TableTransaction) -> CommitOutcome {
-        let holds = |(key, expectation): &(String, Expectation)| match (self.rows.get(key), expectation) {
-            (None, Expectation::Absent) => true,
-            (Some(row), Expectation::Version(version)) => row.version == *version,
-            _ => false,
-        };
-        if !self.plan.ignores_preconditions && !transaction.expect.iter().all(holds) {
+        let holds = transaction.is_applicable(|key| self.rows.get(key).map(|row| row.version));
+        if !self.plan.ignores_preconditions && !holds {
             return CommitOutcome::Conflict;
         }
         for (key, value) in transaction.write {
