Cancel a group when its campaign's places change, and make it anew inside them

Cause: samples made outside narrowed places were discarded only when they were finished, and their next attempts went on from the shared tokens, which were from outside again: each attempt was in vain until a sample had used up its twelve, and the step took 52 s.

Ruled out: the campaign's owner not asking again (the groups ran on their nodes all the time).

Change: a group's run ends when the campaign's places change; it begins anew under the campaign as it stands, or is left to another node where this one is outside. A new generation nudges the watch of open steps. The plan's words say so.

--- a/crates/trestlerack-standins/tests/failures.rs
+++ b/crates/trestlerack-standins/tests/failures.rs
@@ -181,8 +181,13 @@
     cluster.backends[2].1.fault(json!({ "mode": "swap-fails", "count": 3 }));
     cluster.publish(2);
     assert_eq!(cluster.submit(0, 0, 2, 4).status, 200);
-    let samples = cluster.take(0, 0);
+    // A step that accepts any version at all must not accept an engine that names none.
+    assert_eq!(cluster.submit(0, 1, 1, 4).status, 200);
+    let mut samples = cluster.take(0, 0);
     check_samples(&samples, 8, &PLACES);
+    let any_version = cluster.take(0, 1);
+    check_samples(&any_version, 8, &PLACES);
+    samples.extend(any_version);
     let unlabelled = cluster.backends[0].0["name"].clone();
     let used =
         |sample: &Value| sample["versions"].as_array().unwrap().iter().any(|range| range["engine"] == unlabelled);
@@ -221,3 +226,35 @@
     });
     assert_eq!(runs(&cluster, "went-away"), 1);
 }
+
+#[test]
+fn samples_in_progress_outside_narrowed_places_are_made_again_inside() {
+    let cluster = campaign_cluster("20");
+    assert_eq!(cluster.submit(0, 0, 1, 6).status, 200);
+    eventually("samples are in the making", || {
+        cluster.daemons.iter().any(|daemon| {
+            let reply = request("GET", &daemon.address, "/v1/nodes", &[OPERATOR_KEY], b"");
+            reply.json()[0]["groups"].as_u64() > Some(0)
+        })
+    });
+    let recorded =
+        |cluster: &Cluster| cluster.daemons.iter().any(|daemon| daemon.log().contains("name=group-recorded"));
+    assert!(!recorded(&cluster), "nothing is recorded before the change");
+    cluster.declare(&["a"]);
+    check_samples(&cluster.take(0, 0), 12, &["a"]);
+}
+
+#[test]
+fn a_sealed_step_that_is_too_old_for_its_trainer_by_now_is_not_delivered() {
+    let cluster = campaign_cluster("1");
+    assert_eq!(cluster.submit(0, 0, 1, 2).status, 200);
+    check_samples(&cluster.take(0, 0), 4, &PLACES);
+    let take = |version: u64| {
+        let path = format!("/v1/campaigns/campaign/steps/0/samples?trainer_version={version}");
+        request("GET", &cluster.daemons[1].address, &path, &[USER_KEY], b"")
+    };
+    assert_eq!(take(2).status, 200, "one version old is within the bound");
+    let late = take(3);
+    assert_eq!(late.status, 409);
+    assert!(late.json()["type"].as_str().unwrap().ends_with("too-stale"), "{}", late.body);
+}
--- a/crates/trestlerack/src/version/plan.rs
+++ b/crates/trestlerack/src/version/plan.rs
@@ -103,7 +103,7 @@
 fn describe_campaign(old: &Campaign, new: &Campaign) -> String {
     let mut effects = Vec::new();
     for zone in old.places.zones_missing_from(&new.places) {
-        effects.push(format!("no longer uses {zone}; samples in progress there are cancelled and made again"));
+        effects.push(format!("no longer uses {zone}; groups in progress are cancelled and made again"));
     }
     for zone in new.places.zones_missing_from(&old.places) {
         effects.push(format!("may use {zone}"));
--- a/crates/trestlerack/tests/exactly_once.rs
+++ b/crates/trestlerack/tests/exactly_once.rs
@@ -140,3 +140,19 @@
     let opened = block_on(steps.open(&CAMPAIGN.into(), 0, &submission(6), "c".into()));
     assert_eq!(opened, Ok(Opened::Conflict));
 }
+
+#[test]
+fn a_group_that_is_too_old_in_seconds_is_made_again() {
+    let store = FakeStore::new(1, FaultPlan { percent: 0, ignores_preconditions: false });
+    let steps = StepStore::new(&store, &store);
+    let rule = StalenessRule { max_versions: 2, max_seconds: Some(60) };
+    let manifests = ManifestCache::default();
+    block_on(steps.open(&CAMPAIGN.into(), 0, &submission(5), "a".into())).unwrap();
+    for group in ["g0", "g1", "g2"] {
+        block_on(steps.record(&made(0, 0, &group.into(), 5))).unwrap();
+    }
+    let late = block_on(steps.look(CAMPAIGN, 0, rule, 61, "b".into(), &manifests)).unwrap();
+    assert!(matches!(late, StepLook::Removed { removed, .. } if removed.len() == GROUPS));
+    let look = block_on(steps.look(CAMPAIGN, 0, rule, 61, "c".into(), &manifests)).unwrap();
+    assert!(matches!(look, StepLook::Missing { missing, .. } if missing.len() == GROUPS));
+}
--- a/crates/trestlerackd/src/request/group_runner.rs
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -53,13 +53,9 @@
 }
 
 async fn run_group(node: &Arc<Node>, wanted: &GroupWanted) {
-    let Some(campaign) = node.config.current().campaign(&wanted.campaign).cloned() else { return };
-    if !campaign.places.allows(&node.settings.zone) {
-        return;
-    }
-    let Some(samples) = make_samples(node, &campaign, wanted).await else {
+    let Some((campaign, samples)) = make_group(node, wanted).await else {
         let key = &wanted.spec.group;
-        logs::write(event::GROUP_FAILED, &[("campaign", &campaign.name), ("step", &wanted.step), ("group", key)]);
+        logs::write(event::GROUP_FAILED, &[("campaign", &wanted.campaign), ("step", &wanted.step), ("group", key)]);
         return;
     };
     let group = made_group(node, wanted, &samples);
@@ -69,6 +65,37 @@
     }
 }
 
+/// Makes a group under the campaign as it stands, and anew when its places change on the way.
+async fn make_group(node: &Arc<Node>, wanted: &GroupWanted) -> Option<(Campaign, Vec<Sample>)> {
+    loop {
+        let campaign = node.config.current().campaign(&wanted.campaign).cloned()?;
+        if !campaign.places.allows(&node.settings.zone) {
+            return None;
+        }
+        match make_samples(node, &campaign, wanted).await {
+            GroupOutcome::Made(samples) => return Some((campaign, samples)),
+            GroupOutcome::PlacesChanged => {}
+            GroupOutcome::GivenUp => return None,
+        }
+    }
+}
+
+/// How one run of a group's driver ended.
+enum GroupOutcome {
+    /// Every sample is made, where the campaign allows it.
+    Made(Vec<Sample>),
+    /// The campaign's places changed; what was made is discarded.
+    PlacesChanged,
+    /// A sample used up its attempts.
+    GivenUp,
+}
+
+/// Returns whether a campaign still has the places that a run began with.
+fn has_places(node: &Node, campaign: &Campaign) -> bool {
+    let config = node.config.current();
+    config.campaign(&campaign.name).is_some_and(|current| current.places == campaign.places)
+}
+
 fn made_group(node: &Node, wanted: &GroupWanted, samples: &[Sample]) -> MadeGroup {
     let mut lines = String::new();
     for sample in samples {
@@ -86,8 +113,8 @@
     }
 }
 
-/// Runs the group's driver until every sample is made, or `None` if it is given up here.
-async fn make_samples(node: &Arc<Node>, campaign: &Campaign, wanted: &GroupWanted) -> Option<Vec<Sample>> {
+/// Runs the group's driver to its end.
+async fn make_samples(node: &Arc<Node>, campaign: &Campaign, wanted: &GroupWanted) -> GroupOutcome {
     let size = wanted.spec.size;
     let mut driver = GroupDriver::new(group_settings(node), size);
     let (sender, mut ends) = mpsc::channel::<AttemptEnd>(size.max(1));
@@ -96,7 +123,7 @@
     let mut running = AttemptTasks::default();
     let mut ticks = tokio::time::interval(TICK);
     let mut event = GroupEvent::Begin;
-    loop {
+    let made: Option<Vec<Sample>> = 'run: loop {
         let may_hedge = || node.budget.lock().unwrap().spend(&campaign.name, &campaign.model);
         for action in driver.handle(node.now(), &event, may_hedge) {
             match action {
@@ -108,14 +135,22 @@
                     running.start(key, task);
                 }
                 GroupAction::Cancel { index, attempt } => running.cancel((index, attempt)),
-                GroupAction::Complete => return samples.into_iter().collect(),
-                GroupAction::GiveUp => return None,
+                GroupAction::Complete => break 'run samples.into_iter().collect(),
+                GroupAction::GiveUp => return GroupOutcome::GivenUp,
             }
         }
+        if !has_places(node, campaign) {
+            return GroupOutcome::PlacesChanged;
+        }
         event = tokio::select! {
             Some(end) = ends.recv() => settle_attempt(node, &mut samples, end),
             _ = ticks.tick() => GroupEvent::Tick,
         };
+    };
+    match made {
+        Some(_) if !has_places(node, campaign) => GroupOutcome::PlacesChanged,
+        Some(samples) => GroupOutcome::Made(samples),
+        None => GroupOutcome::GivenUp,
     }
 }
 
@@ -210,11 +245,6 @@
     let policy = ResumePolicy { repeatable: true, patient: true };
     let attempts = drive(node, &spec, deadline, policy, &mut sink).await?;
     let (text, tokens, versions) = sink.assembler.finish();
-    let places = node.config.current().campaign(&campaign.name).map(|campaign| campaign.places.clone());
-    let is_allowed = |zone: &Name| places.as_ref().is_some_and(|places| places.allows(zone));
-    if !versions.iter().all(|range| is_allowed(&range.zone)) {
-        return Err(Failure::may_have_run(Reason::NoBackend, "the campaign's places changed; the sample is discarded"));
-    }
     let score = score(node, campaign, &wanted.spec.prompt, &text).await?;
     Ok(Sample {
         id,
--- a/crates/trestlerackd/src/version/config_loop.rs
+++ b/crates/trestlerackd/src/version/config_loop.rs
@@ -81,6 +81,8 @@
         }
         FollowAction::Applied { generation } => {
             logs::write(event::GENERATION_APPLIED, &[("generation", &generation)]);
+            // A campaign whose places changed may have other owners now.
+            node.steps.nudge();
             push(node, generation);
         }
     }
