Ask healthy engines and the platform's list less often, and pass on what was read

Cause: reckoning the bytes of docs/CAPACITY.md showed two terms over the limit of 5 KB/s for a node's control. Each owned engine was asked for its status twice a second: 32 engines times 2 times about 340 bytes are 22 KB/s. The platform's list was read by each node every 2 s: 370 entries of about 90 bytes are 17 KB/s, of order nodes on every node. Neither showed in the measured link bytes, which count node links only.

Ruled out: longer intervals alone, since a listed backend server must be left alone within seconds.

Change: a healthy engine is asked every 10 s, and one that is unreachable, swapping or without a version twice a second; what a healthy one does shows in its answers. The nodes read the list at one rate together (80 ms times their number, at least 2 s), and what one of them reads is news that peers pass on, as with operators' orders.

Figures, reckoned from the sizes above, not measured on a wire: status 22 to 1.1 KB/s, list 17 to 1.1 KB/s at 370 nodes and 32 engines a node.

Conclusion: no term of a node's control grows with nodes times rate any more.

--- a/crates/trestlerack/src/border.rs
+++ b/crates/trestlerack/src/border.rs
@@ -175,24 +175,14 @@
     async fn score(&self, address: &str, prompt: &str, text: &str) -> Result<f64, Failure>;
 }
 
-/// What the platform's list says of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListedBackend {
-    /// Name of the backend server.
-    pub name: Name,
-    /// Whether the platform is about to take it away.
-    #[serde(default)]
-    pub leaving: bool,
-}
-
 /// The platform's list, which lags and may be wrong in both directions.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MembershipList {
     /// VMs of the system.
     pub nodes: Vec<ListedNode>,
-    /// Backend servers.
+    /// Backend servers that the platform is about to take away.
     #[serde(default)]
-    pub backends: Vec<ListedBackend>,
+    pub leaving_backends: Vec<Name>,
 }
 
 /// One VM in the platform's list.
--- a/crates/trestlerack/src/connection/frame.rs
+++ b/crates/trestlerack/src/connection/frame.rs
@@ -204,6 +204,8 @@
     Answer,
     /// An operator.
     Order,
+    /// The platform's list.
+    List,
 }
 
 /// News that a backend server is leaving or has come back; of each source the newest stamp wins.
--- a/crates/trestlerack/src/process/leaving.rs
+++ b/crates/trestlerack/src/process/leaving.rs
@@ -10,12 +10,11 @@
 
 /// Merges the platform's list, backend servers' own answers, operators' orders and peers' news.
 ///
-/// The platform's list and the configuration are levels that each node reads for itself. Answers
-/// and orders are news with a stamp, which peers pass on, so that they spread while the platform's
-/// services are down.
+/// The configuration is a level that each node holds for itself. The rest is news with a stamp,
+/// which peers pass on: it spreads while the platform's services are down, and a node need not read
+/// the platform's list often for all to know soon what one of them has read.
 #[derive(Clone, Debug, Default)]
 pub struct LeavingBoard {
-    listed: HashSet<Name>,
     declared: HashSet<Name>,
     news: HashMap<(Name, NewsSource), BackendNews>,
     queue: BroadcastQueue<BackendNews>,
@@ -24,18 +23,33 @@
 impl LeavingBoard {
     /// Returns whether `backend` receives no new work.
     pub fn is_leaving(&self, backend: &str) -> bool {
-        let told = [NewsSource::Answer, NewsSource::Order].iter().any(|source| self.told(backend, *source));
-        told || self.listed.contains(backend) || self.declared.contains(backend)
+        let sources = [NewsSource::Answer, NewsSource::Order, NewsSource::List];
+        sources.iter().any(|source| self.told(backend, *source)) || self.declared.contains(backend)
     }
 
-    /// Takes in what the platform's list says of a backend server.
-    pub fn set_listed(&mut self, backend: &Name, leaving: bool) {
-        set(&mut self.listed, backend, leaving);
+    /// Takes in the backend servers that the platform's list calls leaving; the others are not.
+    /// Returns those for which that is news.
+    pub fn listed(&mut self, leaving: &[Name], stamp: u64, nodes: usize) -> Vec<Name> {
+        let told = self.news.values().filter(|news| news.source == NewsSource::List && news.leaving);
+        let back: Vec<Name> =
+            told.map(|news| news.backend.clone()).filter(|backend| !leaving.contains(backend)).collect();
+        let gone = leaving.iter().filter(|backend| !self.told(backend, NewsSource::List)).cloned();
+        let changes: Vec<(Name, bool)> =
+            gone.map(|backend| (backend, true)).chain(back.into_iter().map(|backend| (backend, false))).collect();
+        for (backend, leaving) in &changes {
+            let news = BackendNews { backend: backend.clone(), source: NewsSource::List, leaving: *leaving, stamp };
+            self.hear(news, nodes);
+        }
+        changes.into_iter().map(|(backend, _)| backend).collect()
     }
 
     /// Takes in what the configuration says of a backend server.
     pub fn set_declared(&mut self, backend: &Name, leaving: bool) {
-        set(&mut self.declared, backend, leaving);
+        if leaving {
+            self.declared.insert(backend.clone());
+        } else {
+            self.declared.remove(backend);
+        }
     }
 
     /// Takes in news from a peer, or from this node; returns whether it was new.
@@ -69,11 +83,3 @@
         self.queue.take(MAX_NEWS)
     }
 }
-
-fn set(members: &mut HashSet<Name>, member: &Name, present: bool) {
-    if present {
-        members.insert(member.clone());
-    } else {
-        members.remove(member);
-    }
-}
--- a/crates/trestlerack/tests/peers.rs
+++ b/crates/trestlerack/tests/peers.rs
@@ -247,3 +247,16 @@
         }
     });
 }
+
+#[test]
+fn what_one_node_reads_in_the_list_all_know_and_a_wrong_entry_is_taken_back() {
+    let mut peers = Peers::new(1, 24);
+    peers.run(20);
+    assert_eq!(peers.peers[3].board.listed(&["e".into()], 10, 24), [Name::from("e")]);
+    assert!(peers.peers[3].board.listed(&["e".into()], 11, 24).is_empty(), "it is news once");
+    peers.run(8);
+    assert!(peers.peers.iter().all(|peer| peer.board.is_leaving("e")), "after 4 s");
+    peers.peers[9].board.listed(&[], 20, 24);
+    peers.run(8);
+    assert!(peers.peers.iter().all(|peer| !peer.board.is_leaving("e")), "after 4 s");
+}
--- a/crates/trestlerackd/src/process/member_loop.rs
+++ b/crates/trestlerackd/src/process/member_loop.rs
@@ -10,8 +10,11 @@
 use trestlerack::process::{Heartbeat, Liveness, MembershipAction, MembershipEvent, PeerInfo};
 use trestlerack::version::FollowEvent;
 
-/// Interval at which the platform's list is read.
-const LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// Part of the interval between two reads of the platform's list for each node.
+const LIST_INTERVAL_PER_NODE: Duration = Duration::from_millis(80);
+
+/// Shortest interval between two reads of the platform's list.
+const SHORTEST_LIST_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Part of the heartbeat interval after which a probe counts as unanswered.
 const PROBE_TIMEOUT_PARTS: u32 = 1;
@@ -34,18 +37,24 @@
         match node.list.list().await {
             Ok(list) => {
                 tell(&node, MembershipEvent::Listed(list.nodes));
-                for backend in list.backends {
-                    node.desks.listed_leaving(node.now(), &backend.name, backend.leaving);
-                    node.plain.set_leaving(&backend.name, backend.leaving);
-                }
+                node.desks.listed_leaving(node.now(), &list.leaving_backends);
                 node.refresh_ownership();
             }
             Err(error) => logs::write(event::LIST_UNAVAILABLE, &[("error", &error)]),
         }
-        tokio::time::sleep(LIST_INTERVAL).await;
+        let nodes = node.ownership.read().unwrap().nodes().len();
+        tokio::time::sleep(list_interval(nodes)).await;
     }
 }
 
+/// Returns how long to wait before the list is read again. All nodes together read it at one rate,
+/// whatever their number, and what one of them reads the others hear as news; the bytes that a node
+/// reads per second then do not grow with the number of nodes, although the list does.
+fn list_interval(nodes: usize) -> Duration {
+    let interval = LIST_INTERVAL_PER_NODE * u32::try_from(nodes).unwrap_or(u32::MAX);
+    interval.max(SHORTEST_LIST_INTERVAL)
+}
+
 /// Feeds an event to the membership and carries out what it asks for.
 pub fn tell(node: &Arc<Node>, event: MembershipEvent) {
     for action in decide(node, event) {
--- a/crates/trestlerackd/src/process/rollout_loop.rs
+++ b/crates/trestlerackd/src/process/rollout_loop.rs
@@ -204,11 +204,11 @@
 pub async fn drive_engines(node: Arc<Node>) {
     let mut ticks = tokio::time::interval(DRIVE_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
+    for number in 0.. {
         ticks.tick().await;
         let orders = node.desks.tick(node.now());
         send_orders(&node, orders);
-        for (engine, address) in node.desks.owned_addresses() {
+        for (engine, address) in node.desks.due_for_status(number) {
             tokio::spawn(ask_status(node.clone(), engine, address));
         }
     }
--- a/crates/trestlerackd/src/request/desks.rs
+++ b/crates/trestlerackd/src/request/desks.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 use trestlerack::border::EngineStatus;
 use trestlerack::connection::{BackendNews, NewsSource, NodeLoad};
+use trestlerack::hash::hash_parts;
 use trestlerack::process::{DaemonSettings, LeavingBoard};
 use trestlerack::request::{
     DispatchAction, DispatchEngine, DispatchEvent, DispatchSettings, EngineDispatcher, QueuedCall,
@@ -193,10 +194,28 @@
         orders
     }
 
-    /// Returns the owned engines and their addresses.
-    pub fn owned_addresses(&self) -> Vec<(Name, Name)> {
-        let engines = self.engines.read().unwrap();
-        engines.values().map(|backend| (backend.name.clone(), backend.address.clone())).collect()
+    /// Returns the owned engines, and their addresses, that should be asked for their status at
+    /// the tick `number`: each one now and then, and at every tick those that cannot be reached,
+    /// have named no version or are swapping.
+    ///
+    /// What a healthy engine does shows in its answers, so asking all of them at every tick would
+    /// only cost bytes, order engines times rate ([docs/CAPACITY.md](../../../../docs/CAPACITY.md)).
+    pub fn due_for_status(&self, number: u64) -> Vec<(Name, Name)> {
+        // Copies, because looking at a desk below takes its lock, and no lock is taken under another.
+        let engines: Vec<Backend> = self.engines.read().unwrap().values().cloned().collect();
+        let unreachable = self.unreachable.lock().unwrap().clone();
+        let is_due = |backend: &Backend| {
+            let phase = hash_parts(&[&backend.name]) % STATUS_TICKS;
+            number % STATUS_TICKS == phase || unreachable.contains(&backend.name) || self.is_unsettled(backend)
+        };
+        let due = engines.into_iter().filter(is_due);
+        due.map(|backend| (backend.name, backend.address)).collect()
+    }
+
+    fn is_unsettled(&self, backend: &Backend) -> bool {
+        let shard = self.desks.lock(&backend.service);
+        let Some(desk) = shard.get(&backend.service) else { return true };
+        desk.rollout.held(&backend.name).is_none() || desk.rollout.is_swapping(&backend.name)
     }
 
     /// Returns the address of an owned engine.
@@ -221,10 +240,12 @@
         self.leaving.lock().unwrap().set_declared(backend, leaving);
     }
 
-    /// Takes in what the platform's list says of a backend server.
-    pub fn listed_leaving(&self, now: Timestamp, backend: &Name, leaving: bool) {
-        self.leaving.lock().unwrap().set_listed(backend, leaving);
-        self.refresh_open(now, backend);
+    /// Takes in the backend servers that the platform's list calls leaving.
+    pub fn listed_leaving(&self, now: Timestamp, leaving: &[Name]) {
+        let changed = self.leaving.lock().unwrap().listed(leaving, SystemClock::unix_millis(), PEERS_ESTIMATE);
+        for backend in changed {
+            self.refresh_open(now, &backend);
+        }
     }
 
     /// Takes in a backend server's own answer.
@@ -357,6 +378,9 @@
     }
 }
 
+/// Ticks between two looks at the status of a healthy engine: ten seconds.
+const STATUS_TICKS: u64 = 20;
+
 /// Cluster size assumed for the repetition of news, at the design size; repeating it more often
 /// in a small cluster costs a few bytes.
 const PEERS_ESTIMATE: usize = 370;
--- a/crates/trestlerackd/src/request/plain_pool.rs
+++ b/crates/trestlerackd/src/request/plain_pool.rs
@@ -3,8 +3,8 @@
 use super::shards::Sharded;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, HashMap, HashSet};
-use std::sync::{Arc, Mutex, RwLock};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, RwLock};
 use trestlerack::process::{OutlierDetector, OutlierSettings};
 use trestlerack::request::{ChoicePolicy, EngineChooser, EngineView};
 use trestlerack::version::{Backend, BackendKind, Configuration};
@@ -34,7 +34,6 @@
 #[derive(Default)]
 pub struct PlainPool {
     backends: RwLock<Arc<BTreeMap<Name, Vec<Backend>>>>,
-    leaving: Mutex<HashSet<Name>>,
     states: Sharded<HashMap<Name, ServiceState>>,
 }
 
@@ -48,16 +47,6 @@
         *self.backends.write().unwrap() = Arc::new(services);
     }
 
-    /// Records whether a backend server receives no new work.
-    pub fn set_leaving(&self, backend: &Name, leaving: bool) {
-        let mut members = self.leaving.lock().unwrap();
-        if leaving {
-            members.insert(backend.clone());
-        } else {
-            members.remove(backend);
-        }
-    }
-
     /// Returns the backend servers of a service in the allowed zones.
     pub fn backends(&self, kind: BackendKind, service: &str, places: &PlaceSet) -> Vec<Backend> {
         let services = self.backends.read().unwrap().clone();
@@ -68,7 +57,7 @@
 
     /// Chooses a backend server that is not among `tried` and counts a request on it.
     ///
-    /// `is_leaving` adds what peers and answers say about leaving.
+    /// `is_leaving` adds what the list, peers and answers say about leaving.
     pub fn choose(
         &self,
         now: Timestamp,
@@ -77,12 +66,11 @@
         is_leaving: impl Fn(&str) -> bool,
     ) -> Option<Backend> {
         let service = &backends.first()?.service;
-        let leaving = self.leaving.lock().unwrap().clone();
         let mut shard = self.states.lock(service);
         let state = shard.entry(service.clone()).or_default();
         let mut candidates = Vec::new();
         for backend in backends {
-            let left = backend.leaving || leaving.contains(&backend.name) || is_leaving(&backend.name);
+            let left = backend.leaving || is_leaving(&backend.name);
             let limit = state.outliers.limit(now, &backend.name, BALANCE_SLOTS);
             let in_flight = state.in_flight.get(&backend.name).copied().unwrap_or(0);
             if !left && limit > 0 && !tried.contains(&backend.name) {
--- a/measure/nodes.sh
+++ b/measure/nodes.sh
@@ -2,14 +2,15 @@
 # Starts N daemons over stand-ins, mostly idle, and measures what control costs each of them.
 #
 # Usage: measure/nodes.sh NODES [ENGINES [CHANGES_PER_SECOND]]
-# ENGINES are declared in a zone without nodes, so that they cost configuration and no polling.
+# ENGINES are declared in zones without nodes, so that they cost configuration and no polling, in
+# scopes of SCOPE_SIZE engines.
 set -u
 cd "$(dirname "$0")/.."
 . measure/lib.sh
 nodes=${1:?usage: measure/nodes.sh NODES [ENGINES [CHANGES_PER_SECOND]]}
 engines=${2:-0}
 rate=${3:-0}
-zones=8
+zones=8 scope_size=${SCOPE_SIZE:-1000}
 settle=${SETTLE:-15} seconds=${SECONDS_MEASURED:-20}
 
 open_run nodes
@@ -21,14 +22,22 @@
 targets=()
 for n in $(seq "$nodes"); do targets+=("${pid_of[node-$n]}@${all_nodes[$((n - 1))]}"); done
 
-{
-  echo '{"scope": "base", "zones": [{"name": "far", "region": "r"}], "backends": ['
-  for n in $(seq "$engines"); do
-    echo "{\"name\":\"engine-$n\",\"kind\":\"engine\",\"zone\":\"far\",\"address\":\"127.0.0.1:9\",\"service\":\"model\"},"
-  done
-  echo '{"name":"plain-1","kind":"plain","zone":"far","address":"127.0.0.1:9","service":"plain"}]}'
-} >"$out/base.json"
-confirm "$out/base.json" >/dev/null || exit 1
+# scope NUMBER FROM TO: declares engines FROM to TO in a scope of their own.
+scope() {
+  {
+    echo "{\"scope\": \"scope-$1\", \"zones\": [{\"name\": \"far-$1\", \"region\": \"r\"}], \"backends\": ["
+    for n in $(seq "$2" "$3"); do
+      echo "{\"name\":\"engine-$n\",\"kind\":\"engine\",\"zone\":\"far-$1\",\"address\":\"127.0.0.1:9\",\"service\":\"model\"},"
+    done
+    echo "{\"name\":\"plain-$1\",\"kind\":\"plain\",\"zone\":\"far-$1\",\"address\":\"127.0.0.1:9\",\"service\":\"plain\"}]}"
+  } >"$out/scope-$1.json"
+  confirm "$out/scope-$1.json" >/dev/null || exit 1
+}
+scope 0 1 0
+for from in $(seq 1 "$scope_size" "$engines"); do
+  to=$((from + scope_size - 1))
+  scope "$from" "$from" $((to < engines ? to : engines))
+done
 sleep "$settle"
 if [ "$rate" != 0 ]; then
   changes=$(awk "BEGIN{print int($rate*($seconds+4))}")
