Let the configuration benchmark apply each change, with a reader that holds the one before

Cause: the benchmark restarted its generations with each pass of the harness, so that all passes but the first were refused as old; it had timed the full copy and not the change.

Change: each iteration applies the next generation, asserts that it was applied, and keeps the generation before alive as the daemon's readers do.

--- a/crates/trestlerack/benches/decisions.rs
+++ b/crates/trestlerack/benches/decisions.rs
@@ -17,8 +17,8 @@
     GroupDriver, GroupEvent, GroupSettings, QueuedCall,
 };
 use trestlerack::version::{
-    Backend, BackendKind, ConfigDelta, ConfigFollower, FollowEvent, Item, ItemBody, RolloutEngine, RolloutEvent,
-    RolloutPlanner, RolloutSettings, WeightTarget,
+    Backend, BackendKind, ConfigDelta, ConfigFollower, FollowAction, FollowEvent, Item, ItemBody, RolloutEngine,
+    RolloutEvent, RolloutPlanner, RolloutSettings, WeightTarget,
 };
 use trestlerack::{Name, PlaceSet, Timestamp};
 
@@ -231,13 +231,15 @@
         let all = (0..engines).map(|number| item(number, 4)).map(|(key, item)| (key, Some(item)));
         follower.handle(FollowEvent::Deltas(vec![delta(1, all.collect())]));
         group.bench_function(BenchmarkId::from_parameter(engines), |bench| {
-            let mut generation = 1;
+            // A reader holds the generation before, as the daemon's tasks do.
+            let mut reader = follower.current().clone();
             bench.iter(|| {
-                generation += 1;
+                let generation = follower.current().generation + 1;
                 let (key, item) = item(generation as usize % engines, generation as u32);
-                follower.handle(FollowEvent::Deltas(vec![delta(generation, vec![(key, Some(item))])]));
-                // The daemon publishes a copy of the configuration in force to its readers.
-                black_box(follower.current().clone())
+                let action = follower.handle(FollowEvent::Deltas(vec![delta(generation, vec![(key, Some(item))])]));
+                assert!(matches!(action, Some(FollowAction::Applied { .. })));
+                reader = follower.current().clone();
+                black_box(reader.generation)
             });
         });
     }
