Hedge only into spare slots; drain all spools at one rate together

And docs/CAPACITY.md reckoned 7,400 writes a second when 370 spools drain at 20 each, over what the store takes.

Change: a sample is hedged only while some owner is believed to have a free slot; a spool's drain interval is 5 ms times the live nodes, at least 50 ms, so that all together stay at 200 a second.

Tests: all nodes together drain at one rate (1, 9, 40 and 370 nodes).

--- a/crates/trestlerack/src/process/spool.rs
+++ b/crates/trestlerack/src/process/spool.rs
@@ -9,8 +9,11 @@
 pub struct SpoolSettings {
     /// Bytes held at most.
     pub max_bytes: usize,
-    /// Time between two groups while draining.
+    /// Shortest time between two groups while draining.
     pub drain_interval: Duration,
+    /// Time between two groups for each live node, so that all nodes together keep to one rate that
+    /// the store can take, however many of them there are.
+    pub drain_interval_per_node: Duration,
     /// Wait after a write that failed; it doubles up to `max_wait`.
     pub first_wait: Duration,
     /// Longest wait between two tries.
@@ -22,6 +25,7 @@
         Self {
             max_bytes: 16 * 1024 * 1024,
             drain_interval: Duration::from_millis(50),
+            drain_interval_per_node: Duration::from_millis(5),
             first_wait: Duration::from_millis(250),
             max_wait: Duration::from_secs(5),
         }
@@ -71,13 +75,17 @@
     }
 
     /// Takes out the next group to try, if it is time; report back with `stored` or `failed`.
-    pub fn next(&mut self, now: Timestamp) -> Option<(T, usize)> {
+    ///
+    /// `nodes` is how many nodes may be draining at the same time.
+    pub fn next(&mut self, now: Timestamp, nodes: usize) -> Option<(T, usize)> {
         if now < self.next_try {
             return None;
         }
         let entry = self.waiting.pop_front()?;
         self.bytes -= entry.1;
-        self.next_try = now + self.settings.drain_interval;
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        let shared = self.settings.drain_interval_per_node.saturating_mul(nodes);
+        self.next_try = now + shared.max(self.settings.drain_interval);
         Some(entry)
     }
 
--- a/crates/trestlerack/tests/limits.rs
+++ b/crates/trestlerack/tests/limits.rs
@@ -102,7 +102,7 @@
                 offered.push(step);
             }
             assert!(spool.len() <= 11);
-            let Some((group, size)) = spool.next(now) else { continue };
+            let Some((group, size)) = spool.next(now, 1) else { continue };
             let is_down = step < 1_000 && random.random_ratio(3, 4);
             if is_down {
                 spool.failed(now, group, size);
@@ -114,3 +114,18 @@
         assert_eq!(stored, offered, "first in, first out, nothing lost or doubled");
     });
 }
+
+#[test]
+fn all_nodes_together_drain_at_one_rate_however_many_they_are() {
+    for nodes in [1, 9, 40, 370] {
+        let mut drained = 0;
+        for _ in 0..nodes {
+            let mut spool = SampleSpool::new(SpoolSettings::default());
+            for group in 0..1_000 {
+                spool.offer(group, 1).unwrap();
+            }
+            drained += (0..10_000).step_by(10).filter(|at| spool.next(Timestamp(*at), nodes).is_some()).count();
+        }
+        assert!(drained <= 10 * 200 + nodes, "{drained} groups in ten seconds from {nodes} nodes");
+    }
+}
--- a/crates/trestlerackd/src/process/spool.rs
+++ b/crates/trestlerackd/src/process/spool.rs
@@ -96,7 +96,8 @@
 pub async fn drain(node: Arc<Node>) {
     loop {
         tokio::time::sleep(LOOK_INTERVAL).await;
-        let next = node.spool.own.lock().unwrap().next(node.now());
+        let nodes = node.ownership.read().unwrap().nodes().len();
+        let next = node.spool.own.lock().unwrap().next(node.now(), nodes);
         let Some((group, size)) = next else { continue };
         match record(&node, &group).await {
             Ok(_) => {
--- a/crates/trestlerackd/src/request/call_router.rs
+++ b/crates/trestlerackd/src/request/call_router.rs
@@ -17,7 +17,7 @@
 use trestlerack::process::PeerInfo;
 use trestlerack::request::{EngineChooser, EngineView, QueuedCall};
 use trestlerack::verdict::Reason;
-use trestlerack::{Failure, Name, Timestamp, Verdict};
+use trestlerack::{Failure, Name, PlaceSet, Timestamp, Verdict};
 
 /// Wait named when no owner has an engine in an allowed place.
 const NO_OWNER_RETRY: Duration = Duration::from_millis(500);
@@ -102,6 +102,13 @@
     f64::from(choice.calls) < f64::from(choice.slots) * ROOM_PER_SLOT
 }
 
+/// Returns whether some owner of a model's engines is believed to have a slot to spare, so that a
+/// hedge takes nothing away from a first attempt.
+pub fn has_spare(node: &Node, model: &Name, places: &PlaceSet) -> bool {
+    let owners = node.owners.read().unwrap().owners(model, places);
+    owners.iter().any(|owner| node.loads.belief(node.now(), model, &owner.node).0 < owner.slots)
+}
+
 /// Returns the owner that a call's prefix and the owners' load point to, without those to `avoid`.
 pub fn choose_owner(node: &Node, spec: &CallSpec, avoid: &[Name]) -> Result<OwnerChoice, Failure> {
     let mut owners = node.owners.read().unwrap().owners(&spec.model, &spec.places);
--- a/crates/trestlerackd/src/request/group_runner.rs
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -1,6 +1,7 @@
 //! Makes the samples of a group that this node owns.
 
 use super::call_driver::{CallSink, HEDGE_PRIORITY, drive};
+use super::call_router::has_spare;
 use super::group_record::record;
 use crate::node::Node;
 use crate::process::stop::WorkGuard;
@@ -124,7 +125,7 @@
     let mut ticks = tokio::time::interval(TICK);
     let mut event = GroupEvent::Begin;
     let made: Option<Vec<Sample>> = 'run: loop {
-        let may_hedge = || node.budget.lock().unwrap().spend(&campaign.name, &campaign.model);
+        let may_hedge = || may_hedge(node, campaign);
         for action in driver.handle(node.now(), &event, may_hedge) {
             match action {
                 GroupAction::Start { index, attempt, hedge } => {
@@ -154,6 +155,12 @@
     }
 }
 
+/// A hedge needs a spare slot, and then spends from the retry budget.
+fn may_hedge(node: &Node, campaign: &Campaign) -> bool {
+    has_spare(node, &campaign.model, &campaign.places)
+        && node.budget.lock().unwrap().spend(&campaign.name, &campaign.model)
+}
+
 fn group_settings(node: &Node) -> GroupSettings {
     let defaults = GroupSettings::default();
     let hedge_factor = if node.settings.policy_hedging { defaults.hedge_factor } else { 0.0 };
