--- a/crates/trestlerack/src/process/settings.rs
+++ b/crates/trestlerack/src/process/settings.rs
@@ -123,7 +123,7 @@
             spool_bytes: 16 * 1024 * 1024,
             policy_choice: "prefix-affinity".into(),
             policy_admission: true,
-            policy_hedging: true,
+            policy_hedging: false,
             policy_staged_swap: true,
         }
     }
@@ -194,7 +194,12 @@
         "true",
         "Whether a call that cannot be whole in time is refused at once.",
     ),
-    optional("policy_hedging", FieldKind::Flag, "true", "Whether stragglers are hedged."),
+    optional(
+        "policy_hedging",
+        FieldKind::Flag,
+        "false",
+        "Whether stragglers are hedged; measured not to pay where lengths are heavy-tailed.",
+    ),
     optional(
         "policy_staged_swap",
         FieldKind::Flag,
--- a/measure/policies.sh
+++ b/measure/policies.sh
@@ -3,7 +3,7 @@
 # fault, and prints a row: idle time, staleness, goodput and waste.
 #
 # Usage: measure/policies.sh ROWS_FILE POLICY LOAD_PERCENT FAULT
-#   POLICY  design | baseline | random | no-hedge | no-admission | blocking-swap
+#   POLICY  design | baseline | random | hedge | no-admission | blocking-swap
 #   FAULT   none | engine-crash | node-kill | zone-loss | store-outage
 #
 # Stated load: steps of 16 groups of 8 samples; lengths heavy-tailed up to 96 tokens, drawn from the
@@ -26,7 +26,7 @@
     serving=0
     ;;
   random) extra_settings+='"policy_choice": "random",' ;;
-  no-hedge) extra_settings+='"policy_hedging": false,' ;;
+  hedge) extra_settings+='"policy_hedging": true,' ;;
   no-admission) extra_settings+='"policy_admission": false,' ;;
   blocking-swap)
     extra_settings+='"policy_staged_swap": false,'
