--- a/crates/trestlerack/src/connection/frame.rs
+++ b/crates/trestlerack/src/connection/frame.rs
@@ -165,8 +165,8 @@
         sequence: u64,
         /// Content.
         event: CallEvent,
-        /// Load of the answering node, piggybacked.
-        load: NodeLoad,
+        /// Load of the answering node, piggybacked on the first and the last part.
+        load: Option<NodeLoad>,
     },
     /// The asking node no longer wants the answer.
     Cancel {
--- a/crates/trestlerackd/src/connection/link_server.rs
+++ b/crates/trestlerackd/src/connection/link_server.rs
@@ -145,7 +145,8 @@
             let relay = async {
                 let mut sequence = 0;
                 while let Some(event) = events.recv().await {
-                    let load = node.desks.load(node.now(), &model);
+                    let is_chunk = matches!(event, CallEvent::Chunk(_));
+                    let load = (!is_chunk).then(|| node.desks.load(node.now(), &model));
                     session.send_part(id, sequence, event, load).await;
                     sequence += 1;
                 }
@@ -156,7 +157,7 @@
         calls.insert(id, task.abort_handle());
     }
 
-    async fn send_part(&self, id: u64, sequence: u64, event: CallEvent, load: NodeLoad) {
+    async fn send_part(&self, id: u64, sequence: u64, event: CallEvent, load: Option<NodeLoad>) {
         let part = LinkFrame::CallPart { id, sequence, event, load };
         // A closed link ends the session, which aborts this call.
         let _ = self.outbox.send(part).await;
--- a/crates/trestlerackd/src/connection/links.rs
+++ b/crates/trestlerackd/src/connection/links.rs
@@ -46,8 +46,8 @@
     config
 }
 
-/// A received part of an answer and the load of the node that sent it.
-pub type AnswerPart = (CallEvent, NodeLoad);
+/// A received part of an answer and, with the first and the last, the load of the node that sent it.
+pub type AnswerPart = (CallEvent, Option<NodeLoad>);
 
 enum Pending {
     Frame(oneshot::Sender<LinkFrame>),
--- a/crates/trestlerackd/src/request/call_router.rs
+++ b/crates/trestlerackd/src/request/call_router.rs
@@ -41,21 +41,22 @@
 impl RoutedCall {
     /// Returns the next part of the answer. The last part is always [`CallEvent::Ended`].
     pub async fn next(&mut self) -> CallEvent {
-        match &mut self.source {
+        let (event, load) = match &mut self.source {
             CallSource::Here { parts, .. } => {
-                let part = parts.recv().await;
-                let load = self.node.desks.load(self.node.now(), &self.model);
-                self.node.loads.report(self.node.now(), &self.model, &self.owner, &load);
-                part.unwrap_or_else(|| CallEvent::Ended(links::broken_call()))
+                let event = parts.recv().await.unwrap_or_else(|| CallEvent::Ended(links::broken_call()));
+                let is_chunk = matches!(event, CallEvent::Chunk(_));
+                let load = (!is_chunk).then(|| self.node.desks.load(self.node.now(), &self.model));
+                (event, load)
             }
-            CallSource::Peer(call) => match call.next().await {
-                Some((event, load)) => {
-                    self.node.loads.report(self.node.now(), &self.model, &self.owner, &load);
-                    event
-                }
-                None => CallEvent::Ended(links::broken_call()),
-            },
+            CallSource::Peer(call) => {
+                let part = call.next().await;
+                part.unwrap_or_else(|| (CallEvent::Ended(links::broken_call()), None))
+            }
+        };
+        if let Some(load) = load {
+            self.node.loads.report(self.node.now(), &self.model, &self.owner, &load);
         }
+        event
     }
 }
 
