Halve the spool's default, so that a node with full spools stays within its memory

Cause: docs/CAPACITY.md reckoned 78 MiB at the design size in an outage, with a node's own spool and the copies that it keeps for a peer both full at 16 MiB; the limit is 64 MB.

Ruled out: dropping the copies, which a node that dies in an outage needs.

Change: spool_bytes is 8 MiB by default. A full spool makes no group lost: nothing new is begun while it is full, and a group that does not fit is made again.

Conclusion: within the limit on paper; an outage with full spools was not measured.

--- a/crates/trestlerack/src/process/settings.rs
+++ b/crates/trestlerack/src/process/settings.rs
@@ -120,7 +120,7 @@
             stop_limit_ms: 60_000,
             max_samples: 256,
             max_queue: 4_096,
-            spool_bytes: 16 * 1024 * 1024,
+            spool_bytes: 8 * 1024 * 1024,
             policy_choice: "prefix-affinity".into(),
             policy_admission: true,
             policy_hedging: false,
@@ -181,7 +181,7 @@
     span("stop_limit_ms", "60000", "Longest time that a planned stop waits for requests in progress."),
     size("max_samples", 1_000_000, "256", "Samples that this node makes at once."),
     size("max_queue", 1_000_000, "4096", "Calls that wait for one model's engines on this node."),
-    size("spool_bytes", 1 << 32, "16777216", "Bytes of made groups held while the store is down."),
+    size("spool_bytes", 1 << 32, "8388608", "Bytes of made groups held while the store is down."),
     optional(
         "policy_choice",
         FieldKind::Choice(&["prefix-affinity", "random", "least-in-flight", "two-choices"]),
--- a/crates/trestlerack/src/process/spool.rs
+++ b/crates/trestlerack/src/process/spool.rs
@@ -23,7 +23,7 @@
 impl Default for SpoolSettings {
     fn default() -> Self {
         Self {
-            max_bytes: 16 * 1024 * 1024,
+            max_bytes: 8 * 1024 * 1024,
             drain_interval: Duration::from_millis(50),
             drain_interval_per_node: Duration::from_millis(5),
             first_wait: Duration::from_millis(250),
