--- a/crates/trestlerack-standins/tests/failures.rs
+++ b/crates/trestlerack-standins/tests/failures.rs
@@ -26,6 +26,16 @@
     cluster
 }
 
+/// Waits until some daemon makes a group.
+fn wait_until_making(cluster: &Cluster) {
+    eventually("samples are in the making", || {
+        cluster.daemons.iter().any(|daemon| {
+            let reply = request("GET", &daemon.address, "/v1/nodes", &[OPERATOR_KEY], b"");
+            reply.json()[0]["groups"].as_u64() > Some(0)
+        })
+    });
+}
+
 fn complete(cluster: &Cluster, daemon: usize, tokens: u32) -> Reply {
     let body = json!({ "model": "model", "prompt": "p", "max_tokens": tokens, "stream": true, "seed": 1 });
     let address = &cluster.daemons[daemon].address;
@@ -75,12 +85,7 @@
 fn a_step_is_whole_and_once_over_an_outage_of_both_stores_and_lost_answers() {
     let cluster = campaign_cluster("15");
     assert_eq!(cluster.submit(0, 0, 1, 6).status, 200);
-    eventually("samples are in the making", || {
-        cluster.daemons.iter().any(|daemon| {
-            let reply = request("GET", &daemon.address, "/v1/nodes", &[OPERATOR_KEY], b"");
-            reply.json()[0]["groups"].as_u64() > Some(0)
-        })
-    });
+    wait_until_making(&cluster);
     cluster.table.fault(json!({ "mode": "down", "for_ms": 4_000 }));
     cluster.objects.fault(json!({ "mode": "down", "for_ms": 3_000 }));
     eventually("a made group waits in a spool", || {
@@ -231,12 +236,7 @@
 fn samples_in_progress_outside_narrowed_places_are_made_again_inside() {
     let cluster = campaign_cluster("60");
     assert_eq!(cluster.submit(0, 0, 1, 6).status, 200);
-    eventually("samples are in the making", || {
-        cluster.daemons.iter().any(|daemon| {
-            let reply = request("GET", &daemon.address, "/v1/nodes", &[OPERATOR_KEY], b"");
-            reply.json()[0]["groups"].as_u64() > Some(0)
-        })
-    });
+    wait_until_making(&cluster);
     let recorded =
         |cluster: &Cluster| cluster.daemons.iter().any(|daemon| daemon.log().contains("name=group-recorded"));
     assert!(!recorded(&cluster), "nothing is recorded before the change");
