--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -105,4 +105,62 @@
     REQUEST_REFUSED = (1701, "request-refused", Warn);
     /// A plain call ended without a whole answer.
     PLAIN_BROKEN = (1702, "plain-broken", Warn);
+    /// The first configuration, or a newer one, took effect on this node.
+    ROUTING_APPLIED = (2001, "routing-applied", Info);
+    /// A row of the store could not be understood or written.
+    ROW_REFUSED = (2002, "row-refused", Error);
+    /// The store no longer holds the changes that a watch asked for; the table is read whole.
+    HISTORY_LOST = (2003, "history-lost", Warn);
+    /// The store does not answer this node directly.
+    STORE_LOST = (2004, "store-lost", Warn);
+    /// The store answers this node directly again.
+    STORE_REGAINED = (2005, "store-regained", Info);
+    /// Service discovery was read whole.
+    SERVERS_READ = (2006, "servers-read", Info);
+    /// A backend server registered, drains or was removed.
+    SERVER_CHANGED = (2007, "server-changed", Info);
+    /// The settings file was read again.
+    SETTINGS_RELOADED = (2008, "settings-reloaded", Info);
+    /// The settings file has faults; the settings in force stay.
+    SETTINGS_REFUSED = (2009, "settings-refused", Error);
+    /// A client's request was answered.
+    REQUEST_ANSWERED = (2101, "request-answered", Info);
+    /// An attempt at a backend server brought no answer.
+    ATTEMPT_FAILED = (2102, "attempt-failed", Warn);
+    /// A batch job was submitted, with the answer.
+    JOB_SUBMITTED = (2201, "job-submitted", Info);
+    /// A call about a batch job could not be served.
+    JOB_READ_FAILED = (2202, "job-read-failed", Warn);
+    /// A client ended a batch job.
+    JOB_ENDED = (2203, "job-ended", Info);
+    /// This node drives a job.
+    JOB_DRIVEN = (2204, "job-driven", Info);
+    /// This node no longer drives a job.
+    JOB_LEFT = (2205, "job-left", Info);
+    /// The items of a job that have no result were given up.
+    JOB_OVERDUE = (2206, "job-overdue", Warn);
+    /// The owner of a job does not answer.
+    OWNER_SILENT = (2207, "owner-silent", Warn);
+    /// This node took a job over.
+    JOB_TAKEN = (2208, "job-taken", Info);
+    /// A job could not be taken over.
+    JOB_NOT_TAKEN = (2209, "job-not-taken", Info);
+    /// A run of an item ended before its text was whole.
+    RUN_ENDED = (2301, "run-ended", Info);
+    /// A run was moved off a slow engine.
+    RUN_MOVED = (2302, "run-moved", Info);
+    /// An item was given up.
+    ITEM_GIVEN_UP = (2303, "item-given-up", Warn);
+    /// Texts of an earlier job were found for items of this one.
+    TEXTS_FOUND = (2304, "texts-found", Info);
+    /// Unfinished texts were stored.
+    TEXTS_KEPT = (2305, "texts-kept", Info);
+    /// Unfinished texts could not be stored; their items start anew.
+    TEXTS_LOST = (2306, "texts-lost", Warn);
+    /// An engine was ordered to load a version, with the outcome.
+    ENGINE_ORDERED = (2401, "engine-ordered", Info);
+    /// An engine was asked for its report.
+    ENGINE_ASKED = (2402, "engine-asked", Info);
+    /// What an engine was ordered could not be stored for the other nodes.
+    ASSIGNMENT_LOST = (2403, "assignment-lost", Warn);
 }
--- a/crates/trestlerack/src/lib.rs
+++ b/crates/trestlerack/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod place;
 pub mod process;
 pub mod request;
+pub mod rows;
 pub mod schema;
 pub mod time;
 pub mod trace;
--- /dev/null
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -0,0 +1,102 @@
+//! Settings of the entry service, which runs on the users' platform.
+
+use crate::Name;
+use crate::schema::{DocumentFault, FieldKind, FieldSpec, check_document};
+use serde::Deserialize;
+
+/// Settings of one entry node, read from a JSON file with comments.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct EntrySettings {
+    /// Name of the VM.
+    pub name: Name,
+    /// Availability zone of the VM.
+    pub zone: Name,
+    /// Address on which clients are served.
+    pub client_listen: Name,
+    /// Address on which readiness is told.
+    pub ready_listen: Name,
+    /// Address on which peers are served.
+    pub peer_listen: Name,
+    /// Address on which metrics are served; empty for none.
+    pub metrics_listen: String,
+    /// Peer addresses of a few nodes that may be up.
+    pub seeds: Vec<Name>,
+    /// Address of the platform's store.
+    pub store: Name,
+    /// Most bytes of a row's content.
+    pub store_row_bytes: usize,
+    /// Time from a planned stop to the kill, in seconds.
+    pub stop_limit_s: f64,
+    /// Time that a new holder of the order lease waits for the last order of the holder before it.
+    pub order_handover_ms: u64,
+    /// Log level.
+    pub log_level: Name,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self {
+            name: "".into(),
+            zone: "".into(),
+            client_listen: "127.0.0.1:0".into(),
+            ready_listen: "127.0.0.1:0".into(),
+            peer_listen: "127.0.0.1:0".into(),
+            metrics_listen: String::new(),
+            seeds: Vec::new(),
+            store: "".into(),
+            store_row_bytes: 65_536,
+            stop_limit_s: 8.0,
+            order_handover_ms: 3_000,
+            log_level: "info".into(),
+        }
+    }
+}
+
+const fn field(name: &'static str, kind: FieldKind, default: Option<&'static str>, meaning: &'static str) -> FieldSpec {
+    FieldSpec { name, kind, default, meaning }
+}
+
+const HOUR_MS: u64 = 3_600_000;
+
+/// The fields of the settings file, also the source of docs/SETTINGS.md.
+pub const ENTRY_FIELDS: &[FieldSpec] = &[
+    field("name", FieldKind::Text, None, "Name of the VM; unique."),
+    field("zone", FieldKind::Text, None, "Availability zone of the VM."),
+    field("client_listen", FieldKind::Address, Some("127.0.0.1:0"), "Address for clients."),
+    field("ready_listen", FieldKind::Address, Some("127.0.0.1:0"), "Address at which readiness is asked."),
+    field("peer_listen", FieldKind::Address, Some("127.0.0.1:0"), "Address for peers."),
+    field("metrics_listen", FieldKind::Text, Some(""), "Address for metrics; none if left out."),
+    field("seeds", FieldKind::TextList, Some("[]"), "Peer addresses of a few nodes that may be up."),
+    field("store", FieldKind::Address, None, "Address of the platform's store."),
+    field(
+        "store_row_bytes",
+        FieldKind::Count { min: 1_024, max: 1 << 30 },
+        Some("65536"),
+        "Most bytes of the content of a row in the store.",
+    ),
+    field(
+        "stop_limit_s",
+        FieldKind::Ratio { min: 0.1, max: 3_600.0 },
+        Some("8"),
+        "Time from a planned stop to the kill.",
+    ),
+    field(
+        "order_handover_ms",
+        FieldKind::Count { min: 1, max: HOUR_MS },
+        Some("3000"),
+        "Time that a new holder of the order lease waits before its first order.",
+    ),
+    field(
+        "log_level",
+        FieldKind::Choice(&["error", "warn", "info", "debug", "trace"]),
+        Some("info"),
+        "Least severe level that is logged.",
+    ),
+];
+
+/// Parses a settings file and reports every fault of it at once.
+pub fn parse_entry_settings(file: &str, text: &str) -> Result<EntrySettings, Vec<DocumentFault>> {
+    let document = check_document(file, text, ENTRY_FIELDS)?;
+    EntrySettings::deserialize(document.value()).map_err(|error| vec![document.fault("document", error.to_string())])
+}
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -1,18 +1,22 @@
 //! What lives as long as the process: peers, ownership, leases, limits, steps and the spool.
 
 mod broadcast;
+mod entry_settings;
 mod lease;
 mod leaving;
 mod limiter;
 mod membership;
 mod outlier;
 mod ownership;
+mod placement;
+mod registry;
 mod settings;
 mod spool;
 mod step;
 mod step_store;
 
 pub use broadcast::BroadcastQueue;
+pub use entry_settings::{ENTRY_FIELDS, EntrySettings, parse_entry_settings};
 pub use lease::{LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep};
 pub use leaving::LeavingBoard;
 pub use limiter::{RetryBudget, UserLimiter};
@@ -21,6 +25,8 @@
 };
 pub use outlier::{OutlierDetector, OutlierSettings};
 pub use ownership::{ModelOwner, NodeView, OwnerTable, OwnershipView};
+pub use placement::{BoardSettings, ServerBelief, ServerBoard, ServerNeed};
+pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
 pub use spool::{SampleSpool, SpoolSettings};
 pub use step::{
--- /dev/null
+++ b/crates/trestlerack/src/process/placement.rs
@@ -0,0 +1,280 @@
+//! Chooses backend servers by what this node believes of each.
+//!
+//! Beliefs come from service discovery, from the servers' own answers and from the runs that this
+//! node made on them; no server is asked anything only to learn its state.
+
+use super::registry::{ServerEntry, ServerRegistry};
+use crate::version::WeightVersion;
+use crate::{Name, Timestamp};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Settings of a [`ServerBoard`].
+#[derive(Clone, Debug)]
+pub struct BoardSettings {
+    /// Pause of a server after its first failure in a row; it doubles with each further one.
+    pub failure_pause: Duration,
+    /// Longest such pause.
+    pub failure_pause_max: Duration,
+    /// Pause of a server that refused a request because it is full or loads weights.
+    pub refusal_pause: Duration,
+    /// Time for which a stated load is believed; the servers' reports lag by 100 to 200 ms.
+    pub load_age: Duration,
+    /// Time for which a measured pace is believed when nothing runs on a server.
+    pub pace_age: Duration,
+    /// Weight of a new gap between events in the running mean of a server's pace.
+    pub pace_weight: f64,
+    /// Pace of a server of which nothing is known, in milliseconds per event.
+    pub default_pace_ms: f64,
+    /// Cost of a server in another availability zone, as a share of its places.
+    pub zone_cost: f64,
+}
+
+impl Default for BoardSettings {
+    fn default() -> Self {
+        Self {
+            failure_pause: Duration::from_millis(200),
+            failure_pause_max: Duration::from_secs(2),
+            refusal_pause: Duration::from_millis(40),
+            load_age: Duration::from_millis(300),
+            pace_age: Duration::from_secs(3),
+            pace_weight: 0.1,
+            default_pace_ms: 37.0,
+            zone_cost: 0.1,
+        }
+    }
+}
+
+/// What a server must offer for a request.
+#[derive(Clone, Debug, Default)]
+pub struct ServerNeed<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Model and the oldest version that will do.
+    pub weights: Option<(&'a str, WeightVersion)>,
+    /// Servers that were tried already.
+    pub avoid: &'a [Name],
+    /// Whether only a server with a free place will do.
+    pub wants_free_place: bool,
+    /// Availability zone to prefer.
+    pub zone: &'a str,
+}
+
+/// Load that a server stated.
+#[derive(Clone, Copy, Debug, Default)]
+struct StatedLoad {
+    others: u32,
+    at: Timestamp,
+}
+
+/// What this node believes of one server.
+#[derive(Clone, Debug)]
+pub struct ServerBelief {
+    /// Its entry in service discovery.
+    pub entry: ServerEntry,
+    /// Requests of this node that it works on.
+    pub in_flight: u32,
+    load: StatedLoad,
+    pace_ms: Option<f64>,
+    pace_at: Timestamp,
+    failures: u32,
+    not_before: Timestamp,
+    versions: BTreeMap<Name, WeightVersion>,
+    loading_until: Option<Timestamp>,
+}
+
+impl ServerBelief {
+    fn new(entry: ServerEntry) -> Self {
+        let versions = entry.models.iter().cloned().collect();
+        Self {
+            entry,
+            in_flight: 0,
+            load: StatedLoad::default(),
+            pace_ms: None,
+            pace_at: Timestamp::default(),
+            failures: 0,
+            not_before: Timestamp::default(),
+            versions,
+            loading_until: None,
+        }
+    }
+
+    /// Returns the version of a model that the server is believed to hold.
+    pub fn version(&self, model: &str) -> Option<WeightVersion> {
+        self.versions.get(model).copied()
+    }
+
+    fn slots(&self) -> u32 {
+        self.entry.slots.max(1)
+    }
+
+    fn busy(&self, now: Timestamp, load_age: Duration) -> u32 {
+        let others = if now.since(self.load.at) < load_age { self.load.others } else { 0 };
+        self.in_flight + others
+    }
+}
+
+/// The servers and what is believed of them.
+#[derive(Debug, Default)]
+pub struct ServerBoard {
+    settings: BoardSettings,
+    servers: BTreeMap<Name, ServerBelief>,
+}
+
+impl ServerBoard {
+    /// Builds an empty board.
+    pub fn new(settings: BoardSettings) -> Self {
+        Self { settings, servers: BTreeMap::new() }
+    }
+
+    /// Takes over the registered servers.
+    pub fn sync(&mut self, registry: &ServerRegistry) {
+        let mut kept = BTreeMap::new();
+        for entry in registry.entries() {
+            let mut belief = match self.servers.remove(&entry.instance) {
+                Some(belief) => belief,
+                None => ServerBelief::new(entry.clone()),
+            };
+            // Discovery lags, so a version that it states only ever raises what is believed.
+            for (model, version) in &entry.models {
+                let held = belief.versions.entry(model.clone()).or_insert(*version);
+                *held = (*held).max(*version);
+            }
+            belief.entry = entry.clone();
+            kept.insert(entry.instance.clone(), belief);
+        }
+        self.servers = kept;
+    }
+
+    /// Returns what is believed of a server.
+    pub fn get(&self, instance: &str) -> Option<&ServerBelief> {
+        self.servers.get(instance)
+    }
+
+    /// Returns all servers of a service.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ServerBelief> {
+        self.servers.values().filter(move |belief| &*belief.entry.service == service)
+    }
+
+    /// Chooses the server that is expected to answer first, or `None` if none will do now.
+    pub fn choose<'a>(&'a self, now: Timestamp, need: &ServerNeed<'_>) -> Option<&'a ServerBelief> {
+        let typical = self.typical_pace(now, need.service);
+        let is_candidate =
+            |belief: &&ServerBelief| &*belief.entry.service == need.service && self.will_do(now, belief, need);
+        let candidates = self.servers.values().filter(is_candidate);
+        candidates.min_by(|left, right| {
+            let cost = |belief: &ServerBelief| self.cost(now, belief, need, typical);
+            cost(left).total_cmp(&cost(right)).then_with(|| left.entry.instance.cmp(&right.entry.instance))
+        })
+    }
+
+    fn will_do(&self, now: Timestamp, belief: &ServerBelief, need: &ServerNeed<'_>) -> bool {
+        let is_new_enough = need.weights.is_none_or(|(model, oldest)| {
+            let is_loading = belief.loading_until.is_some_and(|until| now < until);
+            !is_loading && belief.version(model).is_some_and(|version| version >= oldest)
+        });
+        let has_place = !need.wants_free_place || belief.busy(now, self.settings.load_age) < belief.slots();
+        let is_open = !belief.entry.is_draining && belief.not_before <= now;
+        is_open && is_new_enough && has_place && !need.avoid.contains(&belief.entry.instance)
+    }
+
+    fn cost(&self, now: Timestamp, belief: &ServerBelief, need: &ServerNeed<'_>, typical: f64) -> f64 {
+        let fill = f64::from(belief.busy(now, self.settings.load_age)) / f64::from(belief.slots());
+        let zone_cost = if &*belief.entry.zone == need.zone { 0.0 } else { self.settings.zone_cost };
+        let pace = self.pace(now, belief).unwrap_or(typical) / typical;
+        if need.weights.is_some() { pace * (1.0 + fill) } else { fill + zone_cost }
+    }
+
+    fn pace(&self, now: Timestamp, belief: &ServerBelief) -> Option<f64> {
+        belief.pace_ms.filter(|_| now.since(belief.pace_at) < self.settings.pace_age)
+    }
+
+    /// Returns the median pace of a service's servers, in milliseconds per event.
+    pub fn typical_pace(&self, now: Timestamp, service: &str) -> f64 {
+        let mut paces: Vec<f64> = self.of_service(service).filter_map(|belief| self.pace(now, belief)).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied().unwrap_or(self.settings.default_pace_ms)
+    }
+
+    /// Returns how many times slower than its service's median a server is.
+    pub fn slowness(&self, now: Timestamp, instance: &str) -> f64 {
+        let Some(belief) = self.servers.get(instance) else { return 1.0 };
+        let typical = self.typical_pace(now, &belief.entry.service);
+        self.pace(now, belief).map_or(1.0, |pace| pace / typical)
+    }
+
+    /// Records that a request was sent to a server.
+    pub fn started(&mut self, instance: &str) {
+        self.change(instance, |belief| belief.in_flight += 1);
+    }
+
+    /// Records that a server no longer works on a request of this node.
+    pub fn ended(&mut self, instance: &str) {
+        self.change(instance, |belief| belief.in_flight = belief.in_flight.saturating_sub(1));
+    }
+
+    /// Records a good answer.
+    pub fn succeeded(&mut self, instance: &str) {
+        self.change(instance, |belief| belief.failures = 0);
+    }
+
+    /// Records a connection or an answer that failed. Returns the pause that the server gets.
+    pub fn failed(&mut self, now: Timestamp, instance: &str) -> Duration {
+        let (first, longest) = (self.settings.failure_pause, self.settings.failure_pause_max);
+        let mut pause = first;
+        self.change(instance, |belief| {
+            pause = (first * 2_u32.saturating_pow(belief.failures.min(16))).min(longest);
+            belief.failures += 1;
+            belief.not_before = now + pause;
+        });
+        pause
+    }
+
+    /// Records that a server refused a request, because it is full or loads weights.
+    pub fn refused(&mut self, now: Timestamp, instance: &str) {
+        let pause = self.settings.refusal_pause;
+        self.change(instance, |belief| belief.not_before = belief.not_before.max(now + pause));
+    }
+
+    /// Records the load that a server stated: requests that run and that wait.
+    pub fn stated_load(&mut self, now: Timestamp, instance: &str, running: u32, waiting: u32) {
+        self.change(instance, |belief| {
+            belief.load = StatedLoad { others: (running + waiting).saturating_sub(belief.in_flight), at: now };
+        });
+    }
+
+    /// Records the time between two events of a run.
+    pub fn event_gap(&mut self, now: Timestamp, instance: &str, gap: Duration) {
+        let (weight, age) = (self.settings.pace_weight, self.settings.pace_age);
+        let gap_ms = gap.as_secs_f64() * 1_000.0;
+        self.change(instance, |belief| {
+            let is_old = now.since(belief.pace_at) >= age;
+            let held = belief.pace_ms.filter(|_| !is_old).unwrap_or(gap_ms);
+            belief.pace_ms = Some(held + weight * (gap_ms - held));
+            belief.pace_at = now;
+        });
+    }
+
+    /// Records the version that a server stated in an answer, which overrides what was believed.
+    pub fn stated_version(&mut self, instance: &str, model: &str, version: WeightVersion) {
+        self.change(instance, |belief| {
+            belief.versions.insert(model.into(), version);
+        });
+    }
+
+    /// Records that a server loads a version until `until` and holds it from then on.
+    pub fn loading(&mut self, instance: &str, model: &str, version: WeightVersion, until: Timestamp) {
+        self.change(instance, |belief| {
+            let held = belief.versions.entry(model.into()).or_insert(version);
+            *held = (*held).max(version);
+            belief.loading_until = Some(until);
+        });
+    }
+
+    fn change(&mut self, instance: &str, change: impl FnOnce(&mut ServerBelief)) {
+        // A server may have left while a request to it was in progress.
+        if let Some(belief) = self.servers.get_mut(instance) {
+            change(belief);
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestlerack/src/process/registry.rs
@@ -0,0 +1,130 @@
+//! Backend servers as service discovery lists them.
+
+use crate::version::WeightVersion;
+use crate::{Name, Timestamp};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One registered backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerEntry {
+    /// Instance; it changes with every start of the server.
+    pub instance: Name,
+    /// Service that the server belongs to.
+    pub service: Name,
+    /// Address.
+    pub address: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it asks for no new work.
+    pub is_draining: bool,
+    /// Weight versions that it held at its last heartbeat.
+    pub models: Vec<(Name, WeightVersion)>,
+    /// Counts heartbeats.
+    pub heartbeat: u64,
+}
+
+/// Settings of a [`ServerRegistry`].
+#[derive(Clone, Debug)]
+pub struct RegistrySettings {
+    /// Time after the store's return within which entries that lapsed during its outage come back;
+    /// the users' letter says about two seconds, and half a second is added for the watch.
+    pub return_time: Duration,
+}
+
+impl Default for RegistrySettings {
+    fn default() -> Self {
+        Self { return_time: Duration::from_millis(2_500) }
+    }
+}
+
+/// The registered backend servers, with those that lapsed during an outage of the store.
+#[derive(Clone, Debug, Default)]
+pub struct ServerRegistry {
+    settings: RegistrySettings,
+    entries: BTreeMap<Name, ServerEntry>,
+    /// Lapsed entries that are still believed, until the given time.
+    lapsed: BTreeMap<Name, Timestamp>,
+    outage_ended: Option<Timestamp>,
+    is_out: bool,
+}
+
+impl ServerRegistry {
+    /// Builds an empty registry.
+    pub fn new(settings: RegistrySettings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
+    /// Records that the store cannot be read.
+    pub fn store_lost(&mut self) {
+        self.is_out = true;
+    }
+
+    /// Records that the store can be read again.
+    pub fn store_returned(&mut self, now: Timestamp) {
+        if self.is_out {
+            self.is_out = false;
+            self.outage_ended = Some(now);
+        }
+    }
+
+    /// Takes over an entry. Returns whether more than the heartbeat changed.
+    pub fn put(&mut self, entry: ServerEntry) -> bool {
+        self.lapsed.remove(&entry.instance);
+        let held = self.entries.get(&entry.instance);
+        let is_news = held.is_none_or(|held| ServerEntry { heartbeat: entry.heartbeat, ..held.clone() } != entry);
+        self.entries.insert(entry.instance.clone(), entry);
+        is_news
+    }
+
+    /// Records that an entry was removed. Shortly after an outage it is believed a little longer,
+    /// because servers that live are about to register again. Returns whether it is gone now.
+    pub fn remove(&mut self, now: Timestamp, instance: &str) -> bool {
+        let limit = self.outage_ended.map(|ended| ended + self.settings.return_time);
+        match limit {
+            Some(limit) if now < limit && self.entries.contains_key(instance) => {
+                self.lapsed.insert(instance.into(), limit);
+                false
+            }
+            _ => self.entries.remove(instance).is_some(),
+        }
+    }
+
+    /// Replaces everything by a full read; entries that it lacks are removed as by [`Self::remove`].
+    pub fn replace(&mut self, now: Timestamp, entries: Vec<ServerEntry>) {
+        let listed: Vec<Name> = entries.iter().map(|entry| entry.instance.clone()).collect();
+        for entry in entries {
+            self.put(entry);
+        }
+        let missing: Vec<Name> = self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect();
+        for instance in missing {
+            if !self.lapsed.contains_key(&instance) {
+                self.remove(now, &instance);
+            }
+        }
+    }
+
+    /// Forgets lapsed entries whose time is over; returns their instances.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<Name> {
+        let over: Vec<Name> =
+            self.lapsed.iter().filter(|(_, limit)| **limit <= now).map(|(name, _)| name.clone()).collect();
+        for instance in &over {
+            self.lapsed.remove(instance);
+            self.entries.remove(instance);
+        }
+        over
+    }
+
+    /// Returns an entry.
+    pub fn get(&self, instance: &str) -> Option<&ServerEntry> {
+        self.entries.get(instance)
+    }
+
+    /// Returns all entries, ordered by instance.
+    pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.entries.values()
+    }
+}
--- /dev/null
+++ b/crates/trestlerack/src/request/ledger.rs
@@ -0,0 +1,325 @@
+//! The state of one job's items while a node drives it.
+
+use super::job::{ItemEvent, ItemTranscript, JobResult, JobSpec, KeptItem, TranscriptError};
+use crate::version::WeightVersion;
+use crate::{Name, Timestamp};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Where an item is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ItemPhase {
+    /// It waits for an engine.
+    Waiting,
+    /// It runs on this engine.
+    Running(Name),
+    /// Its text is whole and waits for its score.
+    Scoring,
+    /// Its result waits to be recorded, or is recorded.
+    Settled,
+}
+
+/// How a run of an item ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The stream ended as a whole one does.
+    Whole,
+    /// The engine or the connection failed, or the run was moved; the text so far stays.
+    Broken,
+    /// The engine did not run the request.
+    NotRun,
+    /// The engine answered that the run failed, which counts against the item's attempts.
+    Failed,
+    /// The engine answered that the item can never be done.
+    Impossible,
+}
+
+/// Settings of a [`JobLedger`].
+#[derive(Clone, Debug)]
+pub struct LedgerSettings {
+    /// Failed runs after which an item is given up; the route's attempts.
+    pub max_failures: u32,
+    /// Failed score calls after which an item is given up; the attempts of the scorer's route.
+    pub max_score_failures: u32,
+    /// Whether all events of an item must come from one version.
+    pub single_version: bool,
+    /// Pause before an item is tried again after a broken run. An engine that was left by closing
+    /// its connection stops within that time, so two engines never work on one item for long.
+    pub retry_pause: Duration,
+}
+
+impl Default for LedgerSettings {
+    fn default() -> Self {
+        Self { max_failures: 3, max_score_failures: 3, single_version: false, retry_pause: Duration::from_millis(30) }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct ItemState {
+    phase: ItemPhase,
+    transcript: ItemTranscript,
+    failures: u32,
+    score_failures: u32,
+    not_before: Timestamp,
+    is_carried: bool,
+}
+
+/// Drives the items of one job to their results.
+#[derive(Debug)]
+pub struct JobLedger {
+    spec: Arc<JobSpec>,
+    settings: LedgerSettings,
+    items: Vec<ItemState>,
+    by_id: HashMap<Name, usize>,
+    /// Waiting items are looked at in this order.
+    order: Vec<usize>,
+    ready: VecDeque<JobResult>,
+    unlisted: usize,
+    /// Items without a recorded result, by group.
+    open_groups: HashMap<Name, usize>,
+}
+
+impl JobLedger {
+    /// Builds a ledger; `listed` names the items that already have a recorded result, and `kept`
+    /// holds texts from earlier jobs.
+    pub fn new(
+        spec: Arc<JobSpec>,
+        settings: LedgerSettings,
+        listed: &[Name],
+        mut kept: HashMap<Name, KeptItem>,
+    ) -> Self {
+        let by_id: HashMap<Name, usize> =
+            spec.items.iter().enumerate().map(|(index, item)| (item.id.clone(), index)).collect();
+        let mut items: Vec<ItemState> = Vec::with_capacity(spec.items.len());
+        for item in &spec.items {
+            let kept = kept.remove(&item.id);
+            let is_carried = kept.is_some();
+            let usable = kept.filter(|kept| kept.transcript.fits(spec.min_version) && !settings.single_version);
+            let phase = match &usable {
+                Some(kept) if kept.is_whole => ItemPhase::Scoring,
+                _ => ItemPhase::Waiting,
+            };
+            let transcript = usable.map(|kept| kept.transcript).unwrap_or_default();
+            let not_before = Timestamp::default();
+            items.push(ItemState { phase, transcript, failures: 0, score_failures: 0, not_before, is_carried });
+        }
+        let mut open_groups: HashMap<Name, usize> = HashMap::new();
+        for item in &spec.items {
+            *open_groups.entry(item.group.clone()).or_default() += 1;
+        }
+        let unlisted = items.len();
+        let (order, ready) = (Vec::new(), VecDeque::new());
+        let mut ledger = Self { order, unlisted, items, by_id, ready, settings, spec, open_groups };
+        for id in listed {
+            ledger.mark_listed(id);
+        }
+        ledger.order = ledger.rank_items();
+        ledger
+    }
+
+    /// Longest estimate first, because the longest texts decide when the job is whole; groups
+    /// carried over before all others, because the trainer waits for each of them.
+    fn rank_items(&self) -> Vec<usize> {
+        let mut carried_groups: Vec<&Name> = Vec::new();
+        for (item, state) in self.spec.items.iter().zip(&self.items) {
+            if state.is_carried && !carried_groups.contains(&&item.group) {
+                carried_groups.push(&item.group);
+            }
+        }
+        let mut order: Vec<usize> = (0..self.items.len()).collect();
+        order.sort_by_key(|index| {
+            let item = &self.spec.items[*index];
+            let is_carried = carried_groups.contains(&&item.group);
+            (!is_carried, std::cmp::Reverse(item.length_hint.unwrap_or(item.tokens)))
+        });
+        order
+    }
+
+    /// Returns what was submitted.
+    pub fn spec(&self) -> &Arc<JobSpec> {
+        &self.spec
+    }
+
+    /// Returns the position of an item in the submission.
+    pub fn index_of(&self, id: &str) -> Option<usize> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns the items that wait for an engine, most urgent first.
+    pub fn waiting(&self, now: Timestamp) -> impl Iterator<Item = usize> + '_ {
+        let is_due = move |state: &ItemState| state.phase == ItemPhase::Waiting && state.not_before <= now;
+        self.order.iter().copied().filter(move |index| is_due(&self.items[*index]))
+    }
+
+    /// Returns the items whose text is whole and not scored yet.
+    pub fn unscored(&self) -> Vec<usize> {
+        let is_unscored = |index: &usize| self.items[*index].phase == ItemPhase::Scoring;
+        (0..self.items.len()).filter(is_unscored).collect()
+    }
+
+    /// Returns where an item is.
+    pub fn phase(&self, index: usize) -> &ItemPhase {
+        &self.items[index].phase
+    }
+
+    /// Returns the text of an item so far.
+    pub fn transcript(&self, index: usize) -> &ItemTranscript {
+        &self.items[index].transcript
+    }
+
+    /// Returns whether every item has a recorded result.
+    pub fn is_whole(&self) -> bool {
+        self.unlisted == 0
+    }
+
+    /// Records that an item was sent to an engine.
+    pub fn start(&mut self, index: usize, engine: &Name) {
+        self.items[index].phase = ItemPhase::Running(engine.clone());
+    }
+
+    /// Adds an event that the engine generated under `version`.
+    pub fn append(
+        &mut self,
+        index: usize,
+        event: &ItemEvent,
+        version: Option<WeightVersion>,
+    ) -> Result<(), TranscriptError> {
+        let min_version = self.spec.min_version;
+        self.items[index].transcript.append(event, version, min_version)
+    }
+
+    /// Records how a run ended. Returns whether the item's text is whole and wants its score.
+    pub fn end_run(&mut self, now: Timestamp, index: usize, end: RunEnd) -> bool {
+        let single_version = self.settings.single_version;
+        let state = &mut self.items[index];
+        if !matches!(state.phase, ItemPhase::Running(_)) {
+            return false;
+        }
+        state.phase = ItemPhase::Waiting;
+        match end {
+            RunEnd::Whole if state.transcript.last_event.is_some() => {
+                if single_version && state.transcript.versions.len() > 1 {
+                    state.transcript = ItemTranscript::default();
+                    return false;
+                }
+                state.phase = ItemPhase::Scoring;
+                return true;
+            }
+            RunEnd::Whole | RunEnd::Broken => {
+                state.not_before = now + self.settings.retry_pause;
+                if single_version {
+                    state.transcript = ItemTranscript::default();
+                }
+            }
+            RunEnd::NotRun => {}
+            RunEnd::Failed => {
+                state.failures += 1;
+                state.not_before = now + self.settings.retry_pause;
+                if state.failures >= self.settings.max_failures {
+                    self.give_up(index);
+                }
+            }
+            RunEnd::Impossible => self.give_up(index),
+        }
+        false
+    }
+
+    /// Records the score of an item; its result is then ready to be recorded.
+    pub fn settle(&mut self, index: usize, score: Option<Name>) {
+        let state = &mut self.items[index];
+        if state.phase != ItemPhase::Scoring {
+            return;
+        }
+        state.phase = ItemPhase::Settled;
+        // The text stays until its group is whole: an unfinished group may come again in a later job.
+        let transcript = state.transcript.clone();
+        let id = self.spec.items[index].id.clone();
+        let (text, versions) = (transcript.text, transcript.versions);
+        self.ready.push_back(JobResult { id, is_completed: true, text, versions, score });
+    }
+
+    /// Records a failed answer to a score call. Returns whether the item was given up over it.
+    pub fn fail_score(&mut self, index: usize) -> bool {
+        let state = &mut self.items[index];
+        state.score_failures += 1;
+        let is_over = state.score_failures >= self.settings.max_score_failures;
+        if is_over {
+            self.give_up(index);
+        }
+        is_over
+    }
+
+    /// Gives an item up; its result says so.
+    pub fn give_up(&mut self, index: usize) {
+        let state = &mut self.items[index];
+        if state.phase == ItemPhase::Settled {
+            return;
+        }
+        state.phase = ItemPhase::Settled;
+        state.transcript = ItemTranscript::default();
+        let id = self.spec.items[index].id.clone();
+        self.ready.push_back(JobResult {
+            id,
+            is_completed: false,
+            text: String::new(),
+            versions: Vec::new(),
+            score: None,
+        });
+    }
+
+    /// Gives up every item that has no result yet.
+    pub fn give_up_all(&mut self) {
+        for index in 0..self.items.len() {
+            self.give_up(index);
+        }
+    }
+
+    /// Takes results that are ready to be recorded, up to a number and a size in bytes.
+    pub fn take_ready(&mut self, most: usize, most_bytes: usize) -> Vec<JobResult> {
+        let (mut taken, mut bytes) = (Vec::new(), 0);
+        while let Some(result) = self.ready.front() {
+            bytes += result.text.len();
+            if taken.len() == most || (bytes > most_bytes && !taken.is_empty()) {
+                break;
+            }
+            taken.extend(self.ready.pop_front());
+        }
+        taken
+    }
+
+    /// Records that an item has a recorded result.
+    pub fn mark_listed(&mut self, id: &str) {
+        let Some(index) = self.index_of(id) else { return };
+        self.items[index].phase = ItemPhase::Settled;
+        self.unlisted = self.unlisted.saturating_sub(1);
+        let group = self.spec.items[index].group.clone();
+        let left = self.open_groups.entry(group.clone()).or_default();
+        *left = left.saturating_sub(1);
+        if *left == 0 {
+            self.drop_group_texts(&group);
+        }
+    }
+
+    fn drop_group_texts(&mut self, group: &str) {
+        for (item, state) in self.spec.items.iter().zip(&mut self.items) {
+            if &*item.group == group {
+                state.transcript = ItemTranscript::default();
+            }
+        }
+    }
+
+    /// Returns what exists of each group that is not whole, for a later job that brings it again.
+    pub fn unfinished(&self) -> Vec<KeptItem> {
+        let mut kept = Vec::new();
+        for (item, state) in self.spec.items.iter().zip(&self.items) {
+            if self.open_groups.get(&item.group).is_none_or(|left| *left == 0) {
+                continue;
+            }
+            let has_text = state.transcript.last_event.is_some();
+            let is_whole = has_text && matches!(state.phase, ItemPhase::Scoring | ItemPhase::Settled);
+            kept.push(KeptItem { id: item.id.clone(), transcript: state.transcript.clone(), is_whole });
+        }
+        kept
+    }
+}
--- a/crates/trestlerack/src/request/mod.rs
+++ b/crates/trestlerack/src/request/mod.rs
@@ -5,6 +5,8 @@
 mod claim_store;
 mod dispatcher;
 mod group;
+mod job;
+mod ledger;
 mod resume;
 mod sample;
 
@@ -13,5 +15,7 @@
 pub use claim_store::ClaimStore;
 pub use dispatcher::{DispatchAction, DispatchEngine, DispatchEvent, DispatchSettings, EngineDispatcher, QueuedCall};
 pub use group::{GroupAction, GroupDriver, GroupEvent, GroupSettings};
+pub use job::{ItemEvent, ItemTranscript, JobHead, JobItem, JobResult, JobSpec, KeptItem, ScoreCall, TranscriptError};
+pub use ledger::{ItemPhase, JobLedger, LedgerSettings, RunEnd};
 pub use resume::{ResumeDecision, ResumePolicy, decide_resume};
 pub use sample::{Sample, SampleAssembler, SampleError, VersionRange};
--- a/crates/trestlerack/src/version/mod.rs
+++ b/crates/trestlerack/src/version/mod.rs
@@ -6,7 +6,9 @@
 mod follower;
 mod plan;
 mod rollout;
+mod routing;
 mod staleness;
+mod weight_plan;
 
 pub use config_store::{CommitTry, ConfigStore, Confirmation};
 pub use configuration::{ConfigDelta, Configuration, Item, ItemBody};
@@ -18,4 +20,6 @@
 pub use rollout::{
     EngineOrder, EngineRollout, RolloutEngine, RolloutEvent, RolloutPlanner, RolloutSettings, WeightTarget,
 };
+pub use routing::{ClientLimits, RequestRoute, RouteKind, RoutedService, RoutingTable, SplitShare};
 pub use staleness::{SampleAge, StalenessRule, WeightVersion};
+pub use weight_plan::{DueOrder, EngineAssignment, OrderOutcome, WeightPlan, WeightPlanSettings};
--- /dev/null
+++ b/crates/trestlerack/src/version/routing.rs
@@ -0,0 +1,147 @@
+//! Routes requests by host and path prefix to services, as the newest configuration says.
+
+use crate::Name;
+use crate::hash::hash_parts;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Whether a request may be sent to a second backend server once it may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RouteKind {
+    /// Idempotent: it may run more than once.
+    Safe,
+    /// It may run at most once.
+    Unsafe,
+    /// Carries batch jobs.
+    Batch,
+}
+
+/// A share of a route's requests that goes to one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SplitShare {
+    /// Service that receives the share.
+    pub service: Name,
+    /// Weight relative to the other shares.
+    pub weight: u32,
+}
+
+/// A route of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestRoute {
+    /// Name of the route.
+    pub name: Name,
+    /// Value of the `Host` header.
+    pub host: Name,
+    /// Path prefix; begins and ends with a slash.
+    pub prefix: Name,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Whether answers are event streams that are relayed as they arrive.
+    pub streaming: bool,
+    /// Whether a broken stream may be resumed at another backend server.
+    pub resumable: bool,
+    /// Whether all events of one answer must come from one weight version.
+    pub single_version: bool,
+    /// Longest time that a request is kept waiting, in milliseconds; 0 for no limit.
+    pub timeout_ms: u64,
+    /// Time within which an answer is on time, in milliseconds.
+    pub target_latency_ms: u64,
+    /// Time after submission by which a batch job's results are due, in milliseconds.
+    pub due_ms: u64,
+    /// Time after submission at which an unfinished item may be given up, in milliseconds.
+    pub give_up_ms: u64,
+    /// Rank; 0 is served first.
+    pub priority: u8,
+    /// Most backend servers that one attempt of a client may be sent to.
+    pub max_attempts: u32,
+    /// Services and their shares; one share for a route that is not split.
+    pub shares: Vec<SplitShare>,
+}
+
+impl RequestRoute {
+    /// Returns the service for a request id; the same id always gets the same share.
+    pub fn service_for(&self, request_id: &str) -> Option<&Name> {
+        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        if total == 0 {
+            return self.shares.first().map(|share| &share.service);
+        }
+        let mut point = hash_parts(&[&self.name, request_id]) % total;
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if point < weight {
+                return Some(&share.service);
+            }
+            point -= weight;
+        }
+        None
+    }
+}
+
+/// A service of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutedService {
+    /// Name of the service.
+    pub name: Name,
+    /// Connections that one backend server accepts from all nodes together.
+    pub max_connections: u32,
+    /// Requests that a model engine runs at once; 0 for a plain service.
+    pub engine_slots: u32,
+    /// Models that the engines of the service hold.
+    pub models: Vec<Name>,
+}
+
+/// Limits on what clients send.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClientLimits {
+    /// Longest request head, in bytes.
+    pub max_header_bytes: usize,
+    /// Longest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time to send a request head, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time after which an idle connection is closed, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+/// One version of the routing configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingTable {
+    /// Version; only a higher one replaces it.
+    pub version: u64,
+    /// Routes, longest prefix first within a host.
+    routes: BTreeMap<Name, Vec<RequestRoute>>,
+    /// Services by name.
+    pub services: BTreeMap<Name, RoutedService>,
+    /// Limits on what clients send.
+    pub limits: ClientLimits,
+}
+
+impl RoutingTable {
+    /// Builds a table; the order of `routes` does not matter.
+    pub fn new(version: u64, routes: Vec<RequestRoute>, services: Vec<RoutedService>, limits: ClientLimits) -> Self {
+        let mut by_host: BTreeMap<Name, Vec<RequestRoute>> = BTreeMap::new();
+        for route in routes {
+            by_host.entry(route.host.clone()).or_default().push(route);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = services.into_iter().map(|service| (service.name.clone(), service)).collect();
+        Self { version, routes: by_host, services, limits }
+    }
+
+    /// Returns the route with the longest prefix of `path` at `host`.
+    pub fn select(&self, host: &str, path: &str) -> Option<&RequestRoute> {
+        self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Returns every route.
+    pub fn routes(&self) -> impl Iterator<Item = &RequestRoute> {
+        self.routes.values().flatten()
+    }
+
+    /// Returns the service that serves `model`.
+    pub fn service_of_model(&self, model: &str) -> Option<&RoutedService> {
+        self.services.values().find(|service| service.models.iter().any(|held| &**held == model))
+    }
+}
--- /dev/null
+++ b/crates/trestlerack/src/version/weight_plan.rs
@@ -0,0 +1,271 @@
+//! Decides which engine loads which weight version next, for the holder of the order lease.
+
+use super::WeightVersion;
+use crate::process::ServerEntry;
+use crate::{Name, Timestamp};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Settings of a [`WeightPlan`].
+#[derive(Clone, Debug)]
+pub struct WeightPlanSettings {
+    /// Share of a service's engines that may load at once. The users' sheets slow loads down from
+    /// two of nine to eleven engines on, and from nine of 44: a fifth in each case.
+    pub parallel_share: f64,
+    /// Engines that may load at once in any case.
+    pub parallel_least: usize,
+    /// Time that a load takes; the users' sheets say 0.9 s.
+    pub load_time: Duration,
+    /// Pause before an engine whose order failed is ordered again.
+    pub retry_pause: Duration,
+    /// Time after which service discovery must show a load, or it counts as not done: three
+    /// heartbeats of 1.2 s and the lag of the list.
+    pub proof_time: Duration,
+}
+
+impl Default for WeightPlanSettings {
+    fn default() -> Self {
+        Self {
+            parallel_share: 0.2,
+            parallel_least: 2,
+            load_time: Duration::from_millis(950),
+            retry_pause: Duration::from_millis(150),
+            proof_time: Duration::from_millis(4_500),
+        }
+    }
+}
+
+/// The row by which the holder of the order lease tells all nodes what an engine was ordered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineAssignment {
+    /// Model that the engine serves.
+    pub model: Name,
+    /// Version that it was last ordered to hold; 0 if it was not ordered yet.
+    pub version: WeightVersion,
+    /// Time of that order on the store's clock, in milliseconds.
+    pub ordered_ms: u64,
+}
+
+/// An order that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DueOrder {
+    /// Engine.
+    pub instance: Name,
+    /// Model.
+    pub model: Name,
+    /// Version to load.
+    pub version: WeightVersion,
+    /// Orders that the engine accepted so far, or `None` if it must be asked first.
+    pub orders_before: Option<u64>,
+}
+
+/// How an order went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// The engine loads the version.
+    Accepted,
+    /// The engine holds the version already.
+    Held,
+    /// The engine refused the order: it carries out another one, or accepted others since.
+    Refused,
+    /// Nobody knows whether the engine accepted the order.
+    Unknown,
+    /// The order did not reach the engine.
+    NotSent,
+}
+
+#[derive(Clone, Debug)]
+struct EngineState {
+    model: Name,
+    held: WeightVersion,
+    ordered: Option<(WeightVersion, Timestamp)>,
+    is_sending: bool,
+    orders: Option<u64>,
+    not_before: Timestamp,
+}
+
+/// The weights of all engines of one service.
+#[derive(Debug, Default)]
+pub struct WeightPlan {
+    settings: WeightPlanSettings,
+    targets: BTreeMap<Name, WeightVersion>,
+    engines: BTreeMap<Name, EngineState>,
+}
+
+impl WeightPlan {
+    /// Builds an empty plan.
+    pub fn new(settings: WeightPlanSettings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
+    /// Records that a trainer named a version.
+    pub fn target(&mut self, model: &Name, version: WeightVersion) {
+        let target = self.targets.entry(model.clone()).or_insert(version);
+        *target = (*target).max(version);
+    }
+
+    /// Takes over the registered engines of the service, which serves `models`, and what the
+    /// store says about their models. Returns the engines whose model was decided or changed now.
+    pub fn sync(
+        &mut self,
+        now: Timestamp,
+        models: &[Name],
+        entries: &[&ServerEntry],
+        assigned: &BTreeMap<Name, EngineAssignment>,
+    ) -> Vec<(Name, Name)> {
+        self.engines.retain(|instance, _| entries.iter().any(|entry| entry.instance == *instance));
+        let mut decided = Vec::new();
+        for entry in entries {
+            if !self.engines.contains_key(&entry.instance) {
+                let known = assigned.get(&entry.instance).map(|assignment| assignment.model.clone());
+                let Some(model) = known.clone().or_else(|| self.least_served(models)) else { continue };
+                if known.is_none() {
+                    decided.push((entry.instance.clone(), model.clone()));
+                }
+                self.engines.insert(entry.instance.clone(), EngineState::new(model));
+            }
+            self.observe(now, entry);
+        }
+        decided.extend(self.rebalance(models));
+        decided
+    }
+
+    fn observe(&mut self, now: Timestamp, entry: &ServerEntry) {
+        let proof_time = self.settings.proof_time;
+        let Some(state) = self.engines.get_mut(&entry.instance) else { return };
+        let listed = entry.models.iter().find(|(model, _)| *model == state.model).map_or(0, |(_, version)| *version);
+        match state.ordered {
+            Some((version, _)) if listed >= version => {
+                state.ordered = None;
+                state.held = state.held.max(listed);
+            }
+            // The list still shows an older version long after the order: it was not carried out.
+            Some((_, at)) if now.since(at) >= proof_time => {
+                state.ordered = None;
+                state.orders = None;
+                state.held = listed;
+            }
+            Some(_) => {}
+            None => state.held = state.held.max(listed),
+        }
+    }
+
+    fn least_served(&self, models: &[Name]) -> Option<Name> {
+        let served = |model: &Name| self.engines.values().filter(|state| state.model == *model).count();
+        models.iter().min_by_key(|model| served(model)).cloned()
+    }
+
+    /// Moves an engine from the model with the most engines to the one with the fewest, if the
+    /// difference is more than one, as it is after engines were lost.
+    fn rebalance(&mut self, models: &[Name]) -> Vec<(Name, Name)> {
+        let mut moved = Vec::new();
+        loop {
+            let count = |model: &Name| self.engines.values().filter(|state| state.model == *model).count();
+            let Some(least) = models.iter().min_by_key(|model| count(model)) else { return moved };
+            let Some(most) = models.iter().max_by_key(|model| count(model)) else { return moved };
+            if count(most) <= count(least) + 1 {
+                return moved;
+            }
+            let (least, most) = (least.clone(), most.clone());
+            let Some((instance, state)) = self.engines.iter_mut().find(|(_, state)| state.model == most) else {
+                return moved;
+            };
+            *state = EngineState { orders: state.orders, ..EngineState::new(least.clone()) };
+            moved.push((instance.clone(), least));
+        }
+    }
+
+    /// Returns the orders to send now, engines with the oldest weights first; `busy` says how much
+    /// an engine has to do, and idle ones load first.
+    pub fn next_orders(&mut self, now: Timestamp, busy: impl Fn(&str) -> u32) -> Vec<DueOrder> {
+        let share = (self.engines.len() as f64 * self.settings.parallel_share).round() as usize;
+        let most = share.max(self.settings.parallel_least);
+        let load_time = self.settings.load_time;
+        let is_loading =
+            |state: &EngineState| state.is_sending || state.ordered.is_some_and(|(_, at)| now.since(at) < load_time);
+        let loading = self.engines.values().filter(|state| is_loading(state)).count();
+        let mut due: Vec<(WeightVersion, u32, Name)> = Vec::new();
+        for (instance, state) in &self.engines {
+            let Some(target) = self.targets.get(&state.model) else { continue };
+            let held = state.ordered.map_or(state.held, |(version, _)| version);
+            if held < *target && !is_loading(state) && state.not_before <= now {
+                due.push((held, busy(instance), instance.clone()));
+            }
+        }
+        due.sort();
+        due.truncate(most.saturating_sub(loading));
+        let mut orders = Vec::new();
+        for (_, _, instance) in due {
+            let Some(state) = self.engines.get_mut(&instance) else { continue };
+            state.is_sending = true;
+            let version = self.targets[&state.model];
+            orders.push(DueOrder { instance, model: state.model.clone(), version, orders_before: state.orders });
+        }
+        orders
+    }
+
+    /// Records how an order went.
+    pub fn ordered(&mut self, now: Timestamp, order: &DueOrder, outcome: OrderOutcome, orders_before: u64) {
+        let pause = self.settings.retry_pause;
+        let Some(state) = self.engines.get_mut(&order.instance) else { return };
+        state.is_sending = false;
+        match outcome {
+            OrderOutcome::Accepted => {
+                state.ordered = Some((order.version, now));
+                state.orders = Some(orders_before + 1);
+            }
+            OrderOutcome::Held => {
+                state.held = state.held.max(order.version);
+                state.orders = Some(orders_before);
+            }
+            OrderOutcome::Refused | OrderOutcome::Unknown => {
+                state.orders = None;
+                state.not_before = now + pause;
+            }
+            OrderOutcome::NotSent => state.not_before = now + pause,
+        }
+    }
+
+    /// Records what an engine reported when it was asked.
+    pub fn reported(&mut self, now: Timestamp, instance: &str, version: WeightVersion, is_loading: bool, orders: u64) {
+        let pause = self.settings.retry_pause;
+        let Some(state) = self.engines.get_mut(instance) else { return };
+        state.is_sending = false;
+        state.orders = Some(orders);
+        if version > state.held {
+            state.held = version;
+        }
+        if is_loading {
+            state.orders = None;
+            state.not_before = now + pause;
+        }
+    }
+
+    /// Records that an engine could not be asked.
+    pub fn unreachable(&mut self, now: Timestamp, instance: &str) {
+        let pause = self.settings.retry_pause;
+        let Some(state) = self.engines.get_mut(instance) else { return };
+        state.is_sending = false;
+        state.not_before = now + pause;
+    }
+
+    /// Forgets how many orders each engine accepted, as another node may have ordered meanwhile.
+    pub fn forget_orders(&mut self) {
+        for state in self.engines.values_mut() {
+            state.orders = None;
+            state.is_sending = false;
+        }
+    }
+
+    /// Returns the engines with their models.
+    pub fn models(&self) -> impl Iterator<Item = (&Name, &Name)> {
+        self.engines.iter().map(|(instance, state)| (instance, &state.model))
+    }
+}
+
+impl EngineState {
+    fn new(model: Name) -> Self {
+        Self { model, held: 0, ordered: None, is_sending: false, orders: None, not_before: Timestamp::default() }
+    }
+}
--- a/crates/trestlerack/tests/pages.rs
+++ b/crates/trestlerack/tests/pages.rs
@@ -6,7 +6,7 @@
 use std::fmt::Write;
 use std::path::{Path, PathBuf};
 use trestlerack::event::{ALL_EVENTS, Severity};
-use trestlerack::process::SETTINGS_FIELDS;
+use trestlerack::process::{ENTRY_FIELDS, SETTINGS_FIELDS};
 use trestlerack::schema::{FieldKind, FieldSpec, describe};
 use trestlerack::version::DECLARATION_SECTIONS;
 
@@ -48,6 +48,7 @@
 #[test]
 fn the_settings_page_says_what_the_code_accepts() {
     check_part("SETTINGS.md", "settings", &field_table(SETTINGS_FIELDS));
+    check_part("SETTINGS.md", "entry", &field_table(ENTRY_FIELDS));
     let mut tables = field_table(DECLARATION_SECTIONS);
     for section in DECLARATION_SECTIONS {
         if let FieldKind::Records(fields) = section.kind {
--- /dev/null
+++ b/crates/trestlerackd/src/entry/adoption.rs
@@ -0,0 +1,163 @@
+//! Takes over jobs whose owner is gone.
+//!
+//! Any node may take a job by a conditional write of its head; the writes of the node before it
+//! then fail. Who looks first is decided by rank, so that nodes rarely race.
+
+use super::job_driver;
+use super::node::{EntryNode, JobView};
+use super::{job_calls, tables};
+use crate::process::logs;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::border::StoreError;
+use trestlerack::hash::{hash_parts, rendezvous_weight};
+use trestlerack::request::JobHead;
+use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
+use trestlerack::{Name, Timestamp, event};
+
+/// Interval between two looks at all open jobs.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time without news of a job after which its first two successors ask its owner.
+const QUIET_TIME: Duration = Duration::from_millis(500);
+
+/// The same for every other node, and what each further rank adds.
+const QUIET_TIME_OTHERS: Duration = Duration::from_millis(1_500);
+const RANK_TIME: Duration = Duration::from_millis(200);
+
+/// Nodes that ask the owner early.
+const SUCCESSORS: usize = 2;
+
+/// Time between two questions about one job.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Questions without an answer after which the owner counts as gone.
+const STRIKES: u32 = 2;
+
+/// What this node asked about a job.
+#[derive(Default)]
+struct JobSuspicion {
+    asked_at: Timestamp,
+    strikes: u32,
+    unclaimed_since: Option<Timestamp>,
+}
+
+/// Looks after open jobs until the process ends.
+pub async fn watch_owners(node: Arc<EntryNode>) {
+    let mut suspicions: HashMap<Name, JobSuspicion> = HashMap::new();
+    loop {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        if node.is_stopping() || node.routing().is_none() {
+            continue;
+        }
+        let open = open_jobs(&node);
+        suspicions.retain(|job, _| open.iter().any(|(id, _)| id == job));
+        for (job, view) in open {
+            let suspicion = suspicions.entry(job.clone()).or_default();
+            if is_due(&node, &job, &view, suspicion).await {
+                take_over(&node, &job).await;
+            }
+        }
+    }
+}
+
+fn open_jobs(node: &EntryNode) -> Vec<(Name, JobView)> {
+    let drivers = node.drivers.lock().unwrap();
+    let jobs = node.jobs.lock().unwrap();
+    let is_open = |id: &Name, view: &JobView| !view.is_ended && !view.head.is_whole() && !drivers.contains_key(id);
+    jobs.iter().filter(|(id, view)| is_open(id, view)).map(|(id, view)| (id.clone(), view.clone())).collect()
+}
+
+/// Returns this node's place in the line of a job's successors.
+fn rank(node: &EntryNode, job: &Name, owner: &Name) -> usize {
+    let key = hash_parts(&[job]);
+    let own = rendezvous_weight(key, &node.settings.name);
+    let names = node.peers.names();
+    let others = names.iter().filter(|name| *name != owner && **name != node.settings.name);
+    others.filter(|name| rendezvous_weight(key, name) > own).count()
+}
+
+async fn is_due(node: &Arc<EntryNode>, job: &Name, view: &JobView, suspicion: &mut JobSuspicion) -> bool {
+    let now = node.now();
+    let head = &view.head;
+    if head.owner == node.settings.name {
+        return true;
+    }
+    let rank = rank(node, job, &head.owner);
+    let rank_time = RANK_TIME * u32::try_from(rank).unwrap_or(u32::MAX);
+    if head.owner.is_empty() {
+        let since = *suspicion.unclaimed_since.get_or_insert(now);
+        return now.since(since) >= rank_time;
+    }
+    suspicion.unclaimed_since = None;
+    let quiet_time = if rank < SUCCESSORS { QUIET_TIME } else { QUIET_TIME_OTHERS + rank_time };
+    let is_quiet = now.since(view.changed_at) >= quiet_time;
+    if !is_quiet || now.since(suspicion.asked_at) < ASK_INTERVAL {
+        return false;
+    }
+    suspicion.asked_at = now;
+    match node.peers.drives(&head.owner_address, job).await {
+        Some(true) => {
+            suspicion.strikes = 0;
+            false
+        }
+        Some(false) => true,
+        None => {
+            suspicion.strikes += 1;
+            logs::write(event::OWNER_SILENT, &[("job", job), ("owner", &head.owner), ("strikes", &suspicion.strikes)]);
+            suspicion.strikes >= STRIKES
+        }
+    }
+}
+
+/// Takes a job over, on condition that its head is as it was read just now.
+async fn take_over(node: &Arc<EntryNode>, job: &Name) {
+    let why = match try_take_over(node, job).await {
+        Ok(true) => return,
+        Ok(false) => "the job is ended or has another owner".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    logs::write(event::JOB_NOT_TAKEN, &[("job", job), ("why", &why)]);
+}
+
+async fn try_take_over(node: &Arc<EntryNode>, job: &Name) -> Result<bool, StoreError> {
+    let seen = node.job(job).ok_or(StoreError::Unknown)?;
+    let rows = tables::read_all(&node.store, tables::STATE, job).await?;
+    if rows.iter().any(|row| &*row.key == tables::END) {
+        node.learn_end(job);
+        return Ok(false);
+    }
+    let row = rows.into_iter().find(|row| &*row.key == tables::HEAD).ok_or(StoreError::Unknown)?;
+    let held: JobHead = tables::decode(&row.value)?;
+    if held.fence != seen.head.fence || held.owner != seen.head.owner {
+        node.learn_head(held, row.version, job);
+        return Ok(false);
+    }
+    let spec = Arc::new(job_calls::load_spec(node, job, &held).await?);
+    let head = JobHead {
+        owner: node.settings.name.clone(),
+        owner_address: node.settings.peer_listen.clone(),
+        incarnation: node.incarnation,
+        fence: held.fence + 1,
+        write_id: node.write_id(),
+        ..held.clone()
+    };
+    let transaction = RowTransaction::new(job.clone()).expect(tables::STATE, tables::HEAD, row.version).put(
+        tables::STATE,
+        tables::HEAD,
+        tables::encode(&head),
+    );
+    match node.store.call(&StoreCall::Commit(transaction)).await? {
+        StoreReply::Committed(moment) => {
+            let fields: [(&str, &dyn std::fmt::Display); 4] =
+                [("job", job), ("from", &held.owner), ("fence", &head.fence), ("listed", &head.listed)];
+            logs::write(event::JOB_TAKEN, &fields);
+            node.learn_head(head.clone(), moment.version, job);
+            job_driver::start(node, spec, head, moment.version);
+            Ok(true)
+        }
+        StoreReply::Conflict(_) => Ok(false),
+        _ => Err(StoreError::Unknown),
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -0,0 +1,157 @@
+//! One attempt of a request at one backend server.
+
+use super::node::{EntryNode, ServerTicket};
+use super::pool::{ConnectionLease, ExchangeError};
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack_platform::{self as platform, EngineRequest, ReplyHead};
+
+/// Longest answer that is read whole before it is passed on, in bytes.
+const MAX_ANSWER: usize = 32 * 1024 * 1024;
+
+/// A whole answer of a backend server.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// What the headers say.
+    pub head: ReplyHead,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// The head of an answer whose body is still to come.
+pub struct OpenAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// What the headers say.
+    pub head: ReplyHead,
+    /// Body.
+    pub body: Incoming,
+    /// Connection; dropping it cancels the work.
+    pub lease: ConnectionLease,
+    /// Counts the request at its server.
+    pub ticket: ServerTicket,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Debug)]
+pub enum AttemptError {
+    /// The server did not run the request.
+    NotRun(String),
+    /// The server may have run the request.
+    MayHaveRun(String),
+}
+
+impl std::fmt::Display for AttemptError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotRun(detail) => write!(formatter, "not run: {detail}"),
+            Self::MayHaveRun(detail) => write!(formatter, "may have run: {detail}"),
+        }
+    }
+}
+
+/// Sends a request and returns the head of its own answer, checked against the request's id.
+pub async fn open_answer(
+    node: &Arc<EntryNode>,
+    ticket: ServerTicket,
+    request: EngineRequest<'_>,
+    wants_fresh: bool,
+) -> Result<OpenAnswer, AttemptError> {
+    let instance = ticket.server.instance.clone();
+    let request_id = request.request_id.to_owned();
+    let encoded = platform::encode_request(request).map_err(|error| AttemptError::NotRun(error.to_string()))?;
+    let sent = node.pool.send(&ticket.server.address, encoded, wants_fresh).await;
+    let (response, lease) = match sent {
+        Ok(answer) => answer,
+        Err(error) => {
+            node.board.lock().unwrap().failed(node.now(), &instance);
+            return Err(match error {
+                ExchangeError::NotSent(detail) => AttemptError::NotRun(detail),
+                ExchangeError::NoAnswer(detail) => AttemptError::MayHaveRun(detail),
+            });
+        }
+    };
+    let (parts, body) = response.into_parts();
+    let head = platform::decode_reply_head(&parts.headers);
+    let is_foreign = head.request_id.as_deref().is_some_and(|id| id != request_id);
+    if is_foreign {
+        return Err(AttemptError::MayHaveRun("an answer to another request came".into()));
+    }
+    if let Some(load) = head.load {
+        node.board.lock().unwrap().stated_load(node.now(), &instance, load.running, load.waiting);
+    }
+    let is_other_server = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    if head.is_not_run || is_other_server {
+        let is_gone = platform::names_instance(&parts.headers).is_some_and(|other| other != instance);
+        note_refusal(node, &instance, is_gone);
+        keep_after_body(node, body, lease, &head).await;
+        return Err(AttemptError::NotRun(format!("refused with {}", parts.status)));
+    }
+    if head.is_encoded {
+        return Err(AttemptError::MayHaveRun("the answer is encoded, so it is not the server's own body".into()));
+    }
+    if head.signature.is_none() || head.request_id.is_none() {
+        return Err(AttemptError::MayHaveRun(format!("the answer of status {} is not signed", parts.status)));
+    }
+    Ok(OpenAnswer { status: parts.status, headers: parts.headers, head, body, lease, ticket })
+}
+
+fn note_refusal(node: &EntryNode, instance: &str, is_gone: bool) {
+    let mut board = node.board.lock().unwrap();
+    if is_gone {
+        board.failed(node.now(), instance);
+    } else {
+        board.refused(node.now(), instance);
+    }
+}
+
+/// Reads the short body of a refusal, so that its connection can be used again.
+async fn keep_after_body(node: &Arc<EntryNode>, body: Incoming, lease: ConnectionLease, head: &ReplyHead) {
+    const REFUSAL_BYTES: usize = 4 * 1024;
+    const REFUSAL_TIME: Duration = Duration::from_millis(50);
+    let read = tokio::time::timeout(REFUSAL_TIME, Limited::new(body, REFUSAL_BYTES).collect()).await;
+    if matches!(read, Ok(Ok(_))) && !head.is_closing {
+        node.pool.keep(lease, head.idle_limit);
+    }
+}
+
+/// Makes an attempt and reads the whole answer, within `limit`.
+pub async fn whole_answer(
+    node: &Arc<EntryNode>,
+    ticket: ServerTicket,
+    request: EngineRequest<'_>,
+    wants_fresh: bool,
+    limit: Duration,
+) -> Result<WholeAnswer, AttemptError> {
+    let instance = ticket.server.instance.clone();
+    let exchange = async {
+        let open = open_answer(node, ticket, request, wants_fresh).await?;
+        let body = Limited::new(open.body, MAX_ANSWER).collect().await;
+        let Ok(body) = body else {
+            node.board.lock().unwrap().failed(node.now(), &instance);
+            return Err(AttemptError::MayHaveRun("the answer broke off".into()));
+        };
+        node.board.lock().unwrap().succeeded(&instance);
+        if !open.head.is_closing {
+            node.pool.keep(open.lease, open.head.idle_limit);
+        }
+        Ok(WholeAnswer { status: open.status, headers: open.headers, head: open.head, body: body.to_bytes() })
+    };
+    match tokio::time::timeout(limit, exchange).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            node.board.lock().unwrap().failed(node.now(), &instance);
+            Err(AttemptError::MayHaveRun("no whole answer in time".into()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -0,0 +1,235 @@
+//! Follows the store's tables: the operator's, service discovery's and the system's own.
+
+use super::node::EntryNode;
+use super::tables;
+use crate::process::logs;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use trestlerack::border::StoreError;
+use trestlerack::process::ServerEntry;
+use trestlerack::rows::{RowStore, StoreCall, StoreReply, StoredRow};
+use trestlerack::version::{EngineAssignment, WeightPlanSettings};
+use trestlerack::{Name, event};
+use trestlerack_platform as platform;
+
+/// Longest wait of a watch. A store that falls silent is noticed this long after it did.
+const WATCH_WAIT_MS: u64 = 700;
+
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause after news of service discovery, whose entries change with each heartbeat; the bound on
+/// leaving servers is two seconds.
+const SERVER_PAUSE: Duration = Duration::from_millis(150);
+
+/// Follows one table until the process ends.
+pub async fn follow(node: Arc<EntryNode>, table: &'static str) {
+    let mut known: Option<u64> = None;
+    loop {
+        let step = match known {
+            None => read_whole(&node, table).await.map(Some),
+            Some(after) => watch_once(&node, table, after).await,
+        };
+        match step {
+            Ok(version) => {
+                node.registry.lock().unwrap().store_returned(node.now());
+                if version.is_none() {
+                    logs::write(event::HISTORY_LOST, &[("table", &table)]);
+                }
+                known = version;
+                if table == platform::SERVER_TABLE {
+                    tokio::time::sleep(SERVER_PAUSE).await;
+                }
+            }
+            Err(_) => {
+                node.registry.lock().unwrap().store_lost();
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn watch_once(node: &Arc<EntryNode>, table: &str, after: u64) -> Result<Option<u64>, StoreError> {
+    let call = StoreCall::Watch { table: table.into(), after, wait_ms: WATCH_WAIT_MS };
+    match node.store.call(&call).await? {
+        StoreReply::Rows { rows, moment, .. } => {
+            let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
+            apply_rows(node, table, rows);
+            Ok(Some(after.max(moment.version).max(newest)))
+        }
+        StoreReply::HistoryLost => Ok(None),
+        _ => Err(StoreError::Unknown),
+    }
+}
+
+/// Reads a table whole and returns the version from which changes are to be followed.
+async fn read_whole(node: &Arc<EntryNode>, table: &'static str) -> Result<u64, StoreError> {
+    let (partitions, version) = list_partitions(node, table).await?;
+    let mut all = Vec::new();
+    for partition in partitions {
+        let rows = tables::read_all(&node.store, table, &partition).await?;
+        all.extend(rows);
+    }
+    if table == platform::SERVER_TABLE {
+        replace_servers(node, &all);
+    } else {
+        apply_rows(node, table, all);
+    }
+    Ok(version)
+}
+
+async fn list_partitions(node: &Arc<EntryNode>, table: &str) -> Result<(Vec<Name>, u64), StoreError> {
+    let (mut all, mut version): (Vec<Name>, Option<u64>) = (Vec::new(), None);
+    loop {
+        let after = all.last().cloned().unwrap_or_else(|| "".into());
+        match node.store.call(&StoreCall::Partitions { table: table.into(), after }).await? {
+            StoreReply::Partitions { names, more, moment } => {
+                version.get_or_insert(moment.version);
+                let is_over = !more || names.is_empty();
+                all.extend(names);
+                if is_over {
+                    return Ok((all, version.unwrap_or(0)));
+                }
+            }
+            _ => return Err(StoreError::Unknown),
+        }
+    }
+}
+
+fn apply_rows(node: &Arc<EntryNode>, table: &str, rows: Vec<StoredRow>) {
+    match table {
+        platform::OPERATOR_TABLE => rows.iter().for_each(|row| apply_operator_row(node, row)),
+        platform::SERVER_TABLE => apply_server_rows(node, &rows),
+        _ => rows.iter().for_each(|row| apply_state_row(node, row)),
+    }
+}
+
+fn apply_operator_row(node: &Arc<EntryNode>, row: &StoredRow) {
+    match platform::decode_operator_row(row) {
+        Ok(platform::OperatorRow::Routing(table)) => {
+            let mut routing = node.routing.write().unwrap();
+            // Only forward: a stale read must not bring an older configuration back.
+            if routing.as_ref().is_none_or(|held| held.version < table.version) {
+                let fields: [(&str, &dyn std::fmt::Display); 2] = [("version", &table.version), ("row", &row.version)];
+                logs::write(event::ROUTING_APPLIED, &fields);
+                *routing = Some(Arc::new(table));
+            }
+        }
+        Ok(platform::OperatorRow::Weights { model, version }) => {
+            let mut targets = node.targets.lock().unwrap();
+            let target = targets.entry(model.clone()).or_insert(0);
+            if version > *target {
+                *target = version;
+                logs::write(event::WEIGHTS_TARGETED, &[("model", &model), ("version", &version)]);
+            }
+        }
+        Ok(platform::OperatorRow::Other) => {}
+        Err(error) => logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]),
+    }
+}
+
+fn apply_server_rows(node: &Arc<EntryNode>, rows: &[StoredRow]) {
+    let now = node.now();
+    let mut registry = node.registry.lock().unwrap();
+    let mut is_news = false;
+    for row in rows {
+        if row.removed {
+            is_news |= registry.remove(now, &row.key);
+            logs::write(event::SERVER_CHANGED, &[("server", &row.key), ("state", &"removed")]);
+            continue;
+        }
+        match platform::decode_server(row) {
+            Ok(entry) => is_news |= put_server(&mut registry, entry),
+            Err(error) => logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]),
+        }
+    }
+    is_news |= !registry.expire(now).is_empty();
+    if is_news {
+        node.board.lock().unwrap().sync(&registry);
+    }
+}
+
+fn put_server(registry: &mut trestlerack::process::ServerRegistry, entry: ServerEntry) -> bool {
+    let was = registry.get(&entry.instance).map(|held| held.is_draining);
+    if was != Some(entry.is_draining) {
+        let state = if entry.is_draining { "draining" } else { "ready" };
+        let fields: [(&str, &dyn std::fmt::Display); 4] =
+            [("server", &entry.instance), ("service", &entry.service), ("address", &entry.address), ("state", &state)];
+        logs::write(event::SERVER_CHANGED, &fields);
+    }
+    registry.put(entry)
+}
+
+fn replace_servers(node: &Arc<EntryNode>, rows: &[StoredRow]) {
+    let mut entries = Vec::new();
+    for row in rows {
+        match platform::decode_server(row) {
+            Ok(entry) => entries.push(entry),
+            Err(error) => logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]),
+        }
+    }
+    let count = entries.len();
+    let mut registry = node.registry.lock().unwrap();
+    registry.replace(node.now(), entries);
+    node.board.lock().unwrap().sync(&registry);
+    drop(registry);
+    node.has_registry.store(true, Ordering::Relaxed);
+    logs::write(event::SERVERS_READ, &[("count", &count)]);
+}
+
+fn apply_state_row(node: &Arc<EntryNode>, row: &StoredRow) {
+    let applied = match &*row.partition {
+        tables::NODES => apply_node_row(node, row),
+        tables::ENGINES => apply_engine_row(node, row),
+        tables::LEASES => apply_lease_row(node, row),
+        _ => apply_job_row(node, row),
+    };
+    if let Err(error) = applied {
+        logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]);
+    }
+}
+
+fn apply_node_row(node: &Arc<EntryNode>, row: &StoredRow) -> Result<(), StoreError> {
+    let peer = if row.removed { None } else { Some(tables::decode(&row.value)?) };
+    node.peers.put(&row.key, peer);
+    Ok(())
+}
+
+fn apply_engine_row(node: &Arc<EntryNode>, row: &StoredRow) -> Result<(), StoreError> {
+    if row.removed {
+        node.assignments.lock().unwrap().remove(&row.key);
+        return Ok(());
+    }
+    learn_assignment(node, &row.key, tables::decode(&row.value)?);
+    Ok(())
+}
+
+/// Takes over what an engine was ordered: it takes no new work until it holds the version.
+pub fn learn_assignment(node: &Arc<EntryNode>, instance: &Name, assignment: EngineAssignment) {
+    if assignment.version > 0 {
+        let age = Duration::from_millis(node.store.clock_ms().saturating_sub(assignment.ordered_ms));
+        let load_time = WeightPlanSettings::default().load_time;
+        let until = node.now() + load_time.saturating_sub(age);
+        node.board.lock().unwrap().loading(instance, &assignment.model, assignment.version, until);
+    }
+    node.assignments.lock().unwrap().insert(instance.clone(), assignment);
+}
+
+fn apply_lease_row(node: &Arc<EntryNode>, row: &StoredRow) -> Result<(), StoreError> {
+    let lease = if row.removed { None } else { Some((row.version, tables::decode(&row.value)?)) };
+    let mut held = node.lease_row.lock().unwrap();
+    if held.as_ref().is_none_or(|(version, _)| *version < row.version) {
+        *held = lease;
+    }
+    Ok(())
+}
+
+fn apply_job_row(node: &Arc<EntryNode>, row: &StoredRow) -> Result<(), StoreError> {
+    match (&*row.key, row.removed) {
+        (tables::HEAD, false) => node.learn_head(tables::decode(&row.value)?, row.version, &row.partition),
+        (tables::END, false) => node.learn_end(&row.partition),
+        _ => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/front.rs
@@ -0,0 +1,217 @@
+//! Serves clients: accepts their connections and hands each request to what it is about.
+
+use super::attempt::OpenAnswer;
+use super::node::EntryNode;
+use super::{job_calls, plain};
+use crate::process::logs;
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderMap, Method};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode, header};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use trestlerack::version::{RouteKind, RoutingTable};
+use trestlerack::{Name, event};
+use trestlerack_platform::{self as platform, ClientHead, FrontCall};
+
+/// Time that an idle connection of a client stays open before a configuration says otherwise.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// Longest head of a request, in bytes; configurations seen allow 16 KiB.
+const MAX_HEADER: usize = 32 * 1024;
+
+/// Time after which a client is told to return while this node knows no configuration.
+const NO_CONFIG_RETURN: Duration = Duration::from_millis(200);
+
+/// Body of a reply.
+pub type ReplyBody = UnsyncBoxBody<Bytes, hyper::Error>;
+
+/// A request that was read whole.
+pub struct ClientRequest {
+    /// Method.
+    pub method: Method,
+    /// Host that selects the route.
+    pub host: Name,
+    /// Path without its query.
+    pub path: Name,
+    /// Path with its query.
+    pub path_and_query: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// What the headers say.
+    pub head: ClientHead,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Builds a reply body that is whole.
+pub fn full_reply(body: impl Into<Bytes>) -> ReplyBody {
+    Full::new(body.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Passes an answer on as it arrives; a break on the way breaks the reply too.
+pub fn stream_reply(node: &Arc<EntryNode>, open: OpenAnswer) -> Response<ReplyBody> {
+    let mut headers = HeaderMap::new();
+    plain::copy_headers(&open.headers, &mut headers);
+    let status = open.status;
+    let node = node.clone();
+    let frames = stream::unfold(Some((open.body, open.lease, open.ticket, open.head)), move |state| {
+        let node = node.clone();
+        async move {
+            let (mut body, lease, ticket, head) = state?;
+            match body.frame().await {
+                Some(Ok(frame)) => Some((Ok(frame), Some((body, lease, ticket, head)))),
+                Some(Err(error)) => Some((Err(error), None)),
+                None => {
+                    if !head.is_closing {
+                        node.pool.keep(lease, head.idle_limit);
+                    }
+                    None
+                }
+            }
+        }
+    });
+    let mut reply = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    reply
+}
+
+/// Accepts clients until the planned stop closes the node.
+pub async fn serve(node: Arc<EntryNode>, listener: TcpListener) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_client(node.clone(), stream));
+        }
+    }
+}
+
+async fn serve_client(node: Arc<EntryNode>, stream: TcpStream) {
+    super::pool::prepare(&stream);
+    node.client_connections.fetch_add(1, Ordering::Relaxed);
+    let idle = node.routing().map_or(DEFAULT_IDLE, |table| Duration::from_millis(table.limits.idle_timeout_ms));
+    let mut closing = node.closing.subscribe();
+    let handler_node = node.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let node = handler_node.clone();
+        async move { Ok::<_, Infallible>(answer(&node, request).await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(MAX_HEADER)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // A client that breaks its connection has nobody left to tell.
+        _ = connection.as_mut() => {}
+        () = wait_true(&mut closing) => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.as_mut().await;
+        }
+    }
+    node.client_connections.fetch_sub(1, Ordering::Relaxed);
+}
+
+async fn wait_true(flag: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the node, so this ends only when the value turns true.
+    let _ = flag.wait_for(|value| *value).await;
+}
+
+async fn answer(node: &Arc<EntryNode>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let (parts, body) = request.into_parts();
+    let head = platform::decode_client_head(&parts.headers);
+    let id = head.request_id.clone();
+    let Some(routing) = node.routing() else {
+        logs::write(event::REQUEST_REFUSED, &[("request", &or_empty(&id)), ("why", &"no configuration is known")]);
+        return platform::not_run_reply(id.as_ref(), NO_CONFIG_RETURN).map(full_reply);
+    };
+    let body = match Limited::new(body, routing.limits.max_body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            logs::write(event::REQUEST_REFUSED, &[("request", &or_empty(&id)), ("why", &error)]);
+            return own_reply(StatusCode::PAYLOAD_TOO_LARGE, id.as_ref());
+        }
+    };
+    let host = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
+    let request = ClientRequest {
+        host: host.into(),
+        path: parts.uri.path().into(),
+        path_and_query: parts.uri.path_and_query().map_or_else(String::new, ToString::to_string),
+        method: parts.method,
+        headers: parts.headers,
+        head,
+        body,
+    };
+    let mut reply = dispatch(node, &routing, request, parts.uri.query().unwrap_or("")).await;
+    if node.is_stopping() {
+        reply.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+fn or_empty(id: &Option<Name>) -> Name {
+    id.clone().unwrap_or_else(|| "".into())
+}
+
+/// Builds a reply of this system's own without a body.
+pub fn own_reply(status: StatusCode, id: Option<&Name>) -> Response<ReplyBody> {
+    platform::plain_reply(status, id, "").map(full_reply)
+}
+
+async fn dispatch(
+    node: &Arc<EntryNode>,
+    routing: &RoutingTable,
+    request: ClientRequest,
+    query: &str,
+) -> Response<ReplyBody> {
+    let id = request.head.request_id.clone();
+    match platform::classify_call(&request.method, &request.path, query) {
+        FrontCall::ReadResults { job, from } => job_calls::read_results(node, &job, from, &request).await,
+        FrontCall::ReadItem { job, item } => job_calls::read_item(node, &job, &item, &request).await,
+        FrontCall::EndJob { job } => job_calls::end_job(node, &job, &request).await,
+        FrontCall::Unknown => own_reply(StatusCode::NOT_FOUND, id.as_ref()),
+        FrontCall::Routed => match routing.select(&request.host, &request.path) {
+            None => {
+                let fields: [(&str, &dyn std::fmt::Display); 3] =
+                    [("request", &or_empty(&id)), ("why", &"no route matches"), ("version", &routing.version)];
+                logs::write(event::REQUEST_REFUSED, &fields);
+                own_reply(StatusCode::NOT_FOUND, id.as_ref())
+            }
+            Some(route) if route.kind == RouteKind::Batch && request.method == Method::POST => {
+                job_calls::submit(node, route, request).await
+            }
+            Some(route) => plain::serve(node, route, request).await,
+        },
+    }
+}
+
+/// Tells the platform whether clients may be sent here.
+pub async fn serve_readiness(node: Arc<EntryNode>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let node = node.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let is_known = request.uri().path() == platform::READY_PATH;
+                let status = match (is_known, node.is_ready()) {
+                    (false, _) => StatusCode::NOT_FOUND,
+                    (true, true) => StatusCode::OK,
+                    (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                async move { Ok::<_, Infallible>(own_reply(status, None)) }
+            });
+            // The platform asks again in a second if its connection breaks.
+            let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -0,0 +1,168 @@
+//! One run of an item at one model engine.
+
+use super::attempt::{self, AttemptError, OpenAnswer};
+use super::job_driver::{self, JobDriver};
+use super::node::{EntryNode, ServerTicket};
+use crate::process::logs;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use http_body_util::BodyExt;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use trestlerack::request::{JobItem, RunEnd};
+use trestlerack::version::WeightVersion;
+use trestlerack::{Name, event};
+use trestlerack_platform::{EngineRequest, EventDecoder};
+
+/// Time to the head of an answer, which comes with the first event; an engine that loads weights
+/// or has a queue needs a second.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Longest pause between two events; a load of weights pauses a run for about a second.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(1_600);
+
+/// Time that an engine is given for one run, which no run of the users' sheets reaches.
+const RUN_TIME: Duration = Duration::from_secs(30);
+
+/// Runs an item and tells its driver how that ended.
+pub async fn run(node: Arc<EntryNode>, driver: Arc<JobDriver>, index: usize, ticket: ServerTicket) {
+    let engine = ticket.server.instance.clone();
+    let started = node.now();
+    let (end, why) = attempt_run(&node, &driver, index, ticket).await;
+    let item = &driver.spec.items[index];
+    let took = node.now().since(started).as_millis();
+    if end != RunEnd::Whole {
+        let fields: [(&str, &dyn std::fmt::Display); 6] = [
+            ("item", &item.id),
+            ("job", &driver.spec.id),
+            ("engine", &engine),
+            ("end", &format!("{end:?}").to_lowercase()),
+            ("why", &why),
+            ("ms", &took),
+        ];
+        logs::write(event::RUN_ENDED, &fields);
+    }
+    node.metrics.run(end);
+    job_driver::run_ended(&node, &driver, index, end);
+}
+
+async fn attempt_run(
+    node: &Arc<EntryNode>,
+    driver: &Arc<JobDriver>,
+    index: usize,
+    ticket: ServerTicket,
+) -> (RunEnd, String) {
+    let item = &driver.spec.items[index];
+    let instance = ticket.server.instance.clone();
+    let resume_after = driver.ledger.lock().unwrap().transcript(index).last_event;
+    let request = EngineRequest {
+        method: Method::POST,
+        path: &item.path,
+        host: &driver.spec.host,
+        request_id: &item.id,
+        headers: item_headers(item),
+        instance: &instance,
+        time_left: Some(RUN_TIME),
+        priority: None,
+        exact_version: None,
+        resume_after,
+        body: item.body.clone(),
+    };
+    let opening = attempt::open_answer(node, ticket, request, false);
+    let open = match tokio::time::timeout(HEAD_TIMEOUT, opening).await {
+        Ok(Ok(open)) => open,
+        Ok(Err(AttemptError::NotRun(detail))) => return (RunEnd::NotRun, detail),
+        Ok(Err(AttemptError::MayHaveRun(detail))) => return (RunEnd::Broken, detail),
+        Err(_) => {
+            node.board.lock().unwrap().failed(node.now(), &instance);
+            return (RunEnd::Broken, "no head of an answer in time".into());
+        }
+    };
+    match open.status {
+        StatusCode::OK => read_events(node, driver, index, open).await,
+        StatusCode::UNPROCESSABLE_ENTITY => (RunEnd::Impossible, "the engine says that it can never be done".into()),
+        status => (RunEnd::Failed, format!("the engine answered {status}")),
+    }
+}
+
+fn item_headers(item: &JobItem) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        let (name, value) = (HeaderName::from_bytes(name.as_bytes()), HeaderValue::from_str(value));
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.insert(name, value);
+        }
+    }
+    headers
+}
+
+async fn read_events(
+    node: &Arc<EntryNode>,
+    driver: &Arc<JobDriver>,
+    index: usize,
+    open: OpenAnswer,
+) -> (RunEnd, String) {
+    let OpenAnswer { mut body, lease, ticket, head, .. } = open;
+    let instance = ticket.server.instance.clone();
+    let model = driver.spec.model_of(&driver.spec.items[index]);
+    let mut version = head.version;
+    note_version(node, &instance, model.as_ref(), version);
+    let mut decoder = EventDecoder::default();
+    let mut last_event_at: Option<Instant> = None;
+    loop {
+        let frame = match tokio::time::timeout(EVENT_TIMEOUT, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) => {
+                node.board.lock().unwrap().failed(node.now(), &instance);
+                return (RunEnd::Broken, error.to_string());
+            }
+            Ok(None) => break,
+            Err(_) => {
+                node.board.lock().unwrap().failed(node.now(), &instance);
+                return (RunEnd::Broken, "no event in time".into());
+            }
+        };
+        let Some(bytes) = frame.data_ref() else { continue };
+        let events = match decoder.feed(bytes) {
+            Ok(events) => events,
+            Err(error) => return (RunEnd::Broken, error.to_string()),
+        };
+        note_pace(node, &instance, &mut last_event_at, events.len());
+        for event in events {
+            if event.version.is_some() {
+                version = event.version;
+                note_version(node, &instance, model.as_ref(), version);
+            }
+            let appended = driver.ledger.lock().unwrap().append(index, &event, version);
+            if let Err(error) = appended {
+                return (RunEnd::Broken, format!("event {} cannot be used: {error:?}", event.number));
+            }
+        }
+    }
+    if !decoder.is_between_events() {
+        return (RunEnd::Broken, "the stream ended within an event".into());
+    }
+    node.board.lock().unwrap().succeeded(&instance);
+    if !head.is_closing {
+        node.pool.keep(lease, head.idle_limit);
+    }
+    (RunEnd::Whole, String::new())
+}
+
+fn note_version(node: &EntryNode, instance: &Name, model: Option<&Name>, version: Option<WeightVersion>) {
+    if let (Some(model), Some(version)) = (model, version) {
+        node.board.lock().unwrap().stated_version(instance, model, version);
+    }
+}
+
+/// Several events may come at once, and the first one waits for the prompt to be read.
+fn note_pace(node: &EntryNode, instance: &Name, last_event_at: &mut Option<Instant>, events: usize) {
+    if events == 0 {
+        return;
+    }
+    let now = Instant::now();
+    if let Some(last) = last_event_at.replace(now) {
+        let gap = now.duration_since(last) / u32::try_from(events).unwrap_or(1);
+        node.board.lock().unwrap().event_gap(node.now(), instance, gap);
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -0,0 +1,98 @@
+//! Counters and histograms, served as text on the metrics address.
+
+use super::node::EntryNode;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, TextEncoder};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use trestlerack::request::RunEnd;
+use trestlerack::version::OrderOutcome;
+
+const SCOPE: &str = "trestlerackd.entry";
+
+/// Counters and histograms of an entry node.
+pub struct EntryMetrics {
+    registry: prometheus::Registry,
+    _meters: SdkMeterProvider,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    runs: Counter<u64>,
+    results: Counter<u64>,
+    orders: Counter<u64>,
+}
+
+impl EntryMetrics {
+    /// Starts the metrics.
+    pub fn start() -> anyhow::Result<Self> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let meters = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = meters.meter(SCOPE);
+        Ok(Self {
+            requests: meter.u64_counter("trestlerack.entry.requests").build(),
+            latency: meter.f64_histogram("trestlerack.entry.latency.ms").build(),
+            runs: meter.u64_counter("trestlerack.entry.runs").build(),
+            results: meter.u64_counter("trestlerack.entry.results").build(),
+            orders: meter.u64_counter("trestlerack.entry.orders").build(),
+            registry,
+            _meters: meters,
+        })
+    }
+
+    /// Counts a client's request by route and status.
+    pub fn request(&self, route: &str, status: StatusCode, took: Duration) {
+        let route = KeyValue::new("route", route.to_owned());
+        self.latency.record(took.as_secs_f64() * 1_000.0, std::slice::from_ref(&route));
+        self.requests.add(1, &[route, KeyValue::new("status", i64::from(status.as_u16()))]);
+    }
+
+    /// Counts a run of an item by how it ended.
+    pub fn run(&self, end: RunEnd) {
+        self.runs.add(1, &[KeyValue::new("end", format!("{end:?}").to_lowercase())]);
+    }
+
+    /// Counts recorded results.
+    pub fn results(&self, count: usize) {
+        self.results.add(count as u64, &[]);
+    }
+
+    /// Counts an order by its outcome.
+    pub fn order(&self, outcome: OrderOutcome) {
+        self.orders.add(1, &[KeyValue::new("outcome", format!("{outcome:?}").to_lowercase())]);
+    }
+
+    fn page(&self) -> Vec<u8> {
+        let mut page = Vec::new();
+        // Text of numbers cannot fail to encode; an empty page would show if it did.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut page);
+        page
+    }
+}
+
+/// Serves the metrics until the process ends.
+pub async fn serve(node: Arc<EntryNode>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let node = node.clone();
+        tokio::spawn(async move {
+            let service = hyper::service::service_fn(move |_: Request<Incoming>| {
+                let mut page = node.metrics.page();
+                page.extend_from_slice(
+                    format!("trestlerack_entry_connections_opened {}\n", node.pool.opened()).as_bytes(),
+                );
+                async move { Ok::<_, Infallible>(Response::new(Full::new(bytes::Bytes::from(page)))) }
+            });
+            // A reader that breaks its connection asks again.
+            let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -0,0 +1,108 @@
+//! The entry service: trestlerack on the users' platform.
+//!
+//! All nodes are alike. Each serves clients, drives the batch jobs that it accepted or took over,
+//! relays store calls for peers, and may hold the lease on weight orders. What has to last is in
+//! the platform's store; see [docs/PLATFORM.md](../../../../docs/PLATFORM.md).
+
+mod adoption;
+mod attempt;
+mod feeds;
+mod front;
+mod item_run;
+mod job_calls;
+mod job_driver;
+mod metrics;
+mod node;
+mod peers;
+mod plain;
+mod pool;
+mod stop;
+mod store;
+mod tables;
+mod weights;
+
+use crate::process::logs;
+use anyhow::Context;
+use node::EntryNode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use trestlerack::event;
+use trestlerack::process::EntrySettings;
+use trestlerack::rows::{RowStore, RowTransaction, StoreCall};
+use trestlerack_platform as platform;
+
+/// Interval at which idle connections are looked through.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Pause before the node's own row is written again.
+const REGISTER_PAUSE: Duration = Duration::from_millis(200);
+
+/// Serves until a signal asks for a planned stop, and then stops as planned.
+pub async fn run(settings: EntrySettings, settings_file: String) -> anyhow::Result<()> {
+    let clients = bind(&settings.client_listen).await?;
+    let readiness = bind(&settings.ready_listen).await?;
+    let peer_calls = bind(&settings.peer_listen).await?;
+    let metrics_calls =
+        if settings.metrics_listen.is_empty() { None } else { Some(bind(&settings.metrics_listen).await?) };
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let hangup = signal(SignalKind::hangup())?;
+    let node = Arc::new(EntryNode::open(settings)?);
+    logs::write(event::NODE_STARTED, &[("node", &node.settings.name), ("zone", &node.settings.zone)]);
+    tokio::spawn(front::serve(node.clone(), clients));
+    tokio::spawn(front::serve_readiness(node.clone(), readiness));
+    tokio::spawn(peers::serve(node.clone(), peer_calls));
+    if let Some(listener) = metrics_calls {
+        tokio::spawn(metrics::serve(node.clone(), listener));
+    }
+    for table in [platform::OPERATOR_TABLE, platform::SERVER_TABLE, tables::STATE] {
+        tokio::spawn(feeds::follow(node.clone(), table));
+    }
+    tokio::spawn(register(node.clone()));
+    tokio::spawn(adoption::watch_owners(node.clone()));
+    tokio::spawn(weights::run(node.clone()));
+    tokio::spawn(expire_connections(node.clone()));
+    tokio::spawn(reload(node.clone(), hangup, settings_file));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop::stop_as_planned(&node).await;
+    Ok(())
+}
+
+async fn bind(address: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("cannot listen on {address}"))
+}
+
+/// Writes the row by which peers find this node, until the store has it.
+async fn register(node: Arc<EntryNode>) {
+    let row = tables::encode(&node.peer_row());
+    let transaction = RowTransaction::new(tables::NODES).put(tables::STATE, &node.settings.name, row);
+    let call = StoreCall::Commit(transaction);
+    while node.store.call(&call).await.is_err() {
+        tokio::time::sleep(REGISTER_PAUSE).await;
+    }
+}
+
+async fn expire_connections(node: Arc<EntryNode>) {
+    loop {
+        tokio::time::sleep(EXPIRE_INTERVAL).await;
+        node.pool.expire();
+    }
+}
+
+/// Checks the settings file again when told that it has changed.
+async fn reload(node: Arc<EntryNode>, mut hangup: tokio::signal::unix::Signal, file: String) {
+    while hangup.recv().await.is_some() {
+        match crate::read_entry_settings(&file) {
+            Ok(settings) => {
+                let is_same = settings == node.settings;
+                logs::write(event::SETTINGS_RELOADED, &[("file", &file), ("same", &is_same)]);
+            }
+            Err(error) => logs::write(event::SETTINGS_REFUSED, &[("file", &file), ("why", &format!("{error:#}"))]),
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -0,0 +1,205 @@
+//! The state that an entry node shares between its tasks.
+
+use super::job_driver::JobDriver;
+use super::metrics::EntryMetrics;
+use super::peers::{PeerClient, PeerRow};
+use super::pool::ConnectionPool;
+use super::store::{DirectStore, RelayedStore};
+use crate::process::clock::SystemClock;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, RwLock};
+use tokio::sync::watch;
+use trestlerack::border::Clock;
+use trestlerack::process::{
+    BoardSettings, EntrySettings, LeaseRow, RegistrySettings, ServerBoard, ServerEntry, ServerRegistry,
+};
+use trestlerack::request::JobHead;
+use trestlerack::version::{EngineAssignment, RoutingTable, WeightVersion};
+use trestlerack::{Name, Timestamp};
+
+/// What this node knows of a job from the store.
+#[derive(Clone, Debug)]
+pub struct JobView {
+    /// The head row.
+    pub head: JobHead,
+    /// Version of the head row.
+    pub version: u64,
+    /// Whether the client ended the job.
+    pub is_ended: bool,
+    /// When the head row was last seen to change.
+    pub changed_at: Timestamp,
+}
+
+/// Everything that lives as long as the process.
+pub struct EntryNode {
+    /// Settings at the start.
+    pub settings: EntrySettings,
+    /// Tells this process from earlier ones on the same VM.
+    pub incarnation: u64,
+    /// Clock.
+    pub clock: SystemClock,
+    /// Connections.
+    pub pool: Arc<ConnectionPool>,
+    /// The store, called directly only.
+    pub direct_store: Arc<DirectStore>,
+    /// The store, directly or through peers.
+    pub store: RelayedStore,
+    /// Peers.
+    pub peers: Arc<PeerClient>,
+    /// Configuration in force; `None` before the first one is known.
+    pub routing: RwLock<Option<Arc<RoutingTable>>>,
+    /// Registered backend servers.
+    pub registry: Mutex<ServerRegistry>,
+    /// What is believed of them.
+    pub board: Mutex<ServerBoard>,
+    /// Whether service discovery was read once.
+    pub has_registry: AtomicBool,
+    /// Versions that trainers named.
+    pub targets: Mutex<BTreeMap<Name, WeightVersion>>,
+    /// What engines were ordered.
+    pub assignments: Mutex<BTreeMap<Name, EngineAssignment>>,
+    /// The lease row on weight orders, with its version.
+    pub lease_row: Mutex<Option<(u64, LeaseRow)>>,
+    /// Jobs by id.
+    pub jobs: Mutex<HashMap<Name, JobView>>,
+    /// Jobs whose end was seen before their head.
+    pub early_ends: Mutex<HashMap<Name, ()>>,
+    /// Changes with every change of a job.
+    pub job_news: watch::Sender<u64>,
+    /// Jobs that this node drives.
+    pub drivers: Mutex<HashMap<Name, Arc<JobDriver>>>,
+    /// Counters and histograms.
+    pub metrics: EntryMetrics,
+    /// Whether a planned stop has begun.
+    pub stopping: watch::Sender<bool>,
+    /// Whether connections of clients are to end.
+    pub closing: watch::Sender<bool>,
+    /// Open connections of clients.
+    pub client_connections: AtomicUsize,
+    writes: AtomicU64,
+}
+
+impl EntryNode {
+    /// Opens a node; nothing is served yet.
+    pub fn open(settings: EntrySettings) -> anyhow::Result<Self> {
+        let pool = Arc::new(ConnectionPool::default());
+        let peers = Arc::new(PeerClient::new(pool.clone(), settings.peer_listen.clone(), settings.seeds.clone()));
+        let direct_store = Arc::new(DirectStore::new(pool.clone(), settings.store.clone()));
+        Ok(Self {
+            incarnation: rand::random::<u64>() >> 1,
+            clock: SystemClock::new(),
+            store: RelayedStore::new(direct_store.clone(), peers.clone()),
+            direct_store,
+            peers,
+            pool,
+            routing: RwLock::new(None),
+            registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
+            board: Mutex::new(ServerBoard::new(BoardSettings::default())),
+            has_registry: AtomicBool::new(false),
+            targets: Mutex::default(),
+            assignments: Mutex::default(),
+            lease_row: Mutex::default(),
+            jobs: Mutex::default(),
+            early_ends: Mutex::default(),
+            job_news: watch::channel(0).0,
+            drivers: Mutex::default(),
+            metrics: EntryMetrics::start()?,
+            stopping: watch::channel(false).0,
+            closing: watch::channel(false).0,
+            client_connections: AtomicUsize::new(0),
+            writes: AtomicU64::new(1),
+            settings,
+        })
+    }
+
+    /// Returns the time now.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Returns a number that no other write of any node has.
+    pub fn write_id(&self) -> u64 {
+        self.incarnation.wrapping_add(self.writes.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Returns the configuration in force.
+    pub fn routing(&self) -> Option<Arc<RoutingTable>> {
+        self.routing.read().unwrap().clone()
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Returns whether clients may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.routing().is_some() && self.has_registry.load(Ordering::Relaxed)
+    }
+
+    /// Returns the row by which peers find this node.
+    pub fn peer_row(&self) -> PeerRow {
+        PeerRow { address: self.settings.peer_listen.clone(), incarnation: self.incarnation }
+    }
+
+    /// Takes over a head row that was read or written, unless a newer one is known.
+    pub fn learn_head(&self, head: JobHead, version: u64, job: &Name) {
+        let now = self.now();
+        let mut jobs = self.jobs.lock().unwrap();
+        match jobs.get_mut(job) {
+            Some(view) if view.version >= version => return,
+            Some(view) => {
+                view.head = head;
+                view.version = version;
+                view.changed_at = now;
+            }
+            None => {
+                let is_ended = self.early_ends.lock().unwrap().remove(job).is_some();
+                jobs.insert(job.clone(), JobView { head, version, is_ended, changed_at: now });
+            }
+        }
+        drop(jobs);
+        self.job_news.send_modify(|count| *count += 1);
+    }
+
+    /// Records that a client ended a job.
+    pub fn learn_end(&self, job: &Name) {
+        match self.jobs.lock().unwrap().get_mut(job) {
+            Some(view) => view.is_ended = true,
+            None => {
+                self.early_ends.lock().unwrap().insert(job.clone(), ());
+            }
+        }
+        if let Some(driver) = self.drivers.lock().unwrap().get(job) {
+            driver.end();
+        }
+        self.job_news.send_modify(|count| *count += 1);
+    }
+
+    /// Returns what is known of a job.
+    pub fn job(&self, job: &str) -> Option<JobView> {
+        self.jobs.lock().unwrap().get(job).cloned()
+    }
+}
+
+/// Counts a request that a backend server works on until it is dropped.
+pub struct ServerTicket {
+    node: Arc<EntryNode>,
+    /// The server.
+    pub server: ServerEntry,
+}
+
+impl ServerTicket {
+    /// Counts a request in.
+    pub fn new(node: &Arc<EntryNode>, server: ServerEntry) -> Self {
+        node.board.lock().unwrap().started(&server.instance);
+        Self { node: node.clone(), server }
+    }
+}
+
+impl Drop for ServerTicket {
+    fn drop(&mut self) {
+        self.node.board.lock().unwrap().ended(&self.server.instance);
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -0,0 +1,205 @@
+//! What nodes ask each other: to relay a store call, and whether a job is driven.
+
+use super::node::EntryNode;
+use super::pool::ConnectionPool;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use trestlerack::Name;
+use trestlerack::border::StoreError;
+use trestlerack::rows::{StoreCall, StoreReply};
+
+/// Path of all calls between nodes.
+const PEER_PATH: &str = "/peer";
+
+/// Time for an answer to a liveness question.
+const PING_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Time that a node gives a store call that it relays.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Longest call or reply, in bytes.
+const MAX_MESSAGE: usize = 8 * 1024 * 1024;
+
+/// A question to a peer.
+#[derive(Serialize, Deserialize)]
+pub enum PeerCall {
+    /// Make a store call and return its reply.
+    Relay(StoreCall),
+    /// Say whether you drive a job.
+    Drives {
+        /// The job.
+        job: Name,
+    },
+}
+
+/// The answer of a peer.
+#[derive(Serialize, Deserialize)]
+pub enum PeerReply {
+    /// Reply of the store.
+    Relayed(StoreReply),
+    /// The store cannot be reached from here either; nothing was done.
+    Unavailable,
+    /// The store call may have been applied.
+    Unknown,
+    /// Whether the job is driven.
+    Drives(bool),
+}
+
+/// The row by which a node tells its peers where it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerRow {
+    /// Address for peers.
+    pub address: Name,
+    /// Incarnation.
+    pub incarnation: u64,
+}
+
+/// Calls peers.
+pub struct PeerClient {
+    pool: Arc<ConnectionPool>,
+    own_address: Name,
+    seeds: Vec<Name>,
+    known: Mutex<BTreeMap<Name, PeerRow>>,
+    turn: AtomicUsize,
+}
+
+impl PeerClient {
+    /// Builds a client that knows the seeds only.
+    pub fn new(pool: Arc<ConnectionPool>, own_address: Name, seeds: Vec<Name>) -> Self {
+        let (known, turn) = (Mutex::default(), AtomicUsize::new(0));
+        Self { pool, own_address, seeds, known, turn }
+    }
+
+    /// Takes over the row of a peer, or its removal.
+    pub fn put(&self, name: &Name, row: Option<PeerRow>) {
+        let mut known = self.known.lock().unwrap();
+        match row {
+            Some(row) => known.insert(name.clone(), row),
+            None => known.remove(name),
+        };
+    }
+
+    /// Returns the names of all registered nodes.
+    pub fn names(&self) -> Vec<Name> {
+        self.known.lock().unwrap().keys().cloned().collect()
+    }
+
+    /// Returns whether any peer may be asked.
+    pub fn has_any(&self) -> bool {
+        !self.addresses().is_empty()
+    }
+
+    fn addresses(&self) -> Vec<Name> {
+        let known = self.known.lock().unwrap();
+        let mut addresses: Vec<Name> = known.values().map(|row| row.address.clone()).collect();
+        addresses.extend(self.seeds.iter().filter(|seed| !addresses.contains(seed)).cloned().collect::<Vec<_>>());
+        addresses.retain(|address| *address != self.own_address);
+        addresses
+    }
+
+    /// Returns up to `most` peers, others with each call, so that one that is down costs one try.
+    pub fn pick(&self, most: usize) -> Vec<Name> {
+        let addresses = self.addresses();
+        if addresses.is_empty() {
+            return Vec::new();
+        }
+        let first = self.turn.fetch_add(1, Ordering::Relaxed);
+        (0..most.min(addresses.len())).map(|offset| addresses[(first + offset) % addresses.len()].clone()).collect()
+    }
+
+    /// Asks a peer to make a store call.
+    pub async fn relay(&self, peer: &Name, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreError> {
+        match self.ask(peer, &PeerCall::Relay(call.clone()), limit).await {
+            Some(PeerReply::Relayed(reply)) => Ok(reply),
+            Some(PeerReply::Unavailable) => Err(StoreError::Unavailable),
+            // A peer that does not answer may still have passed the call on.
+            _ => Err(StoreError::Unknown),
+        }
+    }
+
+    /// Asks a peer whether it drives a job; `None` if it does not answer.
+    pub async fn drives(&self, peer: &Name, job: &Name) -> Option<bool> {
+        match self.ask(peer, &PeerCall::Drives { job: job.clone() }, PING_TIMEOUT).await {
+            Some(PeerReply::Drives(drives)) => Some(drives),
+            _ => None,
+        }
+    }
+
+    async fn ask(&self, peer: &Name, call: &PeerCall, limit: Duration) -> Option<PeerReply> {
+        let mut body = Vec::new();
+        ciborium::into_writer(call, &mut body).ok()?;
+        let request = Request::post(PEER_PATH).header(header::HOST, &**peer).body(Bytes::from(body)).ok()?;
+        tokio::time::timeout(limit, self.exchange(peer, request)).await.ok()?
+    }
+
+    async fn exchange(&self, peer: &Name, request: Request<Bytes>) -> Option<PeerReply> {
+        let (response, lease) = self.pool.send(peer, request, false).await.ok()?;
+        let body = Limited::new(response.into_body(), MAX_MESSAGE).collect().await.ok()?.to_bytes();
+        self.pool.keep(lease, None);
+        ciborium::from_reader(&body[..]).ok()
+    }
+}
+
+/// Answers peers until the process ends.
+pub async fn serve(node: Arc<EntryNode>, listener: TcpListener) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_peer(node.clone(), stream));
+        }
+    }
+}
+
+async fn serve_peer(node: Arc<EntryNode>, stream: TcpStream) {
+    super::pool::prepare(&stream);
+    let service = hyper::service::service_fn(move |request: Request<Incoming>| {
+        let node = node.clone();
+        async move {
+            let reply = match answer(&node, request).await {
+                Some(reply) => Response::new(Full::new(reply)),
+                None => bad_request(),
+            };
+            Ok::<_, Infallible>(reply)
+        }
+    });
+    // A peer that breaks its connection asks again elsewhere.
+    let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+fn bad_request() -> Response<Full<Bytes>> {
+    let mut reply = Response::new(Full::new(Bytes::new()));
+    *reply.status_mut() = StatusCode::BAD_REQUEST;
+    reply
+}
+
+async fn answer(node: &EntryNode, request: Request<Incoming>) -> Option<Bytes> {
+    let body = Limited::new(request.into_body(), MAX_MESSAGE).collect().await.ok()?.to_bytes();
+    let call: PeerCall = ciborium::from_reader(&body[..]).ok()?;
+    let reply = match call {
+        PeerCall::Relay(call) => {
+            let wait = match &call {
+                StoreCall::Watch { wait_ms, .. } => Duration::from_millis(*wait_ms),
+                _ => Duration::ZERO,
+            };
+            // Only directly: a call that wandered from peer to peer might never end.
+            match node.direct_store.call_within(&call, RELAY_TIMEOUT + wait).await {
+                Ok(reply) => PeerReply::Relayed(reply),
+                Err(StoreError::Unavailable) => PeerReply::Unavailable,
+                Err(StoreError::Unknown) => PeerReply::Unknown,
+            }
+        }
+        PeerCall::Drives { job } => PeerReply::Drives(node.drivers.lock().unwrap().contains_key(&job)),
+    };
+    let mut encoded = Vec::new();
+    ciborium::into_writer(&reply, &mut encoded).ok()?;
+    Some(encoded.into())
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -0,0 +1,290 @@
+//! Requests that are passed on to a backend server of their route's service.
+
+use super::attempt::{self, AttemptError, OpenAnswer, WholeAnswer};
+use super::front::{ClientRequest, ReplyBody, full_reply, stream_reply};
+use super::node::{EntryNode, ServerTicket};
+use crate::process::logs;
+use http::{HeaderMap, Method, Response, StatusCode};
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::process::ServerNeed;
+use trestlerack::request::ScoreCall;
+use trestlerack::version::{RequestRoute, RouteKind};
+use trestlerack::{Name, Timestamp, event};
+use trestlerack_platform::{self as platform, EngineRequest};
+
+/// Share of the target latency after which a repeatable request is tried at another server.
+const PATIENCE_SHARE: u32 = 3;
+
+/// Shortest time that a server gets to answer before another one is tried; slow requests of the
+/// users' sheets work for 190 to 220 ms.
+const PATIENCE_LEAST: Duration = Duration::from_millis(400);
+
+/// Pause before servers are looked for again while all are paused or gone.
+const SEARCH_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time after which a client is told to return when no server takes its request.
+const RETURN_TIME: Duration = Duration::from_millis(150);
+
+/// Share of the target latency for which a server is looked for before the request is refused.
+const SEARCH_SHARE: f64 = 0.2;
+
+/// How a request came out when it has no answer of a server.
+enum Shortfall {
+    /// It ran nowhere.
+    NotRun,
+    /// It may have run.
+    MayHaveRun,
+    /// Its time is over, and it may have run.
+    TimedOut,
+}
+
+/// Passes a request on and returns the reply for the client.
+pub async fn serve(node: &Arc<EntryNode>, route: &RequestRoute, request: ClientRequest) -> Response<ReplyBody> {
+    let started = node.now();
+    let limit = time_limit(route, request.head.time_left);
+    let deadline = started + limit;
+    let mut tried = Vec::new();
+    let outcome = if route.streaming {
+        open_stream(node, route, &request, deadline, &mut tried).await.map(Reply::Stream)
+    } else {
+        let wait = node.now();
+        let attempts = attempt_all(node, route, &request, deadline, &mut tried);
+        match tokio::time::timeout(deadline.since(wait), attempts).await {
+            Ok(outcome) => outcome.map(|answer| Reply::Whole(Box::new(answer))),
+            Err(_) => Err(Shortfall::TimedOut),
+        }
+    };
+    let took = node.now().since(started);
+    let reply = match outcome {
+        Ok(Reply::Whole(answer)) => whole_reply(*answer),
+        Ok(Reply::Stream(open)) => stream_reply(node, *open),
+        Err(shortfall) => failure_reply(&request, &shortfall, tried.is_empty()),
+    };
+    log_reply(&request, route, &tried, reply.status(), took);
+    node.metrics.request(&route.name, reply.status(), took);
+    reply
+}
+
+enum Reply {
+    Whole(Box<WholeAnswer>),
+    Stream(Box<OpenAnswer>),
+}
+
+fn log_reply(request: &ClientRequest, route: &RequestRoute, tried: &[Name], status: StatusCode, took: Duration) {
+    let id = request.head.request_id.clone().unwrap_or_else(|| "".into());
+    let servers = tried.join(",");
+    let ms = took.as_millis();
+    let fields: [(&str, &dyn std::fmt::Display); 5] =
+        [("request", &id), ("route", &route.name), ("servers", &servers), ("status", &status.as_u16()), ("ms", &ms)];
+    logs::write(event::REQUEST_ANSWERED, &fields);
+}
+
+fn time_limit(route: &RequestRoute, time_left: Option<Duration>) -> Duration {
+    const NO_LIMIT: Duration = Duration::from_secs(60);
+    let route_limit = if route.timeout_ms == 0 { NO_LIMIT } else { Duration::from_millis(route.timeout_ms) };
+    time_left.map_or(route_limit, |left| left.min(route_limit))
+}
+
+fn whole_reply(answer: WholeAnswer) -> Response<ReplyBody> {
+    let mut reply = Response::new(full_reply(answer.body));
+    *reply.status_mut() = answer.status;
+    copy_headers(&answer.headers, reply.headers_mut());
+    reply
+}
+
+/// Copies the headers that travel on.
+pub fn copy_headers(from: &HeaderMap, to: &mut HeaderMap) {
+    for (name, value) in from {
+        if platform::is_relayed_header(name) {
+            to.append(name.clone(), value.clone());
+        }
+    }
+}
+
+fn failure_reply(request: &ClientRequest, shortfall: &Shortfall, is_untried: bool) -> Response<ReplyBody> {
+    let id = request.head.request_id.as_ref();
+    let reply = match shortfall {
+        Shortfall::NotRun => platform::not_run_reply(id, RETURN_TIME),
+        Shortfall::TimedOut if is_untried => platform::not_run_reply(id, RETURN_TIME),
+        Shortfall::MayHaveRun => platform::plain_reply(StatusCode::BAD_GATEWAY, id, ""),
+        Shortfall::TimedOut => platform::plain_reply(StatusCode::GATEWAY_TIMEOUT, id, ""),
+    };
+    reply.map(full_reply)
+}
+
+/// Tries servers until one answers, the attempts are used up or the request may have run and must
+/// not run again.
+async fn attempt_all(
+    node: &Arc<EntryNode>,
+    route: &RequestRoute,
+    request: &ClientRequest,
+    deadline: Timestamp,
+    tried: &mut Vec<Name>,
+) -> Result<WholeAnswer, Shortfall> {
+    let is_safe = route.kind == RouteKind::Safe;
+    let mut sent = 0;
+    let mut shortfall = Shortfall::NotRun;
+    let mut last_answer = None;
+    while sent < route.max_attempts {
+        let Some(ticket) = find_server(node, route, request, tried).await else { break };
+        let server = ticket.server.clone();
+        tried.push(server.instance.clone());
+        let left = deadline.since(node.now());
+        let patience = PATIENCE_LEAST.max(Duration::from_millis(route.target_latency_ms) * PATIENCE_SHARE);
+        let is_last = sent + 1 == route.max_attempts || !is_safe;
+        let limit = if is_last { left } else { left.min(patience) };
+        let engine_request = engine_request(request, &server.instance, left);
+        match attempt::whole_answer(node, ticket, engine_request, !is_safe, limit).await {
+            // A failure that the server states itself may pass at another one.
+            Ok(answer) if is_safe && answer.status.is_server_error() => {
+                sent += 1;
+                last_answer = Some(answer);
+            }
+            Ok(answer) => return Ok(answer),
+            Err(error) => {
+                log_attempt(request, &server.instance, &error);
+                match error {
+                    AttemptError::NotRun(_) => {}
+                    AttemptError::MayHaveRun(_) => {
+                        sent += 1;
+                        shortfall = Shortfall::MayHaveRun;
+                        if !is_safe {
+                            return Err(shortfall);
+                        }
+                    }
+                }
+            }
+        }
+    }
+    last_answer.ok_or(shortfall)
+}
+
+fn log_attempt(request: &ClientRequest, server: &Name, error: &AttemptError) {
+    let id = request.head.request_id.clone().unwrap_or_else(|| "".into());
+    logs::write(event::ATTEMPT_FAILED, &[("request", &id), ("server", server), ("why", error)]);
+}
+
+/// Finds a server that was not tried yet. While all are paused for a moment, waits a little; a
+/// request that nobody takes is refused early, so that its client can come again in time.
+async fn find_server(
+    node: &Arc<EntryNode>,
+    route: &RequestRoute,
+    request: &ClientRequest,
+    tried: &[Name],
+) -> Option<ServerTicket> {
+    let id = request.head.request_id.as_deref().unwrap_or("");
+    let service = route.service_for(id)?.clone();
+    let search = Duration::from_millis(route.target_latency_ms).mul_f64(SEARCH_SHARE);
+    let until = node.now() + search;
+    loop {
+        if let Some(ticket) = pick_server(node, &service, tried) {
+            return Some(ticket);
+        }
+        if node.now() >= until {
+            return None;
+        }
+        tokio::time::sleep(SEARCH_PAUSE).await;
+    }
+}
+
+fn pick_server(node: &Arc<EntryNode>, service: &Name, tried: &[Name]) -> Option<ServerTicket> {
+    let need = ServerNeed { service, avoid: tried, zone: &node.settings.zone, ..ServerNeed::default() };
+    let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone());
+    entry.map(|entry| ServerTicket::new(node, entry))
+}
+
+fn engine_request<'a>(request: &'a ClientRequest, instance: &'a str, left: Duration) -> EngineRequest<'a> {
+    let mut headers = HeaderMap::new();
+    copy_headers(&request.headers, &mut headers);
+    EngineRequest {
+        method: request.method.clone(),
+        path: &request.path_and_query,
+        host: &request.host,
+        request_id: request.head.request_id.as_deref().unwrap_or(""),
+        headers,
+        instance,
+        time_left: Some(left),
+        priority: None,
+        exact_version: None,
+        resume_after: request.head.resume_after,
+        body: request.body.clone(),
+    }
+}
+
+async fn open_stream(
+    node: &Arc<EntryNode>,
+    route: &RequestRoute,
+    request: &ClientRequest,
+    deadline: Timestamp,
+    tried: &mut Vec<Name>,
+) -> Result<Box<OpenAnswer>, Shortfall> {
+    let mut shortfall = Shortfall::NotRun;
+    while (tried.len() as u32) < route.max_attempts {
+        let Some(ticket) = find_server(node, route, request, tried).await else { break };
+        let instance = ticket.server.instance.clone();
+        tried.push(instance.clone());
+        let left = deadline.since(node.now());
+        let opening = attempt::open_answer(node, ticket, engine_request(request, &instance, left), true);
+        match tokio::time::timeout(left, opening).await {
+            Ok(Ok(open)) => return Ok(Box::new(open)),
+            Ok(Err(error)) => {
+                log_attempt(request, &instance, &error);
+                match error {
+                    AttemptError::NotRun(_) => {}
+                    AttemptError::MayHaveRun(_) if route.resumable => shortfall = Shortfall::MayHaveRun,
+                    AttemptError::MayHaveRun(_) => return Err(Shortfall::MayHaveRun),
+                }
+            }
+            Err(_) => return Err(Shortfall::TimedOut),
+        }
+    }
+    Err(shortfall)
+}
+
+/// How a score call came out.
+pub enum ScoreEnd {
+    /// The signature of the scoring service's answer.
+    Scored(Name),
+    /// The scoring service answered that it failed.
+    Failed,
+    /// There is no answer; the call may be made again.
+    NoAnswer,
+}
+
+/// Scores the text of an item. The call may be repeated.
+pub async fn score(node: &Arc<EntryNode>, call: &ScoreCall) -> ScoreEnd {
+    const LIMIT: Duration = Duration::from_millis(700);
+    let Some(routing) = node.routing() else { return ScoreEnd::NoAnswer };
+    let Some(route) = routing.select(&call.host, &call.path) else { return ScoreEnd::NoAnswer };
+    let Some(service) = route.service_for(&call.id) else { return ScoreEnd::NoAnswer };
+    let need = ServerNeed { service, wants_free_place: true, zone: &node.settings.zone, ..ServerNeed::default() };
+    let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone());
+    let Some(entry) = entry else { return ScoreEnd::NoAnswer };
+    let instance = entry.instance.clone();
+    let ticket = ServerTicket::new(node, entry);
+    let request = EngineRequest {
+        method: Method::POST,
+        path: &call.path,
+        host: &call.host,
+        request_id: &call.id,
+        headers: HeaderMap::new(),
+        instance: &instance,
+        time_left: Some(LIMIT),
+        priority: None,
+        exact_version: None,
+        resume_after: None,
+        body: call.body.clone(),
+    };
+    match attempt::whole_answer(node, ticket, request, false, LIMIT).await {
+        Ok(answer) if answer.status.is_success() => match answer.head.signature {
+            Some(signature) => ScoreEnd::Scored(signature),
+            None => ScoreEnd::NoAnswer,
+        },
+        Ok(_) => ScoreEnd::Failed,
+        Err(error) => {
+            logs::write(event::ATTEMPT_FAILED, &[("request", &call.id), ("server", &instance), ("why", &error)]);
+            ScoreEnd::NoAnswer
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/pool.rs
@@ -0,0 +1,180 @@
+//! Connections to backend servers, the store and peers.
+//!
+//! One exchange at a time uses a connection. A connection goes back to the pool only after a whole
+//! answer to the exchange's own request; in any other case it is closed at once, which is also
+//! what cancels the work of a backend server.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use trestlerack::Name;
+
+/// Time to open a connection. Links take a few milliseconds; a lost first packet is repeated after
+/// a second, and another server is tried before that.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time after which unacknowledged bytes break a connection, for peers that are dark.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Idle time of a connection whose server states none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(3);
+
+/// Share of the idle time after which a connection is no longer used, so that its server does not
+/// close it as a request is on the way.
+const IDLE_SHARE: f64 = 0.75;
+
+/// Idle connections kept for one address.
+const MAX_IDLE: usize = 24;
+
+/// Read buffer of a connection, in bytes; answers of engines are small events.
+const READ_BUFFER: usize = 16 * 1024;
+
+/// Why an exchange has no answer.
+#[derive(Debug)]
+pub enum ExchangeError {
+    /// No byte of the request left this node.
+    NotSent(String),
+    /// The request was sent and no answer came.
+    NoAnswer(String),
+}
+
+impl std::fmt::Display for ExchangeError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotSent(detail) => write!(formatter, "not sent: {detail}"),
+            Self::NoAnswer(detail) => write!(formatter, "no answer: {detail}"),
+        }
+    }
+}
+
+struct IdleConnection {
+    connection: OpenConnection,
+    usable_until: Instant,
+}
+
+struct OpenConnection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Connections by address.
+#[derive(Default)]
+pub struct ConnectionPool {
+    idle: Mutex<HashMap<Name, Vec<IdleConnection>>>,
+    opened: AtomicU64,
+}
+
+/// A connection that one exchange uses; dropping it closes it.
+pub struct ConnectionLease {
+    connection: OpenConnection,
+    address: Name,
+}
+
+impl ConnectionPool {
+    /// Returns how many connections were opened.
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// Closes idle connections whose time is over.
+    pub fn expire(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.lock().unwrap();
+        for connections in idle.values_mut() {
+            connections.retain(|held| held.usable_until > now && !held.connection.sender.is_closed());
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
+
+    /// Sends a request and returns the head of the answer with the connection that brings its body.
+    ///
+    /// A pooled connection that turns out closed before the request was written is replaced. With
+    /// `wants_fresh`, a new connection is opened, for requests that must not be sent twice.
+    pub async fn send(
+        &self,
+        address: &Name,
+        request: Request<Bytes>,
+        wants_fresh: bool,
+    ) -> Result<(Response<Incoming>, ConnectionLease), ExchangeError> {
+        let mut request = request.map(Full::new);
+        if !wants_fresh {
+            while let Some(mut lease) = self.take_idle(address) {
+                match lease.connection.sender.try_send_request(request).await {
+                    Ok(response) => return Ok((response, lease)),
+                    Err(mut error) => match error.take_message() {
+                        Some(unsent) => request = unsent,
+                        None => return Err(ExchangeError::NoAnswer(error.error().to_string())),
+                    },
+                }
+            }
+        }
+        let mut lease = self.open(address).await?;
+        match lease.connection.sender.send_request(request).await {
+            Ok(response) => Ok((response, lease)),
+            Err(error) => Err(ExchangeError::NoAnswer(error.to_string())),
+        }
+    }
+
+    fn take_idle(&self, address: &Name) -> Option<ConnectionLease> {
+        let now = Instant::now();
+        let mut idle = self.idle.lock().unwrap();
+        let connections = idle.get_mut(address)?;
+        while let Some(held) = connections.pop() {
+            let is_usable = held.usable_until > now && held.connection.sender.is_ready();
+            if is_usable {
+                return Some(ConnectionLease { connection: held.connection, address: address.clone() });
+            }
+        }
+        None
+    }
+
+    async fn open(&self, address: &Name) -> Result<ConnectionLease, ExchangeError> {
+        let not_sent = |detail: String| ExchangeError::NotSent(detail);
+        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&**address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(not_sent(format!("cannot connect to {address}: {error}"))),
+            Err(_) => return Err(not_sent(format!("connecting to {address} took too long"))),
+        };
+        self.opened.fetch_add(1, Ordering::Relaxed);
+        prepare(&stream);
+        let handshake = http1::Builder::new().max_buf_size(READ_BUFFER).handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
+        let task = tokio::spawn(async move {
+            // The exchange that uses the connection sees the error too and reports it.
+            let _ = connection.await;
+        });
+        Ok(ConnectionLease { connection: OpenConnection { sender, task }, address: address.clone() })
+    }
+
+    /// Takes a connection back after a whole answer.
+    pub fn keep(self: &Arc<Self>, lease: ConnectionLease, idle_limit: Option<Duration>) {
+        let usable = idle_limit.unwrap_or(DEFAULT_IDLE).mul_f64(IDLE_SHARE);
+        let ConnectionLease { connection, address } = lease;
+        let mut idle = self.idle.lock().unwrap();
+        let connections = idle.entry(address).or_default();
+        if connections.len() < MAX_IDLE {
+            connections.push(IdleConnection { connection, usable_until: Instant::now() + usable });
+        }
+    }
+}
+
+/// Sets the options of a socket. A socket that refuses one still works, only less promptly.
+pub fn prepare(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+}
--- a/crates/trestlerackd/src/main.rs
+++ b/crates/trestlerackd/src/main.rs
@@ -4,6 +4,7 @@
 //! laid out by life span, as the library is.
 
 mod connection;
+mod entry;
 mod node;
 mod process;
 mod request;
@@ -12,13 +13,18 @@
 use anyhow::{Context, bail};
 use std::process::ExitCode;
 use std::sync::Arc;
-use trestlerack::process::{DaemonSettings, parse_settings};
+use trestlerack::Name;
+use trestlerack::process::{DaemonSettings, EntrySettings, parse_entry_settings, parse_settings};
+use trestlerack::schema::DocumentFault;
 
 const HELP: &str = "\
 trestlerackd - a node of the trestlerack rollout service
 
 Usage: trestlerackd --settings FILE [--check]
+       trestlerackd entry [--settings FILE] [--check]
 
+  entry            serve on the users' platform (docs/PLATFORM.md); without --settings
+                   the file that TRESTLERACK_CONFIG names is read
   --settings FILE  settings, JSON with comments (docs/SETTINGS.md)
   --check          check the settings, say what is wrong and exit
   --help           print this text
@@ -33,10 +39,14 @@
 /// What the command line asks for.
 enum Command {
     Print(String),
-    Check(DaemonSettings),
+    Check(Name),
     Serve(DaemonSettings),
+    ServeEntry(EntrySettings, String),
 }
 
+/// Variable that names the settings file of the entry service.
+const ENTRY_SETTINGS: &str = "TRESTLERACK_CONFIG";
+
 fn main() -> ExitCode {
     let command = match parse_command() {
         Ok(command) => command,
@@ -45,18 +55,19 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    let settings = match command {
+    let outcome = match command {
         Command::Print(text) => {
             print!("{text}");
             return ExitCode::SUCCESS;
         }
-        Command::Check(settings) => {
-            println!("{}: the settings are well formed", settings.name);
+        Command::Check(name) => {
+            println!("{name}: the settings are well formed");
             return ExitCode::SUCCESS;
         }
-        Command::Serve(settings) => settings,
+        Command::Serve(settings) => serve(settings),
+        Command::ServeEntry(settings, file) => serve_entry(settings, file),
     };
-    match serve(settings) {
+    match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("trestlerackd: {error:#}");
@@ -73,6 +84,11 @@
     if arguments.contains("--version") {
         return Ok(Command::Print(format!("trestlerackd {}\n", env!("CARGO_PKG_VERSION"))));
     }
+    let wants_entry = std::env::args().nth(1).is_some_and(|argument| argument == "entry");
+    if wants_entry {
+        arguments.subcommand()?;
+        return parse_entry_command(arguments);
+    }
     let file: String = arguments.value_from_str("--settings").context("see trestlerackd --help")?;
     let check = arguments.contains("--check");
     let rest = arguments.finish();
@@ -80,18 +96,47 @@
         bail!("unknown arguments {rest:?}; see trestlerackd --help");
     }
     let text = std::fs::read_to_string(&file).with_context(|| format!("cannot read {file}"))?;
-    let settings = parse_settings(&file, &text).map_err(|faults| {
-        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        anyhow::anyhow!("the settings are wrong\n{}", lines.join("\n"))
-    })?;
-    Ok(if check { Command::Check(settings) } else { Command::Serve(settings) })
+    let settings = parse_settings(&file, &text).map_err(settings_error)?;
+    Ok(if check { Command::Check(settings.name) } else { Command::Serve(settings) })
+}
+
+fn parse_entry_command(mut arguments: pico_args::Arguments) -> anyhow::Result<Command> {
+    let file = match arguments.opt_value_from_str("--settings")? {
+        Some(file) => file,
+        None => std::env::var(ENTRY_SETTINGS).with_context(|| format!("--settings or {ENTRY_SETTINGS} is needed"))?,
+    };
+    let check = arguments.contains("--check");
+    let rest = arguments.finish();
+    if !rest.is_empty() {
+        bail!("unknown arguments {rest:?}; see trestlerackd --help");
+    }
+    let settings = read_entry_settings(&file)?;
+    Ok(if check { Command::Check(settings.name) } else { Command::ServeEntry(settings, file) })
+}
+
+/// Reads and checks the settings of the entry service.
+fn read_entry_settings(file: &str) -> anyhow::Result<EntrySettings> {
+    let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {file}"))?;
+    parse_entry_settings(file, &text).map_err(settings_error)
+}
+
+fn settings_error(faults: Vec<DocumentFault>) -> anyhow::Error {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    anyhow::anyhow!("the settings are wrong\n{}", lines.join("\n"))
 }
 
 fn serve(settings: DaemonSettings) -> anyhow::Result<()> {
-    process::logs::start(&settings)?;
+    process::logs::start(&settings.log_level)?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
         let node = Arc::new(node::Node::open(settings)?);
         process::run(node).await
     })
 }
+
+/// Runs the entry service on one thread: its VMs give it half a core.
+fn serve_entry(settings: EntrySettings, file: String) -> anyhow::Result<()> {
+    process::logs::start_bounded(&settings.log_level)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(entry::run(settings, file))
+}
