--- a/crates/trestlerack-standins/tests/failures.rs
+++ b/crates/trestlerack-standins/tests/failures.rs
@@ -206,7 +206,8 @@
     cluster.objects.fault(json!({ "mode": "down" }));
     let fresh = cluster.daemon("b").address.clone();
     eventually("the new node is ready", || request("GET", &fresh, "/readyz", &[], b"").status == 200);
-    assert!(is_whole(&complete(&cluster, 3, 8), 8));
+    let reply = complete(&cluster, 3, 8);
+    assert!(is_whole(&reply, 8), "{} {}", reply.status, reply.body);
 }
 
 #[test]
--- a/crates/trestlerack/src/request/ledger.rs
+++ b/crates/trestlerack/src/request/ledger.rs
@@ -152,6 +152,15 @@
         self.order.iter().copied().filter(move |index| is_due(&self.items[*index]))
     }
 
+    /// Returns the items that run, most urgent first, with their engines.
+    pub fn running(&self) -> Vec<(usize, Name)> {
+        let engine = |index: &usize| match &self.items[*index].phase {
+            ItemPhase::Running(engine) => Some((*index, engine.clone())),
+            _ => None,
+        };
+        self.order.iter().filter_map(engine).collect()
+    }
+
     /// Returns the items whose text is whole and not scored yet.
     pub fn unscored(&self) -> Vec<usize> {
         let is_unscored = |index: &usize| self.items[*index].phase == ItemPhase::Scoring;
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -254,8 +254,8 @@
         driver.record.notify_one();
         return;
     }
-    move_slow_runs(node, driver, route);
     place_items(node, driver, route);
+    move_slow_run(node, driver, route);
     start_scores(node, driver);
 }
 
@@ -283,47 +283,55 @@
     }
 }
 
-/// Moves runs off engines that are much slower than their peers while a faster one has a place:
-/// the connection is closed, which ends the work there, and the run goes on elsewhere.
-fn move_slow_runs(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
+/// Moves a run off an engine that is much slower than its peers while a faster one has a place
+/// that no waiting item wants: the connection is closed, which ends the work there, and the run
+/// goes on elsewhere. One run at each look, because one free place takes one run only.
+fn move_slow_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
     let now = node.now();
     let running: Vec<(usize, Name)> = {
         let ledger = driver.ledger.lock().unwrap();
-        let engine = |index: usize| match ledger.phase(index) {
-            ItemPhase::Running(engine) => Some((index, engine.clone())),
-            _ => None,
-        };
-        (0..driver.spec.items.len()).filter_map(engine).collect()
+        if ledger.waiting(now).next().is_some() {
+            return;
+        }
+        ledger.running()
     };
     for (index, engine) in running {
-        let item = &driver.spec.items[index];
-        let Some(service) = route.service_for(&item.id) else { return };
-        let model = driver.spec.model_of(item);
-        let avoid = [engine.clone()];
-        let need = ServerNeed {
-            service,
-            weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
-            wants_free_place: true,
-            avoid: &avoid,
-            zone: &node.settings.zone,
-        };
-        let board = node.board.lock().unwrap();
-        let slowness = board.slowness(now, &engine);
-        let faster = board
-            .choose(now, &need)
-            .is_some_and(|other| board.slowness(now, &other.entry.instance) * MOVE_SLOWNESS < slowness);
-        drop(board);
-        if slowness < MOVE_SLOWNESS || !faster {
-            continue;
-        }
-        if let Some(run) = driver.runs.lock().unwrap().remove(&index) {
-            run.abort();
-            driver.ledger.lock().unwrap().end_run(now, index, RunEnd::Broken);
-            let fields: [(&str, &dyn std::fmt::Display); 3] =
-                [("item", &item.id), ("engine", &engine), ("slowness", &format!("{slowness:.1}"))];
-            logs::write(event::RUN_MOVED, &fields);
-        }
+        let Some(slowness) = worth_moving(node, driver, route, index, &engine) else { continue };
+        let Some(run) = driver.runs.lock().unwrap().remove(&index) else { continue };
+        run.abort();
+        driver.ledger.lock().unwrap().end_run(now, index, RunEnd::Broken);
+        let item = &driver.spec.items[index].id;
+        let slowness = format!("{slowness:.1}");
+        logs::write(event::RUN_MOVED, &[("item", item), ("engine", &engine), ("slowness", &slowness)]);
+        return;
+    }
+}
+
+/// Returns how slow the engine of a run is, if another one with a free place is much faster.
+fn worth_moving(
+    node: &EntryNode,
+    driver: &JobDriver,
+    route: &RequestRoute,
+    index: usize,
+    engine: &Name,
+) -> Option<f64> {
+    let board = node.board.lock().unwrap();
+    let now = node.now();
+    let slowness = board.slowness(now, engine);
+    if slowness < MOVE_SLOWNESS {
+        return None;
     }
+    let item = &driver.spec.items[index];
+    let model = driver.spec.model_of(item);
+    let need = ServerNeed {
+        service: route.service_for(&item.id)?,
+        weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
+        wants_free_place: true,
+        avoid: std::slice::from_ref(engine),
+        zone: &node.settings.zone,
+    };
+    let other = board.choose(now, &need)?;
+    (board.slowness(now, &other.entry.instance) * MOVE_SLOWNESS < slowness).then_some(slowness)
 }
 
 /// Takes note of the end of a run, from the run's own task.
