Hand weight orders over by engine, keep a model's jobs on one node, store texts

Now each order is told by a row before it is sent, the wait counts from the last try at that engine, and a holder that runs as another incarnation counts as lapsed. Now the node that drives the newest job of a model gets the next one. Cause 3: a lost owner's texts were made again. New text is stored every 700 ms.

--- a/crates/trestlerack/src/request/job.rs
+++ b/crates/trestlerack/src/request/job.rs
@@ -218,3 +218,31 @@
     /// Whether the stream had ended.
     pub is_whole: bool,
 }
+
+/// What was generated of an item's text since it was last stored, for whoever drives the job next.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TextDelta {
+    /// Id of the item.
+    pub id: Name,
+    /// Number of the last event that was stored before; `None` if the delta begins the text.
+    pub after: Option<u64>,
+    /// Number of the last event of the delta.
+    pub last_event: u64,
+    /// Text of the delta, with the line feed that joins it to what was stored before.
+    pub text: String,
+    /// Every version that generated an event of the whole text.
+    pub versions: Vec<WeightVersion>,
+}
+
+impl ItemTranscript {
+    /// Adds a stored delta if it goes on where this text ends. Returns whether it did.
+    pub fn extend(&mut self, delta: &TextDelta) -> bool {
+        if delta.after != self.last_event {
+            return false;
+        }
+        self.text.push_str(&delta.text);
+        self.last_event = Some(delta.last_event);
+        self.versions.clone_from(&delta.versions);
+        true
+    }
+}
--- a/crates/trestlerack/src/request/ledger.rs
+++ b/crates/trestlerack/src/request/ledger.rs
@@ -1,6 +1,6 @@
 //! The state of one job's items while a node drives it.
 
-use super::job::{ItemEvent, ItemTranscript, JobResult, JobSpec, KeptItem, TranscriptError};
+use super::job::{ItemEvent, ItemTranscript, JobResult, JobSpec, KeptItem, TextDelta, TranscriptError};
 use crate::version::WeightVersion;
 use crate::{Name, Timestamp};
 use std::collections::{HashMap, VecDeque};
@@ -63,6 +63,18 @@
     score_failures: u32,
     not_before: Timestamp,
     is_carried: bool,
+    /// Whether the transcript is the whole text; an item that has a result may have none here.
+    is_text_whole: bool,
+    /// The last event that is stored, and the length of the text up to it.
+    stored: (Option<u64>, usize),
+}
+
+impl ItemState {
+    fn forget_text(&mut self) {
+        self.transcript = ItemTranscript::default();
+        self.is_text_whole = false;
+        self.stored = (None, 0);
+    }
 }
 
 /// Drives the items of one job to their results.
@@ -81,12 +93,12 @@
 }
 
 impl JobLedger {
-    /// Builds a ledger; `listed` names the items that already have a recorded result, and `kept`
+    /// Builds a ledger; `listed` holds the results that are recorded already, and `kept`
     /// holds texts from earlier jobs.
     pub fn new(
         spec: Arc<JobSpec>,
         settings: LedgerSettings,
-        listed: &[Name],
+        listed: Vec<JobResult>,
         mut kept: HashMap<Name, KeptItem>,
     ) -> Self {
         let by_id: HashMap<Name, usize> =
@@ -100,9 +112,18 @@
                 Some(kept) if kept.is_whole => ItemPhase::Scoring,
                 _ => ItemPhase::Waiting,
             };
+            let is_text_whole = usable.as_ref().is_some_and(|kept| kept.is_whole);
             let transcript = usable.map(|kept| kept.transcript).unwrap_or_default();
-            let not_before = Timestamp::default();
-            items.push(ItemState { phase, transcript, failures: 0, score_failures: 0, not_before, is_carried });
+            items.push(ItemState {
+                phase,
+                transcript,
+                failures: 0,
+                score_failures: 0,
+                not_before: Timestamp::default(),
+                is_carried,
+                is_text_whole,
+                stored: (None, 0),
+            });
         }
         let mut open_groups: HashMap<Name, usize> = HashMap::new();
         for item in &spec.items {
@@ -111,13 +132,22 @@
         let unlisted = items.len();
         let (order, ready) = (Vec::new(), VecDeque::new());
         let mut ledger = Self { order, unlisted, items, by_id, ready, settings, spec, open_groups };
-        for id in listed {
-            ledger.mark_listed(id);
+        for result in listed {
+            ledger.restore_listed(result);
         }
         ledger.order = ledger.rank_items();
         ledger
     }
 
+    /// Takes over a recorded result; its text is the whole one, whatever was kept of it.
+    fn restore_listed(&mut self, result: JobResult) {
+        let Some(index) = self.index_of(&result.id) else { return };
+        let state = &mut self.items[index];
+        state.is_text_whole = result.is_completed;
+        state.transcript = ItemTranscript { text: result.text, last_event: None, versions: result.versions };
+        self.mark_listed(&result.id);
+    }
+
     /// Longest estimate first, because the longest texts decide when the job is whole; groups
     /// carried over before all others, because the trainer waits for each of them.
     fn rank_items(&self) -> Vec<usize> {
@@ -209,16 +239,17 @@
         match end {
             RunEnd::Whole if state.transcript.last_event.is_some() => {
                 if single_version && state.transcript.versions.len() > 1 {
-                    state.transcript = ItemTranscript::default();
+                    state.forget_text();
                     return false;
                 }
                 state.phase = ItemPhase::Scoring;
+                state.is_text_whole = true;
                 return true;
             }
             RunEnd::Whole | RunEnd::Broken => {
                 state.not_before = now + self.settings.retry_pause;
                 if single_version {
-                    state.transcript = ItemTranscript::default();
+                    state.forget_text();
                 }
             }
             RunEnd::NotRun => {}
@@ -266,7 +297,7 @@
             return;
         }
         state.phase = ItemPhase::Settled;
-        state.transcript = ItemTranscript::default();
+        state.forget_text();
         let id = self.spec.items[index].id.clone();
         self.ready.push_back(JobResult {
             id,
@@ -313,9 +344,29 @@
     fn drop_group_texts(&mut self, group: &str) {
         for (item, state) in self.spec.items.iter().zip(&mut self.items) {
             if &*item.group == group {
-                state.transcript = ItemTranscript::default();
+                state.forget_text();
+            }
+        }
+    }
+
+    /// Takes what was generated since the last call, up to a size in bytes. Short texts are left out:
+    /// making them again costs less than storing them.
+    pub fn take_unstored(&mut self, least_bytes: usize, most_bytes: usize) -> Vec<TextDelta> {
+        let (mut deltas, mut bytes) = (Vec::new(), 0);
+        for (item, state) in self.spec.items.iter().zip(&mut self.items) {
+            let (after, length) = state.stored;
+            let text = &state.transcript.text;
+            let is_open = matches!(state.phase, ItemPhase::Running(_) | ItemPhase::Scoring);
+            let Some(last_event) = state.transcript.last_event.filter(|_| is_open) else { continue };
+            if text.len() < length + least_bytes || bytes >= most_bytes {
+                continue;
             }
+            bytes += text.len() - length;
+            let (text, versions) = (text[length..].to_owned(), state.transcript.versions.clone());
+            state.stored = (Some(last_event), state.transcript.text.len());
+            deltas.push(TextDelta { id: item.id.clone(), after, last_event, text, versions });
         }
+        deltas
     }
 
     /// Returns what exists of each group that is not whole, for a later job that brings it again.
@@ -325,9 +376,8 @@
             if self.open_groups.get(&item.group).is_none_or(|left| *left == 0) {
                 continue;
             }
-            let has_text = state.transcript.last_event.is_some();
-            let is_whole = has_text && matches!(state.phase, ItemPhase::Scoring | ItemPhase::Settled);
-            kept.push(KeptItem { id: item.id.clone(), transcript: state.transcript.clone(), is_whole });
+            let (transcript, is_whole) = (state.transcript.clone(), state.is_text_whole);
+            kept.push(KeptItem { id: item.id.clone(), transcript, is_whole });
         }
         kept
     }
--- a/crates/trestlerack/src/request/mod.rs
+++ b/crates/trestlerack/src/request/mod.rs
@@ -15,7 +15,9 @@
 pub use claim_store::ClaimStore;
 pub use dispatcher::{DispatchAction, DispatchEngine, DispatchEvent, DispatchSettings, EngineDispatcher, QueuedCall};
 pub use group::{GroupAction, GroupDriver, GroupEvent, GroupSettings};
-pub use job::{ItemEvent, ItemTranscript, JobHead, JobItem, JobResult, JobSpec, KeptItem, ScoreCall, TranscriptError};
+pub use job::{
+    ItemEvent, ItemTranscript, JobHead, JobItem, JobResult, JobSpec, KeptItem, ScoreCall, TextDelta, TranscriptError,
+};
 pub use ledger::{ItemPhase, JobLedger, LedgerSettings, RunEnd};
 pub use resume::{ResumeDecision, ResumePolicy, decide_resume};
 pub use sample::{Sample, SampleAssembler, SampleError, VersionRange};
--- a/crates/trestlerack/src/version/weight_plan.rs
+++ b/crates/trestlerack/src/version/weight_plan.rs
@@ -36,7 +36,10 @@
     }
 }
 
-/// The row by which the holder of the order lease tells all nodes what an engine was ordered.
+/// The row by which the holder of the order lease tells all nodes what an engine is ordered.
+///
+/// It is written before the order is sent, so that whoever holds the lease next knows of every
+/// order that may be on its way.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineAssignment {
     /// Model that the engine serves.
@@ -45,6 +48,19 @@
     pub version: WeightVersion,
     /// Time of that order on the store's clock, in milliseconds.
     pub ordered_ms: u64,
+    /// Time of the last try of any order on the store's clock, in milliseconds.
+    pub tried_ms: u64,
+    /// VM that tried it.
+    pub holder: Name,
+}
+
+impl EngineAssignment {
+    /// Returns whether `holder` may order the engine at `clock_ms`: at once if it tried last
+    /// itself, and otherwise once `handover` has passed since the last try of the holder before.
+    pub fn is_open_to(&self, holder: &str, clock_ms: u64, handover: Duration) -> bool {
+        let quiet_until = self.tried_ms + crate::time::millis(handover);
+        self.tried_ms == 0 || &*self.holder == holder || clock_ms >= quiet_until
+    }
 }
 
 /// An order that is due.
@@ -177,8 +193,8 @@
     }
 
     /// Returns the orders to send now, engines with the oldest weights first; `busy` says how much
-    /// an engine has to do, and idle ones load first.
-    pub fn next_orders(&mut self, now: Timestamp, busy: impl Fn(&str) -> u32) -> Vec<DueOrder> {
+    /// an engine has to do, since idle ones load first, or that it may not be ordered yet.
+    pub fn next_orders(&mut self, now: Timestamp, busy: impl Fn(&str) -> Option<u32>) -> Vec<DueOrder> {
         let share = (self.engines.len() as f64 * self.settings.parallel_share).round() as usize;
         let most = share.max(self.settings.parallel_least);
         let load_time = self.settings.load_time;
@@ -189,8 +205,11 @@
         for (instance, state) in &self.engines {
             let Some(target) = self.targets.get(&state.model) else { continue };
             let held = state.ordered.map_or(state.held, |(version, _)| version);
-            if held < *target && !is_loading(state) && state.not_before <= now {
-                due.push((held, busy(instance), instance.clone()));
+            if held >= *target || is_loading(state) || now < state.not_before {
+                continue;
+            }
+            if let Some(busy) = busy(instance) {
+                due.push((held, busy, instance.clone()));
             }
         }
         due.sort();
--- a/crates/trestlerackd/src/entry/adoption.rs
+++ b/crates/trestlerackd/src/entry/adoption.rs
@@ -54,6 +54,10 @@
         let open = open_jobs(&node);
         suspicions.retain(|job, _| open.iter().any(|(id, _)| id == job));
         for (job, view) in open {
+            if is_own(&node, &view.head) {
+                drive_assigned(&node, &job).await;
+                continue;
+            }
             let suspicion = suspicions.entry(job.clone()).or_default();
             if is_due(&node, &job, &view, suspicion).await {
                 take_over(&node, &job).await;
@@ -69,6 +73,48 @@
     jobs.iter().filter(|(id, view)| is_open(id, view)).map(|(id, view)| (id.clone(), view.clone())).collect()
 }
 
+fn is_own(node: &EntryNode, head: &JobHead) -> bool {
+    head.owner == node.settings.name && head.incarnation == node.incarnation
+}
+
+/// Drives a job that names this node as its owner. Returns whether it is driven here now.
+pub async fn drive_assigned(node: &Arc<EntryNode>, job: &Name) -> bool {
+    let is_driven = || node.drivers.lock().unwrap().contains_key(job);
+    if is_driven() {
+        return true;
+    }
+    if node.is_stopping() {
+        return false;
+    }
+    let Ok((head, version, is_ended)) = read_head(node, job).await else { return false };
+    if is_ended || !is_own(node, &head) {
+        return false;
+    }
+    let Ok(spec) = job_calls::load_spec(node, job, &head).await else { return false };
+    node.learn_head(head.clone(), version, job);
+    job_driver::start(node, Arc::new(spec), head, version);
+    true
+}
+
+async fn read_head(node: &Arc<EntryNode>, job: &Name) -> Result<(JobHead, u64, bool), StoreError> {
+    let rows = tables::read_all(&node.store, tables::STATE, job).await?;
+    let is_ended = rows.iter().any(|row| &*row.key == tables::END);
+    let row = rows.into_iter().find(|row| &*row.key == tables::HEAD).ok_or(StoreError::Unknown)?;
+    Ok((tables::decode(&row.value)?, row.version, is_ended))
+}
+
+/// Asks the owner of a job that was just accepted to drive it, and takes the job over if the
+/// owner does not.
+pub async fn ensure_driven(node: Arc<EntryNode>, job: Name, head: JobHead) {
+    for _ in 0..STRIKES {
+        if node.peers.drive(&head.owner_address, &job).await == Some(true) {
+            return;
+        }
+    }
+    logs::write(event::OWNER_SILENT, &[("job", &job), ("owner", &head.owner), ("strikes", &STRIKES)]);
+    take_over(&node, &job).await;
+}
+
 /// Returns this node's place in the line of a job's successors.
 fn rank(node: &EntryNode, job: &Name, owner: &Name) -> usize {
     let key = hash_parts(&[job]);
@@ -82,7 +128,7 @@
     let now = node.now();
     let head = &view.head;
     if head.owner == node.settings.name {
-        return true;
+        return head.incarnation != node.incarnation;
     }
     let rank = rank(node, job, &head.owner);
     let rank_time = RANK_TIME * u32::try_from(rank).unwrap_or(u32::MAX);
@@ -123,15 +169,13 @@
 
 async fn try_take_over(node: &Arc<EntryNode>, job: &Name) -> Result<bool, StoreError> {
     let seen = node.job(job).ok_or(StoreError::Unknown)?;
-    let rows = tables::read_all(&node.store, tables::STATE, job).await?;
-    if rows.iter().any(|row| &*row.key == tables::END) {
+    let (held, version, is_ended) = read_head(node, job).await?;
+    if is_ended {
         node.learn_end(job);
         return Ok(false);
     }
-    let row = rows.into_iter().find(|row| &*row.key == tables::HEAD).ok_or(StoreError::Unknown)?;
-    let held: JobHead = tables::decode(&row.value)?;
     if held.fence != seen.head.fence || held.owner != seen.head.owner {
-        node.learn_head(held, row.version, job);
+        node.learn_head(held, version, job);
         return Ok(false);
     }
     let spec = Arc::new(job_calls::load_spec(node, job, &held).await?);
@@ -143,7 +187,7 @@
         write_id: node.write_id(),
         ..held.clone()
     };
-    let transaction = RowTransaction::new(job.clone()).expect(tables::STATE, tables::HEAD, row.version).put(
+    let transaction = RowTransaction::new(job.clone()).expect(tables::STATE, tables::HEAD, version).put(
         tables::STATE,
         tables::HEAD,
         tables::encode(&head),
--- a/crates/trestlerackd/src/entry/job_calls.rs
+++ b/crates/trestlerackd/src/entry/job_calls.rs
@@ -1,9 +1,10 @@
 //! Calls of clients about batch jobs: submit, read results, read a body, end.
 
 use super::front::{ClientRequest, ReplyBody, full_reply, own_reply};
-use super::job_driver;
 use super::node::{EntryNode, JobView};
+use super::peers::PeerRow;
 use super::tables;
+use super::{adoption, job_driver};
 use crate::process::logs;
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -112,8 +113,7 @@
     loop {
         match node.store.call(&call).await {
             Ok(StoreReply::Committed(moment)) => {
-                node.learn_head(head.clone(), moment.version, &spec.id);
-                job_driver::start(node, spec.clone(), head, moment.version);
+                start_accepted(node, spec, head, moment.version);
                 return Ok(moment.version);
             }
             Ok(StoreReply::Conflict(rows)) => return settle_conflict(node, spec, &head, rows),
@@ -142,17 +142,39 @@
     let head: JobHead = tables::decode(&row.value).map_err(|_| Refusal::Unknown)?;
     let outcome = known_job(&head, row.version, spec);
     if head.write_id == own.write_id {
-        node.learn_head(head.clone(), row.version, &spec.id);
-        job_driver::start(node, spec.clone(), head, row.version);
+        start_accepted(node, spec, head, row.version);
     }
     outcome
 }
 
+/// Has a job that was just stored driven by the node that its head names.
+fn start_accepted(node: &Arc<EntryNode>, spec: &Arc<JobSpec>, head: JobHead, version: u64) {
+    node.learn_head(head.clone(), version, &spec.id);
+    if head.owner == node.settings.name {
+        job_driver::start(node, spec.clone(), head, version);
+    } else {
+        tokio::spawn(adoption::ensure_driven(node.clone(), spec.id.clone(), head));
+    }
+}
+
+/// Returns the name and the row of the node that is to drive a job: the one that drives the newest
+/// job of the same model, because it knows the engines' load and holds connections to them.
+fn choose_owner(node: &EntryNode, spec: &JobSpec) -> (Name, PeerRow) {
+    let newest = {
+        let jobs = node.jobs.lock().unwrap();
+        let related = jobs.values().filter(|view| view.head.model == spec.model && view.head.host == spec.host);
+        related.max_by_key(|view| view.head.accepted_ms).map(|view| view.head.owner.clone())
+    };
+    let peer = newest.and_then(|owner| Some((owner.clone(), node.peers.get(&owner)?)));
+    peer.unwrap_or_else(|| (node.settings.name.clone(), node.peer_row()))
+}
+
 fn new_head(node: &Arc<EntryNode>, spec: &JobSpec, spec_rows: usize) -> JobHead {
+    let (owner, row) = choose_owner(node, spec);
     JobHead {
-        owner: node.settings.name.clone(),
-        owner_address: node.settings.peer_listen.clone(),
-        incarnation: node.incarnation,
+        owner,
+        owner_address: row.address,
+        incarnation: row.incarnation,
         fence: 1,
         write_id: node.write_id(),
         accepted_ms: node.store.clock_ms(),
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -15,7 +15,9 @@
 use tokio::task::AbortHandle;
 use trestlerack::border::StoreError;
 use trestlerack::process::ServerNeed;
-use trestlerack::request::{ItemPhase, JobHead, JobLedger, JobResult, JobSpec, KeptItem, LedgerSettings, RunEnd};
+use trestlerack::request::{
+    ItemPhase, ItemTranscript, JobHead, JobLedger, JobResult, JobSpec, KeptItem, LedgerSettings, RunEnd, TextDelta,
+};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply, StoredRow};
 use trestlerack::version::{RequestRoute, RoutingTable};
 use trestlerack::{Name, Timestamp, event};
@@ -38,6 +40,12 @@
 /// Ended jobs of the same model whose unfinished texts are looked through.
 const KEPT_JOBS: usize = 3;
 
+/// Interval at which new text is stored; what a lost node had made since then is made again.
+const TEXT_LOG_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Shortest new text that is stored, in bytes: some eight events of the users' sheets.
+const TEXT_LOG_LEAST: usize = 2_000;
+
 /// What a driver is to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -125,7 +133,7 @@
     }
     let node = node.clone();
     let settings = ledger_settings(&node, &spec);
-    let ledger = JobLedger::new(spec.clone(), settings.clone(), &[], HashMap::new());
+    let ledger = JobLedger::new(spec.clone(), settings.clone(), Vec::new(), HashMap::new());
     let driver = Arc::new(JobDriver::new(spec.clone(), ledger));
     node.drivers.lock().unwrap().insert(spec.id.clone(), driver.clone());
     tokio::spawn(async move {
@@ -162,26 +170,28 @@
     head: &JobHead,
     settings: LedgerSettings,
 ) -> Result<JobLedger, StoreError> {
-    let mut listed: Vec<Name> = Vec::new();
+    let mut listed: Vec<JobResult> = Vec::new();
     while listed.len() < head.listed {
         let page = load_results(node, &spec.id, listed.len()).await?;
         if page.is_empty() {
             return Err(StoreError::Unknown);
         }
-        listed.extend(page.into_iter().map(|result| result.id));
+        listed.extend(page);
     }
     let mut kept: HashMap<Name, KeptItem> = HashMap::new();
     for job in earlier_jobs(node, spec, head) {
+        let first = if job == spec.id { tables::KEPT_LOG } else { tables::KEPT_END };
         // Kept texts only save time, so a job starts without them rather than late.
-        if let Ok(rows) = tables::read_all(&node.store, tables::KEPT, &job).await {
-            merge_kept(&mut kept, rows);
+        match tables::read_from(&node.store, tables::KEPT, &job, first).await {
+            Ok(rows) => merge_kept(&mut kept, rows),
+            Err(error) => logs::write(event::TEXTS_LOST, &[("job", &job), ("why", &error)]),
         }
     }
     let count = kept.len();
     if count > 0 {
         logs::write(event::TEXTS_FOUND, &[("job", &spec.id), ("items", &count)]);
     }
-    Ok(JobLedger::new(spec.clone(), settings, &listed, kept))
+    Ok(JobLedger::new(spec.clone(), settings, listed, kept))
 }
 
 /// Returns the job itself and the newest ended jobs of the same model, newest first.
@@ -201,25 +211,42 @@
     own.into_iter().chain(related.into_iter().map(|(_, id)| id)).collect()
 }
 
-/// Adds kept items, the longer text of each; rows of several owners of one job may lie there.
+/// Adds kept texts, the longest of each item; rows of several owners of one job may lie there.
 fn merge_kept(kept: &mut HashMap<Name, KeptItem>, rows: Vec<StoredRow>) {
-    for (_, content) in tables::join_pieces(rows) {
-        let Ok(items) = tables::decode::<Vec<KeptItem>>(&content) else { continue };
-        for item in items {
-            let is_better = kept.get(&item.id).is_none_or(|held| {
-                (held.is_whole, held.transcript.last_event) < (item.is_whole, item.transcript.last_event)
-            });
-            if is_better {
-                kept.insert(item.id.clone(), item);
+    let mut logged: HashMap<Name, ItemTranscript> = HashMap::new();
+    for (key, content) in tables::join_pieces(rows) {
+        if key.starts_with(tables::KEPT_LOG) {
+            let Ok(deltas) = tables::decode::<Vec<TextDelta>>(&content) else { continue };
+            for delta in deltas {
+                let transcript = logged.entry(delta.id.clone()).or_default();
+                if delta.after.is_none() {
+                    *transcript = ItemTranscript::default();
+                }
+                transcript.extend(&delta);
             }
+        } else if let Ok(items) = tables::decode::<Vec<KeptItem>>(&content) {
+            items.into_iter().for_each(|item| keep_longer(kept, item));
         }
     }
+    for (id, transcript) in logged {
+        keep_longer(kept, KeptItem { id, transcript, is_whole: false });
+    }
+}
+
+fn keep_longer(kept: &mut HashMap<Name, KeptItem>, item: KeptItem) {
+    let is_longer = kept
+        .get(&item.id)
+        .is_none_or(|held| (held.is_whole, held.transcript.last_event) < (item.is_whole, item.transcript.last_event));
+    if is_longer {
+        kept.insert(item.id.clone(), item);
+    }
 }
 
 async fn drive(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, head: JobHead, version: u64) {
     let job = driver.spec.id.clone();
     logs::write(event::JOB_DRIVEN, &[("job", &job), ("fence", &head.fence), ("listed", &head.listed)]);
     let accepted_ms = head.accepted_ms;
+    let text_log = tokio::spawn(log_texts(node.clone(), driver.clone(), head.fence));
     let recorder = tokio::spawn(record_results(node.clone(), driver.clone(), head, version));
     while driver.mode() == DriveMode::Drive && !driver.ledger.lock().unwrap().is_whole() {
         if let Some(routing) = node.routing() {
@@ -228,6 +255,7 @@
         // Ends with news of the job or with the interval; both lead to another look.
         let _ = tokio::time::timeout(LOOK_INTERVAL, driver.wake.notified()).await;
     }
+    text_log.abort();
     driver.cancel_runs(node.now());
     driver.record.notify_one();
     let recorded = recorder.await.ok().flatten();
@@ -475,6 +503,26 @@
     }
 }
 
+/// Stores what is generated while the job is driven, so that whoever takes it over from a node
+/// that is lost goes on from there.
+async fn log_texts(node: Arc<EntryNode>, driver: Arc<JobDriver>, fence: u64) {
+    for number in 0.. {
+        tokio::time::sleep(TEXT_LOG_INTERVAL).await;
+        let deltas = driver.ledger.lock().unwrap().take_unstored(TEXT_LOG_LEAST, tables::COMMIT_BYTES / 2);
+        if deltas.is_empty() {
+            continue;
+        }
+        let key = format!("{}-{fence:04}-{number:06}", tables::KEPT_LOG);
+        let transaction = RowTransaction::new(driver.spec.id.clone());
+        let content = tables::encode(&deltas);
+        let transaction = tables::put_pieces(transaction, tables::KEPT, &key, &content, node.settings.store_row_bytes);
+        // A gap in the log ends each text where it was before; later deltas then do not fit.
+        if let Err(error) = node.store.call(&StoreCall::Commit(transaction)).await {
+            logs::write(event::TEXTS_LOST, &[("job", &driver.spec.id), ("why", &error)]);
+        }
+    }
+}
+
 /// Keeps unfinished texts, and gives the job to another node where this one stops.
 async fn leave_job(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, head: JobHead, version: u64) {
     let kept = driver.ledger.lock().unwrap().unfinished();
@@ -493,13 +541,13 @@
     batches.push(batch);
     let count: usize = batches.iter().map(Vec::len).sum();
     for batch in batches {
-        let key = format!("{:04}-{piece:04}", head.fence);
+        let key = format!("{}-{:04}-{piece:04}", tables::KEPT_END, head.fence);
         piece += 1;
         let content: Bytes = tables::encode(&batch);
         let transaction = RowTransaction::new(job.clone());
         let transaction = tables::put_pieces(transaction, tables::KEPT, &key, &content, node.settings.store_row_bytes);
         if node.store.call(&StoreCall::Commit(transaction)).await.is_err() {
-            logs::write(event::TEXTS_LOST, &[("job", job), ("items", &batch.len())]);
+            logs::write(event::TEXTS_LOST, &[("job", job), ("why", &"the store does not answer")]);
         }
     }
     logs::write(event::TEXTS_KEPT, &[("job", job), ("items", &count)]);
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -25,6 +25,7 @@
 use anyhow::Context;
 use node::EntryNode;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -85,6 +86,7 @@
     while node.store.call(&call).await.is_err() {
         tokio::time::sleep(REGISTER_PAUSE).await;
     }
+    node.is_registered.store(true, Ordering::Relaxed);
 }
 
 async fn expire_connections(node: Arc<EntryNode>) {
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -55,6 +55,8 @@
     pub board: Mutex<ServerBoard>,
     /// Whether service discovery was read once.
     pub has_registry: AtomicBool,
+    /// Whether the store has this node's row.
+    pub is_registered: AtomicBool,
     /// Versions that trainers named.
     pub targets: Mutex<BTreeMap<Name, WeightVersion>>,
     /// What engines were ordered.
@@ -97,6 +99,7 @@
             registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
             board: Mutex::new(ServerBoard::new(BoardSettings::default())),
             has_registry: AtomicBool::new(false),
+            is_registered: AtomicBool::new(false),
             targets: Mutex::default(),
             assignments: Mutex::default(),
             lease_row: Mutex::default(),
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -1,5 +1,6 @@
 //! What nodes ask each other: to relay a store call, and whether a job is driven.
 
+use super::adoption;
 use super::node::EntryNode;
 use super::pool::ConnectionPool;
 use bytes::Bytes;
@@ -40,6 +41,11 @@
         /// The job.
         job: Name,
     },
+    /// Drive a job that names you as its owner, and say whether you do.
+    Drive {
+        /// The job.
+        job: Name,
+    },
 }
 
 /// The answer of a peer.
@@ -89,6 +95,16 @@
         };
     }
 
+    /// Returns whether a node runs as another incarnation by now.
+    pub fn is_restarted(&self, name: &str, incarnation: u64) -> bool {
+        self.known.lock().unwrap().get(name).is_some_and(|row| row.incarnation != incarnation)
+    }
+
+    /// Returns the row of a registered node.
+    pub fn get(&self, name: &str) -> Option<PeerRow> {
+        self.known.lock().unwrap().get(name).cloned()
+    }
+
     /// Returns the names of all registered nodes.
     pub fn names(&self) -> Vec<Name> {
         self.known.lock().unwrap().keys().cloned().collect()
@@ -135,6 +151,14 @@
         }
     }
 
+    /// Asks a peer to drive a job that names it as owner; `None` if it does not answer.
+    pub async fn drive(&self, peer: &Name, job: &Name) -> Option<bool> {
+        match self.ask(peer, &PeerCall::Drive { job: job.clone() }, PING_TIMEOUT).await {
+            Some(PeerReply::Drives(drives)) => Some(drives),
+            _ => None,
+        }
+    }
+
     async fn ask(&self, peer: &Name, call: &PeerCall, limit: Duration) -> Option<PeerReply> {
         let mut body = Vec::new();
         ciborium::into_writer(call, &mut body).ok()?;
@@ -181,7 +205,7 @@
     reply
 }
 
-async fn answer(node: &EntryNode, request: Request<Incoming>) -> Option<Bytes> {
+async fn answer(node: &Arc<EntryNode>, request: Request<Incoming>) -> Option<Bytes> {
     let body = Limited::new(request.into_body(), MAX_MESSAGE).collect().await.ok()?.to_bytes();
     let call: PeerCall = ciborium::from_reader(&body[..]).ok()?;
     let reply = match call {
@@ -197,6 +221,7 @@
                 Err(StoreError::Unknown) => PeerReply::Unknown,
             }
         }
+        PeerCall::Drive { job } => PeerReply::Drives(adoption::drive_assigned(node, &job).await),
         PeerCall::Drives { job } => PeerReply::Drives(node.drivers.lock().unwrap().contains_key(&job)),
     };
     let mut encoded = Vec::new();
--- a/crates/trestlerackd/src/entry/tables.rs
+++ b/crates/trestlerackd/src/entry/tables.rs
@@ -19,9 +19,16 @@
 /// Submissions of jobs.
 pub const SPECS: &str = "specs";
 
-/// Unfinished texts of ended jobs.
+/// Texts of jobs that have no result yet: what was generated while the job is driven, under
+/// [`KEPT_LOG`], and what its driver left, under [`KEPT_END`].
 pub const KEPT: &str = "kept";
 
+/// Begins the keys of what was generated since the row before.
+pub const KEPT_LOG: &str = "a-log";
+
+/// Begins the keys of what a driver left; behind [`KEPT_LOG`] in key order.
+pub const KEPT_END: &str = "b-end";
+
 /// Partition of [`STATE`] that holds a row for each node.
 pub const NODES: &str = "nodes";
 
@@ -122,9 +129,19 @@
 
 /// Reads a whole partition.
 pub async fn read_all(store: &dyn RowStore, table: &str, partition: &str) -> Result<Vec<StoredRow>, StoreError> {
+    read_from(store, table, partition, "").await
+}
+
+/// Reads a partition from a key on.
+pub async fn read_from(
+    store: &dyn RowStore,
+    table: &str,
+    partition: &str,
+    first: &str,
+) -> Result<Vec<StoredRow>, StoreError> {
     let mut all: Vec<StoredRow> = Vec::new();
     loop {
-        let from = all.last().map(|row| format!("{}\u{1}", row.key)).unwrap_or_default();
+        let from = all.last().map_or_else(|| first.to_owned(), |row| format!("{}\u{1}", row.key));
         let (rows, more) = read_page(store, table, partition, &from).await?;
         let is_over = !more || rows.is_empty();
         all.extend(rows);
--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use trestlerack::process::{LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep, ServerEntry};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
@@ -36,11 +37,8 @@
 
 /// Holds the lease while it can, and orders engines while it holds it.
 pub async fn run(node: Arc<EntryNode>) {
-    let settings = LeaseSettings {
-        ttl: LEASE_TTL,
-        margin: LEASE_MARGIN,
-        order_time: Duration::from_millis(node.settings.order_handover_ms),
-    };
+    // The wait for orders of the holder before is kept for each engine, not with the lease.
+    let settings = LeaseSettings { ttl: LEASE_TTL, margin: LEASE_MARGIN, order_time: Duration::ZERO };
     let mut keeper = LeaseKeeper::new(settings, node.settings.name.clone(), node.incarnation);
     let mut plans: BTreeMap<Name, WeightPlan> = BTreeMap::new();
     let mut renewed_at = node.now();
@@ -65,7 +63,7 @@
             note_lease(&node, fence, &mut plans);
             held_fence = fence;
         }
-        let may_order = keeper.order_fence(node.now(), false).is_some();
+        let may_order = fence.is_some();
         if let Some(routing) = node.routing().filter(|_| may_order) {
             order_engines(&node, &routing, &keeper, &mut plans).await;
         }
@@ -81,8 +79,15 @@
 }
 
 async fn keep_lease(node: &Arc<EntryNode>, keeper: &mut LeaseKeeper) {
+    // Peers tell a restarted holder by its row, so that row has to be there first.
+    if !node.is_registered.load(Ordering::Relaxed) {
+        return;
+    }
     let now = node.now();
-    let row = node.lease_row.lock().unwrap().clone();
+    let mut row = node.lease_row.lock().unwrap().clone();
+    if let Some((_, held)) = &mut row {
+        held.released |= node.peers.is_restarted(&held.holder, held.incarnation);
+    }
     let LeaseStep::Write(row) = keeper.decide(now, row) else { return };
     if write_lease(node, row.clone()).await {
         keeper.written(now, row);
@@ -137,13 +142,12 @@
         let assigned = node.assignments.lock().unwrap().clone();
         let decided = plan.sync(node.now(), &service.models, &entries.iter().collect::<Vec<_>>(), &assigned);
         for (instance, model) in decided {
-            let assignment = EngineAssignment { model, version: 0, ordered_ms: 0 };
-            tell_assignment(node, instance, assignment);
+            let holder = node.settings.name.clone();
+            let assignment = EngineAssignment { model, version: 0, ordered_ms: 0, tried_ms: 0, holder };
+            feeds::learn_assignment(node, &instance, assignment.clone());
+            write_assignment(node, &instance, &assignment).await;
         }
-        let orders = {
-            let board = node.board.lock().unwrap();
-            plan.next_orders(node.now(), |instance| board.get(instance).map_or(0, |belief| belief.in_flight))
-        };
+        let orders = due_orders(node, plan, &assigned);
         let waits_for_runs = routing
             .routes()
             .any(|route| route.single_version && route.shares.iter().any(|share| share.service == service.name));
@@ -154,6 +158,18 @@
     }
 }
 
+fn due_orders(node: &EntryNode, plan: &mut WeightPlan, assigned: &BTreeMap<Name, EngineAssignment>) -> Vec<DueOrder> {
+    let clock_ms = node.store.clock_ms();
+    let handover = Duration::from_millis(node.settings.order_handover_ms) + ORDER_TIMEOUT;
+    let is_open = |instance: &str| {
+        let assignment = assigned.get(instance);
+        assignment.is_none_or(|assignment| assignment.is_open_to(&node.settings.name, clock_ms, handover))
+    };
+    let board = node.board.lock().unwrap();
+    let in_flight = |instance: &str| board.get(instance).map_or(0, |belief| belief.in_flight);
+    plan.next_orders(node.now(), |instance| is_open(instance).then(|| in_flight(instance)))
+}
+
 async fn carry_out(
     node: &Arc<EntryNode>,
     keeper: &LeaseKeeper,
@@ -173,41 +189,58 @@
         }
         return;
     };
-    let Some(fence) = keeper.order_fence(node.now(), false) else {
+    let before = node.assignments.lock().unwrap().get(&order.instance).cloned();
+    let clock_ms = node.store.clock_ms();
+    let intent = EngineAssignment {
+        model: order.model.clone(),
+        version: order.version,
+        ordered_ms: clock_ms,
+        tried_ms: clock_ms,
+        holder: node.settings.name.clone(),
+    };
+    let is_told = write_assignment(node, &order.instance, &intent).await;
+    // The lease is checked next to the send, since the write before it may have taken long.
+    let Some(fence) = keeper.fence(node.now()).filter(|_| is_told) else {
         plan.ordered(node.now(), order, OrderOutcome::NotSent, orders_before);
         return;
     };
     let outcome = send_order(node, entry, order, fence, orders_before, waits_for_runs).await;
+    log_order(order, fence, orders_before, outcome);
+    plan.ordered(node.now(), order, outcome, orders_before);
+    node.metrics.order(outcome);
+    if outcome == OrderOutcome::Accepted {
+        feeds::learn_assignment(node, &order.instance, intent);
+        return;
+    }
+    let (version, ordered_ms) = before.map_or((0, 0), |before| (before.version, before.ordered_ms));
+    let undone = EngineAssignment { version, ordered_ms, ..intent };
+    feeds::learn_assignment(node, &order.instance, undone.clone());
+    write_assignment(node, &order.instance, &undone).await;
+}
+
+fn log_order(order: &DueOrder, fence: u64, orders_before: u64, outcome: OrderOutcome) {
+    let outcome = format!("{outcome:?}").to_lowercase();
     let fields: [(&str, &dyn std::fmt::Display); 6] = [
         ("engine", &order.instance),
         ("model", &order.model),
         ("version", &order.version),
         ("fence", &fence),
         ("orders_before", &orders_before),
-        ("outcome", &format!("{outcome:?}").to_lowercase()),
+        ("outcome", &outcome),
     ];
     logs::write(event::ENGINE_ORDERED, &fields);
-    plan.ordered(node.now(), order, outcome, orders_before);
-    node.metrics.order(outcome);
-    if outcome == OrderOutcome::Accepted {
-        let ordered_ms = node.store.clock_ms();
-        let assignment = EngineAssignment { model: order.model.clone(), version: order.version, ordered_ms };
-        tell_assignment(node, order.instance.clone(), assignment);
-    }
 }
 
-/// Takes an assignment over and tells all nodes. A lost write costs a refused request: the engine
-/// itself says that it loads, and answers state their version.
-fn tell_assignment(node: &Arc<EntryNode>, instance: Name, assignment: EngineAssignment) {
-    feeds::learn_assignment(node, &instance, assignment.clone());
-    let node = node.clone();
-    tokio::spawn(async move {
-        let transaction =
-            RowTransaction::new(tables::ENGINES).put(tables::STATE, &instance, tables::encode(&assignment));
-        if let Err(error) = node.store.call(&StoreCall::Commit(transaction)).await {
-            logs::write(event::ASSIGNMENT_LOST, &[("engine", &instance), ("why", &error)]);
+/// Tells all nodes what an engine is ordered. Returns whether the store has it.
+async fn write_assignment(node: &Arc<EntryNode>, instance: &Name, assignment: &EngineAssignment) -> bool {
+    let transaction = RowTransaction::new(tables::ENGINES).put(tables::STATE, instance, tables::encode(assignment));
+    match node.store.call(&StoreCall::Commit(transaction)).await {
+        Ok(_) => true,
+        Err(error) => {
+            logs::write(event::ASSIGNMENT_LOST, &[("engine", instance), ("why", &error)]);
+            false
         }
-    });
+    }
 }
 
 async fn send_order(
