Ask peers first while the store refuses a node, and probe the direct way apart

Change: one probe task finds the way back; peers that failed a relay are passed over for a second; a late order corrects its row; refusals in a row back off.

--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -16,8 +16,11 @@
     pub failure_pause: Duration,
     /// Longest such pause.
     pub failure_pause_max: Duration,
-    /// Pause of a server that refused a request because it is full or loads weights.
+    /// Pause of a server that refused a request because it is full or loads weights; it doubles
+    /// with each further refusal in a row.
     pub refusal_pause: Duration,
+    /// Longest such pause.
+    pub refusal_pause_max: Duration,
     /// Time for which a stated load is believed; the servers' reports lag by 100 to 200 ms.
     pub load_age: Duration,
     /// Time for which a measured pace is believed when nothing runs on a server.
@@ -36,6 +39,7 @@
             failure_pause: Duration::from_millis(200),
             failure_pause_max: Duration::from_secs(2),
             refusal_pause: Duration::from_millis(40),
+            refusal_pause_max: Duration::from_millis(160),
             load_age: Duration::from_millis(300),
             pace_age: Duration::from_secs(3),
             pace_weight: 0.1,
@@ -78,6 +82,7 @@
     pace_ms: Option<f64>,
     pace_at: Timestamp,
     failures: u32,
+    refusals: u32,
     not_before: Timestamp,
     versions: BTreeMap<Name, WeightVersion>,
     loading_until: Option<Timestamp>,
@@ -93,6 +98,7 @@
             pace_ms: None,
             pace_at: Timestamp::default(),
             failures: 0,
+            refusals: 0,
             not_before: Timestamp::default(),
             versions,
             loading_until: None,
@@ -215,7 +221,10 @@
 
     /// Records a good answer.
     pub fn succeeded(&mut self, instance: &str) {
-        self.change(instance, |belief| belief.failures = 0);
+        self.change(instance, |belief| {
+            belief.failures = 0;
+            belief.refusals = 0;
+        });
     }
 
     /// Records a connection or an answer that failed. Returns the pause that the server gets.
@@ -232,8 +241,16 @@
 
     /// Records that a server refused a request, because it is full or loads weights.
     pub fn refused(&mut self, now: Timestamp, instance: &str) {
-        let pause = self.settings.refusal_pause;
-        self.change(instance, |belief| belief.not_before = belief.not_before.max(now + pause));
+        let (first, longest) = (self.settings.refusal_pause, self.settings.refusal_pause_max);
+        self.change(instance, |belief| {
+            // Refusals of requests that were sent together count as one.
+            if belief.not_before > now {
+                return;
+            }
+            let pause = (first * 2_u32.saturating_pow(belief.refusals.min(16))).min(longest);
+            belief.refusals += 1;
+            belief.not_before = now + pause;
+        });
     }
 
     /// Records the load that a server stated: requests that run and that wait.
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -62,6 +62,7 @@
         tokio::spawn(feeds::follow(node.clone(), table));
     }
     tokio::spawn(register(node.clone()));
+    tokio::spawn(probe_store(node.clone()));
     tokio::spawn(adoption::watch_owners(node.clone()));
     tokio::spawn(weights::run(node.clone()));
     tokio::spawn(expire_connections(node.clone()));
@@ -89,6 +90,10 @@
     node.is_registered.store(true, Ordering::Relaxed);
 }
 
+async fn probe_store(node: Arc<EntryNode>) {
+    node.store.probe_direct().await;
+}
+
 async fn expire_connections(node: Arc<EntryNode>) {
     loop {
         tokio::time::sleep(EXPIRE_INTERVAL).await;
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -13,7 +13,7 @@
 use std::convert::Infallible;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use trestlerack::Name;
 use trestlerack::border::StoreError;
@@ -25,6 +25,9 @@
 /// Time for an answer to a liveness question.
 const PING_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Time for which a peer that could not relay a call is passed over.
+const FAILED_PAUSE: Duration = Duration::from_secs(1);
+
 /// Time that a node gives a store call that it relays.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -77,13 +80,15 @@
     seeds: Vec<Name>,
     known: Mutex<BTreeMap<Name, PeerRow>>,
     turn: AtomicUsize,
+    /// Peers that could not relay a call, until the given time.
+    failed: Mutex<BTreeMap<Name, Instant>>,
 }
 
 impl PeerClient {
     /// Builds a client that knows the seeds only.
     pub fn new(pool: Arc<ConnectionPool>, own_address: Name, seeds: Vec<Name>) -> Self {
-        let (known, turn) = (Mutex::default(), AtomicUsize::new(0));
-        Self { pool, own_address, seeds, known, turn }
+        let (known, turn, failed) = (Mutex::default(), AtomicUsize::new(0), Mutex::default());
+        Self { pool, own_address, seeds, known, turn, failed }
     }
 
     /// Takes over the row of a peer, or its removal.
@@ -125,22 +130,31 @@
 
     /// Returns up to `most` peers, others with each call, so that one that is down costs one try.
     pub fn pick(&self, most: usize) -> Vec<Name> {
-        let addresses = self.addresses();
+        let mut addresses = self.addresses();
         if addresses.is_empty() {
             return Vec::new();
         }
+        let now = Instant::now();
+        let mut failed = self.failed.lock().unwrap();
+        failed.retain(|_, until| *until > now);
+        if addresses.iter().any(|address| !failed.contains_key(address)) {
+            addresses.retain(|address| !failed.contains_key(address));
+        }
+        drop(failed);
         let first = self.turn.fetch_add(1, Ordering::Relaxed);
         (0..most.min(addresses.len())).map(|offset| addresses[(first + offset) % addresses.len()].clone()).collect()
     }
 
     /// Asks a peer to make a store call.
     pub async fn relay(&self, peer: &Name, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreError> {
-        match self.ask(peer, &PeerCall::Relay(call.clone()), limit).await {
-            Some(PeerReply::Relayed(reply)) => Ok(reply),
-            Some(PeerReply::Unavailable) => Err(StoreError::Unavailable),
+        let error = match self.ask(peer, &PeerCall::Relay(call.clone()), limit).await {
+            Some(PeerReply::Relayed(reply)) => return Ok(reply),
+            Some(PeerReply::Unavailable) => StoreError::Unavailable,
             // A peer that does not answer may still have passed the call on.
-            _ => Err(StoreError::Unknown),
-        }
+            _ => StoreError::Unknown,
+        };
+        self.failed.lock().unwrap().insert(peer.clone(), Instant::now() + FAILED_PAUSE);
+        Err(error)
     }
 
     /// Asks a peer whether it drives a job; `None` if it does not answer.
--- a/crates/trestlerackd/src/entry/store.rs
+++ b/crates/trestlerackd/src/entry/store.rs
@@ -2,11 +2,12 @@
 
 use super::peers::PeerClient;
 use super::pool::{ConnectionPool, ExchangeError};
+use super::tables;
 use crate::process::logs;
 use async_trait::async_trait;
 use http_body_util::{BodyExt, Limited};
 use hyper::header;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use trestlerack::border::StoreError;
@@ -20,8 +21,8 @@
 /// Time after which a direct call is given up where a peer may do better.
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time after a failed direct call during which peers are asked first.
-const RELAY_FIRST: Duration = Duration::from_millis(400);
+/// Interval at which the direct way is tried again after it failed.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Peers that are asked to relay one call.
 const RELAY_TRIES: usize = 2;
@@ -80,7 +81,8 @@
 pub struct RelayedStore {
     direct: Arc<DirectStore>,
     peers: Arc<PeerClient>,
-    failed_at: Mutex<Option<Instant>>,
+    /// Whether the last direct call failed; peers are asked first until a probe succeeds.
+    is_doubtful: AtomicBool,
     clock: Mutex<Option<StoreClock>>,
 }
 
@@ -94,8 +96,7 @@
 impl RelayedStore {
     /// Builds the client.
     pub fn new(direct: Arc<DirectStore>, peers: Arc<PeerClient>) -> Self {
-        let (failed_at, clock) = (Mutex::new(None), Mutex::new(None));
-        Self { direct, peers, failed_at, clock }
+        Self { direct, peers, is_doubtful: AtomicBool::new(false), clock: Mutex::new(None) }
     }
 
     /// Returns the time on the store's clock, in milliseconds, or 0 before the first reply.
@@ -107,29 +108,35 @@
         })
     }
 
-    fn is_direct_doubtful(&self) -> bool {
-        self.failed_at.lock().unwrap().is_some_and(|at| at.elapsed() < RELAY_FIRST)
-    }
-
     async fn call_direct(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreError> {
         let reply = self.direct.call_within(call, time_limit(call, limit)).await;
-        let mut failed_at = self.failed_at.lock().unwrap();
-        match (&reply, failed_at.is_some()) {
-            (Ok(_), true) => {
-                *failed_at = None;
-                logs::write(event::STORE_REGAINED, &[]);
-            }
-            (Err(error), was_failed) => {
-                *failed_at = Some(Instant::now());
-                if !was_failed {
-                    logs::write(event::STORE_LOST, &[("why", error)]);
-                }
-            }
+        let was_doubtful = self.is_doubtful.swap(reply.is_err(), Ordering::Relaxed);
+        match (&reply, was_doubtful) {
+            (Ok(_), true) => logs::write(event::STORE_REGAINED, &[]),
+            (Err(error), false) => logs::write(event::STORE_LOST, &[("why", error)]),
             _ => {}
         }
         reply
     }
 
+    /// Tries the direct way again while it is in doubt, until the process ends.
+    pub async fn probe_direct(&self) {
+        let call = StoreCall::Read {
+            table: tables::STATE.into(),
+            partition: tables::LEASES.into(),
+            from: "".into(),
+            to: "".into(),
+            limit: 1,
+        };
+        loop {
+            tokio::time::sleep(PROBE_INTERVAL).await;
+            if self.is_doubtful.load(Ordering::Relaxed) {
+                // The outcome is noted by the call itself.
+                let _ = self.call_direct(&call, DIRECT_TIMEOUT).await;
+            }
+        }
+    }
+
     async fn call_relayed(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         let mut worst = StoreError::Unavailable;
         for peer in self.peers.pick(RELAY_TRIES) {
@@ -160,7 +167,7 @@
 impl RowStore for RelayedStore {
     async fn call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         let has_peers = self.peers.has_any();
-        let reply = if has_peers && self.is_direct_doubtful() {
+        let reply = if has_peers && self.is_doubtful.load(Ordering::Relaxed) {
             match self.call_relayed(call).await {
                 Ok(reply) => Ok(reply),
                 Err(relayed) => merge(self.call_direct(call, DIRECT_TIMEOUT).await, relayed),
--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -32,6 +32,10 @@
 /// Time that an order or a report may take.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time between the row that tells of an order and its acceptance from which the row is corrected,
+/// in milliseconds; nodes reckon the end of the load from it.
+const LATE_ORDER_MS: u64 = 60;
+
 /// Longest answer of an engine to an order or to the question for its report, in bytes.
 const MAX_ANSWER: usize = 256 * 1024;
 
@@ -209,7 +213,13 @@
     plan.ordered(node.now(), order, outcome, orders_before);
     node.metrics.order(outcome);
     if outcome == OrderOutcome::Accepted {
-        feeds::learn_assignment(node, &order.instance, intent);
+        let now_ms = node.store.clock_ms();
+        let is_late = now_ms >= clock_ms + LATE_ORDER_MS;
+        let accepted = EngineAssignment { ordered_ms: now_ms, tried_ms: now_ms, ..intent };
+        feeds::learn_assignment(node, &order.instance, accepted.clone());
+        if is_late {
+            write_assignment(node, &order.instance, &accepted).await;
+        }
         return;
     }
     let (version, ordered_ms) = before.map_or((0, 0), |before| (before.version, before.ordered_ms));
