Give a lease back only while its row is the holder's own

A stopping node wrote its released row on condition of the newest version it knew, which was that of its successor's row; the fencing number then came a second time. Ruled out: late writes of the store; the condition of those no longer held. Change: LeaseKeeper::release takes the row as last read and returns nothing for another's. The product's own rollout loop, which checked the number itself, uses the same. Test first: a_lease_that_has_a_successor_is_not_given_back, red, then green.

--- a/crates/trestlerack/src/process/lease.rs
+++ b/crates/trestlerack/src/process/lease.rs
@@ -117,9 +117,16 @@
         self.fence(now).filter(|_| quiet_over)
     }
 
-    /// Gives the lease back; returns the row to write, if it was held.
-    pub fn release(&mut self) -> Option<LeaseRow> {
+    /// Gives the lease back; returns the row to write over `row`, as it was read last, if that is
+    /// this holder's own. The row of a successor must stay: its fencing number would come again.
+    pub fn release(&mut self, row: Option<&LeaseRow>) -> Option<LeaseRow> {
         let held = self.held.take()?;
+        let is_same = |row: &LeaseRow| {
+            (&row.holder, row.incarnation, row.fence) == (&held.row.holder, held.row.incarnation, held.row.fence)
+        };
+        if !row.is_some_and(is_same) {
+            return None;
+        }
         Some(LeaseRow { released: true, renewal: held.row.renewal + 1, ..held.row })
     }
 
--- a/crates/trestlerack/tests/leases.rs
+++ b/crates/trestlerack/tests/leases.rs
@@ -153,3 +153,23 @@
     assert_eq!(keeper.fence(Timestamp(5_999)), Some(1));
     assert_eq!(keeper.fence(Timestamp(6_000)), None);
 }
+
+/// Found by the bench as two holders with one fencing number: a stopping node gave back a lease
+/// that another one had taken meanwhile, and wrote its own, older row over the newer one.
+#[test]
+fn a_lease_that_has_a_successor_is_not_given_back() {
+    let settings = LeaseSettings::default();
+    let lapse = settings.ttl + settings.margin;
+    let mut first = LeaseKeeper::new(settings.clone(), "first".into(), 1);
+    let mut second = LeaseKeeper::new(settings, "second".into(), 1);
+    let LeaseStep::Write(first_row) = first.decide(Timestamp(0), None) else { panic!("it is free") };
+    first.written(Timestamp(0), first_row.clone());
+    assert_eq!(second.decide(Timestamp(0), Some((1, first_row.clone()))), LeaseStep::Wait);
+    let later = Timestamp(0) + lapse;
+    let LeaseStep::Write(second_row) = second.decide(later, Some((1, first_row.clone()))) else { panic!("it lapsed") };
+    second.written(later, second_row.clone());
+    let mut stopping = first.clone();
+    assert_eq!(stopping.release(Some(&second_row)), None);
+    let released = first.release(Some(&first_row)).expect("its own row is still there");
+    assert!(released.released && released.fence == first_row.fence);
+}
--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -51,7 +51,8 @@
         tokio::time::sleep(LOOK_INTERVAL).await;
         let now = node.now();
         if node.is_stopping() {
-            if let Some(row) = keeper.release() {
+            let held = node.lease_row.lock().unwrap().clone().map(|(_, row)| row);
+            if let Some(row) = keeper.release(held.as_ref()) {
                 write_lease(&node, row).await;
                 logs::write(event::LEASE_LOST, &[("why", &"this node stops")]);
             }
--- a/crates/trestlerackd/src/process/rollout_loop.rs
+++ b/crates/trestlerackd/src/process/rollout_loop.rs
@@ -84,16 +84,15 @@
 }
 
 async fn release_lease(node: &Arc<Node>, model: &Name) {
-    let released = node.leases.keepers.lock().unwrap().get_mut(model).and_then(LeaseKeeper::release);
-    let Some(row) = released else { return };
     let key = lease_key(model);
     let Ok(Some(held)) = node.table.read(&key).await else { return };
-    if decode_lease(&held).is_some_and(|held| held.fence == row.fence) {
-        let transaction = lease_write(&key, Some(&held), &row);
-        // If this fails the lease lapses by itself.
-        let _ = node.table.commit(transaction).await;
-        logs::write(event::LEASE_LOST, &[("model", model), ("cause", &"released")]);
-    }
+    let row = decode_lease(&held);
+    let released = node.leases.keepers.lock().unwrap().get_mut(model).and_then(|keeper| keeper.release(row.as_ref()));
+    let Some(row) = released else { return };
+    let transaction = lease_write(&key, Some(&held), &row);
+    // If this fails the lease lapses by itself.
+    let _ = node.table.commit(transaction).await;
+    logs::write(event::LEASE_LOST, &[("model", model), ("cause", &"released")]);
 }
 
 fn models(config: &Configuration) -> BTreeSet<Name> {
