Write the text log without gaps; remember the pace of engines; move runs straight

Change: a piece of the log is sent until the store has it. With it, found in the same logs: a moved run goes straight to the engine whose place it was moved for; an old pace counts up to 1.4; long runs move although short items wait.

--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -23,8 +23,12 @@
     pub refusal_pause_max: Duration,
     /// Time for which a stated load is believed; the servers' reports lag by 100 to 200 ms.
     pub load_age: Duration,
-    /// Time for which a measured pace is believed when nothing runs on a server.
+    /// Time for which a measured pace is believed in full when nothing runs on a server. After it
+    /// the server counts as at most [`Self::old_slowness`] times slower than is typical.
     pub pace_age: Duration,
+    /// How slow a server may still count as by an old pace: engines differ by 1.3 for good, and
+    /// what is slower than that is a disruption that passes.
+    pub old_slowness: f64,
     /// Weight of a new gap between events in the running mean of a server's pace.
     pub pace_weight: f64,
     /// Pace of a server of which nothing is known, in milliseconds per event.
@@ -45,6 +49,7 @@
             refusal_pause_max: Duration::from_millis(160),
             load_age: Duration::from_millis(300),
             pace_age: Duration::from_secs(3),
+            old_slowness: 1.4,
             pace_weight: 0.1,
             default_pace_ms: 37.0,
             zone_cost: 0.1,
@@ -197,7 +202,7 @@
     fn cost(&self, now: Timestamp, belief: &ServerBelief, need: &ServerNeed<'_>, typical: f64) -> f64 {
         let fill = f64::from(belief.busy(now, self.settings.load_age)) / f64::from(belief.slots());
         let zone_cost = if &*belief.entry.zone == need.zone { 0.0 } else { self.settings.zone_cost };
-        let pace = self.pace(now, belief).unwrap_or(typical) / typical;
+        let pace = self.believed_slowness(now, belief, typical);
         let Some((model, oldest)) = need.weights else { return fill + zone_cost };
         let spare = belief.version(model).map_or(0, |version| version.saturating_sub(oldest));
         pace * (1.0 + fill + self.settings.spare_version_cost * spare as f64)
@@ -207,6 +212,13 @@
         belief.pace_ms.filter(|_| now.since(belief.pace_at) < self.settings.pace_age)
     }
 
+    fn believed_slowness(&self, now: Timestamp, belief: &ServerBelief, typical: f64) -> f64 {
+        let Some(pace_ms) = belief.pace_ms else { return 1.0 };
+        let slowness = pace_ms / typical;
+        let is_old = now.since(belief.pace_at) >= self.settings.pace_age;
+        if is_old { slowness.clamp(1.0 / self.settings.old_slowness, self.settings.old_slowness) } else { slowness }
+    }
+
     /// Returns the median pace of a service's servers, in milliseconds per event.
     pub fn typical_pace(&self, now: Timestamp, service: &str) -> f64 {
         let mut paces: Vec<f64> = self.of_service(service).filter_map(|belief| self.pace(now, belief)).collect();
@@ -218,7 +230,7 @@
     pub fn slowness(&self, now: Timestamp, instance: &str) -> f64 {
         let Some(belief) = self.servers.get(instance) else { return 1.0 };
         let typical = self.typical_pace(now, &belief.entry.service);
-        self.pace(now, belief).map_or(1.0, |pace| pace / typical)
+        self.believed_slowness(now, belief, typical)
     }
 
     /// Records that a request was sent to a server.
--- a/crates/trestlerack/src/request/ledger.rs
+++ b/crates/trestlerack/src/request/ledger.rs
@@ -58,6 +58,9 @@
 /// How much longer items of groups carried over count than their estimate says.
 const CARRIED_WEIGHT: u64 = 2;
 
+/// How many times the median estimate makes an item a long one.
+const LONG_SHARE: u64 = 2;
+
 /// How many items of a job are in each phase.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct JobProgress {
@@ -87,6 +90,16 @@
     stored: (Option<u64>, usize),
 }
 
+fn long_estimate(spec: &JobSpec) -> u64 {
+    let mut lengths: Vec<u64> = spec.items.iter().filter_map(|item| item.length_hint).collect();
+    if lengths.is_empty() {
+        return u64::MAX;
+    }
+    let middle = lengths.len() / 2;
+    let (_, median, _) = lengths.select_nth_unstable(middle);
+    LONG_SHARE * *median
+}
+
 impl ItemState {
     fn forget_text(&mut self) {
         self.transcript = ItemTranscript::default();
@@ -106,6 +119,8 @@
     order: Vec<usize>,
     ready: VecDeque<JobResult>,
     unlisted: usize,
+    /// Estimate from which an item counts as long.
+    long_from: u64,
     /// Items without a recorded result, by group.
     open_groups: HashMap<Name, usize>,
 }
@@ -147,9 +162,9 @@
         for item in &spec.items {
             *open_groups.entry(item.group.clone()).or_default() += 1;
         }
-        let unlisted = items.len();
+        let (unlisted, long_from) = (items.len(), long_estimate(&spec));
         let (order, ready) = (Vec::new(), VecDeque::new());
-        let mut ledger = Self { order, unlisted, items, by_id, ready, settings, spec, open_groups };
+        let mut ledger = Self { order, unlisted, items, by_id, ready, settings, spec, open_groups, long_from };
         for result in listed {
             ledger.restore_listed(result);
         }
@@ -224,6 +239,12 @@
         self.order.iter().filter_map(engine).collect()
     }
 
+    /// Returns whether an item is expected to be among the last of its job: its estimate is well
+    /// over what is usual.
+    pub fn is_long(&self, index: usize) -> bool {
+        self.spec.items[index].length_hint.is_some_and(|length| length >= self.long_from)
+    }
+
     /// Returns the items whose text is whole and not scored yet.
     pub fn unscored(&self) -> Vec<usize> {
         let is_unscored = |index: &usize| self.items[*index].phase == ItemPhase::Scoring;
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use trestlerack::border::StoreError;
-use trestlerack::process::ServerNeed;
+use trestlerack::process::{ServerEntry, ServerNeed};
 use trestlerack::request::{
     ItemPhase, ItemTranscript, JobHead, JobLedger, JobResult, JobSpec, KeptItem, LedgerSettings, RunEnd, TextDelta,
 };
@@ -331,8 +331,8 @@
         driver.record.notify_one();
         return;
     }
-    place_items(node, driver, route);
     move_slow_run(node, driver, route);
+    place_items(node, driver, route);
     start_scores(node, driver);
 }
 
@@ -353,30 +353,44 @@
         };
         let entry = node.board.lock().unwrap().choose(now, &need).map(|belief| belief.entry.clone());
         let Some(entry) = entry else { return };
-        ledger.start(index, &entry.instance);
-        let ticket = ServerTicket::new(node, entry);
-        let run = tokio::spawn(item_run::run(node.clone(), driver.clone(), index, ticket));
-        driver.runs.lock().unwrap().insert(index, ItemRun { handle: run.abort_handle(), started: now });
+        start_run(node, driver, &mut ledger, index, entry);
     }
 }
 
-/// Moves a run off an engine that is much slower than its peers while a faster one has a place
-/// that no waiting item wants: the connection is closed, which ends the work there, and the run
-/// goes on elsewhere. One run at each look, because one free place takes one run only.
+fn start_run(
+    node: &Arc<EntryNode>,
+    driver: &Arc<JobDriver>,
+    ledger: &mut JobLedger,
+    index: usize,
+    engine: ServerEntry,
+) {
+    ledger.start(index, &engine.instance);
+    let ticket = ServerTicket::new(node, engine);
+    let run = tokio::spawn(item_run::run(node.clone(), driver.clone(), index, ticket));
+    let run = ItemRun { handle: run.abort_handle(), started: node.now() };
+    driver.runs.lock().unwrap().insert(index, run);
+}
+
+/// Moves a run off an engine that is slower than another one with a free place: the connection is
+/// closed, which ends the work there, and the run goes on elsewhere. While items wait, only long
+/// runs move. One run at each look, because one free place takes one run only.
 fn move_slow_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
     let now = node.now();
     let running: Vec<(usize, Name)> = {
         let ledger = driver.ledger.lock().unwrap();
-        if ledger.waiting(now).next().is_some() {
-            return;
-        }
-        ledger.running()
+        let has_waiting = ledger.waiting(now).next().is_some();
+        let mut running = ledger.running();
+        running.retain(|(index, _)| !has_waiting || ledger.is_long(*index));
+        running
     };
     for (index, engine) in running {
-        let Some(slowness) = worth_moving(node, driver, route, index, &engine) else { continue };
+        let Some((slowness, faster)) = worth_moving(node, driver, route, index, &engine) else { continue };
         let Some(run) = driver.take_run(now, index) else { continue };
         run.abort();
-        driver.ledger.lock().unwrap().end_run(now, index, RunEnd::Broken);
+        let mut ledger = driver.ledger.lock().unwrap();
+        ledger.end_run(now, index, RunEnd::Broken);
+        start_run(node, driver, &mut ledger, index, faster);
+        drop(ledger);
         let item = &driver.spec.items[index].id;
         let slowness = format!("{slowness:.1}");
         logs::write(event::RUN_MOVED, &[("item", item), ("engine", &engine), ("slowness", &slowness)]);
@@ -384,14 +398,14 @@
     }
 }
 
-/// Returns how slow the engine of a run is, if another one with a free place is much faster.
+/// Returns how slow the engine of a run is and another one with a free place that is much faster.
 fn worth_moving(
     node: &EntryNode,
     driver: &JobDriver,
     route: &RequestRoute,
     index: usize,
     engine: &Name,
-) -> Option<f64> {
+) -> Option<(f64, ServerEntry)> {
     let board = node.board.lock().unwrap();
     let now = node.now();
     let slowness = board.slowness(now, engine);
@@ -405,7 +419,8 @@
         zone: &node.settings.zone,
     };
     let other = board.choose(now, &need)?;
-    (board.slowness(now, &other.entry.instance) * MOVE_SLOWNESS < slowness).then_some(slowness)
+    let is_faster = board.slowness(now, &other.entry.instance) * MOVE_SLOWNESS < slowness;
+    is_faster.then(|| (slowness, other.entry.clone()))
 }
 
 /// Takes note of the end of a run, from the run's own task.
@@ -562,9 +577,10 @@
         let transaction = RowTransaction::new(driver.spec.id.clone());
         let content = tables::encode(&deltas);
         let transaction = tables::put_pieces(transaction, tables::KEPT, &key, &content, node.settings.store_row_bytes);
-        // A gap in the log ends each text where it was before; later deltas then do not fit.
-        if let Err(error) = node.store.call(&StoreCall::Commit(transaction)).await {
-            logs::write(event::TEXTS_LOST, &[("job", &driver.spec.id), ("why", &error)]);
+        let call = StoreCall::Commit(transaction);
+        // Later deltas go on where this one ends, so it is written before them, however long it takes.
+        while node.store.call(&call).await.is_err() {
+            tokio::time::sleep(WRITE_PAUSE).await;
         }
     }
 }
