Run likely carry-overs a second time on the newest weights in spare places

Ruled out: slow engines (moves gained nothing measurable), loads that pause runs (longest gap 119 ms), late starts (all items had begun by half time). Change: while nothing waits and an engine with the newest named weights has a place, the longest running item whose text is older gets a second run from its beginning. If the job ends first, both texts are kept and the later job goes on from the longest that fits; if the second run is whole first, it is the result.

--- a/crates/trestlerack/src/request/ledger.rs
+++ b/crates/trestlerack/src/request/ledger.rs
@@ -76,6 +76,23 @@
     pub listed: usize,
 }
 
+/// Which of an item's runs is meant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RunLane {
+    /// The run that is to bring the item's result.
+    Main,
+    /// A second run on newer weights, whose text a later job may use if this one ends first.
+    Spare,
+}
+
+/// The second run of an item.
+#[derive(Clone, Debug)]
+struct SpareRun {
+    engine: Name,
+    transcript: ItemTranscript,
+    is_over: bool,
+}
+
 #[derive(Clone, Debug)]
 struct ItemState {
     phase: ItemPhase,
@@ -86,6 +103,8 @@
     is_carried: bool,
     /// Whether the transcript is the whole text; an item that has a result may have none here.
     is_text_whole: bool,
+    /// A second run of the item from its beginning, on newer weights than the first one's.
+    spare: Option<SpareRun>,
     /// The last event that is stored, and the length of the text up to it.
     stored: (Option<u64>, usize),
 }
@@ -104,6 +123,7 @@
     fn forget_text(&mut self) {
         self.transcript = ItemTranscript::default();
         self.is_text_whole = false;
+        self.spare = None;
         self.stored = (None, 0);
     }
 }
@@ -155,6 +175,7 @@
                 not_before: Timestamp::default(),
                 is_carried,
                 is_text_whole,
+                spare: None,
                 stored: (None, 0),
             });
         }
@@ -275,11 +296,55 @@
     pub fn append(
         &mut self,
         index: usize,
+        lane: RunLane,
         event: &ItemEvent,
         version: Option<WeightVersion>,
     ) -> Result<(), TranscriptError> {
         let min_version = self.spec.min_version;
-        self.items[index].transcript.append(event, version, min_version)
+        match (lane, &mut self.items[index].spare) {
+            (RunLane::Spare, Some(spare)) => spare.transcript.append(event, version, min_version),
+            _ => self.items[index].transcript.append(event, version, min_version),
+        }
+    }
+
+    /// Returns the running items whose text a job that needs `newest` could not use, the longest
+    /// estimate first, with their engines: those that a second run on such weights may save.
+    pub fn spare_candidates(&self, newest: WeightVersion) -> Vec<(usize, Name)> {
+        let mut running = self.running();
+        running.retain(|(index, _)| {
+            let state = &self.items[*index];
+            state.spare.is_none() && !state.transcript.fits(newest)
+        });
+        running
+    }
+
+    /// Records that a second run of an item was started.
+    pub fn start_spare(&mut self, index: usize, engine: &Name) {
+        let transcript = ItemTranscript::default();
+        self.items[index].spare = Some(SpareRun { engine: engine.clone(), transcript, is_over: false });
+    }
+
+    /// Records how a second run ended. A whole text takes the place of the first run's, if that is
+    /// still under way. Returns whether it did.
+    pub fn end_spare(&mut self, index: usize, end: RunEnd) -> bool {
+        let state = &mut self.items[index];
+        let Some(spare) = &mut state.spare else { return false };
+        spare.is_over = true;
+        let is_first = matches!(state.phase, ItemPhase::Running(_) | ItemPhase::Waiting);
+        if end != RunEnd::Whole || !is_first || spare.transcript.last_event.is_none() {
+            return false;
+        }
+        state.transcript = std::mem::take(&mut spare.transcript);
+        state.spare = None;
+        state.phase = ItemPhase::Scoring;
+        state.is_text_whole = true;
+        state.stored = (None, 0);
+        true
+    }
+
+    /// Returns the engine of an item's second run while that is under way.
+    pub fn spare_engine(&self, index: usize) -> Option<&Name> {
+        self.items[index].spare.as_ref().filter(|spare| !spare.is_over).map(|spare| &spare.engine)
     }
 
     /// Records how a run ended. Returns whether the item's text is whole and wants its score.
@@ -432,6 +497,10 @@
             }
             let (transcript, is_whole) = (state.transcript.clone(), state.is_text_whole);
             kept.push(KeptItem { id: item.id.clone(), transcript, is_whole });
+            if let Some(spare) = &state.spare {
+                let transcript = spare.transcript.clone();
+                kept.push(KeptItem { id: item.id.clone(), transcript, is_whole: false });
+            }
         }
         kept
     }
--- a/crates/trestlerack/src/request/mod.rs
+++ b/crates/trestlerack/src/request/mod.rs
@@ -18,6 +18,6 @@
 pub use job::{
     ItemEvent, ItemTranscript, JobHead, JobItem, JobResult, JobSpec, KeptItem, ScoreCall, TextDelta, TranscriptError,
 };
-pub use ledger::{ItemPhase, JobLedger, JobProgress, LedgerSettings, RunEnd};
+pub use ledger::{ItemPhase, JobLedger, JobProgress, LedgerSettings, RunEnd, RunLane};
 pub use resume::{ResumeDecision, ResumePolicy, decide_resume};
 pub use sample::{Sample, SampleAssembler, SampleError, VersionRange};
--- a/crates/trestlerack/tests/ledger.rs
+++ b/crates/trestlerack/tests/ledger.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 use trestlerack::request::{
     ItemEvent, ItemPhase, ItemTranscript, JobItem, JobLedger, JobResult, JobSpec, KeptItem, LedgerSettings, RunEnd,
-    ScoreCall, TextDelta, TranscriptError,
+    RunLane, ScoreCall, TextDelta, TranscriptError,
 };
 use trestlerack::{Name, Timestamp};
 
@@ -63,7 +63,8 @@
 fn run_whole(ledger: &mut JobLedger, index: usize, events: u64) {
     ledger.start(index, &"engine".into());
     let next = ledger.transcript(index).last_event.map_or(1, |last| last + 1);
-    (next..next + events).for_each(|number| ledger.append(index, &event(number), Some(MIN_VERSION)).unwrap());
+    (next..next + events)
+        .for_each(|number| ledger.append(index, RunLane::Main, &event(number), Some(MIN_VERSION)).unwrap());
     assert!(ledger.end_run(Timestamp(0), index, RunEnd::Whole));
 }
 
@@ -90,7 +91,7 @@
 fn a_broken_run_goes_on_at_its_next_event() {
     let mut ledger = ledger(LedgerSettings::default(), vec![], vec![]);
     ledger.start(0, &"engine".into());
-    ledger.append(0, &event(1), Some(MIN_VERSION)).unwrap();
+    ledger.append(0, RunLane::Main, &event(1), Some(MIN_VERSION)).unwrap();
     assert!(!ledger.end_run(Timestamp(0), 0, RunEnd::Broken));
     assert!(!ledger.waiting(Timestamp(0)).any(|index| index == 0), "the engine it left may still work");
     assert!(ledger.waiting(Timestamp(500)).any(|index| index == 0));
@@ -104,12 +105,12 @@
 fn an_event_that_does_not_follow_or_is_too_old_or_names_no_version_is_not_taken() {
     let mut ledger = ledger(LedgerSettings::default(), vec![], vec![]);
     ledger.start(0, &"engine".into());
-    assert_eq!(ledger.append(0, &event(2), Some(MIN_VERSION)), Err(TranscriptError::OutOfOrder));
-    assert_eq!(ledger.append(0, &event(1), Some(MIN_VERSION - 1)), Err(TranscriptError::TooOld));
-    assert_eq!(ledger.append(0, &event(1), None), Err(TranscriptError::NoVersion));
-    ledger.append(0, &event(1), Some(MIN_VERSION + 1)).unwrap();
-    assert_eq!(ledger.append(0, &event(1), Some(MIN_VERSION)), Err(TranscriptError::OutOfOrder));
-    ledger.append(0, &event(2), Some(MIN_VERSION)).unwrap();
+    assert_eq!(ledger.append(0, RunLane::Main, &event(2), Some(MIN_VERSION)), Err(TranscriptError::OutOfOrder));
+    assert_eq!(ledger.append(0, RunLane::Main, &event(1), Some(MIN_VERSION - 1)), Err(TranscriptError::TooOld));
+    assert_eq!(ledger.append(0, RunLane::Main, &event(1), None), Err(TranscriptError::NoVersion));
+    ledger.append(0, RunLane::Main, &event(1), Some(MIN_VERSION + 1)).unwrap();
+    assert_eq!(ledger.append(0, RunLane::Main, &event(1), Some(MIN_VERSION)), Err(TranscriptError::OutOfOrder));
+    ledger.append(0, RunLane::Main, &event(2), Some(MIN_VERSION)).unwrap();
     assert_eq!(ledger.transcript(0).versions, [MIN_VERSION, MIN_VERSION + 1]);
 }
 
@@ -141,12 +142,12 @@
     let settings = LedgerSettings { single_version: true, ..LedgerSettings::default() };
     let mut ledger = ledger(settings, vec![], vec![]);
     ledger.start(0, &"engine".into());
-    ledger.append(0, &event(1), Some(MIN_VERSION)).unwrap();
-    ledger.append(0, &event(2), Some(MIN_VERSION + 1)).unwrap();
+    ledger.append(0, RunLane::Main, &event(1), Some(MIN_VERSION)).unwrap();
+    ledger.append(0, RunLane::Main, &event(2), Some(MIN_VERSION + 1)).unwrap();
     assert!(!ledger.end_run(Timestamp(0), 0, RunEnd::Whole));
     assert_eq!(ledger.transcript(0).last_event, None);
     ledger.start(0, &"engine".into());
-    ledger.append(0, &event(1), Some(MIN_VERSION)).unwrap();
+    ledger.append(0, RunLane::Main, &event(1), Some(MIN_VERSION)).unwrap();
     ledger.end_run(Timestamp(0), 0, RunEnd::Broken);
     assert_eq!(ledger.transcript(0).last_event, None);
 }
@@ -201,7 +202,7 @@
     ledger.start(0, &"engine".into());
     let mut deltas: Vec<TextDelta> = Vec::new();
     for number in 1..=6 {
-        ledger.append(0, &event(number), Some(MIN_VERSION)).unwrap();
+        ledger.append(0, RunLane::Main, &event(number), Some(MIN_VERSION)).unwrap();
         if number % 2 == 0 {
             deltas.extend(ledger.take_unstored(1, 1_000));
         }
@@ -225,3 +226,29 @@
     assert!(!ledger.waiting(Timestamp(1_079)).any(|index| index == 1));
     assert!(ledger.waiting(Timestamp(1_080)).any(|index| index == 1));
 }
+
+#[test]
+fn a_second_run_on_newer_weights_is_kept_for_a_later_job_or_wins() {
+    let newest = MIN_VERSION + 2;
+    let mut ledger = ledger(LedgerSettings::default(), vec![], vec![]);
+    for index in [0, 1] {
+        ledger.start(index, &"old".into());
+        ledger.append(index, RunLane::Main, &event(1), Some(MIN_VERSION)).unwrap();
+    }
+    let candidates: Vec<usize> = ledger.spare_candidates(newest).into_iter().map(|(index, _)| index).collect();
+    assert_eq!(candidates, [1, 0], "the longest estimate first");
+    for index in [0, 1] {
+        ledger.start_spare(index, &"new".into());
+        ledger.append(index, RunLane::Spare, &event(1), Some(newest)).unwrap();
+    }
+    assert!(ledger.spare_candidates(newest).is_empty());
+    assert!(ledger.end_spare(0, RunEnd::Whole));
+    assert_eq!(ledger.transcript(0).versions, [newest]);
+    assert_eq!(*ledger.phase(0), ItemPhase::Scoring);
+    assert!(!ledger.end_run(Timestamp(0), 0, RunEnd::Whole), "the first run comes too late");
+    assert!(!ledger.end_spare(1, RunEnd::Broken));
+    let kept = ledger.unfinished();
+    let texts: Vec<&[u64]> =
+        kept.iter().filter(|item| &*item.id == "a2").map(|item| item.transcript.versions.as_slice()).collect();
+    assert_eq!(texts, [&[MIN_VERSION][..], &[newest][..]]);
+}
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
-use trestlerack::request::{JobItem, RunEnd};
+use trestlerack::request::{JobItem, RunEnd, RunLane};
 use trestlerack::version::WeightVersion;
 use trestlerack::{Name, event};
 use trestlerack_platform::{EngineRequest, EventDecoder};
@@ -27,43 +27,53 @@
 /// Time that an engine is given for one run, which no run of the users' sheets reaches.
 const RUN_TIME: Duration = Duration::from_secs(30);
 
+/// A run and what is noted of it for the log.
+struct RunTrace {
+    index: usize,
+    lane: RunLane,
+    events: u64,
+    longest_gap: Duration,
+}
+
 /// Runs an item and tells its driver how that ended.
-pub async fn run(node: Arc<EntryNode>, driver: Arc<JobDriver>, index: usize, ticket: ServerTicket) {
+pub async fn run(node: Arc<EntryNode>, driver: Arc<JobDriver>, index: usize, lane: RunLane, ticket: ServerTicket) {
     let engine = ticket.server.instance.clone();
     let started = node.now();
-    let first = driver.ledger.lock().unwrap().transcript(index).last_event.unwrap_or(0);
-    let mut longest_gap = Duration::ZERO;
-    let (end, why) = attempt_run(&node, &driver, index, ticket, &mut longest_gap).await;
+    let mut trace = RunTrace { index, lane, events: 0, longest_gap: Duration::ZERO };
+    let (end, why) = attempt_run(&node, &driver, &mut trace, ticket).await;
     let item = &driver.spec.items[index];
     let took = node.now().since(started);
     if end != RunEnd::Whole || took >= LONG_RUN {
-        let last = driver.ledger.lock().unwrap().transcript(index).last_event.unwrap_or(0);
-        let fields: [(&str, &dyn std::fmt::Display); 8] = [
+        let lane = format!("{lane:?}").to_lowercase();
+        let fields: [(&str, &dyn std::fmt::Display); 9] = [
+            ("lane", &lane),
             ("item", &item.id),
             ("job", &driver.spec.id),
             ("engine", &engine),
             ("end", &format!("{end:?}").to_lowercase()),
             ("why", &why),
-            ("events", &last.saturating_sub(first)),
-            ("longest_gap_ms", &longest_gap.as_millis()),
+            ("events", &trace.events),
+            ("longest_gap_ms", &trace.longest_gap.as_millis()),
             ("ms", &took.as_millis()),
         ];
         logs::write(event::RUN_ENDED, &fields);
     }
     node.metrics.run(end);
-    job_driver::run_ended(&node, &driver, index, end);
+    job_driver::run_ended(&node, &driver, index, lane, end);
 }
 
 async fn attempt_run(
     node: &Arc<EntryNode>,
     driver: &Arc<JobDriver>,
-    index: usize,
+    trace: &mut RunTrace,
     ticket: ServerTicket,
-    longest_gap: &mut Duration,
 ) -> (RunEnd, String) {
-    let item = &driver.spec.items[index];
+    let item = &driver.spec.items[trace.index];
     let instance = ticket.server.instance.clone();
-    let resume_after = driver.ledger.lock().unwrap().transcript(index).last_event;
+    let resume_after = match trace.lane {
+        RunLane::Main => driver.ledger.lock().unwrap().transcript(trace.index).last_event,
+        RunLane::Spare => None,
+    };
     let request = EngineRequest {
         method: Method::POST,
         path: &item.path,
@@ -88,7 +98,7 @@
         }
     };
     match open.status {
-        StatusCode::OK => read_events(node, driver, index, open, longest_gap).await,
+        StatusCode::OK => read_events(node, driver, trace, open).await,
         StatusCode::UNPROCESSABLE_ENTITY => (RunEnd::Impossible, "the engine says that it can never be done".into()),
         status => (RunEnd::Failed, format!("the engine answered {status}")),
     }
@@ -108,13 +118,12 @@
 async fn read_events(
     node: &Arc<EntryNode>,
     driver: &Arc<JobDriver>,
-    index: usize,
+    trace: &mut RunTrace,
     open: OpenAnswer,
-    longest_gap: &mut Duration,
 ) -> (RunEnd, String) {
     let OpenAnswer { mut body, lease, ticket, head, .. } = open;
     let instance = ticket.server.instance.clone();
-    let model = driver.spec.model_of(&driver.spec.items[index]);
+    let model = driver.spec.model_of(&driver.spec.items[trace.index]);
     let mut version = head.version;
     note_version(node, &instance, model.as_ref(), version);
     let mut decoder = EventDecoder::default();
@@ -138,13 +147,14 @@
             Err(error) => return (RunEnd::Broken, error.to_string()),
         };
         let gap = note_pace(node, &instance, &mut last_event_at, events.len());
-        *longest_gap = gap.max(*longest_gap);
+        trace.longest_gap = gap.max(trace.longest_gap);
+        trace.events += events.len() as u64;
         for event in events {
             if event.version.is_some() {
                 version = event.version;
                 note_version(node, &instance, model.as_ref(), version);
             }
-            let appended = driver.ledger.lock().unwrap().append(index, &event, version);
+            let appended = driver.ledger.lock().unwrap().append(trace.index, trace.lane, &event, version);
             if let Err(error) = appended {
                 return (RunEnd::Broken, format!("event {} cannot be used: {error:?}", event.number));
             }
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -16,10 +16,11 @@
 use trestlerack::border::StoreError;
 use trestlerack::process::{ServerEntry, ServerNeed};
 use trestlerack::request::{
-    ItemPhase, ItemTranscript, JobHead, JobLedger, JobResult, JobSpec, KeptItem, LedgerSettings, RunEnd, TextDelta,
+    ItemPhase, ItemTranscript, JobHead, JobLedger, JobResult, JobSpec, KeptItem, LedgerSettings, RunEnd, RunLane,
+    TextDelta,
 };
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply, StoredRow};
-use trestlerack::version::{RequestRoute, RoutingTable};
+use trestlerack::version::{RequestRoute, RoutingTable, WeightVersion};
 use trestlerack::{Name, Timestamp, event};
 
 /// Longest time between two looks at a job without news.
@@ -84,7 +85,7 @@
     pub wake: Notify,
     record: Notify,
     mode: AtomicU8,
-    runs: Mutex<HashMap<usize, ItemRun>>,
+    runs: Mutex<HashMap<(usize, RunLane), ItemRun>>,
     scoring: Mutex<HashSet<usize>>,
 }
 
@@ -133,16 +134,20 @@
     /// Takes a run out to be moved, if it has been on its engine for long enough.
     fn take_run(&self, now: Timestamp, index: usize) -> Option<AbortHandle> {
         let mut runs = self.runs.lock().unwrap();
-        let is_due = runs.get(&index).is_some_and(|run| now.since(run.started) >= MOVE_AGE);
-        if is_due { runs.remove(&index).map(|run| run.handle) } else { None }
+        let key = (index, RunLane::Main);
+        let is_due = runs.get(&key).is_some_and(|run| now.since(run.started) >= MOVE_AGE);
+        if is_due { runs.remove(&key).map(|run| run.handle) } else { None }
     }
 
     fn cancel_runs(&self, now: Timestamp) {
-        let runs: Vec<(usize, ItemRun)> = self.runs.lock().unwrap().drain().collect();
+        let runs: Vec<((usize, RunLane), ItemRun)> = self.runs.lock().unwrap().drain().collect();
         let mut ledger = self.ledger.lock().unwrap();
-        for (index, run) in runs {
+        for ((index, lane), run) in runs {
             run.handle.abort();
-            ledger.end_run(now, index, RunEnd::Broken);
+            match lane {
+                RunLane::Main => ledger.end_run(now, index, RunEnd::Broken),
+                RunLane::Spare => ledger.end_spare(index, RunEnd::Broken),
+            };
         }
     }
 }
@@ -204,7 +209,7 @@
         let first = if job == spec.id { tables::KEPT_LOG } else { tables::KEPT_END };
         // Kept texts only save time, so a job starts without them rather than late.
         match tables::read_from(&node.store, tables::KEPT, &job, first).await {
-            Ok(rows) => merge_kept(&mut kept, rows),
+            Ok(rows) => merge_kept(&mut kept, rows, spec.min_version),
             Err(error) => logs::write(event::TEXTS_LOST, &[("job", &job), ("why", &error)]),
         }
     }
@@ -233,7 +238,7 @@
 }
 
 /// Adds kept texts, the longest of each item; rows of several owners of one job may lie there.
-fn merge_kept(kept: &mut HashMap<Name, KeptItem>, rows: Vec<StoredRow>) {
+fn merge_kept(kept: &mut HashMap<Name, KeptItem>, rows: Vec<StoredRow>, min_version: WeightVersion) {
     let mut logged: HashMap<Name, ItemTranscript> = HashMap::new();
     for (key, content) in tables::join_pieces(rows) {
         if key.starts_with(tables::KEPT_LOG) {
@@ -246,15 +251,21 @@
                 transcript.extend(&delta);
             }
         } else if let Ok(items) = tables::decode::<Vec<KeptItem>>(&content) {
-            items.into_iter().for_each(|item| keep_longer(kept, item));
+            items.into_iter().for_each(|item| keep_longer(kept, item, min_version));
         }
     }
     for (id, transcript) in logged {
-        keep_longer(kept, KeptItem { id, transcript, is_whole: false });
+        keep_longer(kept, KeptItem { id, transcript, is_whole: false }, min_version);
     }
 }
 
-fn keep_longer(kept: &mut HashMap<Name, KeptItem>, item: KeptItem) {
+/// Keeps the longest text whose versions fit. An item without one is kept too: that it was in an
+/// earlier job says that the client waits for its group.
+fn keep_longer(kept: &mut HashMap<Name, KeptItem>, item: KeptItem, min_version: WeightVersion) {
+    let item = match item.transcript.fits(min_version) {
+        true => item,
+        false => KeptItem { transcript: ItemTranscript::default(), is_whole: false, ..item },
+    };
     let is_longer = kept
         .get(&item.id)
         .is_none_or(|held| (held.is_whole, held.transcript.last_event) < (item.is_whole, item.transcript.last_event));
@@ -333,6 +344,7 @@
     }
     move_slow_run(node, driver, route);
     place_items(node, driver, route);
+    start_spare(node, driver, route);
     start_scores(node, driver);
 }
 
@@ -365,10 +377,47 @@
     engine: ServerEntry,
 ) {
     ledger.start(index, &engine.instance);
+    spawn_run(node, driver, index, RunLane::Main, engine);
+}
+
+fn spawn_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, index: usize, lane: RunLane, engine: ServerEntry) {
     let ticket = ServerTicket::new(node, engine);
-    let run = tokio::spawn(item_run::run(node.clone(), driver.clone(), index, ticket));
+    let run = tokio::spawn(item_run::run(node.clone(), driver.clone(), index, lane, ticket));
     let run = ItemRun { handle: run.abort_handle(), started: node.now() };
-    driver.runs.lock().unwrap().insert(index, run);
+    driver.runs.lock().unwrap().insert((index, lane), run);
+}
+
+/// Starts a second run of an item that may not be whole before its client ends the job: on the
+/// newest weights, from the beginning, while engines have places that nobody waits for. A later
+/// job that brings the item again and needs newer weights than the first run had then goes on from
+/// the second one. One run at each look.
+fn start_spare(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
+    let Some(model) = driver.spec.model.clone().filter(|_| !route.single_version) else { return };
+    let newest = node.targets.lock().unwrap().get(&model).copied().unwrap_or(0);
+    if newest <= driver.spec.min_version || is_any_item_waiting(node) {
+        return;
+    }
+    let mut ledger = driver.ledger.lock().unwrap();
+    let Some((index, engine)) = ledger.spare_candidates(newest).into_iter().next() else { return };
+    let Some(service) = route.service_for(&driver.spec.items[index].id) else { return };
+    let need = ServerNeed {
+        service,
+        weights: Some((&model, newest)),
+        wants_free_place: true,
+        avoid: std::slice::from_ref(&engine),
+        zone: &node.settings.zone,
+    };
+    let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone());
+    let Some(entry) = entry else { return };
+    ledger.start_spare(index, &entry.instance);
+    drop(ledger);
+    spawn_run(node, driver, index, RunLane::Spare, entry);
+}
+
+fn is_any_item_waiting(node: &EntryNode) -> bool {
+    let now = node.now();
+    let drivers: Vec<Arc<JobDriver>> = node.drivers.lock().unwrap().values().cloned().collect();
+    drivers.iter().any(|driver| driver.ledger.lock().unwrap().waiting(now).next().is_some())
 }
 
 /// Moves a run off an engine that is slower than another one with a free place: the connection is
@@ -424,12 +473,22 @@
 }
 
 /// Takes note of the end of a run, from the run's own task.
-pub fn run_ended(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, index: usize, end: RunEnd) {
-    driver.runs.lock().unwrap().remove(&index);
+pub fn run_ended(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, index: usize, lane: RunLane, end: RunEnd) {
+    let mut runs = driver.runs.lock().unwrap();
+    runs.remove(&(index, lane));
     let mut ledger = driver.ledger.lock().unwrap();
-    ledger.end_run(node.now(), index, end);
+    let (is_whole, other) = match lane {
+        RunLane::Main => (ledger.end_run(node.now(), index, end), RunLane::Spare),
+        RunLane::Spare => (ledger.end_spare(index, end), RunLane::Main),
+    };
     let is_settled = *ledger.phase(index) == ItemPhase::Settled;
     drop(ledger);
+    // A whole text needs no second run.
+    let needless = if is_whole || is_settled { runs.remove(&(index, other)) } else { None };
+    if let Some(run) = needless {
+        run.handle.abort();
+    }
+    drop(runs);
     if is_settled {
         driver.record.notify_one();
     }
