--- /dev/null
+++ b/crates/trestlerack/tests/placement.rs
@@ -0,0 +1,152 @@
+//! Where requests go, by what a node believes of the servers.
+
+use std::time::Duration;
+use trestlerack::Timestamp;
+use trestlerack::process::{BoardSettings, RegistrySettings, ServerBoard, ServerEntry, ServerNeed, ServerRegistry};
+
+const NOW: Timestamp = Timestamp(100_000);
+
+fn entry(instance: &str, zone: &str, version: u64) -> ServerEntry {
+    ServerEntry {
+        instance: instance.into(),
+        service: "models".into(),
+        address: format!("10.0.0.1:{}", 8_000 + instance.len()).into(),
+        zone: zone.into(),
+        slots: 2,
+        is_draining: false,
+        models: vec![("m".into(), version)],
+        heartbeat: 1,
+    }
+}
+
+fn registry(entries: &[ServerEntry]) -> ServerRegistry {
+    let mut registry = ServerRegistry::new(RegistrySettings::default());
+    entries.iter().for_each(|entry| assert!(registry.put(entry.clone())));
+    registry
+}
+
+fn board(entries: &[ServerEntry]) -> ServerBoard {
+    let mut board = ServerBoard::new(BoardSettings::default());
+    board.sync(&registry(entries));
+    board
+}
+
+fn need(oldest: u64) -> ServerNeed<'static> {
+    ServerNeed { service: "models", weights: Some(("m", oldest)), wants_free_place: true, ..ServerNeed::default() }
+}
+
+fn chosen(board: &ServerBoard, now: Timestamp, need: &ServerNeed<'_>) -> Option<String> {
+    board.choose(now, need).map(|belief| belief.entry.instance.to_string())
+}
+
+#[test]
+fn only_engines_with_new_enough_weights_and_a_free_place_will_do() {
+    let mut board = board(&[entry("a", "z", 1), entry("b", "z", 2)]);
+    assert_eq!(chosen(&board, NOW, &need(2)), Some("b".into()));
+    assert_eq!(chosen(&board, NOW, &need(3)), None);
+    board.started("b");
+    board.started("b");
+    assert_eq!(chosen(&board, NOW, &need(2)), None);
+    board.ended("b");
+    assert_eq!(chosen(&board, NOW, &need(2)), Some("b".into()));
+}
+
+#[test]
+fn a_step_takes_engines_that_are_not_newer_than_it_needs() {
+    let board = board(&[entry("a", "z", 3), entry("b", "z", 2)]);
+    assert_eq!(chosen(&board, NOW, &need(2)), Some("b".into()));
+    assert_eq!(chosen(&board, NOW, &need(3)), Some("a".into()));
+}
+
+#[test]
+fn an_engine_that_loads_takes_nothing_until_it_should_be_done() {
+    let mut board = board(&[entry("a", "z", 1)]);
+    board.loading("a", "m", 2, NOW + Duration::from_millis(900));
+    assert_eq!(chosen(&board, NOW, &need(1)), None);
+    assert_eq!(chosen(&board, NOW + Duration::from_millis(900), &need(2)), Some("a".into()));
+    // What the engine itself states counts more than what it was ordered.
+    board.stated_version("a", "m", 1);
+    assert_eq!(chosen(&board, NOW + Duration::from_millis(900), &need(2)), None);
+}
+
+#[test]
+fn a_slow_engine_is_chosen_last_and_an_old_slowness_counts_less() {
+    let mut board = board(&[entry("a", "z", 1), entry("b", "z", 1), entry("c", "z", 1)]);
+    for (engine, gap) in [("a", 150), ("b", 40), ("c", 40)] {
+        board.event_gap(NOW, engine, Duration::from_millis(gap));
+    }
+    assert!((board.slowness(NOW, "a") - 3.75).abs() < 0.01);
+    board.started("b");
+    assert_eq!(chosen(&board, NOW, &need(1)), Some("c".into()));
+    board.started("c");
+    assert_ne!(chosen(&board, NOW, &need(1)), Some("a".into()), "half full and fast beats empty and slow");
+    let later = NOW + Duration::from_secs(10);
+    assert!(board.slowness(later, "a") <= BoardSettings::default().old_slowness);
+}
+
+#[test]
+fn failures_in_a_row_pause_a_server_longer_and_a_success_ends_that() {
+    let mut board = board(&[entry("a", "z", 1)]);
+    let first = board.failed(NOW, "a");
+    assert_eq!(chosen(&board, NOW, &need(1)), None);
+    assert_eq!(chosen(&board, NOW + first, &need(1)), Some("a".into()));
+    let second = board.failed(NOW + first, "a");
+    assert_eq!(second, first * 2);
+    board.succeeded("a");
+    assert_eq!(board.failed(NOW, "a"), first);
+}
+
+#[test]
+fn refusals_that_come_together_count_as_one() {
+    let mut board = board(&[entry("a", "z", 1)]);
+    (0..12).for_each(|_| board.refused(NOW, "a"));
+    let pause = BoardSettings::default().refusal_pause;
+    assert_eq!(chosen(&board, NOW + pause, &need(1)), Some("a".into()));
+    board.refused(NOW + pause, "a");
+    assert_eq!(chosen(&board, NOW + pause * 2, &need(1)), None);
+    assert_eq!(chosen(&board, NOW + pause * 3, &need(1)), Some("a".into()));
+}
+
+#[test]
+fn a_plain_request_prefers_its_own_zone_and_the_emptier_server() {
+    let mut board = board(&[entry("a", "far", 1), entry("b", "near", 1)]);
+    let plain = ServerNeed { service: "models", zone: "near", ..ServerNeed::default() };
+    assert_eq!(chosen(&board, NOW, &plain), Some("b".into()));
+    board.stated_load(NOW, "b", 2, 1);
+    assert_eq!(chosen(&board, NOW, &plain), Some("a".into()));
+    let avoid = ["a".into()];
+    assert_eq!(chosen(&board, NOW, &ServerNeed { avoid: &avoid, ..plain }), Some("b".into()));
+}
+
+#[test]
+fn a_draining_server_gets_nothing_new() {
+    let draining = ServerEntry { is_draining: true, ..entry("a", "z", 1) };
+    let board = board(&[draining]);
+    assert_eq!(chosen(&board, NOW, &need(1)), None);
+    assert_eq!(board.count(NOW, &need(1)), 0);
+}
+
+#[test]
+fn an_entry_that_lapsed_during_an_outage_is_believed_for_a_while() {
+    let mut registry = registry(&[entry("a", "z", 1), entry("b", "z", 1)]);
+    registry.store_lost();
+    registry.store_returned(NOW);
+    assert!(!registry.remove(NOW, "a"));
+    assert!(!registry.remove(NOW, "b"));
+    assert!(registry.get("a").is_some());
+    // One registers again in time, the other one is gone.
+    registry.put(entry("b", "z", 1));
+    let limit = NOW + RegistrySettings::default().return_time;
+    assert_eq!(registry.expire(limit), ["a".into()]);
+    assert!(registry.get("a").is_none() && registry.get("b").is_some());
+    assert!(registry.remove(limit, "b"), "long after an outage a removal counts at once");
+}
+
+#[test]
+fn heartbeats_alone_are_no_news() {
+    let mut registry = registry(&[entry("a", "z", 1)]);
+    assert!(!registry.put(ServerEntry { heartbeat: 2, ..entry("a", "z", 1) }));
+    assert!(registry.put(ServerEntry { heartbeat: 3, is_draining: true, ..entry("a", "z", 1) }));
+    registry.replace(NOW, vec![entry("c", "z", 1)]);
+    assert!(registry.get("a").is_none() && registry.get("c").is_some());
+}
--- /dev/null
+++ b/crates/trestlerack/tests/weight_plans.rs
@@ -0,0 +1,169 @@
+//! Engines are brought to named versions with few loads, by one holder at a time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use trestlerack::process::ServerEntry;
+use trestlerack::version::{DueOrder, EngineAssignment, OrderOutcome, WeightPlan, WeightPlanSettings};
+use trestlerack::{Name, Timestamp};
+
+const NOW: Timestamp = Timestamp(100_000);
+
+fn entry(instance: &str, versions: &[(&str, u64)]) -> ServerEntry {
+    ServerEntry {
+        instance: instance.into(),
+        service: "models".into(),
+        address: "10.0.0.1:1".into(),
+        zone: "z".into(),
+        slots: 12,
+        is_draining: false,
+        models: versions.iter().map(|(model, version)| (Name::from(*model), *version)).collect(),
+        heartbeat: 1,
+    }
+}
+
+fn models(names: &[&str]) -> Vec<Name> {
+    names.iter().map(|name| Name::from(*name)).collect()
+}
+
+fn sync(plan: &mut WeightPlan, now: Timestamp, names: &[&str], entries: &[ServerEntry]) -> Vec<(Name, Name)> {
+    plan.sync(now, &models(names), &entries.iter().collect::<Vec<_>>(), &BTreeMap::new())
+}
+
+fn engines(count: usize, versions: &[(&str, u64)]) -> Vec<ServerEntry> {
+    (0..count).map(|number| entry(&format!("i-{number:02}"), versions)).collect()
+}
+
+/// Answers each question for a report and accepts each order, and returns the orders.
+fn carry_out(plan: &mut WeightPlan, now: Timestamp) -> Vec<DueOrder> {
+    let mut accepted = Vec::new();
+    for _ in 0..2 {
+        for order in plan.next_orders(now, |_| Some(0)) {
+            match order.orders_before {
+                None => plan.reported(now, &order.instance, 1, false, 0),
+                Some(before) => {
+                    plan.ordered(now, &order, OrderOutcome::Accepted, before);
+                    accepted.push(order);
+                }
+            }
+        }
+    }
+    accepted
+}
+
+#[test]
+fn a_fifth_of_the_engines_and_two_at_least_load_at_once() {
+    for (count, at_once) in [(1, 1), (3, 2), (11, 2), (44, 9)] {
+        let mut plan = WeightPlan::new(WeightPlanSettings::default());
+        sync(&mut plan, NOW, &["m"], &engines(count, &[("m", 1)]));
+        assert!(carry_out(&mut plan, NOW).is_empty(), "nothing was named yet");
+        plan.target(&"m".into(), 2);
+        assert_eq!(carry_out(&mut plan, NOW).len(), at_once, "of {count}");
+        assert!(carry_out(&mut plan, NOW).is_empty(), "those still load");
+    }
+}
+
+#[test]
+fn each_engine_loads_each_named_version_once_at_most_and_may_skip_one() {
+    let entries = engines(5, &[("m", 1)]);
+    let mut plan = WeightPlan::new(WeightPlanSettings::default());
+    sync(&mut plan, NOW, &["m"], &entries);
+    plan.target(&"m".into(), 2);
+    let mut loads: Vec<(Name, u64)> = Vec::new();
+    let mut now = NOW;
+    for step in 0..20 {
+        now = now + Duration::from_millis(500);
+        if step == 3 {
+            plan.target(&"m".into(), 3);
+            plan.target(&"m".into(), 2);
+        }
+        loads.extend(carry_out(&mut plan, now).into_iter().map(|order| (order.instance, order.version)));
+    }
+    let newest = loads.iter().filter(|(_, version)| *version == 3).count();
+    assert_eq!(newest, 5, "{loads:?}");
+    assert!(loads.len() < 10, "engines that still had version 1 went to 3 at once: {loads:?}");
+}
+
+#[test]
+fn engines_are_divided_among_models_and_stay_where_they_are() {
+    let versions = [("a", 1), ("b", 1)];
+    let mut plan = WeightPlan::new(WeightPlanSettings::default());
+    let decided = sync(&mut plan, NOW, &["a", "b"], &engines(9, &versions));
+    assert_eq!(decided.len(), 9);
+    let on_a = plan.models().filter(|(_, model)| &***model == "a").count();
+    assert!((4..=5).contains(&on_a));
+    assert!(sync(&mut plan, NOW, &["a", "b"], &engines(9, &versions)).is_empty());
+    let before: BTreeMap<Name, Name> = plan.models().map(|(name, model)| (name.clone(), model.clone())).collect();
+    // Three engines of one model are lost; one engine moves, the others stay.
+    let lost: Vec<&Name> = before.iter().filter(|(_, model)| &***model == "b").map(|(name, _)| name).take(3).collect();
+    let left: Vec<ServerEntry> =
+        engines(9, &versions).into_iter().filter(|entry| !lost.contains(&&entry.instance)).collect();
+    let moved = sync(&mut plan, NOW, &["a", "b"], &left);
+    assert!(moved.len() <= 2, "{moved:?}");
+    let on_a = plan.models().filter(|(_, model)| &***model == "a").count();
+    assert_eq!(on_a, 3);
+}
+
+#[test]
+fn what_the_store_says_of_an_engines_model_is_kept() {
+    let assignment =
+        EngineAssignment { model: "b".into(), version: 4, ordered_ms: 1, tried_ms: 1, holder: "node-1".into() };
+    let assigned: BTreeMap<Name, EngineAssignment> =
+        (0..2).map(|number| (format!("i-{number:02}").into(), assignment.clone())).collect();
+    let mut plan = WeightPlan::new(WeightPlanSettings::default());
+    let entries = engines(2, &[("a", 1), ("b", 4)]);
+    let decided = plan.sync(NOW, &models(&["a", "b"]), &entries.iter().collect::<Vec<_>>(), &assigned);
+    assert_eq!(decided.len(), 1, "only the move that evens the models out: {decided:?}");
+}
+
+#[test]
+fn an_unknown_outcome_is_settled_by_asking_the_engine() {
+    let mut plan = WeightPlan::new(WeightPlanSettings::default());
+    sync(&mut plan, NOW, &["m"], &engines(1, &[("m", 1)]));
+    plan.target(&"m".into(), 2);
+    let question = plan.next_orders(NOW, |_| Some(0)).remove(0);
+    assert_eq!(question.orders_before, None);
+    plan.reported(NOW, &question.instance, 1, false, 3);
+    let order = plan.next_orders(NOW, |_| Some(0)).remove(0);
+    assert_eq!(order.orders_before, Some(3));
+    plan.ordered(NOW, &order, OrderOutcome::Unknown, 3);
+    assert!(plan.next_orders(NOW, |_| Some(0)).is_empty(), "it pauses first");
+    let later = NOW + WeightPlanSettings::default().retry_pause;
+    assert_eq!(plan.next_orders(later, |_| Some(0)).remove(0).orders_before, None);
+}
+
+#[test]
+fn a_load_that_discovery_never_shows_is_ordered_again() {
+    let mut plan = WeightPlan::new(WeightPlanSettings::default());
+    let entries = engines(1, &[("m", 1)]);
+    sync(&mut plan, NOW, &["m"], &entries);
+    plan.target(&"m".into(), 2);
+    assert_eq!(carry_out(&mut plan, NOW).len(), 1);
+    let soon = NOW + Duration::from_secs(2);
+    sync(&mut plan, soon, &["m"], &entries);
+    assert!(carry_out(&mut plan, soon).is_empty(), "discovery lags");
+    let late = NOW + WeightPlanSettings::default().proof_time;
+    sync(&mut plan, late, &["m"], &entries);
+    assert_eq!(carry_out(&mut plan, late).len(), 1);
+}
+
+#[test]
+fn a_new_holder_waits_for_the_last_try_of_the_one_before_at_each_engine() {
+    let handover = Duration::from_secs(3);
+    let tried = |holder: &str, tried_ms: u64| EngineAssignment {
+        model: "m".into(),
+        version: 2,
+        ordered_ms: tried_ms,
+        tried_ms,
+        holder: holder.into(),
+    };
+    assert!(!tried("old", 10_000).is_open_to("new", 12_999, handover));
+    assert!(tried("old", 10_000).is_open_to("new", 13_000, handover));
+    assert!(tried("old", 10_000).is_open_to("old", 10_001, handover));
+    assert!(tried("old", 0).is_open_to("new", 1, handover), "it was never ordered");
+    let mut plan = WeightPlan::new(WeightPlanSettings::default());
+    sync(&mut plan, NOW, &["m"], &engines(2, &[("m", 1)]));
+    plan.target(&"m".into(), 2);
+    let due = plan.next_orders(NOW, |instance| (instance != "i-00").then_some(0));
+    assert_eq!(due.len(), 1);
+    assert_eq!(&*due[0].instance, "i-01");
+}
