--- a/crates/trestlerackd/src/main.rs
+++ b/crates/trestlerackd/src/main.rs
@@ -138,5 +138,7 @@
 fn serve_entry(settings: EntrySettings, file: String) -> anyhow::Result<()> {
     process::logs::start_bounded(&settings.log_level)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(entry::run(settings, file))
+    let outcome = runtime.block_on(entry::run(settings, file));
+    log::logger().flush();
+    outcome
 }
--- a/crates/trestlerackd/src/process/logs.rs
+++ b/crates/trestlerackd/src/process/logs.rs
@@ -4,6 +4,7 @@
 use std::fmt::{Display, Write};
 use std::io;
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::Duration;
 use trestlerack::event::{LogEvent, Severity};
 
 /// Lines that wait to be written before further ones are dropped and counted.
@@ -30,12 +31,24 @@
     ConfigBuilder::new().set_time_format_rfc3339().add_filter_allow_str("trestlerack").build()
 }
 
-fn write_lines(waiting: &Receiver<Vec<u8>>) {
+/// What the writing thread is handed.
+enum LogPiece {
+    /// A whole line.
+    Line(Vec<u8>),
+    /// Everything before this is to be written; the sender is dropped once it is.
+    Flush(SyncSender<()>),
+}
+
+fn write_lines(waiting: &Receiver<LogPiece>) {
     let mut output = io::stdout();
-    while let Ok(mut lines) = waiting.recv() {
+    while let Ok(first) = waiting.recv() {
+        let (mut lines, mut flushes) = (Vec::new(), Vec::new());
         // What waits is written at once, since each write costs a system call.
-        while let Ok(line) = waiting.try_recv() {
-            lines.extend(line);
+        for piece in std::iter::once(first).chain(waiting.try_iter()) {
+            match piece {
+                LogPiece::Line(line) => lines.extend(line),
+                LogPiece::Flush(done) => flushes.push(done),
+            }
         }
         // Nobody is left to tell when standard output is closed.
         let _ = io::Write::write_all(&mut output, &lines);
@@ -43,9 +56,12 @@
     }
 }
 
+/// Longest time that the end of the process waits for its last lines.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
 /// Collects the pieces of a line and hands whole lines to the writing thread.
 struct BoundedWriter {
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<LogPiece>,
     line: Vec<u8>,
     dropped: u64,
 }
@@ -58,7 +74,7 @@
             if self.dropped > 0 {
                 line.extend_from_slice(format!("log lines dropped={}\n", self.dropped).as_bytes());
             }
-            match self.lines.try_send(line) {
+            match self.lines.try_send(LogPiece::Line(line)) {
                 Ok(()) => self.dropped = 0,
                 Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.dropped += 1,
             }
@@ -66,7 +82,13 @@
         Ok(bytes.len())
     }
 
+    /// Waits, for a short time only, until everything is written; called once, at the end.
     fn flush(&mut self) -> io::Result<()> {
+        let (done, written) = sync_channel(0);
+        if self.lines.try_send(LogPiece::Flush(done)).is_ok() {
+            // Ends with an error as soon as the thread drops the other side.
+            let _ = written.recv_timeout(FLUSH_TIME);
+        }
         Ok(())
     }
 }
--- a/crates/trestlerackd/tests/entry.rs
+++ b/crates/trestlerackd/tests/entry.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::{EntryDaemon, StandinStore, call, eventually, reply, send, serve};
+use support::{EntryDaemon, StandinStore, call, eventually, free_address, reply, send, serve};
 
 const EVENTS: u64 = 5;
 
@@ -304,3 +304,14 @@
     assert!(daemon.is_running());
     assert_eq!(call(&daemon.client, "POST", "/safe/x", &[("request-id", "r1")], "x").unwrap().status, 200);
 }
+
+#[test]
+fn a_node_that_cannot_reach_the_store_serves_through_a_peer() {
+    let platform = Platform::start();
+    let peer = EntryDaemon::start("a", &platform.store, &[]);
+    // Nothing listens there, so each direct call fails.
+    let cut_off = EntryDaemon::start_with_store("b", &free_address(), &[&peer.peer]);
+    assert_eq!(call(&cut_off.client, "POST", "/safe/x", &[("request-id", "r1")], "x").unwrap().status, 200);
+    assert_eq!(submit(&cut_off, "job1", 6), 202);
+    assert_eq!(read_all(&cut_off, "job1", 6), read_all(&peer, "job1", 6));
+}
--- a/crates/trestlerackd/tests/support/mod.rs
+++ b/crates/trestlerackd/tests/support/mod.rs
@@ -264,7 +264,7 @@
 const PORTS_OF_RUN: u16 = 64;
 
 /// Returns an address that nothing listens on, another one at each call.
-fn free_address() -> String {
+pub fn free_address() -> String {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let first = FIRST_PORT + (std::process::id() % 200) as u16 * PORTS_OF_RUN;
     loop {
@@ -277,10 +277,15 @@
 
 impl EntryDaemon {
     pub fn start(name: &str, store: &StandinStore, seeds: &[&str]) -> Self {
+        Self::start_with_store(name, &store.address.to_string(), seeds)
+    }
+
+    /// Starts a daemon whose settings name another address of the store.
+    pub fn start_with_store(name: &str, store: &str, seeds: &[&str]) -> Self {
         let (client, ready, peer) = (free_address(), free_address(), free_address());
         let text = json!({
             "name": name, "zone": "z", "client_listen": client, "ready_listen": ready, "peer_listen": peer,
-            "seeds": seeds, "store": store.address.to_string(), "stop_limit_s": 5.0, "order_handover_ms": 300,
+            "seeds": seeds, "store": store, "stop_limit_s": 5.0, "order_handover_ms": 300,
         });
         let file = format!("entry-{name}-{}-{}.json", std::process::id(), client.replace([':', '.'], "-"));
         let settings = std::env::temp_dir().join(file);
