Resume broken streams; split the job driver by what it does; order engines together

Change: entry/streams.rs passes on whole events and goes on at another server after the last one; generations go to servers that hold their model. The driver is now job_driver, job_runs, job_scores, job_records and job_texts. Orders of one look are sent together. Tests: a stream that breaks within an event is resumed, or breaks too where the route does not allow it.

--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -204,7 +204,11 @@
         let zone_cost = if &*belief.entry.zone == need.zone { 0.0 } else { self.settings.zone_cost };
         let pace = self.believed_slowness(now, belief, typical);
         let Some((model, oldest)) = need.weights else { return fill + zone_cost };
-        let spare = belief.version(model).map_or(0, |version| version.saturating_sub(oldest));
+        // A request that any version may serve has no newer engines to spare.
+        let spare = match oldest {
+            0 => 0,
+            _ => belief.version(model).map_or(0, |version| version.saturating_sub(oldest)),
+        };
         pace * (1.0 + fill + self.settings.spare_version_cost * spare as f64)
     }
 
--- a/crates/trestlerackd/src/entry/front.rs
+++ b/crates/trestlerackd/src/entry/front.rs
@@ -1,14 +1,12 @@
 //! Serves clients: accepts their connections and hands each request to what it is about.
 
-use super::attempt::OpenAnswer;
 use super::node::EntryNode;
 use super::{job_calls, plain};
 use crate::process::logs;
 use bytes::Bytes;
-use futures_util::stream;
 use http::{HeaderMap, Method};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
@@ -33,7 +31,10 @@
 const NO_CONFIG_RETURN: Duration = Duration::from_millis(200);
 
 /// Body of a reply.
-pub type ReplyBody = UnsyncBoxBody<Bytes, hyper::Error>;
+pub type ReplyBody = UnsyncBoxBody<Bytes, BrokenReply>;
+
+/// Why a reply breaks off; hyper then closes the connection without ending the reply.
+pub type BrokenReply = Box<dyn std::error::Error + Send + Sync>;
 
 /// A request that was read whole.
 pub struct ClientRequest {
@@ -58,34 +59,6 @@
     Full::new(body.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Passes an answer on as it arrives; a break on the way breaks the reply too.
-pub fn stream_reply(node: &Arc<EntryNode>, open: OpenAnswer) -> Response<ReplyBody> {
-    let mut headers = HeaderMap::new();
-    plain::copy_headers(&open.headers, &mut headers);
-    let status = open.status;
-    let node = node.clone();
-    let frames = stream::unfold(Some((open.body, open.lease, open.ticket, open.head)), move |state| {
-        let node = node.clone();
-        async move {
-            let (mut body, lease, ticket, head) = state?;
-            match body.frame().await {
-                Some(Ok(frame)) => Some((Ok(frame), Some((body, lease, ticket, head)))),
-                Some(Err(error)) => Some((Err(error), None)),
-                None => {
-                    if !head.is_closing {
-                        node.pool.keep(lease, head.idle_limit);
-                    }
-                    None
-                }
-            }
-        }
-    });
-    let mut reply = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
-    *reply.status_mut() = status;
-    *reply.headers_mut() = headers;
-    reply
-}
-
 /// Accepts clients until the planned stop closes the node.
 pub async fn serve(node: Arc<EntryNode>, listener: TcpListener) {
     loop {
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -1,7 +1,8 @@
 //! One run of an item at one model engine.
 
 use super::attempt::{self, AttemptError, OpenAnswer};
-use super::job_driver::{self, JobDriver};
+use super::job_driver::JobDriver;
+use super::job_runs;
 use super::node::{EntryNode, ServerTicket};
 use crate::process::logs;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -59,7 +60,7 @@
         logs::write(event::RUN_ENDED, &fields);
     }
     node.metrics.run(end);
-    job_driver::run_ended(&node, &driver, index, lane, end);
+    job_runs::run_ended(&node, &driver, index, lane, end);
 }
 
 async fn attempt_run(
--- /dev/null
+++ b/crates/trestlerackd/src/entry/job_records.rs
@@ -0,0 +1,101 @@
+//! Records the results of a job: position and content in one transaction with the head.
+
+use super::job_calls::result_key;
+use super::job_driver::JobDriver;
+use super::node::EntryNode;
+use super::tables;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::Name;
+use trestlerack::request::{JobHead, JobResult};
+use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
+
+/// Pause before a write that failed is sent again.
+pub const WRITE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Records results as they come, several in one write while the write before is on its way.
+/// Returns the head row at the end, or `None` if another node drives the job.
+pub async fn record_results(
+    node: Arc<EntryNode>,
+    driver: Arc<JobDriver>,
+    mut head: JobHead,
+    mut version: u64,
+) -> Option<(JobHead, u64)> {
+    loop {
+        let batch = driver.ledger.lock().unwrap().take_ready(tables::COMMIT_ROWS / 2, tables::COMMIT_BYTES / 2);
+        if batch.is_empty() {
+            let is_over = !driver.is_driving() || driver.ledger.lock().unwrap().is_whole();
+            if is_over {
+                return Some((head, version));
+            }
+            driver.record.notified().await;
+            continue;
+        }
+        let mut next = JobHead { write_id: node.write_id(), listed: head.listed + batch.len(), ..head.clone() };
+        let transaction = result_writes(&node, &driver.spec.id, &head, version, &batch, &next);
+        match commit_head(&node, &driver, transaction, &mut next).await {
+            Some(committed) => {
+                version = committed;
+                head = next;
+            }
+            None => {
+                driver.lose();
+                return None;
+            }
+        }
+        let mut ledger = driver.ledger.lock().unwrap();
+        batch.iter().for_each(|result| ledger.mark_listed(&result.id));
+        drop(ledger);
+        node.metrics.results(batch.len());
+        node.learn_head(head.clone(), version, &driver.spec.id);
+        driver.wake.notify_one();
+    }
+}
+
+fn result_writes(
+    node: &EntryNode,
+    job: &Name,
+    head: &JobHead,
+    version: u64,
+    batch: &[JobResult],
+    next: &JobHead,
+) -> RowTransaction {
+    let mut transaction = RowTransaction::new(job.clone()).expect(tables::STATE, tables::HEAD, version).put(
+        tables::STATE,
+        tables::HEAD,
+        tables::encode(next),
+    );
+    for (offset, result) in batch.iter().enumerate() {
+        let content = tables::encode(result);
+        let key = result_key(head.listed + offset);
+        transaction = tables::put_pieces(transaction, tables::RESULTS, &key, &content, node.settings.store_row_bytes);
+    }
+    transaction
+}
+
+/// Commits a write of the head until its outcome is known. Returns the new version, or `None` if
+/// another node has taken the job over.
+pub async fn commit_head(
+    node: &Arc<EntryNode>,
+    driver: &JobDriver,
+    transaction: RowTransaction,
+    next: &mut JobHead,
+) -> Option<u64> {
+    let call = StoreCall::Commit(transaction);
+    loop {
+        match node.store.call(&call).await {
+            Ok(StoreReply::Committed(moment)) => return Some(moment.version),
+            Ok(StoreReply::Conflict(rows)) => {
+                let row = rows.into_iter().find(|row| &*row.key == tables::HEAD)?;
+                let held: JobHead = tables::decode(&row.value).ok()?;
+                // An earlier try of the same write may have been applied without its reply.
+                return (held.write_id == next.write_id).then_some(row.version);
+            }
+            Ok(_) | Err(_) => {}
+        }
+        if driver.is_lost() {
+            return None;
+        }
+        tokio::time::sleep(WRITE_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -0,0 +1,167 @@
+//! Places the items of a job on engines, moves runs and starts second ones.
+
+use super::item_run;
+use super::job_driver::{ItemRun, JobDriver};
+use super::node::{EntryNode, ServerTicket};
+use crate::process::logs;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::process::{ServerEntry, ServerNeed};
+use trestlerack::request::{ItemPhase, JobLedger, RunEnd, RunLane};
+use trestlerack::version::RequestRoute;
+use trestlerack::{Name, event};
+
+/// How many times slower than another one with a free place an engine must be for its runs to be
+/// moved. Engines of one service differ by 1.3 (measured pace, 41 and 52 ms an event); a move costs
+/// some 40 ms.
+const MOVE_SLOWNESS: f64 = 1.2;
+
+/// Shortest time on an engine before a run is moved, so that its pace is known.
+pub const MOVE_AGE: Duration = Duration::from_millis(600);
+
+pub fn place_items(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
+    let now = node.now();
+    let mut ledger = driver.ledger.lock().unwrap();
+    let waiting: Vec<usize> = ledger.waiting(now).collect();
+    for index in waiting {
+        let item = &driver.spec.items[index];
+        let Some(service) = route.service_for(&item.id) else { return };
+        let model = driver.spec.model_of(item);
+        let need = ServerNeed {
+            service,
+            weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
+            wants_free_place: true,
+            zone: &node.settings.zone,
+            ..ServerNeed::default()
+        };
+        let entry = node.board.lock().unwrap().choose(now, &need).map(|belief| belief.entry.clone());
+        let Some(entry) = entry else { return };
+        start_run(node, driver, &mut ledger, index, entry);
+    }
+}
+
+fn start_run(
+    node: &Arc<EntryNode>,
+    driver: &Arc<JobDriver>,
+    ledger: &mut JobLedger,
+    index: usize,
+    engine: ServerEntry,
+) {
+    ledger.start(index, &engine.instance);
+    spawn_run(node, driver, index, RunLane::Main, engine);
+}
+
+fn spawn_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, index: usize, lane: RunLane, engine: ServerEntry) {
+    let ticket = ServerTicket::new(node, engine);
+    let run = tokio::spawn(item_run::run(node.clone(), driver.clone(), index, lane, ticket));
+    let run = ItemRun { handle: run.abort_handle(), started: node.now() };
+    driver.runs.lock().unwrap().insert((index, lane), run);
+}
+
+/// Starts a second run of an item that may not be whole before its client ends the job: on the
+/// newest weights, from the beginning, while engines have places that nobody waits for. A later
+/// job that brings the item again and needs newer weights than the first run had then goes on from
+/// the second one. One run at each look.
+pub fn start_spare(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
+    let Some(model) = driver.spec.model.clone().filter(|_| !route.single_version) else { return };
+    let newest = node.targets.lock().unwrap().get(&model).copied().unwrap_or(0);
+    if newest <= driver.spec.min_version || is_any_item_waiting(node) {
+        return;
+    }
+    let mut ledger = driver.ledger.lock().unwrap();
+    let Some((index, engine)) = ledger.spare_candidates(newest).into_iter().next() else { return };
+    let Some(service) = route.service_for(&driver.spec.items[index].id) else { return };
+    let need = ServerNeed {
+        service,
+        weights: Some((&model, newest)),
+        wants_free_place: true,
+        avoid: std::slice::from_ref(&engine),
+        zone: &node.settings.zone,
+    };
+    let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone());
+    let Some(entry) = entry else { return };
+    ledger.start_spare(index, &entry.instance);
+    drop(ledger);
+    spawn_run(node, driver, index, RunLane::Spare, entry);
+}
+
+fn is_any_item_waiting(node: &EntryNode) -> bool {
+    let now = node.now();
+    let drivers: Vec<Arc<JobDriver>> = node.drivers.lock().unwrap().values().cloned().collect();
+    drivers.iter().any(|driver| driver.ledger.lock().unwrap().waiting(now).next().is_some())
+}
+
+/// Moves a run off an engine that is slower than another one with a free place: the connection is
+/// closed, which ends the work there, and the run goes on elsewhere. While items wait, only long
+/// runs move. One run at each look, because one free place takes one run only.
+pub fn move_slow_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
+    let now = node.now();
+    let running: Vec<(usize, Name)> = {
+        let ledger = driver.ledger.lock().unwrap();
+        let has_waiting = ledger.waiting(now).next().is_some();
+        let mut running = ledger.running();
+        running.retain(|(index, _)| !has_waiting || ledger.is_long(*index));
+        running
+    };
+    for (index, engine) in running {
+        let Some((slowness, faster)) = worth_moving(node, driver, route, index, &engine) else { continue };
+        let Some(run) = driver.take_run(now, index) else { continue };
+        run.abort();
+        let mut ledger = driver.ledger.lock().unwrap();
+        ledger.end_run(now, index, RunEnd::Broken);
+        start_run(node, driver, &mut ledger, index, faster);
+        drop(ledger);
+        let item = &driver.spec.items[index].id;
+        let slowness = format!("{slowness:.1}");
+        logs::write(event::RUN_MOVED, &[("item", item), ("engine", &engine), ("slowness", &slowness)]);
+        return;
+    }
+}
+
+/// Returns how slow the engine of a run is and another one with a free place that is much faster.
+fn worth_moving(
+    node: &EntryNode,
+    driver: &JobDriver,
+    route: &RequestRoute,
+    index: usize,
+    engine: &Name,
+) -> Option<(f64, ServerEntry)> {
+    let board = node.board.lock().unwrap();
+    let now = node.now();
+    let slowness = board.slowness(now, engine);
+    let item = &driver.spec.items[index];
+    let model = driver.spec.model_of(item);
+    let need = ServerNeed {
+        service: route.service_for(&item.id)?,
+        weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
+        wants_free_place: true,
+        avoid: std::slice::from_ref(engine),
+        zone: &node.settings.zone,
+    };
+    let other = board.choose(now, &need)?;
+    let is_faster = board.slowness(now, &other.entry.instance) * MOVE_SLOWNESS < slowness;
+    is_faster.then(|| (slowness, other.entry.clone()))
+}
+
+/// Takes note of the end of a run, from the run's own task.
+pub fn run_ended(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, index: usize, lane: RunLane, end: RunEnd) {
+    let mut runs = driver.runs.lock().unwrap();
+    runs.remove(&(index, lane));
+    let mut ledger = driver.ledger.lock().unwrap();
+    let (is_whole, other) = match lane {
+        RunLane::Main => (ledger.end_run(node.now(), index, end), RunLane::Spare),
+        RunLane::Spare => (ledger.end_spare(index, end), RunLane::Main),
+    };
+    let is_settled = *ledger.phase(index) == ItemPhase::Settled;
+    drop(ledger);
+    // A whole text needs no second run.
+    let needless = if is_whole || is_settled { runs.remove(&(index, other)) } else { None };
+    if let Some(run) = needless {
+        run.handle.abort();
+    }
+    drop(runs);
+    if is_settled {
+        driver.record.notify_one();
+    }
+    driver.wake.notify_one();
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/job_texts.rs
@@ -0,0 +1,174 @@
+//! Stores the texts of a job that have no result yet, and finds those that earlier drivers left.
+
+use super::job_calls::load_results;
+use super::job_driver::JobDriver;
+use super::job_records::{WRITE_PAUSE, commit_head};
+use super::node::{EntryNode, JobView};
+use super::tables;
+use crate::process::logs;
+use bytes::Bytes;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::border::StoreError;
+use trestlerack::request::{
+    ItemTranscript, JobHead, JobLedger, JobResult, JobSpec, KeptItem, LedgerSettings, TextDelta,
+};
+use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoredRow};
+use trestlerack::version::WeightVersion;
+use trestlerack::{Name, event};
+
+/// Ended jobs of the same model whose unfinished texts are looked through.
+const KEPT_JOBS: usize = 3;
+
+/// Interval at which new text is stored; what a lost node had made since then is made again.
+const TEXT_LOG_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Shortest new text that is stored, in bytes: some eight events of the users' sheets.
+const TEXT_LOG_LEAST: usize = 2_000;
+
+/// Collects what was recorded of the job, and texts that earlier jobs left.
+pub async fn load_state(
+    node: &Arc<EntryNode>,
+    spec: &Arc<JobSpec>,
+    head: &JobHead,
+    settings: LedgerSettings,
+) -> Result<JobLedger, StoreError> {
+    let mut listed: Vec<JobResult> = Vec::new();
+    while listed.len() < head.listed {
+        let page = load_results(node, &spec.id, listed.len()).await?;
+        if page.is_empty() {
+            return Err(StoreError::Unknown);
+        }
+        listed.extend(page);
+    }
+    let mut kept: HashMap<Name, KeptItem> = HashMap::new();
+    for job in earlier_jobs(node, spec, head) {
+        let first = if job == spec.id { tables::KEPT_LOG } else { tables::KEPT_END };
+        // Kept texts only save time, so a job starts without them rather than late.
+        match tables::read_from(&node.store, tables::KEPT, &job, first).await {
+            Ok(rows) => merge_kept(&mut kept, rows, spec.min_version),
+            Err(error) => logs::write(event::TEXTS_LOST, &[("job", &job), ("why", &error)]),
+        }
+    }
+    let count = kept.len();
+    if count > 0 {
+        logs::write(event::TEXTS_FOUND, &[("job", &spec.id), ("items", &count)]);
+    }
+    Ok(JobLedger::new(spec.clone(), settings, listed, kept))
+}
+
+/// Returns the job itself and the newest ended jobs of the same model, newest first.
+fn earlier_jobs(node: &EntryNode, spec: &JobSpec, head: &JobHead) -> Vec<Name> {
+    let jobs = node.jobs.lock().unwrap();
+    let is_related = |id: &Name, view: &&JobView| {
+        view.is_ended && *id != spec.id && view.head.model == spec.model && view.head.host == spec.host
+    };
+    let mut related: Vec<(u64, Name)> = jobs
+        .iter()
+        .filter(|(id, view)| is_related(id, view))
+        .map(|(id, view)| (view.head.accepted_ms, id.clone()))
+        .collect();
+    related.sort_by(|left, right| right.cmp(left));
+    related.truncate(KEPT_JOBS);
+    let own = (head.fence > 1).then(|| spec.id.clone());
+    own.into_iter().chain(related.into_iter().map(|(_, id)| id)).collect()
+}
+
+/// Adds kept texts, the longest of each item; rows of several owners of one job may lie there.
+fn merge_kept(kept: &mut HashMap<Name, KeptItem>, rows: Vec<StoredRow>, min_version: WeightVersion) {
+    let mut logged: HashMap<Name, ItemTranscript> = HashMap::new();
+    for (key, content) in tables::join_pieces(rows) {
+        if key.starts_with(tables::KEPT_LOG) {
+            let Ok(deltas) = tables::decode::<Vec<TextDelta>>(&content) else { continue };
+            for delta in deltas {
+                let transcript = logged.entry(delta.id.clone()).or_default();
+                if delta.after.is_none() {
+                    *transcript = ItemTranscript::default();
+                }
+                transcript.extend(&delta);
+            }
+        } else if let Ok(items) = tables::decode::<Vec<KeptItem>>(&content) {
+            items.into_iter().for_each(|item| keep_longer(kept, item, min_version));
+        }
+    }
+    for (id, transcript) in logged {
+        keep_longer(kept, KeptItem { id, transcript, is_whole: false }, min_version);
+    }
+}
+
+/// Keeps the longest text whose versions fit. An item without one is kept too: that it was in an
+/// earlier job says that the client waits for its group.
+fn keep_longer(kept: &mut HashMap<Name, KeptItem>, item: KeptItem, min_version: WeightVersion) {
+    let item = match item.transcript.fits(min_version) {
+        true => item,
+        false => KeptItem { transcript: ItemTranscript::default(), is_whole: false, ..item },
+    };
+    let is_longer = kept
+        .get(&item.id)
+        .is_none_or(|held| (held.is_whole, held.transcript.last_event) < (item.is_whole, item.transcript.last_event));
+    if is_longer {
+        kept.insert(item.id.clone(), item);
+    }
+}
+
+/// Stores what is generated while the job is driven, so that whoever takes it over from a node
+/// that is lost goes on from there.
+pub async fn log_texts(node: Arc<EntryNode>, driver: Arc<JobDriver>, fence: u64) {
+    for number in 0.. {
+        tokio::time::sleep(TEXT_LOG_INTERVAL).await;
+        let deltas = driver.ledger.lock().unwrap().take_unstored(TEXT_LOG_LEAST, tables::COMMIT_BYTES / 2);
+        if deltas.is_empty() {
+            continue;
+        }
+        let key = format!("{}-{fence:04}-{number:06}", tables::KEPT_LOG);
+        let transaction = RowTransaction::new(driver.spec.id.clone());
+        let content = tables::encode(&deltas);
+        let transaction = tables::put_pieces(transaction, tables::KEPT, &key, &content, node.settings.store_row_bytes);
+        let call = StoreCall::Commit(transaction);
+        // Later deltas go on where this one ends, so it is written before them, however long it takes.
+        while node.store.call(&call).await.is_err() {
+            tokio::time::sleep(WRITE_PAUSE).await;
+        }
+    }
+}
+
+/// Keeps unfinished texts, and gives the job to another node where this one stops.
+pub async fn leave_job(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, head: JobHead, version: u64) {
+    let kept = driver.ledger.lock().unwrap().unfinished();
+    let is_handed_over = driver.is_handed_over();
+    let job = &driver.spec.id;
+    let (mut piece, mut batch, mut bytes) = (0, Vec::new(), 0);
+    let mut batches: Vec<Vec<KeptItem>> = Vec::new();
+    for item in kept {
+        bytes += item.transcript.text.len();
+        batch.push(item);
+        if bytes > tables::COMMIT_BYTES / 2 {
+            batches.push(std::mem::take(&mut batch));
+            bytes = 0;
+        }
+    }
+    batches.push(batch);
+    let count: usize = batches.iter().map(Vec::len).sum();
+    for batch in batches {
+        let key = format!("{}-{:04}-{piece:04}", tables::KEPT_END, head.fence);
+        piece += 1;
+        let content: Bytes = tables::encode(&batch);
+        let transaction = RowTransaction::new(job.clone());
+        let transaction = tables::put_pieces(transaction, tables::KEPT, &key, &content, node.settings.store_row_bytes);
+        if node.store.call(&StoreCall::Commit(transaction)).await.is_err() {
+            logs::write(event::TEXTS_LOST, &[("job", job), ("why", &"the store does not answer")]);
+        }
+    }
+    logs::write(event::TEXTS_KEPT, &[("job", job), ("items", &count)]);
+    if is_handed_over {
+        let mut next = JobHead { owner: "".into(), write_id: node.write_id(), ..head };
+        let transaction = RowTransaction::new(job.clone()).expect(tables::STATE, tables::HEAD, version).put(
+            tables::STATE,
+            tables::HEAD,
+            tables::encode(&next),
+        );
+        // A peer that notices this node's silence takes the job too, only later.
+        let _ = commit_head(node, driver, transaction, &mut next).await;
+    }
+}
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -11,6 +11,10 @@
 mod item_run;
 mod job_calls;
 mod job_driver;
+mod job_records;
+mod job_runs;
+mod job_scores;
+mod job_texts;
 mod metrics;
 mod node;
 mod peers;
@@ -18,6 +22,7 @@
 mod pool;
 mod stop;
 mod store;
+mod streams;
 mod tables;
 mod weights;
 
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -1,8 +1,9 @@
 //! Requests that are passed on to a backend server of their route's service.
 
-use super::attempt::{self, AttemptError, OpenAnswer, WholeAnswer};
-use super::front::{ClientRequest, ReplyBody, full_reply, stream_reply};
+use super::attempt::{self, AttemptError, WholeAnswer};
+use super::front::{ClientRequest, ReplyBody, full_reply};
 use super::node::{EntryNode, ServerTicket};
+use super::streams;
 use crate::process::logs;
 use http::{HeaderMap, Method, Response, StatusCode};
 use std::sync::Arc;
@@ -30,7 +31,7 @@
 const SEARCH_SHARE: f64 = 0.2;
 
 /// How a request came out when it has no answer of a server.
-enum Shortfall {
+pub enum Shortfall {
     /// It ran nowhere.
     NotRun,
     /// It may have run.
@@ -45,20 +46,14 @@
     let limit = time_limit(route, request.head.time_left);
     let deadline = started + limit;
     let mut tried = Vec::new();
-    let outcome = if route.streaming {
-        open_stream(node, route, &request, deadline, &mut tried).await.map(Reply::Stream)
-    } else {
-        let wait = node.now();
-        let attempts = attempt_all(node, route, &request, deadline, &mut tried);
-        match tokio::time::timeout(deadline.since(wait), attempts).await {
-            Ok(outcome) => outcome.map(|answer| Reply::Whole(Box::new(answer))),
-            Err(_) => Err(Shortfall::TimedOut),
-        }
-    };
+    if route.streaming {
+        return streams::serve(node, route, request, deadline).await;
+    }
+    let attempts = attempt_all(node, route, &request, deadline, &mut tried);
+    let outcome = tokio::time::timeout(limit, attempts).await.unwrap_or(Err(Shortfall::TimedOut));
     let took = node.now().since(started);
     let reply = match outcome {
-        Ok(Reply::Whole(answer)) => whole_reply(*answer),
-        Ok(Reply::Stream(open)) => stream_reply(node, *open),
+        Ok(answer) => whole_reply(answer),
         Err(shortfall) => failure_reply(&request, &shortfall, tried.is_empty()),
     };
     log_reply(&request, route, &tried, reply.status(), took);
@@ -66,12 +61,7 @@
     reply
 }
 
-enum Reply {
-    Whole(Box<WholeAnswer>),
-    Stream(Box<OpenAnswer>),
-}
-
-fn log_reply(request: &ClientRequest, route: &RequestRoute, tried: &[Name], status: StatusCode, took: Duration) {
+pub fn log_reply(request: &ClientRequest, route: &RequestRoute, tried: &[Name], status: StatusCode, took: Duration) {
     let id = request.head.request_id.clone().unwrap_or_else(|| "".into());
     let servers = tried.join(",");
     let ms = took.as_millis();
@@ -102,7 +92,8 @@
     }
 }
 
-fn failure_reply(request: &ClientRequest, shortfall: &Shortfall, is_untried: bool) -> Response<ReplyBody> {
+/// Builds the reply to a request without an answer of a server.
+pub fn failure_reply(request: &ClientRequest, shortfall: &Shortfall, is_untried: bool) -> Response<ReplyBody> {
     let id = request.head.request_id.as_ref();
     let reply = match shortfall {
         Shortfall::NotRun => platform::not_run_reply(id, RETURN_TIME),
@@ -160,14 +151,14 @@
     last_answer.ok_or(shortfall)
 }
 
-fn log_attempt(request: &ClientRequest, server: &Name, error: &AttemptError) {
+pub fn log_attempt(request: &ClientRequest, server: &Name, error: &AttemptError) {
     let id = request.head.request_id.clone().unwrap_or_else(|| "".into());
     logs::write(event::ATTEMPT_FAILED, &[("request", &id), ("server", server), ("why", error)]);
 }
 
 /// Finds a server that was not tried yet. While all are paused for a moment, waits a little; a
 /// request that nobody takes is refused early, so that its client can come again in time.
-async fn find_server(
+pub async fn find_server(
     node: &Arc<EntryNode>,
     route: &RequestRoute,
     request: &ClientRequest,
@@ -178,7 +169,7 @@
     let search = Duration::from_millis(route.target_latency_ms).mul_f64(SEARCH_SHARE);
     let until = node.now() + search;
     loop {
-        if let Some(ticket) = pick_server(node, &service, tried) {
+        if let Some(ticket) = pick_server(node, &service, request, tried) {
             return Some(ticket);
         }
         if node.now() >= until {
@@ -188,13 +179,15 @@
     }
 }
 
-fn pick_server(node: &Arc<EntryNode>, service: &Name, tried: &[Name]) -> Option<ServerTicket> {
-    let need = ServerNeed { service, avoid: tried, zone: &node.settings.zone, ..ServerNeed::default() };
+fn pick_server(node: &Arc<EntryNode>, service: &Name, request: &ClientRequest, tried: &[Name]) -> Option<ServerTicket> {
+    // A generation may run under any version of its model.
+    let weights = request.head.model.as_deref().map(|model| (model, 0));
+    let need = ServerNeed { service, weights, avoid: tried, zone: &node.settings.zone, ..ServerNeed::default() };
     let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone());
     entry.map(|entry| ServerTicket::new(node, entry))
 }
 
-fn engine_request<'a>(request: &'a ClientRequest, instance: &'a str, left: Duration) -> EngineRequest<'a> {
+pub fn engine_request<'a>(request: &'a ClientRequest, instance: &'a str, left: Duration) -> EngineRequest<'a> {
     let mut headers = HeaderMap::new();
     copy_headers(&request.headers, &mut headers);
     EngineRequest {
@@ -212,36 +205,6 @@
     }
 }
 
-async fn open_stream(
-    node: &Arc<EntryNode>,
-    route: &RequestRoute,
-    request: &ClientRequest,
-    deadline: Timestamp,
-    tried: &mut Vec<Name>,
-) -> Result<Box<OpenAnswer>, Shortfall> {
-    let mut shortfall = Shortfall::NotRun;
-    while (tried.len() as u32) < route.max_attempts {
-        let Some(ticket) = find_server(node, route, request, tried).await else { break };
-        let instance = ticket.server.instance.clone();
-        tried.push(instance.clone());
-        let left = deadline.since(node.now());
-        let opening = attempt::open_answer(node, ticket, engine_request(request, &instance, left), true);
-        match tokio::time::timeout(left, opening).await {
-            Ok(Ok(open)) => return Ok(Box::new(open)),
-            Ok(Err(error)) => {
-                log_attempt(request, &instance, &error);
-                match error {
-                    AttemptError::NotRun(_) => {}
-                    AttemptError::MayHaveRun(_) if route.resumable => shortfall = Shortfall::MayHaveRun,
-                    AttemptError::MayHaveRun(_) => return Err(Shortfall::MayHaveRun),
-                }
-            }
-            Err(_) => return Err(Shortfall::TimedOut),
-        }
-    }
-    Err(shortfall)
-}
-
 /// How a score call came out.
 pub enum ScoreEnd {
     /// The signature of the scoring service's answer.
--- /dev/null
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -0,0 +1,191 @@
+//! Passes event streams on as they arrive, and resumes those that may be resumed.
+
+use super::attempt::{self, AttemptError, OpenAnswer};
+use super::front::{BrokenReply, ClientRequest, ReplyBody};
+use super::node::EntryNode;
+use super::plain::{self, Shortfall};
+use crate::process::logs;
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderMap, Response};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::version::RequestRoute;
+use trestlerack::{Name, Timestamp, event};
+use trestlerack_platform::EventDecoder;
+
+/// Longest pause between two events before a stream is resumed elsewhere; clients leave after two
+/// seconds at the earliest.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// A stream on its way to a client.
+struct StreamRelay {
+    node: Arc<EntryNode>,
+    route: RequestRoute,
+    request: ClientRequest,
+    deadline: Timestamp,
+    tried: Vec<Name>,
+    open: OpenAnswer,
+    decoder: EventDecoder,
+    last_event: Option<u64>,
+}
+
+/// Serves a request for a stream: the reply has the head of the first server that answers.
+pub async fn serve(
+    node: &Arc<EntryNode>,
+    route: &RequestRoute,
+    request: ClientRequest,
+    deadline: Timestamp,
+) -> Response<ReplyBody> {
+    let started = node.now();
+    let mut tried = Vec::new();
+    let resume_after = request.head.resume_after;
+    let opened = open(node, route, &request, deadline, resume_after, &mut tried).await;
+    let took = node.now().since(started);
+    let status = match &opened {
+        Ok(answer) => answer.status,
+        Err(shortfall) => plain::failure_reply(&request, shortfall, tried.is_empty()).status(),
+    };
+    plain::log_reply(&request, route, &tried, status, took);
+    node.metrics.request(&route.name, status, took);
+    let open = match opened {
+        Ok(open) => open,
+        Err(shortfall) => return plain::failure_reply(&request, &shortfall, tried.is_empty()),
+    };
+    let relay = StreamRelay {
+        node: node.clone(),
+        route: route.clone(),
+        request,
+        deadline,
+        tried,
+        open,
+        decoder: EventDecoder::default(),
+        last_event: resume_after,
+    };
+    relay.into_reply()
+}
+
+/// Opens a stream after the last event that is known, at servers that were not tried yet.
+async fn open(
+    node: &Arc<EntryNode>,
+    route: &RequestRoute,
+    request: &ClientRequest,
+    deadline: Timestamp,
+    resume_after: Option<u64>,
+    tried: &mut Vec<Name>,
+) -> Result<OpenAnswer, Shortfall> {
+    let mut shortfall = Shortfall::NotRun;
+    while (tried.len() as u32) < route.max_attempts {
+        let Some(ticket) = plain::find_server(node, route, request, tried).await else { break };
+        let instance = ticket.server.instance.clone();
+        tried.push(instance.clone());
+        let left = deadline.since(node.now());
+        let mut engine_request = plain::engine_request(request, &instance, left);
+        engine_request.resume_after = resume_after;
+        let opening = attempt::open_answer(node, ticket, engine_request, !route.resumable);
+        match tokio::time::timeout(left, opening).await {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(error)) => {
+                plain::log_attempt(request, &instance, &error);
+                match error {
+                    AttemptError::NotRun(_) => {}
+                    AttemptError::MayHaveRun(_) if route.resumable => shortfall = Shortfall::MayHaveRun,
+                    AttemptError::MayHaveRun(_) => return Err(Shortfall::MayHaveRun),
+                }
+            }
+            Err(_) => return Err(Shortfall::TimedOut),
+        }
+    }
+    Err(shortfall)
+}
+
+impl StreamRelay {
+    fn into_reply(self) -> Response<ReplyBody> {
+        let mut headers = HeaderMap::new();
+        plain::copy_headers(&self.open.headers, &mut headers);
+        let status = self.open.status;
+        let frames = stream::unfold(Some(self), |relay| async move {
+            let mut relay = relay?;
+            match relay.next().await {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
+                Ok(None) => {
+                    relay.keep_connection();
+                    None
+                }
+                Err(error) => Some((Err(error), None)),
+            }
+        });
+        let mut reply = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+        *reply.status_mut() = status;
+        *reply.headers_mut() = headers;
+        reply
+    }
+
+    fn keep_connection(self) {
+        self.node.board.lock().unwrap().succeeded(&self.open.ticket.server.instance);
+        if !self.open.head.is_closing {
+            self.node.pool.keep(self.open.lease, self.open.head.idle_limit);
+        }
+    }
+
+    /// Returns the next bytes for the client, or `None` at the stream's own end.
+    async fn next(&mut self) -> Result<Option<Bytes>, BrokenReply> {
+        loop {
+            let why = match self.read_frame().await {
+                Ok(Some(bytes)) if bytes.is_empty() => continue,
+                Ok(Some(bytes)) => return Ok(Some(bytes)),
+                Ok(None) if self.decoder.is_between_events() => return Ok(None),
+                Ok(None) => BrokenReply::from("the stream ended within an event"),
+                Err(error) => error,
+            };
+            self.resume(why).await?;
+        }
+    }
+
+    async fn read_frame(&mut self) -> Result<Option<Bytes>, BrokenReply> {
+        let can_resume = self.route.resumable && self.open.status.is_success();
+        let frame = if can_resume {
+            tokio::time::timeout(EVENT_TIMEOUT, self.open.body.frame()).await?
+        } else {
+            self.open.body.frame().await
+        };
+        let Some(frame) = frame else { return Ok(None) };
+        let Ok(bytes) = frame?.into_data() else { return Ok(Some(Bytes::new())) };
+        if !can_resume {
+            return Ok(Some(bytes));
+        }
+        // Only whole events go on, since the next server begins with a whole one.
+        let (raw, events) = self.decoder.feed_raw(&bytes)?;
+        for event in events {
+            let follows = self.last_event.is_none_or(|last| event.number == last + 1);
+            if !follows {
+                return Err(format!("event {} does not follow", event.number).into());
+            }
+            self.last_event = Some(event.number);
+        }
+        Ok(Some(raw))
+    }
+
+    /// Goes on at another server after the last whole event, if the route allows it.
+    async fn resume(&mut self, why: BrokenReply) -> Result<(), BrokenReply> {
+        let instance = self.open.ticket.server.instance.clone();
+        self.node.board.lock().unwrap().failed(self.node.now(), &instance);
+        let id = self.request.head.request_id.clone().unwrap_or_else(|| "".into());
+        logs::write(event::ATTEMPT_FAILED, &[("request", &id), ("server", &instance), ("why", &why)]);
+        if !self.route.resumable || !self.open.status.is_success() {
+            return Err(why);
+        }
+        let opened =
+            open(&self.node, &self.route, &self.request, self.deadline, self.last_event, &mut self.tried).await;
+        match opened {
+            Ok(answer) if answer.status == self.open.status => {
+                self.open = answer;
+                self.decoder = EventDecoder::default();
+                Ok(())
+            }
+            Ok(_) | Err(_) => Err(why),
+        }
+    }
+}
--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -4,6 +4,7 @@
 use super::pool::ExchangeError;
 use super::{feeds, tables};
 use crate::process::logs;
+use futures_util::future;
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
 use std::collections::BTreeMap;
@@ -156,9 +157,37 @@
         let waits_for_runs = routing
             .routes()
             .any(|route| route.single_version && route.shares.iter().any(|share| share.service == service.name));
-        for order in orders {
-            let Some(entry) = entries.iter().find(|entry| entry.instance == order.instance) else { continue };
-            carry_out(node, keeper, plan, entry, &order, waits_for_runs).await;
+        // Together, so that engines that do not answer cost the lease one time limit and not several.
+        let tasks = orders.iter().filter_map(|order| {
+            let entry = entries.iter().find(|entry| entry.instance == order.instance)?;
+            Some(async move { (order, carry_out(node, keeper, entry, order, waits_for_runs).await) })
+        });
+        for (order, done) in future::join_all(tasks).await {
+            apply_done(node, plan, order, done);
+        }
+    }
+}
+
+/// What came of a due order.
+enum OrderDone {
+    /// The engine was asked for its report first.
+    Asked(Option<EngineReport>),
+    /// The order was sent, or could not be.
+    Ordered(OrderOutcome, u64),
+}
+
+fn apply_done(node: &EntryNode, plan: &mut WeightPlan, order: &DueOrder, done: OrderDone) {
+    let now = node.now();
+    match done {
+        OrderDone::Asked(Some(report)) => {
+            let held = report.models.iter().find(|(model, _)| *model == order.model);
+            let version = held.map_or(0, |(_, version)| *version);
+            plan.reported(now, &order.instance, version, report.is_loading, report.orders);
+        }
+        OrderDone::Asked(None) => plan.unreachable(now, &order.instance),
+        OrderDone::Ordered(outcome, orders_before) => {
+            plan.ordered(now, order, outcome, orders_before);
+            node.metrics.order(outcome);
         }
     }
 }
@@ -178,21 +207,12 @@
 async fn carry_out(
     node: &Arc<EntryNode>,
     keeper: &LeaseKeeper,
-    plan: &mut WeightPlan,
     entry: &ServerEntry,
     order: &DueOrder,
     waits_for_runs: bool,
-) {
+) -> OrderDone {
     let Some(orders_before) = order.orders_before else {
-        match ask_report(node, entry).await {
-            Some(report) => {
-                let held = report.models.iter().find(|(model, _)| *model == order.model);
-                let version = held.map_or(0, |(_, version)| *version);
-                plan.reported(node.now(), &order.instance, version, report.is_loading, report.orders);
-            }
-            None => plan.unreachable(node.now(), &order.instance),
-        }
-        return;
+        return OrderDone::Asked(ask_report(node, entry).await);
     };
     let before = node.assignments.lock().unwrap().get(&order.instance).cloned();
     let clock_ms = node.store.clock_ms();
@@ -206,13 +226,10 @@
     let is_told = write_assignment(node, &order.instance, &intent).await;
     // The lease is checked next to the send, since the write before it may have taken long.
     let Some(fence) = keeper.fence(node.now()).filter(|_| is_told) else {
-        plan.ordered(node.now(), order, OrderOutcome::NotSent, orders_before);
-        return;
+        return OrderDone::Ordered(OrderOutcome::NotSent, orders_before);
     };
     let outcome = send_order(node, entry, order, fence, orders_before, waits_for_runs).await;
     log_order(order, fence, orders_before, outcome);
-    plan.ordered(node.now(), order, outcome, orders_before);
-    node.metrics.order(outcome);
     if outcome == OrderOutcome::Accepted {
         let now_ms = node.store.clock_ms();
         let is_late = now_ms >= clock_ms + LATE_ORDER_MS;
@@ -221,12 +238,13 @@
         if is_late {
             write_assignment(node, &order.instance, &accepted).await;
         }
-        return;
+        return OrderDone::Ordered(outcome, orders_before);
     }
     let (version, ordered_ms) = before.map_or((0, 0), |before| (before.version, before.ordered_ms));
     let undone = EngineAssignment { version, ordered_ms, ..intent };
     feeds::learn_assignment(node, &order.instance, undone.clone());
     write_assignment(node, &order.instance, &undone).await;
+    OrderDone::Ordered(outcome, orders_before)
 }
 
 fn log_order(order: &DueOrder, fence: u64, orders_before: u64, outcome: OrderOutcome) {
--- a/crates/trestlerackd/tests/entry.rs
+++ b/crates/trestlerackd/tests/entry.rs
@@ -26,6 +26,8 @@
     left: AtomicUsize,
     /// Pause between two events, in milliseconds.
     pace_ms: AtomicUsize,
+    /// Streams that break off within their third event.
+    broken_streams: AtomicUsize,
 }
 
 fn take(count: &AtomicUsize) -> bool {
@@ -74,7 +76,12 @@
         if !write(head) {
             return false;
         }
+        let is_broken = take(&behaviour.broken_streams);
         for number in first..=EVENTS {
+            if is_broken && number == 3 {
+                write("1c\r\nid: 3\ndata: ".into());
+                return false;
+            }
             std::thread::sleep(Duration::from_millis(behaviour.pace_ms.load(Ordering::SeqCst) as u64));
             let event = format!("id: {number}\ndata: {id}-{number}\n\n");
             if !write(format!("{:x}\r\n{event}\r\n", event.len())) {
@@ -108,6 +115,10 @@
                     "target_latency_ms": 150, "service": "plain", "max_attempts": 3 },
                 { "name": "once", "host": "h.example", "prefix": "/once/", "kind": "unsafe", "timeout_ms": 3000,
                     "target_latency_ms": 150, "service": "plain", "max_attempts": 3 },
+                { "name": "resumed", "host": "h.example", "prefix": "/resumed/", "kind": "unsafe", "timeout_ms": 5000,
+                    "streaming": true, "resumable": true, "service": "models", "max_attempts": 3 },
+                { "name": "streamed", "host": "h.example", "prefix": "/streamed/", "kind": "unsafe",
+                    "timeout_ms": 5000, "streaming": true, "service": "models", "max_attempts": 3 },
                 { "name": "jobs", "host": "h.example", "prefix": "/jobs/", "kind": "rollout", "due_ms": 7500,
                     "target_latency_ms": 400, "service": "models", "max_attempts": 3, "max_wait_s": 60.0 }] }),
         );
@@ -315,3 +326,34 @@
     assert_eq!(submit(&cut_off, "job1", 6), 202);
     assert_eq!(read_all(&cut_off, "job1", 6), read_all(&peer, "job1", 6));
 }
+
+/// Reads a chunked body; returns its text and whether it ended as a whole one does.
+fn read_stream(daemon: &EntryDaemon, path: &str, id: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(&daemon.client).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let headers = [("request-id", id), ("model", "m"), ("connection", "close")];
+    send(&mut stream, "POST", path, &headers, "prompt").unwrap();
+    let mut bytes = Vec::new();
+    // A reply that breaks off may end with a reset, after the bytes before it.
+    let _ = std::io::Read::read_to_end(&mut stream, &mut bytes);
+    let text = String::from_utf8(bytes).unwrap();
+    let is_whole = text.ends_with("0\r\n\r\n");
+    let events: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    (events.join(","), is_whole)
+}
+
+#[test]
+fn a_broken_stream_is_resumed_where_the_route_allows_it_and_else_breaks_too() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    let whole = |id: &str| (1..=EVENTS).map(|number| format!("{id}-{number}")).collect::<Vec<_>>().join(",");
+    assert_eq!(read_stream(&daemon, "/streamed/x", "s1"), (whole("s1"), true));
+    platform.engine.broken_streams.store(1, Ordering::SeqCst);
+    assert_eq!(read_stream(&daemon, "/resumed/x", "s2"), (whole("s2"), true));
+    assert_eq!(platform.engine.runs.lock().unwrap()[1..], ["s2@1", "s2@3"]);
+    platform.engine.broken_streams.store(1, Ordering::SeqCst);
+    let (text, is_whole) = read_stream(&daemon, "/streamed/x", "s3");
+    assert!(!is_whole, "a break must not look like an end: {text}");
+    let runs = platform.engine.runs.lock().unwrap();
+    assert_eq!(runs.iter().filter(|run| run.starts_with("s3")).count(), 1, "it must not run again");
+}
