Take over seeds and bounds when the settings file is read again

Change: seeds, the stop limit and the hand-over time take effect at once; the log line says whether something else changed that needs a restart.

--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -28,7 +28,7 @@
 
 use crate::process::logs;
 use anyhow::Context;
-use node::EntryNode;
+use node::{EntryBounds, EntryNode};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -106,15 +106,29 @@
     }
 }
 
-/// Checks the settings file again when told that it has changed.
+/// Reads the settings file again when told that it has changed: seeds and bounds take effect at
+/// once, and the log says where a restart is needed.
 async fn reload(node: Arc<EntryNode>, mut hangup: tokio::signal::unix::Signal, file: String) {
     while hangup.recv().await.is_some() {
         match crate::read_entry_settings(&file) {
             Ok(settings) => {
-                let is_same = settings == node.settings;
-                logs::write(event::SETTINGS_RELOADED, &[("file", &file), ("same", &is_same)]);
+                *node.bounds.write().unwrap() = EntryBounds::from(&settings);
+                node.peers.set_seeds(settings.seeds.clone());
+                let needs_restart = needs_restart(&node.settings, &settings);
+                logs::write(event::SETTINGS_RELOADED, &[("file", &file), ("needs_restart", &needs_restart)]);
             }
             Err(error) => logs::write(event::SETTINGS_REFUSED, &[("file", &file), ("why", &format!("{error:#}"))]),
         }
     }
 }
+
+/// Returns whether something changed that only a restart takes over.
+fn needs_restart(held: &EntrySettings, read: &EntrySettings) -> bool {
+    let live = EntrySettings {
+        seeds: read.seeds.clone(),
+        stop_limit_s: read.stop_limit_s,
+        order_handover_ms: read.order_handover_ms,
+        ..held.clone()
+    };
+    live != *read
+}
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
+use std::time::Duration;
 use tokio::sync::watch;
 use trestlerack::border::Clock;
 use trestlerack::process::{
@@ -31,10 +32,30 @@
     pub changed_at: Timestamp,
 }
 
+/// Settings that may change while the process runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EntryBounds {
+    /// Time from a planned stop to the kill.
+    pub stop_limit: Duration,
+    /// Time that a new holder of the order lease waits for the last order of the one before.
+    pub order_handover: Duration,
+}
+
+impl From<&EntrySettings> for EntryBounds {
+    fn from(settings: &EntrySettings) -> Self {
+        Self {
+            stop_limit: Duration::from_secs_f64(settings.stop_limit_s),
+            order_handover: Duration::from_millis(settings.order_handover_ms),
+        }
+    }
+}
+
 /// Everything that lives as long as the process.
 pub struct EntryNode {
-    /// Settings at the start.
+    /// Settings at the start; names and addresses stay as they were then.
     pub settings: EntrySettings,
+    /// Bounds that take effect as soon as the settings file is read again.
+    pub bounds: RwLock<EntryBounds>,
     /// Tells this process from earlier ones on the same VM.
     pub incarnation: u64,
     /// Clock.
@@ -89,6 +110,7 @@
         let peers = Arc::new(PeerClient::new(pool.clone(), settings.peer_listen.clone(), settings.seeds.clone()));
         let direct_store = Arc::new(DirectStore::new(pool.clone(), settings.store.clone()));
         Ok(Self {
+            bounds: RwLock::new(EntryBounds::from(&settings)),
             incarnation: rand::random::<u64>() >> 1,
             clock: SystemClock::new(),
             store: RelayedStore::new(direct_store.clone(), peers.clone()),
@@ -126,6 +148,11 @@
         self.incarnation.wrapping_add(self.writes.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// Returns the bounds in force.
+    pub fn bounds(&self) -> EntryBounds {
+        *self.bounds.read().unwrap()
+    }
+
     /// Returns the configuration in force.
     pub fn routing(&self) -> Option<Arc<RoutingTable>> {
         self.routing.read().unwrap().clone()
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -77,7 +77,7 @@
 pub struct PeerClient {
     pool: Arc<ConnectionPool>,
     own_address: Name,
-    seeds: Vec<Name>,
+    seeds: Mutex<Vec<Name>>,
     known: Mutex<BTreeMap<Name, PeerRow>>,
     turn: AtomicUsize,
     /// Peers that could not relay a call, until the given time.
@@ -88,7 +88,12 @@
     /// Builds a client that knows the seeds only.
     pub fn new(pool: Arc<ConnectionPool>, own_address: Name, seeds: Vec<Name>) -> Self {
         let (known, turn, failed) = (Mutex::default(), AtomicUsize::new(0), Mutex::default());
-        Self { pool, own_address, seeds, known, turn, failed }
+        Self { pool, own_address, seeds: Mutex::new(seeds), known, turn, failed }
+    }
+
+    /// Takes over other seeds.
+    pub fn set_seeds(&self, seeds: Vec<Name>) {
+        *self.seeds.lock().unwrap() = seeds;
     }
 
     /// Takes over the row of a peer, or its removal.
@@ -123,7 +128,9 @@
     fn addresses(&self) -> Vec<Name> {
         let known = self.known.lock().unwrap();
         let mut addresses: Vec<Name> = known.values().map(|row| row.address.clone()).collect();
-        addresses.extend(self.seeds.iter().filter(|seed| !addresses.contains(seed)).cloned().collect::<Vec<_>>());
+        let seeds = self.seeds.lock().unwrap();
+        let unknown: Vec<Name> = seeds.iter().filter(|seed| !addresses.contains(seed)).cloned().collect();
+        addresses.extend(unknown);
         addresses.retain(|address| *address != self.own_address);
         addresses
     }
--- a/crates/trestlerackd/src/entry/stop.rs
+++ b/crates/trestlerackd/src/entry/stop.rs
@@ -22,7 +22,7 @@
 /// Stops as planned.
 pub async fn stop_as_planned(node: &Arc<EntryNode>) {
     let started = node.now();
-    let limit = Duration::from_secs_f64(node.settings.stop_limit_s).saturating_sub(EXIT_MARGIN);
+    let limit = node.bounds().stop_limit.saturating_sub(EXIT_MARGIN);
     let connections = || node.client_connections.load(Ordering::Relaxed);
     let jobs = || node.drivers.lock().unwrap().len();
     logs::write(event::STOP_BEGUN, &[("in_progress", &connections()), ("jobs", &jobs())]);
--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -194,7 +194,7 @@
 
 fn due_orders(node: &EntryNode, plan: &mut WeightPlan, assigned: &BTreeMap<Name, EngineAssignment>) -> Vec<DueOrder> {
     let clock_ms = node.store.clock_ms();
-    let handover = Duration::from_millis(node.settings.order_handover_ms) + ORDER_TIMEOUT;
+    let handover = node.bounds().order_handover + ORDER_TIMEOUT;
     let is_open = |instance: &str| {
         let assignment = assigned.get(instance);
         assignment.is_none_or(|assignment| assignment.is_open_to(&node.settings.name, clock_ms, handover))
