Remove the rows of old jobs

Cause: rows of jobs stayed in the store for ever and their heads in the memory of each node. Change: the holder of the order lease removes the rows of jobs that are over once retention_s (600 s) has passed since their submission, the head last; nodes forget a job with its head. Test: the rows of an ended job vanish and those of an open one stay.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -147,6 +147,8 @@
     JOB_NOT_TAKEN = (2209, "job-not-taken", Info);
     /// How far a job is that this node drives; once a second.
     JOB_PROGRESS = (2210, "job-progress", Info);
+    /// The rows of an old job were removed.
+    JOB_REMOVED = (2211, "job-removed", Info);
     /// A run of an item ended before its text was whole.
     RUN_ENDED = (2301, "run-ended", Info);
     /// A run was moved off a slow engine.
--- a/crates/trestlerack/src/process/entry_settings.rs
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -30,6 +30,8 @@
     pub stop_limit_s: f64,
     /// Time that a new holder of the order lease waits for the last order of the holder before it.
     pub order_handover_ms: u64,
+    /// Time after its submission for which an ended job can be read, in seconds.
+    pub retention_s: u64,
     /// Log level.
     pub log_level: Name,
 }
@@ -48,6 +50,7 @@
             store_row_bytes: 65_536,
             stop_limit_s: 8.0,
             order_handover_ms: 3_000,
+            retention_s: 600,
             log_level: "info".into(),
         }
     }
@@ -87,6 +90,12 @@
         Some("3000"),
         "Time that a new holder of the order lease waits before its first order.",
     ),
+    field(
+        "retention_s",
+        FieldKind::Count { min: 1, max: 30 * 86_400 },
+        Some("600"),
+        "Time after its submission for which an ended job can be read.",
+    ),
     field(
         "log_level",
         FieldKind::Choice(&["error", "warn", "info", "debug", "trace"]),
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -229,6 +229,7 @@
     match (&*row.key, row.removed) {
         (tables::HEAD, false) => node.learn_head(tables::decode(&row.value)?, row.version, &row.partition),
         (tables::END, false) => node.learn_end(&row.partition),
+        (tables::HEAD, true) => node.forget_job(&row.partition),
         _ => {}
     }
     Ok(())
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod plain;
 mod pool;
+mod retention;
 mod stop;
 mod store;
 mod streams;
@@ -71,6 +72,7 @@
     tokio::spawn(adoption::watch_owners(node.clone()));
     tokio::spawn(weights::run(node.clone()));
     tokio::spawn(expire_connections(node.clone()));
+    tokio::spawn(retention::sweep(node.clone()));
     tokio::spawn(reload(node.clone(), hangup, settings_file));
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -207,6 +207,12 @@
         self.job_news.send_modify(|count| *count += 1);
     }
 
+    /// Forgets a job whose rows were removed.
+    pub fn forget_job(&self, job: &str) {
+        self.jobs.lock().unwrap().remove(job);
+        self.early_ends.lock().unwrap().remove(job);
+    }
+
     /// Returns what is known of a job.
     pub fn job(&self, job: &str) -> Option<JobView> {
         self.jobs.lock().unwrap().get(job).cloned()
--- /dev/null
+++ b/crates/trestlerackd/src/entry/retention.rs
@@ -0,0 +1,66 @@
+//! Removes the rows of old jobs, so that the store and the nodes' memory stay bounded.
+
+use super::node::EntryNode;
+use super::tables;
+use crate::process::logs;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::border::StoreError;
+use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
+use trestlerack::{Name, event};
+
+/// Interval between two looks for old jobs.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Removes old jobs for as long as the process lives; only the holder of the order lease does, so
+/// that each row is removed once.
+pub async fn sweep(node: Arc<EntryNode>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        if !holds_lease(&node) {
+            continue;
+        }
+        for job in old_jobs(&node) {
+            match remove_job(&node, &job).await {
+                Ok(()) => logs::write(event::JOB_REMOVED, &[("job", &job)]),
+                // The rows that are left are removed at a later look.
+                Err(error) => logs::write(event::ROW_REFUSED, &[("key", &job), ("why", &error)]),
+            }
+        }
+    }
+}
+
+fn holds_lease(node: &EntryNode) -> bool {
+    let row = node.lease_row.lock().unwrap();
+    row.as_ref().is_some_and(|(_, row)| row.holder == node.settings.name && row.incarnation == node.incarnation)
+}
+
+/// Returns the jobs that are over and were submitted long enough ago.
+fn old_jobs(node: &EntryNode) -> Vec<Name> {
+    let clock_ms = node.store.clock_ms();
+    let retention_ms = node.settings.retention_s * 1_000;
+    let jobs = node.jobs.lock().unwrap();
+    let is_old = |view: &super::node::JobView| {
+        let is_over = view.is_ended || view.head.is_whole();
+        is_over && clock_ms.saturating_sub(view.head.accepted_ms) >= retention_ms
+    };
+    jobs.iter().filter(|(_, view)| is_old(view)).map(|(id, _)| id.clone()).collect()
+}
+
+/// Removes a job's rows, its head last: while that is there, a node that stops in between leaves
+/// the rest to the next holder of the lease.
+async fn remove_job(node: &Arc<EntryNode>, job: &Name) -> Result<(), StoreError> {
+    for table in [tables::RESULTS, tables::SPECS, tables::KEPT, tables::STATE] {
+        let rows = tables::read_all(&node.store, table, job).await?;
+        let keys: Vec<Name> = rows.into_iter().map(|row| row.key).collect();
+        for keys in keys.chunks(tables::COMMIT_ROWS) {
+            let transaction = keys.iter().fold(RowTransaction::new(job.clone()), |tx, key| tx.remove(table, key));
+            match node.store.call(&StoreCall::Commit(transaction)).await? {
+                StoreReply::Committed(_) => {}
+                _ => return Err(StoreError::Unknown),
+            }
+        }
+    }
+    node.forget_job(job);
+    Ok(())
+}
--- a/crates/trestlerackd/tests/entry.rs
+++ b/crates/trestlerackd/tests/entry.rs
@@ -357,3 +357,19 @@
     let runs = platform.engine.runs.lock().unwrap();
     assert_eq!(runs.iter().filter(|run| run.starts_with("s3")).count(), 1, "it must not run again");
 }
+
+#[test]
+fn the_rows_of_an_old_job_are_removed_and_those_of_an_open_one_stay() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.engine.pace_ms.store(4_000, Ordering::SeqCst);
+    assert_eq!(submit(&daemon, "open", 2), 202);
+    assert_eq!(submit(&daemon, "over", 2), 202);
+    assert_eq!(call(&daemon.client, "DELETE", "/trestlerack/lots/over", &[], "").unwrap().status, 200);
+    let rows = |job: &str| ["state", "specs"].map(|table| platform.store.count(table, job));
+    assert!(rows("over").iter().all(|count| *count > 0));
+    eventually("its rows are removed", || rows("over") == [0, 0]);
+    assert!(rows("open").iter().all(|count| *count > 0), "it is not over");
+    let answer = call(&daemon.client, "GET", "/trestlerack/lots/over?after=0", &[], "").unwrap();
+    assert_eq!(answer.status, 404);
+}
--- a/crates/trestlerackd/tests/support/mod.rs
+++ b/crates/trestlerackd/tests/support/mod.rs
@@ -256,6 +256,9 @@
     settings: std::path::PathBuf,
 }
 
+/// Time for which ended jobs can be read; longer than any test that reads one takes.
+pub const RETENTION_S: u64 = 12;
+
 /// First port given to daemons; below the range from which outgoing connections take theirs, so
 /// that none of those sits on it when the daemon starts.
 const FIRST_PORT: u16 = 15_000;
@@ -285,7 +288,7 @@
         let (client, ready, peer) = (free_address(), free_address(), free_address());
         let text = json!({
             "name": name, "zone": "z", "client_listen": client, "ready_listen": ready, "peer_listen": peer,
-            "seeds": seeds, "store": store, "stop_limit_s": 5.0, "order_handover_ms": 300,
+            "seeds": seeds, "store": store, "stop_limit_s": 5.0, "order_handover_ms": 300, "retention_s": RETENTION_S,
         });
         let file = format!("entry-{name}-{}-{}.json", std::process::id(), client.replace([':', '.'], "-"));
         let settings = std::env::temp_dir().join(file);
