Read the change as a newcomer: smaller functions, fewer odd types

leave_job and merge_kept are split, a row that cannot be decoded is logged instead of passed over, a map to nothing is a set, an unused method is gone.

--- a/crates/trestlerack/src/version/weight_plan.rs
+++ b/crates/trestlerack/src/version/weight_plan.rs
@@ -269,14 +269,6 @@
         state.not_before = now + pause;
     }
 
-    /// Forgets how many orders each engine accepted, as another node may have ordered meanwhile.
-    pub fn forget_orders(&mut self) {
-        for state in self.engines.values_mut() {
-            state.orders = None;
-            state.is_sending = false;
-        }
-    }
-
     /// Returns the engines with their models.
     pub fn models(&self) -> impl Iterator<Item = (&Name, &Name)> {
         self.engines.iter().map(|(instance, state)| (instance, &state.model))
--- a/crates/trestlerackd/src/entry/job_records.rs
+++ b/crates/trestlerackd/src/entry/job_records.rs
@@ -31,9 +31,9 @@
             driver.record.notified().await;
             continue;
         }
-        let mut next = JobHead { write_id: node.write_id(), listed: head.listed + batch.len(), ..head.clone() };
+        let next = JobHead { write_id: node.write_id(), listed: head.listed + batch.len(), ..head.clone() };
         let transaction = result_writes(&node, &driver.spec.id, &head, version, &batch, &next);
-        match commit_head(&node, &driver, transaction, &mut next).await {
+        match commit_head(&node, &driver, transaction, &next).await {
             Some(committed) => {
                 version = committed;
                 head = next;
@@ -79,7 +79,7 @@
     node: &Arc<EntryNode>,
     driver: &JobDriver,
     transaction: RowTransaction,
-    next: &mut JobHead,
+    next: &JobHead,
 ) -> Option<u64> {
     let call = StoreCall::Commit(transaction);
     loop {
--- a/crates/trestlerackd/src/entry/job_texts.rs
+++ b/crates/trestlerackd/src/entry/job_texts.rs
@@ -79,17 +79,14 @@
 fn merge_kept(kept: &mut HashMap<Name, KeptItem>, rows: Vec<StoredRow>, min_version: WeightVersion) {
     let mut logged: HashMap<Name, ItemTranscript> = HashMap::new();
     for (key, content) in tables::join_pieces(rows) {
-        if key.starts_with(tables::KEPT_LOG) {
-            let Ok(deltas) = tables::decode::<Vec<TextDelta>>(&content) else { continue };
-            for delta in deltas {
-                let transcript = logged.entry(delta.id.clone()).or_default();
-                if delta.after.is_none() {
-                    *transcript = ItemTranscript::default();
-                }
-                transcript.extend(&delta);
-            }
-        } else if let Ok(items) = tables::decode::<Vec<KeptItem>>(&content) {
-            items.into_iter().for_each(|item| keep_longer(kept, item, min_version));
+        let merged = if key.starts_with(tables::KEPT_LOG) {
+            tables::decode(&content).map(|deltas| join_deltas(&mut logged, deltas))
+        } else {
+            let items = tables::decode::<Vec<KeptItem>>(&content);
+            items.map(|items| items.into_iter().for_each(|item| keep_longer(kept, item, min_version)))
+        };
+        if let Err(error) = merged {
+            logs::write(event::ROW_REFUSED, &[("key", &key), ("why", &error)]);
         }
     }
     for (id, transcript) in logged {
@@ -97,6 +94,16 @@
     }
 }
 
+fn join_deltas(logged: &mut HashMap<Name, ItemTranscript>, deltas: Vec<TextDelta>) {
+    for delta in deltas {
+        let transcript = logged.entry(delta.id.clone()).or_default();
+        if delta.after.is_none() {
+            *transcript = ItemTranscript::default();
+        }
+        transcript.extend(&delta);
+    }
+}
+
 /// Keeps the longest text whose versions fit. An item without one is kept too: that it was in an
 /// earlier job says that the client waits for its group.
 fn keep_longer(kept: &mut HashMap<Name, KeptItem>, item: KeptItem, min_version: WeightVersion) {
@@ -136,39 +143,41 @@
 /// Keeps unfinished texts, and gives the job to another node where this one stops.
 pub async fn leave_job(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, head: JobHead, version: u64) {
     let kept = driver.ledger.lock().unwrap().unfinished();
-    let is_handed_over = driver.is_handed_over();
     let job = &driver.spec.id;
-    let (mut piece, mut batch, mut bytes) = (0, Vec::new(), 0);
-    let mut batches: Vec<Vec<KeptItem>> = Vec::new();
-    for item in kept {
-        bytes += item.transcript.text.len();
-        batch.push(item);
-        if bytes > tables::COMMIT_BYTES / 2 {
-            batches.push(std::mem::take(&mut batch));
-            bytes = 0;
-        }
-    }
-    batches.push(batch);
-    let count: usize = batches.iter().map(Vec::len).sum();
-    for batch in batches {
+    let count = kept.len();
+    for (piece, batch) in in_batches(kept).into_iter().enumerate() {
         let key = format!("{}-{:04}-{piece:04}", tables::KEPT_END, head.fence);
-        piece += 1;
         let content: Bytes = tables::encode(&batch);
         let transaction = RowTransaction::new(job.clone());
         let transaction = tables::put_pieces(transaction, tables::KEPT, &key, &content, node.settings.store_row_bytes);
-        if node.store.call(&StoreCall::Commit(transaction)).await.is_err() {
-            logs::write(event::TEXTS_LOST, &[("job", job), ("why", &"the store does not answer")]);
+        if let Err(error) = node.store.call(&StoreCall::Commit(transaction)).await {
+            logs::write(event::TEXTS_LOST, &[("job", job), ("why", &error)]);
         }
     }
     logs::write(event::TEXTS_KEPT, &[("job", job), ("items", &count)]);
-    if is_handed_over {
-        let mut next = JobHead { owner: "".into(), write_id: node.write_id(), ..head };
+    if driver.is_handed_over() {
+        let next = JobHead { owner: "".into(), write_id: node.write_id(), ..head };
         let transaction = RowTransaction::new(job.clone()).expect(tables::STATE, tables::HEAD, version).put(
             tables::STATE,
             tables::HEAD,
             tables::encode(&next),
         );
         // A peer that notices this node's silence takes the job too, only later.
-        let _ = commit_head(node, driver, transaction, &mut next).await;
+        let _ = commit_head(node, driver, transaction, &next).await;
+    }
+}
+
+/// Splits texts so that each batch fits a transaction.
+fn in_batches(kept: Vec<KeptItem>) -> Vec<Vec<KeptItem>> {
+    let (mut batches, mut batch, mut bytes) = (Vec::new(), Vec::new(), 0);
+    for item in kept {
+        bytes += item.transcript.text.len();
+        batch.push(item);
+        if bytes > tables::COMMIT_BYTES / 2 {
+            batches.push(std::mem::take(&mut batch));
+            bytes = 0;
+        }
     }
+    batches.push(batch);
+    batches
 }
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -6,7 +6,7 @@
 use super::pool::ConnectionPool;
 use super::store::{DirectStore, RelayedStore};
 use crate::process::clock::SystemClock;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
@@ -87,7 +87,7 @@
     /// Jobs by id.
     pub jobs: Mutex<HashMap<Name, JobView>>,
     /// Jobs whose end was seen before their head.
-    pub early_ends: Mutex<HashMap<Name, ()>>,
+    pub early_ends: Mutex<HashSet<Name>>,
     /// Changes with every change of a job.
     pub job_news: watch::Sender<u64>,
     /// Jobs that this node drives.
@@ -185,7 +185,7 @@
                 view.changed_at = now;
             }
             None => {
-                let is_ended = self.early_ends.lock().unwrap().remove(job).is_some();
+                let is_ended = self.early_ends.lock().unwrap().remove(job);
                 jobs.insert(job.clone(), JobView { head, version, is_ended, changed_at: now });
             }
         }
@@ -198,7 +198,7 @@
         match self.jobs.lock().unwrap().get_mut(job) {
             Some(view) => view.is_ended = true,
             None => {
-                self.early_ends.lock().unwrap().insert(job.clone(), ());
+                self.early_ends.lock().unwrap().insert(job.clone());
             }
         }
         if let Some(driver) = self.drivers.lock().unwrap().get(job) {
