--- a/crates/trestlerackd/tests/entry.rs
+++ b/crates/trestlerackd/tests/entry.rs
@@ -269,14 +269,20 @@
     assert_eq!(read_all(&daemon, "job2", 2).len(), 2);
 }
 
-#[test]
-fn another_node_finishes_the_job_of_a_killed_one_from_the_stored_text() {
-    let platform = Platform::start();
-    let mut daemon = EntryDaemon::start("a", &platform.store, &[]);
+/// Starts two daemons, of which the first drives a job whose four items run.
+fn two_daemons_with_a_running_job(platform: &Platform) -> (EntryDaemon, EntryDaemon) {
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
     let other = EntryDaemon::start("b", &platform.store, &[&daemon.peer]);
     platform.engine.pace_ms.store(300, Ordering::SeqCst);
     assert_eq!(submit(&daemon, "job1", 4), 202);
     eventually("its items run", || platform.engine.runs.lock().unwrap().len() == 4);
+    (daemon, other)
+}
+
+#[test]
+fn another_node_finishes_the_job_of_a_killed_one_from_the_stored_text() {
+    let platform = Platform::start();
+    let (mut daemon, other) = two_daemons_with_a_running_job(&platform);
     daemon.signal("-KILL");
     daemon.wait_end();
     let killed_at = Instant::now();
@@ -288,11 +294,7 @@
 #[test]
 fn a_stopping_node_hands_its_job_over_with_its_texts_and_ends_by_itself() {
     let platform = Platform::start();
-    let mut daemon = EntryDaemon::start("a", &platform.store, &[]);
-    let other = EntryDaemon::start("b", &platform.store, &[&daemon.peer]);
-    platform.engine.pace_ms.store(300, Ordering::SeqCst);
-    assert_eq!(submit(&daemon, "job1", 4), 202);
-    eventually("its items run", || platform.engine.runs.lock().unwrap().len() == 4);
+    let (mut daemon, other) = two_daemons_with_a_running_job(&platform);
     std::thread::sleep(Duration::from_millis(750));
     daemon.signal("-TERM");
     eventually("it is not ready", || {
