Judge a restart of the lease holder by the version of its row

Change: rows of nodes are kept with their version in the store; a registration tells of a restart only if it is newer than the lease row. Rows that arrive out of order leave the newest.

--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod leaving;
 mod limiter;
 mod membership;
+mod node_rows;
 mod outlier;
 mod ownership;
 mod placement;
@@ -23,6 +24,7 @@
 pub use membership::{
     Heartbeat, Liveness, MembershipAction, MembershipEvent, MembershipSettings, PeerInfo, PeerMembership, PeerUpdate,
 };
+pub use node_rows::{NodeRow, NodeRows};
 pub use outlier::{OutlierDetector, OutlierSettings};
 pub use ownership::{ModelOwner, NodeView, OwnerTable, OwnershipView};
 pub use placement::{BoardSettings, ServerBelief, ServerBoard, ServerNeed};
--- /dev/null
+++ b/crates/trestlerack/src/process/node_rows.rs
@@ -0,0 +1,57 @@
+//! The rows by which entry nodes find each other in the platform's store.
+
+use crate::Name;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The row by which a node tells its peers where it is; see
+/// [docs/PLATFORM.md](../../../../docs/PLATFORM.md#what-is-kept-where).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRow {
+    /// Address for peers.
+    pub address: Name,
+    /// Tells this start of the node's process from earlier ones.
+    pub incarnation: u64,
+}
+
+/// The newest row of each node that was read so far.
+///
+/// Tables are watched apart from the replies to a node's own writes, so the rows here may be older
+/// than another row that was just read. Each is therefore kept with its version in the store.
+#[derive(Debug, Default)]
+pub struct NodeRows {
+    rows: BTreeMap<Name, (u64, NodeRow)>,
+}
+
+impl NodeRows {
+    /// Takes over a row, or its removal if `row` is `None`, unless a newer one is known.
+    pub fn put(&mut self, name: &Name, version: u64, row: Option<NodeRow>) {
+        if self.rows.get(name).is_some_and(|(held, _)| *held > version) {
+            return;
+        }
+        match row {
+            Some(row) => self.rows.insert(name.clone(), (version, row)),
+            None => self.rows.remove(name),
+        };
+    }
+
+    /// Returns whether the node runs as another incarnation than the one that wrote some row at
+    /// `written_at`, a version in the store.
+    ///
+    /// A node registers before it writes anything else, so only a registration that is newer than
+    /// that row tells of a restart: an older one is of the process before, or of the same one.
+    pub fn is_restarted(&self, name: &str, incarnation: u64, written_at: u64) -> bool {
+        let registered = self.rows.get(name);
+        registered.is_some_and(|(version, row)| *version > written_at && row.incarnation != incarnation)
+    }
+
+    /// Returns the row of a registered node.
+    pub fn get(&self, name: &str) -> Option<&NodeRow> {
+        self.rows.get(name).map(|(_, row)| row)
+    }
+
+    /// Returns the registered nodes with their rows.
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, &NodeRow)> {
+        self.rows.iter().map(|(name, (_, row))| (name, row))
+    }
+}
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -192,7 +192,7 @@
 
 fn apply_node_row(node: &Arc<EntryNode>, row: &StoredRow) -> Result<(), StoreError> {
     let peer = if row.removed { None } else { Some(tables::decode(&row.value)?) };
-    node.peers.put(&row.key, peer);
+    node.peers.put(&row.key, row.version, peer);
     Ok(())
 }
 
--- a/crates/trestlerackd/src/entry/job_calls.rs
+++ b/crates/trestlerackd/src/entry/job_calls.rs
@@ -2,7 +2,6 @@
 
 use super::front::{ClientRequest, ReplyBody, full_reply, own_reply};
 use super::node::{EntryNode, JobView};
-use super::peers::PeerRow;
 use super::tables;
 use super::{adoption, job_driver};
 use crate::process::logs;
@@ -11,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::border::StoreError;
+use trestlerack::process::NodeRow;
 use trestlerack::request::{JobHead, JobResult, JobSpec};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
 use trestlerack::version::RequestRoute;
@@ -159,14 +159,14 @@
 
 /// Returns the name and the row of the node that is to drive a job: the one that drives the newest
 /// job of the same model, because it knows the engines' load and holds connections to them.
-fn choose_owner(node: &EntryNode, spec: &JobSpec) -> (Name, PeerRow) {
+fn choose_owner(node: &EntryNode, spec: &JobSpec) -> (Name, NodeRow) {
     let newest = {
         let jobs = node.jobs.lock().unwrap();
         let related = jobs.values().filter(|view| view.head.model == spec.model && view.head.host == spec.host);
         related.max_by_key(|view| view.head.accepted_ms).map(|view| view.head.owner.clone())
     };
     let peer = newest.and_then(|owner| Some((owner.clone(), node.peers.get(&owner)?)));
-    peer.unwrap_or_else(|| (node.settings.name.clone(), node.peer_row()))
+    peer.unwrap_or_else(|| (node.settings.name.clone(), node.node_row()))
 }
 
 fn new_head(node: &Arc<EntryNode>, spec: &JobSpec, spec_rows: usize) -> JobHead {
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -88,7 +88,7 @@
 
 /// Writes the row by which peers find this node, until the store has it.
 async fn register(node: Arc<EntryNode>) {
-    let row = tables::encode(&node.peer_row());
+    let row = tables::encode(&node.node_row());
     let transaction = RowTransaction::new(tables::NODES).put(tables::STATE, &node.settings.name, row);
     let call = StoreCall::Commit(transaction);
     while node.store.call(&call).await.is_err() {
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -2,7 +2,7 @@
 
 use super::job_driver::JobDriver;
 use super::metrics::EntryMetrics;
-use super::peers::{PeerClient, PeerRow};
+use super::peers::PeerClient;
 use super::pool::ConnectionPool;
 use super::store::{DirectStore, RelayedStore};
 use crate::process::clock::SystemClock;
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use trestlerack::border::Clock;
 use trestlerack::process::{
-    BoardSettings, EntrySettings, LeaseRow, RegistrySettings, ServerBoard, ServerEntry, ServerRegistry,
+    BoardSettings, EntrySettings, LeaseRow, NodeRow, RegistrySettings, ServerBoard, ServerEntry, ServerRegistry,
 };
 use trestlerack::request::JobHead;
 use trestlerack::version::{EngineAssignment, RoutingTable, WeightVersion};
@@ -169,8 +169,8 @@
     }
 
     /// Returns the row by which peers find this node.
-    pub fn peer_row(&self) -> PeerRow {
-        PeerRow { address: self.settings.peer_listen.clone(), incarnation: self.incarnation }
+    pub fn node_row(&self) -> NodeRow {
+        NodeRow { address: self.settings.peer_listen.clone(), incarnation: self.incarnation }
     }
 
     /// Takes over a head row that was read or written, unless a newer one is known.
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -17,6 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use trestlerack::Name;
 use trestlerack::border::StoreError;
+use trestlerack::process::{NodeRow, NodeRows};
 use trestlerack::rows::{StoreCall, StoreReply};
 
 /// Path of all calls between nodes.
@@ -64,21 +65,12 @@
     Drives(bool),
 }
 
-/// The row by which a node tells its peers where it is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerRow {
-    /// Address for peers.
-    pub address: Name,
-    /// Incarnation.
-    pub incarnation: u64,
-}
-
 /// Calls peers.
 pub struct PeerClient {
     pool: Arc<ConnectionPool>,
     own_address: Name,
     seeds: Mutex<Vec<Name>>,
-    known: Mutex<BTreeMap<Name, PeerRow>>,
+    known: Mutex<NodeRows>,
     turn: AtomicUsize,
     /// Peers that could not relay a call, until the given time.
     failed: Mutex<BTreeMap<Name, Instant>>,
@@ -96,28 +88,25 @@
         *self.seeds.lock().unwrap() = seeds;
     }
 
-    /// Takes over the row of a peer, or its removal.
-    pub fn put(&self, name: &Name, row: Option<PeerRow>) {
-        let mut known = self.known.lock().unwrap();
-        match row {
-            Some(row) => known.insert(name.clone(), row),
-            None => known.remove(name),
-        };
+    /// Takes over the row of a peer as of a version in the store, or its removal.
+    pub fn put(&self, name: &Name, version: u64, row: Option<NodeRow>) {
+        self.known.lock().unwrap().put(name, version, row);
     }
 
-    /// Returns whether a node runs as another incarnation by now.
-    pub fn is_restarted(&self, name: &str, incarnation: u64) -> bool {
-        self.known.lock().unwrap().get(name).is_some_and(|row| row.incarnation != incarnation)
+    /// Returns whether a node runs as another incarnation by now than the one that wrote a row at
+    /// the version `written_at`.
+    pub fn is_restarted(&self, name: &str, incarnation: u64, written_at: u64) -> bool {
+        self.known.lock().unwrap().is_restarted(name, incarnation, written_at)
     }
 
     /// Returns the row of a registered node.
-    pub fn get(&self, name: &str) -> Option<PeerRow> {
+    pub fn get(&self, name: &str) -> Option<NodeRow> {
         self.known.lock().unwrap().get(name).cloned()
     }
 
     /// Returns the names of all registered nodes.
     pub fn names(&self) -> Vec<Name> {
-        self.known.lock().unwrap().keys().cloned().collect()
+        self.known.lock().unwrap().iter().map(|(name, _)| name.clone()).collect()
     }
 
     /// Returns whether any peer may be asked.
@@ -127,7 +116,7 @@
 
     fn addresses(&self) -> Vec<Name> {
         let known = self.known.lock().unwrap();
-        let mut addresses: Vec<Name> = known.values().map(|row| row.address.clone()).collect();
+        let mut addresses: Vec<Name> = known.iter().map(|(_, row)| row.address.clone()).collect();
         let seeds = self.seeds.lock().unwrap();
         let unknown: Vec<Name> = seeds.iter().filter(|seed| !addresses.contains(seed)).cloned().collect();
         addresses.extend(unknown);
--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -91,8 +91,8 @@
     }
     let now = node.now();
     let mut row = node.lease_row.lock().unwrap().clone();
-    if let Some((_, held)) = &mut row {
-        held.released |= node.peers.is_restarted(&held.holder, held.incarnation);
+    if let Some((version, held)) = &mut row {
+        held.released |= node.peers.is_restarted(&held.holder, held.incarnation, *version);
     }
     let LeaseStep::Write(row) = keeper.decide(now, row) else { return };
     if write_lease(node, row.clone()).await {
