Read what engines were ordered when the lease is taken; split the lease from the orders

A new holder decides by the rows of its watch how long it leaves an engine alone. A watch may lag behind the lease row, which also comes in replies to writes; an order of the holder before in that gap is then followed at once by one of the new holder.

Ruled out: writes of the old holder after the lease changed hands: it writes the row before it looks at its lease, next to the send.

Change: after the lease is taken, nothing is ordered until the rows of engines were read from the store. weights.rs is split into the lease (order_lease), the orders (weights) and the calls to engines (engine_calls); the stand-ins of the process tests are split by what they stand for, and engines there take orders.

--- /dev/null
+++ b/crates/trestlerackd/src/entry/engine_calls.rs
@@ -0,0 +1,83 @@
+//! What the holder of the order lease asks of engines: to load a version, and to report.
+
+use super::node::EntryNode;
+use super::pool::ExchangeError;
+use crate::process::logs;
+use http::StatusCode;
+use http_body_util::{BodyExt, Limited};
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::event;
+use trestlerack::process::ServerEntry;
+use trestlerack::version::{DueOrder, OrderOutcome};
+use trestlerack_platform::{self as platform, EngineReport, WeightOrder};
+
+/// Time that an order or a report may take.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Longest answer of an engine to an order or to the question for its report, in bytes.
+const MAX_ANSWER: usize = 256 * 1024;
+
+/// Orders an engine to load a version, on condition that it accepted `orders_before` orders.
+pub async fn send_order(
+    node: &Arc<EntryNode>,
+    entry: &ServerEntry,
+    order: &DueOrder,
+    fence: u64,
+    orders_before: u64,
+    waits_for_runs: bool,
+) -> OrderOutcome {
+    let wire = WeightOrder {
+        instance: order.instance.clone(),
+        model: order.model.clone(),
+        version: order.version,
+        waits_for_runs,
+        holder: node.settings.name.clone(),
+        fence,
+        orders_before,
+    };
+    let Ok(request) = platform::encode_order(&wire) else { return OrderOutcome::NotSent };
+    match ask_engine(node, entry, request).await {
+        Ok((StatusCode::ACCEPTED, _)) => OrderOutcome::Accepted,
+        Ok((StatusCode::OK, _)) => OrderOutcome::Held,
+        Ok((status, _)) if status.is_client_error() => OrderOutcome::Refused,
+        Ok(_) => OrderOutcome::Unknown,
+        Err(ExchangeError::NotSent(_)) => OrderOutcome::NotSent,
+        Err(ExchangeError::NoAnswer(_)) => OrderOutcome::Unknown,
+    }
+}
+
+/// Asks an engine for its report; `None` if it does not answer.
+pub async fn ask_report(node: &Arc<EntryNode>, entry: &ServerEntry) -> Option<EngineReport> {
+    let request = platform::encode_report_request(&entry.instance).ok()?;
+    let answer = ask_engine(node, entry, request).await;
+    let report = match &answer {
+        Ok((StatusCode::OK, body)) => platform::decode_report(body).ok(),
+        _ => None,
+    };
+    logs::write(event::ENGINE_ASKED, &[("engine", &entry.instance), ("report", &format!("{report:?}"))]);
+    report
+}
+
+async fn ask_engine(
+    node: &Arc<EntryNode>,
+    entry: &ServerEntry,
+    mut request: http::Request<bytes::Bytes>,
+) -> Result<(StatusCode, bytes::Bytes), ExchangeError> {
+    if let Ok(host) = entry.address.parse() {
+        request.headers_mut().insert(http::header::HOST, host);
+    }
+    let exchange = async {
+        let (response, lease) = node.pool.send(&entry.address, request, true).await?;
+        let (parts, body) = response.into_parts();
+        let head = platform::decode_reply_head(&parts.headers);
+        let body = Limited::new(body, MAX_ANSWER).collect().await;
+        let body = body.map_err(|error| ExchangeError::NoAnswer(error.to_string()))?.to_bytes();
+        if !head.is_closing {
+            node.pool.keep(lease, head.idle_limit);
+        }
+        Ok((parts.status, body))
+    };
+    let lost = || ExchangeError::NoAnswer("no answer in time".into());
+    tokio::time::timeout(ORDER_TIMEOUT, exchange).await.unwrap_or_else(|_| Err(lost()))
+}
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -6,6 +6,7 @@
 
 mod adoption;
 mod attempt;
+mod engine_calls;
 mod feeds;
 mod front;
 mod item_run;
@@ -17,6 +18,7 @@
 mod job_texts;
 mod metrics;
 mod node;
+mod order_lease;
 mod peers;
 mod plain;
 mod pool;
@@ -70,7 +72,7 @@
     tokio::spawn(register(node.clone()));
     tokio::spawn(probe_store(node.clone()));
     tokio::spawn(adoption::watch_owners(node.clone()));
-    tokio::spawn(weights::run(node.clone()));
+    tokio::spawn(order_lease::run(node.clone()));
     tokio::spawn(expire_connections(node.clone()));
     tokio::spawn(retention::sweep(node.clone()));
     tokio::spawn(reload(node.clone(), hangup, settings_file));
--- /dev/null
+++ b/crates/trestlerackd/src/entry/order_lease.rs
@@ -0,0 +1,152 @@
+//! Holds the lease on weight orders while it can, and orders engines while it holds it.
+
+use super::node::EntryNode;
+use super::{feeds, tables, weights};
+use crate::process::logs;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use trestlerack::border::StoreError;
+use trestlerack::process::{LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep};
+use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
+use trestlerack::version::WeightPlan;
+use trestlerack::{Name, Timestamp, event};
+
+/// Interval between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time for which a renewal of the lease holds. Short, because nobody orders until a new holder
+/// has waited for it and for the orders that may be on their way.
+const LEASE_TTL: Duration = Duration::from_millis(1_500);
+
+/// Time added before a lease counts as lapsed, for clocks that drift and slow replies.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time between two renewals.
+const RENEW_INTERVAL: Duration = Duration::from_millis(400);
+
+/// What this node does about the lease.
+struct OrderDesk {
+    keeper: LeaseKeeper,
+    plans: BTreeMap<Name, WeightPlan>,
+    renewed_at: Timestamp,
+    held_fence: Option<u64>,
+    /// Whether the orders of the holders before were read since the lease was taken.
+    knows_orders: bool,
+}
+
+/// Holds the lease while it can, and orders engines while it holds it.
+pub async fn run(node: Arc<EntryNode>) {
+    // The wait for orders of the holder before is kept for each engine, not with the lease.
+    let settings = LeaseSettings { ttl: LEASE_TTL, margin: LEASE_MARGIN, order_time: Duration::ZERO };
+    let mut desk = OrderDesk {
+        keeper: LeaseKeeper::new(settings, node.settings.name.clone(), node.incarnation),
+        plans: BTreeMap::new(),
+        renewed_at: node.now(),
+        held_fence: None,
+        knows_orders: false,
+    };
+    loop {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        if node.is_stopping() {
+            give_back(&node, &mut desk.keeper).await;
+        } else {
+            look(&node, &mut desk).await;
+        }
+    }
+}
+
+async fn look(node: &Arc<EntryNode>, desk: &mut OrderDesk) {
+    let now = node.now();
+    if desk.keeper.fence(now).is_none() || now.since(desk.renewed_at) >= RENEW_INTERVAL {
+        desk.renewed_at = now;
+        keep_lease(node, &mut desk.keeper).await;
+    }
+    let fence = desk.keeper.fence(node.now());
+    if fence != desk.held_fence {
+        note_lease(node, fence);
+        desk.plans.clear();
+        desk.knows_orders = false;
+        desk.held_fence = fence;
+    }
+    if fence.is_none() {
+        return;
+    }
+    if !desk.knows_orders {
+        match read_orders(node).await {
+            Ok(()) => desk.knows_orders = true,
+            Err(error) => return logs::write(event::ROW_REFUSED, &[("key", &tables::ENGINES), ("why", &error)]),
+        }
+    }
+    if let Some(routing) = node.routing() {
+        weights::order_engines(node, &routing, &desk.keeper, &mut desk.plans).await;
+    }
+}
+
+/// Reads what engines were ordered so far. A watch may lag behind the lease, and what the holder
+/// before ordered last decides how long its engines are left alone.
+async fn read_orders(node: &Arc<EntryNode>) -> Result<(), StoreError> {
+    for row in tables::read_all(&node.store, tables::STATE, tables::ENGINES).await? {
+        feeds::learn_assignment(node, &row.key, tables::decode(&row.value)?);
+    }
+    Ok(())
+}
+
+async fn give_back(node: &Arc<EntryNode>, keeper: &mut LeaseKeeper) {
+    let held = node.lease_row.lock().unwrap().clone().map(|(_, row)| row);
+    if let Some(row) = keeper.release(held.as_ref()) {
+        write_lease(node, row).await;
+        logs::write(event::LEASE_LOST, &[("why", &"this node stops")]);
+    }
+}
+
+fn note_lease(node: &EntryNode, fence: Option<u64>) {
+    match fence {
+        Some(fence) => logs::write(event::LEASE_TAKEN, &[("node", &node.settings.name), ("fence", &fence)]),
+        None => logs::write(event::LEASE_LOST, &[("why", &"it was not renewed in time")]),
+    }
+}
+
+async fn keep_lease(node: &Arc<EntryNode>, keeper: &mut LeaseKeeper) {
+    // Peers tell a restarted holder by its row, so that row has to be there first.
+    if !node.is_registered.load(Ordering::Relaxed) {
+        return;
+    }
+    let now = node.now();
+    let mut row = node.lease_row.lock().unwrap().clone();
+    if let Some((version, held)) = &mut row {
+        held.released |= node.peers.is_restarted(&held.holder, held.incarnation, *version);
+    }
+    let LeaseStep::Write(row) = keeper.decide(now, row) else { return };
+    if write_lease(node, row.clone()).await {
+        keeper.written(now, row);
+    }
+}
+
+/// Writes the lease row on condition that it is as this node last saw it.
+async fn write_lease(node: &Arc<EntryNode>, row: LeaseRow) -> bool {
+    let version = node.lease_row.lock().unwrap().as_ref().map_or(0, |(version, _)| *version);
+    let transaction = RowTransaction::new(tables::LEASES).expect(tables::STATE, tables::ORDER_LEASE, version).put(
+        tables::STATE,
+        tables::ORDER_LEASE,
+        tables::encode(&row),
+    );
+    match node.store.call(&StoreCall::Commit(transaction)).await {
+        Ok(StoreReply::Committed(moment)) => {
+            *node.lease_row.lock().unwrap() = Some((moment.version, row));
+            true
+        }
+        Ok(StoreReply::Conflict(rows)) => {
+            let held = rows.into_iter().find(|held| &*held.key == tables::ORDER_LEASE);
+            let held = held.and_then(|held| Some((held.version, tables::decode::<LeaseRow>(&held.value).ok()?)));
+            let is_own = held.as_ref().is_some_and(|(_, held)| *held == row);
+            if held.is_some() {
+                *node.lease_row.lock().unwrap() = held;
+            }
+            is_own
+        }
+        // The next look decides anew; an applied write shows in the row.
+        Ok(_) | Err(_) => false,
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -0,0 +1,110 @@
+//! Batch jobs: accepted once, finished by whoever is left, read at lasting positions.
+
+use super::support::*;
+use serde_json::json;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_job_is_accepted_once_and_read_scored_at_lasting_positions() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    let other = EntryDaemon::start("b", &platform.store, &[&daemon.peer]);
+    assert_eq!(submit(&daemon, "job1", 12), 202);
+    assert_eq!(submit(&other, "job1", 12), 202);
+    assert_eq!(submit(&other, "job1", 11), 409, "another job has this id");
+    let results = read_all(&daemon, "job1", 12);
+    for result in &results {
+        let id = result["id"].as_str().unwrap();
+        assert_eq!(result["text"], whole_text(id, 1).join("\n"));
+        assert_eq!((&result["state"], &result["versions"]), (&json!("completed"), &json!([1])));
+        assert_eq!(result["score"], format!("signed-{}", id.replace("item", "score")));
+    }
+    assert_eq!(read_all(&other, "job1", 12), results);
+    let body = call(&other.client, "GET", "/trestlerack/items/job1?id=item-3", &[], "").unwrap();
+    assert_eq!((body.status, body.body.as_str()), (200, "body"));
+    for _ in 0..2 {
+        assert_eq!(call(&other.client, "DELETE", "/trestlerack/lots/job1", &[], "").unwrap().status, 200);
+    }
+    assert_eq!(call(&daemon.client, "GET", "/trestlerack/lots/none?after=0", &[], "").unwrap().status, 404);
+}
+
+#[test]
+fn malformed_jobs_are_refused_with_a_reason_and_nothing_is_stored() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    for body in ["", "{", "[]", r#"{"requests":[{"id":"a"}]}"#, r#"{"requests":[{"id":"a","path":"/p","body":"%"}]}"#] {
+        let answer = call(&daemon.client, "POST", "/jobs/bad", &[("request-id", "bad")], body).unwrap();
+        assert_eq!(answer.status, 400, "{body}");
+        assert!(!answer.body.is_empty(), "{body}");
+    }
+    assert_eq!(platform.store.count("state", "bad"), 0);
+}
+
+#[test]
+fn a_refused_job_was_not_stored_and_a_lost_reply_is_no_refusal() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.store.refuse_writes(true);
+    assert_eq!(submit(&daemon, "job1", 2), 503);
+    platform.store.refuse_writes(false);
+    assert_eq!(platform.store.count("state", "job1"), 0);
+    platform.store.lose_replies(1);
+    assert_eq!(submit(&daemon, "job2", 2), 202);
+    assert_eq!(read_all(&daemon, "job2", 2).len(), 2);
+}
+
+/// Starts two daemons, of which the first drives a job whose four items run.
+fn two_daemons_with_a_running_job(platform: &Platform) -> (EntryDaemon, EntryDaemon) {
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    let other = EntryDaemon::start("b", &platform.store, &[&daemon.peer]);
+    platform.engine.pace_ms.store(300, Ordering::SeqCst);
+    assert_eq!(submit(&daemon, "job1", 4), 202);
+    eventually("its items run", || platform.engine.runs.lock().unwrap().len() == 4);
+    (daemon, other)
+}
+
+#[test]
+fn another_node_finishes_the_job_of_a_killed_one_from_the_stored_text() {
+    let platform = Platform::start();
+    let (mut daemon, other) = two_daemons_with_a_running_job(&platform);
+    daemon.signal("-KILL");
+    daemon.wait_end();
+    let killed_at = Instant::now();
+    eventually("they run again", || platform.engine.runs.lock().unwrap().len() > 4);
+    assert!(killed_at.elapsed() < Duration::from_secs(3), "{:?}", killed_at.elapsed());
+    assert_eq!(read_all(&other, "job1", 4).len(), 4);
+}
+
+#[test]
+fn a_stopping_node_hands_its_job_over_with_its_texts_and_ends_by_itself() {
+    let platform = Platform::start();
+    let (mut daemon, other) = two_daemons_with_a_running_job(&platform);
+    std::thread::sleep(Duration::from_millis(750));
+    daemon.signal("-TERM");
+    eventually("it is not ready", || {
+        call(&daemon.ready, "GET", "/trestlerack/ready", &[], "").is_none_or(|answer| answer.status == 503)
+    });
+    let answer = call(&daemon.client, "POST", "/safe/x", &[("request-id", "r1")], "late").unwrap();
+    assert_eq!((answer.status, answer.headers["connection"].as_str()), (200, "close"));
+    assert!(daemon.wait_end());
+    assert_eq!(read_all(&other, "job1", 4).len(), 4);
+    let runs = platform.engine.runs.lock().unwrap();
+    assert!(runs[4..].iter().all(|run| !run.ends_with("@1")), "texts go on where they were: {runs:?}");
+}
+
+#[test]
+fn the_rows_of_an_old_job_are_removed_and_those_of_an_open_one_stay() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.engine.pace_ms.store(4_000, Ordering::SeqCst);
+    assert_eq!(submit(&daemon, "open", 2), 202);
+    assert_eq!(submit(&daemon, "over", 2), 202);
+    assert_eq!(call(&daemon.client, "DELETE", "/trestlerack/lots/over", &[], "").unwrap().status, 200);
+    let rows = |job: &str| ["state", "specs"].map(|table| platform.store.count(table, job));
+    assert!(rows("over").iter().all(|count| *count > 0));
+    eventually("its rows are removed", || rows("over") == [0, 0]);
+    assert!(rows("open").iter().all(|count| *count > 0), "it is not over");
+    let answer = call(&daemon.client, "GET", "/trestlerack/lots/over?after=0", &[], "").unwrap();
+    assert_eq!(answer.status, 404);
+}
--- /dev/null
+++ b/crates/trestlerackd/tests/entry/lease.rs
@@ -0,0 +1,42 @@
+//! The lease on weight orders: one holder at a time orders an engine.
+
+use super::support::*;
+use std::time::{Duration, Instant};
+
+/// Time that a new holder leaves the engines of the one before alone in these tests.
+const HANDOVER: Duration = Duration::from_secs(6);
+
+/// The second node hears nothing of the orders of the first one, because its watches are silent.
+/// When it takes the lease it must know of them all the same.
+#[test]
+fn a_new_holder_whose_watch_is_silent_knows_the_orders_of_the_one_before() {
+    let platform = Platform::start();
+    let settings = DaemonSettings {
+        store: platform.store.address.to_string(),
+        order_handover_ms: HANDOVER.as_millis() as u64,
+        ..DaemonSettings::default()
+    };
+    let mut first = EntryDaemon::start_with("a", &settings);
+    eventually("the first node holds the lease", || platform.store.count("state", "leases") == 1);
+    let _second = EntryDaemon::start_with("b", &settings);
+    let orders = || platform.engine.orders.lock().unwrap().clone();
+    platform.name_version(2);
+    eventually("both engines are ordered", || orders().len() == 2);
+    // What the second node still hears of is so old that it would not wait by that.
+    std::thread::sleep(HANDOVER / 2);
+    platform.store.silence_watches(Some("state"));
+    platform.name_version(3);
+    eventually("both engines are ordered again", || orders().len() == 4);
+    first.signal("-KILL");
+    first.wait_end();
+    let killed_at = Instant::now();
+    platform.name_version(4);
+    eventually("the second node orders them", || orders().len() == 6);
+    for order in &orders()[4..] {
+        assert_eq!((order.holder.as_str(), order.fence, order.version), ("b", 2, 4));
+        let last =
+            orders().iter().filter(|other| other.engine == order.engine && other.holder == "a").last().unwrap().at;
+        assert!(order.at - last >= HANDOVER, "{:?} after the last one of the first", order.at - last);
+    }
+    assert!(killed_at.elapsed() < PATIENCE);
+}
--- /dev/null
+++ b/crates/trestlerackd/tests/entry/requests.rs
@@ -0,0 +1,106 @@
+//! Plain requests and streams, and what a node does while it reloads or is cut off.
+
+use super::support::*;
+use std::net::TcpStream;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+#[test]
+fn requests_reach_their_service_unchanged_and_others_are_told_so() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    let answer = call(&daemon.client, "POST", "/safe/x?y=1", &[("request-id", "r1")], "the body").unwrap();
+    assert_eq!((answer.status, answer.body.as_str()), (200, "the body"));
+    assert_eq!(answer.headers["response-stamp"], "signed-r1");
+    assert_eq!(answer.headers["request-id"], "r1");
+    assert_eq!(call(&daemon.client, "GET", "/none/x", &[("request-id", "r2")], "").unwrap().status, 404);
+    let large = "x".repeat(200_000);
+    assert_eq!(call(&daemon.client, "POST", "/safe/x", &[("request-id", "r3")], &large).unwrap().status, 413);
+    assert_eq!(*platform.plain.runs.lock().unwrap(), ["r1"]);
+}
+
+#[test]
+fn an_answer_to_another_request_or_half_an_answer_is_never_passed_on() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.plain.foreign_answers.store(1, Ordering::SeqCst);
+    let answer = call(&daemon.client, "POST", "/safe/x", &[("request-id", "r1")], "one").unwrap();
+    assert_eq!((answer.status, answer.body.as_str()), (200, "one"), "it may run again and did");
+    platform.plain.short_answers.store(1, Ordering::SeqCst);
+    let answer = call(&daemon.client, "POST", "/safe/x", &[("request-id", "r2")], "two").unwrap();
+    assert_eq!((answer.status, answer.body.as_str()), (200, "two"));
+    platform.plain.short_answers.store(1, Ordering::SeqCst);
+    let answer = call(&daemon.client, "POST", "/once/x", &[("request-id", "r3")], "three").unwrap();
+    assert_eq!(answer.status, 502, "it may have run and must not run again");
+    let runs = platform.plain.runs.lock().unwrap();
+    assert_eq!(runs.iter().filter(|id| *id == "r3").count(), 1);
+}
+
+#[test]
+fn a_client_that_leaves_ends_the_work_of_its_server() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.plain.hangs.store(true, Ordering::SeqCst);
+    let mut stream = TcpStream::connect(&daemon.client).unwrap();
+    send(&mut stream, "POST", "/once/x", &[("request-id", "r1")], "x").unwrap();
+    eventually("the request runs", || !platform.plain.runs.lock().unwrap().is_empty());
+    let left_at = Instant::now();
+    drop(stream);
+    eventually("its server is left", || platform.plain.left.load(Ordering::SeqCst) == 1);
+    assert!(left_at.elapsed() < Duration::from_millis(500));
+}
+
+#[test]
+fn a_hangup_reads_the_settings_again_and_ends_nothing() {
+    let platform = Platform::start();
+    let mut daemon = EntryDaemon::start("a", &platform.store, &[]);
+    daemon.signal("-HUP");
+    std::thread::sleep(Duration::from_millis(200));
+    assert!(daemon.is_running());
+    assert_eq!(call(&daemon.client, "POST", "/safe/x", &[("request-id", "r1")], "x").unwrap().status, 200);
+}
+
+#[test]
+fn a_node_that_cannot_reach_the_store_serves_through_a_peer() {
+    let platform = Platform::start();
+    let peer = EntryDaemon::start("a", &platform.store, &[]);
+    // Nothing listens there, so each direct call fails.
+    let cut_off = EntryDaemon::start_with(
+        "b",
+        &DaemonSettings { store: free_address(), seeds: vec![peer.peer.clone()], ..DaemonSettings::default() },
+    );
+    assert_eq!(call(&cut_off.client, "POST", "/safe/x", &[("request-id", "r1")], "x").unwrap().status, 200);
+    assert_eq!(submit(&cut_off, "job1", 6), 202);
+    assert_eq!(read_all(&cut_off, "job1", 6), read_all(&peer, "job1", 6));
+}
+
+/// Reads a chunked body; returns its text and whether it ended as a whole one does.
+fn read_stream(daemon: &EntryDaemon, path: &str, id: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(&daemon.client).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let headers = [("request-id", id), ("model", "m"), ("connection", "close")];
+    send(&mut stream, "POST", path, &headers, "prompt").unwrap();
+    let mut bytes = Vec::new();
+    // A reply that breaks off may end with a reset, after the bytes before it.
+    let _ = std::io::Read::read_to_end(&mut stream, &mut bytes);
+    let text = String::from_utf8(bytes).unwrap();
+    let is_whole = text.ends_with("0\r\n\r\n");
+    let events: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    (events.join(","), is_whole)
+}
+
+#[test]
+fn a_broken_stream_is_resumed_where_the_route_allows_it_and_else_breaks_too() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    let whole = |id: &str| whole_text(id, 1).join(",");
+    assert_eq!(read_stream(&daemon, "/streamed/x", "s1"), (whole("s1"), true));
+    platform.engine.broken_streams.store(1, Ordering::SeqCst);
+    assert_eq!(read_stream(&daemon, "/resumed/x", "s2"), (whole("s2"), true));
+    assert_eq!(platform.engine.runs.lock().unwrap()[1..], ["s2@1", "s2@3"]);
+    platform.engine.broken_streams.store(1, Ordering::SeqCst);
+    let (text, is_whole) = read_stream(&daemon, "/streamed/x", "s3");
+    assert!(!is_whole, "a break must not look like an end: {text}");
+    let runs = platform.engine.runs.lock().unwrap();
+    assert_eq!(runs.iter().filter(|run| run.starts_with("s3")).count(), 1, "it must not run again");
+}
--- /dev/null
+++ b/crates/trestlerackd/tests/entry/support/client.rs
@@ -0,0 +1,51 @@
+//! A small HTTP client.
+
+use super::PATIENCE;
+use super::server::read_headers;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+
+/// An answer that a client got.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap()
+    }
+}
+
+/// Makes a call on a connection of its own; `None` if no whole answer came.
+pub fn call(address: &str, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Option<Answer> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    send(&mut stream, method, path, headers, body)?;
+    read_answer(&mut BufReader::new(stream))
+}
+
+/// Sends a request.
+pub fn send(stream: &mut TcpStream, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Option<()> {
+    let mut text = format!("{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n", body.len());
+    if !headers.iter().any(|(name, _)| *name == "host") {
+        text.push_str("host: h.example\r\n");
+    }
+    headers.iter().for_each(|(name, value)| text.push_str(&format!("{name}: {value}\r\n")));
+    stream.write_all(format!("{text}\r\n{body}").as_bytes()).ok()
+}
+
+pub fn read_answer(reader: &mut BufReader<TcpStream>) -> Option<Answer> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    let status = line.split_whitespace().nth(1)?.parse().ok()?;
+    let headers = read_headers(reader)?;
+    let length = headers.get("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(Answer { status, headers, body: String::from_utf8(body).ok()? })
+}
--- /dev/null
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -0,0 +1,127 @@
+//! The entry daemon as a process.
+
+use super::store::StandinStore;
+use super::{call, eventually};
+use serde_json::json;
+use std::net::TcpListener;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+
+/// An entry daemon.
+pub struct EntryDaemon {
+    child: Child,
+    pub name: String,
+    pub client: String,
+    pub ready: String,
+    pub peer: String,
+    settings: std::path::PathBuf,
+}
+
+/// Time that a daemon has from a planned stop to its end, in seconds.
+pub const STOP_LIMIT_S: f64 = 5.0;
+
+/// Time for which ended jobs can be read; longer than any test that reads one takes.
+const RETENTION_S: u64 = 12;
+
+/// First port given to daemons; below the range from which outgoing connections take theirs, so
+/// that none of those sits on it when the daemon starts.
+const FIRST_PORT: u16 = 15_000;
+
+/// Ports that one run of the tests may go through.
+const PORTS_OF_RUN: u16 = 64;
+
+/// Returns an address that nothing listens on, another one at each call.
+pub fn free_address() -> String {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = FIRST_PORT + (std::process::id() % 200) as u16 * PORTS_OF_RUN;
+    loop {
+        let port = first + NEXT.fetch_add(1, Ordering::SeqCst);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap().to_string();
+        }
+    }
+}
+
+/// Settings of a daemon that tests choose.
+#[derive(Clone)]
+pub struct DaemonSettings {
+    /// Address of the store.
+    pub store: String,
+    pub seeds: Vec<String>,
+    /// Time that a new holder of the order lease leaves the engines of the one before alone.
+    pub order_handover_ms: u64,
+}
+
+impl Default for DaemonSettings {
+    fn default() -> Self {
+        Self { store: String::new(), seeds: Vec::new(), order_handover_ms: 300 }
+    }
+}
+
+impl EntryDaemon {
+    pub fn start(name: &str, store: &StandinStore, seeds: &[&str]) -> Self {
+        let seeds = seeds.iter().map(ToString::to_string).collect();
+        let settings = DaemonSettings { store: store.address.to_string(), seeds, ..DaemonSettings::default() };
+        Self::start_with(name, &settings)
+    }
+
+    pub fn start_with(name: &str, settings: &DaemonSettings) -> Self {
+        let (client, ready, peer) = (free_address(), free_address(), free_address());
+        let text = json!({
+            "name": name, "zone": "z", "client_listen": client, "ready_listen": ready, "peer_listen": peer,
+            "seeds": settings.seeds, "store": settings.store, "stop_limit_s": STOP_LIMIT_S,
+            "order_handover_ms": settings.order_handover_ms, "retention_s": RETENTION_S,
+        });
+        let file = format!("entry-{name}-{}-{}.json", std::process::id(), client.replace([':', '.'], "-"));
+        let settings = std::env::temp_dir().join(file);
+        std::fs::write(&settings, text.to_string()).unwrap();
+        let mut daemon = Self { child: spawn(&settings), name: name.into(), client, ready, peer, settings };
+        daemon.wait_ready();
+        daemon
+    }
+
+    fn wait_ready(&mut self) {
+        eventually("the daemon is ready", || {
+            assert!(self.child.try_wait().unwrap().is_none(), "{} ended", self.name);
+            call(&self.ready, "GET", "/trestlerack/ready", &[], "").is_some_and(|answer| answer.status == 200)
+        });
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
+        assert!(status.success());
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Waits for the end and returns whether the daemon ended by itself without a failure.
+    pub fn wait_end(&mut self) -> bool {
+        let mut ended = None;
+        eventually("the daemon ends", || {
+            ended = self.child.try_wait().unwrap();
+            ended.is_some()
+        });
+        ended.unwrap().success()
+    }
+}
+
+fn spawn(settings: &std::path::Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_trestlerackd"))
+        .args(["entry", "--settings"])
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::inherit())
+        .spawn()
+        .unwrap()
+}
+
+impl Drop for EntryDaemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/tests/entry/support/mod.rs
@@ -0,0 +1,26 @@
+//! Small stand-ins for the users' platform, all in this process, and the entry daemon as a process
+//! of its own.
+
+mod client;
+mod daemon;
+mod platform;
+mod server;
+mod store;
+
+pub use client::{call, send};
+pub use daemon::{DaemonSettings, EntryDaemon, free_address};
+pub use platform::{Platform, read_all, submit, whole_text};
+
+use std::time::{Duration, Instant};
+
+/// Time in which anything that is waited for has to happen.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until something holds.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < until, "in vain: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- /dev/null
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -0,0 +1,286 @@
+//! The platform as a whole: its store, plain servers and model engines.
+
+use super::daemon::EntryDaemon;
+use super::server::{Received, reply, serve};
+use super::store::StandinStore;
+use super::{call, eventually};
+use serde_json::{Value, json};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Events of each stream of an engine.
+pub const EVENTS: u64 = 5;
+
+/// What stand-in servers do and have seen.
+#[derive(Default)]
+pub struct ServerBehaviour {
+    /// Requests that ran, by id; with the first event for those of engines.
+    pub runs: Mutex<Vec<String>>,
+    /// Answers that bear the id of another request.
+    pub foreign_answers: AtomicUsize,
+    /// Answers whose body breaks off.
+    pub short_answers: AtomicUsize,
+    /// Requests that are refused as not run.
+    pub refusals: AtomicUsize,
+    /// Requests that are never answered.
+    pub hangs: AtomicBool,
+    /// Connections that were closed by the caller while a request hung.
+    pub left: AtomicUsize,
+    /// Pause between two events, in milliseconds.
+    pub pace_ms: AtomicUsize,
+    /// Streams that break off within their third event.
+    pub broken_streams: AtomicUsize,
+    /// Orders that engines accepted, in the order of their arrival.
+    pub orders: Mutex<Vec<EngineOrder>>,
+    /// Orders that are carried out and whose answer is lost.
+    pub lost_orders: AtomicUsize,
+}
+
+/// An order that an engine accepted.
+#[derive(Clone, Debug)]
+pub struct EngineOrder {
+    pub engine: String,
+    pub holder: String,
+    pub fence: u64,
+    pub version: u64,
+    pub at: Instant,
+}
+
+fn take(count: &AtomicUsize) -> bool {
+    count.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1)).is_ok()
+}
+
+/// A plain server, which is also the scoring service; it answers with the body that it got.
+fn plain_server(behaviour: Arc<ServerBehaviour>) -> SocketAddr {
+    serve(move |request, stream| {
+        let id = request.headers["request-id"].clone();
+        if take(&behaviour.refusals) {
+            return reply(stream, 503, &[("request-id", &id), ("not-executed", "1")], "");
+        }
+        behaviour.runs.lock().unwrap().push(id.clone());
+        if behaviour.hangs.load(Ordering::SeqCst) {
+            let mut byte = [0];
+            stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+            if matches!(stream.peek(&mut byte), Ok(0) | Err(_)) {
+                behaviour.left.fetch_add(1, Ordering::SeqCst);
+            }
+            return false;
+        }
+        let echoed = if take(&behaviour.foreign_answers) { "another" } else { &id };
+        let body = String::from_utf8(request.body).unwrap();
+        if take(&behaviour.short_answers) {
+            let text =
+                format!("HTTP/1.1 200 X\r\ncontent-length: 99\r\nrequest-id: {id}\r\nresponse-stamp: s\r\n\r\nhalf");
+            // The caller may have left, which ends the connection as well.
+            let _ = stream.write_all(text.as_bytes());
+            return false;
+        }
+        reply(stream, 200, &[("request-id", echoed), ("response-stamp", &format!("signed-{id}"))], &body)
+    })
+}
+
+/// A model engine, which starts with version 1 and takes over any other at once.
+struct ModelEngine {
+    behaviour: Arc<ServerBehaviour>,
+    store: StandinStore,
+    name: String,
+    /// Address at which it registers: its own, or that of a proxy before it.
+    address: Mutex<String>,
+    version: AtomicU64,
+    orders: AtomicU64,
+}
+
+impl ModelEngine {
+    fn answer(&self, request: &Received, stream: &mut TcpStream) -> bool {
+        match &*request.path {
+            "/trestlerack/report" => {
+                let (version, orders) = (self.version.load(Ordering::SeqCst), self.orders.load(Ordering::SeqCst));
+                let report = json!({ "models": [{ "name": "m", "version": version }], "busy": false, "seq": orders });
+                reply(stream, 200, &[], &report.to_string())
+            }
+            "/trestlerack/order" => self.take_order(request, stream),
+            _ => self.generate(request, stream),
+        }
+    }
+
+    fn take_order(&self, request: &Received, stream: &mut TcpStream) -> bool {
+        if request.headers.get("expect-instance") != Some(&self.name) {
+            return reply(stream, 421, &[("not-executed", "1")], "");
+        }
+        let order: Value = serde_json::from_slice(&request.body).unwrap();
+        let version = order["version"].as_u64().unwrap();
+        let accepted = self.orders.load(Ordering::SeqCst);
+        if order["expected_rev"].as_u64().is_some_and(|expected| expected != accepted) {
+            return reply(stream, 409, &[], "");
+        }
+        if version <= self.version.load(Ordering::SeqCst) {
+            return reply(stream, 200, &[], "");
+        }
+        self.behaviour.orders.lock().unwrap().push(EngineOrder {
+            engine: self.name.clone(),
+            holder: order["holder"].as_str().unwrap().to_owned(),
+            fence: order["fence"].as_u64().unwrap(),
+            version,
+            at: Instant::now(),
+        });
+        self.orders.fetch_add(1, Ordering::SeqCst);
+        self.version.store(version, Ordering::SeqCst);
+        self.register();
+        !take(&self.behaviour.lost_orders) && reply(stream, 202, &[], "")
+    }
+
+    fn register(&self) {
+        let models = json!([{ "name": "m", "version": self.version.load(Ordering::SeqCst) }]);
+        register(&self.store, &self.name, "models", &self.address.lock().unwrap(), models);
+    }
+
+    /// Sends the events after the one that the request names. The data of each tells the item, the
+    /// event and the version that made it.
+    fn generate(&self, request: &Received, stream: &mut TcpStream) -> bool {
+        let id = request.headers["request-id"].clone();
+        let first = request.headers.get("last-event-id").map_or(1, |last| last.parse::<u64>().unwrap() + 1);
+        self.behaviour.runs.lock().unwrap().push(format!("{id}@{first}"));
+        let mut version = self.version.load(Ordering::SeqCst);
+        let head = format!(
+            "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\nrequest-id: {id}\r\nresponse-stamp: s\r\n\
+             weight-versions: {version}\r\n\r\n"
+        );
+        let mut write = |text: String| stream.write_all(text.as_bytes()).is_ok();
+        if !write(head) {
+            return false;
+        }
+        let is_broken = take(&self.behaviour.broken_streams);
+        for number in first..=EVENTS {
+            if is_broken && number == 3 {
+                write("1c\r\nid: 3\ndata: ".into());
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(self.behaviour.pace_ms.load(Ordering::SeqCst) as u64));
+            let held = self.version.load(Ordering::SeqCst);
+            let change = if held == version { String::new() } else { format!("weight-versions: {held}\n") };
+            version = held;
+            let event = format!("{change}id: {number}\ndata: {}\n\n", event_data(&id, number, version));
+            if !write(format!("{:x}\r\n{event}\r\n", event.len())) {
+                return false;
+            }
+        }
+        write("0\r\n\r\n".into())
+    }
+}
+
+fn event_data(id: &str, number: u64, version: u64) -> String {
+    format!("{id}-{number}-v{version}")
+}
+
+/// Returns the data of all events of an item that one version made.
+pub fn whole_text(id: &str, version: u64) -> Vec<String> {
+    (1..=EVENTS).map(|number| event_data(id, number, version)).collect()
+}
+
+fn register(store: &StandinStore, instance: &str, service: &str, address: &str, models: Value) {
+    store.put(
+        "servers",
+        instance,
+        &json!({ "service": service, "addr": address, "zone": "z", "version": "v1", "slots": 4, "state": "ready",
+            "cold_left_ms": 0, "models": models, "seq": 1 }),
+    );
+}
+
+/// The store and the servers that the configuration names.
+pub struct Platform {
+    pub store: StandinStore,
+    pub plain: Arc<ServerBehaviour>,
+    pub engine: Arc<ServerBehaviour>,
+}
+
+impl Platform {
+    pub fn start() -> Self {
+        Self::start_behind(2, |address| address.to_string())
+    }
+
+    /// Starts `count` servers of each kind, registered at the address that `relay` gives for theirs.
+    pub fn start_behind(count: usize, mut relay: impl FnMut(SocketAddr) -> String) -> Self {
+        let store = StandinStore::start();
+        let (plain, engine) = (Arc::<ServerBehaviour>::default(), Arc::<ServerBehaviour>::default());
+        store.put("op", "config", &configuration());
+        for number in 0..count {
+            let address = relay(plain_server(plain.clone()));
+            register(&store, &format!("i-plain-{number}"), "plain", &address, json!([]));
+            let model_engine = Arc::new(ModelEngine {
+                behaviour: engine.clone(),
+                store: store.clone(),
+                name: format!("i-engine-{number}"),
+                address: Mutex::default(),
+                version: AtomicU64::new(1),
+                orders: AtomicU64::new(0),
+            });
+            let handler = model_engine.clone();
+            let address = serve(move |request, stream| handler.answer(&request, stream));
+            *model_engine.address.lock().unwrap() = relay(address);
+            model_engine.register();
+        }
+        Self { store, plain, engine }
+    }
+
+    /// Names a version of the weights, as a trainer does.
+    pub fn name_version(&self, version: u64) {
+        self.store.put("op", "version/m", &json!({ "model": "m", "version": version }));
+    }
+}
+
+fn configuration() -> Value {
+    let limits = json!({ "max_header_bytes": 16384, "max_body_bytes": 100_000, "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000 });
+    json!({ "version": 1, "limits": limits,
+        "services": [{ "name": "plain", "max_conns": 100 },
+            { "name": "models", "max_conns": 100, "engine": { "slots": 4, "models": [{ "name": "m" }] } }],
+        "routes": [
+            { "name": "safe", "host": "h.example", "prefix": "/safe/", "kind": "safe", "timeout_ms": 3000,
+                "target_latency_ms": 150, "service": "plain", "max_attempts": 3 },
+            { "name": "once", "host": "h.example", "prefix": "/once/", "kind": "unsafe", "timeout_ms": 3000,
+                "target_latency_ms": 150, "service": "plain", "max_attempts": 3 },
+            { "name": "resumed", "host": "h.example", "prefix": "/resumed/", "kind": "unsafe", "timeout_ms": 5000,
+                "streaming": true, "resumable": true, "service": "models", "max_attempts": 3 },
+            { "name": "streamed", "host": "h.example", "prefix": "/streamed/", "kind": "unsafe",
+                "timeout_ms": 5000, "streaming": true, "service": "models", "max_attempts": 3 },
+            { "name": "jobs", "host": "h.example", "prefix": "/jobs/", "kind": "rollout", "due_ms": 7500,
+                "target_latency_ms": 400, "service": "models", "max_attempts": 3, "max_wait_s": 60.0 }] })
+}
+
+/// Body of a job whose groups have two items each.
+pub fn job_body(items: usize) -> String {
+    let item = |number: usize| {
+        json!({ "id": format!("item-{number}"), "path": "/jobs/run", "headers": { "Model": "m" }, "body": "Ym9keQ==",
+            "tokens": 100, "group": format!("g-{}", number / 2),
+            "scorer": { "id": format!("score-{number}"), "host": "h.example", "path": "/safe/score", "body": "" } })
+    };
+    let items: Vec<Value> = (0..items).map(item).collect();
+    json!({ "step": 0, "model": "m", "min_version": 1, "target_groups": 1, "requests": items }).to_string()
+}
+
+/// Submits a job and returns the status of the answer, or 0 without one.
+pub fn submit(daemon: &EntryDaemon, job: &str, items: usize) -> u16 {
+    let path = format!("/jobs/{job}");
+    call(&daemon.client, "POST", &path, &[("request-id", job)], &job_body(items)).map_or(0, |answer| answer.status)
+}
+
+/// Reads a job's results until all are there.
+pub fn read_all(daemon: &EntryDaemon, job: &str, total: usize) -> Vec<Value> {
+    let mut results: Vec<Value> = Vec::new();
+    eventually("the job is whole", || {
+        let path = format!("/trestlerack/lots/{job}?after={}", results.len());
+        let Some(answer) = call(&daemon.client, "GET", &path, &[("wait-ms", "500")], "") else { return false };
+        if answer.status != 200 {
+            return false;
+        }
+        let page = answer.json();
+        assert_eq!(page["total"], total);
+        results.extend(page["results"].as_array().unwrap().iter().cloned());
+        assert_eq!(page["next"], results.len());
+        results.len() == total
+    });
+    results
+}
--- /dev/null
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -0,0 +1,191 @@
+//! The platform's store.
+
+use super::server::{Received, reply, serve};
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+type RowKey = (String, String, String);
+
+#[derive(Default)]
+struct StoreState {
+    version: u64,
+    rows: BTreeMap<RowKey, (String, u64)>,
+    changes: Vec<(u64, RowKey, Option<String>)>,
+    /// Writes that are refused with 503.
+    refuse_writes: bool,
+    /// Writes that are applied and whose reply is then lost.
+    lose_replies: usize,
+    /// Watches of this table bring no news meanwhile; reads and writes do.
+    silent_table: Option<&'static str>,
+}
+
+/// The store of the platform.
+#[derive(Clone)]
+pub struct StandinStore {
+    state: Arc<(Mutex<StoreState>, Condvar)>,
+    pub address: SocketAddr,
+}
+
+impl StandinStore {
+    pub fn start() -> Self {
+        let state: Arc<(Mutex<StoreState>, Condvar)> = Arc::default();
+        let started = Instant::now();
+        let handler_state = state.clone();
+        let address = serve(move |request, stream| {
+            let (status, body) = handle(&handler_state, started, &request);
+            status != 0 && reply(stream, status, &[], &body.to_string())
+        });
+        Self { state, address }
+    }
+
+    /// Writes a row as the operator, a trainer or a server does.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        let mut state = self.state.0.lock().unwrap();
+        state.version += 1;
+        let content = BASE64_STANDARD.encode(value.to_string());
+        write(&mut state, (table.into(), String::new(), key.into()), Some(content));
+        self.state.1.notify_all();
+    }
+
+    pub fn refuse_writes(&self, refuse: bool) {
+        self.state.0.lock().unwrap().refuse_writes = refuse;
+    }
+
+    pub fn lose_replies(&self, count: usize) {
+        self.state.0.lock().unwrap().lose_replies = count;
+    }
+
+    pub fn silence_watches(&self, table: Option<&'static str>) {
+        self.state.0.lock().unwrap().silent_table = table;
+        self.state.1.notify_all();
+    }
+
+    pub fn count(&self, table: &str, partition: &str) -> usize {
+        let state = self.state.0.lock().unwrap();
+        state.rows.keys().filter(|(t, p, _)| t == table && p == partition).count()
+    }
+}
+
+fn write(state: &mut StoreState, key: RowKey, value: Option<String>) {
+    let version = state.version;
+    match &value {
+        Some(value) => state.rows.insert(key.clone(), (value.clone(), version)),
+        None => state.rows.remove(&key),
+    };
+    state.changes.push((version, key, value));
+}
+
+fn row((table, part, key): &RowKey, value: &str, ver: u64) -> Value {
+    json!({ "table": table, "part": part, "key": key, "value": value, "ver": ver })
+}
+
+fn handle(shared: &(Mutex<StoreState>, Condvar), started: Instant, request: &Received) -> (u16, Value) {
+    let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+    let parameter = |name: &str| -> String {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let value = pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next().unwrap_or("");
+        decode_percent(value)
+    };
+    let now_ms = started.elapsed().as_millis() as u64;
+    let mut state = shared.0.lock().unwrap();
+    match path.rsplit('/').next().unwrap() {
+        "rows-tx" => {
+            if state.refuse_writes {
+                return (503, json!({}));
+            }
+            let (status, body) = commit(&mut state, &request.body, now_ms);
+            shared.1.notify_all();
+            if status == 200 && state.lose_replies > 0 {
+                state.lose_replies -= 1;
+                return (0, json!({}));
+            }
+            (status, body)
+        }
+        "rows-get" => {
+            let (table, part, from) = (parameter("table"), parameter("part"), parameter("from"));
+            let is_asked = |key: &RowKey| key.0 == table && key.1 == part && key.2 >= from;
+            let rows: Vec<Value> = state
+                .rows
+                .iter()
+                .filter(|(key, _)| is_asked(key))
+                .map(|(key, (value, version))| row(key, value, *version))
+                .collect();
+            (200, json!({ "rows": rows, "more_pages": false, "ver": state.version, "now_ms": now_ms }))
+        }
+        "rows-parts" => {
+            let table = parameter("table");
+            let mut parts: Vec<&String> = state.rows.keys().filter(|key| key.0 == table).map(|key| &key.1).collect();
+            parts.dedup();
+            (200, json!({ "parts": parts, "more_pages": false, "ver": state.version, "now_ms": now_ms }))
+        }
+        "rows-feed" => {
+            let (table, after) = (parameter("table"), parameter("after").parse::<u64>().unwrap());
+            let wait = Duration::from_millis(parameter("wait_ms").parse().unwrap());
+            let has_news = |state: &StoreState| {
+                state.silent_table != Some(&table)
+                    && state.changes.iter().any(|(v, key, _)| *v > after && key.0 == table)
+            };
+            let (state, _) = shared.1.wait_timeout_while(state, wait, |state| !has_news(state)).unwrap();
+            if state.silent_table == Some(&table) {
+                return (200, json!({ "rows": [], "ver": after, "now_ms": now_ms }));
+            }
+            let news = state.changes.iter().filter(|(version, key, _)| *version > after && key.0 == table);
+            let rows: Vec<Value> = news
+                .map(|(version, key, value)| match value {
+                    Some(value) => row(key, value, *version),
+                    None => json!({ "table": key.0, "part": key.1, "key": key.2, "ver": version, "deleted": true }),
+                })
+                .collect();
+            (200, json!({ "rows": rows, "ver": state.version, "now_ms": now_ms }))
+        }
+        _ => (404, json!({})),
+    }
+}
+
+fn commit(state: &mut StoreState, body: &[u8], now_ms: u64) -> (u16, Value) {
+    let call: Value = serde_json::from_slice(body).unwrap();
+    let key = |entry: &Value| -> RowKey {
+        let text = |name: &str| entry[name].as_str().unwrap().to_owned();
+        (text("table"), text("part"), text("key"))
+    };
+    let entries = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+    let holds = |entry: &Value| {
+        let version = state.rows.get(&key(entry)).map_or(0, |(_, version)| *version);
+        entry["ver"].as_u64() == Some(version)
+    };
+    if !entries("expected_rev").iter().all(holds) {
+        let rows: Vec<Value> = entries("expected_rev")
+            .iter()
+            .filter_map(|entry| state.rows.get(&key(entry)).map(|(value, version)| row(&key(entry), value, *version)))
+            .collect();
+        return (412, json!({ "rows": rows, "ver": state.version, "now_ms": now_ms }));
+    }
+    state.version += 1;
+    for entry in entries("set_keys") {
+        write(state, key(&entry), Some(entry["value"].as_str().unwrap().to_owned()));
+    }
+    for entry in entries("remove") {
+        write(state, key(&entry), None);
+    }
+    (200, json!({ "ver": state.version, "now_ms": now_ms }))
+}
+
+fn decode_percent(text: &str) -> String {
+    let (mut bytes, mut rest) = (Vec::new(), text.as_bytes());
+    while let [first, tail @ ..] = rest {
+        if *first == b'%' && tail.len() >= 2 {
+            let digits = std::str::from_utf8(&tail[..2]).unwrap();
+            bytes.push(u8::from_str_radix(digits, 16).unwrap());
+            rest = &tail[2..];
+        } else {
+            bytes.push(*first);
+            rest = tail;
+        }
+    }
+    String::from_utf8(bytes).unwrap()
+}
