Add a fault soak: daemons as processes, faults from outside, promises checked while it runs

What: four entry daemons as processes against the stand-ins, a loopback proxy before the store (one link a node) and before each server (delayed, cut one way, silent, refused, reset, open connections silenced), signals (kill, pause, planned stop, planned stop cut short, hangups in series, two kills at once and again on return), and a store that refuses writes, loses replies, is slow, or whose watches fall silent or lose their history. Two series of faults overlap. Clients keep connections, submit, read and end jobs at any node; servers note what ran. Checked: own answers, at most once, refusals that are true, lasting positions, text, versions and scores of results, ends, one holder of orders, planned stops without cut requests, recovery, no process that ends by itself.

The first tries hung: the soak held a process's lock while it waited for its end, so a paused one was never woken; mended in the soak.

--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -18,10 +18,10 @@
         let id = result["id"].as_str().unwrap();
         assert_eq!(result["text"], whole_text(id, 1).join("\n"));
         assert_eq!((&result["state"], &result["versions"]), (&json!("completed"), &json!([1])));
-        assert_eq!(result["score"], format!("signed-{}", id.replace("item", "score")));
+        assert_eq!(result["score"], format!("signed-{id}-score"));
     }
     assert_eq!(read_all(&other, "job1", 12), results);
-    let body = call(&other.client, "GET", "/trestlerack/items/job1?id=item-3", &[], "").unwrap();
+    let body = call(&other.client, "GET", "/trestlerack/items/job1?id=job1-item-3", &[], "").unwrap();
     assert_eq!((body.status, body.body.as_str()), (200, "body"));
     for _ in 0..2 {
         assert_eq!(call(&other.client, "DELETE", "/trestlerack/lots/job1", &[], "").unwrap().status, 200);
--- a/crates/trestlerackd/tests/entry/lease.rs
+++ b/crates/trestlerackd/tests/entry/lease.rs
@@ -34,8 +34,7 @@
     eventually("the second node orders them", || orders().len() == 6);
     for order in &orders()[4..] {
         assert_eq!((order.holder.as_str(), order.fence, order.version), ("b", 2, 4));
-        let last =
-            orders().iter().filter(|other| other.engine == order.engine && other.holder == "a").last().unwrap().at;
+        let last = orders().iter().rfind(|other| other.engine == order.engine && other.holder == "a").unwrap().at;
         assert!(order.at - last >= HANDOVER, "{:?} after the last one of the first", order.at - last);
     }
     assert!(killed_at.elapsed() < PATIENCE);
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -3,4 +3,5 @@
 mod jobs;
 mod lease;
 mod requests;
+mod soak;
 mod support;
--- a/crates/trestlerackd/tests/entry/requests.rs
+++ b/crates/trestlerackd/tests/entry/requests.rs
@@ -74,19 +74,8 @@
     assert_eq!(read_all(&cut_off, "job1", 6), read_all(&peer, "job1", 6));
 }
 
-/// Reads a chunked body; returns its text and whether it ended as a whole one does.
 fn read_stream(daemon: &EntryDaemon, path: &str, id: &str) -> (String, bool) {
-    let mut stream = TcpStream::connect(&daemon.client).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-    let headers = [("request-id", id), ("model", "m"), ("connection", "close")];
-    send(&mut stream, "POST", path, &headers, "prompt").unwrap();
-    let mut bytes = Vec::new();
-    // A reply that breaks off may end with a reset, after the bytes before it.
-    let _ = std::io::Read::read_to_end(&mut stream, &mut bytes);
-    let text = String::from_utf8(bytes).unwrap();
-    let is_whole = text.ends_with("0\r\n\r\n");
-    let events: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
-    (events.join(","), is_whole)
+    read_stream_from(&daemon.client, path, id).unwrap()
 }
 
 #[test]
--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -4,6 +4,7 @@
 use super::{call, eventually};
 use serde_json::json;
 use std::net::TcpListener;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 
@@ -14,7 +15,8 @@
     pub client: String,
     pub ready: String,
     pub peer: String,
-    settings: std::path::PathBuf,
+    settings: PathBuf,
+    log: Option<PathBuf>,
 }
 
 /// Time that a daemon has from a planned stop to its end, in seconds.
@@ -50,11 +52,15 @@
     pub seeds: Vec<String>,
     /// Time that a new holder of the order lease leaves the engines of the one before alone.
     pub order_handover_ms: u64,
+    /// Time for which ended jobs can be read.
+    pub retention_s: u64,
+    /// File that takes the log; it is thrown away without one.
+    pub log: Option<PathBuf>,
 }
 
 impl Default for DaemonSettings {
     fn default() -> Self {
-        Self { store: String::new(), seeds: Vec::new(), order_handover_ms: 300 }
+        Self { store: String::new(), seeds: Vec::new(), order_handover_ms: 300, retention_s: RETENTION_S, log: None }
     }
 }
 
@@ -70,12 +76,14 @@
         let text = json!({
             "name": name, "zone": "z", "client_listen": client, "ready_listen": ready, "peer_listen": peer,
             "seeds": settings.seeds, "store": settings.store, "stop_limit_s": STOP_LIMIT_S,
-            "order_handover_ms": settings.order_handover_ms, "retention_s": RETENTION_S,
+            "order_handover_ms": settings.order_handover_ms, "retention_s": settings.retention_s,
         });
         let file = format!("entry-{name}-{}-{}.json", std::process::id(), client.replace([':', '.'], "-"));
+        let log = settings.log.clone();
         let settings = std::env::temp_dir().join(file);
         std::fs::write(&settings, text.to_string()).unwrap();
-        let mut daemon = Self { child: spawn(&settings), name: name.into(), client, ready, peer, settings };
+        let child = spawn(&settings, log.as_deref());
+        let mut daemon = Self { child, name: name.into(), client, ready, peer, settings, log };
         daemon.wait_ready();
         daemon
     }
@@ -92,6 +100,18 @@
         assert!(status.success());
     }
 
+    /// Starts the process again, with the settings that it had.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.settings, self.log.as_deref());
+    }
+
+    /// Sends a signal unless the process has ended.
+    pub fn signal_if_running(&mut self, signal: &str) {
+        if self.is_running() {
+            self.signal(signal);
+        }
+    }
+
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
@@ -107,12 +127,16 @@
     }
 }
 
-fn spawn(settings: &std::path::Path) -> Child {
+fn spawn(settings: &Path, log: Option<&Path>) -> Child {
+    let output = log.map_or_else(Stdio::null, |log| {
+        let file = std::fs::OpenOptions::new().create(true).append(true).open(log);
+        file.unwrap().into()
+    });
     Command::new(env!("CARGO_BIN_EXE_trestlerackd"))
         .args(["entry", "--settings"])
         .arg(settings)
         .stdin(Stdio::null())
-        .stdout(Stdio::null())
+        .stdout(output)
         .stderr(Stdio::inherit())
         .spawn()
         .unwrap()
--- a/crates/trestlerackd/tests/entry/support/mod.rs
+++ b/crates/trestlerackd/tests/entry/support/mod.rs
@@ -7,9 +7,9 @@
 mod server;
 mod store;
 
-pub use client::{call, send};
+pub use client::{call, read_answer, send};
 pub use daemon::{DaemonSettings, EntryDaemon, free_address};
-pub use platform::{Platform, read_all, submit, whole_text};
+pub use platform::{EVENTS, EngineOrder, Platform, job_body_of, read_all, read_stream_from, submit, whole_text};
 
 use std::time::{Duration, Instant};
 
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -3,9 +3,10 @@
 use super::daemon::EntryDaemon;
 use super::server::{Received, reply, serve};
 use super::store::StandinStore;
-use super::{call, eventually};
+use super::{call, eventually, send};
 use serde_json::{Value, json};
-use std::io::Write;
+use std::collections::HashMap;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -33,6 +34,8 @@
     pub pace_ms: AtomicUsize,
     /// Streams that break off within their third event.
     pub broken_streams: AtomicUsize,
+    /// When each request last began to run, by id.
+    pub last_runs: Mutex<HashMap<String, Instant>>,
     /// Orders that engines accepted, in the order of their arrival.
     pub orders: Mutex<Vec<EngineOrder>>,
     /// Orders that are carried out and whose answer is lost.
@@ -143,6 +146,7 @@
         let id = request.headers["request-id"].clone();
         let first = request.headers.get("last-event-id").map_or(1, |last| last.parse::<u64>().unwrap() + 1);
         self.behaviour.runs.lock().unwrap().push(format!("{id}@{first}"));
+        self.behaviour.last_runs.lock().unwrap().insert(id.clone(), Instant::now());
         let mut version = self.version.load(Ordering::SeqCst);
         let head = format!(
             "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\nrequest-id: {id}\r\nresponse-stamp: s\r\n\
@@ -250,21 +254,23 @@
                 "target_latency_ms": 400, "service": "models", "max_attempts": 3, "max_wait_s": 60.0 }] })
 }
 
-/// Body of a job whose groups have two items each.
-pub fn job_body(items: usize) -> String {
+/// Body of a job whose groups have two items each, and whose items bear the job's name.
+pub fn job_body_of(job: &str, items: usize, min_version: u64) -> String {
     let item = |number: usize| {
-        json!({ "id": format!("item-{number}"), "path": "/jobs/run", "headers": { "Model": "m" }, "body": "Ym9keQ==",
-            "tokens": 100, "group": format!("g-{}", number / 2),
-            "scorer": { "id": format!("score-{number}"), "host": "h.example", "path": "/safe/score", "body": "" } })
+        let id = format!("{job}-item-{number}");
+        json!({ "id": id, "path": "/jobs/run", "headers": { "Model": "m" }, "body": "Ym9keQ==",
+            "tokens": 100, "group": format!("{job}-{}", number / 2),
+            "scorer": { "id": format!("{id}-score"), "host": "h.example", "path": "/safe/score", "body": "" } })
     };
     let items: Vec<Value> = (0..items).map(item).collect();
-    json!({ "step": 0, "model": "m", "min_version": 1, "target_groups": 1, "requests": items }).to_string()
+    json!({ "step": 0, "model": "m", "min_version": min_version, "target_groups": 1, "requests": items }).to_string()
 }
 
 /// Submits a job and returns the status of the answer, or 0 without one.
 pub fn submit(daemon: &EntryDaemon, job: &str, items: usize) -> u16 {
     let path = format!("/jobs/{job}");
-    call(&daemon.client, "POST", &path, &[("request-id", job)], &job_body(items)).map_or(0, |answer| answer.status)
+    call(&daemon.client, "POST", &path, &[("request-id", job)], &job_body_of(job, items, 1))
+        .map_or(0, |answer| answer.status)
 }
 
 /// Reads a job's results until all are there.
@@ -284,3 +290,19 @@
     });
     results
 }
+
+/// Reads a stream whose body is chunked; returns the data of its events and whether it ended as a
+/// whole one does, or `None` if nothing came.
+pub fn read_stream_from(client: &str, path: &str, id: &str) -> Option<(String, bool)> {
+    let mut stream = TcpStream::connect(client).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let headers = [("request-id", id), ("model", "m"), ("connection", "close")];
+    send(&mut stream, "POST", path, &headers, "prompt")?;
+    let mut bytes = Vec::new();
+    // A reply that breaks off may end with a reset, after the bytes before it.
+    let _ = stream.read_to_end(&mut bytes);
+    let text = String::from_utf8(bytes).ok()?;
+    let is_whole = text.starts_with("HTTP/1.1 200") && text.ends_with("0\r\n\r\n");
+    let events: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    Some((events.join(","), is_whole))
+}
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -22,6 +22,10 @@
     lose_replies: usize,
     /// Watches of this table bring no news meanwhile; reads and writes do.
     silent_table: Option<&'static str>,
+    /// Watches that ask for changes before this version are told that those are gone.
+    oldest_change: u64,
+    /// Time that every call waits first, in milliseconds.
+    slow_ms: u64,
 }
 
 /// The store of the platform.
@@ -65,6 +69,17 @@
         self.state.1.notify_all();
     }
 
+    /// Forgets which rows changed before now.
+    pub fn drop_history(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        state.oldest_change = state.version;
+        self.state.1.notify_all();
+    }
+
+    pub fn slow_down(&self, slow_ms: u64) {
+        self.state.0.lock().unwrap().slow_ms = slow_ms;
+    }
+
     pub fn count(&self, table: &str, partition: &str) -> usize {
         let state = self.state.0.lock().unwrap();
         state.rows.keys().filter(|(t, p, _)| t == table && p == partition).count()
@@ -91,6 +106,8 @@
         let value = pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next().unwrap_or("");
         decode_percent(value)
     };
+    let slow_ms = shared.0.lock().unwrap().slow_ms;
+    std::thread::sleep(Duration::from_millis(slow_ms));
     let now_ms = started.elapsed().as_millis() as u64;
     let mut state = shared.0.lock().unwrap();
     match path.rsplit('/').next().unwrap() {
@@ -131,6 +148,9 @@
                     && state.changes.iter().any(|(v, key, _)| *v > after && key.0 == table)
             };
             let (state, _) = shared.1.wait_timeout_while(state, wait, |state| !has_news(state)).unwrap();
+            if after < state.oldest_change {
+                return (410, json!({}));
+            }
             if state.silent_table == Some(&table) {
                 return (200, json!({ "rows": [], "ver": after, "now_ms": now_ms }));
             }
