Count only a server's own failures against an item

Ruled out: a run that failed (it ended whole before), the end of the job (three seconds later).

Change: only 500 counts; any other failure makes the call again, elsewhere, because the server is paused.

Test, red first: answers_of_servers_that_ran_out_of_time_do_not_give_an_item_up.

--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -101,7 +101,12 @@
     match open.status {
         StatusCode::OK => read_events(node, driver, trace, open).await,
         StatusCode::UNPROCESSABLE_ENTITY => (RunEnd::Impossible, "the engine says that it can never be done".into()),
-        status => (RunEnd::Failed, format!("the engine answered {status}")),
+        StatusCode::INTERNAL_SERVER_ERROR => (RunEnd::Failed, "the engine answered that it failed".into()),
+        // Its deadline passed, or something before it failed: no failure of the item.
+        status => {
+            node.board.lock().unwrap().failed(node.now(), &instance);
+            (RunEnd::Broken, format!("the engine answered {status}"))
+        }
     }
 }
 
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -209,7 +209,7 @@
 pub enum ScoreEnd {
     /// The signature of the scoring service's answer.
     Scored(Name),
-    /// The scoring service answered that it failed.
+    /// The scoring service answered that it failed, which counts against the item.
     Failed,
     /// There is no answer; the call may be made again.
     NoAnswer,
@@ -244,10 +244,20 @@
             Some(signature) => ScoreEnd::Scored(signature),
             None => ScoreEnd::NoAnswer,
         },
-        Ok(_) => ScoreEnd::Failed,
+        Ok(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR => ScoreEnd::Failed,
+        // Its deadline passed, or something before it failed: no failure of the item.
+        Ok(answer) => {
+            node.board.lock().unwrap().failed(node.now(), &instance);
+            log_score(call, &instance, &answer.status);
+            ScoreEnd::NoAnswer
+        }
         Err(error) => {
-            logs::write(event::ATTEMPT_FAILED, &[("request", &call.id), ("server", &instance), ("why", &error)]);
+            log_score(call, &instance, &error);
             ScoreEnd::NoAnswer
         }
     }
 }
+
+fn log_score(call: &ScoreCall, server: &Name, why: &dyn std::fmt::Display) {
+    logs::write(event::ATTEMPT_FAILED, &[("request", &call.id), ("server", server), ("why", why)]);
+}
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -29,6 +29,19 @@
     assert_eq!(call(&daemon.client, "GET", "/trestlerack/lots/none?after=0", &[], "").unwrap().status, 404);
 }
 
+/// Only a server's own failure counts against an item. One that ran out of time is another matter.
+#[test]
+fn answers_of_servers_that_ran_out_of_time_do_not_give_an_item_up() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.plain.overdue_answers.store(8, Ordering::SeqCst);
+    platform.engine.overdue_answers.store(8, Ordering::SeqCst);
+    assert_eq!(submit(&daemon, "job1", 2), 202);
+    for result in read_all(&daemon, "job1", 2) {
+        assert_eq!(result["state"], "completed", "{result}");
+    }
+}
+
 #[test]
 fn malformed_jobs_are_refused_with_a_reason_and_nothing_is_stored() {
     let platform = Platform::start();
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -24,6 +24,8 @@
     pub foreign_answers: AtomicUsize,
     /// Answers whose body breaks off.
     pub short_answers: AtomicUsize,
+    /// Requests that ran and are answered with the failure that a passed deadline brings.
+    pub overdue_answers: AtomicUsize,
     /// Requests that are refused as not run.
     pub refusals: AtomicUsize,
     /// Requests that are never answered.
@@ -72,6 +74,9 @@
             }
             return false;
         }
+        if take(&behaviour.overdue_answers) {
+            return reply(stream, 504, &[("request-id", &id), ("response-stamp", "s")], "");
+        }
         let echoed = if take(&behaviour.foreign_answers) { "another" } else { &id };
         let body = String::from_utf8(request.body).unwrap();
         if take(&behaviour.short_answers) {
@@ -147,6 +152,9 @@
         let first = request.headers.get("last-event-id").map_or(1, |last| last.parse::<u64>().unwrap() + 1);
         self.behaviour.runs.lock().unwrap().push(format!("{id}@{first}"));
         self.behaviour.last_runs.lock().unwrap().insert(id.clone(), Instant::now());
+        if take(&self.behaviour.overdue_answers) {
+            return reply(stream, 504, &[("request-id", &id), ("response-stamp", "s")], "");
+        }
         let mut version = self.version.load(Ordering::SeqCst);
         let head = format!(
             "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\nrequest-id: {id}\r\nresponse-stamp: s\r\n\
