Tell jobs of one id apart by all that their items ask; remove a large job's object

A job's digest covered the ids of its items only, so another job with the same ids and other bodies or another oldest version was answered 202 and never run. An object of a refused large submission stays; the next one of the same id found it there and would have been driven with the other's items by a node that took it over. Objects of large jobs were never removed.

Change: the digest covers ids, paths, bodies and the oldest version; objects are named after job and digest; retention removes them.

Tests, the first two red before: another job of the same id; a large job in an object, read and finished by another node, removed with it; results of more than a page; answers without a length, whole and reset (the two last passed at once).

--- a/crates/trestlerack/src/hash.rs
+++ b/crates/trestlerack/src/hash.rs
@@ -16,6 +16,11 @@
     hasher.finish()
 }
 
+/// Hashes bytes to 64 bits; the same on every node and in every release.
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
+    XxHash64::oneshot(0, bytes)
+}
+
 /// Returns the rendezvous weight of `candidate` for `key`; the highest weight owns the key.
 pub fn rendezvous_weight(key: u64, candidate: &str) -> u64 {
     XxHash64::oneshot(key, candidate.as_bytes())
@@ -23,7 +28,7 @@
 
 /// Returns a lower-case hexadecimal digest of `bytes`, for content addressed object names.
 pub fn digest_hex(bytes: &[u8]) -> String {
-    let low = XxHash64::oneshot(0, bytes);
+    let low = hash_bytes(bytes);
     let high = XxHash64::oneshot(low, bytes);
     format!("{high:016x}{low:016x}")
 }
--- a/crates/trestlerack/src/request/job.rs
+++ b/crates/trestlerack/src/request/job.rs
@@ -5,6 +5,7 @@
 //! conditions of each write are in [docs/PLATFORM.md](../../../../docs/PLATFORM.md).
 
 use crate::Name;
+use crate::hash::{hash_bytes, hash_parts};
 use crate::version::WeightVersion;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -72,10 +73,16 @@
         item.model.clone().or_else(|| self.model.clone())
     }
 
-    /// Returns a digest by which a repeated submission is told from another job of the same id.
+    /// Returns a digest by which a repeated submission is told from another job of the same id: of
+    /// what its items are and ask, in their order, and of the oldest version that may serve them.
     pub fn digest(&self) -> u64 {
-        let ids: Vec<&str> = self.items.iter().map(|item| &*item.id).collect();
-        crate::hash::hash_parts(&ids)
+        let items = self.items.iter().map(|item| {
+            let body = format!("{:016x}", hash_bytes(&item.body));
+            format!("{:016x}", hash_parts(&[&item.id, &item.path, &body]))
+        });
+        let min_version = self.min_version.to_string();
+        let parts: Vec<String> = items.chain([min_version]).collect();
+        hash_parts(&parts.iter().map(String::as_str).collect::<Vec<_>>())
     }
 }
 
--- a/crates/trestlerack/src/rows.rs
+++ b/crates/trestlerack/src/rows.rs
@@ -133,6 +133,11 @@
         /// Name of the object.
         name: Name,
     },
+    /// Removes an object; one that does not exist is as good as removed.
+    RemoveObject {
+        /// Name of the object.
+        name: Name,
+    },
 }
 
 /// The version and the clock of the store at a reply.
@@ -173,6 +178,8 @@
     },
     /// The object exists now; whether it did before is not told apart.
     ObjectWritten,
+    /// The object is not there any more.
+    ObjectRemoved,
     /// The object's content, or `None` where there is none.
     Object(Option<Bytes>),
 }
--- a/crates/trestlerackd/src/entry/job_calls.rs
+++ b/crates/trestlerackd/src/entry/job_calls.rs
@@ -94,7 +94,7 @@
     let content = tables::encode(&**spec);
     let in_rows = content.len() <= ROWS_BYTES;
     if !in_rows {
-        put_object(node, &spec.id, &content).await?;
+        put_object(node, spec, &content).await?;
     }
     let head =
         new_head(node, spec, if in_rows { content.len().div_ceil(node.settings.store_row_bytes).max(1) } else { 0 });
@@ -190,13 +190,14 @@
     }
 }
 
-/// Name of the object that holds a large submission.
-pub fn spec_object(job: &str) -> Name {
-    format!("spec-{job}").into()
+/// Name of the object that holds a large submission. It bears the digest, because an object of a
+/// refused submission stays, and another one of the same id must not be taken for it.
+pub fn spec_object(job: &str, digest: u64) -> Name {
+    format!("spec-{job}-{digest:016x}").into()
 }
 
-async fn put_object(node: &Arc<EntryNode>, job: &Name, content: &Bytes) -> Result<(), Refusal> {
-    let call = StoreCall::PutObject { name: spec_object(job), content: content.clone() };
+async fn put_object(node: &Arc<EntryNode>, spec: &JobSpec, content: &Bytes) -> Result<(), Refusal> {
+    let call = StoreCall::PutObject { name: spec_object(&spec.id, spec.digest()), content: content.clone() };
     // The object alone accepts nothing: only the head row does.
     node.store.call(&call).await.map(|_| ()).map_err(|_| Refusal::NotAccepted)
 }
@@ -344,7 +345,7 @@
 /// Reads a submission back.
 pub async fn load_spec(node: &Arc<EntryNode>, job: &Name, head: &JobHead) -> Result<JobSpec, StoreError> {
     if head.spec_rows == 0 {
-        return match node.store.call(&StoreCall::GetObject { name: spec_object(job) }).await? {
+        return match node.store.call(&StoreCall::GetObject { name: spec_object(job, head.digest) }).await? {
             StoreReply::Object(Some(content)) => tables::decode(&content),
             _ => Err(StoreError::Unknown),
         };
--- a/crates/trestlerackd/src/entry/retention.rs
+++ b/crates/trestlerackd/src/entry/retention.rs
@@ -1,7 +1,7 @@
 //! Removes the rows of old jobs, so that the store and the nodes' memory stay bounded.
 
 use super::node::EntryNode;
-use super::tables;
+use super::{job_calls, tables};
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,9 +47,13 @@
     jobs.iter().filter(|(_, view)| is_old(view)).map(|(id, _)| id.clone()).collect()
 }
 
-/// Removes a job's rows, its head last: while that is there, a node that stops in between leaves
+/// Removes a job's object and rows, its head last: while that is there, a node that stops in between leaves
 /// the rest to the next holder of the lease.
 async fn remove_job(node: &Arc<EntryNode>, job: &Name) -> Result<(), StoreError> {
+    if let Some(view) = node.job(job).filter(|view| view.head.spec_rows == 0) {
+        let name = job_calls::spec_object(job, view.head.digest);
+        node.store.call(&StoreCall::RemoveObject { name }).await?;
+    }
     for table in [tables::RESULTS, tables::SPECS, tables::KEPT, tables::STATE] {
         let rows = tables::read_all(&node.store, table, job).await?;
         let keys: Vec<Name> = rows.into_iter().map(|row| row.key).collect();
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -42,6 +42,67 @@
     }
 }
 
+#[test]
+fn another_job_of_the_same_id_is_refused_even_if_its_items_have_the_same_ids() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    assert_eq!(submit(&daemon, "job1", 2), 202);
+    let headers = [("request-id", "job1")];
+    for body in [job_body_with("job1", 2, 1, b"other"), job_body_of("job1", 2, 2)] {
+        assert_eq!(call(&daemon.client, "POST", "/jobs/job1", &headers, &body).unwrap().status, 409);
+    }
+}
+
+/// A submission of more bytes than rows are meant for lies in an object. The one of a refused
+/// submission stays, and must not be taken for that of another one with the same id.
+#[test]
+fn a_large_job_lies_in_an_object_that_goes_with_it() {
+    let platform = Platform::start();
+    let (mut daemon, other) = {
+        let daemon = EntryDaemon::start("a", &platform.store, &[]);
+        let other = EntryDaemon::start("b", &platform.store, &[&daemon.peer]);
+        (daemon, other)
+    };
+    let submit_large = |body: &[u8]| {
+        let body = job_body_with("large", 4, 1, body);
+        call(&daemon.client, "POST", "/jobs/large", &[("request-id", "large")], &body).unwrap().status
+    };
+    platform.store.refuse_commits(true);
+    assert_eq!(submit_large(&[b'x'; 150_000]), 503);
+    platform.store.refuse_commits(false);
+    platform.engine.pace_ms.store(300, Ordering::SeqCst);
+    assert_eq!(submit_large(&[b'y'; 150_000]), 202);
+    daemon.signal("-KILL");
+    daemon.wait_end();
+    let body = call(&other.client, "GET", "/trestlerack/items/large?id=large-item-3", &[], "").unwrap();
+    assert_eq!((body.status, body.body.len(), &body.body[..1]), (200, 150_000, "y"));
+    assert_eq!(read_all(&other, "large", 4).len(), 4);
+    assert_eq!(platform.store.objects(), 2);
+    eventually("its object is removed", || platform.store.objects() == 1);
+}
+
+#[test]
+fn results_of_more_bytes_than_one_page_are_read_in_several() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.engine.event_bytes.store(30_000, Ordering::SeqCst);
+    assert_eq!(submit(&daemon, "job1", 8), 202);
+    let mut results = 0;
+    let mut pages = 0;
+    eventually("all results are listed", || {
+        let answer = call(&daemon.client, "GET", "/trestlerack/lots/job1?after=7", &[("wait-ms", "500")], "").unwrap();
+        !answer.json()["results"].as_array().unwrap().is_empty()
+    });
+    while results < 8 {
+        let path = format!("/trestlerack/lots/job1?after={results}");
+        let answer = call(&daemon.client, "GET", &path, &[], "").unwrap();
+        assert!(answer.body.len() <= 1_000_000, "{}", answer.body.len());
+        results += answer.json()["results"].as_array().unwrap().len();
+        pages += 1;
+    }
+    assert!(pages > 1);
+}
+
 #[test]
 fn malformed_jobs_are_refused_with_a_reason_and_nothing_is_stored() {
     let platform = Platform::start();
--- a/crates/trestlerackd/tests/entry/requests.rs
+++ b/crates/trestlerackd/tests/entry/requests.rs
@@ -14,7 +14,7 @@
     assert_eq!(answer.headers["response-stamp"], "signed-r1");
     assert_eq!(answer.headers["request-id"], "r1");
     assert_eq!(call(&daemon.client, "GET", "/none/x", &[("request-id", "r2")], "").unwrap().status, 404);
-    let large = "x".repeat(200_000);
+    let large = "x".repeat(1_200_000);
     assert_eq!(call(&daemon.client, "POST", "/safe/x", &[("request-id", "r3")], &large).unwrap().status, 413);
     assert_eq!(*platform.plain.runs.lock().unwrap(), ["r1"]);
 }
@@ -36,6 +36,18 @@
     assert_eq!(runs.iter().filter(|id| *id == "r3").count(), 1);
 }
 
+#[test]
+fn an_answer_that_ends_with_its_connection_is_whole_unless_it_was_reset() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.plain.unframed_answers.store(1, Ordering::SeqCst);
+    let answer = call(&daemon.client, "POST", "/once/x", &[("request-id", "r1")], "unframed").unwrap();
+    assert_eq!((answer.status, answer.body.as_str()), (200, "unframed"));
+    platform.plain.reset_answers.store(1, Ordering::SeqCst);
+    let answer = call(&daemon.client, "POST", "/once/x", &[("request-id", "r2")], "reset").unwrap();
+    assert_eq!(answer.status, 502, "half an answer came: {}", answer.body);
+}
+
 #[test]
 fn a_client_that_leaves_ends_the_work_of_its_server() {
     let platform = Platform::start();
--- a/crates/trestlerackd/tests/entry/support/mod.rs
+++ b/crates/trestlerackd/tests/entry/support/mod.rs
@@ -9,7 +9,9 @@
 
 pub use client::{call, read_answer, send};
 pub use daemon::{DaemonSettings, EntryDaemon, free_address};
-pub use platform::{EVENTS, EngineOrder, Platform, job_body_of, read_all, read_stream_from, submit, whole_text};
+pub use platform::{
+    EVENTS, EngineOrder, Platform, job_body_of, job_body_with, read_all, read_stream_from, submit, whole_text,
+};
 
 use std::time::{Duration, Instant};
 
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -4,6 +4,8 @@
 use super::server::{Received, reply, serve};
 use super::store::StandinStore;
 use super::{call, eventually, send};
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::io::{Read, Write};
@@ -22,6 +24,10 @@
     pub runs: Mutex<Vec<String>>,
     /// Answers that bear the id of another request.
     pub foreign_answers: AtomicUsize,
+    /// Answers without a length, which end with their connection.
+    pub unframed_answers: AtomicUsize,
+    /// Answers without a length whose connection is reset.
+    pub reset_answers: AtomicUsize,
     /// Answers whose body breaks off.
     pub short_answers: AtomicUsize,
     /// Requests that ran and are answered with the failure that a passed deadline brings.
@@ -34,6 +40,8 @@
     pub left: AtomicUsize,
     /// Pause between two events, in milliseconds.
     pub pace_ms: AtomicUsize,
+    /// Bytes by which each event is longer than what it tells.
+    pub event_bytes: AtomicUsize,
     /// Streams that break off within their third event.
     pub broken_streams: AtomicUsize,
     /// When each request last began to run, by id.
@@ -79,6 +87,10 @@
         }
         let echoed = if take(&behaviour.foreign_answers) { "another" } else { &id };
         let body = String::from_utf8(request.body).unwrap();
+        let is_reset = take(&behaviour.reset_answers);
+        if is_reset || take(&behaviour.unframed_answers) {
+            return end_with_connection(stream, &id, &body, is_reset);
+        }
         if take(&behaviour.short_answers) {
             let text =
                 format!("HTTP/1.1 200 X\r\ncontent-length: 99\r\nrequest-id: {id}\r\nresponse-stamp: s\r\n\r\nhalf");
@@ -90,6 +102,21 @@
     })
 }
 
+/// Answers without a length; a reset leaves the answer half.
+fn end_with_connection(stream: &mut TcpStream, id: &str, body: &str, is_reset: bool) -> bool {
+    let sent = if is_reset { &body[..body.len() / 2] } else { body };
+    let text =
+        format!("HTTP/1.1 200 X\r\nconnection: close\r\nrequest-id: {id}\r\nresponse-stamp: signed-{id}\r\n\r\n{sent}");
+    // The caller may have left, which ends the connection as well.
+    let _ = stream.write_all(text.as_bytes());
+    if is_reset {
+        std::thread::sleep(Duration::from_millis(50));
+        // Closing the connection, which follows, then resets it.
+        let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+    }
+    false
+}
+
 /// A model engine, which starts with version 1 and takes over any other at once.
 struct ModelEngine {
     behaviour: Arc<ServerBehaviour>,
@@ -174,7 +201,9 @@
             let held = self.version.load(Ordering::SeqCst);
             let change = if held == version { String::new() } else { format!("weight-versions: {held}\n") };
             version = held;
-            let event = format!("{change}id: {number}\ndata: {}\n\n", event_data(&id, number, version));
+            let filling = " ".repeat(self.behaviour.event_bytes.load(Ordering::SeqCst));
+            let data = event_data(&id, number, version);
+            let event = format!("{change}id: {number}\ndata: {data}{filling}\n\n");
             if !write(format!("{:x}\r\n{event}\r\n", event.len())) {
                 return false;
             }
@@ -244,7 +273,7 @@
 }
 
 fn configuration() -> Value {
-    let limits = json!({ "max_header_bytes": 16384, "max_body_bytes": 100_000, "header_timeout_ms": 3000,
+    let limits = json!({ "max_header_bytes": 16384, "max_body_bytes": 1_000_000, "header_timeout_ms": 3000,
         "idle_timeout_ms": 15000 });
     json!({ "version": 1, "limits": limits,
         "services": [{ "name": "plain", "max_conns": 100 },
@@ -264,9 +293,14 @@
 
 /// Body of a job whose groups have two items each, and whose items bear the job's name.
 pub fn job_body_of(job: &str, items: usize, min_version: u64) -> String {
+    job_body_with(job, items, min_version, b"body")
+}
+
+/// The same with another body of each item.
+pub fn job_body_with(job: &str, items: usize, min_version: u64, body: &[u8]) -> String {
     let item = |number: usize| {
         let id = format!("{job}-item-{number}");
-        json!({ "id": id, "path": "/jobs/run", "headers": { "Model": "m" }, "body": "Ym9keQ==",
+        json!({ "id": id, "path": "/jobs/run", "headers": { "Model": "m" }, "body": BASE64_STANDARD.encode(body),
             "tokens": 100, "group": format!("{job}-{}", number / 2),
             "scorer": { "id": format!("{id}-score"), "host": "h.example", "path": "/safe/score", "body": "" } })
     };
--- a/crates/trestlerackd/tests/entry/support/server.rs
+++ b/crates/trestlerackd/tests/entry/support/server.rs
@@ -61,9 +61,13 @@
 
 /// Writes an answer with a length.
 pub fn reply(stream: &mut TcpStream, status: u16, headers: &[(&str, &str)], body: &str) -> bool {
+    reply_bytes(stream, status, headers, body.as_bytes())
+}
+
+/// Writes an answer of any bytes with a length.
+pub fn reply_bytes(stream: &mut TcpStream, status: u16, headers: &[(&str, &str)], body: &[u8]) -> bool {
     let mut text = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n", body.len());
     headers.iter().for_each(|(name, value)| text.push_str(&format!("{name}: {value}\r\n")));
     text.push_str("\r\n");
-    text.push_str(body);
-    stream.write_all(text.as_bytes()).is_ok()
+    stream.write_all(&[text.as_bytes(), body].concat()).is_ok()
 }
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -1,6 +1,6 @@
 //! The platform's store.
 
-use super::server::{Received, reply, serve};
+use super::server::{Received, reply, reply_bytes, serve};
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use serde_json::{Value, json};
@@ -11,13 +11,22 @@
 
 type RowKey = (String, String, String);
 
+#[derive(Clone, Copy, Default, PartialEq)]
+enum Refusal {
+    #[default]
+    None,
+    Commits,
+    All,
+}
+
 #[derive(Default)]
 struct StoreState {
     version: u64,
     rows: BTreeMap<RowKey, (String, u64)>,
     changes: Vec<(u64, RowKey, Option<String>)>,
-    /// Writes that are refused with 503.
-    refuse_writes: bool,
+    objects: BTreeMap<String, Vec<u8>>,
+    /// Which writes are refused with 503.
+    refuse_writes: Refusal,
     /// Writes that are applied and whose reply is then lost.
     lose_replies: usize,
     /// Watches of this table bring no news meanwhile; reads and writes do.
@@ -41,6 +50,10 @@
         let started = Instant::now();
         let handler_state = state.clone();
         let address = serve(move |request, stream| {
+            if let Some((call, name)) = object_call(&request) {
+                let (status, content) = handle_object(&mut handler_state.0.lock().unwrap(), call, name, &request);
+                return reply_bytes(stream, status, &[], &content);
+            }
             let (status, body) = handle(&handler_state, started, &request);
             status != 0 && reply(stream, status, &[], &body.to_string())
         });
@@ -56,8 +69,18 @@
         self.state.1.notify_all();
     }
 
+    /// Returns how many objects there are.
+    pub fn objects(&self) -> usize {
+        self.state.0.lock().unwrap().objects.len()
+    }
+
     pub fn refuse_writes(&self, refuse: bool) {
-        self.state.0.lock().unwrap().refuse_writes = refuse;
+        self.state.0.lock().unwrap().refuse_writes = if refuse { Refusal::All } else { Refusal::None };
+    }
+
+    /// Refuses transactions, while objects can be written.
+    pub fn refuse_commits(&self, refuse: bool) {
+        self.state.0.lock().unwrap().refuse_writes = if refuse { Refusal::Commits } else { Refusal::None };
     }
 
     pub fn lose_replies(&self, count: usize) {
@@ -112,7 +135,7 @@
     let mut state = shared.0.lock().unwrap();
     match path.rsplit('/').next().unwrap() {
         "rows-tx" => {
-            if state.refuse_writes {
+            if state.refuse_writes != Refusal::None {
                 return (503, json!({}));
             }
             let (status, body) = commit(&mut state, &request.body, now_ms);
@@ -167,6 +190,24 @@
     }
 }
 
+fn object_call(request: &Received) -> Option<(&str, String)> {
+    let (call, name) = request.path.strip_prefix("/trestlerack/blob-")?.split_once('/')?;
+    Some((call, decode_percent(name)))
+}
+
+fn handle_object(state: &mut StoreState, call: &str, name: String, request: &Received) -> (u16, Vec<u8>) {
+    match call {
+        "put" if state.refuse_writes == Refusal::All => (503, vec![]),
+        "put" if state.objects.contains_key(&name) => (412, vec![]),
+        "put" => {
+            state.objects.insert(name, request.body.clone());
+            (200, vec![])
+        }
+        "get" => state.objects.get(&name).map_or((404, vec![]), |content| (200, content.clone())),
+        _ => (if state.objects.remove(&name).is_some() { 200 } else { 404 }, vec![]),
+    }
+}
+
 fn commit(state: &mut StoreState, body: &[u8], now_ms: u64) -> (u16, Value) {
     let call: Value = serde_json::from_slice(body).unwrap();
     let key = |entry: &Value| -> RowKey {
