Log by what a server was chosen, runs that start, and clients that leave; refusals leave a stream its attempts

Read on the way: a stream counted servers that refused it against its attempts, although they had not run it.

Change: TR2103, TR2104 and TR2307; a request's trail (servers, runs, start) is one type for plain requests and streams and writes the lines.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -127,6 +127,10 @@
     REQUEST_ANSWERED = (2101, "request-answered", Info);
     /// An attempt at a backend server brought no answer.
     ATTEMPT_FAILED = (2102, "attempt-failed", Warn);
+    /// A backend server was chosen for a request, with what was believed of it.
+    SERVER_CHOSEN = (2103, "server-chosen", Info);
+    /// A client left before its request was answered.
+    REQUEST_LEFT = (2104, "request-left", Info);
     /// A batch job was submitted, with the answer.
     JOB_SUBMITTED = (2201, "job-submitted", Info);
     /// A call about a batch job could not be served.
@@ -161,6 +165,8 @@
     TEXTS_KEPT = (2305, "texts-kept", Info);
     /// Unfinished texts could not be stored; their items start anew.
     TEXTS_LOST = (2306, "texts-lost", Warn);
+    /// A run of an item was started, with what was believed of its engine.
+    RUN_STARTED = (2307, "run-started", Info);
     /// An engine was ordered to load a version, with the outcome.
     ENGINE_ORDERED = (2401, "engine-ordered", Info);
     /// An engine was asked for its report.
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -27,7 +27,7 @@
 pub use node_rows::{NodeRow, NodeRows};
 pub use outlier::{OutlierDetector, OutlierSettings};
 pub use ownership::{ModelOwner, NodeView, OwnerTable, OwnershipView};
-pub use placement::{BoardSettings, ServerBelief, ServerBoard, ServerNeed};
+pub use placement::{BoardSettings, ChoiceBasis, ServerBelief, ServerBoard, ServerNeed};
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
 pub use spool::{SampleSpool, SpoolSettings};
--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -4,6 +4,7 @@
 //! node made on them; no server is asked anything only to learn its state.
 
 use super::registry::{ServerEntry, ServerRegistry};
+use crate::time::millis;
 use crate::version::WeightVersion;
 use crate::{Name, Timestamp};
 use std::collections::BTreeMap;
@@ -129,6 +130,21 @@
     }
 }
 
+/// What was believed of a server when it was chosen, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChoiceBasis {
+    /// Requests of this node that it works on.
+    pub in_flight: u32,
+    /// Requests of others, as it stated.
+    pub others: u32,
+    /// Time since it stated its load, in milliseconds.
+    pub load_age_ms: u64,
+    /// How many times slower than its service's median it is.
+    pub slowness: f64,
+    /// Version of the model asked for; 0 where none is known or asked for.
+    pub weights: WeightVersion,
+}
+
 /// The servers and what is believed of them.
 #[derive(Debug, Default)]
 pub struct ServerBoard {
@@ -237,6 +253,18 @@
         self.believed_slowness(now, belief, typical)
     }
 
+    /// Returns what is believed of a server at `now`, with its version of `model`.
+    pub fn basis(&self, now: Timestamp, instance: &str, model: Option<&str>) -> Option<ChoiceBasis> {
+        let belief = self.servers.get(instance)?;
+        Some(ChoiceBasis {
+            in_flight: belief.in_flight,
+            others: belief.busy(now, self.settings.load_age) - belief.in_flight,
+            load_age_ms: millis(now.since(belief.load.at)),
+            slowness: self.slowness(now, instance),
+            weights: model.and_then(|model| belief.version(model)).unwrap_or(0),
+        })
+    }
+
     /// Records that a request was sent to a server.
     pub fn started(&mut self, instance: &str) {
         self.change(instance, |belief| belief.in_flight += 1);
--- a/crates/trestlerack/src/request/ledger.rs
+++ b/crates/trestlerack/src/request/ledger.rs
@@ -85,6 +85,16 @@
     Spare,
 }
 
+impl RunLane {
+    /// Returns the name that logs use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Main => "main",
+            Self::Spare => "spare",
+        }
+    }
+}
+
 /// The second run of an item.
 #[derive(Clone, Debug)]
 struct SpareRun {
--- /dev/null
+++ b/crates/trestlerackd/src/entry/choice_log.rs
@@ -0,0 +1,30 @@
+//! Log lines of the choice of a server, with the beliefs that decided it.
+
+use super::node::EntryNode;
+use crate::process::logs;
+use std::fmt::Display;
+use trestlerack::event::LogEvent;
+use trestlerack::process::ServerEntry;
+
+/// Logs that a server was chosen, with what is believed of it now.
+pub fn write_choice(
+    node: &EntryNode,
+    event: LogEvent,
+    about: &[(&str, &dyn Display)],
+    server: &ServerEntry,
+    model: Option<&str>,
+) {
+    let basis = node.board.lock().unwrap().basis(node.now(), &server.instance, model);
+    // A server that left just now was chosen all the same.
+    let Some(basis) = basis else { return logs::write(event, about) };
+    let slowness = format!("{:.2}", basis.slowness);
+    let beliefs: [(&str, &dyn Display); 6] = [
+        ("in_flight", &basis.in_flight),
+        ("others", &basis.others),
+        ("load_age_ms", &basis.load_age_ms),
+        ("slowness", &slowness),
+        ("weights", &basis.weights),
+        ("zone", &server.zone),
+    ];
+    logs::write(event, &[about, &beliefs].concat());
+}
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -45,9 +45,8 @@
     let item = &driver.spec.items[index];
     let took = node.now().since(started);
     if end != RunEnd::Whole || took >= LONG_RUN {
-        let lane = format!("{lane:?}").to_lowercase();
         let fields: [(&str, &dyn std::fmt::Display); 9] = [
-            ("lane", &lane),
+            ("lane", &lane.as_str()),
             ("item", &item.id),
             ("job", &driver.spec.id),
             ("engine", &engine),
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -1,8 +1,8 @@
 //! Places the items of a job on engines, moves runs and starts second ones.
 
-use super::item_run;
 use super::job_driver::{ItemRun, JobDriver};
 use super::node::{EntryNode, ServerTicket};
+use super::{choice_log, item_run};
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,12 +52,21 @@
 }
 
 fn spawn_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, index: usize, lane: RunLane, engine: ServerEntry) {
+    log_start(node, driver, index, lane, &engine);
     let ticket = ServerTicket::new(node, engine);
     let run = tokio::spawn(item_run::run(node.clone(), driver.clone(), index, lane, ticket));
     let run = ItemRun { handle: run.abort_handle(), started: node.now() };
     driver.runs.lock().unwrap().insert((index, lane), run);
 }
 
+fn log_start(node: &EntryNode, driver: &JobDriver, index: usize, lane: RunLane, engine: &ServerEntry) {
+    let item = &driver.spec.items[index];
+    let (lane, model) = (lane.as_str(), driver.spec.model_of(item));
+    let about: [(&str, &dyn std::fmt::Display); 4] =
+        [("lane", &lane), ("item", &item.id), ("job", &driver.spec.id), ("engine", &engine.instance)];
+    choice_log::write_choice(node, event::RUN_STARTED, &about, engine, model.as_deref());
+}
+
 /// Starts a second run of an item that may not be whole before its client ends the job: on the
 /// newest weights, from the beginning, while engines have places that nobody waits for. A later
 /// job that brings the item again and needs newer weights than the first run had then goes on from
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -6,6 +6,7 @@
 
 mod adoption;
 mod attempt;
+mod choice_log;
 mod engine_calls;
 mod feeds;
 mod front;
@@ -27,6 +28,7 @@
 mod store;
 mod streams;
 mod tables;
+mod trail;
 mod weights;
 
 use crate::process::logs;
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -3,7 +3,8 @@
 use super::attempt::{self, AttemptError, WholeAnswer};
 use super::front::{ClientRequest, ReplyBody, full_reply};
 use super::node::{EntryNode, ServerTicket};
-use super::streams;
+use super::trail::RequestTrail;
+use super::{choice_log, streams};
 use crate::process::logs;
 use http::{HeaderMap, Method, Response, StatusCode};
 use std::sync::Arc;
@@ -42,34 +43,22 @@
 
 /// Passes a request on and returns the reply for the client.
 pub async fn serve(node: &Arc<EntryNode>, route: &RequestRoute, request: ClientRequest) -> Response<ReplyBody> {
-    let started = node.now();
     let limit = time_limit(route, request.head.time_left);
-    let deadline = started + limit;
-    let mut tried = Vec::new();
+    let deadline = node.now() + limit;
+    let mut trail = RequestTrail::new(node, &request.head.request_id, &route.name);
     if route.streaming {
-        return streams::serve(node, route, request, deadline).await;
+        return streams::serve(node, route, request, deadline, trail).await;
     }
-    let attempts = attempt_all(node, route, &request, deadline, &mut tried);
+    let attempts = attempt_all(node, route, &request, deadline, &mut trail);
     let outcome = tokio::time::timeout(limit, attempts).await.unwrap_or(Err(Shortfall::TimedOut));
-    let took = node.now().since(started);
     let reply = match outcome {
         Ok(answer) => whole_reply(answer),
-        Err(shortfall) => failure_reply(&request, &shortfall, tried.is_empty()),
+        Err(shortfall) => failure_reply(&request, &shortfall, trail.tried().is_empty()),
     };
-    log_reply(&request, route, &tried, reply.status(), took);
-    node.metrics.request(&route.name, reply.status(), took);
+    trail.answered(reply.status());
     reply
 }
 
-pub fn log_reply(request: &ClientRequest, route: &RequestRoute, tried: &[Name], status: StatusCode, took: Duration) {
-    let id = request.head.request_id.clone().unwrap_or_else(|| "".into());
-    let servers = tried.join(",");
-    let ms = took.as_millis();
-    let fields: [(&str, &dyn std::fmt::Display); 5] =
-        [("request", &id), ("route", &route.name), ("servers", &servers), ("status", &status.as_u16()), ("ms", &ms)];
-    logs::write(event::REQUEST_ANSWERED, &fields);
-}
-
 fn time_limit(route: &RequestRoute, time_left: Option<Duration>) -> Duration {
     const NO_LIMIT: Duration = Duration::from_secs(60);
     let route_limit = if route.timeout_ms == 0 { NO_LIMIT } else { Duration::from_millis(route.timeout_ms) };
@@ -111,38 +100,33 @@
     route: &RequestRoute,
     request: &ClientRequest,
     deadline: Timestamp,
-    tried: &mut Vec<Name>,
+    trail: &mut RequestTrail,
 ) -> Result<WholeAnswer, Shortfall> {
     let is_safe = route.kind == RouteKind::Safe;
-    let mut sent = 0;
     let mut shortfall = Shortfall::NotRun;
     let mut last_answer = None;
-    while sent < route.max_attempts {
-        let Some(ticket) = find_server(node, route, request, tried).await else { break };
-        let server = ticket.server.clone();
-        tried.push(server.instance.clone());
+    while trail.runs() < route.max_attempts {
+        let Some(ticket) = find_server(node, route, request, trail).await else { break };
+        let server = ticket.server.instance.clone();
         let left = deadline.since(node.now());
         let patience = PATIENCE_LEAST.max(Duration::from_millis(route.target_latency_ms) * PATIENCE_SHARE);
-        let is_last = sent + 1 == route.max_attempts || !is_safe;
+        let is_last = trail.runs() + 1 == route.max_attempts || !is_safe;
         let limit = if is_last { left } else { left.min(patience) };
-        let engine_request = engine_request(request, &server.instance, left);
+        let engine_request = engine_request(request, &server, left);
         match attempt::whole_answer(node, ticket, engine_request, !is_safe, limit).await {
             // A failure that the server states itself may pass at another one.
             Ok(answer) if is_safe && answer.status.is_server_error() => {
-                sent += 1;
+                trail.add_run();
                 last_answer = Some(answer);
             }
             Ok(answer) => return Ok(answer),
             Err(error) => {
-                log_attempt(request, &server.instance, &error);
-                match error {
-                    AttemptError::NotRun(_) => {}
-                    AttemptError::MayHaveRun(_) => {
-                        sent += 1;
-                        shortfall = Shortfall::MayHaveRun;
-                        if !is_safe {
-                            return Err(shortfall);
-                        }
+                trail.attempt_failed(&server, &error);
+                if let AttemptError::MayHaveRun(_) = error {
+                    trail.add_run();
+                    shortfall = Shortfall::MayHaveRun;
+                    if !is_safe {
+                        return Err(shortfall);
                     }
                 }
             }
@@ -151,25 +135,21 @@
     last_answer.ok_or(shortfall)
 }
 
-pub fn log_attempt(request: &ClientRequest, server: &Name, error: &AttemptError) {
-    let id = request.head.request_id.clone().unwrap_or_else(|| "".into());
-    logs::write(event::ATTEMPT_FAILED, &[("request", &id), ("server", server), ("why", error)]);
-}
-
 /// Finds a server that was not tried yet. While all are paused for a moment, waits a little; a
 /// request that nobody takes is refused early, so that its client can come again in time.
 pub async fn find_server(
     node: &Arc<EntryNode>,
     route: &RequestRoute,
     request: &ClientRequest,
-    tried: &[Name],
+    trail: &mut RequestTrail,
 ) -> Option<ServerTicket> {
     let id = request.head.request_id.as_deref().unwrap_or("");
     let service = route.service_for(id)?.clone();
     let search = Duration::from_millis(route.target_latency_ms).mul_f64(SEARCH_SHARE);
     let until = node.now() + search;
     loop {
-        if let Some(ticket) = pick_server(node, &service, request, tried) {
+        if let Some(ticket) = pick_server(node, &service, request, trail.tried()) {
+            trail.add(&ticket.server.instance);
             return Some(ticket);
         }
         if node.now() >= until {
@@ -181,10 +161,16 @@
 
 fn pick_server(node: &Arc<EntryNode>, service: &Name, request: &ClientRequest, tried: &[Name]) -> Option<ServerTicket> {
     // A generation may run under any version of its model.
-    let weights = request.head.model.as_deref().map(|model| (model, 0));
+    let model = request.head.model.as_deref();
+    let weights = model.map(|model| (model, 0));
     let need = ServerNeed { service, weights, avoid: tried, zone: &node.settings.zone, ..ServerNeed::default() };
-    let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone());
-    entry.map(|entry| ServerTicket::new(node, entry))
+    let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone())?;
+    let id = request.head.request_id.clone().unwrap_or_else(|| "".into());
+    let config = node.routing().map_or(0, |routing| routing.version);
+    let about: [(&str, &dyn std::fmt::Display); 3] =
+        [("request", &id), ("config", &config), ("server", &entry.instance)];
+    choice_log::write_choice(node, event::SERVER_CHOSEN, &about, &entry, model);
+    Some(ServerTicket::new(node, entry))
 }
 
 pub fn engine_request<'a>(request: &'a ClientRequest, instance: &'a str, left: Duration) -> EngineRequest<'a> {
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -4,7 +4,7 @@
 use super::front::{BrokenReply, ClientRequest, ReplyBody};
 use super::node::EntryNode;
 use super::plain::{self, Shortfall};
-use crate::process::logs;
+use super::trail::RequestTrail;
 use bytes::Bytes;
 use futures_util::stream;
 use http::{HeaderMap, Response};
@@ -12,8 +12,8 @@
 use hyper::body::Frame;
 use std::sync::Arc;
 use std::time::Duration;
+use trestlerack::Timestamp;
 use trestlerack::version::RequestRoute;
-use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform::EventDecoder;
 
 /// Longest pause between two events before a stream is resumed elsewhere; clients leave after two
@@ -26,7 +26,7 @@
     route: RequestRoute,
     request: ClientRequest,
     deadline: Timestamp,
-    tried: Vec<Name>,
+    trail: RequestTrail,
     open: OpenAnswer,
     decoder: EventDecoder,
     last_event: Option<u64>,
@@ -38,28 +38,25 @@
     route: &RequestRoute,
     request: ClientRequest,
     deadline: Timestamp,
+    mut trail: RequestTrail,
 ) -> Response<ReplyBody> {
-    let started = node.now();
-    let mut tried = Vec::new();
     let resume_after = request.head.resume_after;
-    let opened = open(node, route, &request, deadline, resume_after, &mut tried).await;
-    let took = node.now().since(started);
-    let status = match &opened {
-        Ok(answer) => answer.status,
-        Err(shortfall) => plain::failure_reply(&request, shortfall, tried.is_empty()).status(),
-    };
-    plain::log_reply(&request, route, &tried, status, took);
-    node.metrics.request(&route.name, status, took);
+    let opened = open(node, route, &request, deadline, resume_after, &mut trail).await;
     let open = match opened {
         Ok(open) => open,
-        Err(shortfall) => return plain::failure_reply(&request, &shortfall, tried.is_empty()),
+        Err(shortfall) => {
+            let reply = plain::failure_reply(&request, &shortfall, trail.tried().is_empty());
+            trail.answered(reply.status());
+            return reply;
+        }
     };
+    trail.answered(open.status);
     let relay = StreamRelay {
         node: node.clone(),
         route: route.clone(),
         request,
         deadline,
-        tried,
+        trail,
         open,
         decoder: EventDecoder::default(),
         last_event: resume_after,
@@ -74,25 +71,29 @@
     request: &ClientRequest,
     deadline: Timestamp,
     resume_after: Option<u64>,
-    tried: &mut Vec<Name>,
+    trail: &mut RequestTrail,
 ) -> Result<OpenAnswer, Shortfall> {
     let mut shortfall = Shortfall::NotRun;
-    while (tried.len() as u32) < route.max_attempts {
-        let Some(ticket) = plain::find_server(node, route, request, tried).await else { break };
+    while trail.runs() < route.max_attempts {
+        let Some(ticket) = plain::find_server(node, route, request, trail).await else { break };
         let instance = ticket.server.instance.clone();
-        tried.push(instance.clone());
         let left = deadline.since(node.now());
         let mut engine_request = plain::engine_request(request, &instance, left);
         engine_request.resume_after = resume_after;
         let opening = attempt::open_answer(node, ticket, engine_request, !route.resumable);
         match tokio::time::timeout(left, opening).await {
-            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Ok(answer)) => {
+                trail.add_run();
+                return Ok(answer);
+            }
             Ok(Err(error)) => {
-                plain::log_attempt(request, &instance, &error);
-                match error {
-                    AttemptError::NotRun(_) => {}
-                    AttemptError::MayHaveRun(_) if route.resumable => shortfall = Shortfall::MayHaveRun,
-                    AttemptError::MayHaveRun(_) => return Err(Shortfall::MayHaveRun),
+                trail.attempt_failed(&instance, &error);
+                if let AttemptError::MayHaveRun(_) = error {
+                    trail.add_run();
+                    shortfall = Shortfall::MayHaveRun;
+                    if !route.resumable {
+                        return Err(shortfall);
+                    }
                 }
             }
             Err(_) => return Err(Shortfall::TimedOut),
@@ -172,13 +173,12 @@
     async fn resume(&mut self, why: BrokenReply) -> Result<(), BrokenReply> {
         let instance = self.open.ticket.server.instance.clone();
         self.node.board.lock().unwrap().failed(self.node.now(), &instance);
-        let id = self.request.head.request_id.clone().unwrap_or_else(|| "".into());
-        logs::write(event::ATTEMPT_FAILED, &[("request", &id), ("server", &instance), ("why", &why)]);
+        self.trail.attempt_failed(&instance, &why);
         if !self.route.resumable || !self.open.status.is_success() {
             return Err(why);
         }
         let opened =
-            open(&self.node, &self.route, &self.request, self.deadline, self.last_event, &mut self.tried).await;
+            open(&self.node, &self.route, &self.request, self.deadline, self.last_event, &mut self.trail).await;
         match opened {
             Ok(answer) if answer.status == self.open.status => {
                 self.open = answer;
--- a/crates/trestlerackd/tests/entry/requests.rs
+++ b/crates/trestlerackd/tests/entry/requests.rs
@@ -36,6 +36,48 @@
     assert_eq!(runs.iter().filter(|id| *id == "r3").count(), 1);
 }
 
+/// A server that refuses a request did not run it, so it does not count against the attempts.
+#[test]
+fn refusals_leave_a_stream_its_attempts() {
+    let platform = Platform::start_behind(4, |address| address.to_string());
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.engine.refusals.store(3, Ordering::SeqCst);
+    let whole = whole_text("s1", 1).join(",");
+    assert_eq!(read_stream(&daemon, "/streamed/x", "s1"), (whole, true));
+}
+
+#[test]
+fn the_log_tells_by_what_a_server_was_chosen_and_that_a_client_left() {
+    let platform = Platform::start();
+    let log = std::env::temp_dir().join(format!("entry-log-{}.log", std::process::id()));
+    let settings = DaemonSettings {
+        store: platform.store.address.to_string(),
+        log: Some(log.clone()),
+        ..DaemonSettings::default()
+    };
+    let daemon = EntryDaemon::start_with("a", &settings);
+    let lines_of = |event: &str, id: &str| -> Vec<String> {
+        let text = std::fs::read_to_string(&log).unwrap();
+        let is_it = |line: &&str| line.contains(event) && line.contains(&format!("={id} "));
+        text.lines().filter(is_it).map(str::to_owned).collect()
+    };
+    call(&daemon.client, "POST", "/safe/x", &[("request-id", "r1")], "x").unwrap();
+    eventually("the answer is logged", || !lines_of("TR2101", "r1").is_empty());
+    let chosen = lines_of("TR2103", "r1");
+    assert_eq!(chosen.len(), 1);
+    for field in ["config=1", "server=i-plain-", "in_flight=0", "load_age_ms=", "slowness=1.00", "zone=z"] {
+        assert!(chosen[0].contains(field), "{field} in {chosen:?}");
+    }
+    platform.plain.hangs.store(true, Ordering::SeqCst);
+    let mut stream = TcpStream::connect(&daemon.client).unwrap();
+    send(&mut stream, "POST", "/once/x", &[("request-id", "r2")], "x").unwrap();
+    eventually("the request runs", || platform.plain.runs.lock().unwrap().len() == 2);
+    drop(stream);
+    eventually("that it was left is logged", || !lines_of("TR2104", "r2").is_empty());
+    assert!(lines_of("TR2101", "r2").is_empty());
+    std::fs::remove_file(&log).unwrap();
+}
+
 #[test]
 fn an_answer_that_ends_with_its_connection_is_whole_unless_it_was_reset() {
     let platform = Platform::start();
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -176,6 +176,9 @@
     /// event and the version that made it.
     fn generate(&self, request: &Received, stream: &mut TcpStream) -> bool {
         let id = request.headers["request-id"].clone();
+        if take(&self.behaviour.refusals) {
+            return reply(stream, 503, &[("request-id", &id), ("not-executed", "1")], "");
+        }
         let first = request.headers.get("last-event-id").map_or(1, |last| last.parse::<u64>().unwrap() + 1);
         self.behaviour.runs.lock().unwrap().push(format!("{id}@{first}"));
         self.behaviour.last_runs.lock().unwrap().insert(id.clone(), Instant::now());
