Give the entry service a span for each hop, and mend the export of spans

Cause: the house style asks for a span per hop and the entry service had none. The test of it failed for another reason first: the exporter ran on a thread without a runtime and panicked at the first batch, so that otlp_endpoint never exported anything, in the product's own daemon either; no test had covered it.

Change: HopTracer (process/tracing.rs) is shared by both services and exports through a processor with a runtime of its own; the entry service has a span for a request and one below it for each attempt, and passes traceparent on. Without a collector there are no spans and no header.

Tests, red first: a_request_has_a_span_for_each_hop_below_its_callers, against a collector of our own; without_a_collector_nothing_is_added_to_a_request.

--- a/crates/trestlerack/src/process/entry_settings.rs
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -20,6 +20,8 @@
     pub peer_listen: Name,
     /// Address on which metrics are served; empty for none.
     pub metrics_listen: String,
+    /// URL of an OTLP collector for spans; empty for none.
+    pub otlp_endpoint: String,
     /// Peer addresses of a few nodes that may be up.
     pub seeds: Vec<Name>,
     /// Address of the platform's store.
@@ -45,6 +47,7 @@
             ready_listen: "127.0.0.1:0".into(),
             peer_listen: "127.0.0.1:0".into(),
             metrics_listen: String::new(),
+            otlp_endpoint: String::new(),
             seeds: Vec::new(),
             store: "".into(),
             store_row_bytes: 65_536,
@@ -70,6 +73,7 @@
     field("ready_listen", FieldKind::Address, Some("127.0.0.1:0"), "Address at which readiness is asked."),
     field("peer_listen", FieldKind::Address, Some("127.0.0.1:0"), "Address for peers."),
     field("metrics_listen", FieldKind::Text, Some(""), "Address for metrics; none if left out."),
+    field("otlp_endpoint", FieldKind::Text, Some(""), "URL of an OTLP collector for spans; none if left out."),
     field("seeds", FieldKind::TextList, Some("[]"), "Peer addresses of a few nodes that may be up."),
     field("store", FieldKind::Address, None, "Address of the platform's store."),
     field(
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -2,10 +2,12 @@
 
 use super::node::{EntryNode, ServerTicket};
 use super::pool::{ConnectionLease, ExchangeError};
+use crate::process::tracing::{HopSpan, TRACE_HEADER};
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use opentelemetry::trace::SpanKind;
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack_platform::{self as platform, EngineRequest, ReplyHead};
@@ -40,6 +42,8 @@
     pub lease: ConnectionLease,
     /// Counts the request at its server.
     pub ticket: ServerTicket,
+    /// Lasts as long as the answer is read.
+    pub span: Option<HopSpan>,
 }
 
 /// Why an attempt brought no answer.
@@ -64,11 +68,12 @@
 pub async fn open_answer(
     node: &Arc<EntryNode>,
     ticket: ServerTicket,
-    request: EngineRequest<'_>,
+    mut request: EngineRequest<'_>,
     wants_fresh: bool,
 ) -> Result<OpenAnswer, AttemptError> {
     let instance = ticket.server.instance.clone();
     let request_id = request.request_id.to_owned();
+    let span = start_span(node, &mut request, &ticket);
     let encoded = platform::encode_request(request).map_err(|error| AttemptError::NotRun(error.to_string()))?;
     let sent = node.pool.send(&ticket.server.address, encoded, wants_fresh).await;
     let (response, lease) = match sent {
@@ -103,7 +108,19 @@
     if head.signature.is_none() || head.request_id.is_none() {
         return Err(AttemptError::MayHaveRun(format!("the answer of status {} is not signed", parts.status)));
     }
-    Ok(OpenAnswer { status: parts.status, headers: parts.headers, head, body, lease, ticket })
+    Ok(OpenAnswer { status: parts.status, headers: parts.headers, head, body, lease, ticket, span })
+}
+
+/// Starts the span of an attempt below that of its request, and hands its context to the server.
+fn start_span(node: &EntryNode, request: &mut EngineRequest<'_>, ticket: &ServerTicket) -> Option<HopSpan> {
+    let parent = request.headers.get(TRACE_HEADER).and_then(|value| value.to_str().ok());
+    let span = node.hop("attempt", SpanKind::Client, parent)?;
+    span.set("request", request.request_id.to_owned());
+    span.set("server", ticket.server.instance.to_string());
+    if let Some(context) = span.traceparent.as_deref().and_then(|context| context.parse().ok()) {
+        request.headers.insert(TRACE_HEADER, context);
+    }
+    Some(span)
 }
 
 fn note_refusal(node: &EntryNode, instance: &str, is_gone: bool) {
--- a/crates/trestlerackd/src/entry/front.rs
+++ b/crates/trestlerackd/src/entry/front.rs
@@ -3,6 +3,7 @@
 use super::node::EntryNode;
 use super::{job_calls, plain};
 use crate::process::logs;
+use crate::process::tracing::{HopSpan, TRACE_HEADER};
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -11,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use opentelemetry::trace::SpanKind;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -101,9 +103,10 @@
 }
 
 async fn answer(node: &Arc<EntryNode>, request: Request<Incoming>) -> Response<ReplyBody> {
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let head = platform::decode_client_head(&parts.headers);
     let id = head.request_id.clone();
+    let span = start_span(node, &mut parts.headers, &id);
     let Some(routing) = node.routing() else {
         logs::write(event::REQUEST_REFUSED, &[("request", &or_empty(&id)), ("why", &"no configuration is known")]);
         return platform::not_run_reply(id.as_ref(), NO_CONFIG_RETURN).map(full_reply);
@@ -129,9 +132,23 @@
     if node.is_stopping() {
         reply.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
     }
+    if let Some(span) = span {
+        span.set("status", reply.status().as_u16().to_string());
+    }
     reply
 }
 
+/// Starts the span of a request below its caller's, and makes it the one that hops go below.
+fn start_span(node: &EntryNode, headers: &mut HeaderMap, id: &Option<Name>) -> Option<HopSpan> {
+    let parent = headers.get(TRACE_HEADER).and_then(|value| value.to_str().ok());
+    let span = node.hop("request", SpanKind::Server, parent)?;
+    span.set("request", or_empty(id).to_string());
+    if let Some(context) = span.traceparent.as_deref().and_then(|context| context.parse().ok()) {
+        headers.insert(TRACE_HEADER, context);
+    }
+    Some(span)
+}
+
 fn or_empty(id: &Option<Name>) -> Name {
     id.clone().unwrap_or_else(|| "".into())
 }
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -126,7 +126,7 @@
     trace: &mut RunTrace,
     open: OpenAnswer,
 ) -> (RunEnd, String) {
-    let OpenAnswer { mut body, lease, ticket, head, .. } = open;
+    let OpenAnswer { mut body, lease, ticket, head, span: _span, .. } = open;
     let instance = ticket.server.instance.clone();
     let model = driver.spec.model_of(&driver.spec.items[trace.index]);
     let mut version = head.version;
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -83,6 +83,9 @@
         _ = interrupt.recv() => {}
     }
     stop::stop_as_planned(&node).await;
+    if let Some(tracer) = &node.tracer {
+        tracer.close();
+    }
     Ok(())
 }
 
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -6,6 +6,8 @@
 use super::pool::ConnectionPool;
 use super::store::{DirectStore, RelayedStore};
 use crate::process::clock::SystemClock;
+use crate::process::tracing::{HopSpan, HopTracer};
+use opentelemetry::trace::SpanKind;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
@@ -94,6 +96,8 @@
     pub drivers: Mutex<HashMap<Name, Arc<JobDriver>>>,
     /// Counters and histograms.
     pub metrics: EntryMetrics,
+    /// Spans, where the settings name a collector.
+    pub tracer: Option<HopTracer>,
     /// Whether a planned stop has begun.
     pub stopping: watch::Sender<bool>,
     /// Whether connections of clients are to end.
@@ -130,6 +134,7 @@
             job_news: watch::channel(0).0,
             drivers: Mutex::default(),
             metrics: EntryMetrics::start()?,
+            tracer: start_tracer(&settings.otlp_endpoint)?,
             stopping: watch::channel(false).0,
             closing: watch::channel(false).0,
             client_connections: AtomicUsize::new(0),
@@ -138,6 +143,11 @@
         })
     }
 
+    /// Starts the span of a hop, where the settings name a collector.
+    pub fn hop(&self, name: &'static str, kind: SpanKind, parent: Option<&str>) -> Option<HopSpan> {
+        self.tracer.as_ref().map(|tracer| tracer.hop(name, kind, parent))
+    }
+
     /// Returns the time now.
     pub fn now(&self) -> Timestamp {
         self.clock.now()
@@ -219,6 +229,11 @@
     }
 }
 
+/// Without a collector there are no spans at all, because they cost time and memory.
+fn start_tracer(endpoint: &str) -> anyhow::Result<Option<HopTracer>> {
+    if endpoint.is_empty() { Ok(None) } else { HopTracer::start(endpoint).map(Some) }
+}
+
 /// Counts a request that a backend server works on until it is dropped.
 pub struct ServerTicket {
     node: Arc<EntryNode>,
--- a/crates/trestlerackd/src/process/mod.rs
+++ b/crates/trestlerackd/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod step_loop;
 pub mod stop;
 pub mod telemetry;
+pub mod tracing;
 pub mod wanted;
 
 use crate::connection::{accept, link_server};
--- a/crates/trestlerackd/src/request/answer.rs
+++ b/crates/trestlerackd/src/request/answer.rs
@@ -4,7 +4,7 @@
 use crate::node::Node;
 use crate::process::logs;
 use crate::process::stop::WorkGuard;
-use crate::process::telemetry::HopSpan;
+use crate::process::tracing::HopSpan;
 use bytes::Bytes;
 use gotham::handler::HandlerResult;
 use gotham::helpers::http::Body;
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -5,3 +5,4 @@
 mod requests;
 mod soak;
 mod support;
+mod tracing;
--- a/crates/trestlerackd/tests/entry/soak/world.rs
+++ b/crates/trestlerackd/tests/entry/soak/world.rs
@@ -82,6 +82,7 @@
                 order_handover_ms: HANDOVER.as_millis() as u64,
                 retention_s: 600,
                 log: Some(logs.join(format!("{name}.log"))),
+                ..DaemonSettings::default()
             };
             let daemon = EntryDaemon::start_with(&name, &settings);
             let client = daemon.client.clone();
--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -54,13 +54,22 @@
     pub order_handover_ms: u64,
     /// Time for which ended jobs can be read.
     pub retention_s: u64,
+    /// Collector of spans.
+    pub otlp_endpoint: String,
     /// File that takes the log; it is thrown away without one.
     pub log: Option<PathBuf>,
 }
 
 impl Default for DaemonSettings {
     fn default() -> Self {
-        Self { store: String::new(), seeds: Vec::new(), order_handover_ms: 300, retention_s: RETENTION_S, log: None }
+        Self {
+            store: String::new(),
+            seeds: Vec::new(),
+            order_handover_ms: 300,
+            retention_s: RETENTION_S,
+            otlp_endpoint: String::new(),
+            log: None,
+        }
     }
 }
 
@@ -73,11 +82,14 @@
 
     pub fn start_with(name: &str, settings: &DaemonSettings) -> Self {
         let (client, ready, peer) = (free_address(), free_address(), free_address());
-        let text = json!({
+        let mut text = json!({
             "name": name, "zone": "z", "client_listen": client, "ready_listen": ready, "peer_listen": peer,
             "seeds": settings.seeds, "store": settings.store, "stop_limit_s": STOP_LIMIT_S,
             "order_handover_ms": settings.order_handover_ms, "retention_s": settings.retention_s,
         });
+        if !settings.otlp_endpoint.is_empty() {
+            text["otlp_endpoint"] = json!(settings.otlp_endpoint);
+        }
         let file = format!("entry-{name}-{}-{}.json", std::process::id(), client.replace([':', '.'], "-"));
         let log = settings.log.clone();
         let settings = std::env::temp_dir().join(file);
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -22,6 +22,8 @@
 pub struct ServerBehaviour {
     /// Requests that ran, by id; with the first event for those of engines.
     pub runs: Mutex<Vec<String>>,
+    /// Trace contexts that came with requests.
+    pub trace_contexts: Mutex<Vec<String>>,
     /// Answers that bear the id of another request.
     pub foreign_answers: AtomicUsize,
     /// Answers without a length, which end with their connection.
@@ -74,6 +76,7 @@
             return reply(stream, 503, &[("request-id", &id), ("not-executed", "1")], "");
         }
         behaviour.runs.lock().unwrap().push(id.clone());
+        behaviour.trace_contexts.lock().unwrap().extend(request.headers.get("traceparent").cloned());
         if behaviour.hangs.load(Ordering::SeqCst) {
             let mut byte = [0];
             stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
