Let texts of a single-version route go on under their version

A run that broke or was moved off a slow engine lost its text, and a run whose version changed was read to its end and then thrown away.

Ruled out: what loads do to runs.

Change: such a text is kept and pinned to its version. It goes on only at an engine that is believed to hold just that one, and the request says so; an event of another version ends the run at once; if no engine holds the version any more the text starts anew. Texts kept by an earlier job are used too if one version made them.

--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -66,6 +66,8 @@
     pub service: &'a str,
     /// Model and the oldest version that will do.
     pub weights: Option<(&'a str, WeightVersion)>,
+    /// The only version that will do, where a text of it is to go on.
+    pub pinned: Option<WeightVersion>,
     /// Servers that were tried already.
     pub avoid: &'a [Name],
     /// Whether only a server with a free place will do.
@@ -208,7 +210,8 @@
     fn will_do(&self, now: Timestamp, belief: &ServerBelief, need: &ServerNeed<'_>) -> bool {
         let is_new_enough = need.weights.is_none_or(|(model, oldest)| {
             let is_loading = belief.loading_until.is_some_and(|until| now < until);
-            !is_loading && belief.version(model).is_some_and(|version| version >= oldest)
+            let is_right = |version: WeightVersion| version >= oldest && need.pinned.is_none_or(|v| version == v);
+            !is_loading && belief.version(model).is_some_and(is_right)
         });
         let has_place = !need.wants_free_place || belief.busy(now, self.settings.load_age) < belief.slots();
         let is_open = !belief.entry.is_draining && belief.not_before <= now;
--- a/crates/trestlerack/src/request/job.rs
+++ b/crates/trestlerack/src/request/job.rs
@@ -174,6 +174,8 @@
     TooOld,
     /// The engine did not say which version generated the event.
     NoVersion,
+    /// Another version generated the events before, and the text may come from one only.
+    OtherVersion,
 }
 
 /// Numbers that the first event of a stream may have.
@@ -209,6 +211,11 @@
         Ok(())
     }
 
+    /// Returns the version of all events so far, if it is one.
+    pub fn sole_version(&self) -> Option<WeightVersion> {
+        if let [version] = self.versions[..] { Some(version) } else { None }
+    }
+
     /// Returns whether every event is new enough for a job that allows `min_version` and newer.
     pub fn fits(&self, min_version: WeightVersion) -> bool {
         self.versions.first().is_none_or(|oldest| *oldest >= min_version)
--- a/crates/trestlerack/src/request/ledger.rs
+++ b/crates/trestlerack/src/request/ledger.rs
@@ -170,7 +170,10 @@
         for item in &spec.items {
             let kept = kept.remove(&item.id);
             let is_carried = kept.is_some();
-            let usable = kept.filter(|kept| kept.transcript.fits(spec.min_version) && !settings.single_version);
+            let usable = kept.filter(|kept| {
+                let is_mixed = settings.single_version && kept.transcript.versions.len() > 1;
+                kept.transcript.fits(spec.min_version) && !is_mixed
+            });
             let phase = match &usable {
                 Some(kept) if kept.is_whole => ItemPhase::Scoring,
                 _ => ItemPhase::Waiting,
@@ -292,6 +295,17 @@
         &self.items[index].transcript
     }
 
+    /// Returns the only version that may go on with an item's text, where texts come from one version
+    /// and this one has begun.
+    pub fn pinned_version(&self, index: usize) -> Option<WeightVersion> {
+        self.items[index].transcript.sole_version().filter(|_| self.settings.single_version)
+    }
+
+    /// Forgets the text of an item that no engine can go on with.
+    pub fn restart(&mut self, index: usize) {
+        self.items[index].forget_text();
+    }
+
     /// Returns whether every item has a recorded result.
     pub fn is_whole(&self) -> bool {
         self.unlisted == 0
@@ -311,6 +325,9 @@
         version: Option<WeightVersion>,
     ) -> Result<(), TranscriptError> {
         let min_version = self.spec.min_version;
+        if self.pinned_version(index).is_some_and(|pinned| version.is_some_and(|version| version != pinned)) {
+            return Err(TranscriptError::OtherVersion);
+        }
         match (lane, &mut self.items[index].spare) {
             (RunLane::Spare, Some(spare)) => spare.transcript.append(event, version, min_version),
             _ => self.items[index].transcript.append(event, version, min_version),
@@ -359,7 +376,6 @@
 
     /// Records how a run ended. Returns whether the item's text is whole and wants its score.
     pub fn end_run(&mut self, now: Timestamp, index: usize, end: RunEnd) -> bool {
-        let single_version = self.settings.single_version;
         let state = &mut self.items[index];
         if !matches!(state.phase, ItemPhase::Running(_)) {
             return false;
@@ -367,19 +383,12 @@
         state.phase = ItemPhase::Waiting;
         match end {
             RunEnd::Whole if state.transcript.last_event.is_some() => {
-                if single_version && state.transcript.versions.len() > 1 {
-                    state.forget_text();
-                    return false;
-                }
                 state.phase = ItemPhase::Scoring;
                 state.is_text_whole = true;
                 return true;
             }
             RunEnd::Whole | RunEnd::Broken => {
                 state.not_before = now + self.settings.retry_pause;
-                if single_version {
-                    state.forget_text();
-                }
             }
             RunEnd::NotRun => {}
             RunEnd::Failed => {
--- a/crates/trestlerack/tests/placement.rs
+++ b/crates/trestlerack/tests/placement.rs
@@ -150,3 +150,11 @@
     registry.replace(NOW, vec![entry("c", "z", 1)]);
     assert!(registry.get("a").is_none() && registry.get("c").is_some());
 }
+
+#[test]
+fn a_text_of_one_version_goes_on_at_an_engine_of_that_version() {
+    let board = board(&[entry("a", "z", 4), entry("b", "z", 5)]);
+    let need = ServerNeed { pinned: Some(4), ..need(3) };
+    assert_eq!(chosen(&board, NOW, &need), Some("a".into()));
+    assert_eq!(chosen(&board, NOW, &ServerNeed { pinned: Some(3), ..need }), None);
+}
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -70,9 +70,12 @@
 ) -> (RunEnd, String) {
     let item = &driver.spec.items[trace.index];
     let instance = ticket.server.instance.clone();
-    let resume_after = match trace.lane {
-        RunLane::Main => driver.ledger.lock().unwrap().transcript(trace.index).last_event,
-        RunLane::Spare => None,
+    let (resume_after, exact_version) = match trace.lane {
+        RunLane::Main => {
+            let ledger = driver.ledger.lock().unwrap();
+            (ledger.transcript(trace.index).last_event, ledger.pinned_version(trace.index))
+        }
+        RunLane::Spare => (None, None),
     };
     let request = EngineRequest {
         method: Method::POST,
@@ -83,7 +86,7 @@
         instance: &instance,
         time_left: Some(RUN_TIME),
         priority: None,
-        exact_version: None,
+        exact_version,
         resume_after,
         body: item.body.clone(),
     };
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -19,6 +19,7 @@
 /// Shortest time on an engine before a run is moved, so that its pace is known.
 pub const MOVE_AGE: Duration = Duration::from_millis(600);
 
+/// Starts the items that wait, as far as there are engines with free places for them.
 pub fn place_items(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
     let now = node.now();
     let mut ledger = driver.ledger.lock().unwrap();
@@ -27,16 +28,28 @@
         let item = &driver.spec.items[index];
         let Some(service) = route.service_for(&item.id) else { return };
         let model = driver.spec.model_of(item);
-        let need = ServerNeed {
+        let mut need = ServerNeed {
             service,
             weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
+            pinned: ledger.pinned_version(index),
             wants_free_place: true,
             zone: &node.settings.zone,
             ..ServerNeed::default()
         };
-        let entry = node.board.lock().unwrap().choose(now, &need).map(|belief| belief.entry.clone());
-        let Some(entry) = entry else { return };
-        start_run(node, driver, &mut ledger, index, entry);
+        let board = node.board.lock().unwrap();
+        if need.pinned.is_some() && board.count(now, &need) == 0 {
+            // Nobody holds that version any more.
+            ledger.restart(index);
+            need.pinned = None;
+        }
+        let entry = board.choose(now, &need).map(|belief| belief.entry.clone());
+        drop(board);
+        match entry {
+            Some(entry) => start_run(node, driver, &mut ledger, index, entry),
+            // Others may find a place all the same.
+            None if need.pinned.is_some() => {}
+            None => return,
+        }
     }
 }
 
@@ -86,6 +99,7 @@
         wants_free_place: true,
         avoid: std::slice::from_ref(&engine),
         zone: &node.settings.zone,
+        ..ServerNeed::default()
     };
     let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone());
     let Some(entry) = entry else { return };
@@ -135,6 +149,7 @@
     index: usize,
     engine: &Name,
 ) -> Option<(f64, ServerEntry)> {
+    let pinned = driver.ledger.lock().unwrap().pinned_version(index);
     let board = node.board.lock().unwrap();
     let now = node.now();
     let slowness = board.slowness(now, engine);
@@ -143,6 +158,7 @@
     let need = ServerNeed {
         service: route.service_for(&item.id)?,
         weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
+        pinned,
         wants_free_place: true,
         avoid: std::slice::from_ref(engine),
         zone: &node.settings.zone,
