--- a/crates/trestlerack/src/request/ledger.rs
+++ b/crates/trestlerack/src/request/ledger/mod.rs
@@ -1,6 +1,9 @@
 //! The state of one job's items while a node drives it.
 
-use super::job::{ItemEvent, ItemTranscript, JobResult, JobSpec, KeptItem, TextDelta, TranscriptError};
+mod spare;
+mod texts;
+
+use super::job::{ItemEvent, ItemTranscript, JobResult, JobSpec, KeptItem, TranscriptError};
 use crate::version::WeightVersion;
 use crate::{Name, Timestamp};
 use std::collections::{HashMap, VecDeque};
@@ -334,46 +337,6 @@
         }
     }
 
-    /// Returns the running items whose text a job that needs `newest` could not use, the longest
-    /// estimate first, with their engines: those that a second run on such weights may save.
-    pub fn spare_candidates(&self, newest: WeightVersion) -> Vec<(usize, Name)> {
-        let mut running = self.running();
-        running.retain(|(index, _)| {
-            let state = &self.items[*index];
-            state.spare.is_none() && !state.transcript.fits(newest)
-        });
-        running
-    }
-
-    /// Records that a second run of an item was started.
-    pub fn start_spare(&mut self, index: usize, engine: &Name) {
-        let transcript = ItemTranscript::default();
-        self.items[index].spare = Some(SpareRun { engine: engine.clone(), transcript, is_over: false });
-    }
-
-    /// Records how a second run ended. A whole text takes the place of the first run's, if that is
-    /// still under way. Returns whether it did.
-    pub fn end_spare(&mut self, index: usize, end: RunEnd) -> bool {
-        let state = &mut self.items[index];
-        let Some(spare) = &mut state.spare else { return false };
-        spare.is_over = true;
-        let is_first = matches!(state.phase, ItemPhase::Running(_) | ItemPhase::Waiting);
-        if end != RunEnd::Whole || !is_first || spare.transcript.last_event.is_none() {
-            return false;
-        }
-        state.transcript = std::mem::take(&mut spare.transcript);
-        state.spare = None;
-        state.phase = ItemPhase::Scoring;
-        state.is_text_whole = true;
-        state.stored = (None, 0);
-        true
-    }
-
-    /// Returns the engine of an item's second run while that is under way.
-    pub fn spare_engine(&self, index: usize) -> Option<&Name> {
-        self.items[index].spare.as_ref().filter(|spare| !spare.is_over).map(|spare| &spare.engine)
-    }
-
     /// Records how a run ended. Returns whether the item's text is whole and wants its score.
     pub fn end_run(&mut self, now: Timestamp, index: usize, end: RunEnd) -> bool {
         let state = &mut self.items[index];
@@ -478,49 +441,4 @@
             self.drop_group_texts(&group);
         }
     }
-
-    fn drop_group_texts(&mut self, group: &str) {
-        for (item, state) in self.spec.items.iter().zip(&mut self.items) {
-            if &*item.group == group {
-                state.forget_text();
-            }
-        }
-    }
-
-    /// Takes what was generated since the last call, up to a size in bytes. Short texts are left out:
-    /// making them again costs less than storing them.
-    pub fn take_unstored(&mut self, least_bytes: usize, most_bytes: usize) -> Vec<TextDelta> {
-        let (mut deltas, mut bytes) = (Vec::new(), 0);
-        for (item, state) in self.spec.items.iter().zip(&mut self.items) {
-            let (after, length) = state.stored;
-            let text = &state.transcript.text;
-            let is_open = matches!(state.phase, ItemPhase::Running(_) | ItemPhase::Scoring);
-            let Some(last_event) = state.transcript.last_event.filter(|_| is_open) else { continue };
-            if text.len() < length + least_bytes || bytes >= most_bytes {
-                continue;
-            }
-            bytes += text.len() - length;
-            let (text, versions) = (text[length..].to_owned(), state.transcript.versions.clone());
-            state.stored = (Some(last_event), state.transcript.text.len());
-            deltas.push(TextDelta { id: item.id.clone(), after, last_event, text, versions });
-        }
-        deltas
-    }
-
-    /// Returns what exists of each group that is not whole, for a later job that brings it again.
-    pub fn unfinished(&self) -> Vec<KeptItem> {
-        let mut kept = Vec::new();
-        for (item, state) in self.spec.items.iter().zip(&self.items) {
-            if self.open_groups.get(&item.group).is_none_or(|left| *left == 0) {
-                continue;
-            }
-            let (transcript, is_whole) = (state.transcript.clone(), state.is_text_whole);
-            kept.push(KeptItem { id: item.id.clone(), transcript, is_whole });
-            if let Some(spare) = &state.spare {
-                let transcript = spare.transcript.clone();
-                kept.push(KeptItem { id: item.id.clone(), transcript, is_whole: false });
-            }
-        }
-        kept
-    }
 }
--- a/crates/trestlerackd/src/entry/front.rs
+++ b/crates/trestlerackd/src/entry/front.rs
@@ -1,7 +1,7 @@
 //! Serves clients: accepts their connections and hands each request to what it is about.
 
 use super::node::EntryNode;
-use super::{job_calls, plain};
+use super::{job_accept, job_calls, plain};
 use crate::process::logs;
 use crate::process::tracing::{HopSpan, TRACE_HEADER};
 use bytes::Bytes;
@@ -178,7 +178,7 @@
                 own_reply(StatusCode::NOT_FOUND, id.as_ref())
             }
             Some(route) if route.kind == RouteKind::Batch && request.method == Method::POST => {
-                job_calls::submit(node, route, request).await
+                job_accept::submit(node, route, request).await
             }
             Some(route) => plain::serve(node, route, request).await,
         },
--- /dev/null
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -0,0 +1,185 @@
+//! Accepts batch jobs: each once, whatever the store's replies.
+
+use super::front::{ClientRequest, ReplyBody, full_reply, own_reply};
+use super::job_calls::{SETTLE_PAUSE, SETTLE_TIME, spec_object};
+use super::node::EntryNode;
+use super::tables;
+use super::{adoption, job_driver};
+use crate::process::logs;
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::border::StoreError;
+use trestlerack::process::NodeRow;
+use trestlerack::request::{JobHead, JobSpec};
+use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
+use trestlerack::version::RequestRoute;
+use trestlerack::{Name, event};
+use trestlerack_platform as platform;
+
+/// Time after which a client is told to return while the store cannot be used.
+const STORE_RETURN: Duration = Duration::from_millis(300);
+
+/// Most bytes of a submission that is stored in rows; more goes into an object.
+const ROWS_BYTES: usize = 450_000;
+
+/// Accepts a batch job: its 202 follows one transaction that expects its absence.
+pub async fn submit(node: &Arc<EntryNode>, route: &RequestRoute, request: ClientRequest) -> Response<ReplyBody> {
+    let started = node.now();
+    let Some(id) = request.head.request_id.clone() else {
+        return own_reply(StatusCode::BAD_REQUEST, None);
+    };
+    let spec = match platform::decode_job(&id, &request.host, &request.path, &request.body) {
+        Ok(spec) => Arc::new(spec),
+        Err(error) => {
+            logs::write(event::REQUEST_REFUSED, &[("request", &id), ("why", &error)]);
+            return platform::plain_reply(StatusCode::BAD_REQUEST, Some(&id), error.to_string()).map(full_reply);
+        }
+    };
+    let outcome = accept(node, &spec).await;
+    let took = node.now().since(started);
+    let (status, reply) = match &outcome {
+        Ok(_) => (StatusCode::ACCEPTED, own_reply(StatusCode::ACCEPTED, Some(&id))),
+        Err(Refusal::OtherJob) => (StatusCode::CONFLICT, own_reply(StatusCode::CONFLICT, Some(&id))),
+        Err(Refusal::NotAccepted) => {
+            let reply = platform::not_run_reply(Some(&id), STORE_RETURN).map(full_reply);
+            (StatusCode::SERVICE_UNAVAILABLE, reply)
+        }
+        Err(Refusal::Unknown) => (StatusCode::BAD_GATEWAY, own_reply(StatusCode::BAD_GATEWAY, Some(&id))),
+    };
+    let ms = took.as_millis();
+    let (items, store_version) = (spec.items.len(), outcome.as_ref().copied().unwrap_or(0));
+    let fields: [(&str, &dyn std::fmt::Display); 8] = [
+        ("job", &id),
+        ("status", &status.as_u16()),
+        ("items", &items),
+        ("step", &format!("{:?}", spec.step)),
+        ("model", &spec.model.clone().unwrap_or_else(|| "".into())),
+        ("min_version", &spec.min_version),
+        ("head", &store_version),
+        ("ms", &ms),
+    ];
+    logs::write(event::JOB_SUBMITTED, &fields);
+    node.metrics.request(&route.name, status, took);
+    reply
+}
+
+enum Refusal {
+    /// Nothing was stored and nothing will be.
+    NotAccepted,
+    /// The job may be stored.
+    Unknown,
+    /// Another job has this id.
+    OtherJob,
+}
+
+/// Stores a job and starts to drive it. Returns the version of its head row.
+async fn accept(node: &Arc<EntryNode>, spec: &Arc<JobSpec>) -> Result<u64, Refusal> {
+    if let Some(view) = node.job(&spec.id) {
+        return known_job(&view.head, view.version, spec);
+    }
+    let content = tables::encode(&**spec);
+    let in_rows = content.len() <= ROWS_BYTES;
+    if !in_rows {
+        put_object(node, spec, &content).await?;
+    }
+    let head =
+        new_head(node, spec, if in_rows { content.len().div_ceil(node.settings.store_row_bytes).max(1) } else { 0 });
+    let mut transaction = RowTransaction::new(spec.id.clone()).expect(tables::STATE, tables::HEAD, 0).put(
+        tables::STATE,
+        tables::HEAD,
+        tables::encode(&head),
+    );
+    if in_rows {
+        transaction =
+            tables::put_pieces(transaction, tables::SPECS, tables::HEAD, &content, node.settings.store_row_bytes);
+    }
+    let call = StoreCall::Commit(transaction);
+    let until = node.now() + SETTLE_TIME;
+    let mut may_be_stored = false;
+    loop {
+        match node.store.call(&call).await {
+            Ok(StoreReply::Committed(moment)) => {
+                start_accepted(node, spec, head, moment.version);
+                return Ok(moment.version);
+            }
+            Ok(StoreReply::Conflict(rows)) => return settle_conflict(node, spec, &head, rows),
+            Ok(_) | Err(StoreError::Unknown) => may_be_stored = true,
+            Err(StoreError::Unavailable) => {}
+        }
+        if node.now() >= until {
+            return Err(if may_be_stored { Refusal::Unknown } else { Refusal::NotAccepted });
+        }
+        tokio::time::sleep(SETTLE_PAUSE).await;
+    }
+}
+
+fn known_job(head: &JobHead, version: u64, spec: &JobSpec) -> Result<u64, Refusal> {
+    if head.digest == spec.digest() { Ok(version) } else { Err(Refusal::OtherJob) }
+}
+
+/// A head row exists: it is the same job, accepted here with a lost reply or by another node.
+fn settle_conflict(
+    node: &Arc<EntryNode>,
+    spec: &Arc<JobSpec>,
+    own: &JobHead,
+    rows: Vec<trestlerack::rows::StoredRow>,
+) -> Result<u64, Refusal> {
+    let Some(row) = rows.into_iter().find(|row| &*row.key == tables::HEAD) else { return Err(Refusal::Unknown) };
+    let head: JobHead = tables::decode(&row.value).map_err(|_| Refusal::Unknown)?;
+    let outcome = known_job(&head, row.version, spec);
+    if head.write_id == own.write_id {
+        start_accepted(node, spec, head, row.version);
+    }
+    outcome
+}
+
+/// Has a job that was just stored driven by the node that its head names.
+fn start_accepted(node: &Arc<EntryNode>, spec: &Arc<JobSpec>, head: JobHead, version: u64) {
+    node.learn_head(head.clone(), version, &spec.id);
+    if head.owner == node.settings.name {
+        job_driver::start(node, spec.clone(), head, version);
+    } else {
+        tokio::spawn(adoption::ensure_driven(node.clone(), spec.id.clone(), head));
+    }
+}
+
+/// Returns the name and the row of the node that is to drive a job: the one that drives the newest
+/// job of the same model, because it knows the engines' load and holds connections to them.
+fn choose_owner(node: &EntryNode, spec: &JobSpec) -> (Name, NodeRow) {
+    let newest = {
+        let jobs = node.jobs.lock().unwrap();
+        let related = jobs.values().filter(|view| view.head.model == spec.model && view.head.host == spec.host);
+        related.max_by_key(|view| view.head.accepted_ms).map(|view| view.head.owner.clone())
+    };
+    let peer = newest.and_then(|owner| Some((owner.clone(), node.peers.get(&owner)?)));
+    peer.unwrap_or_else(|| (node.settings.name.clone(), node.node_row()))
+}
+
+fn new_head(node: &Arc<EntryNode>, spec: &JobSpec, spec_rows: usize) -> JobHead {
+    let (owner, row) = choose_owner(node, spec);
+    JobHead {
+        owner,
+        owner_address: row.address,
+        incarnation: row.incarnation,
+        fence: 1,
+        write_id: node.write_id(),
+        accepted_ms: node.store.clock_ms(),
+        digest: spec.digest(),
+        total: spec.items.len(),
+        listed: 0,
+        spec_rows,
+        host: spec.host.clone(),
+        path: spec.path.clone(),
+        model: spec.model.clone(),
+        step: spec.step,
+        min_version: spec.min_version,
+    }
+}
+
+async fn put_object(node: &Arc<EntryNode>, spec: &JobSpec, content: &Bytes) -> Result<(), Refusal> {
+    let call = StoreCall::PutObject { name: spec_object(&spec.id, spec.digest()), content: content.clone() };
+    // The object alone accepts nothing: only the head row does.
+    node.store.call(&call).await.map(|_| ()).map_err(|_| Refusal::NotAccepted)
+}
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod feeds;
 mod front;
 mod item_run;
+mod job_accept;
 mod job_calls;
 mod job_driver;
 mod job_records;
