Read the head of an ended job again before saying that it has no more results

Ruled out: a job that is forgotten although it is there (the answer was 200 without results, not 404).

Change: before a node answers that an ended job has no more results, it reads the head from the store; if that fails it says that it cannot tell (503).

Test, red first: results_recorded_after_the_end_of_a_job_are_read_after_a_lost_history.

--- a/crates/trestlerackd/src/entry/job_calls.rs
+++ b/crates/trestlerackd/src/entry/job_calls.rs
@@ -40,6 +40,11 @@
     if let Some(view) = node.job(job) {
         return Ok(view);
     }
+    read_job(node, job).await
+}
+
+/// Reads a job's head and end from the store.
+async fn read_job(node: &Arc<EntryNode>, job: &Name) -> Result<JobView, JobDoubt> {
     let rows = tables::read_all(&node.store, tables::STATE, job).await.map_err(|_| JobDoubt::Unsure)?;
     let is_ended = rows.iter().any(|row| &*row.key == tables::END);
     let head = rows.into_iter().find(|row| &*row.key == tables::HEAD).ok_or(JobDoubt::Missing)?;
@@ -114,7 +119,15 @@
         let view = find_job(node, job).await?;
         let has_more = view.head.listed > from;
         let now = node.now();
-        if has_more || view.head.is_whole() || view.is_ended || node.is_stopping() || now >= deadline {
+        if has_more || view.head.is_whole() {
+            return Ok(view);
+        }
+        if view.is_ended {
+            // Its driver may have recorded more before it heard of the end, and the heads of ended
+            // jobs are not read again when a watch loses its history.
+            return read_job(node, job).await;
+        }
+        if node.is_stopping() || now >= deadline {
             return Ok(view);
         }
         // Ends with a change of any job or with the deadline; both lead to another look.
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -204,3 +204,26 @@
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(platform.store.reads("over"), before[2], "a job that is over changes no more");
 }
+
+/// Results may still be recorded after the end of a job, until its driver hears of the end. A node
+/// that knew of the end first and missed them must not answer that there are none.
+#[test]
+fn results_recorded_after_the_end_of_a_job_are_read_after_a_lost_history() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    let other = EntryDaemon::start("b", &platform.store, &[&daemon.peer]);
+    platform.engine.pace_ms.store(200, Ordering::SeqCst);
+    assert_eq!(submit(&daemon, "job1", 4), 202);
+    let path = "/trestlerack/lots/job1";
+    eventually("the other node knows the job", || call(&other.client, "GET", path, &[], "").unwrap().status == 200);
+    platform.store.silence_watches(Some("state"));
+    assert_eq!(call(&other.client, "DELETE", path, &[], "").unwrap().status, 200);
+    eventually("its results are recorded", || platform.store.count("results", "job1") == 4);
+    let reads = platform.store.reads("nodes");
+    platform.store.drop_history();
+    platform.store.silence_watches(None);
+    eventually("both nodes read the table again", || platform.store.reads("nodes") >= reads + 2);
+    std::thread::sleep(Duration::from_millis(300));
+    let page = call(&other.client, "GET", path, &[], "").unwrap().json();
+    assert_eq!(page["results"].as_array().unwrap().len(), 4, "{page}");
+}
