Pace the watches of all nodes to the reads that the store takes

Each watch returns with the first change, and rows of the system change all the time there, so each node asked again at once: calls grow with nodes times changes, past the rate that the store takes. Its refusals count as a store that is away, and each refused call then goes to two peers as well; one node sent 8.9 MB and 2,178 wake-ups a second.

--- a/crates/trestlerack/src/process/entry_settings.rs
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -26,6 +26,8 @@
     pub seeds: Vec<Name>,
     /// Address of the platform's store.
     pub store: Name,
+    /// Reading calls that the store takes from all nodes together, each second.
+    pub store_reads_per_s: u64,
     /// Most bytes of a row's content.
     pub store_row_bytes: usize,
     /// Time from a planned stop to the kill, in seconds.
@@ -50,6 +52,7 @@
             otlp_endpoint: String::new(),
             seeds: Vec::new(),
             store: "".into(),
+            store_reads_per_s: 2_000,
             store_row_bytes: 65_536,
             stop_limit_s: 8.0,
             order_handover_ms: 3_000,
@@ -76,6 +79,12 @@
     field("otlp_endpoint", FieldKind::Text, Some(""), "URL of an OTLP collector for spans; none if left out."),
     field("seeds", FieldKind::TextList, Some("[]"), "Peer addresses of a few nodes that may be up."),
     field("store", FieldKind::Address, None, "Address of the platform's store."),
+    field(
+        "store_reads_per_s",
+        FieldKind::Count { min: 1, max: 1 << 30 },
+        Some("2000"),
+        "Reading calls that the store takes from all nodes together, each second.",
+    ),
     field(
         "store_row_bytes",
         FieldKind::Count { min: 1_024, max: 1 << 30 },
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -9,6 +9,7 @@
 mod node_rows;
 mod outlier;
 mod ownership;
+mod pacing;
 mod placement;
 mod registry;
 mod settings;
@@ -27,6 +28,7 @@
 pub use node_rows::{NodeRow, NodeRows};
 pub use outlier::{OutlierDetector, OutlierSettings};
 pub use ownership::{ModelOwner, NodeView, OwnerTable, OwnershipView};
+pub use pacing::{failure_pause, watch_pause};
 pub use placement::{BoardSettings, ChoiceBasis, ServerBelief, ServerBoard, ServerNeed};
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use trestlerack::border::StoreError;
-use trestlerack::process::ServerEntry;
+use trestlerack::process::{ServerEntry, failure_pause, watch_pause};
 use trestlerack::rows::{RowStore, StoreCall, StoreReply, StoredRow};
 use trestlerack::version::{EngineAssignment, WeightPlanSettings};
 use trestlerack::{Name, event};
@@ -21,9 +21,6 @@
 /// 4 ms each has 8 under way.
 const READS_AT_ONCE: usize = 8;
 
-/// Pause after a failed call.
-const FAILURE_PAUSE: Duration = Duration::from_millis(100);
-
 /// Pause after news of service discovery, whose entries change with each heartbeat; the bound on
 /// leaving servers is two seconds.
 const SERVER_PAUSE: Duration = Duration::from_millis(150);
@@ -31,6 +28,7 @@
 /// Follows one table until the process ends.
 pub async fn follow(node: Arc<EntryNode>, table: &'static str) {
     let mut known: Option<u64> = None;
+    let mut failures = 0;
     loop {
         let step = match known {
             None => read_whole(&node, table).await.map(Some),
@@ -43,18 +41,28 @@
                     logs::write(event::HISTORY_LOST, &[("table", &table)]);
                 }
                 known = version;
-                if table == platform::SERVER_TABLE {
-                    tokio::time::sleep(SERVER_PAUSE).await;
-                }
+                failures = 0;
+                tokio::time::sleep(pause_between(&node, table)).await;
             }
             Err(_) => {
                 node.registry.lock().unwrap().store_lost();
-                tokio::time::sleep(FAILURE_PAUSE).await;
+                failures += 1;
+                tokio::time::sleep(failure_pause(failures, rand::random())).await;
             }
         }
     }
 }
 
+/// Returns the pause before a table is watched again. The operator's rows change seldom.
+fn pause_between(node: &EntryNode, table: &str) -> Duration {
+    let paced = watch_pause(node.peers.names().len(), node.settings.store_reads_per_s);
+    match table {
+        platform::OPERATOR_TABLE => Duration::ZERO,
+        platform::SERVER_TABLE => paced.max(SERVER_PAUSE),
+        _ => paced,
+    }
+}
+
 async fn watch_once(node: &Arc<EntryNode>, table: &str, after: u64) -> Result<Option<u64>, StoreError> {
     let call = StoreCall::Watch { table: table.into(), after, wait_ms: WATCH_WAIT_MS };
     match node.store.call(&call).await? {
