Sharper checks: an answer is spoilt in one way, and its id is looked at

The stand-in gave each foreign answer half a body as well, and the process test did not look at the id.

Change: answers are spoilt one way at a time; the test checks the id and that the request ran twice.

--- a/crates/trestlerackd/tests/entry/requests.rs
+++ b/crates/trestlerackd/tests/entry/requests.rs
@@ -26,6 +26,8 @@
     platform.plain.foreign_answers.store(1, Ordering::SeqCst);
     let answer = call(&daemon.client, "POST", "/safe/x", &[("request-id", "r1")], "one").unwrap();
     assert_eq!((answer.status, answer.body.as_str()), (200, "one"), "it may run again and did");
+    assert_eq!(answer.headers["request-id"], "r1");
+    assert_eq!(*platform.plain.runs.lock().unwrap(), ["r1", "r1"]);
     platform.plain.short_answers.store(1, Ordering::SeqCst);
     let answer = call(&daemon.client, "POST", "/safe/x", &[("request-id", "r2")], "two").unwrap();
     assert_eq!((answer.status, answer.body.as_str()), (200, "two"));
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -88,7 +88,6 @@
         if take(&behaviour.overdue_answers) {
             return reply(stream, 504, &[("request-id", &id), ("response-stamp", "s")], "");
         }
-        let echoed = if take(&behaviour.foreign_answers) { "another" } else { &id };
         let body = String::from_utf8(request.body).unwrap();
         let is_reset = take(&behaviour.reset_answers);
         if is_reset || take(&behaviour.unframed_answers) {
@@ -101,6 +100,8 @@
             let _ = stream.write_all(text.as_bytes());
             return false;
         }
+        // After the others, so that an answer is spoilt in one way.
+        let echoed = if take(&behaviour.foreign_answers) { "another" } else { &id };
         reply(stream, 200, &[("request-id", echoed), ("response-stamp", &format!("signed-{id}"))], &body)
     })
 }
