Give each run of the process tests ports of its own

Cause: soak broke five promises in one of two runs side by side: a node that was killed found its address in use (its own words: cannot listen, address already in use), ended, and the other run's daemon on that port answered 404 to the jobs of this one. Ports were drawn by process id and ran over into the next id's after 64.

Ruled out: a node that forgets jobs: n2's log ends at the kill, and none of this run's daemons logged the two jobs as missing.

Change: a run claims a range of ports by a listener that it keeps, and goes round in it. Also: the log of a choice says none where no load was stated, instead of an hour (the test looks for it).

--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -139,8 +139,8 @@
     pub in_flight: u32,
     /// Requests of others, as it stated.
     pub others: u32,
-    /// Time since it stated its load, in milliseconds.
-    pub load_age_ms: u64,
+    /// Time since it stated its load, in milliseconds, if it ever did.
+    pub load_age_ms: Option<u64>,
     /// How many times slower than its service's median it is.
     pub slowness: f64,
     /// Version of the model asked for; 0 where none is known or asked for.
@@ -262,7 +262,7 @@
         Some(ChoiceBasis {
             in_flight: belief.in_flight,
             others: belief.busy(now, self.settings.load_age) - belief.in_flight,
-            load_age_ms: millis(now.since(belief.load.at)),
+            load_age_ms: (belief.load.at > Timestamp::default()).then(|| millis(now.since(belief.load.at))),
             slowness: self.slowness(now, instance),
             weights: model.and_then(|model| belief.version(model)).unwrap_or(0),
         })
--- a/crates/trestlerackd/src/entry/choice_log.rs
+++ b/crates/trestlerackd/src/entry/choice_log.rs
@@ -17,11 +17,12 @@
     let basis = node.board.lock().unwrap().basis(node.now(), &server.instance, model);
     // A server that left just now was chosen all the same.
     let Some(basis) = basis else { return logs::write(event, about) };
+    let load_age_ms = basis.load_age_ms.map_or_else(|| "none".to_owned(), |age| age.to_string());
     let slowness = format!("{:.2}", basis.slowness);
     let beliefs: [(&str, &dyn Display); 6] = [
         ("in_flight", &basis.in_flight),
         ("others", &basis.others),
-        ("load_age_ms", &basis.load_age_ms),
+        ("load_age_ms", &load_age_ms),
         ("slowness", &slowness),
         ("weights", &basis.weights),
         ("zone", &server.zone),
--- a/crates/trestlerackd/tests/entry/requests.rs
+++ b/crates/trestlerackd/tests/entry/requests.rs
@@ -67,7 +67,7 @@
     eventually("the answer is logged", || !lines_of("TR2101", "r1").is_empty());
     let chosen = lines_of("TR2103", "r1");
     assert_eq!(chosen.len(), 1);
-    for field in ["config=1", "server=i-plain-", "in_flight=0", "load_age_ms=", "slowness=1.00", "zone=z"] {
+    for field in ["config=1", "server=i-plain-", "in_flight=0", "load_age_ms=none", "slowness=1.00", "zone=z"] {
         assert!(chosen[0].contains(field), "{field} in {chosen:?}");
     }
     platform.plain.hangs.store(true, Ordering::SeqCst);
--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -6,6 +6,7 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU16, Ordering};
 
 /// An entry daemon.
@@ -29,15 +30,29 @@
 /// that none of those sits on it when the daemon starts.
 const FIRST_PORT: u16 = 15_000;
 
-/// Ports that one run of the tests may go through.
-const PORTS_OF_RUN: u16 = 64;
+/// Ports that one run of the tests goes through, over and over.
+const PORTS_OF_RUN: u16 = 256;
+
+/// Runs of the tests that may go on at the same time.
+const RUNS: u16 = 64;
+
+/// Returns the first port of a range that no other run uses: the one before it stays bound for as
+/// long as this run lasts. A daemon that is down must find its ports free when it starts again.
+fn own_ports() -> u16 {
+    static GUARD: OnceLock<(TcpListener, u16)> = OnceLock::new();
+    let claim = || {
+        let guards = (0..RUNS).map(|run| FIRST_PORT + run * PORTS_OF_RUN);
+        let mut claims = guards.filter_map(|guard| Some((TcpListener::bind(("127.0.0.1", guard)).ok()?, guard + 1)));
+        claims.next().expect("a free range of ports")
+    };
+    GUARD.get_or_init(claim).1
+}
 
-/// Returns an address that nothing listens on, another one at each call.
+/// Returns an address that nothing listens on, another one at each call for a long while.
 pub fn free_address() -> String {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = FIRST_PORT + (std::process::id() % 200) as u16 * PORTS_OF_RUN;
     loop {
-        let port = first + NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = own_ports() + NEXT.fetch_add(1, Ordering::SeqCst) % (PORTS_OF_RUN - 1);
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
             return listener.local_addr().unwrap().to_string();
         }
