--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::node::{EntryNode, ServerTicket};
 use super::pool::{ConnectionLease, ExchangeError};
-use crate::process::tracing::{HopSpan, TRACE_HEADER};
+use crate::process::tracing::HopSpan;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -73,7 +73,11 @@
 ) -> Result<OpenAnswer, AttemptError> {
     let instance = ticket.server.instance.clone();
     let request_id = request.request_id.to_owned();
-    let span = start_span(node, &mut request, &ticket);
+    let span = node.hop("attempt", SpanKind::Client, &mut request.headers);
+    if let Some(span) = &span {
+        span.set("request", request_id.clone());
+        span.set("server", instance.to_string());
+    }
     let encoded = platform::encode_request(request).map_err(|error| AttemptError::NotRun(error.to_string()))?;
     let sent = node.pool.send(&ticket.server.address, encoded, wants_fresh).await;
     let (response, lease) = match sent {
@@ -111,18 +115,6 @@
     Ok(OpenAnswer { status: parts.status, headers: parts.headers, head, body, lease, ticket, span })
 }
 
-/// Starts the span of an attempt below that of its request, and hands its context to the server.
-fn start_span(node: &EntryNode, request: &mut EngineRequest<'_>, ticket: &ServerTicket) -> Option<HopSpan> {
-    let parent = request.headers.get(TRACE_HEADER).and_then(|value| value.to_str().ok());
-    let span = node.hop("attempt", SpanKind::Client, parent)?;
-    span.set("request", request.request_id.to_owned());
-    span.set("server", ticket.server.instance.to_string());
-    if let Some(context) = span.traceparent.as_deref().and_then(|context| context.parse().ok()) {
-        request.headers.insert(TRACE_HEADER, context);
-    }
-    Some(span)
-}
-
 fn note_refusal(node: &EntryNode, instance: &str, is_gone: bool) {
     let mut board = node.board.lock().unwrap();
     if is_gone {
--- a/crates/trestlerackd/src/entry/front.rs
+++ b/crates/trestlerackd/src/entry/front.rs
@@ -3,7 +3,6 @@
 use super::node::EntryNode;
 use super::{job_accept, job_calls, plain};
 use crate::process::logs;
-use crate::process::tracing::{HopSpan, TRACE_HEADER};
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -106,7 +105,10 @@
     let (mut parts, body) = request.into_parts();
     let head = platform::decode_client_head(&parts.headers);
     let id = head.request_id.clone();
-    let span = start_span(node, &mut parts.headers, &id);
+    let span = node.hop("request", SpanKind::Server, &mut parts.headers);
+    if let Some(span) = &span {
+        span.set("request", or_empty(&id).to_string());
+    }
     let Some(routing) = node.routing() else {
         logs::write(event::REQUEST_REFUSED, &[("request", &or_empty(&id)), ("why", &"no configuration is known")]);
         return platform::not_run_reply(id.as_ref(), NO_CONFIG_RETURN).map(full_reply);
@@ -138,17 +140,6 @@
     reply
 }
 
-/// Starts the span of a request below its caller's, and makes it the one that hops go below.
-fn start_span(node: &EntryNode, headers: &mut HeaderMap, id: &Option<Name>) -> Option<HopSpan> {
-    let parent = headers.get(TRACE_HEADER).and_then(|value| value.to_str().ok());
-    let span = node.hop("request", SpanKind::Server, parent)?;
-    span.set("request", or_empty(id).to_string());
-    if let Some(context) = span.traceparent.as_deref().and_then(|context| context.parse().ok()) {
-        headers.insert(TRACE_HEADER, context);
-    }
-    Some(span)
-}
-
 fn or_empty(id: &Option<Name>) -> Name {
     id.clone().unwrap_or_else(|| "".into())
 }
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -6,7 +6,8 @@
 use super::pool::ConnectionPool;
 use super::store::{DirectStore, RelayedStore};
 use crate::process::clock::SystemClock;
-use crate::process::tracing::{HopSpan, HopTracer};
+use crate::process::tracing::{HopSpan, HopTracer, TRACE_HEADER};
+use http::HeaderMap;
 use opentelemetry::trace::SpanKind;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -145,9 +146,15 @@
         })
     }
 
-    /// Starts the span of a hop, where the settings name a collector.
-    pub fn hop(&self, name: &'static str, kind: SpanKind, parent: Option<&str>) -> Option<HopSpan> {
-        self.tracer.as_ref().map(|tracer| tracer.hop(name, kind, parent))
+    /// Starts the span of a hop below the one that `headers` name, and names it there for the next
+    /// hop. Without a collector there is no span and the headers stay as they are.
+    pub fn hop(&self, name: &'static str, kind: SpanKind, headers: &mut HeaderMap) -> Option<HopSpan> {
+        let parent = headers.get(TRACE_HEADER).and_then(|value| value.to_str().ok());
+        let span = self.tracer.as_ref()?.hop(name, kind, parent);
+        if let Some(context) = span.traceparent.as_deref().and_then(|context| context.parse().ok()) {
+            headers.insert(TRACE_HEADER, context);
+        }
+        Some(span)
     }
 
     /// Returns the time now.
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -183,6 +183,23 @@
     assert_eq!(answer.status, 404);
 }
 
+/// The store takes nothing while a node that drives a job stops: it must end in time all the same,
+/// and the job is finished by another node once the store is back.
+#[test]
+fn a_stop_during_an_outage_of_the_store_ends_in_time_and_loses_no_job() {
+    let platform = Platform::start();
+    let (mut daemon, other) = two_daemons_with_a_running_job(&platform);
+    platform.store.refuse_writes(true);
+    let begun = Instant::now();
+    daemon.signal("-TERM");
+    let answer = call(&daemon.client, "POST", "/safe/x", &[("request-id", "r1")], "late").unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(daemon.wait_end());
+    assert!(begun.elapsed() < STOP_LIMIT, "{:?}", begun.elapsed());
+    platform.store.refuse_writes(false);
+    assert_eq!(read_all(&other, "job1", 4).len(), 4);
+}
+
 #[test]
 fn a_lost_history_leads_to_reads_of_what_may_still_change() {
     let platform = Platform::start();
--- a/crates/trestlerackd/tests/entry/soak/faults.rs
+++ b/crates/trestlerackd/tests/entry/soak/faults.rs
@@ -1,6 +1,6 @@
 //! Faults that are injected from outside the processes, drawn from a seed.
 
-use super::super::support::eventually;
+use super::super::support::{STOP_LIMIT, eventually};
 use super::link::{Link, LinkMode};
 use super::world::{Place, World};
 use rand::Rng;
@@ -94,7 +94,7 @@
     }
     let ended_well = wait_end(world, node);
     let was_calm = world.was_calm(node, begun, Instant::now(), Duration::ZERO, true);
-    if killed_after.is_none() && was_calm && (!ended_well || begun.elapsed() > super::STOP_LIMIT) {
+    if killed_after.is_none() && was_calm && (!ended_well || begun.elapsed() > STOP_LIMIT) {
         world.violation(format!("node {node} took {:?} to stop, with success {ended_well}", begun.elapsed()));
     }
     restart(world, node, number);
--- a/crates/trestlerackd/tests/entry/soak/mod.rs
+++ b/crates/trestlerackd/tests/entry/soak/mod.rs
@@ -19,9 +19,6 @@
 use std::time::{Duration, Instant};
 use world::World;
 
-/// Time in which a planned stop has to end; the settings of the daemons give it.
-const STOP_LIMIT: Duration = Duration::from_secs(5);
-
 /// Processes of the daemon in one soak.
 const NODES: usize = 4;
 
--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -8,6 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
 
 /// An entry daemon.
 pub struct EntryDaemon {
@@ -20,8 +21,8 @@
     log: Option<PathBuf>,
 }
 
-/// Time that a daemon has from a planned stop to its end, in seconds.
-pub const STOP_LIMIT_S: f64 = 5.0;
+/// Time that a daemon has from a planned stop to its end.
+pub const STOP_LIMIT: Duration = Duration::from_secs(5);
 
 /// Time for which ended jobs can be read; longer than any test that reads one takes.
 const RETENTION_S: u64 = 12;
@@ -99,7 +100,7 @@
         let (client, ready, peer) = (free_address(), free_address(), free_address());
         let mut text = json!({
             "name": name, "zone": "z", "client_listen": client, "ready_listen": ready, "peer_listen": peer,
-            "seeds": settings.seeds, "store": settings.store, "stop_limit_s": STOP_LIMIT_S,
+            "seeds": settings.seeds, "store": settings.store, "stop_limit_s": STOP_LIMIT.as_secs_f64(),
             "order_handover_ms": settings.order_handover_ms, "retention_s": settings.retention_s,
         });
         if !settings.otlp_endpoint.is_empty() {
--- a/crates/trestlerackd/tests/entry/support/mod.rs
+++ b/crates/trestlerackd/tests/entry/support/mod.rs
@@ -8,7 +8,7 @@
 mod store;
 
 pub use client::{call, read_answer, send};
-pub use daemon::{DaemonSettings, EntryDaemon, free_address};
+pub use daemon::{DaemonSettings, EntryDaemon, STOP_LIMIT, free_address};
 pub use platform::{
     EVENTS, EngineOrder, Platform, job_body_of, job_body_with, read_all, read_stream_from, submit, whole_text,
 };
