End the driver of a job whose end came while it was taken over

Cause: a successor reads head and end, then the submission, and writes the head on condition that the head is unchanged. The end is a row of its own. When its news came between the read and the entry in the list of drivers, it was noted in the view of the job and found no driver to tell, so the driver that started afterwards ran items until the job was whole. Change: the driver asks for the end once it is listed.

--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -152,6 +152,10 @@
     let ledger = JobLedger::new(spec.clone(), settings.clone(), Vec::new(), HashMap::new());
     let driver = Arc::new(JobDriver::new(spec.clone(), ledger));
     node.drivers.lock().unwrap().insert(spec.id.clone(), driver.clone());
+    // News of the job's end that came after its rows were read found no driver to tell.
+    if node.job(&spec.id).is_some_and(|view| view.is_ended) {
+        driver.end();
+    }
     tokio::spawn(async move {
         let loaded = job_texts::load_state(&node, &spec, &head, settings).await;
         match loaded {
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -244,3 +244,24 @@
     let page = call(&other.client, "GET", path, &[], "").unwrap().json();
     assert_eq!(page["results"].as_array().unwrap().len(), 4, "{page}");
 }
+
+/// News of an end that comes between the rows that a successor read and its first look at the job.
+#[test]
+fn a_job_that_ends_while_it_is_taken_over_runs_nothing_afterwards() {
+    let platform = Platform::start();
+    let mut daemon = EntryDaemon::start("a", &platform.store, &[]);
+    let other = EntryDaemon::start("b", &platform.store, &[&daemon.peer]);
+    platform.engine.pace_ms.store(300, Ordering::SeqCst);
+    assert_eq!(submit(&daemon, "job1", 40), 202);
+    eventually("items run", || !platform.engine.runs.lock().unwrap().is_empty());
+    platform.store.slow_down_reads("specs", 500);
+    daemon.signal("-KILL");
+    daemon.wait_end();
+    let reads = platform.store.reads("job1");
+    eventually("the other node reads the job to take it over", || platform.store.reads("job1") > reads);
+    assert_eq!(call(&other.client, "DELETE", "/trestlerack/lots/job1", &[], "").unwrap().status, 200);
+    let runs = || platform.engine.runs.lock().unwrap().len();
+    let before = runs();
+    std::thread::sleep(Duration::from_secs(3));
+    assert_eq!(runs(), before, "an item ran after the end of its job");
+}
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -37,6 +37,8 @@
     reads: BTreeMap<String, usize>,
     /// Time that every call waits first, in milliseconds.
     slow_ms: u64,
+    /// Time that reads of this table wait first, in milliseconds.
+    slow_table: Option<(&'static str, u64)>,
 }
 
 /// The store of the platform.
@@ -105,6 +107,10 @@
         self.state.0.lock().unwrap().slow_ms = slow_ms;
     }
 
+    pub fn slow_down_reads(&self, table: &'static str, slow_ms: u64) {
+        self.state.0.lock().unwrap().slow_table = Some((table, slow_ms));
+    }
+
     /// Returns how often a partition was read.
     pub fn reads(&self, partition: &str) -> usize {
         self.state.0.lock().unwrap().reads.get(partition).copied().unwrap_or(0)
@@ -136,7 +142,11 @@
         let value = pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next().unwrap_or("");
         decode_percent(value)
     };
-    let slow_ms = shared.0.lock().unwrap().slow_ms;
+    let slow_ms = {
+        let state = shared.0.lock().unwrap();
+        let of_table = state.slow_table.filter(|(table, _)| path.ends_with("rows-get") && *table == parameter("table"));
+        state.slow_ms + of_table.map_or(0, |(_, slow_ms)| slow_ms)
+    };
     std::thread::sleep(Duration::from_millis(slow_ms));
     let now_ms = started.elapsed().as_millis() as u64;
     let mut state = shared.0.lock().unwrap();
