Ask cargo where its programs are

The demo and the measurements looked for programs in target/release and failed ("table did not start") where the caller's environment sets CARGO_TARGET_DIR. cargo metadata knows the place, also where a settings file moves it. Checked with and without the variable: the place it names follows.

--- a/measure/lib.sh
+++ b/measure/lib.sh
@@ -1,7 +1,8 @@
 # Starts and stops processes for the demo and the measurements; sourced, not run.
 # Everything is on loopback with port 0, and everything that was started is ended by pid.
 
-bin=target/release
+# Cargo says where its programs are; the caller's environment or settings may have moved the place.
+bin=$(cargo metadata --locked --no-deps --format-version 1 | sed -n 's/.*"target_directory":"\([^"]*\)".*/\1/p')/release
 
 # open_run NAME: builds, makes the folder $out and arranges that everything stops at the end.
 open_run() {
