--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -83,15 +83,6 @@
     at: Timestamp,
 }
 
-/// Requests that a server refused in a row.
-#[derive(Clone, Copy, Debug, Default)]
-struct RefusalPause {
-    in_a_row: u32,
-    until: Timestamp,
-    /// Whether a request tries the server again.
-    is_tried: bool,
-}
-
 /// What this node believes of one server.
 #[derive(Clone, Debug)]
 pub struct ServerBelief {
@@ -103,11 +94,10 @@
     pace_ms: Option<f64>,
     pace_at: Timestamp,
     failures: u32,
-    refusals: BTreeMap<Name, RefusalPause>,
+    refusals: u32,
     not_before: Timestamp,
     versions: BTreeMap<Name, WeightVersion>,
-    /// Model that it loads, and when that should be done; it serves its other models meanwhile.
-    loading: Option<(Name, Timestamp)>,
+    loading_until: Option<Timestamp>,
 }
 
 impl ServerBelief {
@@ -120,10 +110,10 @@
             pace_ms: None,
             pace_at: Timestamp::default(),
             failures: 0,
-            refusals: BTreeMap::new(),
+            refusals: 0,
             not_before: Timestamp::default(),
             versions,
-            loading: None,
+            loading_until: None,
         }
     }
 
@@ -219,14 +209,12 @@
 
     fn will_do(&self, now: Timestamp, belief: &ServerBelief, need: &ServerNeed<'_>) -> bool {
         let is_new_enough = need.weights.is_none_or(|(model, oldest)| {
-            let is_loading = belief.loading.as_ref().is_some_and(|(of, until)| **of == *model && now < *until);
+            let is_loading = belief.loading_until.is_some_and(|until| now < until);
             let is_right = |version: WeightVersion| version >= oldest && need.pinned.is_none_or(|v| version == v);
             !is_loading && belief.version(model).is_some_and(is_right)
         });
         let has_place = !need.wants_free_place || belief.busy(now, self.settings.load_age) < belief.slots();
-        let model = need.weights.map_or("", |(model, _)| model);
-        let is_refusing = belief.refusals.get(model).is_some_and(|refusals| refusals.until > now);
-        let is_open = !belief.entry.is_draining && belief.not_before <= now && !is_refusing;
+        let is_open = !belief.entry.is_draining && belief.not_before <= now;
         is_open && is_new_enough && has_place && !need.avoid.contains(&belief.entry.instance)
     }
 
@@ -280,26 +268,9 @@
         })
     }
 
-    /// Records that a request was sent to a server. After a refusal one request for the model at a time
-    /// tries the server again, until one is taken: a load that takes longer than planned would refuse
-    /// as many at once as the server has places.
-    pub fn started(&mut self, now: Timestamp, instance: &str, model: Option<&str>) {
-        let longest = self.settings.refusal_pause_max;
-        self.change(instance, |belief| {
-            belief.in_flight += 1;
-            let refusals = model.and_then(|model| belief.refusals.get_mut(model));
-            if let Some(refusals) = refusals {
-                refusals.until = now + longest;
-                refusals.is_tried = true;
-            }
-        });
-    }
-
-    /// Records that a server took a request for a model, whatever becomes of it.
-    pub fn accepted(&mut self, instance: &str, model: Option<&str>) {
-        self.change(instance, |belief| {
-            belief.refusals.remove(model.unwrap_or_default());
-        });
+    /// Records that a request was sent to a server.
+    pub fn started(&mut self, instance: &str) {
+        self.change(instance, |belief| belief.in_flight += 1);
     }
 
     /// Records that a server no longer works on a request of this node.
@@ -311,6 +282,7 @@
     pub fn succeeded(&mut self, instance: &str) {
         self.change(instance, |belief| {
             belief.failures = 0;
+            belief.refusals = 0;
         });
     }
 
@@ -326,19 +298,17 @@
         pause
     }
 
-    /// Records that a server refused a request for a model, because it is full or loads that model's
-    /// weights. It stays open to other models, which a load does not concern: an engine that carries
-    /// out an order late refuses one model for seconds.
-    pub fn refused(&mut self, now: Timestamp, instance: &str, model: Option<&str>) {
+    /// Records that a server refused a request, because it is full or loads weights.
+    pub fn refused(&mut self, now: Timestamp, instance: &str) {
         let (first, longest) = (self.settings.refusal_pause, self.settings.refusal_pause_max);
         self.change(instance, |belief| {
-            let refusals = belief.refusals.entry(model.unwrap_or_default().into()).or_default();
             // Refusals of requests that were sent together count as one.
-            if refusals.until > now && !refusals.is_tried {
+            if belief.not_before > now {
                 return;
             }
-            let pause = (first * 2_u32.saturating_pow(refusals.in_a_row.min(16))).min(longest);
-            *refusals = RefusalPause { in_a_row: refusals.in_a_row + 1, until: now + pause, is_tried: false };
+            let pause = (first * 2_u32.saturating_pow(belief.refusals.min(16))).min(longest);
+            belief.refusals += 1;
+            belief.not_before = now + pause;
         });
     }
 
@@ -368,12 +338,12 @@
         });
     }
 
-    /// Records that a server loads a version of a model until `until` and holds it from then on.
+    /// Records that a server loads a version until `until` and holds it from then on.
     pub fn loading(&mut self, instance: &str, model: &str, version: WeightVersion, until: Timestamp) {
         self.change(instance, |belief| {
             let held = belief.versions.entry(model.into()).or_insert(version);
             *held = (*held).max(version);
-            belief.loading = Some((model.into(), until));
+            belief.loading_until = Some(until);
         });
     }
 
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -102,11 +102,10 @@
     let is_other_server = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if head.is_not_run || is_other_server {
         let is_gone = platform::names_instance(&parts.headers).is_some_and(|other| other != instance);
-        note_refusal(node, &ticket, is_gone);
+        note_refusal(node, &instance, is_gone);
         keep_after_body(node, body, lease, &head).await;
         return Err(AttemptError::NotRun(format!("refused with {}", parts.status)));
     }
-    node.board.lock().unwrap().accepted(&instance, ticket.model.as_deref());
     if head.is_encoded {
         return Err(AttemptError::MayHaveRun("the answer is encoded, so it is not the server's own body".into()));
     }
@@ -116,12 +115,12 @@
     Ok(OpenAnswer { status: parts.status, headers: parts.headers, head, body, lease, ticket, span })
 }
 
-fn note_refusal(node: &EntryNode, ticket: &ServerTicket, is_gone: bool) {
+fn note_refusal(node: &EntryNode, instance: &str, is_gone: bool) {
     let mut board = node.board.lock().unwrap();
     if is_gone {
-        board.failed(node.now(), &ticket.server.instance);
+        board.failed(node.now(), instance);
     } else {
-        board.refused(node.now(), &ticket.server.instance, ticket.model.as_deref());
+        board.refused(node.now(), instance);
     }
 }
 
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -268,15 +268,13 @@
     node: Arc<EntryNode>,
     /// The server.
     pub server: ServerEntry,
-    /// Model that the request asks for, where this node knows.
-    pub model: Option<Name>,
 }
 
 impl ServerTicket {
     /// Counts a request in.
-    pub fn new(node: &Arc<EntryNode>, server: ServerEntry, model: Option<Name>) -> Self {
-        node.board.lock().unwrap().started(node.now(), &server.instance, model.as_deref());
-        Self { node: node.clone(), server, model }
+    pub fn new(node: &Arc<EntryNode>, server: ServerEntry) -> Self {
+        node.board.lock().unwrap().started(&server.instance);
+        Self { node: node.clone(), server }
     }
 }
 
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -170,7 +170,7 @@
     let about: [(&str, &dyn std::fmt::Display); 3] =
         [("request", &id), ("config", &config), ("server", &entry.instance)];
     choice_log::write_choice(node, event::SERVER_CHOSEN, &about, &entry, model);
-    Some(ServerTicket::new(node, entry, None))
+    Some(ServerTicket::new(node, entry))
 }
 
 pub fn engine_request<'a>(request: &'a ClientRequest, instance: &'a str, left: Duration) -> EngineRequest<'a> {
@@ -211,7 +211,7 @@
     let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone());
     let Some(entry) = entry else { return ScoreEnd::NoAnswer };
     let instance = entry.instance.clone();
-    let ticket = ServerTicket::new(node, entry, None);
+    let ticket = ServerTicket::new(node, entry);
     let request = EngineRequest {
         method: Method::POST,
         path: &call.path,
