Revert "Pace the loads of weights by the load times that are seen"

What to look at first: questions and orders of one look are waited for together, so one engine that does not answer for 0.8 s holds up nine loads; and the holder, with an eighth of a core, asks each engine once more for each load.

--- a/crates/trestlerack/src/version/mod.rs
+++ b/crates/trestlerack/src/version/mod.rs
@@ -4,7 +4,6 @@
 mod configuration;
 mod declaration;
 mod follower;
-mod load_pacer;
 mod plan;
 mod rollout;
 mod routing;
@@ -17,7 +16,6 @@
     Backend, BackendKind, Campaign, DECLARATION_SECTIONS, Declaration, User, Zone, parse_declaration,
 };
 pub use follower::{ConfigFollower, FollowAction, FollowEvent};
-pub use load_pacer::{LoadPacer, LoadTime};
 pub use plan::{ChangePlan, PlanError, plan_change};
 pub use rollout::{
     EngineOrder, EngineRollout, RolloutEngine, RolloutEvent, RolloutPlanner, RolloutSettings, WeightTarget,
--- a/crates/trestlerack/src/version/weight_plan.rs
+++ b/crates/trestlerack/src/version/weight_plan.rs
@@ -1,6 +1,6 @@
 //! Decides which engine loads which weight version next, for the holder of the order lease.
 
-use super::{LoadPacer, LoadTime, WeightVersion};
+use super::WeightVersion;
 use crate::process::ServerEntry;
 use crate::{Name, Timestamp};
 use serde::{Deserialize, Serialize};
@@ -10,11 +10,10 @@
 /// Settings of a [`WeightPlan`].
 #[derive(Clone, Debug)]
 pub struct WeightPlanSettings {
-    /// Share of a service's engines that load at once until load times were seen; [`LoadPacer`] goes on
-    /// from there. The users' sheets slow loads down from two of nine to twelve engines on, and from
-    /// nine of 44: a fifth in each case.
+    /// Share of a service's engines that may load at once. The users' sheets slow loads down from
+    /// two of nine to eleven engines on, and from nine of 44: a fifth in each case.
     pub parallel_share: f64,
-    /// Engines that load at once in any case before that.
+    /// Engines that may load at once in any case.
     pub parallel_least: usize,
     /// Share of a model's engines that are brought to its newest version at once, while jobs accept
     /// the one before as well. The others load when the next version is named: each engine then
@@ -23,11 +22,6 @@
     pub newest_share: f64,
     /// Time that a load takes; the users' sheets say 0.9 s.
     pub load_time: Duration,
-    /// Time after its order at which an engine is asked whether it has loaded. Its report is some 100
-    /// ms old, so an engine that took the usual time is asked once.
-    pub check_time: Duration,
-    /// Pause before an engine that still loads is asked again.
-    pub check_pause: Duration,
     /// Pause before an engine whose order failed is ordered again.
     pub retry_pause: Duration,
     /// Time after which service discovery must show a load, or it counts as not done: three
@@ -42,8 +36,6 @@
             parallel_least: 2,
             newest_share: 0.5,
             load_time: Duration::from_millis(950),
-            check_time: Duration::from_millis(1_000),
-            check_pause: Duration::from_millis(100),
             retry_pause: Duration::from_millis(150),
             proof_time: Duration::from_millis(4_500),
         }
@@ -105,32 +97,11 @@
     NotSent,
 }
 
-/// An order that an engine accepted and is not known to have carried out.
-#[derive(Clone, Copy, Debug)]
-struct PendingLoad {
-    version: WeightVersion,
-    accepted_at: Timestamp,
-    /// Whether the engine is still to be asked whether it has loaded.
-    is_unproven: bool,
-    /// Whether it said that it still loads.
-    is_slow: bool,
-    /// Whether the pacer was told how long it took.
-    is_told: bool,
-}
-
-impl PendingLoad {
-    fn new(version: WeightVersion, accepted_at: Timestamp) -> Self {
-        Self { version, accepted_at, is_unproven: true, is_slow: false, is_told: false }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct EngineState {
     model: Name,
     held: WeightVersion,
-    pending: Option<PendingLoad>,
-    /// Whether the engine is being asked whether it has loaded.
-    is_checking: bool,
+    ordered: Option<(WeightVersion, Timestamp)>,
     is_sending: bool,
     orders: Option<u64>,
     not_before: Timestamp,
@@ -144,8 +115,6 @@
     /// How many versions behind the target a model's jobs accept.
     lags: BTreeMap<Name, WeightVersion>,
     engines: BTreeMap<Name, EngineState>,
-    /// How many engines load at once; `None` before the first load.
-    pacer: Option<LoadPacer>,
 }
 
 impl WeightPlan {
@@ -167,12 +136,10 @@
     }
 
     /// Takes over the registered engines of the service, which serves `models`, and what the
-    /// store, whose clock says `clock_ms`, tells of their models and last orders. Returns the engines
-    /// whose model was decided or changed now.
+    /// store says about their models. Returns the engines whose model was decided or changed now.
     pub fn sync(
         &mut self,
         now: Timestamp,
-        clock_ms: u64,
         models: &[Name],
         entries: &[&ServerEntry],
         assigned: &BTreeMap<Name, EngineAssignment>,
@@ -181,20 +148,12 @@
         let mut decided = Vec::new();
         for entry in entries {
             if !self.engines.contains_key(&entry.instance) {
-                let assignment = assigned.get(&entry.instance);
-                let known = assignment.map(|assignment| assignment.model.clone());
+                let known = assigned.get(&entry.instance).map(|assignment| assignment.model.clone());
                 let Some(model) = known.clone().or_else(|| self.least_served(models)) else { continue };
                 if known.is_none() {
                     decided.push((entry.instance.clone(), model.clone()));
                 }
-                let mut state = EngineState::new(model);
-                if let Some(order) = assignment.filter(|assignment| assignment.version > 0) {
-                    let age = Duration::from_millis(clock_ms.saturating_sub(order.ordered_ms));
-                    if age < self.settings.proof_time {
-                        state.adopt(now - age, order.version);
-                    }
-                }
-                self.engines.insert(entry.instance.clone(), state);
+                self.engines.insert(entry.instance.clone(), EngineState::new(model));
             }
             self.observe(now, entry);
         }
@@ -206,14 +165,14 @@
         let proof_time = self.settings.proof_time;
         let Some(state) = self.engines.get_mut(&entry.instance) else { return };
         let listed = entry.models.iter().find(|(model, _)| *model == state.model).map_or(0, |(_, version)| *version);
-        match state.pending {
-            Some(load) if listed >= load.version => {
-                state.pending = None;
+        match state.ordered {
+            Some((version, _)) if listed >= version => {
+                state.ordered = None;
                 state.held = state.held.max(listed);
             }
             // The list still shows an older version long after the order: it was not carried out.
-            Some(load) if now.since(load.accepted_at) >= proof_time => {
-                state.pending = None;
+            Some((_, at)) if now.since(at) >= proof_time => {
+                state.ordered = None;
                 state.orders = None;
                 state.held = listed;
             }
@@ -247,17 +206,15 @@
         }
     }
 
-    /// Returns the orders to send now, engines with the oldest weights first, and as orders without a
-    /// count the engines to ask whether they have loaded; `busy` says how much an engine has to do,
-    /// since idle ones load first, or that it may not be ordered yet.
+    /// Returns the orders to send now, engines with the oldest weights first; `busy` says how much
+    /// an engine has to do, since idle ones load first, or that it may not be ordered yet.
     pub fn next_orders(&mut self, now: Timestamp, busy: impl Fn(&str) -> Option<u32>) -> Vec<DueOrder> {
-        let mut orders = self.next_checks(now);
-        let most = self.pacer().limit();
-        let loading = self.engines.values().filter(|state| state.is_loading(now, &self.settings)).count();
+        let share = (self.engines.len() as f64 * self.settings.parallel_share).round() as usize;
+        let most = share.max(self.settings.parallel_least);
+        let loading = self.engines.values().filter(|state| self.is_loading(now, state)).count();
         let mut due: Vec<(WeightVersion, u32, Name)> = Vec::new();
         for (instance, state) in &self.engines {
-            let is_free = !state.is_loading(now, &self.settings) && !state.is_checking;
-            if !is_free || now < state.not_before || !self.wants_load(state) {
+            if self.is_loading(now, state) || now < state.not_before || !self.wants_load(state) {
                 continue;
             }
             if let Some(busy) = busy(instance) {
@@ -266,6 +223,7 @@
         }
         self.keep_share(&mut due);
         due.truncate(most.saturating_sub(loading));
+        let mut orders = Vec::new();
         for (_, _, instance) in due {
             let Some(state) = self.engines.get_mut(&instance) else { continue };
             state.is_sending = true;
@@ -275,24 +233,9 @@
         orders
     }
 
-    fn pacer(&mut self) -> &mut LoadPacer {
-        let share = (self.engines.len() as f64 * self.settings.parallel_share).round() as usize;
-        let first = share.max(self.settings.parallel_least);
-        self.pacer.get_or_insert_with(|| LoadPacer::new(first))
-    }
-
-    /// Returns the engines whose load should be over by now, as questions.
-    fn next_checks(&mut self, now: Timestamp) -> Vec<DueOrder> {
-        let mut checks = Vec::new();
-        for (instance, state) in &mut self.engines {
-            let Some(load) = state.pending.filter(|load| load.is_unproven && !state.is_checking) else { continue };
-            if now.since(load.accepted_at) >= self.settings.check_time && now >= state.not_before {
-                state.is_checking = true;
-                let (instance, model) = (instance.clone(), state.model.clone());
-                checks.push(DueOrder { instance, model, version: load.version, orders_before: None });
-            }
-        }
-        checks
+    fn is_loading(&self, now: Timestamp, state: &EngineState) -> bool {
+        let load_time = self.settings.load_time;
+        state.is_sending || state.ordered.is_some_and(|(_, at)| now.since(at) < load_time)
     }
 
     fn wants_load(&self, state: &EngineState) -> bool {
@@ -329,7 +272,7 @@
         state.is_sending = false;
         match outcome {
             OrderOutcome::Accepted => {
-                state.pending = Some(PendingLoad::new(order.version, now));
+                state.ordered = Some((order.version, now));
                 state.orders = Some(orders_before + 1);
             }
             OrderOutcome::Held => {
@@ -346,59 +289,25 @@
 
     /// Records what an engine reported when it was asked.
     pub fn reported(&mut self, now: Timestamp, instance: &str, version: WeightVersion, is_loading: bool, orders: u64) {
-        let (pause, check_pause) = (self.settings.retry_pause, self.settings.check_pause);
+        let pause = self.settings.retry_pause;
         let Some(state) = self.engines.get_mut(instance) else { return };
         state.is_sending = false;
-        state.is_checking = false;
-        state.held = state.held.max(version);
-        let load = state.pending;
-        match &mut state.pending {
-            _ if !is_loading => {
-                state.orders = Some(orders);
-                state.pending = None;
-            }
-            Some(load) => {
-                load.is_slow = true;
-                state.not_before = now + check_pause;
-            }
-            None => {
-                state.orders = None;
-                state.not_before = now + pause;
-            }
+        state.orders = Some(orders);
+        if version > state.held {
+            state.held = version;
         }
-        if let Some(load) = load {
-            self.note_load_time(now, instance, load, is_loading);
+        if is_loading {
+            state.orders = None;
+            state.not_before = now + pause;
         }
     }
 
-    /// Tells the pacer once how long a load took: when it is over, or as soon as it is slow.
-    fn note_load_time(&mut self, now: Timestamp, instance: &str, load: PendingLoad, is_loading: bool) {
-        let (took, usual) = (now.since(load.accepted_at), self.settings.load_time);
-        if load.is_told || (is_loading && !LoadPacer::is_slow(took, usual)) {
-            return;
-        }
-        let is_other =
-            |other: &Name, state: &EngineState| &**other != instance && state.is_loading(now, &self.settings);
-        let others = self.engines.iter().filter(|(other, state)| is_other(other, state));
-        let at_once = others.count() + 1;
-        self.pacer().loaded(now, LoadTime { accepted_at: load.accepted_at, took, usual, at_once });
-        if let Some(load) = self.engines.get_mut(instance).and_then(|state| state.pending.as_mut()) {
-            load.is_told = true;
-        }
-    }
-
-    /// Records that an engine could not be asked. Whether it still loads is then left open, so that an
-    /// engine which is gone holds nobody up.
+    /// Records that an engine could not be asked.
     pub fn unreachable(&mut self, now: Timestamp, instance: &str) {
         let pause = self.settings.retry_pause;
         let Some(state) = self.engines.get_mut(instance) else { return };
         state.is_sending = false;
-        state.is_checking = false;
         state.not_before = now + pause;
-        if let Some(load) = &mut state.pending {
-            load.is_unproven = false;
-            load.is_slow = false;
-        }
     }
 
     /// Returns the engines with their models.
@@ -410,27 +319,10 @@
 impl EngineState {
     /// Returns the version that the engine holds, or will once it has loaded.
     fn coming(&self) -> WeightVersion {
-        self.pending.map_or(self.held, |load| load.version)
-    }
-
-    /// Returns whether an order is on its way to the engine or it loads, as far as the usual time and
-    /// its own word tell. An engine that does not answer the question counts no longer.
-    fn is_loading(&self, now: Timestamp, settings: &WeightPlanSettings) -> bool {
-        let is_at_it = |load: PendingLoad| {
-            let answer_time = settings.check_time + settings.check_pause;
-            let at_most = if load.is_unproven { answer_time } else { settings.load_time };
-            load.is_slow || now.since(load.accepted_at) < at_most
-        };
-        self.is_sending || self.pending.is_some_and(is_at_it)
-    }
-
-    /// Takes over a load that an earlier holder of the order lease began.
-    fn adopt(&mut self, accepted_at: Timestamp, version: WeightVersion) {
-        self.pending = Some(PendingLoad { is_told: true, ..PendingLoad::new(version, accepted_at) });
+        self.ordered.map_or(self.held, |(version, _)| version)
     }
 
     fn new(model: Name) -> Self {
-        let not_before = Timestamp::default();
-        Self { model, held: 0, pending: None, is_checking: false, is_sending: false, orders: None, not_before }
+        Self { model, held: 0, ordered: None, is_sending: false, orders: None, not_before: Timestamp::default() }
     }
 }
--- a/crates/trestlerackd/src/entry/order_lease.rs
+++ b/crates/trestlerackd/src/entry/order_lease.rs
@@ -13,8 +13,8 @@
 use trestlerack::version::WeightPlan;
 use trestlerack::{Name, Timestamp, event};
 
-/// Interval between two looks. It adds to the time between two loads, of which a load takes 0.9 s.
-const LOOK_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time for which a renewal of the lease holds. Short, because nobody orders until a new holder
 /// has waited for it and for the orders that may be on their way.
--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -37,8 +37,7 @@
             plan.allow_lag(model, node.accepted_lag(model));
         }
         let assigned = node.assignments.lock().unwrap().clone();
-        let clock_ms = node.store.clock_ms();
-        let decided = plan.sync(node.now(), clock_ms, &service.models, &entries.iter().collect::<Vec<_>>(), &assigned);
+        let decided = plan.sync(node.now(), &service.models, &entries.iter().collect::<Vec<_>>(), &assigned);
         for (instance, model) in decided {
             let holder = node.settings.name.clone();
             let assignment = EngineAssignment { model, version: 0, ordered_ms: 0, tried_ms: 0, holder };
