Let score calls take as long as their route allows, at two servers if one is late

Cause: a score call was cut after 700 ms, a constant that fits work of 30 ms. On the deployment of hundreds of VMs a call works for 200 ms in the mean and up to 1.5 s, and its route allows 3 s. A longer one was cut, answered 504 by its server, and sent again for ever: its item waited for a score until its trainer gave the step up, and one such item in eight spoils a group of eight.

Change: the limit is the route's. A call that takes longer than is usual for its service (mean and four deviations of its answers, the route's target latency until eight are known) goes to a second server beside the first one, which goes on; servers that were asked first and are overtaken pause. Calls of one job at once are two thirds of the places that discovery lists (16 of 24 on the first sheets, 252 of 378 here) in place of 16.

Ruled out: a longer constant.

Test: score_calls_may_take_as_long_as_their_route_allows failed before (no result within 20 s).

--- /dev/null
+++ b/crates/trestlerack/src/process/answer_time.rs
@@ -0,0 +1,45 @@
+//! What is a usual time for an answer of a service.
+
+use std::time::Duration;
+
+/// Answers after which the estimate is used; the first few of a service may all be short.
+const LEAST_ANSWERS: u32 = 8;
+
+/// Weights of a new answer in the running mean and in the running deviation, those of TCP's
+/// retransmission timer.
+const MEAN_WEIGHT: f64 = 0.125;
+const DEVIATION_WEIGHT: f64 = 0.25;
+
+/// Deviations above the mean at which an answer counts as late, as in TCP's retransmission timer.
+const DEVIATIONS: f64 = 4.0;
+
+/// Least share of the mean that is added to it, where answers hardly differ.
+const LEAST_ADDED: f64 = 1.0;
+
+/// Estimates how long answers of one service take at most, as a rule.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AnswerTime {
+    mean_ms: f64,
+    deviation_ms: f64,
+    answers: u32,
+}
+
+impl AnswerTime {
+    /// Records how long a good answer took.
+    pub fn record(&mut self, took: Duration) {
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        if self.answers == 0 {
+            (self.mean_ms, self.deviation_ms) = (took_ms, took_ms / 2.0);
+        } else {
+            self.deviation_ms += DEVIATION_WEIGHT * ((took_ms - self.mean_ms).abs() - self.deviation_ms);
+            self.mean_ms += MEAN_WEIGHT * (took_ms - self.mean_ms);
+        }
+        self.answers = self.answers.saturating_add(1);
+    }
+
+    /// Returns the time after which an answer is late, or `None` while too few are known.
+    pub fn usual(&self) -> Option<Duration> {
+        let added_ms = (self.deviation_ms * DEVIATIONS).max(self.mean_ms * LEAST_ADDED);
+        (self.answers >= LEAST_ANSWERS).then(|| Duration::from_secs_f64((self.mean_ms + added_ms) / 1_000.0))
+    }
+}
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as the process: peers, ownership, leases, limits, steps and the spool.
 
+mod answer_time;
 mod broadcast;
 mod entry_settings;
 mod lease;
--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -3,6 +3,7 @@
 //! Beliefs come from service discovery, from the servers' own answers and from the runs that this
 //! node made on them; no server is asked anything only to learn its state.
 
+use super::answer_time::AnswerTime;
 use super::registry::{ServerEntry, ServerRegistry};
 use crate::time::millis;
 use crate::version::WeightVersion;
@@ -152,12 +153,14 @@
 pub struct ServerBoard {
     settings: BoardSettings,
     servers: BTreeMap<Name, ServerBelief>,
+    /// How long answers take, by service.
+    answer_times: BTreeMap<Name, AnswerTime>,
 }
 
 impl ServerBoard {
     /// Builds an empty board.
     pub fn new(settings: BoardSettings) -> Self {
-        Self { settings, servers: BTreeMap::new() }
+        Self { settings, ..Self::default() }
     }
 
     /// Takes over the registered servers.
@@ -268,6 +271,21 @@
         })
     }
 
+    /// Returns how many requests all servers of a service run at once.
+    pub fn places(&self, service: &str) -> u32 {
+        self.of_service(service).filter(|belief| !belief.entry.is_draining).map(ServerBelief::slots).sum()
+    }
+
+    /// Returns the time after which an answer of a service is late, once enough answers are known.
+    pub fn usual_answer_time(&self, service: &str) -> Option<Duration> {
+        self.answer_times.get(service)?.usual()
+    }
+
+    /// Records how long a good answer of a service took.
+    pub fn answered(&mut self, service: &Name, took: Duration) {
+        self.answer_times.entry(service.clone()).or_default().record(took);
+    }
+
     /// Records that a request was sent to a server.
     pub fn started(&mut self, instance: &str) {
         self.change(instance, |belief| belief.in_flight += 1);
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -2,7 +2,7 @@
 
 use super::job_driver::JobDriver;
 use super::node::EntryNode;
-use super::plain::{self, ScoreEnd};
+use super::score_calls::{self, ScoreEnd};
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,14 +11,20 @@
 /// Pause before a score call without an answer is made again.
 const SCORE_PAUSE: Duration = Duration::from_millis(30);
 
-/// Score calls of one job at once; the scoring services of the users' sheets have 18 to 24 places.
-const SCORES_AT_ONCE: usize = 16;
+/// Share of the places of all scoring servers that the calls of one job may take, so that clients'
+/// requests to the same servers find one.
+const SCORE_SHARE: f64 = 0.67;
 
+/// Starts score calls for the whole texts that have none, as far as there are places for them.
 pub fn start_scores(node: &Arc<EntryNode>, driver: &Arc<JobDriver>) {
     let unscored = driver.ledger.lock().unwrap().unscored();
+    if unscored.is_empty() {
+        return;
+    }
+    let most = scores_at_once(node, driver);
     for index in unscored {
         let mut scoring = driver.scoring.lock().unwrap();
-        if scoring.len() >= SCORES_AT_ONCE {
+        if scoring.len() >= most {
             return;
         }
         if scoring.insert(index) {
@@ -27,6 +33,15 @@
     }
 }
 
+fn scores_at_once(node: &EntryNode, driver: &JobDriver) -> usize {
+    let scorer = driver.spec.items.iter().find_map(|item| item.scorer.as_ref());
+    let routing = node.routing();
+    let route = scorer.zip(routing.as_ref()).and_then(|(scorer, routing)| routing.select(&scorer.host, &scorer.path));
+    let service = route.zip(scorer).and_then(|(route, scorer)| route.service_for(&scorer.id));
+    let places = service.map_or(0, |service| node.board.lock().unwrap().places(service));
+    ((f64::from(places) * SCORE_SHARE) as usize).max(1)
+}
+
 async fn score_item(node: Arc<EntryNode>, driver: Arc<JobDriver>, index: usize) {
     match &driver.spec.items[index].scorer {
         None => driver.ledger.lock().unwrap().settle(index, None),
@@ -34,7 +49,7 @@
             if !driver.is_driving() {
                 break;
             }
-            match plain::score(&node, call).await {
+            match score_calls::score(&node, call).await {
                 ScoreEnd::Scored(signature) => {
                     driver.ledger.lock().unwrap().settle(index, Some(signature));
                     break;
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod plain;
 mod pool;
 mod retention;
+mod score_calls;
 mod stop;
 mod store;
 mod streams;
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -5,12 +5,10 @@
 use super::node::{EntryNode, ServerTicket};
 use super::trail::RequestTrail;
 use super::{choice_log, streams};
-use crate::process::logs;
-use http::{HeaderMap, Method, Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::process::ServerNeed;
-use trestlerack::request::ScoreCall;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform::{self as platform, EngineRequest};
@@ -59,7 +57,8 @@
     reply
 }
 
-fn time_limit(route: &RequestRoute, time_left: Option<Duration>) -> Duration {
+/// Returns how long a request may take that its client gives `time_left`.
+pub fn time_limit(route: &RequestRoute, time_left: Option<Duration>) -> Duration {
     const NO_LIMIT: Duration = Duration::from_secs(60);
     let route_limit = if route.timeout_ms == 0 { NO_LIMIT } else { Duration::from_millis(route.timeout_ms) };
     time_left.map_or(route_limit, |left| left.min(route_limit))
@@ -190,60 +189,3 @@
         body: request.body.clone(),
     }
 }
-
-/// How a score call came out.
-pub enum ScoreEnd {
-    /// The signature of the scoring service's answer.
-    Scored(Name),
-    /// The scoring service answered that it failed, which counts against the item.
-    Failed,
-    /// There is no answer; the call may be made again.
-    NoAnswer,
-}
-
-/// Scores the text of an item. The call may be repeated.
-pub async fn score(node: &Arc<EntryNode>, call: &ScoreCall) -> ScoreEnd {
-    const LIMIT: Duration = Duration::from_millis(700);
-    let Some(routing) = node.routing() else { return ScoreEnd::NoAnswer };
-    let Some(route) = routing.select(&call.host, &call.path) else { return ScoreEnd::NoAnswer };
-    let Some(service) = route.service_for(&call.id) else { return ScoreEnd::NoAnswer };
-    let need = ServerNeed { service, wants_free_place: true, zone: &node.settings.zone, ..ServerNeed::default() };
-    let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone());
-    let Some(entry) = entry else { return ScoreEnd::NoAnswer };
-    let instance = entry.instance.clone();
-    let ticket = ServerTicket::new(node, entry);
-    let request = EngineRequest {
-        method: Method::POST,
-        path: &call.path,
-        host: &call.host,
-        request_id: &call.id,
-        headers: HeaderMap::new(),
-        instance: &instance,
-        time_left: Some(LIMIT),
-        priority: None,
-        exact_version: None,
-        resume_after: None,
-        body: call.body.clone(),
-    };
-    match attempt::whole_answer(node, ticket, request, false, LIMIT).await {
-        Ok(answer) if answer.status.is_success() => match answer.head.signature {
-            Some(signature) => ScoreEnd::Scored(signature),
-            None => ScoreEnd::NoAnswer,
-        },
-        Ok(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR => ScoreEnd::Failed,
-        // Its deadline passed, or something before it failed: no failure of the item.
-        Ok(answer) => {
-            node.board.lock().unwrap().failed(node.now(), &instance);
-            log_score(call, &instance, &answer.status);
-            ScoreEnd::NoAnswer
-        }
-        Err(error) => {
-            log_score(call, &instance, &error);
-            ScoreEnd::NoAnswer
-        }
-    }
-}
-
-fn log_score(call: &ScoreCall, server: &Name, why: &dyn std::fmt::Display) {
-    logs::write(event::ATTEMPT_FAILED, &[("request", &call.id), ("server", server), ("why", why)]);
-}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -0,0 +1,132 @@
+//! Calls to scoring services, which may be repeated.
+
+use super::attempt;
+use super::node::{EntryNode, ServerTicket};
+use super::plain;
+use crate::process::logs;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http::{HeaderMap, Method, StatusCode};
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::process::ServerNeed;
+use trestlerack::request::ScoreCall;
+use trestlerack::version::RequestRoute;
+use trestlerack::{Name, Timestamp, event};
+use trestlerack_platform::EngineRequest;
+
+/// Most servers that work on one call at a time. A second one gets it when the first takes longer
+/// than is usual, and the first goes on: a call that takes long by itself would never end if it
+/// were cut.
+const SERVERS_AT_ONCE: usize = 2;
+
+/// How a score call came out.
+pub enum ScoreEnd {
+    /// The signature of the scoring service's answer.
+    Scored(Name),
+    /// The scoring service answered that it failed, which counts against the item.
+    Failed,
+    /// There is no answer; the call may be made again.
+    NoAnswer,
+}
+
+/// Has the text of an item scored, within the time limit of the scorer's route.
+pub async fn score(node: &Arc<EntryNode>, call: &ScoreCall) -> ScoreEnd {
+    let Some(routing) = node.routing() else { return ScoreEnd::NoAnswer };
+    let Some(route) = routing.select(&call.host, &call.path) else { return ScoreEnd::NoAnswer };
+    let Some(service) = route.service_for(&call.id) else { return ScoreEnd::NoAnswer };
+    let deadline = node.now() + plain::time_limit(route, None);
+    let mut tried: Vec<Name> = Vec::new();
+    let mut attempts = FuturesUnordered::new();
+    loop {
+        if attempts.len() < SERVERS_AT_ONCE
+            && let Some(ticket) = pick_server(node, service, call, &tried)
+        {
+            tried.push(ticket.server.instance.clone());
+            attempts.push(attempt_score(node, call, ticket, deadline));
+        }
+        let patience = patience(node, service, route);
+        match tokio::time::timeout(patience, attempts.next()).await {
+            Ok(Some((server, ScoreEnd::Scored(signature)))) => {
+                pause_slower(node, &tried, &server);
+                return ScoreEnd::Scored(signature);
+            }
+            Ok(Some((_, ScoreEnd::Failed))) => return ScoreEnd::Failed,
+            Ok(Some((_, ScoreEnd::NoAnswer))) if attempts.is_empty() => return ScoreEnd::NoAnswer,
+            Ok(None) => return ScoreEnd::NoAnswer,
+            Ok(Some((_, ScoreEnd::NoAnswer))) | Err(_) => {}
+        }
+    }
+}
+
+/// Returns how long an answer may take before a second server is asked: what is usual for the
+/// service, or the route's target latency until that is known.
+fn patience(node: &EntryNode, service: &Name, route: &RequestRoute) -> Duration {
+    let usual = node.board.lock().unwrap().usual_answer_time(service);
+    usual.unwrap_or(Duration::from_millis(route.target_latency_ms))
+}
+
+fn pick_server(node: &Arc<EntryNode>, service: &Name, call: &ScoreCall, tried: &[Name]) -> Option<ServerTicket> {
+    let zone = &node.settings.zone;
+    let need = ServerNeed { service, avoid: tried, wants_free_place: true, zone, ..ServerNeed::default() };
+    let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone())?;
+    logs::write(event::SERVER_CHOSEN, &[("request", &call.id), ("server", &entry.instance), ("nth", &tried.len())]);
+    Some(ServerTicket::new(node, entry))
+}
+
+/// Pauses the servers that were asked before the one that answered: they are slow or silent.
+fn pause_slower(node: &EntryNode, tried: &[Name], answered: &Name) {
+    let mut board = node.board.lock().unwrap();
+    for server in tried.iter().take_while(|server| *server != answered) {
+        board.failed(node.now(), server);
+    }
+}
+
+async fn attempt_score(
+    node: &Arc<EntryNode>,
+    call: &ScoreCall,
+    ticket: ServerTicket,
+    deadline: Timestamp,
+) -> (Name, ScoreEnd) {
+    let (instance, service) = (ticket.server.instance.clone(), ticket.server.service.clone());
+    let started = node.now();
+    let left = deadline.since(started);
+    let request = EngineRequest {
+        method: Method::POST,
+        path: &call.path,
+        host: &call.host,
+        request_id: &call.id,
+        headers: HeaderMap::new(),
+        instance: &instance,
+        time_left: Some(left),
+        priority: None,
+        exact_version: None,
+        resume_after: None,
+        body: call.body.clone(),
+    };
+    let end = match attempt::whole_answer(node, ticket, request, false, left).await {
+        Ok(answer) if answer.status.is_success() => match answer.head.signature {
+            Some(signature) => {
+                node.board.lock().unwrap().answered(&service, node.now().since(started));
+                ScoreEnd::Scored(signature)
+            }
+            None => ScoreEnd::NoAnswer,
+        },
+        Ok(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR => ScoreEnd::Failed,
+        // Its deadline passed, or something before it failed: no failure of the item.
+        Ok(answer) => {
+            node.board.lock().unwrap().failed(node.now(), &instance);
+            log_score(call, &instance, &answer.status);
+            ScoreEnd::NoAnswer
+        }
+        Err(error) => {
+            log_score(call, &instance, &error);
+            ScoreEnd::NoAnswer
+        }
+    };
+    (instance, end)
+}
+
+fn log_score(call: &ScoreCall, server: &Name, why: &dyn std::fmt::Display) {
+    logs::write(event::ATTEMPT_FAILED, &[("request", &call.id), ("server", server), ("why", why)]);
+}
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -42,6 +42,32 @@
     }
 }
 
+/// A score call may take as long as its route allows: it goes on beside a second one, and neither
+/// is cut and sent again and again.
+#[test]
+fn score_calls_may_take_as_long_as_their_route_allows() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.plain.work_ms.store(1_200, Ordering::SeqCst);
+    assert_eq!(submit(&daemon, "job1", 2), 202);
+    for result in read_all(&daemon, "job1", 2) {
+        assert_eq!(result["state"], "completed", "{result}");
+    }
+    let runs = platform.plain.runs.lock().unwrap();
+    assert!(runs.len() <= 4, "each call ran at two servers at most: {runs:?}");
+}
+
+#[test]
+fn a_scoring_server_that_falls_silent_delays_a_score_by_a_moment_only() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.plain.silent_answers.store(1, Ordering::SeqCst);
+    let begun = Instant::now();
+    assert_eq!(submit(&daemon, "job1", 2), 202);
+    assert_eq!(read_all(&daemon, "job1", 2).len(), 2);
+    assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
+}
+
 #[test]
 fn another_job_of_the_same_id_is_refused_even_if_its_items_have_the_same_ids() {
     let platform = Platform::start();
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -38,6 +38,10 @@
     pub refusals: AtomicUsize,
     /// Requests that are never answered.
     pub hangs: AtomicBool,
+    /// How many requests are never answered.
+    pub silent_answers: AtomicUsize,
+    /// Time that a plain server works on a request, in milliseconds.
+    pub work_ms: AtomicUsize,
     /// Connections that were closed by the caller while a request hung.
     pub left: AtomicUsize,
     /// Pause between two events, in milliseconds.
@@ -77,7 +81,7 @@
         }
         behaviour.runs.lock().unwrap().push(id.clone());
         behaviour.trace_contexts.lock().unwrap().extend(request.headers.get("traceparent").cloned());
-        if behaviour.hangs.load(Ordering::SeqCst) {
+        if behaviour.hangs.load(Ordering::SeqCst) || take(&behaviour.silent_answers) {
             let mut byte = [0];
             stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
             if matches!(stream.peek(&mut byte), Ok(0) | Err(_)) {
@@ -85,6 +89,7 @@
             }
             return false;
         }
+        std::thread::sleep(Duration::from_millis(behaviour.work_ms.load(Ordering::SeqCst) as u64));
         if take(&behaviour.overdue_answers) {
             return reply(stream, 504, &[("request-id", &id), ("response-stamp", "s")], "");
         }
