Tell a refusal for a rate from an outage of the store, and let no refusal become a storm

Each wrote its row into the one partition `nodes` every 200 ms until it succeeded; a partition takes 150 transactions a second, what it refuses counts, and each refused call (429) was sent through two peers as well and turned all calls of its node to the way through peers. Those nodes never registered.

Change: StoreError::RateLimited is an error of its own. It leaves the direct way in use, is not sent through peers, and is answered by pauses that grow from 0.5 to 4 s. Rows of nodes lie in eight partitions. A free order lease is taken by one node after the other, in line by rendezvous hash. store-lost names the call, its place and the time; server-changed tells 16 servers of one piece of news and counts the others.

Ruled out: pauses alone.

Tests: nodes_that_are_refused_for_a_rate_... failed before (100 transactions of three nodes in 4 s; at most 24 now). a_node_that_alone_is_refused_with_the_status_of_a_rate_... passed before as well and guards the exception. The partition that two job tests read is named by the function that places a node's row.

--- a/crates/trestlerack/src/border.rs
+++ b/crates/trestlerack/src/border.rs
@@ -92,6 +92,9 @@
 pub enum StoreError {
     /// The call did not reach the store, or the store refused it before acting.
     Unavailable,
+    /// The store refused the call before acting, because more calls come than it takes. Trying
+    /// again soon, or by another way, adds to what it refuses.
+    RateLimited,
     /// The call was sent and its answer lost: it may have been applied.
     ///
     /// Settle it by reading back under the operation's own id, never by writing again blindly.
@@ -102,6 +105,7 @@
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         formatter.write_str(match self {
             Self::Unavailable => "the store is unavailable",
+            Self::RateLimited => "the store takes no more calls now",
             Self::Unknown => "the store's answer was lost",
         })
     }
--- a/crates/trestlerack/src/hash.rs
+++ b/crates/trestlerack/src/hash.rs
@@ -26,6 +26,12 @@
     XxHash64::oneshot(key, candidate.as_bytes())
 }
 
+/// Returns how many of `others` own `key` before `own` does.
+pub fn rank_among<'a>(key: u64, own: &str, others: impl Iterator<Item = &'a str>) -> usize {
+    let weight = rendezvous_weight(key, own);
+    others.filter(|other| *other != own && rendezvous_weight(key, other) > weight).count()
+}
+
 /// Returns a lower-case hexadecimal digest of `bytes`, for content addressed object names.
 pub fn digest_hex(bytes: &[u8]) -> String {
     let low = hash_bytes(bytes);
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_time;
 mod broadcast;
+mod direct_way;
 mod entry_settings;
 mod lease;
 mod leaving;
@@ -19,6 +20,7 @@
 mod step_store;
 
 pub use broadcast::BroadcastQueue;
+pub use direct_way::{DirectWay, WayChange};
 pub use entry_settings::{ENTRY_FIELDS, EntrySettings, parse_entry_settings};
 pub use lease::{LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep};
 pub use leaving::LeavingBoard;
@@ -26,10 +28,10 @@
 pub use membership::{
     Heartbeat, Liveness, MembershipAction, MembershipEvent, MembershipSettings, PeerInfo, PeerMembership, PeerUpdate,
 };
-pub use node_rows::{NodeRow, NodeRows};
+pub use node_rows::{NODE_PARTITIONS, NodeRow, NodeRows, is_node_partition, node_partition};
 pub use outlier::{OutlierDetector, OutlierSettings};
 pub use ownership::{ModelOwner, NodeView, OwnerTable, OwnershipView};
-pub use pacing::{failure_pause, watch_pause};
+pub use pacing::{failure_pause, rate_pause, watch_pause};
 pub use placement::{BoardSettings, ChoiceBasis, ServerBelief, ServerBoard, ServerNeed};
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
--- a/crates/trestlerack/src/process/node_rows.rs
+++ b/crates/trestlerack/src/process/node_rows.rs
@@ -1,9 +1,28 @@
 //! The rows by which entry nodes find each other in the platform's store.
 
 use crate::Name;
+use crate::hash::hash_parts;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// Partitions over which the rows of nodes are spread. All nodes may write theirs at one moment, and
+/// a partition of the store takes 150 transactions a second and lets one second of them wait: eight
+/// partitions take the rows of 1,000 nodes without a refusal, and a start reads eight more pages.
+pub const NODE_PARTITIONS: u64 = 8;
+
+/// Begins the names of those partitions.
+const PARTITION_PREFIX: &str = "nodes-";
+
+/// Returns the partition that holds the row of a node.
+pub fn node_partition(name: &str) -> Name {
+    format!("{PARTITION_PREFIX}{}", hash_parts(&[name]) % NODE_PARTITIONS).into()
+}
+
+/// Returns whether a partition holds rows of nodes.
+pub fn is_node_partition(partition: &str) -> bool {
+    partition.starts_with(PARTITION_PREFIX)
+}
+
 /// The row by which a node tells its peers where it is; see
 /// [docs/PLATFORM.md](../../../../docs/PLATFORM.md#what-is-kept-where).
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/trestlerack/src/request/claim_store.rs
+++ b/crates/trestlerack/src/request/claim_store.rs
@@ -39,7 +39,7 @@
         match self.write(key, held.as_ref().map(|(row, _)| row), &claim).await {
             Ok(CommitOutcome::Committed) => ClaimDecision::Send,
             Ok(CommitOutcome::Conflict) | Err(StoreError::Unknown) => self.settle(key, digest, attempt).await,
-            Err(StoreError::Unavailable) => ClaimDecision::Refuse(unclaimed()),
+            Err(StoreError::Unavailable | StoreError::RateLimited) => ClaimDecision::Refuse(unclaimed()),
         }
     }
 
--- a/crates/trestlerackd/src/entry/adoption.rs
+++ b/crates/trestlerackd/src/entry/adoption.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::border::StoreError;
-use trestlerack::hash::{hash_parts, rendezvous_weight};
+use trestlerack::hash::{hash_parts, rank_among};
 use trestlerack::request::JobHead;
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
 use trestlerack::{Name, Timestamp, event};
@@ -117,11 +117,9 @@
 
 /// Returns this node's place in the line of a job's successors.
 fn rank(node: &EntryNode, job: &Name, owner: &Name) -> usize {
-    let key = hash_parts(&[job]);
-    let own = rendezvous_weight(key, &node.settings.name);
     let names = node.peers.names();
-    let others = names.iter().filter(|name| *name != owner && **name != node.settings.name);
-    others.filter(|name| rendezvous_weight(key, name) > own).count()
+    let others = names.iter().filter(|name| *name != owner).map(|name| &**name);
+    rank_among(hash_parts(&[job]), &node.settings.name, others)
 }
 
 async fn is_due(node: &Arc<EntryNode>, job: &Name, view: &JobView, suspicion: &mut JobSuspicion) -> bool {
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use trestlerack::border::StoreError;
-use trestlerack::process::{ServerEntry, failure_pause, watch_pause};
+use trestlerack::process::{ServerEntry, ServerRegistry, failure_pause, is_node_partition, watch_pause};
 use trestlerack::rows::{RowStore, StoreCall, StoreReply, StoredRow};
 use trestlerack::version::{EngineAssignment, WeightPlanSettings};
 use trestlerack::{Name, event};
@@ -25,6 +25,10 @@
 /// leaving servers is two seconds.
 const SERVER_PAUSE: Duration = Duration::from_millis(150);
 
+/// Lines written for the changed servers of one piece of news; the others are counted. A start
+/// brings news of all servers at once, on all nodes.
+const SERVER_LINES: usize = 16;
+
 /// Follows one table until the process ends.
 pub async fn follow(node: Arc<EntryNode>, table: &'static str) {
     let mut known: Option<u64> = None;
@@ -44,10 +48,13 @@
                 failures = 0;
                 tokio::time::sleep(pause_between(&node, table)).await;
             }
-            Err(_) => {
-                node.registry.lock().unwrap().store_lost();
+            Err(error) => {
+                // A store that refuses for a rate is there, and entries do not lapse by that.
+                if error != StoreError::RateLimited {
+                    node.registry.lock().unwrap().store_lost();
+                }
                 failures += 1;
-                tokio::time::sleep(failure_pause(failures, rand::random())).await;
+                node.store.pause_after(error, failures, failure_pause(failures, rand::random())).await;
             }
         }
     }
@@ -89,7 +96,7 @@
     match table {
         platform::SERVER_TABLE => replace_servers(node, &all),
         tables::STATE => {
-            let registered = all.iter().filter(|row| &*row.partition == tables::NODES).map(|row| row.key.clone());
+            let registered = all.iter().filter(|row| is_node_partition(&row.partition)).map(|row| row.key.clone());
             node.peers.forget_missing(&registered.collect::<Vec<_>>(), version);
             apply_rows(node, table, all);
         }
@@ -158,32 +165,57 @@
     let now = node.now();
     let mut registry = node.registry.lock().unwrap();
     let mut is_news = false;
+    let mut changes: Vec<ServerChange> = Vec::new();
     for row in rows {
         if row.removed {
             is_news |= registry.remove(now, &row.key);
-            logs::write(event::SERVER_CHANGED, &[("server", &row.key), ("state", &"removed")]);
+            changes.push(ServerChange { server: row.key.clone(), state: "removed", place: None });
             continue;
         }
         match platform::decode_server(row) {
-            Ok(entry) => is_news |= put_server(&mut registry, entry),
+            Ok(entry) => {
+                changes.extend(change_of(&registry, &entry));
+                is_news |= registry.put(entry);
+            }
             Err(error) => logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]),
         }
     }
+    log_changes(&changes);
     is_news |= !registry.expire(now).is_empty();
     if is_news {
         node.board.lock().unwrap().sync(&registry);
     }
 }
 
-fn put_server(registry: &mut trestlerack::process::ServerRegistry, entry: ServerEntry) -> bool {
+/// A change of a server that the log tells of.
+struct ServerChange {
+    server: Name,
+    state: &'static str,
+    /// Service and address, unless the server is gone.
+    place: Option<(Name, Name)>,
+}
+
+/// Returns what an entry changes, which a heartbeat alone does not.
+fn change_of(registry: &ServerRegistry, entry: &ServerEntry) -> Option<ServerChange> {
     let was = registry.get(&entry.instance).map(|held| held.is_draining);
-    if was != Some(entry.is_draining) {
-        let state = if entry.is_draining { "draining" } else { "ready" };
-        let fields: [(&str, &dyn std::fmt::Display); 4] =
-            [("server", &entry.instance), ("service", &entry.service), ("address", &entry.address), ("state", &state)];
+    let state = if entry.is_draining { "draining" } else { "ready" };
+    let place = Some((entry.service.clone(), entry.address.clone()));
+    (was != Some(entry.is_draining)).then(|| ServerChange { server: entry.instance.clone(), state, place })
+}
+
+fn log_changes(changes: &[ServerChange]) {
+    for change in changes.iter().take(SERVER_LINES) {
+        let mut fields: Vec<(&str, &dyn std::fmt::Display)> =
+            vec![("server", &change.server), ("state", &change.state)];
+        if let Some((service, address)) = &change.place {
+            fields.extend([("service", service as &dyn std::fmt::Display), ("address", address)]);
+        }
         logs::write(event::SERVER_CHANGED, &fields);
     }
-    registry.put(entry)
+    let more = changes.len().saturating_sub(SERVER_LINES);
+    if more > 0 {
+        logs::write(event::SERVER_CHANGED, &[("more", &more)]);
+    }
 }
 
 fn replace_servers(node: &Arc<EntryNode>, rows: &[StoredRow]) {
@@ -205,7 +237,7 @@
 
 fn apply_state_row(node: &Arc<EntryNode>, row: &StoredRow) {
     let applied = match &*row.partition {
-        tables::NODES => apply_node_row(node, row),
+        partition if is_node_partition(partition) => apply_node_row(node, row),
         tables::ENGINES => apply_engine_row(node, row),
         tables::LEASES => apply_lease_row(node, row),
         _ => apply_job_row(node, row),
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -98,21 +98,23 @@
     let call = StoreCall::Commit(transaction);
     let until = node.now() + SETTLE_TIME;
     let mut may_be_stored = false;
-    loop {
-        match node.store.call(&call).await {
+    for failures in 1.. {
+        let error = match node.store.call(&call).await {
             Ok(StoreReply::Committed(moment)) => {
                 start_accepted(node, spec, head, moment.version);
                 return Ok(moment.version);
             }
             Ok(StoreReply::Conflict(rows)) => return settle_conflict(node, spec, &head, rows),
-            Ok(_) | Err(StoreError::Unknown) => may_be_stored = true,
-            Err(StoreError::Unavailable) => {}
-        }
+            Ok(_) => StoreError::Unknown,
+            Err(error) => error,
+        };
+        may_be_stored |= error == StoreError::Unknown;
         if node.now() >= until {
-            return Err(if may_be_stored { Refusal::Unknown } else { Refusal::NotAccepted });
+            break;
         }
-        tokio::time::sleep(SETTLE_PAUSE).await;
+        node.store.pause_after(error, failures, SETTLE_PAUSE).await;
     }
+    Err(if may_be_stored { Refusal::Unknown } else { Refusal::NotAccepted })
 }
 
 fn known_job(head: &JobHead, version: u64, spec: &JobSpec) -> Result<u64, Refusal> {
--- a/crates/trestlerackd/src/entry/job_calls.rs
+++ b/crates/trestlerackd/src/entry/job_calls.rs
@@ -224,13 +224,16 @@
 async fn settle_write(node: &Arc<EntryNode>, transaction: RowTransaction) -> bool {
     let call = StoreCall::Commit(transaction);
     let until = node.now() + SETTLE_TIME;
-    loop {
-        if let Ok(StoreReply::Committed(_)) = node.store.call(&call).await {
-            return true;
-        }
+    for failures in 1.. {
+        let error = match node.store.call(&call).await {
+            Ok(StoreReply::Committed(_)) => return true,
+            Ok(_) => StoreError::Unknown,
+            Err(error) => error,
+        };
         if node.now() >= until {
-            return false;
+            break;
         }
-        tokio::time::sleep(SETTLE_PAUSE).await;
+        node.store.pause_after(error, failures, SETTLE_PAUSE).await;
     }
+    false
 }
--- a/crates/trestlerackd/src/entry/job_records.rs
+++ b/crates/trestlerackd/src/entry/job_records.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::Name;
+use trestlerack::border::StoreError;
 use trestlerack::request::{JobHead, JobResult};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
 
@@ -82,8 +83,8 @@
     next: &JobHead,
 ) -> Option<u64> {
     let call = StoreCall::Commit(transaction);
-    loop {
-        match node.store.call(&call).await {
+    for failures in 1.. {
+        let error = match node.store.call(&call).await {
             Ok(StoreReply::Committed(moment)) => return Some(moment.version),
             Ok(StoreReply::Conflict(rows)) => {
                 let row = rows.into_iter().find(|row| &*row.key == tables::HEAD)?;
@@ -91,11 +92,13 @@
                 // An earlier try of the same write may have been applied without its reply.
                 return (held.write_id == next.write_id).then_some(row.version);
             }
-            Ok(_) | Err(_) => {}
-        }
+            Ok(_) => StoreError::Unknown,
+            Err(error) => error,
+        };
         if driver.is_lost() {
             return None;
         }
-        tokio::time::sleep(WRITE_PAUSE).await;
+        node.store.pause_after(error, failures, WRITE_PAUSE).await;
     }
+    None
 }
--- a/crates/trestlerackd/src/entry/job_texts.rs
+++ b/crates/trestlerackd/src/entry/job_texts.rs
@@ -134,8 +134,10 @@
         let transaction = tables::put_pieces(transaction, tables::KEPT, &key, &content, node.settings.store_row_bytes);
         let call = StoreCall::Commit(transaction);
         // Later deltas go on where this one ends, so it is written before them, however long it takes.
-        while node.store.call(&call).await.is_err() {
-            tokio::time::sleep(WRITE_PAUSE).await;
+        let mut failures = 0;
+        while let Err(error) = node.store.call(&call).await {
+            failures += 1;
+            node.store.pause_after(error, failures, WRITE_PAUSE).await;
         }
     }
 }
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -42,16 +42,13 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use trestlerack::event;
-use trestlerack::process::EntrySettings;
+use trestlerack::process::{EntrySettings, failure_pause, node_partition};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall};
 use trestlerack_platform as platform;
 
 /// Interval at which idle connections are looked through.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Pause before the node's own row is written again.
-const REGISTER_PAUSE: Duration = Duration::from_millis(200);
-
 /// Serves until a signal asks for a planned stop, and then stops as planned.
 pub async fn run(settings: EntrySettings, settings_file: String) -> anyhow::Result<()> {
     let clients = bind(&settings.client_listen).await?;
@@ -98,10 +95,13 @@
 /// Writes the row by which peers find this node, until the store has it.
 async fn register(node: Arc<EntryNode>) {
     let row = tables::encode(&node.node_row());
-    let transaction = RowTransaction::new(tables::NODES).put(tables::STATE, &node.settings.name, row);
+    let partition = node_partition(&node.settings.name);
+    let transaction = RowTransaction::new(partition).put(tables::STATE, &node.settings.name, row);
     let call = StoreCall::Commit(transaction);
-    while node.store.call(&call).await.is_err() {
-        tokio::time::sleep(REGISTER_PAUSE).await;
+    let mut failures = 0;
+    while let Err(error) = node.store.call(&call).await {
+        failures += 1;
+        node.store.pause_after(error, failures, failure_pause(failures, rand::random())).await;
     }
     node.is_registered.store(true, Ordering::Relaxed);
 }
--- a/crates/trestlerackd/src/entry/order_lease.rs
+++ b/crates/trestlerackd/src/entry/order_lease.rs
@@ -8,7 +8,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use trestlerack::border::StoreError;
-use trestlerack::process::{LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep};
+use trestlerack::hash::{hash_parts, rank_among};
+use trestlerack::process::{LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep, rate_pause};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
 use trestlerack::version::WeightPlan;
 use trestlerack::{Name, Timestamp, event};
@@ -26,6 +27,14 @@
 /// Time between two renewals.
 const RENEW_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time that each successor in line for the lease leaves to the one before, in which a transaction
+/// and the watch that tells of it pass. Without it all nodes write one row at the same moment, and a
+/// partition of the store takes 150 transactions a second.
+const RANK_TIME: Duration = Duration::from_millis(60);
+
+/// Longest such wait, where most of the nodes in line are gone too.
+const RANK_TIME_MAX: Duration = Duration::from_secs(1);
+
 /// What this node does about the lease.
 struct OrderDesk {
     keeper: LeaseKeeper,
@@ -34,6 +43,11 @@
     held_fence: Option<u64>,
     /// Whether the orders of the holders before were read since the lease was taken.
     knows_orders: bool,
+    /// Since when the lease has been free, as far as this node knows.
+    free_since: Option<Timestamp>,
+    /// Writes of the lease row that failed in a row, and the time before which none is made.
+    failures: u32,
+    not_before: Timestamp,
 }
 
 /// Holds the lease while it can, and orders engines while it holds it.
@@ -46,6 +60,9 @@
         renewed_at: node.now(),
         held_fence: None,
         knows_orders: false,
+        free_since: None,
+        failures: 0,
+        not_before: Timestamp::default(),
     };
     loop {
         tokio::time::sleep(LOOK_INTERVAL).await;
@@ -61,7 +78,7 @@
     let now = node.now();
     if desk.keeper.fence(now).is_none() || now.since(desk.renewed_at) >= RENEW_INTERVAL {
         desk.renewed_at = now;
-        keep_lease(node, &mut desk.keeper).await;
+        keep_lease(node, desk).await;
     }
     let fence = desk.keeper.fence(node.now());
     if fence != desk.held_fence {
@@ -96,8 +113,12 @@
 async fn give_back(node: &Arc<EntryNode>, keeper: &mut LeaseKeeper) {
     let held = node.lease_row.lock().unwrap().clone().map(|(_, row)| row);
     if let Some(row) = keeper.release(held.as_ref()) {
-        write_lease(node, row).await;
-        logs::write(event::LEASE_LOST, &[("why", &"this node stops")]);
+        // A row that still names this node lapses with its time.
+        let why = match write_lease(node, row).await {
+            Ok(_) => "this node stops".to_owned(),
+            Err(error) => format!("this node stops, and the row still names it: {error}"),
+        };
+        logs::write(event::LEASE_LOST, &[("why", &why)]);
     }
 }
 
@@ -108,45 +129,77 @@
     }
 }
 
-async fn keep_lease(node: &Arc<EntryNode>, keeper: &mut LeaseKeeper) {
+async fn keep_lease(node: &Arc<EntryNode>, desk: &mut OrderDesk) {
     // Peers tell a restarted holder by its row, so that row has to be there first.
     if !node.is_registered.load(Ordering::Relaxed) {
         return;
     }
     let now = node.now();
+    if now < desk.not_before {
+        return;
+    }
     let mut row = node.lease_row.lock().unwrap().clone();
     if let Some((version, held)) = &mut row {
         held.released |= node.peers.is_restarted(&held.holder, held.incarnation, *version);
     }
-    let LeaseStep::Write(row) = keeper.decide(now, row) else { return };
-    if write_lease(node, row.clone()).await {
-        keeper.written(now, row);
+    let LeaseStep::Write(row) = desk.keeper.decide(now, row) else {
+        desk.free_since = None;
+        return;
+    };
+    let is_renewal = row.renewal > 0;
+    let free_since = *desk.free_since.get_or_insert(now);
+    if !is_renewal && now.since(free_since) < wait_in_line(node, row.fence) {
+        return;
+    }
+    match write_lease(node, row.clone()).await {
+        Ok(is_written) => {
+            desk.failures = 0;
+            desk.free_since = None;
+            if is_written {
+                desk.keeper.written(now, row);
+            }
+        }
+        // A holder goes on trying at the usual pace, because its lease runs out meanwhile.
+        Err(StoreError::RateLimited) if !is_renewal => {
+            desk.failures += 1;
+            desk.not_before = now + rate_pause(desk.failures, rand::random());
+        }
+        // The next look decides anew; an applied write shows in the row.
+        Err(_) => {}
     }
 }
 
-/// Writes the lease row on condition that it is as this node last saw it.
-async fn write_lease(node: &Arc<EntryNode>, row: LeaseRow) -> bool {
+/// Returns how long this node leaves a free lease to those before it in line. The line is another
+/// one for each fencing number.
+fn wait_in_line(node: &EntryNode, fence: u64) -> Duration {
+    let names = node.peers.names();
+    let key = hash_parts(&[tables::ORDER_LEASE, &fence.to_string()]);
+    let rank = rank_among(key, &node.settings.name, names.iter().map(|name| &**name));
+    (RANK_TIME * u32::try_from(rank).unwrap_or(u32::MAX)).min(RANK_TIME_MAX)
+}
+
+/// Writes the lease row on condition that it is as this node last saw it. Returns whether it stands.
+async fn write_lease(node: &Arc<EntryNode>, row: LeaseRow) -> Result<bool, StoreError> {
     let version = node.lease_row.lock().unwrap().as_ref().map_or(0, |(version, _)| *version);
     let transaction = RowTransaction::new(tables::LEASES).expect(tables::STATE, tables::ORDER_LEASE, version).put(
         tables::STATE,
         tables::ORDER_LEASE,
         tables::encode(&row),
     );
-    match node.store.call(&StoreCall::Commit(transaction)).await {
-        Ok(StoreReply::Committed(moment)) => {
+    match node.store.call(&StoreCall::Commit(transaction)).await? {
+        StoreReply::Committed(moment) => {
             *node.lease_row.lock().unwrap() = Some((moment.version, row));
-            true
+            Ok(true)
         }
-        Ok(StoreReply::Conflict(rows)) => {
+        StoreReply::Conflict(rows) => {
             let held = rows.into_iter().find(|held| &*held.key == tables::ORDER_LEASE);
             let held = held.and_then(|held| Some((held.version, tables::decode::<LeaseRow>(&held.value).ok()?)));
             let is_own = held.as_ref().is_some_and(|(_, held)| *held == row);
             if held.is_some() {
                 *node.lease_row.lock().unwrap() = held;
             }
-            is_own
+            Ok(is_own)
         }
-        // The next look decides anew; an applied write shows in the row.
-        Ok(_) | Err(_) => false,
+        _ => Err(StoreError::Unknown),
     }
 }
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -59,6 +59,8 @@
     Relayed(StoreReply),
     /// The store cannot be reached from here either; nothing was done.
     Unavailable,
+    /// The store serves this node but takes no more calls now; nothing was done.
+    RateLimited,
     /// The store call may have been applied.
     Unknown,
     /// Whether the job is driven.
@@ -151,6 +153,7 @@
     pub async fn relay(&self, peer: &Name, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreError> {
         let error = match self.ask(peer, &PeerCall::Relay(call.clone()), limit).await {
             Some(PeerReply::Relayed(reply)) => return Ok(reply),
+            Some(PeerReply::RateLimited) => return Err(StoreError::RateLimited),
             Some(PeerReply::Unavailable) => StoreError::Unavailable,
             // A peer that does not answer may still have passed the call on.
             _ => StoreError::Unknown,
@@ -233,7 +236,8 @@
             // Only directly: a call that wandered from peer to peer might never end.
             match node.direct_store.call_within(&call, RELAY_TIMEOUT + wait).await {
                 Ok(reply) => PeerReply::Relayed(reply),
-                Err(StoreError::Unavailable) => PeerReply::Unavailable,
+                Err(StoreError::RateLimited) if !node.store.is_doubtful() => PeerReply::RateLimited,
+                Err(StoreError::Unavailable | StoreError::RateLimited) => PeerReply::Unavailable,
                 Err(StoreError::Unknown) => PeerReply::Unknown,
             }
         }
--- a/crates/trestlerackd/src/entry/stop.rs
+++ b/crates/trestlerackd/src/entry/stop.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use trestlerack::event;
+use trestlerack::process::node_partition;
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall};
 
 /// Time between saying "not ready" and ending clients' connections: the platform asks once a
@@ -31,7 +32,8 @@
     for driver in node.drivers.lock().unwrap().values() {
         driver.hand_over();
     }
-    let unregister = RowTransaction::new(tables::NODES).remove(tables::STATE, &node.settings.name);
+    let unregister =
+        RowTransaction::new(node_partition(&node.settings.name)).remove(tables::STATE, &node.settings.name);
     if let Err(error) = node.store.call(&StoreCall::Commit(unregister)).await {
         logs::write(event::ROW_REFUSED, &[("key", &node.settings.name), ("why", &error)]);
     }
--- a/crates/trestlerackd/src/entry/store.rs
+++ b/crates/trestlerackd/src/entry/store.rs
@@ -3,14 +3,17 @@
 use super::peers::PeerClient;
 use super::pool::{ConnectionPool, ExchangeError};
 use super::tables;
+use crate::process::clock::SystemClock;
 use crate::process::logs;
 use async_trait::async_trait;
 use http_body_util::{BodyExt, Limited};
 use hyper::header;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use trestlerack::border::StoreError;
+use tokio::sync::Notify;
+use trestlerack::border::{Clock, StoreError};
+use trestlerack::process::{DirectWay, WayChange, rate_pause};
 use trestlerack::rows::{RowStore, StoreCall, StoreMoment, StoreReply};
 use trestlerack::{Name, event};
 use trestlerack_platform as platform;
@@ -77,12 +80,28 @@
     }
 }
 
+/// Returns the kind of a call and the partition, table or object that it is for, for the log.
+fn describe(call: &StoreCall) -> (&'static str, Name) {
+    match call {
+        StoreCall::Commit(transaction) => ("commit", transaction.partition.clone()),
+        StoreCall::Read { table, partition, .. } => ("read", format!("{table}/{partition}").into()),
+        StoreCall::Watch { table, .. } => ("watch", table.clone()),
+        StoreCall::Partitions { table, .. } => ("partitions", table.clone()),
+        StoreCall::PutObject { name, .. } => ("put-object", name.clone()),
+        StoreCall::GetObject { name } => ("get-object", name.clone()),
+        StoreCall::RemoveObject { name } => ("remove-object", name.clone()),
+    }
+}
+
 /// The store, through a peer while it refuses this node or cannot be reached.
 pub struct RelayedStore {
     direct: Arc<DirectStore>,
     peers: Arc<PeerClient>,
-    /// Whether the last direct call failed; peers are asked first until a probe succeeds.
-    is_doubtful: AtomicBool,
+    /// Whether the direct way is to be used; if not, peers are asked first until a probe succeeds.
+    way: Mutex<DirectWay>,
+    time: SystemClock,
+    /// Tells that the direct way is in doubt from now on.
+    way_lost: Notify,
     clock: Mutex<Option<StoreClock>>,
 }
 
@@ -96,7 +115,33 @@
 impl RelayedStore {
     /// Builds the client.
     pub fn new(direct: Arc<DirectStore>, peers: Arc<PeerClient>) -> Self {
-        Self { direct, peers, is_doubtful: AtomicBool::new(false), clock: Mutex::new(None) }
+        Self {
+            direct,
+            peers,
+            way: Mutex::default(),
+            time: SystemClock::new(),
+            way_lost: Notify::new(),
+            clock: Mutex::new(None),
+        }
+    }
+
+    /// Waits before a call is made again that failed `failures` times in a row: for `pause`, or for
+    /// longer where the store refused it for its rate, but not beyond the moment from which peers
+    /// are asked instead.
+    pub async fn pause_after(&self, error: StoreError, failures: u32, pause: Duration) {
+        match error {
+            StoreError::RateLimited => {
+                let is_lost = self.way_lost.notified();
+                // Ends with the pause or with the news; both lead to another try.
+                let _ = tokio::time::timeout(rate_pause(failures, rand::random()), is_lost).await;
+            }
+            StoreError::Unavailable | StoreError::Unknown => tokio::time::sleep(pause).await,
+        }
+    }
+
+    /// Returns whether the store does not serve this node, so that peers are asked first.
+    pub fn is_doubtful(&self) -> bool {
+        self.way.lock().unwrap().is_doubtful()
     }
 
     /// Returns the time on the store's clock, in milliseconds, or 0 before the first reply.
@@ -109,11 +154,21 @@
     }
 
     async fn call_direct(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreError> {
+        let sent_at = self.time.now();
         let reply = self.direct.call_within(call, time_limit(call, limit)).await;
-        let was_doubtful = self.is_doubtful.swap(reply.is_err(), Ordering::Relaxed);
-        match (&reply, was_doubtful) {
-            (Ok(_), true) => logs::write(event::STORE_REGAINED, &[]),
-            (Err(error), false) => logs::write(event::STORE_LOST, &[("why", error)]),
+        let now = self.time.now();
+        let failure = reply.as_ref().err().copied();
+        let change = self.way.lock().unwrap().note(now, failure);
+        match (change, failure) {
+            (Some(WayChange::Regained), _) => logs::write(event::STORE_REGAINED, &[]),
+            (Some(WayChange::Lost), Some(error)) => {
+                let (kind, place) = describe(call);
+                let ms = now.since(sent_at).as_millis();
+                let fields: [(&str, &dyn std::fmt::Display); 4] =
+                    [("call", &kind), ("place", &place), ("why", &error), ("ms", &ms)];
+                logs::write(event::STORE_LOST, &fields);
+                self.way_lost.notify_waiters();
+            }
             _ => {}
         }
         reply
@@ -130,7 +185,7 @@
         };
         loop {
             tokio::time::sleep(PROBE_INTERVAL).await;
-            if self.is_doubtful.load(Ordering::Relaxed) {
+            if self.is_doubtful() {
                 // The outcome is noted by the call itself.
                 let _ = self.call_direct(&call, DIRECT_TIMEOUT).await;
             }
@@ -144,6 +199,11 @@
                 Ok(reply) => return Ok(reply),
                 Err(StoreError::Unknown) => worst = StoreError::Unknown,
                 Err(StoreError::Unavailable) => {}
+                // The store serves that peer, so another one would be refused too.
+                Err(StoreError::RateLimited) if worst == StoreError::Unavailable => {
+                    return Err(StoreError::RateLimited);
+                }
+                Err(StoreError::RateLimited) => return Err(worst),
             }
         }
         Err(worst)
@@ -167,15 +227,18 @@
 impl RowStore for RelayedStore {
     async fn call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         let has_peers = self.peers.has_any();
-        let reply = if has_peers && self.is_doubtful.load(Ordering::Relaxed) {
+        let reply = if has_peers && self.is_doubtful() {
             match self.call_relayed(call).await {
                 Ok(reply) => Ok(reply),
+                Err(StoreError::RateLimited) => Err(StoreError::RateLimited),
                 Err(relayed) => merge(self.call_direct(call, DIRECT_TIMEOUT).await, relayed),
             }
         } else {
             let limit = if has_peers { DIRECT_TIMEOUT } else { CALL_TIMEOUT };
             match self.call_direct(call, limit).await {
                 Ok(reply) => Ok(reply),
+                // Unless the store refuses all calls of this node, peers would be refused as well.
+                Err(StoreError::RateLimited) if !self.is_doubtful() => Err(StoreError::RateLimited),
                 Err(direct) if has_peers => merge(self.call_relayed(call).await, direct),
                 Err(direct) => Err(direct),
             }
@@ -189,7 +252,7 @@
 /// the other cannot say that nothing was done.
 fn merge(second: Result<StoreReply, StoreError>, first: StoreError) -> Result<StoreReply, StoreError> {
     match (second, first) {
-        (Err(StoreError::Unavailable), StoreError::Unknown) => Err(StoreError::Unknown),
+        (Err(StoreError::Unavailable | StoreError::RateLimited), StoreError::Unknown) => Err(StoreError::Unknown),
         (second, _) => second,
     }
 }
--- a/crates/trestlerackd/src/entry/tables.rs
+++ b/crates/trestlerackd/src/entry/tables.rs
@@ -29,9 +29,6 @@
 /// Begins the keys of what a driver left; behind [`KEPT_LOG`] in key order.
 pub const KEPT_END: &str = "b-end";
 
-/// Partition of [`STATE`] that holds a row for each node.
-pub const NODES: &str = "nodes";
-
 /// Partition of [`STATE`] that holds a row for each engine.
 pub const ENGINES: &str = "engines";
 
--- a/crates/trestlerackd/src/request/steps.rs
+++ b/crates/trestlerackd/src/request/steps.rs
@@ -83,7 +83,9 @@
 
 fn store_down(error: StoreError) -> Failure {
     let failure = match error {
-        StoreError::Unavailable => Failure::not_run(Reason::StoreUnavailable, error.to_string()),
+        StoreError::Unavailable | StoreError::RateLimited => {
+            Failure::not_run(Reason::StoreUnavailable, error.to_string())
+        }
         StoreError::Unknown => Failure::may_have_run(Reason::StoreUnavailable, error.to_string()),
     };
     failure.retry_after(STORE_RETRY)
@@ -235,8 +237,10 @@
             .expect(&key, TableTransaction::expectation_of(held.as_ref()))
             .put(&key, serde_json::json!({ "version": published.version }));
         // Conflicts and lost answers are settled by reading back in the next round.
-        if let Err(StoreError::Unavailable) = call.node.table.commit(transaction).await {
-            return Err(store_down(StoreError::Unavailable));
+        if let Err(error @ (StoreError::Unavailable | StoreError::RateLimited)) =
+            call.node.table.commit(transaction).await
+        {
+            return Err(store_down(error));
         }
         rollout_loop::nudge_candidates(&call.node, &model).await;
     }
--- a/crates/trestlerackd/src/version/plans.rs
+++ b/crates/trestlerackd/src/version/plans.rs
@@ -100,7 +100,9 @@
 /// A plan whose commit was not answered may have taken effect; planning again tells.
 fn store_down(error: StoreError) -> Failure {
     let failure = match error {
-        StoreError::Unavailable => Failure::not_run(Reason::StoreUnavailable, error.to_string()),
+        StoreError::Unavailable | StoreError::RateLimited => {
+            Failure::not_run(Reason::StoreUnavailable, error.to_string())
+        }
         StoreError::Unknown => {
             let detail = "the table's answer was lost; the plan may have taken effect, so plan again";
             Failure::may_have_run(Reason::StoreUnavailable, detail)
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -4,6 +4,7 @@
 use serde_json::json;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
+use trestlerack::process::node_partition;
 
 #[test]
 fn a_job_is_accepted_once_and_read_scored_at_lasting_positions() {
@@ -235,14 +236,15 @@
     assert_eq!(submit(&daemon, "over", 2), 202);
     assert_eq!(call(&daemon.client, "DELETE", "/trestlerack/lots/over", &[], "").unwrap().status, 200);
     std::thread::sleep(Duration::from_millis(200));
-    let before = ["nodes", "open", "over"].map(|partition| platform.store.reads(partition));
+    let nodes = node_partition(&daemon.name);
+    let before = [&*nodes, "open", "over"].map(|partition| platform.store.reads(partition));
     // Rows change while the watch is silent, since the lease is renewed.
     platform.store.silence_watches(Some("state"));
     std::thread::sleep(Duration::from_secs(1));
     platform.store.drop_history();
     platform.store.silence_watches(None);
     eventually("it reads the rows that may have changed", || {
-        platform.store.reads("nodes") > before[0] && platform.store.reads("open") > before[1]
+        platform.store.reads(&nodes) > before[0] && platform.store.reads("open") > before[1]
     });
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(platform.store.reads("over"), before[2], "a job that is over changes no more");
@@ -262,10 +264,11 @@
     platform.store.silence_watches(Some("state"));
     assert_eq!(call(&other.client, "DELETE", path, &[], "").unwrap().status, 200);
     eventually("its results are recorded", || platform.store.count("results", "job1") == 4);
-    let reads = platform.store.reads("nodes");
+    let nodes = node_partition(&daemon.name);
+    let reads = platform.store.reads(&nodes);
     platform.store.drop_history();
     platform.store.silence_watches(None);
-    eventually("both nodes read the table again", || platform.store.reads("nodes") >= reads + 2);
+    eventually("both nodes read the table again", || platform.store.reads(&nodes) >= reads + 2);
     std::thread::sleep(Duration::from_millis(300));
     let page = call(&other.client, "GET", path, &[], "").unwrap().json();
     assert_eq!(page["results"].as_array().unwrap().len(), 4, "{page}");
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -4,5 +4,6 @@
 mod lease;
 mod requests;
 mod soak;
+mod store_rate;
 mod support;
 mod tracing;
--- a/crates/trestlerackd/tests/entry/support/mod.rs
+++ b/crates/trestlerackd/tests/entry/support/mod.rs
@@ -12,7 +12,7 @@
 pub use platform::{
     EVENTS, EngineOrder, Platform, job_body_of, job_body_with, read_all, read_stream_from, submit, whole_text,
 };
-pub use server::{reply, serve};
+pub use server::{refusing_store, reply, serve};
 
 use std::time::{Duration, Instant};
 
--- a/crates/trestlerackd/tests/entry/support/server.rs
+++ b/crates/trestlerackd/tests/entry/support/server.rs
@@ -37,6 +37,11 @@
     }
 }
 
+/// Starts a store that refuses every call with the status that it has for rates.
+pub fn refusing_store() -> SocketAddr {
+    serve(|_, stream| reply(stream, 429, &[], "{}"))
+}
+
 /// Serves connections, one thread each, until the test ends.
 pub fn serve(answer: impl Fn(Received, &mut TcpStream) -> bool + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -17,6 +17,8 @@
     None,
     Commits,
     All,
+    /// Transactions are refused for their rate, while everything else is served.
+    CommitRate,
 }
 
 #[derive(Default)]
@@ -25,7 +27,7 @@
     rows: BTreeMap<RowKey, (String, u64)>,
     changes: Vec<(u64, RowKey, Option<String>)>,
     objects: BTreeMap<String, Vec<u8>>,
-    /// Which writes are refused with 503.
+    /// Which writes are refused.
     refuse_writes: Refusal,
     /// Writes that are applied and whose reply is then lost.
     lose_replies: usize,
@@ -35,6 +37,8 @@
     oldest_change: u64,
     /// Reads of partitions, by name.
     reads: BTreeMap<String, usize>,
+    /// Transactions that came, refused ones included.
+    commits: usize,
     /// Time that every call waits first, in milliseconds.
     slow_ms: u64,
     /// Time that reads of this table wait first, in milliseconds.
@@ -87,6 +91,16 @@
         self.state.0.lock().unwrap().refuse_writes = if refuse { Refusal::Commits } else { Refusal::None };
     }
 
+    /// Refuses transactions for their rate.
+    pub fn refuse_commit_rate(&self, refuse: bool) {
+        self.state.0.lock().unwrap().refuse_writes = if refuse { Refusal::CommitRate } else { Refusal::None };
+    }
+
+    /// Returns how many transactions came, refused ones included.
+    pub fn commits(&self) -> usize {
+        self.state.0.lock().unwrap().commits
+    }
+
     pub fn lose_replies(&self, count: usize) {
         self.state.0.lock().unwrap().lose_replies = count;
     }
@@ -152,8 +166,11 @@
     let mut state = shared.0.lock().unwrap();
     match path.rsplit('/').next().unwrap() {
         "rows-tx" => {
-            if state.refuse_writes != Refusal::None {
-                return (503, json!({}));
+            state.commits += 1;
+            match state.refuse_writes {
+                Refusal::None => {}
+                Refusal::Commits | Refusal::All => return (503, json!({})),
+                Refusal::CommitRate => return (429, json!({})),
             }
             let (status, body) = commit(&mut state, &request.body, now_ms);
             shared.1.notify_all();
