Have jobs driven by large VMs, models apart

Cause: a trainer's jobs were driven by the node that its first submission met, and 232 of 295 VMs have 0.12 of a core and 60 Mbit/s.

Change: a node tells its capacity (share of a core times its speed, from the settings that the platform fills in) with its row. The first job of a model goes to a large node that drives the fewest models, the acceptor itself if it is one; a later one stays with the driver of the model unless that is small and a large one is known. Successors of a lost owner are large nodes first. On sites whose VMs are alike the acceptor keeps the job unless it drives another model's.

Accepting a step still takes 0.1 s on a small VM: its 450 kB pass a link of 60 Mbit/s twice.

--- a/crates/trestlerack/src/process/entry_settings.rs
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -30,6 +30,10 @@
     pub store_reads_per_s: u64,
     /// Most bytes of a row's content.
     pub store_row_bytes: usize,
+    /// Share of a processor core that the VM has.
+    pub cpu_share: f64,
+    /// How many times as fast as one core that core is.
+    pub cpu_speed: f64,
     /// Time from a planned stop to the kill, in seconds.
     pub stop_limit_s: f64,
     /// Time that a new holder of the order lease waits for the last order of the holder before it.
@@ -54,6 +58,8 @@
             store: "".into(),
             store_reads_per_s: 2_000,
             store_row_bytes: 65_536,
+            cpu_share: 1.0,
+            cpu_speed: 1.0,
             stop_limit_s: 8.0,
             order_handover_ms: 3_000,
             retention_s: 600,
@@ -62,6 +68,13 @@
     }
 }
 
+impl EntrySettings {
+    /// Returns what the VM's processor can do, in thousandths of a core.
+    pub fn capacity(&self) -> u32 {
+        (self.cpu_share * self.cpu_speed * 1_000.0).round() as u32
+    }
+}
+
 const fn field(name: &'static str, kind: FieldKind, default: Option<&'static str>, meaning: &'static str) -> FieldSpec {
     FieldSpec { name, kind, default, meaning }
 }
@@ -91,6 +104,18 @@
         Some("65536"),
         "Most bytes of the content of a row in the store.",
     ),
+    field(
+        "cpu_share",
+        FieldKind::Ratio { min: 0.001, max: 1_024.0 },
+        Some("1"),
+        "Share of a processor core that the VM has; larger VMs drive the batch jobs.",
+    ),
+    field(
+        "cpu_speed",
+        FieldKind::Ratio { min: 0.001, max: 1_024.0 },
+        Some("1"),
+        "How many times as fast as one core that core is.",
+    ),
     field(
         "stop_limit_s",
         FieldKind::Ratio { min: 0.1, max: 3_600.0 },
--- a/crates/trestlerack/src/process/node_rows.rs
+++ b/crates/trestlerack/src/process/node_rows.rs
@@ -31,6 +31,9 @@
     pub address: Name,
     /// Tells this start of the node's process from earlier ones.
     pub incarnation: u64,
+    /// What the node's processor can do, in thousandths of a core.
+    #[serde(default)]
+    pub capacity: u32,
 }
 
 /// The newest row of each node that was read so far.
--- a/crates/trestlerackd/src/entry/adoption.rs
+++ b/crates/trestlerackd/src/entry/adoption.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::border::StoreError;
-use trestlerack::hash::{hash_parts, rank_among};
+use trestlerack::process::successor_rank;
 use trestlerack::request::JobHead;
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
 use trestlerack::{Name, Timestamp, event};
@@ -117,9 +117,9 @@
 
 /// Returns this node's place in the line of a job's successors.
 fn rank(node: &EntryNode, job: &Name, owner: &Name) -> usize {
-    let names = node.peers.names();
-    let others = names.iter().filter(|name| *name != owner).map(|name| &**name);
-    rank_among(hash_parts(&[job]), &node.settings.name, others)
+    let mut others = node.peers.capacities();
+    others.retain(|(name, _)| name != owner);
+    successor_rank(job, (&node.settings.name, node.settings.capacity()), &others)
 }
 
 async fn is_due(node: &Arc<EntryNode>, job: &Name, view: &JobView, suspicion: &mut JobSuspicion) -> bool {
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -8,10 +8,11 @@
 use crate::process::logs;
 use bytes::Bytes;
 use http::{Response, StatusCode};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::border::StoreError;
-use trestlerack::process::NodeRow;
+use trestlerack::process::{NodeRow, OwnerCandidate, choose_job_owner};
 use trestlerack::request::{JobHead, JobSpec};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
 use trestlerack::version::RequestRoute;
@@ -147,15 +148,31 @@
     }
 }
 
-/// Returns the name and the row of the node that is to drive a job: the one that drives the newest
-/// job of the same model, because it knows the engines' load and holds connections to them.
+/// Returns the name and the row of the node that is to drive a job.
 fn choose_owner(node: &EntryNode, spec: &JobSpec) -> (Name, NodeRow) {
-    let newest = {
-        let jobs = node.jobs.lock().unwrap();
-        let related = jobs.values().filter(|view| view.head.model == spec.model && view.head.host == spec.host);
-        related.max_by_key(|view| view.head.accepted_ms).map(|view| view.head.owner.clone())
-    };
-    let peer = newest.and_then(|owner| Some((owner.clone(), node.peers.get(&owner)?)));
+    let mut newest: Option<(u64, Name)> = None;
+    let mut driven: BTreeMap<Name, BTreeSet<Option<Name>>> = BTreeMap::new();
+    for view in node.jobs.lock().unwrap().values() {
+        let head = &view.head;
+        if head.model == spec.model && head.host == spec.host {
+            newest = newest.max(Some((head.accepted_ms, head.owner.clone())));
+        } else if !view.is_ended && !head.is_whole() {
+            driven.entry(head.owner.clone()).or_default().insert(head.model.clone());
+        }
+    }
+    let own = (node.settings.name.clone(), node.settings.capacity());
+    let mut nodes = node.peers.capacities();
+    if !nodes.contains(&own) {
+        nodes.push(own);
+    }
+    let models = |name: &Name| driven.get(name).map_or(0, BTreeSet::len);
+    let candidates: Vec<OwnerCandidate> =
+        nodes.into_iter().map(|(name, capacity)| OwnerCandidate { models: models(&name), name, capacity }).collect();
+    let model = spec.model.as_deref().unwrap_or("");
+    let newest = newest.as_ref().map(|(_, owner)| &**owner);
+    let owner = choose_job_owner(model, &node.settings.name, newest, &candidates);
+    // A node that was listed a moment ago may be gone from the list by now.
+    let peer = owner.and_then(|owner| Some((owner.name.clone(), node.peers.get(&owner.name)?)));
     peer.unwrap_or_else(|| (node.settings.name.clone(), node.node_row()))
 }
 
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -192,7 +192,8 @@
 
     /// Returns the row by which peers find this node.
     pub fn node_row(&self) -> NodeRow {
-        NodeRow { address: self.settings.peer_listen.clone(), incarnation: self.incarnation }
+        let address = self.settings.peer_listen.clone();
+        NodeRow { address, incarnation: self.incarnation, capacity: self.settings.capacity() }
     }
 
     /// Takes over a head row that was read or written, unless a newer one is known.
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -117,6 +117,11 @@
         self.known.lock().unwrap().iter().map(|(name, _)| name.clone()).collect()
     }
 
+    /// Returns all registered nodes with their capacities.
+    pub fn capacities(&self) -> Vec<(Name, u32)> {
+        self.known.lock().unwrap().iter().map(|(name, row)| (name.clone(), row.capacity)).collect()
+    }
+
     /// Returns whether any peer may be asked.
     pub fn has_any(&self) -> bool {
         !self.addresses().is_empty()
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -142,6 +142,27 @@
     assert_eq!(platform.store.count("state", "bad"), 0);
 }
 
+#[test]
+fn a_small_node_has_its_jobs_driven_by_a_large_one() {
+    let platform = Platform::start();
+    let store = platform.store.address.to_string();
+    let log = std::env::temp_dir().join(format!("entry-large-{}.log", std::process::id()));
+    let large = DaemonSettings { store: store.clone(), log: Some(log.clone()), ..DaemonSettings::default() };
+    let _large = EntryDaemon::start_with("large", &large);
+    let small = DaemonSettings { store, cpu_share: 0.2, ..DaemonSettings::default() };
+    let small = EntryDaemon::start_with("small", &small);
+    let lines = |event: &str| std::fs::read_to_string(&log).unwrap().matches(event).count();
+    eventually("both are registered", || {
+        let partitions = std::collections::BTreeSet::from([node_partition("small"), node_partition("large")]);
+        partitions.iter().map(|partition| platform.store.count("state", partition)).sum::<usize>() == 2
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(submit(&small, "job1", 4), 202);
+    assert_eq!(read_all(&small, "job1", 4).len(), 4);
+    assert_eq!((lines("name=job-driven"), lines("name=job-taken")), (1, 0));
+    std::fs::remove_file(&log).unwrap();
+}
+
 #[test]
 fn a_refused_job_was_not_stored_and_a_lost_reply_is_no_refusal() {
     let platform = Platform::start();
--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -70,6 +70,8 @@
     pub order_handover_ms: u64,
     /// Time for which ended jobs can be read.
     pub retention_s: u64,
+    /// Share of a processor core that the VM has.
+    pub cpu_share: f64,
     /// Collector of spans.
     pub otlp_endpoint: String,
     /// File that takes the log; it is thrown away without one.
@@ -83,6 +85,7 @@
             seeds: Vec::new(),
             order_handover_ms: 300,
             retention_s: RETENTION_S,
+            cpu_share: 1.0,
             otlp_endpoint: String::new(),
             log: None,
         }
@@ -102,6 +105,7 @@
             "name": name, "zone": "z", "client_listen": client, "ready_listen": ready, "peer_listen": peer,
             "seeds": settings.seeds, "store": settings.store, "stop_limit_s": STOP_LIMIT.as_secs_f64(),
             "order_handover_ms": settings.order_handover_ms, "retention_s": settings.retention_s,
+            "cpu_share": settings.cpu_share,
         });
         if !settings.otlp_endpoint.is_empty() {
             text["otlp_endpoint"] = json!(settings.otlp_endpoint);
