Keep drivers to the engines that are to serve their model, from the first step on

Change: while an engine that is assigned to the model will do, be it full or not, others are left alone. The rows of the assignments, which all nodes watch, are there before the first step.

Test: drivers_of_several_models_keep_to_the_engines_that_are_to_serve_theirs.

--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -159,6 +159,8 @@
 pub struct ServerBoard {
     settings: BoardSettings,
     servers: BTreeMap<Name, ServerBelief>,
+    /// The model that each engine is to serve, by instance; kept for engines not listed yet too.
+    assigned: BTreeMap<Name, Name>,
     /// How long answers take, by service.
     answer_times: BTreeMap<Name, AnswerTime>,
 }
@@ -199,10 +201,18 @@
     }
 
     /// Chooses the server that is expected to answer first, or `None` if none will do now.
+    ///
+    /// While an engine that is to serve the model will do, others are left alone, also those whose
+    /// weights would do: their load is known to the drivers of their own model only. Without
+    /// this, six drivers that shared 102 engines put 18 runs on one of six places that looked fast to
+    /// all of them, and the first two steps of a day took 9 to 10 s in place of 7.5.
     pub fn choose<'a>(&'a self, now: Timestamp, need: &ServerNeed<'_>) -> Option<&'a ServerBelief> {
         let typical = self.typical_pace(now, need.service);
-        let is_candidate =
-            |belief: &&ServerBelief| &*belief.entry.service == need.service && self.will_do(now, belief, need);
+        let own_only = self.has_own(now, need);
+        let is_candidate = |belief: &&ServerBelief| {
+            let is_open = !own_only || self.is_own(belief, need);
+            &*belief.entry.service == need.service && is_open && self.will_do(now, belief, need)
+        };
         let candidates = self.servers.values().filter(is_candidate);
         let key = hash_parts(&[need.tie_key]);
         candidates.min_by(|left, right| {
@@ -212,6 +222,19 @@
         })
     }
 
+    /// Returns whether an engine that is to serve the model of `need` would do if it had a place.
+    fn has_own(&self, now: Timestamp, need: &ServerNeed<'_>) -> bool {
+        let need = ServerNeed { wants_free_place: false, avoid: &[], ..need.clone() };
+        let mut of_service = self.of_service(need.service);
+        need.weights.is_some()
+            && of_service.any(|belief| self.is_own(belief, &need) && self.will_do(now, belief, &need))
+    }
+
+    fn is_own(&self, belief: &ServerBelief, need: &ServerNeed<'_>) -> bool {
+        let model = self.assigned.get(&belief.entry.instance);
+        need.weights.is_some_and(|(wanted, _)| model.is_some_and(|model| &**model == wanted))
+    }
+
     /// Returns how many servers would do if each had a free place.
     pub fn count(&self, now: Timestamp, need: &ServerNeed<'_>) -> usize {
         let need = ServerNeed { wants_free_place: false, ..need.clone() };
@@ -364,6 +387,14 @@
         });
     }
 
+    /// Records which model an engine is to serve; `None` if that is not known any more.
+    pub fn assign(&mut self, instance: &Name, model: Option<&Name>) {
+        match model {
+            Some(model) => self.assigned.insert(instance.clone(), model.clone()),
+            None => self.assigned.remove(instance),
+        };
+    }
+
     /// Records that a server loads a version until `until` and holds it from then on.
     pub fn loading(&mut self, instance: &str, model: &str, version: WeightVersion, until: Timestamp) {
         self.change(instance, |belief| {
--- a/crates/trestlerack/tests/placement.rs
+++ b/crates/trestlerack/tests/placement.rs
@@ -137,6 +137,27 @@
     assert!(counts.values().all(|count| (60..150).contains(count)), "{counts:?}");
 }
 
+/// All engines hold the first version of all models. Each driver keeps to those of its own model,
+/// also while they are full, and takes others only while none of its own will do at all.
+#[test]
+fn drivers_of_several_models_keep_to_the_engines_that_are_to_serve_theirs() {
+    let mut both = entry("a", "z", 1);
+    both.models.push(("n".into(), 1));
+    let mut board = board(&[both.clone(), ServerEntry { instance: "b".into(), ..both }]);
+    let other = ServerNeed { weights: Some(("n", 1)), ..need(1) };
+    board.assign(&"a".into(), Some(&"m".into()));
+    assert_eq!(chosen(&board, NOW, &need(1)), Some("a".into()));
+    assert!(chosen(&board, NOW, &other).is_some(), "no engine is to serve that model yet");
+    board.assign(&"b".into(), Some(&"n".into()));
+    board.started("a");
+    board.started("a");
+    assert_eq!(chosen(&board, NOW, &need(1)), None, "a place of its own will be free sooner or later");
+    assert_eq!(chosen(&board, NOW, &other), Some("b".into()));
+    let pause = board.failed(NOW, "a");
+    assert_eq!(chosen(&board, NOW, &need(1)), Some("b".into()), "none of its own takes anything");
+    assert_eq!(chosen(&board, NOW + pause, &need(1)), None);
+}
+
 #[test]
 fn a_draining_server_gets_nothing_new() {
     let draining = ServerEntry { is_draining: true, ..entry("a", "z", 1) };
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -257,6 +257,7 @@
 fn apply_engine_row(node: &Arc<EntryNode>, row: &StoredRow) -> Result<(), StoreError> {
     if row.removed {
         node.assignments.lock().unwrap().remove(&row.key);
+        node.board.lock().unwrap().assign(&row.key, None);
         return Ok(());
     }
     learn_assignment(node, &row.key, tables::decode(&row.value)?);
@@ -265,6 +266,7 @@
 
 /// Takes over what an engine was ordered: it takes no new work until it holds the version.
 pub fn learn_assignment(node: &Arc<EntryNode>, instance: &Name, assignment: EngineAssignment) {
+    node.board.lock().unwrap().assign(instance, Some(&assignment.model));
     if assignment.version > 0 {
         let age = Duration::from_millis(node.store.clock_ms().saturating_sub(assignment.ordered_ms));
         let load_time = WeightPlanSettings::default().load_time;
