Ask the peer first that relayed the last call, and take no refused way for a busy store

The call was then tried directly, its 429 was taken for a busy store's, and the next try waited 0.25 to 0.75 s: a step's submission took 1.2 s at such a node.

Change: the peer that relayed the last call is asked first, three are asked in all, two of them at most if the outcome stays open, and nodes start at different peers. While a node's way is in doubt a 429 of its direct try counts as an outage.

--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -15,6 +15,7 @@
 mod pacing;
 mod placement;
 mod registry;
+mod relay_choice;
 mod settings;
 mod spool;
 mod step;
@@ -36,6 +37,7 @@
 pub use pacing::{failure_pause, rate_pause, watch_pause};
 pub use placement::{BoardSettings, ChoiceBasis, ServerBelief, ServerBoard, ServerNeed};
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
+pub use relay_choice::RelayChoice;
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
 pub use spool::{SampleSpool, SpoolSettings};
 pub use step::{
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -3,21 +3,20 @@
 use super::adoption;
 use super::node::EntryNode;
 use super::pool::ConnectionPool;
+use crate::process::clock::SystemClock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use trestlerack::Name;
-use trestlerack::border::StoreError;
-use trestlerack::process::{NodeRow, NodeRows};
+use trestlerack::border::{Clock, StoreError};
+use trestlerack::process::{NodeRow, NodeRows, RelayChoice};
 use trestlerack::rows::{StoreCall, StoreReply};
 
 /// Path of all calls between nodes.
@@ -26,9 +25,6 @@
 /// Time for an answer to a liveness question.
 const PING_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Time for which a peer that could not relay a call is passed over.
-const FAILED_PAUSE: Duration = Duration::from_secs(1);
-
 /// Time that a node gives a store call that it relays.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -73,16 +69,16 @@
     own_address: Name,
     seeds: Mutex<Vec<Name>>,
     known: Mutex<NodeRows>,
-    turn: AtomicUsize,
-    /// Peers that could not relay a call, until the given time.
-    failed: Mutex<BTreeMap<Name, Instant>>,
+    relays: Mutex<RelayChoice>,
+    time: SystemClock,
 }
 
 impl PeerClient {
     /// Builds a client that knows the seeds only.
     pub fn new(pool: Arc<ConnectionPool>, own_address: Name, seeds: Vec<Name>) -> Self {
-        let (known, turn, failed) = (Mutex::default(), AtomicUsize::new(0), Mutex::default());
-        Self { pool, own_address, seeds: Mutex::new(seeds), known, turn, failed }
+        let relays = Mutex::new(RelayChoice::new(&own_address));
+        let (seeds, known, time) = (Mutex::new(seeds), Mutex::default(), SystemClock::new());
+        Self { pool, own_address, seeds, known, relays, time }
     }
 
     /// Takes over other seeds.
@@ -137,33 +133,25 @@
         addresses
     }
 
-    /// Returns up to `most` peers, others with each call, so that one that is down costs one try.
-    pub fn pick(&self, most: usize) -> Vec<Name> {
-        let mut addresses = self.addresses();
-        if addresses.is_empty() {
-            return Vec::new();
-        }
-        let now = Instant::now();
-        let mut failed = self.failed.lock().unwrap();
-        failed.retain(|_, until| *until > now);
-        if addresses.iter().any(|address| !failed.contains_key(address)) {
-            addresses.retain(|address| !failed.contains_key(address));
-        }
-        drop(failed);
-        let first = self.turn.fetch_add(1, Ordering::Relaxed);
-        (0..most.min(addresses.len())).map(|offset| addresses[(first + offset) % addresses.len()].clone()).collect()
+    /// Returns the peers that are to relay a store call, to be asked in turn.
+    pub fn pick_relays(&self) -> Vec<Name> {
+        let addresses = self.addresses();
+        self.relays.lock().unwrap().pick(self.time.now(), addresses)
     }
 
     /// Asks a peer to make a store call.
     pub async fn relay(&self, peer: &Name, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreError> {
         let error = match self.ask(peer, &PeerCall::Relay(call.clone()), limit).await {
-            Some(PeerReply::Relayed(reply)) => return Ok(reply),
+            Some(PeerReply::Relayed(reply)) => {
+                self.relays.lock().unwrap().relayed(peer);
+                return Ok(reply);
+            }
             Some(PeerReply::RateLimited) => return Err(StoreError::RateLimited),
             Some(PeerReply::Unavailable) => StoreError::Unavailable,
             // A peer that does not answer may still have passed the call on.
             _ => StoreError::Unknown,
         };
-        self.failed.lock().unwrap().insert(peer.clone(), Instant::now() + FAILED_PAUSE);
+        self.relays.lock().unwrap().failed(self.time.now(), peer);
         Err(error)
     }
 
--- a/crates/trestlerackd/src/entry/store.rs
+++ b/crates/trestlerackd/src/entry/store.rs
@@ -27,8 +27,8 @@
 /// Interval at which the direct way is tried again after it failed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Peers that are asked to relay one call.
-const RELAY_TRIES: usize = 2;
+/// Peers that may leave the outcome of one call open; each takes a time limit.
+const RELAY_DOUBTS: usize = 2;
 
 /// Longest reply, in bytes; the store's pages are 1 MB before their encoding.
 const MAX_REPLY: usize = 8 * 1024 * 1024;
@@ -193,11 +193,17 @@
     }
 
     async fn call_relayed(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
-        let mut worst = StoreError::Unavailable;
-        for peer in self.peers.pick(RELAY_TRIES) {
+        let (mut worst, mut doubts) = (StoreError::Unavailable, 0);
+        for peer in self.peers.pick_relays() {
             match self.peers.relay(&peer, call, time_limit(call, CALL_TIMEOUT)).await {
                 Ok(reply) => return Ok(reply),
-                Err(StoreError::Unknown) => worst = StoreError::Unknown,
+                Err(StoreError::Unknown) => {
+                    worst = StoreError::Unknown;
+                    doubts += 1;
+                    if doubts == RELAY_DOUBTS {
+                        break;
+                    }
+                }
                 Err(StoreError::Unavailable) => {}
                 // The store serves that peer, so another one would be refused too.
                 Err(StoreError::RateLimited) if worst == StoreError::Unavailable => {
@@ -231,7 +237,11 @@
             match self.call_relayed(call).await {
                 Ok(reply) => Ok(reply),
                 Err(StoreError::RateLimited) => Err(StoreError::RateLimited),
-                Err(relayed) => merge(self.call_direct(call, DIRECT_TIMEOUT).await, relayed),
+                // This node's way is shut, whatever status says so, and peers may serve the next try.
+                Err(relayed) => match self.call_direct(call, DIRECT_TIMEOUT).await {
+                    Err(StoreError::RateLimited) => Err(relayed),
+                    direct => merge(direct, relayed),
+                },
             }
         } else {
             let limit = if has_peers { DIRECT_TIMEOUT } else { CALL_TIMEOUT };
--- a/crates/trestlerackd/tests/entry/store_rate.rs
+++ b/crates/trestlerackd/tests/entry/store_rate.rs
@@ -31,6 +31,28 @@
         .sum()
 }
 
+/// The store refuses most of the nodes. Each serves on through one that it serves, without a pause
+/// at each call whose first relays are refused too.
+#[test]
+fn a_refused_node_goes_on_through_the_peer_that_relayed_before() {
+    let platform = Platform::start();
+    let served = EntryDaemon::start("a", &platform.store, &[]);
+    let refusing = refusing_store().to_string();
+    let start = |name: &str| {
+        let seeds = vec![served.peer.clone()];
+        EntryDaemon::start_with(name, &DaemonSettings { store: refusing.clone(), seeds, ..DaemonSettings::default() })
+    };
+    let refused: Vec<EntryDaemon> = ["b", "c", "d", "e", "f"].into_iter().map(start).collect();
+    std::thread::sleep(Duration::from_secs(1));
+    let mut late = 0;
+    for job in 0..12 {
+        let begun = std::time::Instant::now();
+        assert_eq!(submit(&refused[job % refused.len()], &format!("job{job}"), 2), 202);
+        late += usize::from(begun.elapsed() >= Duration::from_millis(200));
+    }
+    assert!(late <= 1, "{late} of 12 submissions waited");
+}
+
 /// The store may refuse one node with the status that it has for rates, whatever that node calls.
 #[test]
 fn a_node_that_alone_is_refused_with_the_status_of_a_rate_serves_on_through_peers() {
