Place long texts by pace, and give second runs idle engines only

And 1,200 second runs filled engines to their last place (in_flight=5 of 6), so that the long texts of a new step waited up to 1.1 s.

Change: for an item whose estimate is twice the median, how full an engine is counts a tenth. A second run takes an engine with more than half of its places free, and second runs of a model end when its items wait for a place.

score-ended names the item.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -167,6 +167,8 @@
     TEXTS_LOST = (2306, "texts-lost", Warn);
     /// A run of an item was started, with what was believed of its engine.
     RUN_STARTED = (2307, "run-started", Info);
+    /// Second runs were ended, because items wait for a place.
+    SPARES_YIELDED = (2309, "spares-yielded", Info);
     /// The score call of an item ended, with the servers that were asked.
     SCORE_ENDED = (2308, "score-ended", Info);
     /// An engine was ordered to load a version, with the outcome.
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -35,7 +35,7 @@
 pub use outlier::{OutlierDetector, OutlierSettings};
 pub use ownership::{ModelOwner, NodeView, OwnerTable, OwnershipView};
 pub use pacing::{failure_pause, rate_pause, watch_pause};
-pub use placement::{BoardSettings, ChoiceBasis, ServerBelief, ServerBoard, ServerNeed};
+pub use placement::{BoardSettings, ChoiceBasis, ServerBelief, ServerBoard, ServerNeed, ServerRoom};
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
 pub use relay_choice::RelayChoice;
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -38,6 +38,10 @@
     pub default_pace_ms: f64,
     /// Cost of a server in another availability zone, as a share of its places.
     pub zone_cost: f64,
+    /// Cost of a full engine for a request that lasts long, as a share of its pace. An engine that
+    /// runs six requests makes each event 3 % later than one that runs one, and engines of one
+    /// service differ by 30 %: a long text on a slow engine costs its step half a second.
+    pub long_fill_cost: f64,
     /// Cost of each version that an engine is newer than needed, as a share of its pace. The next
     /// step needs the newer engines, so a step takes the older ones while they have places.
     pub spare_version_cost: f64,
@@ -56,11 +60,24 @@
             pace_weight: 0.1,
             default_pace_ms: 37.0,
             zone_cost: 0.1,
+            long_fill_cost: 0.1,
             spare_version_cost: 0.2,
         }
     }
 }
 
+/// How much room a server must have for a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ServerRoom {
+    /// None: the request may wait there.
+    #[default]
+    Any,
+    /// A free place.
+    Place,
+    /// More than half of its places.
+    Half,
+}
+
 /// What a server must offer for a request.
 #[derive(Clone, Debug, Default)]
 pub struct ServerNeed<'a> {
@@ -72,8 +89,11 @@
     pub pinned: Option<WeightVersion>,
     /// Servers that were tried already.
     pub avoid: &'a [Name],
-    /// Whether only a server with a free place will do.
-    pub wants_free_place: bool,
+    /// How much room the server must have.
+    pub room: ServerRoom,
+    /// Whether the request is expected to last long, so that the server's pace counts for more than
+    /// how full it is.
+    pub is_long: bool,
     /// Availability zone to prefer.
     pub zone: &'a str,
     /// Decides between servers that cost the same, as the name of the node does. Nodes that know of
@@ -224,7 +244,7 @@
 
     /// Returns whether an engine that is to serve the model of `need` would do if it had a place.
     fn has_own(&self, now: Timestamp, need: &ServerNeed<'_>) -> bool {
-        let need = ServerNeed { wants_free_place: false, avoid: &[], ..need.clone() };
+        let need = ServerNeed { room: ServerRoom::Any, avoid: &[], ..need.clone() };
         let mut of_service = self.of_service(need.service);
         need.weights.is_some()
             && of_service.any(|belief| self.is_own(belief, &need) && self.will_do(now, belief, &need))
@@ -237,7 +257,7 @@
 
     /// Returns how many servers would do if each had a free place.
     pub fn count(&self, now: Timestamp, need: &ServerNeed<'_>) -> usize {
-        let need = ServerNeed { wants_free_place: false, ..need.clone() };
+        let need = ServerNeed { room: ServerRoom::Any, ..need.clone() };
         self.of_service(need.service).filter(|belief| self.will_do(now, belief, &need)).count()
     }
 
@@ -247,7 +267,12 @@
             let is_right = |version: WeightVersion| version >= oldest && need.pinned.is_none_or(|v| version == v);
             !is_loading && belief.version(model).is_some_and(is_right)
         });
-        let has_place = !need.wants_free_place || belief.busy(now, self.settings.load_age) < belief.slots();
+        let busy = belief.busy(now, self.settings.load_age);
+        let has_place = match need.room {
+            ServerRoom::Any => true,
+            ServerRoom::Place => busy < belief.slots(),
+            ServerRoom::Half => 2 * busy < belief.slots(),
+        };
         let is_open = !belief.entry.is_draining && belief.not_before <= now;
         is_open && is_new_enough && has_place && !need.avoid.contains(&belief.entry.instance)
     }
@@ -262,6 +287,7 @@
             0 => 0,
             _ => belief.version(model).map_or(0, |version| version.saturating_sub(oldest)),
         };
+        let fill = if need.is_long { fill * self.settings.long_fill_cost } else { fill };
         pace * (1.0 + fill + self.settings.spare_version_cost * spare as f64)
     }
 
--- a/crates/trestlerack/tests/placement.rs
+++ b/crates/trestlerack/tests/placement.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 use trestlerack::Timestamp;
-use trestlerack::process::{BoardSettings, RegistrySettings, ServerBoard, ServerEntry, ServerNeed, ServerRegistry};
+use trestlerack::process::{
+    BoardSettings, RegistrySettings, ServerBoard, ServerEntry, ServerNeed, ServerRegistry, ServerRoom,
+};
 
 const NOW: Timestamp = Timestamp(100_000);
 
@@ -32,7 +34,7 @@
 }
 
 fn need(oldest: u64) -> ServerNeed<'static> {
-    ServerNeed { service: "models", weights: Some(("m", oldest)), wants_free_place: true, ..ServerNeed::default() }
+    ServerNeed { service: "models", weights: Some(("m", oldest)), room: ServerRoom::Place, ..ServerNeed::default() }
 }
 
 fn chosen(board: &ServerBoard, now: Timestamp, need: &ServerNeed<'_>) -> Option<String> {
@@ -84,6 +86,33 @@
     assert!(board.slowness(later, "a") <= BoardSettings::default().old_slowness);
 }
 
+/// Two engines in three are 1.3 times faster. A long text goes to a fast one even if that has a
+/// single place left, a short one to where there is room.
+#[test]
+fn a_long_text_takes_the_last_place_of_a_fast_engine() {
+    let mut board = board(&[entry("a", "z", 1), entry("b", "z", 1), entry("c", "z", 1)]);
+    for (engine, gap) in [("a", 75), ("b", 75), ("c", 98)] {
+        board.event_gap(NOW, engine, Duration::from_millis(gap));
+        if engine != "c" {
+            board.started(engine);
+        }
+    }
+    let long = ServerNeed { is_long: true, ..need(1) };
+    assert_ne!(chosen(&board, NOW, &long), Some("c".into()));
+    assert_eq!(chosen(&board, NOW, &need(1)), Some("c".into()));
+}
+
+#[test]
+fn a_second_run_takes_an_engine_that_is_less_than_half_full() {
+    let mut board = board(&[ServerEntry { slots: 6, ..entry("a", "z", 1) }]);
+    let idle = ServerNeed { room: ServerRoom::Half, ..need(1) };
+    (0..2).for_each(|_| board.started("a"));
+    assert_eq!(chosen(&board, NOW, &idle), Some("a".into()));
+    board.started("a");
+    assert_eq!(chosen(&board, NOW, &idle), None);
+    assert_eq!(chosen(&board, NOW, &need(1)), Some("a".into()));
+}
+
 #[test]
 fn failures_in_a_row_pause_a_server_longer_and_a_success_ends_that() {
     let mut board = board(&[entry("a", "z", 1)]);
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -129,6 +129,21 @@
         if is_due { runs.remove(&key).map(|run| run.handle) } else { None }
     }
 
+    /// Ends up to `most` second runs. Returns how many it ended.
+    pub fn cancel_spares(&self, most: usize) -> usize {
+        let mut runs = self.runs.lock().unwrap();
+        let spares = runs.keys().filter(|(_, lane)| *lane == RunLane::Spare).take(most);
+        let spares: Vec<(usize, RunLane)> = spares.copied().collect();
+        let ended: Vec<ItemRun> = spares.iter().filter_map(|key| runs.remove(key)).collect();
+        drop(runs);
+        ended.iter().for_each(|run| run.handle.abort());
+        let mut ledger = self.ledger.lock().unwrap();
+        spares.iter().for_each(|(index, _)| {
+            ledger.end_spare(*index, RunEnd::Broken);
+        });
+        ended.len()
+    }
+
     fn cancel_runs(&self, now: Timestamp) {
         let runs: Vec<((usize, RunLane), ItemRun)> = self.runs.lock().unwrap().drain().collect();
         let mut ledger = self.ledger.lock().unwrap();
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -6,7 +6,7 @@
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{ServerEntry, ServerNeed};
+use trestlerack::process::{ServerEntry, ServerNeed, ServerRoom};
 use trestlerack::request::{ItemPhase, JobLedger, RunEnd, RunLane};
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, event};
@@ -24,7 +24,7 @@
     let now = node.now();
     let mut ledger = driver.ledger.lock().unwrap();
     let waiting: Vec<usize> = ledger.waiting(now).collect();
-    for index in waiting {
+    for (placed, index) in waiting.iter().copied().enumerate() {
         let item = &driver.spec.items[index];
         let Some(service) = route.service_for(&item.id) else { return };
         let model = driver.spec.model_of(item);
@@ -32,7 +32,8 @@
             service,
             weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
             pinned: ledger.pinned_version(index),
-            wants_free_place: true,
+            room: ServerRoom::Place,
+            is_long: ledger.is_long(index),
             zone: &node.settings.zone,
             tie_key: &node.settings.name,
             ..ServerNeed::default()
@@ -49,11 +50,28 @@
             Some(entry) => start_run(node, driver, &mut ledger, index, entry),
             // Others may find a place all the same.
             None if need.pinned.is_some() => {}
-            None => return,
+            None => {
+                drop(ledger);
+                return yield_spares(node, driver, waiting.len() - placed);
+            }
         }
     }
 }
 
+/// Ends as many second runs of the model's jobs as items wait without a place: a second run only
+/// saves work of a later job, and an item that waits holds up its own.
+fn yield_spares(node: &Arc<EntryNode>, driver: &JobDriver, most: usize) {
+    let drivers: Vec<Arc<JobDriver>> = node.drivers.lock().unwrap().values().cloned().collect();
+    let mut left = most;
+    for other in drivers.iter().filter(|other| other.spec.model == driver.spec.model) {
+        left -= other.cancel_spares(left);
+    }
+    if left < most {
+        let ended = most - left;
+        logs::write(event::SPARES_YIELDED, &[("job", &driver.spec.id), ("waiting", &most), ("ended", &ended)]);
+    }
+}
+
 fn start_run(
     node: &Arc<EntryNode>,
     driver: &Arc<JobDriver>,
@@ -82,7 +100,8 @@
 }
 
 /// Starts a second run of an item that may not be whole before its client ends the job: on the
-/// newest weights, from the beginning, while engines have places that nobody waits for. A later
+/// newest weights, from the beginning, while an engine has more than half of its places free and
+/// nobody waits. A later
 /// job that brings the item again and needs newer weights than the first run had then goes on from
 /// the second one. One run at each look.
 pub fn start_spare(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
@@ -97,7 +116,7 @@
     let need = ServerNeed {
         service,
         weights: Some((&model, newest)),
-        wants_free_place: true,
+        room: ServerRoom::Half,
         avoid: std::slice::from_ref(&engine),
         zone: &node.settings.zone,
         tie_key: &node.settings.name,
@@ -151,7 +170,10 @@
     index: usize,
     engine: &Name,
 ) -> Option<(f64, ServerEntry)> {
-    let pinned = driver.ledger.lock().unwrap().pinned_version(index);
+    let (pinned, is_long) = {
+        let ledger = driver.ledger.lock().unwrap();
+        (ledger.pinned_version(index), ledger.is_long(index))
+    };
     let board = node.board.lock().unwrap();
     let now = node.now();
     let slowness = board.slowness(now, engine);
@@ -161,7 +183,8 @@
         service: route.service_for(&item.id)?,
         weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
         pinned,
-        wants_free_place: true,
+        room: ServerRoom::Place,
+        is_long,
         avoid: std::slice::from_ref(engine),
         zone: &node.settings.zone,
         tie_key: &node.settings.name,
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::ServerNeed;
+use trestlerack::process::{ServerNeed, ServerRoom};
 use trestlerack::request::ScoreCall;
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, Timestamp, event};
@@ -30,8 +30,8 @@
     NoAnswer,
 }
 
-/// Has the text of an item scored, within the time limit of the scorer's route.
-pub async fn score(node: &Arc<EntryNode>, call: &ScoreCall) -> ScoreEnd {
+/// Has the text of `item` scored, within the time limit of the scorer's route.
+pub async fn score(node: &Arc<EntryNode>, item: &Name, call: &ScoreCall) -> ScoreEnd {
     let started = node.now();
     let mut tried: Vec<Name> = Vec::new();
     let end = ask_servers(node, call, &mut tried).await;
@@ -41,8 +41,8 @@
         ScoreEnd::NoAnswer => "no answer",
     };
     let ms = node.now().since(started).as_millis();
-    let fields: [(&str, &dyn std::fmt::Display); 4] =
-        [("request", &call.id), ("end", &outcome), ("servers", &tried.join(",")), ("ms", &ms)];
+    let fields: [(&str, &dyn std::fmt::Display); 5] =
+        [("request", &call.id), ("item", item), ("end", &outcome), ("servers", &tried.join(",")), ("ms", &ms)];
     logs::write(event::SCORE_ENDED, &fields);
     end
 }
@@ -86,7 +86,7 @@
     let need = ServerNeed {
         service,
         avoid: tried,
-        wants_free_place: true,
+        room: ServerRoom::Place,
         zone: &node.settings.zone,
         tie_key: &node.settings.name,
         ..ServerNeed::default()
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -142,6 +142,26 @@
     assert_eq!(platform.store.count("state", "bad"), 0);
 }
 
+/// Two engines have four places each. A second run on the newest weights takes one of them while
+/// nobody needs it, and gives it back to a job whose items wait.
+#[test]
+fn a_second_run_gives_its_place_to_an_item_that_waits() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.engine.pace_ms.store(1_500, Ordering::SeqCst);
+    let runs_of = |job: &str| platform.engine.runs.lock().unwrap().iter().filter(|run| run.starts_with(job)).count();
+    assert_eq!(submit(&daemon, "job1", 2), 202);
+    eventually("its items run", || runs_of("job1") == 2);
+    // A text whose first event the old weights made is of no use to a job that needs the new ones.
+    std::thread::sleep(Duration::from_millis(1_700));
+    platform.name_version(2);
+    eventually("one of them runs a second time", || runs_of("job1") == 3);
+    assert_eq!(submit(&daemon, "job2", 8), 202);
+    eventually("all places but two are taken by the new job", || runs_of("job2") == 6);
+    assert_eq!(platform.engine.last_runs.lock().unwrap().len(), 8, "no item ran out before");
+    assert_eq!(runs_of("job1"), 3);
+}
+
 #[test]
 fn a_small_node_has_its_jobs_driven_by_a_large_one() {
     let platform = Platform::start();
