Remove the row of a node that does not answer, so that no more jobs are given to it

Change: whoever takes a job over from a node that left two questions unanswered removes that node's row, on condition that it is as last read. A node that hears that its row is gone writes it again.

Ruled out: remembering silent nodes at the node that asked; each step is accepted by another one.

Tests: no_more_jobs_are_given_to_a_node_that_does_not_answer (the row stayed before) and a_node_that_was_taken_for_gone_registers_again.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -145,6 +145,8 @@
     JOB_OVERDUE = (2206, "job-overdue", Warn);
     /// The owner of a job does not answer.
     OWNER_SILENT = (2207, "owner-silent", Warn);
+    /// The row of a node that does not answer was removed; one that lives writes it again.
+    NODE_UNLISTED = (2212, "node-unlisted", Warn);
     /// This node took a job over.
     JOB_TAKEN = (2208, "job-taken", Info);
     /// A job could not be taken over.
--- a/crates/trestlerack/src/process/node_rows.rs
+++ b/crates/trestlerack/src/process/node_rows.rs
@@ -78,6 +78,11 @@
         self.rows.get(name).map(|(_, row)| row)
     }
 
+    /// Returns the version of a registered node's row in the store.
+    pub fn version(&self, name: &str) -> Option<u64> {
+        self.rows.get(name).map(|(version, _)| *version)
+    }
+
     /// Returns the registered nodes with their rows.
     pub fn iter(&self) -> impl Iterator<Item = (&Name, &NodeRow)> {
         self.rows.iter().map(|(name, (_, row))| (name, row))
--- a/crates/trestlerackd/src/entry/adoption.rs
+++ b/crates/trestlerackd/src/entry/adoption.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::border::StoreError;
-use trestlerack::process::successor_rank;
+use trestlerack::process::{node_partition, successor_rank};
 use trestlerack::request::JobHead;
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
 use trestlerack::{Name, Timestamp, event};
@@ -60,7 +60,11 @@
             }
             let suspicion = suspicions.entry(job.clone()).or_default();
             if is_due(&node, &job, &view, suspicion).await {
+                let is_silent = suspicion.strikes >= STRIKES;
                 take_over(&node, &job).await;
+                if is_silent {
+                    unlist(&node, &view.head.owner).await;
+                }
             }
         }
     }
@@ -113,6 +117,25 @@
     }
     logs::write(event::OWNER_SILENT, &[("job", &job), ("owner", &head.owner), ("strikes", &STRIKES)]);
     take_over(&node, &job).await;
+    unlist(&node, &head.owner).await;
+}
+
+/// Removes the row of a node that does not answer, if it is as it was last read. A VM that is gone for
+/// good would be given the next job of its model again and again, and each would wait for it; a
+/// node that lives, and was cut off or frozen, writes its row again when it hears of this.
+async fn unlist(node: &Arc<EntryNode>, name: &Name) {
+    let Some(version) = node.peers.row_version(name) else { return };
+    let transaction = RowTransaction::new(node_partition(name)).expect(tables::STATE, name, version);
+    let call = StoreCall::Commit(transaction.remove(tables::STATE, name));
+    let why = match node.store.call(&call).await {
+        Ok(StoreReply::Committed(moment)) => {
+            node.peers.put(name, moment.version, None);
+            "it does not answer".to_owned()
+        }
+        Ok(_) => "its row has changed and stays".to_owned(),
+        Err(error) => format!("its row may stay: {error}"),
+    };
+    logs::write(event::NODE_UNLISTED, &[("node", name), ("why", &why)]);
 }
 
 /// Returns this node's place in the line of a job's successors.
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -97,7 +97,12 @@
         platform::SERVER_TABLE => replace_servers(node, &all),
         tables::STATE => {
             let registered = all.iter().filter(|row| is_node_partition(&row.partition)).map(|row| row.key.clone());
-            node.peers.forget_missing(&registered.collect::<Vec<_>>(), version);
+            let registered: Vec<Name> = registered.collect();
+            node.peers.forget_missing(&registered, version);
+            let was_registered = node.is_registered.load(Ordering::Relaxed);
+            if was_registered && !registered.contains(&node.settings.name) {
+                node.unlisted.notify_one();
+            }
             apply_rows(node, table, all);
             node.has_state.store(true, Ordering::Relaxed);
         }
@@ -251,6 +256,9 @@
 fn apply_node_row(node: &Arc<EntryNode>, row: &StoredRow) -> Result<(), StoreError> {
     let peer = if row.removed { None } else { Some(tables::decode(&row.value)?) };
     node.peers.put(&row.key, row.version, peer);
+    if row.removed && row.key == node.settings.name {
+        node.unlisted.notify_one();
+    }
     Ok(())
 }
 
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -70,7 +70,7 @@
     for table in [platform::OPERATOR_TABLE, platform::SERVER_TABLE, tables::STATE] {
         tokio::spawn(feeds::follow(node.clone(), table));
     }
-    tokio::spawn(register(node.clone()));
+    tokio::spawn(keep_registered(node.clone()));
     tokio::spawn(probe_store(node.clone()));
     tokio::spawn(adoption::watch_owners(node.clone()));
     tokio::spawn(order_lease::run(node.clone()));
@@ -92,8 +92,20 @@
     TcpListener::bind(address).await.with_context(|| format!("cannot listen on {address}"))
 }
 
+/// Keeps the row by which peers find this node in the store. A peer that could not reach this node
+/// may have removed it.
+async fn keep_registered(node: Arc<EntryNode>) {
+    loop {
+        register(&node).await;
+        node.unlisted.notified().await;
+        if node.is_stopping() {
+            return;
+        }
+    }
+}
+
 /// Writes the row by which peers find this node, until the store has it.
-async fn register(node: Arc<EntryNode>) {
+async fn register(node: &Arc<EntryNode>) {
     let row = tables::encode(&node.node_row());
     let partition = node_partition(&node.settings.name);
     let transaction = RowTransaction::new(partition).put(tables::STATE, &node.settings.name, row);
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use trestlerack::border::Clock;
 use trestlerack::process::{
     BoardSettings, EntrySettings, LeaseRow, NodeRow, RegistrySettings, ServerBoard, ServerEntry, ServerRegistry,
@@ -85,6 +85,8 @@
     pub has_state: AtomicBool,
     /// Whether the store has this node's row.
     pub is_registered: AtomicBool,
+    /// Tells that the store had no row of this node when it was read last.
+    pub unlisted: Notify,
     /// Versions that trainers named.
     pub targets: Mutex<BTreeMap<Name, WeightVersion>>,
     /// What engines were ordered.
@@ -132,6 +134,7 @@
             has_registry: AtomicBool::new(false),
             has_state: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
+            unlisted: Notify::new(),
             targets: Mutex::default(),
             assignments: Mutex::default(),
             lease_row: Mutex::default(),
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -108,6 +108,11 @@
         self.known.lock().unwrap().get(name).cloned()
     }
 
+    /// Returns the version of a registered node's row in the store.
+    pub fn row_version(&self, name: &str) -> Option<u64> {
+        self.known.lock().unwrap().version(name)
+    }
+
     /// Returns the names of all registered nodes.
     pub fn names(&self) -> Vec<Name> {
         self.known.lock().unwrap().iter().map(|(name, _)| name.clone()).collect()
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -183,6 +183,42 @@
     std::fs::remove_file(&log).unwrap();
 }
 
+/// A VM that is gone for good drove the newest job of a model, and its row is still there. One job
+/// waits for it, no further one does.
+#[test]
+fn no_more_jobs_are_given_to_a_node_that_does_not_answer() {
+    let platform = Platform::start();
+    let mut gone = EntryDaemon::start("gone", &platform.store, &[]);
+    let other = EntryDaemon::start("b", &platform.store, &[&gone.peer]);
+    let rows = || platform.store.count("state", &node_partition("gone"));
+    eventually("it is registered", || rows() == 1);
+    assert_eq!(submit(&gone, "job1", 2), 202);
+    assert_eq!(read_all(&gone, "job1", 2).len(), 2);
+    gone.signal("-KILL");
+    gone.wait_end();
+    assert_eq!(submit(&other, "job2", 2), 202);
+    assert_eq!(read_all(&other, "job2", 2).len(), 2);
+    eventually("its row is removed", || rows() == 0);
+}
+
+#[test]
+fn a_node_that_was_taken_for_gone_registers_again() {
+    let platform = Platform::start();
+    let frozen = EntryDaemon::start("frozen", &platform.store, &[]);
+    let other = EntryDaemon::start("b", &platform.store, &[&frozen.peer]);
+    let rows = || platform.store.count("state", &node_partition("frozen"));
+    eventually("it is registered", || rows() == 1);
+    assert_eq!(submit(&frozen, "job1", 2), 202);
+    assert_eq!(read_all(&frozen, "job1", 2).len(), 2);
+    frozen.signal("-STOP");
+    assert_eq!(submit(&other, "job2", 2), 202);
+    eventually("its row is removed", || rows() == 0);
+    frozen.signal("-CONT");
+    eventually("its row is there again", || rows() == 1);
+    assert_eq!(submit(&frozen, "job3", 2), 202);
+    assert_eq!(read_all(&frozen, "job3", 2).len(), 2);
+}
+
 #[test]
 fn a_refused_job_was_not_stored_and_a_lost_reply_is_no_refusal() {
     let platform = Platform::start();
