Tell the owner of a job directly that the job is ended

Cause: an item of an ended job reached a server 3.3 s after the end at 300 nodes once (3 s are allowed). The owner heard of an end by its watch alone, which all nodes' share of the store's reads paces.

Change: the node that stores an end tells the owner that the head names. The store stays what decides; a node that does not answer hears by its watch.

Test: the_owner_of_a_job_hears_of_its_end_from_the_node_that_was_told (items ran on with the call taken out).

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -147,6 +147,8 @@
     OWNER_SILENT = (2207, "owner-silent", Warn);
     /// The row of a node that does not answer was removed; one that lives writes it again.
     NODE_UNLISTED = (2212, "node-unlisted", Warn);
+    /// The owner of an ended job could not be told; its watch tells it.
+    END_UNTOLD = (2213, "end-untold", Info);
     /// This node took a job over.
     JOB_TAKEN = (2208, "job-taken", Info);
     /// A job could not be taken over.
--- a/crates/trestlerackd/src/entry/job_calls.rs
+++ b/crates/trestlerackd/src/entry/job_calls.rs
@@ -216,10 +216,21 @@
         }
         logs::write(event::JOB_ENDED, &[("job", job), ("listed", &view.head.listed), ("total", &view.head.total)]);
         node.learn_end(job);
+        tokio::spawn(tell_owner(node.clone(), job.clone(), view.head.owner_address.clone()));
     }
     own_reply(StatusCode::OK, id)
 }
 
+/// Tells the owner of a job that it is ended, so that it does not run items until its watch says so.
+async fn tell_owner(node: Arc<EntryNode>, job: Name, owner: Name) {
+    if owner.is_empty() || owner == node.settings.peer_listen {
+        return;
+    }
+    if node.peers.end(&owner, &job).await.is_none() {
+        logs::write(event::END_UNTOLD, &[("job", &job), ("owner", &owner), ("why", &"it does not answer")]);
+    }
+}
+
 /// Makes a write that may be repeated until the store has it, within [`SETTLE_TIME`].
 async fn settle_write(node: &Arc<EntryNode>, transaction: RowTransaction) -> bool {
     let call = StoreCall::Commit(transaction);
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -46,6 +46,11 @@
         /// The job.
         job: Name,
     },
+    /// A job is ended, as the store holds; say whether you drove it.
+    End {
+        /// The job.
+        job: Name,
+    },
 }
 
 /// The answer of a peer.
@@ -162,15 +167,22 @@
 
     /// Asks a peer whether it drives a job; `None` if it does not answer.
     pub async fn drives(&self, peer: &Name, job: &Name) -> Option<bool> {
-        match self.ask(peer, &PeerCall::Drives { job: job.clone() }, PING_TIMEOUT).await {
-            Some(PeerReply::Drives(drives)) => Some(drives),
-            _ => None,
-        }
+        self.ask_about(peer, &PeerCall::Drives { job: job.clone() }).await
     }
 
     /// Asks a peer to drive a job that names it as owner; `None` if it does not answer.
     pub async fn drive(&self, peer: &Name, job: &Name) -> Option<bool> {
-        match self.ask(peer, &PeerCall::Drive { job: job.clone() }, PING_TIMEOUT).await {
+        self.ask_about(peer, &PeerCall::Drive { job: job.clone() }).await
+    }
+
+    /// Tells the owner of a job that the job is ended. The owner's watch tells it too, only later;
+    /// `None` if it does not answer.
+    pub async fn end(&self, peer: &Name, job: &Name) -> Option<bool> {
+        self.ask_about(peer, &PeerCall::End { job: job.clone() }).await
+    }
+
+    async fn ask_about(&self, peer: &Name, call: &PeerCall) -> Option<bool> {
+        match self.ask(peer, call, PING_TIMEOUT).await {
             Some(PeerReply::Drives(drives)) => Some(drives),
             _ => None,
         }
@@ -240,6 +252,11 @@
             }
         }
         PeerCall::Drive { job } => PeerReply::Drives(adoption::drive_assigned(node, &job).await),
+        PeerCall::End { job } => {
+            let is_driven = node.drivers.lock().unwrap().contains_key(&job);
+            node.learn_end(&job);
+            PeerReply::Drives(is_driven)
+        }
         PeerCall::Drives { job } => PeerReply::Drives(node.drivers.lock().unwrap().contains_key(&job)),
     };
     let mut encoded = Vec::new();
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -351,6 +351,26 @@
     assert_eq!(page["results"].as_array().unwrap().len(), 4, "{page}");
 }
 
+/// The owner's watch hears nothing of the end of its job, which another node was told.
+#[test]
+fn the_owner_of_a_job_hears_of_its_end_from_the_node_that_was_told() {
+    let platform = Platform::start();
+    let owner = EntryDaemon::start("a", &platform.store, &[]);
+    let other = EntryDaemon::start("b", &platform.store, &[&owner.peer]);
+    platform.engine.pace_ms.store(200, Ordering::SeqCst);
+    assert_eq!(submit(&owner, "job1", 40), 202);
+    let path = "/trestlerack/lots/job1";
+    eventually("the other node knows the job", || call(&other.client, "GET", path, &[], "").unwrap().status == 200);
+    platform.store.silence_watches(Some("state"));
+    assert_eq!(call(&other.client, "DELETE", path, &[], "").unwrap().status, 200);
+    std::thread::sleep(Duration::from_millis(200));
+    let runs = || platform.engine.runs.lock().unwrap().len();
+    let before = runs();
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(runs(), before, "an item ran after the end of its job");
+    platform.store.silence_watches(None);
+}
+
 /// News of an end that comes between the rows that a successor read and its first look at the job.
 #[test]
 fn a_job_that_ends_while_it_is_taken_over_runs_nothing_afterwards() {
