--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -17,6 +17,7 @@
 mod registry;
 mod relay_choice;
 mod run_limits;
+mod server_belief;
 mod settings;
 mod spool;
 mod step;
@@ -36,10 +37,11 @@
 pub use outlier::{OutlierDetector, OutlierSettings};
 pub use ownership::{ModelOwner, NodeView, OwnerTable, OwnershipView};
 pub use pacing::{failure_pause, rate_pause, watch_pause};
-pub use placement::{BoardSettings, ChoiceBasis, ServerBelief, ServerBoard, ServerNeed, ServerRoom};
+pub use placement::{BoardSettings, ServerBoard, ServerNeed, ServerRoom};
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
 pub use relay_choice::RelayChoice;
 pub use run_limits::RunLimits;
+pub use server_belief::{ChoiceBasis, ServerBelief};
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
 pub use spool::{SampleSpool, SpoolSettings};
 pub use step::{
--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -4,7 +4,8 @@
 //! node made on them; no server is asked anything only to learn its state.
 
 use super::answer_time::AnswerTime;
-use super::registry::{ServerEntry, ServerRegistry};
+use super::registry::ServerRegistry;
+use super::server_belief::{ChoiceBasis, ServerBelief, StatedLoad};
 use crate::hash::{hash_parts, rendezvous_weight};
 use crate::time::millis;
 use crate::version::WeightVersion;
@@ -103,77 +104,6 @@
     pub tie_key: &'a str,
 }
 
-/// Load that a server stated.
-#[derive(Clone, Copy, Debug, Default)]
-struct StatedLoad {
-    others: u32,
-    at: Timestamp,
-}
-
-/// What this node believes of one server.
-#[derive(Clone, Debug)]
-pub struct ServerBelief {
-    /// Its entry in service discovery.
-    pub entry: ServerEntry,
-    /// Requests of this node that it works on.
-    pub in_flight: u32,
-    load: StatedLoad,
-    pace_ms: Option<f64>,
-    pace_at: Timestamp,
-    failures: u32,
-    refusals: u32,
-    not_before: Timestamp,
-    versions: BTreeMap<Name, WeightVersion>,
-    loading_until: Option<Timestamp>,
-}
-
-impl ServerBelief {
-    fn new(entry: ServerEntry) -> Self {
-        let versions = entry.models.iter().cloned().collect();
-        Self {
-            entry,
-            in_flight: 0,
-            load: StatedLoad::default(),
-            pace_ms: None,
-            pace_at: Timestamp::default(),
-            failures: 0,
-            refusals: 0,
-            not_before: Timestamp::default(),
-            versions,
-            loading_until: None,
-        }
-    }
-
-    /// Returns the version of a model that the server is believed to hold.
-    pub fn version(&self, model: &str) -> Option<WeightVersion> {
-        self.versions.get(model).copied()
-    }
-
-    fn slots(&self) -> u32 {
-        self.entry.slots.max(1)
-    }
-
-    fn busy(&self, now: Timestamp, load_age: Duration) -> u32 {
-        let others = if now.since(self.load.at) < load_age { self.load.others } else { 0 };
-        self.in_flight + others
-    }
-}
-
-/// What was believed of a server when it was chosen, for the log.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ChoiceBasis {
-    /// Requests of this node that it works on.
-    pub in_flight: u32,
-    /// Requests of others, as it stated.
-    pub others: u32,
-    /// Time since it stated its load, in milliseconds, if it ever did.
-    pub load_age_ms: Option<u64>,
-    /// How many times slower than its service's median it is.
-    pub slowness: f64,
-    /// Version of the model asked for; 0 where none is known or asked for.
-    pub weights: WeightVersion,
-}
-
 /// The servers and what is believed of them.
 #[derive(Debug, Default)]
 pub struct ServerBoard {
