Let the test of missed results not rest on an owner that hears of an end late

Cause, not load: it silenced all watches so that the owner would not hear of the end of its job and go on recording; since the node that stores an end tells the owner, the owner hears, and stops if its results are not recorded by then.

The node under test is to know of the end and to have missed the results. The results are now recorded before the end while its watch is silent, which leaves it in the same state; what is asserted is unchanged.

--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -327,10 +327,10 @@
     assert_eq!(platform.store.reads("over"), before[2], "a job that is over changes no more");
 }
 
-/// Results may still be recorded after the end of a job, until its driver hears of the end. A node
-/// that knew of the end first and missed them must not answer that there are none.
+/// Results may be recorded around the end of a job without a node hearing of them. One that knows of
+/// the end and missed them must not answer that there are none.
 #[test]
-fn results_recorded_after_the_end_of_a_job_are_read_after_a_lost_history() {
+fn results_that_a_node_missed_are_read_after_the_end_of_their_job_and_a_lost_history() {
     let platform = Platform::start();
     let daemon = EntryDaemon::start("a", &platform.store, &[]);
     let other = EntryDaemon::start("b", &platform.store, &[&daemon.peer]);
@@ -339,8 +339,8 @@
     let path = "/trestlerack/lots/job1";
     eventually("the other node knows the job", || call(&other.client, "GET", path, &[], "").unwrap().status == 200);
     platform.store.silence_watches(Some("state"));
-    assert_eq!(call(&other.client, "DELETE", path, &[], "").unwrap().status, 200);
     eventually("its results are recorded", || platform.store.count("results", "job1") == 4);
+    assert_eq!(call(&other.client, "DELETE", path, &[], "").unwrap().status, 200);
     let nodes = node_partition(&daemon.name);
     let reads = platform.store.reads(&nodes);
     platform.store.drop_history();
