Wait for score calls without waking up while all servers asked are at work

Change: with as many servers at work as may be, only their answers are waited for, and patience is 20 ms at least.

--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -20,6 +20,10 @@
 /// were cut.
 const SERVERS_AT_ONCE: usize = 2;
 
+/// Shortest time before another server is looked for; a route may state no target latency, and there
+/// may be no other server.
+const LEAST_PATIENCE: Duration = Duration::from_millis(20);
+
 /// How a score call came out.
 pub enum ScoreEnd {
     /// The signature of the scoring service's answer.
@@ -61,8 +65,12 @@
             tried.push(ticket.server.instance.clone());
             attempts.push(attempt_score(node, call, ticket, deadline));
         }
-        let patience = patience(node, service, route);
-        match tokio::time::timeout(patience, attempts.next()).await {
+        let answer = match attempts.len() {
+            // There is nothing to do before one of them answers or its time is over.
+            SERVERS_AT_ONCE.. => Ok(attempts.next().await),
+            _ => tokio::time::timeout(patience(node, service, route), attempts.next()).await,
+        };
+        match answer {
             Ok(Some((server, ScoreEnd::Scored(signature)))) => {
                 pause_slower(node, tried, &server);
                 return ScoreEnd::Scored(signature);
@@ -79,7 +87,7 @@
 /// service, or the route's target latency until that is known.
 fn patience(node: &EntryNode, service: &Name, route: &RequestRoute) -> Duration {
     let usual = node.board.lock().unwrap().usual_answer_time(service);
-    usual.unwrap_or(Duration::from_millis(route.target_latency_ms))
+    usual.unwrap_or(Duration::from_millis(route.target_latency_ms)).max(LEAST_PATIENCE)
 }
 
 fn pick_server(node: &Arc<EntryNode>, service: &Name, tried: &[Name]) -> Option<ServerTicket> {
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -69,6 +69,23 @@
     assert!(begun.elapsed() < Duration::from_secs(2), "{:?}", begun.elapsed());
 }
 
+/// The scorer's route states no target latency, and its servers are silent. The node waits for them
+/// without using its processor.
+#[test]
+fn score_calls_of_a_route_without_a_target_wait_in_peace() {
+    let platform = Platform::start_behind(4, |address| address.to_string());
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.plain.silent_answers.store(16, Ordering::SeqCst);
+    let body = job_body_of("job1", 8, 1).replace("/safe/score", "/untimed/score");
+    assert_eq!(call(&daemon.client, "POST", "/jobs/job1", &[("request-id", "job1")], &body).unwrap().status, 202);
+    eventually("two servers were asked for each item", || platform.plain.runs.lock().unwrap().len() == 16);
+    let before = daemon.cpu_time();
+    std::thread::sleep(Duration::from_secs(2));
+    let used = daemon.cpu_time() - before;
+    assert!(used < Duration::from_millis(150), "{used:?} of two seconds");
+    assert_eq!(read_all(&daemon, "job1", 8).len(), 8);
+}
+
 #[test]
 fn another_job_of_the_same_id_is_refused_even_if_its_items_have_the_same_ids() {
     let platform = Platform::start();
--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -132,6 +132,15 @@
         assert!(status.success());
     }
 
+    /// Returns how long the process has used the processor.
+    pub fn cpu_time(&self) -> Duration {
+        const TICK: Duration = Duration::from_millis(10);
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        // The name, in parentheses, may hold spaces; of what follows, these are user and system time.
+        let fields = stat.rsplit_once(") ").unwrap().1.split(' ').skip(11).take(2);
+        fields.map(|ticks| TICK * ticks.parse::<u32>().unwrap()).sum()
+    }
+
     /// Starts the process again, with the settings that it had.
     pub fn restart(&mut self) {
         self.child = spawn(&self.settings, self.log.as_deref());
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -293,6 +293,8 @@
         "routes": [
             { "name": "safe", "host": "h.example", "prefix": "/safe/", "kind": "safe", "timeout_ms": 3000,
                 "target_latency_ms": 150, "service": "plain", "max_attempts": 3 },
+            { "name": "untimed", "host": "h.example", "prefix": "/untimed/", "kind": "safe", "timeout_ms": 3000,
+                "service": "plain", "max_attempts": 3 },
             { "name": "once", "host": "h.example", "prefix": "/once/", "kind": "unsafe", "timeout_ms": 3000,
                 "target_latency_ms": 150, "service": "plain", "max_attempts": 3 },
             { "name": "resumed", "host": "h.example", "prefix": "/resumed/", "kind": "unsafe", "timeout_ms": 5000,
