Tell customers by their keys, and let no key go further than the front

Cause: the entry service knew no customers. It passed the client's Authorization header on to backend servers, and a customer's name that the client had set itself, named no customer of its own, served requests without a key or with an unknown one, and put item headers of submissions into rows and requests unfiltered.

A directory of customers is part of the configuration in force: digests of keys, customer, priority, routes open to all. Each request is judged by the newest configuration; before a caller is denied the configuration's row is read once more, single-flight and once a second at most. Jobs belong to a customer, not to a key. The product's own key ring uses the same directory.

Ruled out: refusing at once with 401 for a key that is not known, since a key that was just added would be denied until the watch tells of it; and 401 while the store does not answer, because clients do not come back after it.

--- a/crates/trestlerack/src/request/job.rs
+++ b/crates/trestlerack/src/request/job.rs
@@ -119,6 +119,9 @@
     pub step: Option<u64>,
     /// Oldest weight version that may generate the job's texts.
     pub min_version: WeightVersion,
+    /// Customer that the job belongs to; `None` where no customers are told apart.
+    #[serde(default)]
+    pub customer: Option<Name>,
 }
 
 impl JobHead {
--- a/crates/trestlerack/src/version/mod.rs
+++ b/crates/trestlerack/src/version/mod.rs
@@ -2,6 +2,7 @@
 
 mod config_store;
 mod configuration;
+mod customers;
 mod declaration;
 mod follower;
 mod load_time;
@@ -13,6 +14,9 @@
 
 pub use config_store::{CommitTry, ConfigStore, Confirmation};
 pub use configuration::{ConfigDelta, Configuration, Item, ItemBody};
+pub use customers::{
+    CallerCredential, CallerVerdict, Customer, CustomerDirectory, CustomerKey, KeyDigest, RefreshGate,
+};
 pub use declaration::{
     Backend, BackendKind, Campaign, DECLARATION_SECTIONS, Declaration, User, Zone, parse_declaration,
 };
--- a/crates/trestlerack/src/version/routing.rs
+++ b/crates/trestlerack/src/version/routing.rs
@@ -2,6 +2,7 @@
 
 use crate::Name;
 use crate::hash::hash_parts;
+use crate::version::CustomerDirectory;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -52,6 +53,8 @@
     pub give_up_ms: u64,
     /// Rank; 0 is served first.
     pub priority: u8,
+    /// Whether callers without a key are served too.
+    pub is_public: bool,
     /// Most backend servers that one attempt of a client may be sent to.
     pub max_attempts: u32,
     /// Services and their shares; one share for a route that is not split.
@@ -104,7 +107,7 @@
 }
 
 /// One version of the routing configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RoutingTable {
     /// Version; only a higher one replaces it.
     pub version: u64,
@@ -114,6 +117,8 @@
     pub services: BTreeMap<Name, RoutedService>,
     /// Limits on what clients send.
     pub limits: ClientLimits,
+    /// Customers; `None` where everybody is served without a key.
+    pub customers: Option<CustomerDirectory>,
 }
 
 impl RoutingTable {
@@ -127,7 +132,12 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        Self { version, routes: by_host, services, limits }
+        Self { version, routes: by_host, services, limits, customers: None }
+    }
+
+    /// Returns the table with customers, without whose keys nobody is served any more.
+    pub fn with_customers(self, customers: CustomerDirectory) -> Self {
+        Self { customers: Some(customers), ..self }
     }
 
     /// Returns the route with the longest prefix of `path` at `host`.
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -83,6 +83,25 @@
     }
 }
 
+/// Reads the newest configuration from the store.
+pub async fn read_configuration(node: &Arc<EntryNode>) -> Result<(), StoreError> {
+    let key: Name = platform::CONFIG_KEY.into();
+    let call = StoreCall::Read {
+        table: platform::OPERATOR_TABLE.into(),
+        partition: "".into(),
+        to: format!("{key}\u{1}").into(),
+        from: key,
+        limit: 1,
+    };
+    match node.store.call(&call).await? {
+        StoreReply::Rows { rows, .. } => {
+            apply_rows(node, platform::OPERATOR_TABLE, rows);
+            Ok(())
+        }
+        _ => Err(StoreError::Unknown),
+    }
+}
+
 /// Reads a table whole and returns the version from which changes are to be followed.
 async fn read_whole(node: &Arc<EntryNode>, table: &'static str) -> Result<u64, StoreError> {
     let (partitions, version) = list_partitions(node, table).await?;
--- a/crates/trestlerackd/src/entry/front.rs
+++ b/crates/trestlerackd/src/entry/front.rs
@@ -1,5 +1,6 @@
 //! Serves clients: accepts their connections and hands each request to what it is about.
 
+use super::callers::{self, CallerAnswer};
 use super::node::EntryNode;
 use super::{job_accept, job_calls, plain};
 use crate::process::logs;
@@ -18,7 +19,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use trestlerack::version::{RouteKind, RoutingTable};
+use trestlerack::version::{CallerCredential, CallerVerdict, RouteKind, RoutingTable};
 use trestlerack::{Name, event};
 use trestlerack_platform::{self as platform, ClientHead, FrontCall};
 
@@ -31,6 +32,9 @@
 /// Time after which a client is told to return while this node knows no configuration.
 const NO_CONFIG_RETURN: Duration = Duration::from_millis(200);
 
+/// Time after which a client is told to return whose key could not be looked up.
+const UNSURE_RETURN: Duration = Duration::from_millis(300);
+
 /// Body of a reply.
 pub type ReplyBody = UnsyncBoxBody<Bytes, BrokenReply>;
 
@@ -51,10 +55,19 @@
     pub headers: HeaderMap,
     /// What the headers say.
     pub head: ClientHead,
+    /// Who it is served for.
+    pub caller: CallerVerdict,
     /// Body.
     pub body: Bytes,
 }
 
+impl ClientRequest {
+    /// Returns the name of the customer that the request is served for.
+    pub fn customer(&self) -> Option<&Name> {
+        self.caller.customer().map(|customer| &customer.name)
+    }
+}
+
 /// Builds a reply body that is whole.
 pub fn full_reply(body: impl Into<Bytes>) -> ReplyBody {
     Full::new(body.into()).map_err(|never| match never {}).boxed_unsync()
@@ -103,6 +116,7 @@
 
 async fn answer(node: &Arc<EntryNode>, request: Request<Incoming>) -> Response<ReplyBody> {
     let (mut parts, body) = request.into_parts();
+    let credential = platform::take_credential(&mut parts.headers);
     let head = platform::decode_client_head(&parts.headers);
     let id = head.request_id.clone();
     let span = node.hop("request", SpanKind::Server, &mut parts.headers);
@@ -121,16 +135,21 @@
         }
     };
     let host = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
-    let request = ClientRequest {
+    let mut request = ClientRequest {
         host: host.into(),
         path: parts.uri.path().into(),
         path_and_query: parts.uri.path_and_query().map_or_else(String::new, ToString::to_string),
         method: parts.method,
         headers: parts.headers,
         head,
+        caller: CallerVerdict::Unknown,
         body,
     };
-    let mut reply = dispatch(node, &routing, request, parts.uri.query().unwrap_or("")).await;
+    let call = platform::classify_call(&request.method, &request.path, parts.uri.query().unwrap_or(""));
+    let mut reply = match identify(node, &routing, &call, &mut request, &credential).await {
+        Ok(()) => dispatch(node, call, request).await,
+        Err(refusal) => refusal,
+    };
     if node.is_stopping() {
         reply.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
     }
@@ -149,30 +168,73 @@
     platform::plain_reply(status, id, "").map(full_reply)
 }
 
-async fn dispatch(
+/// Finds out who the request is served for, or returns the reply that refuses it.
+async fn identify(
     node: &Arc<EntryNode>,
     routing: &RoutingTable,
-    request: ClientRequest,
-    query: &str,
+    call: &FrontCall,
+    request: &mut ClientRequest,
+    credential: &CallerCredential,
+) -> Result<(), Response<ReplyBody>> {
+    let is_public = match call {
+        FrontCall::Routed => match routing.select(&request.host, &request.path) {
+            Some(route) => route.is_public,
+            None => return Err(refuse(request, routing, "no route matches", StatusCode::NOT_FOUND)),
+        },
+        // Whether the caller may see the job is judged once the job is known.
+        _ => true,
+    };
+    match callers::identify(node, routing, is_public, credential).await {
+        CallerAnswer::Serve(verdict) => {
+            request.caller = verdict;
+            Ok(())
+        }
+        CallerAnswer::Denied => Err(refuse(request, routing, "no customer holds the key", StatusCode::UNAUTHORIZED)),
+        CallerAnswer::Unsure => {
+            let why = "the key is not known and the store does not answer";
+            log_refusal(request, routing, why);
+            Err(platform::not_run_reply(request.head.request_id.as_ref(), UNSURE_RETURN).map(full_reply))
+        }
+    }
+}
+
+fn refuse(
+    request: &ClientRequest,
+    routing: &RoutingTable,
+    why: &'static str,
+    status: StatusCode,
 ) -> Response<ReplyBody> {
-    let id = request.head.request_id.clone();
-    match platform::classify_call(&request.method, &request.path, query) {
+    log_refusal(request, routing, why);
+    own_reply(status, request.head.request_id.as_ref())
+}
+
+fn log_refusal(request: &ClientRequest, routing: &RoutingTable, why: &'static str) {
+    let id = or_empty(&request.head.request_id);
+    logs::write(event::REQUEST_REFUSED, &[("request", &id), ("why", &why), ("version", &routing.version)]);
+}
+
+async fn dispatch(node: &Arc<EntryNode>, call: FrontCall, request: ClientRequest) -> Response<ReplyBody> {
+    match call {
         FrontCall::ReadResults { job, from } => job_calls::read_results(node, &job, from, &request).await,
         FrontCall::ReadItem { job, item } => job_calls::read_item(node, &job, &item, &request).await,
         FrontCall::EndJob { job } => job_calls::end_job(node, &job, &request).await,
-        FrontCall::Unknown => own_reply(StatusCode::NOT_FOUND, id.as_ref()),
-        FrontCall::Routed => match routing.select(&request.host, &request.path) {
-            None => {
-                let fields: [(&str, &dyn std::fmt::Display); 3] =
-                    [("request", &or_empty(&id)), ("why", &"no route matches"), ("version", &routing.version)];
-                logs::write(event::REQUEST_REFUSED, &fields);
-                own_reply(StatusCode::NOT_FOUND, id.as_ref())
-            }
-            Some(route) if route.kind == RouteKind::Batch && request.method == Method::POST => {
-                job_accept::submit(node, route, request).await
-            }
-            Some(route) => plain::serve(node, route, request).await,
-        },
+        FrontCall::Unknown => own_reply(StatusCode::NOT_FOUND, request.head.request_id.as_ref()),
+        FrontCall::Routed => serve_routed(node, request).await,
+    }
+}
+
+/// Serves a request by the newest configuration, which may have come while the caller was identified.
+async fn serve_routed(node: &Arc<EntryNode>, request: ClientRequest) -> Response<ReplyBody> {
+    let routing = node.routing();
+    let Some(routing) = routing.as_deref() else {
+        return platform::not_run_reply(request.head.request_id.as_ref(), NO_CONFIG_RETURN).map(full_reply);
+    };
+    match routing.select(&request.host, &request.path) {
+        None => refuse(&request, routing, "no route matches", StatusCode::NOT_FOUND),
+        Some(route) if route.kind == RouteKind::Batch && request.method == Method::POST => {
+            job_accept::submit(node, route, request).await
+        }
+        Some(route) => plain::serve(node, route, request).await,
     }
 }
 
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -78,6 +78,7 @@
         request_id: &item.id,
         headers: item_headers(item),
         instance: &instance,
+        customer: driver.customer.as_deref(),
         time_left: Some(RUN_TIME),
         priority: None,
         exact_version,
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -38,7 +38,7 @@
             return platform::plain_reply(StatusCode::BAD_REQUEST, Some(&id), error.to_string()).map(full_reply);
         }
     };
-    let outcome = accept(node, &spec).await;
+    let outcome = accept(node, &spec, request.customer()).await;
     let took = node.now().since(started);
     let (status, reply) = match &outcome {
         Ok(_) => (StatusCode::ACCEPTED, own_reply(StatusCode::ACCEPTED, Some(&id))),
@@ -76,17 +76,17 @@
 }
 
 /// Stores a job and starts to drive it. Returns the version of its head row.
-async fn accept(node: &Arc<EntryNode>, spec: &Arc<JobSpec>) -> Result<u64, Refusal> {
+async fn accept(node: &Arc<EntryNode>, spec: &Arc<JobSpec>, customer: Option<&Name>) -> Result<u64, Refusal> {
     if let Some(view) = node.job(&spec.id) {
-        return known_job(&view.head, view.version, spec);
+        return known_job(&view.head, view.version, spec, customer);
     }
     let content = tables::encode(&**spec);
     let in_rows = content.len() <= ROWS_BYTES;
     if !in_rows {
         put_object(node, spec, &content).await?;
     }
-    let head =
-        new_head(node, spec, if in_rows { content.len().div_ceil(node.settings.store_row_bytes).max(1) } else { 0 });
+    let spec_rows = if in_rows { content.len().div_ceil(node.settings.store_row_bytes).max(1) } else { 0 };
+    let head = JobHead { customer: customer.cloned(), ..new_head(node, spec, spec_rows) };
     let mut transaction = RowTransaction::new(spec.id.clone()).expect(tables::STATE, tables::HEAD, 0).put(
         tables::STATE,
         tables::HEAD,
@@ -118,8 +118,10 @@
     Err(if may_be_stored { Refusal::Unknown } else { Refusal::NotAccepted })
 }
 
-fn known_job(head: &JobHead, version: u64, spec: &JobSpec) -> Result<u64, Refusal> {
-    if head.digest == spec.digest() { Ok(version) } else { Err(Refusal::OtherJob) }
+/// Tells a repeated submission from another job of the same id; that of another customer is one.
+fn known_job(head: &JobHead, version: u64, spec: &JobSpec, customer: Option<&Name>) -> Result<u64, Refusal> {
+    let is_same = head.digest == spec.digest() && head.customer.as_ref() == customer;
+    if is_same { Ok(version) } else { Err(Refusal::OtherJob) }
 }
 
 /// A head row exists: it is the same job, accepted here with a lost reply or by another node.
@@ -131,7 +133,7 @@
 ) -> Result<u64, Refusal> {
     let Some(row) = rows.into_iter().find(|row| &*row.key == tables::HEAD) else { return Err(Refusal::Unknown) };
     let head: JobHead = tables::decode(&row.value).map_err(|_| Refusal::Unknown)?;
-    let outcome = known_job(&head, row.version, spec);
+    let outcome = known_job(&head, row.version, spec, own.customer.as_ref());
     if head.write_id == own.write_id {
         start_accepted(node, spec, head, row.version);
     }
@@ -194,6 +196,7 @@
         model: spec.model.clone(),
         step: spec.step,
         min_version: spec.min_version,
+        customer: None,
     }
 }
 
--- a/crates/trestlerackd/src/entry/job_calls.rs
+++ b/crates/trestlerackd/src/entry/job_calls.rs
@@ -35,8 +35,15 @@
     Unsure,
 }
 
+/// Finds the job that a request is about, which must belong to its caller; to any other caller it is
+/// unknown.
+async fn find_own_job(node: &Arc<EntryNode>, job: &Name, request: &ClientRequest) -> Result<JobView, JobDoubt> {
+    let view = find_job(node, job).await?;
+    if request.caller.may_see(view.head.customer.as_ref()) { Ok(view) } else { Err(JobDoubt::Missing) }
+}
+
 /// Finds a job, in the store if this node does not know it.
-pub async fn find_job(node: &Arc<EntryNode>, job: &Name) -> Result<JobView, JobDoubt> {
+async fn find_job(node: &Arc<EntryNode>, job: &Name) -> Result<JobView, JobDoubt> {
     if let Some(view) = node.job(job) {
         return Ok(view);
     }
@@ -77,6 +84,9 @@
     request: &ClientRequest,
 ) -> Response<ReplyBody> {
     let deadline = node.now() + request.head.poll_time;
+    if let Err(doubt) = find_own_job(node, job, request).await {
+        return doubt_reply(&doubt, request, job);
+    }
     let view = match wait_for_result(node, job, from, deadline).await {
         Ok(view) => view,
         Err(doubt) => return doubt_reply(&doubt, request, job),
@@ -162,7 +172,7 @@
 /// Returns the body of an item.
 pub async fn read_item(node: &Arc<EntryNode>, job: &Name, item: &Name, request: &ClientRequest) -> Response<ReplyBody> {
     let id = request.head.request_id.as_ref();
-    let view = match find_job(node, job).await {
+    let view = match find_own_job(node, job, request).await {
         Ok(view) => view,
         Err(doubt) => return doubt_reply(&doubt, request, job),
     };
@@ -203,7 +213,7 @@
 /// Ends a job. Repeated calls change nothing.
 pub async fn end_job(node: &Arc<EntryNode>, job: &Name, request: &ClientRequest) -> Response<ReplyBody> {
     let id = request.head.request_id.as_ref();
-    let view = match find_job(node, job).await {
+    let view = match find_own_job(node, job, request).await {
         Ok(view) => view,
         Err(doubt) => return doubt_reply(&doubt, request, job),
     };
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -12,7 +12,7 @@
 use trestlerack::process::ServerNeed;
 use trestlerack::request::{JobHead, JobLedger, JobSpec, LedgerSettings, RunEnd, RunLane};
 use trestlerack::version::RoutingTable;
-use trestlerack::{Timestamp, event};
+use trestlerack::{Name, Timestamp, event};
 
 /// Longest time between two looks at a job without news.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
@@ -46,6 +46,8 @@
 pub struct JobDriver {
     /// What was submitted.
     pub spec: Arc<JobSpec>,
+    /// Customer that the job belongs to.
+    pub customer: Option<Name>,
     /// State of its items.
     pub ledger: Mutex<JobLedger>,
     /// Wakes the driver.
@@ -60,9 +62,10 @@
 }
 
 impl JobDriver {
-    fn new(spec: Arc<JobSpec>, ledger: JobLedger) -> Self {
+    fn new(spec: Arc<JobSpec>, customer: Option<Name>, ledger: JobLedger) -> Self {
         Self {
             spec,
+            customer,
             ledger: Mutex::new(ledger),
             wake: Notify::new(),
             record: Notify::new(),
@@ -165,7 +168,7 @@
     let node = node.clone();
     let settings = ledger_settings(&node, &spec);
     let ledger = JobLedger::new(spec.clone(), settings.clone(), Vec::new(), HashMap::new());
-    let driver = Arc::new(JobDriver::new(spec.clone(), ledger));
+    let driver = Arc::new(JobDriver::new(spec.clone(), head.customer.clone(), ledger));
     node.drivers.lock().unwrap().insert(spec.id.clone(), driver.clone());
     // News of the job's end that came after its rows were read found no driver to tell.
     if node.job(&spec.id).is_some_and(|view| view.is_ended) {
--- a/crates/trestlerackd/src/entry/job_texts.rs
+++ b/crates/trestlerackd/src/entry/job_texts.rs
@@ -58,11 +58,14 @@
     Ok(JobLedger::new(spec.clone(), settings, listed, kept))
 }
 
-/// Returns the job itself and the newest ended jobs of the same model, newest first.
+/// Returns the job itself and the newest ended jobs of the same model and customer, newest first.
 fn earlier_jobs(node: &EntryNode, spec: &JobSpec, head: &JobHead) -> Vec<Name> {
     let jobs = node.jobs.lock().unwrap();
+    // The texts of one customer never go into a result of another one, whatever its items are called.
     let is_related = |id: &Name, view: &&JobView| {
-        view.is_ended && *id != spec.id && view.head.model == spec.model && view.head.host == spec.host
+        let held = &view.head;
+        let is_same = held.model == spec.model && held.host == spec.host && held.customer == head.customer;
+        view.is_ended && *id != spec.id && is_same
     };
     let mut related: Vec<(u64, Name)> = jobs
         .iter()
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -6,6 +6,7 @@
 
 mod adoption;
 mod attempt;
+mod callers;
 mod choice_log;
 mod engine_calls;
 mod feeds;
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -1,5 +1,6 @@
 //! The state that an entry node shares between its tasks.
 
+use super::callers::KeyRefresh;
 use super::job_driver::JobDriver;
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
@@ -75,6 +76,8 @@
     pub peers: Arc<PeerClient>,
     /// Configuration in force; `None` before the first one is known.
     pub routing: RwLock<Option<Arc<RoutingTable>>>,
+    /// Reads the configuration again for keys that it does not hold.
+    pub key_refresh: KeyRefresh,
     /// Registered backend servers.
     pub registry: Mutex<ServerRegistry>,
     /// What is believed of them.
@@ -129,6 +132,7 @@
             peers,
             pool,
             routing: RwLock::new(None),
+            key_refresh: KeyRefresh::default(),
             registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
             board: Mutex::new(ServerBoard::new(BoardSettings::default())),
             has_registry: AtomicBool::new(false),
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -184,6 +184,7 @@
         request_id: request.head.request_id.as_deref().unwrap_or(""),
         headers,
         instance,
+        customer: request.customer().map(|name| &**name),
         time_left: Some(left),
         priority: None,
         exact_version: None,
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -127,6 +127,8 @@
         request_id: &call.id,
         headers: HeaderMap::new(),
         instance: &instance,
+        // A score is of the item, for which its customer was identified already.
+        customer: None,
         time_left: Some(left),
         priority: None,
         exact_version: None,
--- a/crates/trestlerackd/src/process/keys.rs
+++ b/crates/trestlerackd/src/process/keys.rs
@@ -5,10 +5,11 @@
 use subtle::ConstantTimeEq;
 use trestlerack::Name;
 use trestlerack::process::DaemonSettings;
+use trestlerack::version::{CallerCredential, Customer, CustomerDirectory, CustomerKey};
 
 /// The keys that this node accepts.
 pub struct KeyRing {
-    callers: BTreeMap<String, Name>,
+    callers: CustomerDirectory,
     operator: String,
     link: String,
 }
@@ -17,8 +18,12 @@
     /// Reads the key files that the settings name.
     pub fn load(settings: &DaemonSettings) -> anyhow::Result<Self> {
         let text = read(&settings.caller_keys_file)?;
-        let callers: BTreeMap<String, Name> = serde_json::from_str(&text)
+        let holders: BTreeMap<String, Name> = serde_json::from_str(&text)
             .with_context(|| format!("{}: expected an object from key to user", settings.caller_keys_file))?;
+        let mut callers = CustomerDirectory::default();
+        for (key, name) in holders {
+            callers.add(Customer { name, priority: None }, &[CustomerKey::new(&key)]);
+        }
         let operator = read(&settings.operator_key_file)?.trim().to_owned();
         let link = read(&settings.link_key_file)?.trim().to_owned();
         anyhow::ensure!(!operator.is_empty(), "{}: the key is empty", settings.operator_key_file);
@@ -27,16 +32,9 @@
     }
 
     /// Returns the user whose key is presented.
-    ///
-    /// Every key is compared, so that the time taken says nothing about which one is near.
     pub fn caller(&self, presented: &str) -> Option<Name> {
-        let mut found = None;
-        for (key, user) in &self.callers {
-            if is_equal(key, presented) {
-                found = Some(user.clone());
-            }
-        }
-        found
+        let credential = CallerCredential::Key(CustomerKey::new(presented));
+        self.callers.holder(&credential).map(|user| user.name.clone())
     }
 
     /// Returns whether the operators' key is presented.
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -7,7 +7,7 @@
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use serde_json::{Value, json};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -22,6 +22,8 @@
 pub struct ServerBehaviour {
     /// Requests that ran, by id; with the first event for those of engines.
     pub runs: Mutex<Vec<String>>,
+    /// Headers of the requests that ran, by id.
+    pub headers: Mutex<HashMap<String, BTreeMap<String, String>>>,
     /// Trace contexts that came with requests.
     pub trace_contexts: Mutex<Vec<String>>,
     /// Answers that bear the id of another request.
@@ -80,6 +82,7 @@
             return reply(stream, 503, &[("request-id", &id), ("not-executed", "1")], "");
         }
         behaviour.runs.lock().unwrap().push(id.clone());
+        behaviour.headers.lock().unwrap().insert(id.clone(), request.headers.clone());
         behaviour.trace_contexts.lock().unwrap().extend(request.headers.get("traceparent").cloned());
         if behaviour.hangs.load(Ordering::SeqCst) || take(&behaviour.silent_answers) {
             let mut byte = [0];
@@ -190,6 +193,7 @@
         }
         let first = request.headers.get("last-event-id").map_or(1, |last| last.parse::<u64>().unwrap() + 1);
         self.behaviour.runs.lock().unwrap().push(format!("{id}@{first}"));
+        self.behaviour.headers.lock().unwrap().insert(id.clone(), request.headers.clone());
         self.behaviour.last_runs.lock().unwrap().insert(id.clone(), Instant::now());
         if take(&self.behaviour.overdue_answers) {
             return reply(stream, 504, &[("request-id", &id), ("response-stamp", "s")], "");
@@ -278,6 +282,16 @@
         Self { store, plain, engine }
     }
 
+    /// Puts a configuration in force, as the operator does; `tenants` as on the wire.
+    pub fn configure(&self, version: u64, tenants: Value) {
+        let mut config = configuration();
+        config["version"] = json!(version);
+        config["tenants"] = tenants;
+        config["routes"][0]["public"] = json!(false);
+        config["routes"][1]["public"] = json!(true);
+        self.store.put("op", "config", &config);
+    }
+
     /// Names a version of the weights, as a trainer does.
     pub fn name_version(&self, version: u64) {
         self.store.put("op", "version/m", &json!({ "model": "m", "version": version }));
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -137,6 +137,15 @@
         self.state.0.lock().unwrap().reads.get(partition).copied().unwrap_or(0)
     }
 
+    /// Returns whether any row of the system's own tables, or any object, holds a text.
+    pub fn holds(&self, text: &str) -> bool {
+        let state = self.state.0.lock().unwrap();
+        let is_in = |content: &[u8]| content.windows(text.len()).any(|part| part == text.as_bytes());
+        let mut own = state.rows.iter().filter(|((table, ..), _)| table != "op" && table != "servers");
+        own.any(|(_, (value, _))| is_in(&BASE64_STANDARD.decode(value).unwrap()))
+            || state.objects.values().any(|content| is_in(content))
+    }
+
     pub fn count(&self, table: &str, partition: &str) -> usize {
         let state = self.state.0.lock().unwrap();
         state.rows.keys().filter(|(t, p, _)| t == table && p == partition).count()
