Report usage and order engines under the lease of weight orders

The holder of the order lease does them. A gate keeps holders from taking turns and late calls from coming behind a later holder's. Nodes count requests of customers by windows of the time of day and tell the holder; a window's report is stored on condition that there is none before it is first sent; what nodes told is stored each second. Engines are held at the number that was there when the service was first whole.

Found by the property test before it stood: a holder whose last call arrives late may seem to take turns, so its own wait begins once that call must have arrived.

Ruled out: a row a request at the store for usage (a write for each request, which a partition at 28,000 requests a second does not take); asking all nodes at the window's end, which loses what a dead node counted. Not compared by measurement.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -181,4 +181,14 @@
     ENGINE_ASKED = (2402, "engine-asked", Info);
     /// What an engine was ordered could not be stored for the other nodes.
     ASSIGNMENT_LOST = (2403, "assignment-lost", Warn);
+    /// This node reports usage from now on, as the holder of the lease.
+    USAGE_OPENED = (2501, "usage-opened", Info);
+    /// The usage of a window was added up and stored; it is reported as it is stored.
+    USAGE_STORED = (2502, "usage-stored", Info);
+    /// The usage of a window was sent to the platform, with its answer.
+    USAGE_REPORTED = (2503, "usage-reported", Info);
+    /// The usage of a window will not be reported.
+    USAGE_MISSED = (2504, "usage-missed", Error);
+    /// Engines were ordered from the platform, with its answer.
+    ENGINES_ORDERED = (2511, "engines-ordered", Info);
 }
--- a/crates/trestlerack/src/process/entry_settings.rs
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the entry service, which runs on the users' platform.
 
 use crate::Name;
+use crate::process::UsageSettings;
 use crate::schema::{DocumentFault, FieldKind, FieldSpec, check_document};
 use serde::Deserialize;
 
@@ -40,6 +41,14 @@
     pub order_handover_ms: u64,
     /// Time after its submission for which an ended job can be read, in seconds.
     pub retention_s: u64,
+    /// Address of the platform's interface for duties; empty where there is none.
+    pub duty_service: Name,
+    /// Duty calls that the platform takes from all nodes together, each second.
+    pub duty_calls_per_s: f64,
+    /// Length of a window of usage reports, in seconds; 0 for no reports.
+    pub usage_window_s: f64,
+    /// Time after a window's end at which its report is due, in seconds.
+    pub usage_due_s: f64,
     /// Log level.
     pub log_level: Name,
 }
@@ -63,6 +72,10 @@
             stop_limit_s: 8.0,
             order_handover_ms: 3_000,
             retention_s: 600,
+            duty_service: "".into(),
+            duty_calls_per_s: 10.0,
+            usage_window_s: 0.0,
+            usage_due_s: 10.0,
             log_level: "info".into(),
         }
     }
@@ -75,6 +88,15 @@
     }
 }
 
+impl EntrySettings {
+    /// Returns how usage is reported, where it is.
+    pub fn usage(&self) -> Option<UsageSettings> {
+        let millis = |seconds: f64| (seconds * 1_000.0) as u64;
+        let settings = UsageSettings { window_ms: millis(self.usage_window_s), due_ms: millis(self.usage_due_s) };
+        (!self.duty_service.is_empty() && settings.window_ms > 0).then_some(settings)
+    }
+}
+
 const fn field(name: &'static str, kind: FieldKind, default: Option<&'static str>, meaning: &'static str) -> FieldSpec {
     FieldSpec { name, kind, default, meaning }
 }
@@ -134,6 +156,30 @@
         Some("600"),
         "Time after its submission for which an ended job can be read.",
     ),
+    field(
+        "duty_service",
+        FieldKind::Text,
+        Some(""),
+        "Address of the platform's interface for usage reports and orders of engines; none if left out.",
+    ),
+    field(
+        "duty_calls_per_s",
+        FieldKind::Ratio { min: 0.1, max: 1_000_000.0 },
+        Some("10"),
+        "Calls for duties that the platform takes from all nodes together, each second; a quarter of them are made for each duty.",
+    ),
+    field(
+        "usage_window_s",
+        FieldKind::Ratio { min: 0.0, max: 86_400.0 },
+        Some("0"),
+        "Length of a window of usage reports, counted from 1970; 0 for no reports.",
+    ),
+    field(
+        "usage_due_s",
+        FieldKind::Ratio { min: 0.1, max: 86_400.0 },
+        Some("10"),
+        "Time after a window's end at which its report is due.",
+    ),
     field(
         "log_level",
         FieldKind::Choice(&["error", "warn", "info", "debug", "trace"]),
--- a/crates/trestlerack/src/process/lease.rs
+++ b/crates/trestlerack/src/process/lease.rs
@@ -47,6 +47,15 @@
     Write(LeaseRow),
 }
 
+/// The right of a holder to act until a moment, to be checked next to each act.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseGrant {
+    /// Fencing number.
+    pub fence: u64,
+    /// Moment from which another node may hold the lease.
+    pub valid_until: Timestamp,
+}
+
 /// Takes, renews and judges one lease.
 ///
 /// Other holders' rows are timed by when this node saw them change, never by a time that the
@@ -105,8 +114,13 @@
 
     /// Returns the fencing number if the lease is held at `now`, checked next to each send.
     pub fn fence(&self, now: Timestamp) -> Option<u64> {
-        let held = self.held.as_ref().filter(|held| now < held.valid_until)?;
-        Some(held.row.fence)
+        self.grant().filter(|grant| now < grant.valid_until).map(|grant| grant.fence)
+    }
+
+    /// Returns what the lease allows, as of its last renewal.
+    pub fn grant(&self) -> Option<LeaseGrant> {
+        let held = self.held.as_ref()?;
+        Some(LeaseGrant { fence: held.row.fence, valid_until: held.valid_until })
     }
 
     /// Returns the fencing number for an order at `now` to an engine that does or does not check
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -3,6 +3,8 @@
 mod answer_time;
 mod broadcast;
 mod direct_way;
+mod duty_gate;
+mod engine_fleet;
 mod entry_settings;
 mod job_owner;
 mod lease;
@@ -20,14 +22,18 @@
 mod server_belief;
 mod settings;
 mod spool;
+mod steady_wall;
 mod step;
 mod step_store;
+mod usage;
 
 pub use broadcast::BroadcastQueue;
 pub use direct_way::{DirectWay, WayChange};
+pub use duty_gate::{DutyGate, DutySettings};
+pub use engine_fleet::{EngineFleet, FleetRow, FleetSettings, ScalingTerms, ZoneEngines, ZoneOrder};
 pub use entry_settings::{ENTRY_FIELDS, EntrySettings, parse_entry_settings};
 pub use job_owner::{OwnerCandidate, choose_job_owner, successor_rank};
-pub use lease::{LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep};
+pub use lease::{LeaseGrant, LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep};
 pub use leaving::LeavingBoard;
 pub use limiter::{RetryBudget, UserLimiter};
 pub use membership::{
@@ -44,8 +50,12 @@
 pub use server_belief::{ChoiceBasis, ServerBelief};
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
 pub use spool::{SampleSpool, SpoolSettings};
+pub use steady_wall::SteadyWall;
 pub use step::{
     GroupRow, GroupSpec, SealDecision, SealedGroup, StepRow, StepState, StepSubmission, decide_seal, group_key,
     group_prefix, open_key, step_key,
 };
 pub use step_store::{MadeGroup, ManifestCache, Opened, Recorded, StepLook, StepStore};
+pub use usage::{
+    CustomerCounts, UsageCounter, UsageDesk, UsageNote, UsageReport, UsageSender, UsageSettings, WindowNotes,
+};
--- a/crates/trestlerack/src/process/registry.rs
+++ b/crates/trestlerack/src/process/registry.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Returns whether the list may lack servers that live: the store is away, or was until just now.
+    pub fn is_in_doubt(&self) -> bool {
+        self.is_out || !self.lapsed.is_empty()
+    }
+
     /// Takes over an entry. Returns whether more than the heartbeat changed.
     pub fn put(&mut self, entry: ServerEntry) -> bool {
         self.lapsed.remove(&entry.instance);
--- a/crates/trestlerack/src/version/routing.rs
+++ b/crates/trestlerack/src/version/routing.rs
@@ -2,6 +2,7 @@
 
 use crate::Name;
 use crate::hash::hash_parts;
+use crate::process::ScalingTerms;
 use crate::version::CustomerDirectory;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -81,7 +82,7 @@
 }
 
 /// A service of the configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RoutedService {
     /// Name of the service.
     pub name: Name,
@@ -91,6 +92,8 @@
     pub engine_slots: u32,
     /// Models that the engines of the service hold.
     pub models: Vec<Name>,
+    /// What may be ordered of its engines; `None` if nothing.
+    pub scaling: Option<ScalingTerms>,
 }
 
 /// Limits on what clients send.
@@ -107,7 +110,7 @@
 }
 
 /// One version of the routing configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RoutingTable {
     /// Version; only a higher one replaces it.
     pub version: u64,
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -28,6 +28,7 @@
     runs: Counter<u64>,
     results: Counter<u64>,
     orders: Counter<u64>,
+    usage_missed: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -43,6 +44,7 @@
             runs: meter.u64_counter("trestlerack.entry.runs").build(),
             results: meter.u64_counter("trestlerack.entry.results").build(),
             orders: meter.u64_counter("trestlerack.entry.orders").build(),
+            usage_missed: meter.u64_counter("trestlerack.entry.usage.missed").build(),
             registry,
             _meters: meters,
         })
@@ -70,6 +72,11 @@
         self.orders.add(1, &[KeyValue::new("outcome", format!("{outcome:?}").to_lowercase())]);
     }
 
+    /// Counts a window of usage that was not reported.
+    pub fn usage_missed(&self) {
+        self.usage_missed.add(1, &[]);
+    }
+
     fn page(&self) -> Vec<u8> {
         let mut page = Vec::new();
         // Text of numbers cannot fail to encode; an empty page would show if it did.
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod callers;
 mod choice_log;
+mod duties;
 mod engine_calls;
 mod feeds;
 mod front;
@@ -75,6 +76,7 @@
     tokio::spawn(probe_store(node.clone()));
     tokio::spawn(adoption::watch_owners(node.clone()));
     tokio::spawn(order_lease::run(node.clone()));
+    duties::start(&node);
     tokio::spawn(expire_connections(node.clone()));
     tokio::spawn(retention::sweep(node.clone()));
     tokio::spawn(reload(node.clone(), hangup, settings_file));
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -1,6 +1,7 @@
 //! The state that an entry node shares between its tasks.
 
 use super::callers::KeyRefresh;
+use super::duties::UsageBook;
 use super::job_driver::JobDriver;
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
@@ -17,7 +18,8 @@
 use tokio::sync::{Notify, watch};
 use trestlerack::border::Clock;
 use trestlerack::process::{
-    BoardSettings, EntrySettings, LeaseRow, NodeRow, RegistrySettings, ServerBoard, ServerEntry, ServerRegistry,
+    BoardSettings, EntrySettings, LeaseGrant, LeaseRow, NodeRow, RegistrySettings, ServerBoard, ServerEntry,
+    ServerRegistry,
 };
 use trestlerack::request::JobHead;
 use trestlerack::version::{EngineAssignment, RoutingTable, WeightVersion};
@@ -96,6 +98,10 @@
     pub assignments: Mutex<BTreeMap<Name, EngineAssignment>>,
     /// The lease row on weight orders, with its version.
     pub lease_row: Mutex<Option<(u64, LeaseRow)>>,
+    /// What the lease allows this node, as of its last renewal.
+    pub lease_grant: Mutex<Option<LeaseGrant>>,
+    /// Requests of customers that began to run.
+    pub usage: UsageBook,
     /// Jobs by id.
     pub jobs: Mutex<HashMap<Name, JobView>>,
     /// Jobs whose end was seen before their head.
@@ -142,6 +148,8 @@
             targets: Mutex::default(),
             assignments: Mutex::default(),
             lease_row: Mutex::default(),
+            lease_grant: Mutex::default(),
+            usage: UsageBook::new(settings.usage()),
             jobs: Mutex::default(),
             early_ends: Mutex::default(),
             job_news: watch::channel(0).0,
@@ -177,6 +185,12 @@
         self.incarnation.wrapping_add(self.writes.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// Returns the fencing number of the lease if this node holds it at `now`.
+    pub fn lease_fence(&self, now: Timestamp) -> Option<u64> {
+        let grant = *self.lease_grant.lock().unwrap();
+        grant.filter(|grant| now < grant.valid_until).map(|grant| grant.fence)
+    }
+
     /// Returns the bounds in force.
     pub fn bounds(&self) -> EntryBounds {
         *self.bounds.read().unwrap()
--- a/crates/trestlerackd/src/entry/order_lease.rs
+++ b/crates/trestlerackd/src/entry/order_lease.rs
@@ -67,6 +67,7 @@
     loop {
         tokio::time::sleep(LOOK_INTERVAL).await;
         if node.is_stopping() {
+            *node.lease_grant.lock().unwrap() = None;
             give_back(&node, &mut desk.keeper).await;
         } else {
             look(&node, &mut desk).await;
@@ -80,6 +81,7 @@
         desk.renewed_at = now;
         keep_lease(node, desk).await;
     }
+    *node.lease_grant.lock().unwrap() = desk.keeper.grant();
     let fence = desk.keeper.fence(node.now());
     if fence != desk.held_fence {
         note_lease(node, fence);
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use trestlerack::Name;
 use trestlerack::border::{Clock, StoreError};
-use trestlerack::process::{NodeRow, NodeRows, RelayChoice};
+use trestlerack::process::{NodeRow, NodeRows, RelayChoice, UsageNote, UsageSender};
 use trestlerack::rows::{StoreCall, StoreReply};
 
 /// Path of all calls between nodes.
@@ -46,6 +46,13 @@
         /// The job.
         job: Name,
     },
+    /// Take what a node counted of its customers' usage.
+    Usage {
+        /// Who counted.
+        sender: UsageSender,
+        /// What was counted.
+        notes: Vec<UsageNote>,
+    },
     /// A job is ended, as the store holds; say whether you drove it.
     End {
         /// The job.
@@ -66,6 +73,8 @@
     Unknown,
     /// Whether the job is driven.
     Drives(bool),
+    /// The usage is noted.
+    Noted,
 }
 
 /// Calls peers.
@@ -181,6 +190,15 @@
         self.ask_about(peer, &PeerCall::End { job: job.clone() }).await
     }
 
+    /// Tells the holder of the lease what was counted; `None` if it does not answer.
+    pub async fn tell_usage(&self, peer: &Name, sender: &UsageSender, notes: &[UsageNote]) -> Option<()> {
+        let call = PeerCall::Usage { sender: sender.clone(), notes: notes.to_vec() };
+        match self.ask(peer, &call, PING_TIMEOUT).await {
+            Some(PeerReply::Noted) => Some(()),
+            _ => None,
+        }
+    }
+
     async fn ask_about(&self, peer: &Name, call: &PeerCall) -> Option<bool> {
         match self.ask(peer, call, PING_TIMEOUT).await {
             Some(PeerReply::Drives(drives)) => Some(drives),
@@ -251,6 +269,10 @@
                 Err(StoreError::Unknown) => PeerReply::Unknown,
             }
         }
+        PeerCall::Usage { sender, notes } => {
+            node.usage.take(&sender, notes);
+            PeerReply::Noted
+        }
         PeerCall::Drive { job } => PeerReply::Drives(adoption::drive_assigned(node, &job).await),
         PeerCall::End { job } => {
             let is_driven = node.drivers.lock().unwrap().contains_key(&job);
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -43,7 +43,7 @@
 pub async fn serve(node: &Arc<EntryNode>, route: &RequestRoute, request: ClientRequest) -> Response<ReplyBody> {
     let limit = time_limit(route, request.head.time_left);
     let deadline = node.now() + limit;
-    let mut trail = RequestTrail::new(node, &request.head.request_id, &route.name);
+    let mut trail = RequestTrail::new(node, &request, &route.name);
     if route.streaming {
         return streams::serve(node, route, request, deadline, trail).await;
     }
@@ -121,12 +121,14 @@
             Ok(answer) => return Ok(answer),
             Err(error) => {
                 trail.attempt_failed(&server, &error);
-                if let AttemptError::MayHaveRun(_) = error {
-                    trail.add_run();
-                    shortfall = Shortfall::MayHaveRun;
-                    if !is_safe {
-                        return Err(shortfall);
-                    }
+                if let AttemptError::NotRun(_) = error {
+                    trail.did_not_run();
+                    continue;
+                }
+                trail.add_run();
+                shortfall = Shortfall::MayHaveRun;
+                if !is_safe {
+                    return Err(shortfall);
                 }
             }
         }
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -83,17 +83,21 @@
         let opening = attempt::open_answer(node, ticket, engine_request, !route.resumable);
         match tokio::time::timeout(left, opening).await {
             Ok(Ok(answer)) => {
+                // A generation begins with its first event, with which the head comes.
+                trail.begins();
                 trail.add_run();
                 return Ok(answer);
             }
             Ok(Err(error)) => {
                 trail.attempt_failed(&instance, &error);
-                if let AttemptError::MayHaveRun(_) = error {
-                    trail.add_run();
-                    shortfall = Shortfall::MayHaveRun;
-                    if !route.resumable {
-                        return Err(shortfall);
-                    }
+                if let AttemptError::NotRun(_) = error {
+                    trail.did_not_run();
+                    continue;
+                }
+                trail.add_run();
+                shortfall = Shortfall::MayHaveRun;
+                if !route.resumable {
+                    return Err(shortfall);
                 }
             }
             Err(_) => return Err(Shortfall::TimedOut),
--- a/crates/trestlerackd/src/entry/tables.rs
+++ b/crates/trestlerackd/src/entry/tables.rs
@@ -38,6 +38,12 @@
 /// Key of the lease on weight orders.
 pub const ORDER_LEASE: &str = "orders";
 
+/// Table and partition of usage reports and of what nodes counted; no node watches it.
+pub const USAGE: &str = "usage";
+
+/// Table and partition of what engines were ordered from the platform; no node watches it.
+pub const ENGINE_ORDERS: &str = "engine-orders";
+
 /// Key of a job's head.
 pub const HEAD: &str = "head";
 
--- a/crates/trestlerackd/src/entry/trail.rs
+++ b/crates/trestlerackd/src/entry/trail.rs
@@ -1,5 +1,6 @@
 //! What was done for a request so far, which its log line tells.
 
+use super::front::ClientRequest;
 use super::node::EntryNode;
 use crate::process::logs;
 use http::StatusCode;
@@ -19,24 +20,54 @@
     /// Servers that may have run the request.
     runs: u32,
     is_answered: bool,
+    usage: RequestUsage,
+}
+
+/// Usage that a request is counted as, once, whichever way it ends: also where its client left.
+struct RequestUsage {
+    /// Customer that is charged; `None` where none is or once the request is counted.
+    customer: Option<Name>,
+    /// Time of day at which it began to run, if it did.
+    began_ms: Option<u64>,
 }
 
 impl RequestTrail {
     /// Begins the trail of a request.
-    pub fn new(node: &Arc<EntryNode>, request: &Option<Name>, route: &Name) -> Self {
-        let request = request.clone().unwrap_or_else(|| "".into());
+    pub fn new(node: &Arc<EntryNode>, request: &ClientRequest, route: &Name) -> Self {
+        let usage = RequestUsage { customer: request.customer().cloned(), began_ms: None };
+        let request = request.head.request_id.clone().unwrap_or_else(|| "".into());
         let (node, route, started) = (node.clone(), route.clone(), node.now());
-        Self { node, request, route, started, tried: Vec::new(), runs: 0, is_answered: false }
+        Self { node, request, route, started, tried: Vec::new(), runs: 0, is_answered: false, usage }
     }
 
     /// Records a server that the request is sent to.
     pub fn add(&mut self, server: &Name) {
         self.tried.push(server.clone());
+        self.begins();
+    }
+
+    /// Records that the request begins to run about now, unless it did before.
+    pub fn begins(&mut self) {
+        self.usage.began_ms = Some(self.node.usage.wall_ms());
+    }
+
+    /// Records that the server added last did not run the request.
+    pub fn did_not_run(&mut self) {
+        self.usage.began_ms = None;
+    }
+
+    /// Counts the request as usage of its customer if it began to run and is not counted yet.
+    fn count_usage(&mut self) {
+        let Some(began_ms) = self.usage.began_ms else { return };
+        if let Some(customer) = self.usage.customer.take() {
+            self.node.usage.count(&customer, began_ms);
+        }
     }
 
     /// Records that the server added last may have run the request.
     pub fn add_run(&mut self) {
         self.runs += 1;
+        self.count_usage();
     }
 
     /// Returns the servers that the request was sent to.
@@ -53,6 +84,7 @@
     /// Logs and counts the answer.
     pub fn answered(&mut self, status: StatusCode) {
         self.is_answered = true;
+        self.count_usage();
         self.write(event::REQUEST_ANSWERED, &[("status", &status.as_u16())]);
         self.node.metrics.request(&self.route, status, self.node.now().since(self.started));
     }
@@ -73,6 +105,7 @@
 impl Drop for RequestTrail {
     fn drop(&mut self) {
         if !self.is_answered {
+            self.count_usage();
             self.write(event::REQUEST_LEFT, &[]);
         }
     }
--- /dev/null
+++ b/crates/trestlerackd/tests/entry/duties.rs
@@ -0,0 +1,120 @@
+//! Duties to the platform: usage reports and orders of engines, by one holder of the lease at a time.
+
+use super::support::*;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+
+/// Window of usage reports in these tests, and the time in which they are due, in seconds.
+const WINDOW_S: u64 = 1;
+const DUE_S: u64 = 6;
+
+fn customers() -> Value {
+    json!([{ "name": "wash", "api_keys": ["k-wash"] }, { "name": "pension", "api_keys": ["k-pension"] }])
+}
+
+fn start() -> (Platform, DutyPlatform, DaemonSettings) {
+    let platform = Platform::start();
+    platform.configure(2, customers());
+    let duties = DutyPlatform::start();
+    let settings = DaemonSettings {
+        store: platform.store.address.to_string(),
+        more: json!({ "duty_service": duties.address.to_string(), "duty_calls_per_s": 50.0,
+            "usage_window_s": WINDOW_S, "usage_due_s": DUE_S }),
+        ..DaemonSettings::default()
+    };
+    (platform, duties, settings)
+}
+
+/// Adds up what was reported, each window once.
+fn reported(duties: &DutyPlatform) -> BTreeMap<String, u64> {
+    let mut by_window = BTreeMap::new();
+    for call in duties.calls("/usage").into_iter().filter(|call| call.is_taken()) {
+        by_window.insert(call.body["window"].as_u64().unwrap(), call.body["counts"].clone());
+    }
+    let mut total = BTreeMap::new();
+    for counts in by_window.values() {
+        for (customer, count) in counts.as_object().unwrap() {
+            *total.entry(customer.clone()).or_insert(0) += count.as_u64().unwrap();
+        }
+    }
+    total
+}
+
+fn ask(daemon: &EntryDaemon, id: &str, key: &str) -> u16 {
+    let bearer = format!("Bearer {key}");
+    let headers = [("request-id", id), ("authorization", bearer.as_str())];
+    call(&daemon.client, "POST", "/safe/x", &headers, "x").map_or(0, |answer| answer.status)
+}
+
+/// Nodes count, one holder reports: each request once, whichever node served it, however often an
+/// answer of the platform or of a server is lost.
+#[test]
+fn usage_is_reported_once_for_each_request_that_ran() {
+    let (platform, duties, settings) = start();
+    let first = EntryDaemon::start_with("a", &settings);
+    let second = EntryDaemon::start_with("b", &DaemonSettings { seeds: vec![first.peer.clone()], ..settings });
+    duties.answer_next(&[429, 0, 503]);
+    for number in 0..10 {
+        assert_eq!(ask(&first, &format!("a{number}"), "k-wash"), 200);
+        assert_eq!(ask(&second, &format!("b{number}"), "k-pension"), 200);
+    }
+    // One that runs twice is counted once, and one that no customer asked for not at all.
+    platform.plain.short_answers.store(1, Ordering::SeqCst);
+    assert_eq!(ask(&second, "twice", "k-pension"), 200);
+    assert_eq!(ask(&second, "bad", "k-nobody"), 401);
+    let expected: BTreeMap<String, u64> = [("wash".into(), 10), ("pension".into(), 11)].into();
+    let is_sent_again = || duties.calls("/usage").iter().any(|call| call.status == 503);
+    eventually("all usage is reported", || reported(&duties) == expected && is_sent_again());
+    duties.check("/usage");
+}
+
+/// The holder dies after nodes told it, and one of those nodes dies with it. What they counted is
+/// reported by the next holder, and no window twice with other counts.
+#[test]
+fn a_new_holder_reports_what_the_one_before_was_told() {
+    let (_platform, duties, settings) = start();
+    let mut daemons = vec![EntryDaemon::start_with("a", &settings)];
+    let seeds = vec![daemons[0].peer.clone()];
+    let settings = DaemonSettings { seeds, ..settings };
+    eventually("the first node holds the lease", || !duties.calls("/usage").is_empty());
+    daemons.extend(["b", "c"].map(|name| EntryDaemon::start_with(name, &settings)));
+    for (index, daemon) in daemons.iter().enumerate() {
+        for number in 0..5 {
+            assert_eq!(ask(daemon, &format!("{index}-{number}"), "k-wash"), 200);
+        }
+    }
+    // The holder stores what it is told each second.
+    std::thread::sleep(std::time::Duration::from_millis(1_800));
+    for daemon in &mut daemons[..2] {
+        daemon.signal("-KILL");
+        daemon.wait_end();
+    }
+    let expected: BTreeMap<String, u64> = [("wash".into(), 15)].into();
+    eventually("the usage is reported", || reported(&duties) == expected);
+    duties.check("/usage");
+    eventually("by the next holder", || duties.calls("/usage").last().is_some_and(|call| call.holder == "c"));
+    duties.check("/usage");
+}
+
+/// An engine is gone: it is ordered again, told by a row first; a zone that has none is not asked
+/// again at once.
+#[test]
+fn an_engine_that_is_gone_is_ordered_again() {
+    let (platform, duties, settings) = start();
+    platform.configure_scaling(
+        3,
+        json!({ "min": 1, "max": 4, "boot_s": 1.0,
+        "zone_prices": { "z": 1.0, "cheap": 0.5 } }),
+    );
+    let _daemon = EntryDaemon::start_with("a", &settings);
+    eventually("the level is known", || platform.store.count("engine-orders", "engine-orders") == 1);
+    assert!(duties.calls("/scale").is_empty(), "nothing is missing");
+    duties.answer_next(&[200, 409]);
+    platform.store.remove("servers", "i-engine-0");
+    eventually("it is ordered again", || duties.calls("/scale").len() >= 2);
+    let orders: Vec<Value> = duties.calls("/scale").into_iter().map(|call| call.body).collect();
+    let order = |zone: &str, engines: u32| json!({ "service": "models", "zone": zone, "target_groups": engines });
+    assert!(orders[..2].contains(&order("cheap", 1)), "{orders:?}");
+    duties.check("/scale");
+}
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! The entry daemon as a process, against stand-ins of the users' platform.
 
 mod customers;
+mod duties;
 mod jobs;
 mod lease;
 mod requests;
--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -2,7 +2,7 @@
 
 use super::store::StandinStore;
 use super::{call, eventually};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -76,6 +76,8 @@
     pub otlp_endpoint: String,
     /// File that takes the log; it is thrown away without one.
     pub log: Option<PathBuf>,
+    /// Further fields of the settings file.
+    pub more: Value,
 }
 
 impl Default for DaemonSettings {
@@ -88,6 +90,7 @@
             cpu_share: 1.0,
             otlp_endpoint: String::new(),
             log: None,
+            more: json!({}),
         }
     }
 }
@@ -110,6 +113,9 @@
         if !settings.otlp_endpoint.is_empty() {
             text["otlp_endpoint"] = json!(settings.otlp_endpoint);
         }
+        for (field, value) in settings.more.as_object().unwrap() {
+            text[field] = value.clone();
+        }
         let file = format!("entry-{name}-{}-{}.json", std::process::id(), client.replace([':', '.'], "-"));
         let log = settings.log.clone();
         let settings = std::env::temp_dir().join(file);
--- a/crates/trestlerackd/tests/entry/support/mod.rs
+++ b/crates/trestlerackd/tests/entry/support/mod.rs
@@ -3,12 +3,14 @@
 
 mod client;
 mod daemon;
+mod duties;
 mod platform;
 mod server;
 mod store;
 
 pub use client::{call, read_answer, send};
 pub use daemon::{DaemonSettings, EntryDaemon, STOP_LIMIT, free_address};
+pub use duties::DutyPlatform;
 pub use platform::{
     EVENTS, EngineOrder, Platform, job_body_of, job_body_with, read_all, read_stream_from, submit, whole_text,
 };
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -292,6 +292,14 @@
         self.store.put("op", "config", &config);
     }
 
+    /// Lets engines of the model service be ordered; `autoscale` as on the wire.
+    pub fn configure_scaling(&self, version: u64, autoscale: Value) {
+        let mut config = configuration();
+        config["version"] = json!(version);
+        config["services"][1]["autoscale"] = autoscale;
+        self.store.put("op", "config", &config);
+    }
+
     /// Names a version of the weights, as a trainer does.
     pub fn name_version(&self, version: u64) {
         self.store.put("op", "version/m", &json!({ "model": "m", "version": version }));
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -79,6 +79,14 @@
         self.state.1.notify_all();
     }
 
+    /// Removes a row as the platform does.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        state.version += 1;
+        write(&mut state, (table.into(), String::new(), key.into()), None);
+        self.state.1.notify_all();
+    }
+
     /// Returns how many objects there are.
     pub fn objects(&self) -> usize {
         self.state.0.lock().unwrap().objects.len()
