Take servers that start again for new ones, and entries of other writers for none

Cause, read in the code: a row of service discovery that cannot be read left the earlier entry of that server in place, and a server that starts again under its instance (new on the users' pages) kept its versions, pauses and count of orders. Entries with missing fields, a state of no known name or an address that is none were taken for servers.

What is refused names no server at once, also within the time after an outage in which lapsed entries are believed. An entry tells its start; a later one ends beliefs and the plan's memory of the engine, which is then asked for its report before it is ordered; an earlier one that comes late changes nothing.

Runs in progress at a server that starts again are not ended by the news; they end by their event limit.

--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -126,7 +126,10 @@
         let mut kept = BTreeMap::new();
         for entry in registry.entries() {
             let mut belief = match self.servers.remove(&entry.instance) {
-                Some(belief) => belief,
+                Some(belief) if belief.entry.started_ms == entry.started_ms => belief,
+                // What was believed ended with the earlier start; what is still counted in flight
+                // there is counted out as it ends.
+                Some(belief) => ServerBelief { in_flight: belief.in_flight, ..ServerBelief::new(entry.clone()) },
                 None => ServerBelief::new(entry.clone()),
             };
             // Discovery lags, so a version that it states only ever raises what is believed.
--- a/crates/trestlerack/src/process/registry.rs
+++ b/crates/trestlerack/src/process/registry.rs
@@ -9,8 +9,10 @@
 /// One registered backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
-    /// Instance; it changes with every start of the server.
+    /// Instance. A server that starts again may have the one that it had.
     pub instance: Name,
+    /// Start of the server in milliseconds since 1970, by its own clock; 0 if it does not say.
+    pub started_ms: u64,
     /// Service that the server belongs to.
     pub service: Name,
     /// Address.
@@ -76,10 +78,14 @@
         self.is_out || !self.lapsed.is_empty()
     }
 
-    /// Takes over an entry. Returns whether more than the heartbeat changed.
+    /// Takes over an entry, unless it is of an earlier start than the one held. Returns whether more
+    /// than the heartbeat changed.
     pub fn put(&mut self, entry: ServerEntry) -> bool {
-        self.lapsed.remove(&entry.instance);
         let held = self.entries.get(&entry.instance);
+        if held.is_some_and(|held| held.started_ms > entry.started_ms) {
+            return false;
+        }
+        self.lapsed.remove(&entry.instance);
         let is_news = held.is_none_or(|held| ServerEntry { heartbeat: entry.heartbeat, ..held.clone() } != entry);
         self.entries.insert(entry.instance.clone(), entry);
         is_news
@@ -98,6 +104,13 @@
         }
     }
 
+    /// Forgets an entry that was written over by something that names no server. Whatever the store
+    /// did before, it is not believed any longer. Returns whether there was one.
+    pub fn refuse(&mut self, instance: &str) -> bool {
+        self.lapsed.remove(instance);
+        self.entries.remove(instance).is_some()
+    }
+
     /// Replaces everything by a full read; entries that it lacks are removed as by [`Self::remove`].
     pub fn replace(&mut self, now: Timestamp, entries: Vec<ServerEntry>) {
         let listed: Vec<Name> = entries.iter().map(|entry| entry.instance.clone()).collect();
--- a/crates/trestlerack/src/version/weight_plan.rs
+++ b/crates/trestlerack/src/version/weight_plan.rs
@@ -104,6 +104,8 @@
 #[derive(Clone, Debug)]
 struct EngineState {
     model: Name,
+    /// Start of the engine that the rest is of.
+    started_ms: u64,
     held: WeightVersion,
     ordered: Option<(WeightVersion, Timestamp)>,
     is_sending: bool,
@@ -166,13 +168,14 @@
         }
         let mut decided = Vec::new();
         for entry in entries {
+            self.forget_earlier_start(entry);
             if !self.engines.contains_key(&entry.instance) {
                 let known = assigned.get(&entry.instance).map(|assignment| assignment.model.clone());
                 let Some(model) = known.clone().or_else(|| self.least_served(models)) else { continue };
                 if known.is_none() {
                     decided.push((entry.instance.clone(), model.clone()));
                 }
-                self.engines.insert(entry.instance.clone(), EngineState::new(model));
+                self.engines.insert(entry.instance.clone(), EngineState::new(model, entry.started_ms));
             }
             self.observe(now, entry);
         }
@@ -180,6 +183,19 @@
         decided
     }
 
+    /// Forgets what an engine held and was ordered before it started again: its versions may be
+    /// others now, and it counts orders from zero. It keeps its model.
+    fn forget_earlier_start(&mut self, entry: &ServerEntry) {
+        let Some(state) = self.engines.get_mut(&entry.instance) else { return };
+        if state.started_ms == entry.started_ms {
+            return;
+        }
+        *state = EngineState::new(state.model.clone(), entry.started_ms);
+        if self.load_time.is_watched(&entry.instance) {
+            self.load_time.lost();
+        }
+    }
+
     fn observe(&mut self, now: Timestamp, entry: &ServerEntry) {
         let proof_time = self.settings.proof_time;
         let Some(state) = self.engines.get_mut(&entry.instance) else { return };
@@ -220,7 +236,7 @@
             let Some((instance, state)) = self.engines.iter_mut().find(|(_, state)| state.model == most) else {
                 return moved;
             };
-            *state = EngineState { orders: state.orders, ..EngineState::new(least.clone()) };
+            *state = EngineState { orders: state.orders, ..EngineState::new(least.clone(), state.started_ms) };
             moved.push((instance.clone(), least));
         }
     }
@@ -360,7 +376,8 @@
         self.ordered.map_or(self.held, |(version, _)| version)
     }
 
-    fn new(model: Name) -> Self {
-        Self { model, held: 0, ordered: None, is_sending: false, orders: None, not_before: Timestamp::default() }
+    fn new(model: Name, started_ms: u64) -> Self {
+        let not_before = Timestamp::default();
+        Self { model, started_ms, held: 0, ordered: None, is_sending: false, orders: None, not_before }
     }
 }
--- a/crates/trestlerack/tests/placement.rs
+++ b/crates/trestlerack/tests/placement.rs
@@ -18,6 +18,7 @@
         is_draining: false,
         models: vec![("m".into(), version)],
         heartbeat: 1,
+        started_ms: 1,
     }
 }
 
@@ -211,6 +212,37 @@
     assert!(registry.remove(limit, "b"), "long after an outage a removal counts at once");
 }
 
+#[test]
+fn a_server_that_starts_again_under_its_instance_is_another_one() {
+    let again = ServerEntry { started_ms: 2, ..entry("a", "z", 1) };
+    let mut registry = registry(&[entry("a", "z", 4)]);
+    let mut board = board(&[entry("a", "z", 4)]);
+    board.started("a");
+    board.stated_version("a", &trestlerack::Name::from("m"), 9);
+    for _ in 0..5 {
+        board.failed(NOW, "a");
+    }
+    assert_eq!(chosen(&board, NOW, &need(1)), None, "it is paused after its failures");
+    assert!(registry.put(again.clone()));
+    board.sync(&registry);
+    let belief = board.get("a").unwrap();
+    assert_eq!((belief.version("m"), belief.in_flight), (Some(1), 1), "its versions ended with its earlier start");
+    assert_eq!(chosen(&board, NOW, &need(1)), Some("a".into()));
+    assert!(!registry.put(entry("a", "z", 7)), "a late heartbeat of the earlier start changes nothing");
+    assert_eq!(registry.get("a"), Some(&again));
+}
+
+#[test]
+fn an_entry_that_was_written_over_names_no_server_even_after_an_outage() {
+    let mut registry = registry(&[entry("a", "z", 1), entry("b", "z", 1)]);
+    registry.store_lost();
+    registry.store_returned(NOW);
+    assert!(!registry.remove(NOW, "a"), "believed for a while");
+    assert!(registry.refuse("a") && registry.refuse("b") && !registry.refuse("c"));
+    assert_eq!(registry.entries().count(), 0);
+    assert!(registry.expire(NOW + RegistrySettings::default().return_time).is_empty());
+}
+
 #[test]
 fn heartbeats_alone_are_no_news() {
     let mut registry = registry(&[entry("a", "z", 1)]);
--- a/crates/trestlerack/tests/weight_plans.rs
+++ b/crates/trestlerack/tests/weight_plans.rs
@@ -18,6 +18,7 @@
         is_draining: false,
         models: versions.iter().map(|(model, version)| (Name::from(*model), *version)).collect(),
         heartbeat: 1,
+        started_ms: 1,
     }
 }
 
@@ -325,3 +326,24 @@
         assert!(questions * 2 <= loads, "{questions} questions for {loads} loads at {load_ms} ms");
     }
 }
+
+/// An engine that starts again under its instance counts its orders from zero, and what it was
+/// ordered before is forgotten: it is asked before it is ordered again.
+#[test]
+fn an_engine_that_starts_again_is_asked_before_it_is_ordered() {
+    let mut plan = WeightPlan::new(WeightPlanSettings::default());
+    let first = entry("a", &[("m", 1)]);
+    sync(&mut plan, NOW, &["m"], std::slice::from_ref(&first));
+    plan.target(&"m".into(), 2);
+    let asked = plan.next_orders(NOW, |_| Some(0));
+    assert_eq!(asked[0].orders_before, None);
+    plan.reported(NOW, "a", 1, false, 7);
+    let order = plan.next_orders(NOW, |_| Some(0)).remove(0);
+    assert_eq!(order.orders_before, Some(7));
+    plan.ordered(NOW, &order, OrderOutcome::Accepted, 7);
+    assert!(plan.next_orders(NOW, |_| Some(0)).is_empty());
+    let again = ServerEntry { started_ms: 2, ..first };
+    sync(&mut plan, NOW, &["m"], std::slice::from_ref(&again));
+    let asked = plan.next_orders(NOW, |_| Some(0));
+    assert_eq!((asked.len(), asked[0].orders_before, asked[0].version), (1, None, 2));
+}
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -202,7 +202,10 @@
                 changes.extend(change_of(&registry, &entry));
                 is_news |= registry.put(entry);
             }
-            Err(error) => logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]),
+            Err(error) => {
+                is_news |= registry.refuse(&row.key);
+                logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]);
+            }
         }
     }
     log_changes(&changes);
@@ -222,10 +225,16 @@
 
 /// Returns what an entry changes, which a heartbeat alone does not.
 fn change_of(registry: &ServerRegistry, entry: &ServerEntry) -> Option<ServerChange> {
-    let was = registry.get(&entry.instance).map(|held| held.is_draining);
-    let state = if entry.is_draining { "draining" } else { "ready" };
+    let held = registry.get(&entry.instance);
+    let is_restarted = held.is_some_and(|held| held.started_ms < entry.started_ms);
+    let is_same = held.is_some_and(|held| held.is_draining == entry.is_draining) && !is_restarted;
+    let state = match (is_restarted, entry.is_draining) {
+        (_, true) => "draining",
+        (true, false) => "restarted",
+        (false, false) => "ready",
+    };
     let place = Some((entry.service.clone(), entry.address.clone()));
-    (was != Some(entry.is_draining)).then(|| ServerChange { server: entry.instance.clone(), state, place })
+    (!is_same).then(|| ServerChange { server: entry.instance.clone(), state, place })
 }
 
 fn log_changes(changes: &[ServerChange]) {
@@ -245,14 +254,17 @@
 
 fn replace_servers(node: &Arc<EntryNode>, rows: &[StoredRow]) {
     let mut entries = Vec::new();
+    let mut registry = node.registry.lock().unwrap();
     for row in rows {
         match platform::decode_server(row) {
             Ok(entry) => entries.push(entry),
-            Err(error) => logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]),
+            Err(error) => {
+                registry.refuse(&row.key);
+                logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]);
+            }
         }
     }
     let count = entries.len();
-    let mut registry = node.registry.lock().unwrap();
     registry.replace(node.now(), entries);
     node.board.lock().unwrap().sync(&registry);
     drop(registry);
--- a/crates/trestlerackd/tests/entry/requests.rs
+++ b/crates/trestlerackd/tests/entry/requests.rs
@@ -149,3 +149,21 @@
     let runs = platform.engine.runs.lock().unwrap();
     assert_eq!(runs.iter().filter(|run| run.starts_with("s3")).count(), 1, "it must not run again");
 }
+
+/// Rows of service discovery that no server writes: they name no server, also where one was named
+/// before, and the other servers go on.
+#[test]
+fn an_entry_that_cannot_be_read_names_no_server() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.store.put("servers", "i-plain-0", &serde_json::json!({ "service": "plain", "addr": 5 }));
+    platform.store.put("servers", "i-stray", &serde_json::json!("bytes of another writer"));
+    std::thread::sleep(Duration::from_millis(800));
+    for number in 0..6 {
+        let id = format!("r{number}");
+        assert_eq!(call(&daemon.client, "POST", "/safe/x", &[("request-id", &id)], "x").unwrap().status, 200);
+    }
+    let asked: Vec<String> =
+        platform.plain.headers.lock().unwrap().values().map(|headers| headers["expect-instance"].clone()).collect();
+    assert_eq!(asked, vec!["i-plain-1"; 6]);
+}
