Let operators ask a node for its customers and for who does the duties

An entry node had no way to say which configuration's customers it serves or who holds the lease but its log. Two questions on its metrics address answer with JSON from what the node knows; the tool prints them with show customers and show duties. Process test: no key is told, the holder is named.

--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -140,8 +140,23 @@
     Ok(())
 }
 
+/// Returns the path and the columns of what an entry node tells on its metrics address.
+fn entry_list(name: &str) -> Option<(&'static str, &'static [&'static str])> {
+    match name {
+        "customers" => Some(("/v1/customers", &["name", "priority", "keys", "configuration"])),
+        "duties" => Some(("/v1/duties", &["duty", "holder", "fence", "is_held_here"])),
+        _ => None,
+    }
+}
+
 fn show(options: &Options, arguments: Arguments) -> Result<(), CommandError> {
     let words = words(arguments, 1, 2)?;
+    if let (Some((path, columns)), None) = (entry_list(&words[0]), words.get(1)) {
+        let address = options.node.clone().ok_or_else(|| usage("expected --node ADDRESS"))?;
+        let value = NodeApi { address, key: String::new() }.send(Method::GET, path, &Value::Null)?;
+        print_list(options, &value, columns);
+        return Ok(());
+    }
     let (path, columns): (String, &[&str]) = match (words[0].as_str(), words.get(1)) {
         ("nodes", None) => ("/v1/nodes".into(), &["name", "zone", "liveness", "generation", "in_progress", "spooled"]),
         ("backends", None) => {
@@ -156,15 +171,19 @@
             let columns = &["step", "state", "consume_version", "groups"];
             (format!("/v1/campaigns/{campaign}/steps"), columns)
         }
-        _ => return Err(usage("expected show nodes, backends, campaigns or steps CAMPAIGN")),
+        _ => return Err(usage("expected show nodes, backends, campaigns, steps CAMPAIGN, customers or duties")),
     };
     let value = node_api(options)?.send(Method::GET, &path, &Value::Null)?;
+    print_list(options, &value, columns);
+    Ok(())
+}
+
+fn print_list(options: &Options, value: &Value, columns: &[&str]) {
     if options.json {
-        print_json(&value);
+        print_json(value);
     } else {
-        print_table(&value, columns);
+        print_table(value, columns);
     }
-    Ok(())
 }
 
 fn drain(options: &Options, mut arguments: Arguments) -> Result<(), CommandError> {
--- a/crates/trestlerack/src/version/customers.rs
+++ b/crates/trestlerack/src/version/customers.rs
@@ -86,6 +86,12 @@
         self.by_key.get(&digest).map(|index| &self.customers[*index])
     }
 
+    /// Returns all customers with how many keys each holds.
+    pub fn iter(&self) -> impl Iterator<Item = (&Customer, usize)> {
+        let keys = |index: usize| self.by_key.values().filter(|holder| **holder == index).count();
+        self.customers.iter().enumerate().map(move |(index, customer)| (customer, keys(index)))
+    }
+
     /// Returns a customer by its name.
     pub fn get(&self, name: &str) -> Option<&Customer> {
         self.customers.iter().find(|customer| &*customer.name == name)
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms, served as text on the metrics address.
 
 use super::node::EntryNode;
+use super::status;
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -91,11 +92,8 @@
         let Ok((stream, _)) = listener.accept().await else { continue };
         let node = node.clone();
         tokio::spawn(async move {
-            let service = hyper::service::service_fn(move |_: Request<Incoming>| {
-                let mut page = node.metrics.page();
-                page.extend_from_slice(
-                    format!("trestlerack_entry_connections_opened {}\n", node.pool.opened()).as_bytes(),
-                );
+            let service = hyper::service::service_fn(move |request: Request<Incoming>| {
+                let page = status::answer(&node, request.uri().path()).unwrap_or_else(|| metrics_page(&node));
                 async move { Ok::<_, Infallible>(Response::new(Full::new(bytes::Bytes::from(page)))) }
             });
             // A reader that breaks its connection asks again.
@@ -103,3 +101,9 @@
         });
     }
 }
+
+fn metrics_page(node: &EntryNode) -> Vec<u8> {
+    let mut page = node.metrics.page();
+    page.extend_from_slice(format!("trestlerack_entry_connections_opened {}\n", node.pool.opened()).as_bytes());
+    page
+}
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -28,6 +28,7 @@
 mod pool;
 mod retention;
 mod score_calls;
+mod status;
 mod stop;
 mod store;
 mod streams;
--- a/crates/trestlerackd/tests/entry/duties.rs
+++ b/crates/trestlerackd/tests/entry/duties.rs
@@ -118,3 +118,22 @@
     assert!(orders[..2].contains(&order("cheap", 1)), "{orders:?}");
     duties.check("/scale");
 }
+
+/// Operators ask a node for its customers and for who does the duties; no key is told.
+#[test]
+fn a_node_tells_its_customers_and_who_does_the_duties() {
+    let (_platform, duties, mut settings) = start();
+    let metrics = free_address();
+    settings.more["metrics_listen"] = json!(metrics);
+    let _daemon = EntryDaemon::start_with("a", &settings);
+    eventually("a node holds the lease", || !duties.calls("/usage").is_empty());
+    let ask = |path: &str| call(&metrics, "GET", path, &[], "").unwrap();
+    let customers = ask("/v1/customers");
+    assert_eq!(customers.json()[0], json!({ "name": "wash", "priority": null, "keys": 1, "configuration": 2 }));
+    assert!(!customers.body.contains("k-wash"));
+    let lines = ask("/v1/duties").json();
+    let names: Vec<&str> = lines.as_array().unwrap().iter().map(|line| line["duty"].as_str().unwrap()).collect();
+    assert_eq!(names, ["weight orders", "usage reports", "engine orders"]);
+    assert!(lines.as_array().unwrap().iter().all(|line| line["holder"] == "a" && line["is_held_here"] == true));
+    assert!(ask("/metrics").body.contains("trestlerack_entry_connections_opened"));
+}
