--- a/crates/trestlerackd/src/entry/duties/usage_report.rs
+++ b/crates/trestlerackd/src/entry/duties/usage_report.rs
@@ -153,9 +153,7 @@
 async fn store_report(node: &Arc<EntryNode>, settings: UsageSettings, desk: &mut ReportDesk, wall_ms: u64) -> bool {
     let window = desk.next;
     if settings.is_over(window, wall_ms) {
-        logs::write(event::USAGE_MISSED, &[("window", &window), ("why", &"nobody could report it in time")]);
-        node.metrics.usage_missed();
-        desk.next += 1;
+        skip_over(node, desk, settings.first_kept(wall_ms));
         return true;
     }
     let report = UsageReport { counts: node.usage.desk.lock().unwrap().total(window), is_sent: false };
@@ -197,6 +195,17 @@
     true
 }
 
+/// Gives up the windows before `first_kept`, which nobody could report in time. One line tells of all
+/// of them, because the system may have been down for days.
+fn skip_over(node: &EntryNode, desk: &mut ReportDesk, first_kept: u64) {
+    let missed = first_kept.saturating_sub(desk.next);
+    let fields: [(&str, &dyn std::fmt::Display); 3] =
+        [("window", &desk.next), ("windows", &missed), ("why", &"nobody could report them in time")];
+    logs::write(event::USAGE_MISSED, &fields);
+    node.metrics.usage_missed(missed);
+    desk.next = first_kept;
+}
+
 /// Has the rows of windows that are over removed with the next report.
 fn forget_old(desk: &mut ReportDesk, first_kept: u64) {
     let kept = desk.note_keys.split_off(&first_kept);
@@ -228,7 +237,7 @@
         // The same report would be refused again, and later windows must not wait for it.
         DutyAnswer::Refused | DutyAnswer::NoneLeft => {
             desk.unsent.remove(&window);
-            node.metrics.usage_missed();
+            node.metrics.usage_missed(1);
         }
         DutyAnswer::RateLimited | DutyAnswer::Unknown => desk.retry_at = node.now() + RETRY_PAUSE,
     }
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -73,9 +73,9 @@
         self.orders.add(1, &[KeyValue::new("outcome", format!("{outcome:?}").to_lowercase())]);
     }
 
-    /// Counts a window of usage that was not reported.
-    pub fn usage_missed(&self) {
-        self.usage_missed.add(1, &[]);
+    /// Counts windows of usage that were not reported.
+    pub fn usage_missed(&self, windows: u64) {
+        self.usage_missed.add(windows, &[]);
     }
 
     fn page(&self) -> Vec<u8> {
--- a/crates/trestlerackd/tests/entry/duties.rs
+++ b/crates/trestlerackd/tests/entry/duties.rs
@@ -137,3 +137,23 @@
     assert!(lines.as_array().unwrap().iter().all(|line| line["holder"] == "a" && line["is_held_here"] == true));
     assert!(ask("/metrics").body.contains("trestlerack_entry_connections_opened"));
 }
+
+/// The last report is of long ago, since the system was down. The windows since then are given up in
+/// one line, and the next ones are reported.
+#[test]
+fn windows_of_a_long_outage_are_given_up_together() {
+    let (platform, duties, mut settings) = start();
+    let log = std::env::temp_dir().join(format!("entry-usage-{}.log", std::process::id()));
+    settings.log = Some(log.clone());
+    let daemon = EntryDaemon::start_with("a", &settings);
+    eventually("a window is reported", || !duties.calls("/usage").is_empty());
+    drop(daemon);
+    platform.store.rename_rows("usage", |key| key.replace("report-00000000001", "report-00000000000"));
+    let daemon = EntryDaemon::start_with("a", &settings);
+    assert_eq!(ask(&daemon, "r1", "k-wash"), 200);
+    eventually("the usage is reported", || reported(&duties).get("wash") == Some(&1));
+    let text = std::fs::read_to_string(&log).unwrap();
+    assert_eq!(text.lines().filter(|line| line.contains("TR2504")).count(), 1);
+    duties.check("/usage");
+    std::fs::remove_file(log).unwrap();
+}
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -87,6 +87,17 @@
         self.state.1.notify_all();
     }
 
+    /// Gives the rows of a table other keys, while nobody watches it.
+    pub fn rename_rows(&self, table: &str, rename: impl Fn(&str) -> String) {
+        let mut state = self.state.0.lock().unwrap();
+        let rows = std::mem::take(&mut state.rows);
+        let renamed = rows.into_iter().map(|((of, part, key), value)| {
+            let key = if of == table { rename(&key) } else { key };
+            ((of, part, key), value)
+        });
+        state.rows = renamed.collect();
+    }
+
     /// Returns how many objects there are.
     pub fn objects(&self) -> usize {
         self.state.0.lock().unwrap().objects.len()
