Look as soon as an order to an engine has ended

Cause: since orders are tasks of their own, what came of one was taken note of at the next look, up to 50 ms later, and an engine that was asked first waited that long for its order.

--- a/crates/trestlerackd/src/entry/order_lease.rs
+++ b/crates/trestlerackd/src/entry/order_lease.rs
@@ -68,7 +68,10 @@
         not_before: Timestamp::default(),
     };
     loop {
-        tokio::time::sleep(LOOK_INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(LOOK_INTERVAL) => {}
+            () = desk.orders.wait() => {}
+        }
         if node.is_stopping() {
             *node.lease_grant.lock().unwrap() = None;
             give_back(&node, &mut desk.keeper).await;
--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -4,6 +4,7 @@
 use super::node::EntryNode;
 use super::{feeds, tables};
 use crate::process::logs;
+use futures_util::future;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +22,22 @@
 
 /// Orders and questions that are on their way to engines. Dropping them ends the waits for answers.
 #[derive(Default)]
-pub struct OrderTasks(JoinSet<OrderEnd>);
+pub struct OrderTasks {
+    tasks: JoinSet<OrderEnd>,
+    ended: Vec<OrderEnd>,
+}
+
+impl OrderTasks {
+    /// Waits until one has ended; for ever while there is none.
+    pub async fn wait(&mut self) {
+        match self.tasks.join_next().await {
+            Some(Ok(end)) => self.ended.push(end),
+            // A task ends otherwise only with the process.
+            Some(Err(_)) => {}
+            None => future::pending().await,
+        }
+    }
+}
 
 /// What came of an order or a question for a service.
 struct OrderEnd {
@@ -75,7 +91,7 @@
             let Some(entry) = entries.iter().find(|entry| entry.instance == order.instance) else { continue };
             let terms = OrderTerms { fence, load_time: plan.load_time(), waits_for_runs };
             let (node, entry, service) = (node.clone(), entry.clone(), service.name.clone());
-            running.0.spawn(async move {
+            running.tasks.spawn(async move {
                 let done = carry_out(&node, &entry, &order, terms).await;
                 OrderEnd { service, order, done }
             });
@@ -85,9 +101,10 @@
 
 /// Takes note of the orders that have come to an end.
 fn take_ends(node: &EntryNode, plans: &mut BTreeMap<Name, WeightPlan>, running: &mut OrderTasks) {
-    while let Some(ended) = running.0.try_join_next() {
-        // A task ends otherwise only with the process.
-        let Ok(end) = ended else { continue };
+    while let Some(Ok(end)) = running.tasks.try_join_next() {
+        running.ended.push(end);
+    }
+    for end in running.ended.drain(..) {
         if let Some(plan) = plans.get_mut(&end.service) {
             apply_done(node, plan, &end.order, end.done);
         }
