Look a route up once more before a client is told that there is none

A 404 of a configuration that is behind is false wherever it comes from, and clients do not come back after it.

The configuration's row is read once more, as for keys: one read at a time, once a second at most; while the store does not answer, the answer is 503 with a time to return.

Test: a_route_that_the_node_does_not_know_yet_is_looked_up_once_more.

--- a/crates/trestlerackd/src/entry/callers.rs
+++ b/crates/trestlerackd/src/entry/callers.rs
@@ -68,8 +68,9 @@
 }
 
 /// Reads the configuration if the last read is some time ago, or waits for the one on its way.
-/// Returns whether the last read succeeded.
-async fn refresh(node: &Arc<EntryNode>) -> bool {
+/// Returns whether the last read succeeded. What this node does not know, a key or a route, may be newer
+/// than its configuration, and clients do not come back after they were told that it does not exist.
+pub async fn refresh(node: &Arc<EntryNode>) -> bool {
     let refresh = &node.key_refresh;
     let is_due = refresh.gate.lock().unwrap().try_start(node.now());
     let flight = refresh.flight.lock().await;
--- a/crates/trestlerackd/src/entry/front.rs
+++ b/crates/trestlerackd/src/entry/front.rs
@@ -32,7 +32,7 @@
 /// Time after which a client is told to return while this node knows no configuration.
 const NO_CONFIG_RETURN: Duration = Duration::from_millis(200);
 
-/// Time after which a client is told to return whose key could not be looked up.
+/// Time after which a client is told to return whose key or route could not be looked up.
 const UNSURE_RETURN: Duration = Duration::from_millis(300);
 
 /// Body of a reply.
@@ -179,7 +179,7 @@
     let is_public = match call {
         FrontCall::Routed => match routing.select(&request.host, &request.path) {
             Some(route) => route.is_public,
-            None => return Err(refuse(request, routing, "no route matches", StatusCode::NOT_FOUND)),
+            None => find_new_route(node, request).await?,
         },
         // Whether the caller may see the job is judged once the job is known.
         _ => true,
@@ -198,6 +198,21 @@
     }
 }
 
+/// Reads the configuration once more for a route that is not known. Returns whether the route is open
+/// to all, or the reply if there is none. At 300 nodes one was 4.5 s behind and refused a new route.
+async fn find_new_route(node: &Arc<EntryNode>, request: &ClientRequest) -> Result<bool, Response<ReplyBody>> {
+    let is_fresh = callers::refresh(node).await;
+    let Some(newest) = node.routing() else { return Err(own_reply(StatusCode::NOT_FOUND, None)) };
+    match newest.select(&request.host, &request.path) {
+        Some(route) => Ok(route.is_public),
+        None if is_fresh => Err(refuse(request, &newest, "no route matches", StatusCode::NOT_FOUND)),
+        None => {
+            log_refusal(request, &newest, "no route matches and the store does not answer");
+            Err(platform::not_run_reply(request.head.request_id.as_ref(), UNSURE_RETURN).map(full_reply))
+        }
+    }
+}
+
 fn refuse(
     request: &ClientRequest,
     routing: &RoutingTable,
--- a/crates/trestlerackd/tests/entry/requests.rs
+++ b/crates/trestlerackd/tests/entry/requests.rs
@@ -167,3 +167,18 @@
         platform.plain.headers.lock().unwrap().values().map(|headers| headers["expect-instance"].clone()).collect();
     assert_eq!(asked, vec!["i-plain-1"; 6]);
 }
+
+/// The watch brings no news of a new route. A client that is told that it does not exist would not
+/// come again, so the node looks once more; while it cannot, it does not say so.
+#[test]
+fn a_route_that_the_node_does_not_know_yet_is_looked_up_once_more() {
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    let status = |path: &str, id: &str| call(&daemon.client, "POST", path, &[("request-id", id)], "x").unwrap().status;
+    assert_eq!(status("/late/x", "r1"), 404);
+    platform.store.silence_watches(Some("op"));
+    platform.add_route(2, "/late/");
+    // The node reads once a second at most.
+    std::thread::sleep(Duration::from_millis(1_100));
+    assert_eq!((status("/late/x", "r2"), status("/none/x", "r3")), (200, 404));
+}
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -311,6 +311,17 @@
         self.store.put("op", "config", &config);
     }
 
+    /// Adds a route to the plain service.
+    pub fn add_route(&self, version: u64, prefix: &str) {
+        let mut config = configuration();
+        config["version"] = json!(version);
+        let mut route = config["routes"][0].clone();
+        route["name"] = json!("added");
+        route["prefix"] = json!(prefix);
+        config["routes"].as_array_mut().unwrap().push(route);
+        self.store.put("op", "config", &config);
+    }
+
     /// Names a version of the weights, as a trainer does.
     pub fn name_version(&self, version: u64) {
         self.store.put("op", "version/m", &json!({ "model": "m", "version": version }));
