Log what a request asks for, and whether its server ended, when its connection breaks

Cause of the change: the incident's logs cannot tell a request that ends its servers from a bystander. Each attempt has another id, and 'connection closed' does not say whether the server or only the connection had ended. Ruled out: logging the path or the body, which are customers' data. No decision depends on it yet.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -131,6 +131,8 @@
     SERVER_CHOSEN = (2103, "server-chosen", Info);
     /// A client left before its request was answered.
     REQUEST_LEFT = (2104, "request-left", Info);
+    /// A connection broke under a request; the line says whether its server still takes connections.
+    CONNECTION_BROKEN = (2105, "connection-broken", Warn);
     /// A batch job was submitted, with the answer.
     JOB_SUBMITTED = (2201, "job-submitted", Info);
     /// A call about a batch job could not be served.
--- /dev/null
+++ b/crates/trestlerack/tests/fingerprints.rs
@@ -0,0 +1,28 @@
+//! Fingerprints tell requests apart by what they ask for.
+
+use bolero::check;
+use trestlerack::request::RequestContent;
+
+type Parts = (Option<String>, String, String, Vec<u8>);
+
+fn fingerprint((customer, host, path, body): &Parts) -> String {
+    RequestContent { customer: customer.as_deref(), host, path, body: &body[..] }.fingerprint().to_string()
+}
+
+#[test]
+fn requests_share_a_fingerprint_only_if_they_ask_the_same() {
+    check!().with_type::<(Parts, Parts)>().for_each(|(left, right)| {
+        let named =
+            |parts: &Parts| (parts.0.clone().unwrap_or_default(), parts.1.clone(), parts.2.clone(), parts.3.clone());
+        assert_eq!(fingerprint(left) == fingerprint(right), named(left) == named(right));
+    });
+}
+
+#[test]
+fn no_byte_moves_from_one_part_to_the_next() {
+    let parts = |host: &str, path: &str, body: &str| (None, host.to_owned(), path.to_owned(), body.as_bytes().to_vec());
+    let whole = fingerprint(&parts("h", "/ab", "c"));
+    assert_ne!(whole, fingerprint(&parts("h", "/a", "bc")));
+    assert_ne!(whole, fingerprint(&parts("h/", "ab", "c")));
+    assert_ne!(whole, fingerprint(&(Some("h".into()), String::new(), "/ab".into(), b"c".to_vec())));
+}
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::node::{EntryNode, ServerTicket};
 use super::pool::{ConnectionLease, ExchangeError};
+use super::server_end;
 use crate::process::tracing::HopSpan;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
@@ -86,7 +87,10 @@
             node.board.lock().unwrap().failed(node.now(), &instance);
             return Err(match error {
                 ExchangeError::NotSent(detail) => AttemptError::NotRun(detail),
-                ExchangeError::NoAnswer(detail) => AttemptError::MayHaveRun(detail),
+                ExchangeError::NoAnswer(detail) => {
+                    server_end::connection_broke(node, &ticket, &request_id).await;
+                    AttemptError::MayHaveRun(detail)
+                }
             });
         }
     };
@@ -143,11 +147,13 @@
     limit: Duration,
 ) -> Result<WholeAnswer, AttemptError> {
     let instance = ticket.server.instance.clone();
+    let request_id = request.request_id.to_owned();
     let exchange = async {
         let open = open_answer(node, ticket, request, wants_fresh).await?;
         let body = Limited::new(open.body, MAX_ANSWER).collect().await;
         let Ok(body) = body else {
             node.board.lock().unwrap().failed(node.now(), &instance);
+            server_end::connection_broke(node, &open.ticket, &request_id).await;
             return Err(AttemptError::MayHaveRun("the answer broke off".into()));
         };
         node.board.lock().unwrap().succeeded(&instance);
--- a/crates/trestlerackd/src/entry/front.rs
+++ b/crates/trestlerackd/src/entry/front.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use trestlerack::request::{RequestContent, RequestFingerprint};
 use trestlerack::version::{CallerCredential, CallerVerdict, RouteKind, RoutingTable};
 use trestlerack::{Name, event};
 use trestlerack_platform::{self as platform, ClientHead, FrontCall};
@@ -66,6 +67,12 @@
     pub fn customer(&self) -> Option<&Name> {
         self.caller.customer().map(|customer| &customer.name)
     }
+
+    /// Returns the fingerprint of what the request asks for.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        let customer = self.customer().map(|name| &**name);
+        RequestContent { customer, host: &self.host, path: &self.path_and_query, body: &self.body }.fingerprint()
+    }
 }
 
 /// Builds a reply body that is whole.
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -4,6 +4,7 @@
 use super::job_driver::JobDriver;
 use super::job_runs;
 use super::node::{EntryNode, ServerTicket};
+use super::server_end;
 use crate::process::logs;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use http_body_util::BodyExt;
@@ -128,7 +129,8 @@
 ) -> (RunEnd, String) {
     let OpenAnswer { mut body, lease, ticket, head, span: _span, .. } = open;
     let instance = ticket.server.instance.clone();
-    let model = driver.spec.model_of(&driver.spec.items[trace.index]);
+    let item = &driver.spec.items[trace.index];
+    let model = driver.spec.model_of(item);
     let mut version = head.version;
     note_version(node, &instance, model.as_ref(), version);
     let mut decoder = EventDecoder::default();
@@ -138,6 +140,7 @@
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => {
                 node.board.lock().unwrap().failed(node.now(), &instance);
+                server_end::connection_broke(node, &ticket, &item.id).await;
                 return (RunEnd::Broken, error.to_string());
             }
             Ok(None) => break,
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -10,7 +10,9 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use trestlerack::process::ServerNeed;
-use trestlerack::request::{JobHead, JobLedger, JobSpec, LedgerSettings, RunEnd, RunLane};
+use trestlerack::request::{
+    JobHead, JobItem, JobLedger, JobSpec, LedgerSettings, RequestContent, RequestFingerprint, RunEnd, RunLane,
+};
 use trestlerack::version::RoutingTable;
 use trestlerack::{Name, Timestamp, event};
 
@@ -48,6 +50,8 @@
     pub spec: Arc<JobSpec>,
     /// Customer that the job belongs to.
     pub customer: Option<Name>,
+    /// What each item asks for, by its position.
+    pub fingerprints: Vec<RequestFingerprint>,
     /// State of its items.
     pub ledger: Mutex<JobLedger>,
     /// Wakes the driver.
@@ -63,9 +67,15 @@
 
 impl JobDriver {
     fn new(spec: Arc<JobSpec>, customer: Option<Name>, ledger: JobLedger) -> Self {
+        let fingerprint = |item: &JobItem| {
+            let customer = customer.as_deref();
+            RequestContent { customer, host: &spec.host, path: &item.path, body: &item.body }.fingerprint()
+        };
+        let fingerprints = spec.items.iter().map(fingerprint).collect();
         Self {
             spec,
             customer,
+            fingerprints,
             ledger: Mutex::new(ledger),
             wake: Notify::new(),
             record: Notify::new(),
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -85,7 +85,7 @@
 
 fn spawn_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, index: usize, lane: RunLane, engine: ServerEntry) {
     log_start(node, driver, index, lane, &engine);
-    let ticket = ServerTicket::new(node, engine);
+    let ticket = ServerTicket::new(node, engine, driver.fingerprints[index]);
     let run = tokio::spawn(item_run::run(node.clone(), driver.clone(), index, lane, ticket));
     let run = ItemRun { handle: run.abort_handle(), started: node.now() };
     driver.runs.lock().unwrap().insert((index, lane), run);
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -28,6 +28,7 @@
 mod pool;
 mod retention;
 mod score_calls;
+mod server_end;
 mod status;
 mod stop;
 mod store;
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -21,7 +21,7 @@
     BoardSettings, EntrySettings, LeaseGrant, LeaseRow, NodeRow, RegistrySettings, ServerBoard, ServerEntry,
     ServerRegistry,
 };
-use trestlerack::request::JobHead;
+use trestlerack::request::{JobHead, RequestFingerprint};
 use trestlerack::version::{EngineAssignment, RoutingTable, WeightVersion};
 use trestlerack::{Name, Timestamp};
 
@@ -293,13 +293,15 @@
     node: Arc<EntryNode>,
     /// The server.
     pub server: ServerEntry,
+    /// What the request asks for.
+    pub fingerprint: RequestFingerprint,
 }
 
 impl ServerTicket {
     /// Counts a request in.
-    pub fn new(node: &Arc<EntryNode>, server: ServerEntry) -> Self {
+    pub fn new(node: &Arc<EntryNode>, server: ServerEntry, fingerprint: RequestFingerprint) -> Self {
         node.board.lock().unwrap().started(&server.instance);
-        Self { node: node.clone(), server }
+        Self { node: node.clone(), server, fingerprint }
     }
 }
 
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -173,7 +173,7 @@
     let about: [(&str, &dyn std::fmt::Display); 3] =
         [("request", &id), ("config", &config), ("server", &entry.instance)];
     choice_log::write_choice(node, event::SERVER_CHOSEN, &about, &entry, model);
-    Some(ServerTicket::new(node, entry))
+    Some(ServerTicket::new(node, entry, request.fingerprint()))
 }
 
 pub fn engine_request<'a>(request: &'a ClientRequest, instance: &'a str, left: Duration) -> EngineRequest<'a> {
--- a/crates/trestlerackd/src/entry/pool.rs
+++ b/crates/trestlerackd/src/entry/pool.rs
@@ -28,6 +28,10 @@
 /// Idle time of a connection whose server states none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(3);
 
+/// Time to find out whether an address still takes connections. An address whose process has ended
+/// refuses within one round trip, a few milliseconds; the request that asks waits meanwhile.
+const LISTEN_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Share of the idle time after which a connection is no longer used, so that its server does not
 /// close it as a request is on the way.
 const IDLE_SHARE: f64 = 0.75;
@@ -56,6 +60,44 @@
     }
 }
 
+/// Whether an address takes connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenState {
+    /// A process takes them.
+    Listening,
+    /// They are refused, as they are once a process has ended.
+    Refusing,
+    /// No answer came in time.
+    Unknown,
+}
+
+impl ListenState {
+    /// Returns the word that logs use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Listening => "yes",
+            Self::Refusing => "no",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Why no connection was opened.
+enum OpenError {
+    /// Nothing listens at the address.
+    Refused(String),
+    /// Anything else.
+    Failed(String),
+}
+
+impl From<OpenError> for ExchangeError {
+    fn from(error: OpenError) -> Self {
+        match error {
+            OpenError::Refused(detail) | OpenError::Failed(detail) => Self::NotSent(detail),
+        }
+    }
+}
+
 struct IdleConnection {
     connection: OpenConnection,
     usable_until: Instant,
@@ -143,17 +185,31 @@
         None
     }
 
-    async fn open(&self, address: &Name) -> Result<ConnectionLease, ExchangeError> {
-        let not_sent = |detail: String| ExchangeError::NotSent(detail);
+    /// Finds out whether an address takes connections. One that it opens is kept for a later exchange.
+    pub async fn listen_state(self: &Arc<Self>, address: &Name) -> ListenState {
+        match tokio::time::timeout(LISTEN_TIMEOUT, self.open(address)).await {
+            Ok(Ok(lease)) => {
+                self.keep(lease, None);
+                ListenState::Listening
+            }
+            Ok(Err(OpenError::Refused(_))) => ListenState::Refusing,
+            Ok(Err(OpenError::Failed(_))) | Err(_) => ListenState::Unknown,
+        }
+    }
+
+    async fn open(&self, address: &Name) -> Result<ConnectionLease, OpenError> {
         let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&**address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(not_sent(format!("cannot connect to {address}: {error}"))),
-            Err(_) => return Err(not_sent(format!("connecting to {address} took too long"))),
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return Err(OpenError::Refused(format!("cannot connect to {address}: {error}")));
+            }
+            Ok(Err(error)) => return Err(OpenError::Failed(format!("cannot connect to {address}: {error}"))),
+            Err(_) => return Err(OpenError::Failed(format!("connecting to {address} took too long"))),
         };
         self.opened.fetch_add(1, Ordering::Relaxed);
         prepare(&stream);
         let handshake = http1::Builder::new().max_buf_size(READ_BUFFER).handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
+        let (sender, connection) = handshake.map_err(|error| OpenError::Failed(error.to_string()))?;
         let task = tokio::spawn(async move {
             // The exchange that uses the connection sees the error too and reports it.
             let _ = connection.await;
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::process::{ServerNeed, ServerRoom};
-use trestlerack::request::ScoreCall;
+use trestlerack::request::{RequestContent, ScoreCall};
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform::EngineRequest;
@@ -60,7 +60,7 @@
     let mut attempts = FuturesUnordered::new();
     loop {
         if attempts.len() < SERVERS_AT_ONCE
-            && let Some(ticket) = pick_server(node, service, tried)
+            && let Some(ticket) = pick_server(node, call, service, tried)
         {
             tried.push(ticket.server.instance.clone());
             attempts.push(attempt_score(node, call, ticket, deadline));
@@ -90,7 +90,7 @@
     usual.unwrap_or(Duration::from_millis(route.target_latency_ms)).max(LEAST_PATIENCE)
 }
 
-fn pick_server(node: &Arc<EntryNode>, service: &Name, tried: &[Name]) -> Option<ServerTicket> {
+fn pick_server(node: &Arc<EntryNode>, call: &ScoreCall, service: &Name, tried: &[Name]) -> Option<ServerTicket> {
     let need = ServerNeed {
         service,
         avoid: tried,
@@ -100,7 +100,8 @@
         ..ServerNeed::default()
     };
     let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone())?;
-    Some(ServerTicket::new(node, entry))
+    let content = RequestContent { customer: None, host: &call.host, path: &call.path, body: &call.body };
+    Some(ServerTicket::new(node, entry, content.fingerprint()))
 }
 
 /// Pauses the servers that were asked before the one that answered: they are slow or silent.
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -4,6 +4,7 @@
 use super::front::{BrokenReply, ClientRequest, ReplyBody};
 use super::node::EntryNode;
 use super::plain::{self, Shortfall};
+use super::server_end;
 use super::trail::RequestTrail;
 use bytes::Bytes;
 use futures_util::stream;
@@ -145,6 +146,10 @@
                 Ok(None) => BrokenReply::from("the stream ended within an event"),
                 Err(error) => error,
             };
+            if why.is::<hyper::Error>() {
+                let id = self.request.head.request_id.as_deref().unwrap_or("");
+                server_end::connection_broke(&self.node, &self.open.ticket, id).await;
+            }
             self.resume(why).await?;
         }
     }
