Failing test: a request that ends its servers is sent to ever new ones

Reproduces the incident with stand-ins: three nodes, three servers that end when they run a request and are back after 0.4 s, ten arrivals of one content under new ids at the nodes in turn. 30 servers end where four are the most allowed; the last arrival is told to come back after 0.15 s.

--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! The entry daemon as a process, against stand-ins of the users' platform.
 
+mod crashes;
 mod customers;
 mod duties;
 mod jobs;
--- a/crates/trestlerackd/tests/entry/support/mod.rs
+++ b/crates/trestlerackd/tests/entry/support/mod.rs
@@ -2,6 +2,7 @@
 //! of its own.
 
 mod client;
+mod crashing;
 mod daemon;
 mod duties;
 mod platform;
@@ -9,6 +10,7 @@
 mod store;
 
 pub use client::{call, read_answer, send};
+pub use crashing::{CrashingServers, FATAL};
 pub use daemon::{DaemonSettings, EntryDaemon, STOP_LIMIT, free_address};
 pub use duties::DutyPlatform;
 pub use platform::{
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -239,7 +239,7 @@
     }
 }
 
-fn event_data(id: &str, number: u64, version: u64) -> String {
+pub(super) fn event_data(id: &str, number: u64, version: u64) -> String {
     format!("{id}-{number}-v{version}")
 }
 
@@ -248,7 +248,7 @@
     (1..=EVENTS).map(|number| event_data(id, number, version)).collect()
 }
 
-fn register(store: &StandinStore, instance: &str, service: &str, address: &str, models: Value) {
+pub(super) fn register(store: &StandinStore, instance: &str, service: &str, address: &str, models: Value) {
     store.put(
         "servers",
         instance,
@@ -270,13 +270,27 @@
     }
 
     /// Starts `count` servers of each kind, registered at the address that `relay` gives for theirs.
-    pub fn start_behind(count: usize, mut relay: impl FnMut(SocketAddr) -> String) -> Self {
+    pub fn start_behind(count: usize, relay: impl FnMut(SocketAddr) -> String) -> Self {
+        Self::start_relayed(count, count, relay)
+    }
+
+    /// Starts so many plain servers and model engines.
+    pub fn start_counts(plain: usize, engines: usize) -> Self {
+        Self::start_relayed(plain, engines, |address| address.to_string())
+    }
+
+    fn start_relayed(plain_count: usize, engine_count: usize, mut relay: impl FnMut(SocketAddr) -> String) -> Self {
         let store = StandinStore::start();
         let (plain, engine) = (Arc::<ServerBehaviour>::default(), Arc::<ServerBehaviour>::default());
         store.put("op", "config", &configuration());
-        for number in 0..count {
-            let address = relay(plain_server(plain.clone()));
-            register(&store, &format!("i-plain-{number}"), "plain", &address, json!([]));
+        for number in 0..plain_count.max(engine_count) {
+            if number < plain_count {
+                let address = relay(plain_server(plain.clone()));
+                register(&store, &format!("i-plain-{number}"), "plain", &address, json!([]));
+            }
+            if number >= engine_count {
+                continue;
+            }
             let model_engine = Arc::new(ModelEngine {
                 behaviour: engine.clone(),
                 store: store.clone(),
