Hold requests that end their servers, on all nodes

Cause: attempts were bounded for each arrival of a request at one node. Nothing bounded what one content does to servers over all its arrivals, ids and nodes: a budget kept in the wrong life span. The class: state about a request that is to outlive the request was kept with it. Every way on which a server gets work had it: plain, unsafe and streamed requests, resumption, items, second runs, score calls (two servers at once), and takeover of a job. Ruled out: more attempts than the route allows (no request id has more than two closed attempts); bystanders only (the reproduction ends 30 servers in 10 arrivals of one content and none without it). Change: a fingerprint for what is asked, strikes for servers that ended under it, joined by all nodes through a row each, and by gossip while the store serves nobody; one gate in the function that all sends go through. A content is held with three ends that nothing else accounts for, one of them on a trial; a whole answer clears it. Bounded: 512 contents, 16 strikes each, ten minutes, 4,096 rows. Ends that nobody saw because the client had left are told by service discovery.

--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -144,6 +144,7 @@
 fn entry_list(name: &str) -> Option<(&'static str, &'static [&'static str])> {
     match name {
         "customers" => Some(("/v1/customers", &["name", "priority", "keys", "configuration"])),
+        "suspects" => Some(("/v1/suspects", &["fingerprint", "standing", "left_s", "ended", "unexplained"])),
         "duties" => Some(("/v1/duties", &["duty", "holder", "fence", "is_held_here"])),
         _ => None,
     }
@@ -171,7 +172,11 @@
             let columns = &["step", "state", "consume_version", "groups"];
             (format!("/v1/campaigns/{campaign}/steps"), columns)
         }
-        _ => return Err(usage("expected show nodes, backends, campaigns, steps CAMPAIGN, customers or duties")),
+        _ => {
+            return Err(usage(
+                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties or suspects",
+            ));
+        }
     };
     let value = node_api(options)?.send(Method::GET, &path, &Value::Null)?;
     print_list(options, &value, columns);
--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -133,6 +133,16 @@
     REQUEST_LEFT = (2104, "request-left", Info);
     /// A connection broke under a request; the line says whether its server still takes connections.
     CONNECTION_BROKEN = (2105, "connection-broken", Warn);
+    /// A request or an item was not sent to a server, because servers ended under what it asks for.
+    REQUEST_HELD = (2106, "request-held", Warn);
+    /// A server ended as it worked on a request of this node.
+    SERVER_ENDED = (2107, "server-ended", Warn);
+    /// A whole answer has shown that a suspected content ends no servers.
+    SUSPECT_CLEARED = (2108, "suspect-cleared", Info);
+    /// From now on a content is not sent to servers by this node.
+    CONTENT_HELD = (2109, "content-held", Warn);
+    /// Strikes could not be stored and wait; peers are told directly.
+    STRIKES_WAIT = (2110, "strikes-wait", Warn);
     /// A batch job was submitted, with the answer.
     JOB_SUBMITTED = (2201, "job-submitted", Info);
     /// A call about a batch job could not be served.
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -25,6 +25,7 @@
 mod steady_wall;
 mod step;
 mod step_store;
+mod suspects;
 mod usage;
 
 pub use broadcast::BroadcastQueue;
@@ -56,6 +57,9 @@
     group_prefix, open_key, step_key,
 };
 pub use step_store::{MadeGroup, ManifestCache, Opened, Recorded, StepLook, StepStore};
+pub use suspects::{
+    GossipSettings, StrikeNote, SuspectBook, SuspectLine, SuspectRun, SuspectSettings, SuspectStanding, server_start,
+};
 pub use usage::{
     CustomerCounts, UsageCounter, UsageDesk, UsageNote, UsageReport, UsageSender, UsageSettings, WindowNotes,
 };
--- a/crates/trestlerack/src/request/fingerprint.rs
+++ b/crates/trestlerack/src/request/fingerprint.rs
@@ -43,6 +43,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestFingerprint([u8; FINGERPRINT_BYTES]);
 
+/// Why a text is no fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadFingerprint;
+
+impl fmt::Display for BadFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "expected {} hexadecimal digits", 2 * FINGERPRINT_BYTES)
+    }
+}
+
+impl std::str::FromStr for RequestFingerprint {
+    type Err = BadFingerprint;
+
+    fn from_str(text: &str) -> Result<Self, BadFingerprint> {
+        let is_hex = text.len() == 2 * FINGERPRINT_BYTES && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let number = if is_hex { u128::from_str_radix(text, 16) } else { return Err(BadFingerprint) };
+        number.map(|number| Self(number.to_be_bytes())).map_err(|_| BadFingerprint)
+    }
+}
+
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
--- a/crates/trestlerack/src/request/ledger/mod.rs
+++ b/crates/trestlerack/src/request/ledger/mod.rs
@@ -314,6 +314,12 @@
         self.unlisted == 0
     }
 
+    /// Lets an item wait until a time at least.
+    pub fn put_off(&mut self, index: usize, until: Timestamp) {
+        let state = &mut self.items[index];
+        state.not_before = state.not_before.max(until);
+    }
+
     /// Records that an item was sent to an engine.
     pub fn start(&mut self, index: usize, engine: &Name) {
         self.items[index].phase = ItemPhase::Running(engine.clone());
--- a/crates/trestlerack/src/request/mod.rs
+++ b/crates/trestlerack/src/request/mod.rs
@@ -15,7 +15,7 @@
 pub use claim::{ClaimDecision, ClaimRow, ClaimState, claim_key, decide_claim};
 pub use claim_store::ClaimStore;
 pub use dispatcher::{DispatchAction, DispatchEngine, DispatchEvent, DispatchSettings, EngineDispatcher, QueuedCall};
-pub use fingerprint::{RequestContent, RequestFingerprint};
+pub use fingerprint::{BadFingerprint, RequestContent, RequestFingerprint};
 pub use group::{GroupAction, GroupDriver, GroupEvent, GroupSettings};
 pub use job::{
     ItemEvent, ItemTranscript, JobHead, JobItem, JobResult, JobSpec, KeptItem, ScoreCall, TextDelta, TranscriptError,
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::node::{EntryNode, ServerTicket};
 use super::pool::{ConnectionLease, ExchangeError};
-use super::server_end;
+use super::{server_end, suspects};
 use crate::process::tracing::HopSpan;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
@@ -54,6 +54,15 @@
     NotRun(String),
     /// The server may have run the request.
     MayHaveRun(String),
+    /// The request was not sent, and is not to be sent for so long: servers ended under what it asks for.
+    Held(Duration),
+}
+
+impl AttemptError {
+    /// Returns whether the server did not run the request.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::NotRun(_) | Self::Held(_))
+    }
 }
 
 impl std::fmt::Display for AttemptError {
@@ -61,6 +70,7 @@
         match self {
             Self::NotRun(detail) => write!(formatter, "not run: {detail}"),
             Self::MayHaveRun(detail) => write!(formatter, "may have run: {detail}"),
+            Self::Held(left) => write!(formatter, "not run: held for {} s", left.as_secs()),
         }
     }
 }
@@ -74,19 +84,28 @@
 ) -> Result<OpenAnswer, AttemptError> {
     let instance = ticket.server.instance.clone();
     let request_id = request.request_id.to_owned();
+    // Every request of a caller, of whatever kind, is sent from here, so none gets past this.
+    if let Some(left) = suspects::held_for(node, ticket.fingerprint) {
+        suspects::log_held(node, &request_id, ticket.fingerprint, left);
+        return Err(AttemptError::Held(left));
+    }
     let span = node.hop("attempt", SpanKind::Client, &mut request.headers);
     if let Some(span) = &span {
         span.set("request", request_id.clone());
         span.set("server", instance.to_string());
     }
     let encoded = platform::encode_request(request).map_err(|error| AttemptError::NotRun(error.to_string()))?;
+    ticket.sent();
     let sent = node.pool.send(&ticket.server.address, encoded, wants_fresh).await;
     let (response, lease) = match sent {
         Ok(answer) => answer,
         Err(error) => {
             node.board.lock().unwrap().failed(node.now(), &instance);
             return Err(match error {
-                ExchangeError::NotSent(detail) => AttemptError::NotRun(detail),
+                ExchangeError::NotSent(detail) => {
+                    ticket.settle();
+                    AttemptError::NotRun(detail)
+                }
                 ExchangeError::NoAnswer(detail) => {
                     server_end::connection_broke(node, &ticket, &request_id).await;
                     AttemptError::MayHaveRun(detail)
@@ -105,6 +124,7 @@
     }
     let is_other_server = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if head.is_not_run || is_other_server {
+        ticket.settle();
         let is_gone = platform::names_instance(&parts.headers).is_some_and(|other| other != instance);
         note_refusal(node, &instance, is_gone);
         keep_after_body(node, body, lease, &head).await;
@@ -157,6 +177,7 @@
             return Err(AttemptError::MayHaveRun("the answer broke off".into()));
         };
         node.board.lock().unwrap().succeeded(&instance);
+        suspects::answered(node, &open.ticket);
         if !open.head.is_closing {
             node.pool.keep(open.lease, open.head.idle_limit);
         }
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -1,7 +1,7 @@
 //! Follows the store's tables: the operator's, service discovery's and the system's own.
 
 use super::node::EntryNode;
-use super::tables;
+use super::{suspects, tables};
 use crate::process::logs;
 use futures_util::{StreamExt, TryStreamExt, stream};
 use std::sync::Arc;
@@ -40,6 +40,9 @@
         };
         match step {
             Ok(version) => {
+                if table == tables::STATE {
+                    node.suspects.set_cut_off(false);
+                }
                 node.registry.lock().unwrap().store_returned(node.now());
                 if version.is_none() {
                     logs::write(event::HISTORY_LOST, &[("table", &table)]);
@@ -49,6 +52,9 @@
                 tokio::time::sleep(pause_between(&node, table)).await;
             }
             Err(error) => {
+                if table == tables::STATE {
+                    node.suspects.set_cut_off(true);
+                }
                 // A store that refuses for a rate is there, and entries do not lapse by that.
                 if error != StoreError::RateLimited {
                     node.registry.lock().unwrap().store_lost();
@@ -191,6 +197,8 @@
     let mut registry = node.registry.lock().unwrap();
     let mut is_news = false;
     let mut changes: Vec<ServerChange> = Vec::new();
+    let has_doubts = node.suspects.book().has_doubts();
+    let gone = if has_doubts { gone_servers(&registry, rows) } else { Vec::new() };
     for row in rows {
         if row.removed {
             is_news |= registry.remove(now, &row.key);
@@ -213,6 +221,18 @@
     if is_news {
         node.board.lock().unwrap().sync(&registry);
     }
+    drop(registry);
+    gone.iter().for_each(|server| suspects::server_gone(node, server));
+}
+
+/// Returns the starts of servers that end by news of service discovery: the entry is removed, or of a
+/// later start.
+fn gone_servers(registry: &ServerRegistry, rows: &[StoredRow]) -> Vec<ServerEntry> {
+    let is_gone = |held: &ServerEntry, row: &StoredRow| {
+        row.removed || platform::decode_server(row).is_ok_and(|entry| entry.started_ms > held.started_ms)
+    };
+    let gone = rows.iter().filter_map(|row| registry.get(&row.key).filter(|held| is_gone(held, row)));
+    gone.cloned().collect()
 }
 
 /// A change of a server that the log tells of.
@@ -265,9 +285,13 @@
         }
     }
     let count = entries.len();
+    let held: Vec<ServerEntry> = registry.entries().cloned().collect();
     registry.replace(node.now(), entries);
     node.board.lock().unwrap().sync(&registry);
+    let is_gone = |held: &&ServerEntry| registry.get(&held.instance).is_none_or(|now| now.started_ms > held.started_ms);
+    let gone: Vec<ServerEntry> = held.iter().filter(is_gone).cloned().collect();
     drop(registry);
+    gone.iter().for_each(|server| suspects::server_gone(node, server));
     node.has_registry.store(true, Ordering::Relaxed);
     logs::write(event::SERVERS_READ, &[("count", &count)]);
 }
@@ -277,6 +301,7 @@
         partition if is_node_partition(partition) => apply_node_row(node, row),
         tables::ENGINES => apply_engine_row(node, row),
         tables::LEASES => apply_lease_row(node, row),
+        tables::SUSPECTS => suspects::apply_row(node, row),
         _ => apply_job_row(node, row),
     };
     if let Err(error) = applied {
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -4,7 +4,7 @@
 use super::job_driver::JobDriver;
 use super::job_runs;
 use super::node::{EntryNode, ServerTicket};
-use super::server_end;
+use super::{server_end, suspects};
 use crate::process::logs;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use http_body_util::BodyExt;
@@ -90,8 +90,8 @@
     let opening = attempt::open_answer(node, ticket, request, false);
     let open = match tokio::time::timeout(limits.head, opening).await {
         Ok(Ok(open)) => open,
-        Ok(Err(AttemptError::NotRun(detail))) => return (RunEnd::NotRun, detail),
         Ok(Err(AttemptError::MayHaveRun(detail))) => return (RunEnd::Broken, detail),
+        Ok(Err(error)) => return (RunEnd::NotRun, error.to_string()),
         Err(_) => {
             node.board.lock().unwrap().failed(node.now(), &instance);
             return (RunEnd::Broken, "no head of an answer in time".into());
@@ -172,6 +172,7 @@
         return (RunEnd::Broken, "the stream ended within an event".into());
     }
     node.board.lock().unwrap().succeeded(&instance);
+    suspects::answered(node, &ticket);
     if !head.is_closing {
         node.pool.keep(lease, head.idle_limit);
     }
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -1,7 +1,7 @@
 //! Drives one job on the node that owns it: places items, scores texts, records results.
 
 use super::node::EntryNode;
-use super::{job_records, job_runs, job_scores, job_texts};
+use super::{job_records, job_runs, job_scores, job_texts, score_calls};
 use crate::process::logs;
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -52,6 +52,10 @@
     pub customer: Option<Name>,
     /// What each item asks for, by its position.
     pub fingerprints: Vec<RequestFingerprint>,
+    /// What the score call of each item asks for.
+    pub score_fingerprints: Vec<Option<RequestFingerprint>>,
+    /// Items that were logged as held.
+    pub held: Mutex<HashSet<usize>>,
     /// State of its items.
     pub ledger: Mutex<JobLedger>,
     /// Wakes the driver.
@@ -72,10 +76,14 @@
             RequestContent { customer, host: &spec.host, path: &item.path, body: &item.body }.fingerprint()
         };
         let fingerprints = spec.items.iter().map(fingerprint).collect();
+        let score_fingerprint = |item: &JobItem| item.scorer.as_ref().map(score_calls::fingerprint);
+        let score_fingerprints = spec.items.iter().map(score_fingerprint).collect();
         Self {
             spec,
             customer,
             fingerprints,
+            score_fingerprints,
+            held: Mutex::default(),
             ledger: Mutex::new(ledger),
             wake: Notify::new(),
             record: Notify::new(),
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -2,12 +2,12 @@
 
 use super::job_driver::{ItemRun, JobDriver};
 use super::node::{EntryNode, ServerTicket};
-use super::{choice_log, item_run};
+use super::{choice_log, item_run, suspects};
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::process::{ServerEntry, ServerNeed, ServerRoom};
-use trestlerack::request::{ItemPhase, JobLedger, RunEnd, RunLane};
+use trestlerack::request::{ItemPhase, JobLedger, RequestFingerprint, RunEnd, RunLane};
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, event};
 
@@ -19,6 +19,9 @@
 /// Shortest time on an engine before a run is moved, so that its pace is known.
 pub const MOVE_AGE: Duration = Duration::from_millis(600);
 
+/// Time after which a held item is looked at again; a whole answer elsewhere may end the hold.
+const HELD_PAUSE: Duration = Duration::from_millis(250);
+
 /// Starts the items that wait, as far as there are engines with free places for them.
 pub fn place_items(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
     let now = node.now();
@@ -26,6 +29,9 @@
     let waiting: Vec<usize> = ledger.waiting(now).collect();
     for (placed, index) in waiting.iter().copied().enumerate() {
         let item = &driver.spec.items[index];
+        if hold_back(node, driver, &mut ledger, index) {
+            continue;
+        }
         let Some(service) = route.service_for(&item.id) else { return };
         let model = driver.spec.model_of(item);
         let mut need = ServerNeed {
@@ -44,12 +50,12 @@
             ledger.restart(index);
             need.pinned = None;
         }
-        let entry = board.choose(now, &need).map(|belief| belief.entry.clone());
         drop(board);
+        let (entry, is_apart) = choose_engine(node, driver.fingerprints[index], &need);
         match entry {
             Some(entry) => start_run(node, driver, &mut ledger, index, entry),
             // Others may find a place all the same.
-            None if need.pinned.is_some() => {}
+            None if need.pinned.is_some() || is_apart => {}
             None => {
                 drop(ledger);
                 return yield_spares(node, driver, waiting.len() - placed);
@@ -58,6 +64,33 @@
     }
 }
 
+/// Puts an item off whose content is held. Returns whether it is.
+fn hold_back(node: &Arc<EntryNode>, driver: &JobDriver, ledger: &mut JobLedger, index: usize) -> bool {
+    let fingerprint = driver.fingerprints[index];
+    let Some(left) = suspects::held_for(node, fingerprint) else { return false };
+    ledger.put_off(index, node.now() + HELD_PAUSE.min(left));
+    if driver.held.lock().unwrap().insert(index) {
+        suspects::log_held(node, &driver.spec.items[index].id, fingerprint, left);
+    }
+    true
+}
+
+/// Chooses an engine for an item, and says whether that has to be one without other suspects. An item
+/// that was there at one end only goes anywhere: with each engine that ends, a dozen others are.
+fn choose_engine(
+    node: &EntryNode,
+    fingerprint: RequestFingerprint,
+    need: &ServerNeed<'_>,
+) -> (Option<ServerEntry>, bool) {
+    let is_apart = suspects::is_repeated(node, fingerprint);
+    let entry = if is_apart {
+        suspects::choose_apart(node, fingerprint, need)
+    } else {
+        node.board.lock().unwrap().choose(node.now(), need).map(|belief| belief.entry.clone())
+    };
+    (entry, is_apart)
+}
+
 /// Ends as many second runs of the model's jobs as items wait without a place: a second run only
 /// saves work of a later job, and an item that waits holds up its own.
 fn yield_spares(node: &Arc<EntryNode>, driver: &JobDriver, most: usize) {
@@ -111,7 +144,9 @@
         return;
     }
     let mut ledger = driver.ledger.lock().unwrap();
-    let Some((index, engine)) = ledger.spare_candidates(newest).into_iter().next() else { return };
+    // A second run of a suspect would be one more engine that ends.
+    let is_clear = |(index, _): &(usize, Name)| !suspects::is_suspect(node, driver.fingerprints[*index]);
+    let Some((index, engine)) = ledger.spare_candidates(newest).into_iter().find(is_clear) else { return };
     let Some(service) = route.service_for(&driver.spec.items[index].id) else { return };
     let need = ServerNeed {
         service,
@@ -148,6 +183,9 @@
         running
     };
     for (index, engine) in running {
+        if suspects::is_suspect(node, driver.fingerprints[index]) {
+            continue;
+        }
         let Some((slowness, faster)) = worth_moving(node, driver, route, index, &engine) else { continue };
         let Some(run) = driver.take_run(now, index) else { continue };
         run.abort();
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -3,6 +3,7 @@
 use super::job_driver::JobDriver;
 use super::node::EntryNode;
 use super::score_calls::{self, ScoreEnd};
+use super::suspects;
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +24,11 @@
     }
     let most = scores_at_once(node, driver);
     for index in unscored {
+        // A held call waits without the place of another one.
+        let fingerprint = driver.score_fingerprints[index];
+        if fingerprint.is_some_and(|fingerprint| suspects::held_for(node, fingerprint).is_some()) {
+            continue;
+        }
         let mut scoring = driver.scoring.lock().unwrap();
         if scoring.len() >= most {
             return;
@@ -61,6 +67,7 @@
                         break;
                     }
                 }
+                ScoreEnd::Held(_) => break,
                 ScoreEnd::NoAnswer => tokio::time::sleep(SCORE_PAUSE).await,
             }
         },
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -30,6 +30,8 @@
     results: Counter<u64>,
     orders: Counter<u64>,
     usage_missed: Counter<u64>,
+    held: Counter<u64>,
+    servers_ended: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -46,6 +48,8 @@
             results: meter.u64_counter("trestlerack.entry.results").build(),
             orders: meter.u64_counter("trestlerack.entry.orders").build(),
             usage_missed: meter.u64_counter("trestlerack.entry.usage.missed").build(),
+            held: meter.u64_counter("trestlerack.entry.requests.held").build(),
+            servers_ended: meter.u64_counter("trestlerack.entry.servers.ended").build(),
             registry,
             _meters: meters,
         })
@@ -78,6 +82,16 @@
         self.usage_missed.add(windows, &[]);
     }
 
+    /// Counts a request that was not sent because servers ended under what it asks for.
+    pub fn held(&self) {
+        self.held.add(1, &[]);
+    }
+
+    /// Counts a server that ended as it worked on a request of this node.
+    pub fn server_ended(&self) {
+        self.servers_ended.add(1, &[]);
+    }
+
     fn page(&self) -> Vec<u8> {
         let mut page = Vec::new();
         // Text of numbers cannot fail to encode; an empty page would show if it did.
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -33,6 +33,7 @@
 mod stop;
 mod store;
 mod streams;
+mod suspects;
 mod tables;
 mod trail;
 mod weights;
@@ -81,6 +82,9 @@
     duties::start(&node);
     tokio::spawn(expire_connections(node.clone()));
     tokio::spawn(retention::sweep(node.clone()));
+    tokio::spawn(suspects::store_strikes(node.clone()));
+    tokio::spawn(suspects::tell_peers(node.clone()));
+    tokio::spawn(suspects::ask_peers(node.clone()));
     tokio::spawn(reload(node.clone(), hangup, settings_file));
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -7,6 +7,7 @@
 use super::peers::PeerClient;
 use super::pool::ConnectionPool;
 use super::store::{DirectStore, RelayedStore};
+use super::suspects::SuspectDesk;
 use crate::process::clock::SystemClock;
 use crate::process::tracing::{HopSpan, HopTracer, TRACE_HEADER};
 use http::HeaderMap;
@@ -19,7 +20,7 @@
 use trestlerack::border::Clock;
 use trestlerack::process::{
     BoardSettings, EntrySettings, LeaseGrant, LeaseRow, NodeRow, RegistrySettings, ServerBoard, ServerEntry,
-    ServerRegistry,
+    ServerRegistry, SuspectRun,
 };
 use trestlerack::request::{JobHead, RequestFingerprint};
 use trestlerack::version::{EngineAssignment, RoutingTable, WeightVersion};
@@ -84,6 +85,8 @@
     pub registry: Mutex<ServerRegistry>,
     /// What is believed of them.
     pub board: Mutex<ServerBoard>,
+    /// Requests under which servers ended.
+    pub suspects: SuspectDesk,
     /// Whether service discovery was read once.
     pub has_registry: AtomicBool,
     /// Whether the system's own rows were read once.
@@ -141,6 +144,7 @@
             key_refresh: KeyRefresh::default(),
             registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
             board: Mutex::new(ServerBoard::new(BoardSettings::default())),
+            suspects: SuspectDesk::default(),
             has_registry: AtomicBool::new(false),
             has_state: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
@@ -295,18 +299,47 @@
     pub server: ServerEntry,
     /// What the request asks for.
     pub fingerprint: RequestFingerprint,
+    /// The run, if that is suspected.
+    run: Option<SuspectRun>,
+    /// Whether the request is on its way, with an outcome still to come.
+    is_open: AtomicBool,
 }
 
 impl ServerTicket {
     /// Counts a request in.
     pub fn new(node: &Arc<EntryNode>, server: ServerEntry, fingerprint: RequestFingerprint) -> Self {
         node.board.lock().unwrap().started(&server.instance);
-        Self { node: node.clone(), server, fingerprint }
+        let run = node.suspects.book().sent(node.now(), &server.instance, fingerprint);
+        Self { node: node.clone(), server, fingerprint, run, is_open: AtomicBool::new(false) }
+    }
+
+    /// Records that the request is on its way to the server.
+    pub fn sent(&self) {
+        self.is_open.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the outcome is known: an answer, a refusal or a broken connection.
+    pub fn settle(&self) {
+        self.is_open.store(false, Ordering::Relaxed);
+    }
+
+    /// Returns whether the request is there as a known suspect, with no other suspect beside it.
+    pub fn is_trial(&self) -> bool {
+        self.run.is_some_and(|run| self.node.suspects.book().is_trial(&self.server.instance, run))
     }
 }
 
 impl Drop for ServerTicket {
     fn drop(&mut self) {
         self.node.board.lock().unwrap().ended(&self.server.instance);
+        if self.is_open.load(Ordering::Relaxed) {
+            // Its client left or its time was over. Should its server end now, only service discovery
+            // tells.
+            let (now, is_trial) = (self.node.now(), self.is_trial());
+            self.node.suspects.book().doubt(now, self.fingerprint, &self.server, is_trial);
+        }
+        if let Some(run) = self.run {
+            self.node.suspects.book().returned(&self.server.instance, run);
+        }
     }
 }
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -3,6 +3,7 @@
 use super::adoption;
 use super::node::EntryNode;
 use super::pool::ConnectionPool;
+use super::suspects;
 use crate::process::clock::SystemClock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -16,7 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use trestlerack::Name;
 use trestlerack::border::{Clock, StoreError};
-use trestlerack::process::{NodeRow, NodeRows, RelayChoice, UsageNote, UsageSender};
+use trestlerack::process::{NodeRow, NodeRows, RelayChoice, StrikeNote, UsageNote, UsageSender};
 use trestlerack::rows::{StoreCall, StoreReply};
 
 /// Path of all calls between nodes.
@@ -53,6 +54,11 @@
         /// What was counted.
         notes: Vec<UsageNote>,
     },
+    /// Take strikes over, and say which others you know.
+    Strikes {
+        /// What the caller knows.
+        notes: Vec<StrikeNote>,
+    },
     /// A job is ended, as the store holds; say whether you drove it.
     End {
         /// The job.
@@ -75,6 +81,8 @@
     Drives(bool),
     /// The usage is noted.
     Noted,
+    /// Strikes that the caller may not know.
+    Strikes(Vec<StrikeNote>),
 }
 
 /// Calls peers.
@@ -139,10 +147,11 @@
 
     /// Returns whether any peer may be asked.
     pub fn has_any(&self) -> bool {
-        !self.addresses().is_empty()
+        !self.others().is_empty()
     }
 
-    fn addresses(&self) -> Vec<Name> {
+    /// Returns the addresses of all other nodes that are known, seeds included.
+    pub fn others(&self) -> Vec<Name> {
         let known = self.known.lock().unwrap();
         let mut addresses: Vec<Name> = known.iter().map(|(_, row)| row.address.clone()).collect();
         let seeds = self.seeds.lock().unwrap();
@@ -154,7 +163,7 @@
 
     /// Returns the peers that are to relay a store call, to be asked in turn.
     pub fn pick_relays(&self) -> Vec<Name> {
-        let addresses = self.addresses();
+        let addresses = self.others();
         self.relays.lock().unwrap().pick(self.time.now(), addresses)
     }
 
@@ -199,6 +208,14 @@
         }
     }
 
+    /// Tells a peer of strikes and returns those that it knows besides; `None` if it does not answer.
+    pub async fn tell_strikes(&self, peer: &Name, notes: &[StrikeNote]) -> Option<Vec<StrikeNote>> {
+        match self.ask(peer, &PeerCall::Strikes { notes: notes.to_vec() }, PING_TIMEOUT).await {
+            Some(PeerReply::Strikes(notes)) => Some(notes),
+            _ => None,
+        }
+    }
+
     async fn ask_about(&self, peer: &Name, call: &PeerCall) -> Option<bool> {
         match self.ask(peer, call, PING_TIMEOUT).await {
             Some(PeerReply::Drives(drives)) => Some(drives),
@@ -273,6 +290,7 @@
             node.usage.take(&sender, notes);
             PeerReply::Noted
         }
+        PeerCall::Strikes { notes } => PeerReply::Strikes(suspects::answer_peer(node, &notes)),
         PeerCall::Drive { job } => PeerReply::Drives(adoption::drive_assigned(node, &job).await),
         PeerCall::End { job } => {
             let is_driven = node.drivers.lock().unwrap().contains_key(&job);
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -1,14 +1,15 @@
 //! Requests that are passed on to a backend server of their route's service.
 
-use super::attempt::{self, AttemptError, WholeAnswer};
+use super::attempt::{self, WholeAnswer};
 use super::front::{ClientRequest, ReplyBody, full_reply};
 use super::node::{EntryNode, ServerTicket};
 use super::trail::RequestTrail;
-use super::{choice_log, streams};
+use super::{choice_log, streams, suspects};
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::process::ServerNeed;
+use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform::{self as platform, EngineRequest};
@@ -37,6 +38,18 @@
     MayHaveRun,
     /// Its time is over, and it may have run.
     TimedOut,
+    /// It ran nowhere and is not to be sent for so long: servers ended under what it asks for.
+    Held(Duration),
+}
+
+impl Shortfall {
+    /// Returns how a request comes out that is held after this: what may have run before stays so.
+    pub fn or_held(self, left: Duration) -> Self {
+        match self {
+            Self::NotRun | Self::Held(_) => Self::Held(left),
+            Self::MayHaveRun | Self::TimedOut => self,
+        }
+    }
 }
 
 /// Passes a request on and returns the reply for the client.
@@ -85,6 +98,7 @@
     let id = request.head.request_id.as_ref();
     let reply = match shortfall {
         Shortfall::NotRun => platform::not_run_reply(id, RETURN_TIME),
+        Shortfall::Held(left) => platform::not_run_reply(id, *left),
         Shortfall::TimedOut if is_untried => platform::not_run_reply(id, RETURN_TIME),
         Shortfall::MayHaveRun => platform::plain_reply(StatusCode::BAD_GATEWAY, id, ""),
         Shortfall::TimedOut => platform::plain_reply(StatusCode::GATEWAY_TIMEOUT, id, ""),
@@ -102,10 +116,16 @@
     trail: &mut RequestTrail,
 ) -> Result<WholeAnswer, Shortfall> {
     let is_safe = route.kind == RouteKind::Safe;
+    let fingerprint = request.fingerprint();
     let mut shortfall = Shortfall::NotRun;
     let mut last_answer = None;
     while trail.runs() < route.max_attempts {
-        let Some(ticket) = find_server(node, route, request, trail).await else { break };
+        if let Some(left) = suspects::held_for(node, fingerprint) {
+            suspects::log_held(node, request.head.request_id.as_deref().unwrap_or(""), fingerprint, left);
+            shortfall = shortfall.or_held(left);
+            break;
+        }
+        let Some(ticket) = find_server(node, route, request, fingerprint, trail).await else { break };
         let server = ticket.server.instance.clone();
         let left = deadline.since(node.now());
         let patience = PATIENCE_LEAST.max(Duration::from_millis(route.target_latency_ms) * PATIENCE_SHARE);
@@ -121,7 +141,7 @@
             Ok(answer) => return Ok(answer),
             Err(error) => {
                 trail.attempt_failed(&server, &error);
-                if let AttemptError::NotRun(_) = error {
+                if error.is_not_run() {
                     trail.did_not_run();
                     continue;
                 }
@@ -142,6 +162,7 @@
     node: &Arc<EntryNode>,
     route: &RequestRoute,
     request: &ClientRequest,
+    fingerprint: RequestFingerprint,
     trail: &mut RequestTrail,
 ) -> Option<ServerTicket> {
     let id = request.head.request_id.as_deref().unwrap_or("");
@@ -149,7 +170,7 @@
     let search = Duration::from_millis(route.target_latency_ms).mul_f64(SEARCH_SHARE);
     let until = node.now() + search;
     loop {
-        if let Some(ticket) = pick_server(node, &service, request, trail.tried()) {
+        if let Some(ticket) = pick_server(node, &service, request, fingerprint, trail.tried()) {
             trail.add(&ticket.server.instance);
             return Some(ticket);
         }
@@ -160,7 +181,13 @@
     }
 }
 
-fn pick_server(node: &Arc<EntryNode>, service: &Name, request: &ClientRequest, tried: &[Name]) -> Option<ServerTicket> {
+fn pick_server(
+    node: &Arc<EntryNode>,
+    service: &Name,
+    request: &ClientRequest,
+    fingerprint: RequestFingerprint,
+    tried: &[Name],
+) -> Option<ServerTicket> {
     // A generation may run under any version of its model.
     let model = request.head.model.as_deref();
     let weights = model.map(|model| (model, 0));
@@ -168,12 +195,12 @@
     let zone = &node.settings.zone;
     let need =
         ServerNeed { service, weights, avoid: tried, zone, tie_key: &node.settings.name, ..ServerNeed::default() };
-    let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone())?;
+    let entry = suspects::choose_apart(node, fingerprint, &need)?;
     let config = node.routing().map_or(0, |routing| routing.version);
     let about: [(&str, &dyn std::fmt::Display); 3] =
         [("request", &id), ("config", &config), ("server", &entry.instance)];
     choice_log::write_choice(node, event::SERVER_CHOSEN, &about, &entry, model);
-    Some(ServerTicket::new(node, entry, request.fingerprint()))
+    Some(ServerTicket::new(node, entry, fingerprint))
 }
 
 pub fn engine_request<'a>(request: &'a ClientRequest, instance: &'a str, left: Duration) -> EngineRequest<'a> {
--- a/crates/trestlerackd/src/entry/retention.rs
+++ b/crates/trestlerackd/src/entry/retention.rs
@@ -1,7 +1,7 @@
 //! Removes the rows of old jobs, so that the store and the nodes' memory stay bounded.
 
 use super::node::EntryNode;
-use super::{job_calls, tables};
+use super::{job_calls, suspects, tables};
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,14 +12,24 @@
 /// Interval between two looks for old jobs.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Looks after which old strikes are looked for too; they are kept for minutes.
+const LOOKS_FOR_STRIKES: u32 = 30;
+
 /// Removes old jobs for as long as the process lives; only the holder of the order lease does, so
 /// that each row is removed once.
 pub async fn sweep(node: Arc<EntryNode>) {
+    let mut looks: u32 = 0;
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         if !holds_lease(&node) {
             continue;
         }
+        looks += 1;
+        if looks.is_multiple_of(LOOKS_FOR_STRIKES)
+            && let Err(error) = suspects::sweep_rows(&node).await
+        {
+            logs::write(event::ROW_REFUSED, &[("key", &tables::SUSPECTS), ("why", &error)]);
+        }
         for job in old_jobs(&node) {
             match remove_job(&node, &job).await {
                 Ok(()) => logs::write(event::JOB_REMOVED, &[("job", &job)]),
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -1,8 +1,8 @@
 //! Calls to scoring services, which may be repeated.
 
-use super::attempt;
+use super::attempt::{self, AttemptError};
 use super::node::{EntryNode, ServerTicket};
-use super::plain;
+use super::{plain, suspects};
 use crate::process::logs;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::process::{ServerNeed, ServerRoom};
-use trestlerack::request::{RequestContent, ScoreCall};
+use trestlerack::request::{RequestContent, RequestFingerprint, ScoreCall};
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform::EngineRequest;
@@ -32,6 +32,13 @@
     Failed,
     /// There is no answer; the call may be made again.
     NoAnswer,
+    /// The call is not to be made for so long: servers ended under it.
+    Held(Duration),
+}
+
+/// Returns the fingerprint of what a call asks for.
+pub fn fingerprint(call: &ScoreCall) -> RequestFingerprint {
+    RequestContent { customer: None, host: &call.host, path: &call.path, body: &call.body }.fingerprint()
 }
 
 /// Has the text of `item` scored, within the time limit of the scorer's route.
@@ -43,6 +50,7 @@
         ScoreEnd::Scored(_) => "scored",
         ScoreEnd::Failed => "failed",
         ScoreEnd::NoAnswer => "no answer",
+        ScoreEnd::Held(_) => "held",
     };
     let ms = node.now().since(started).as_millis();
     let fields: [(&str, &dyn std::fmt::Display); 5] =
@@ -57,17 +65,26 @@
     let Some(route) = routing.select(&call.host, &call.path) else { return ScoreEnd::NoAnswer };
     let Some(service) = route.service_for(&call.id) else { return ScoreEnd::NoAnswer };
     let deadline = node.now() + plain::time_limit(route, None);
+    let fingerprint = fingerprint(call);
     let mut attempts = FuturesUnordered::new();
     loop {
-        if attempts.len() < SERVERS_AT_ONCE
-            && let Some(ticket) = pick_server(node, call, service, tried)
+        if attempts.is_empty()
+            && let Some(left) = suspects::held_for(node, fingerprint)
+        {
+            suspects::log_held(node, &call.id, fingerprint, left);
+            return ScoreEnd::Held(left);
+        }
+        // A second server beside the first would be one more that ends.
+        let servers_at_once = if suspects::is_suspect(node, fingerprint) { 1 } else { SERVERS_AT_ONCE };
+        if attempts.len() < servers_at_once
+            && let Some(ticket) = pick_server(node, fingerprint, service, tried)
         {
             tried.push(ticket.server.instance.clone());
             attempts.push(attempt_score(node, call, ticket, deadline));
         }
         let answer = match attempts.len() {
             // There is nothing to do before one of them answers or its time is over.
-            SERVERS_AT_ONCE.. => Ok(attempts.next().await),
+            open if open >= servers_at_once => Ok(attempts.next().await),
             _ => tokio::time::timeout(patience(node, service, route), attempts.next()).await,
         };
         match answer {
@@ -76,6 +93,7 @@
                 return ScoreEnd::Scored(signature);
             }
             Ok(Some((_, ScoreEnd::Failed))) => return ScoreEnd::Failed,
+            Ok(Some((_, ScoreEnd::Held(left)))) => return ScoreEnd::Held(left),
             Ok(Some((_, ScoreEnd::NoAnswer))) if attempts.is_empty() => return ScoreEnd::NoAnswer,
             Ok(None) => return ScoreEnd::NoAnswer,
             Ok(Some((_, ScoreEnd::NoAnswer))) | Err(_) => {}
@@ -90,7 +108,12 @@
     usual.unwrap_or(Duration::from_millis(route.target_latency_ms)).max(LEAST_PATIENCE)
 }
 
-fn pick_server(node: &Arc<EntryNode>, call: &ScoreCall, service: &Name, tried: &[Name]) -> Option<ServerTicket> {
+fn pick_server(
+    node: &Arc<EntryNode>,
+    fingerprint: RequestFingerprint,
+    service: &Name,
+    tried: &[Name],
+) -> Option<ServerTicket> {
     let need = ServerNeed {
         service,
         avoid: tried,
@@ -99,9 +122,8 @@
         tie_key: &node.settings.name,
         ..ServerNeed::default()
     };
-    let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone())?;
-    let content = RequestContent { customer: None, host: &call.host, path: &call.path, body: &call.body };
-    Some(ServerTicket::new(node, entry, content.fingerprint()))
+    let entry = suspects::choose_apart(node, fingerprint, &need)?;
+    Some(ServerTicket::new(node, entry, fingerprint))
 }
 
 /// Pauses the servers that were asked before the one that answered: they are slow or silent.
@@ -151,6 +173,7 @@
             log_score(call, &instance, &answer.status);
             ScoreEnd::NoAnswer
         }
+        Err(AttemptError::Held(left)) => ScoreEnd::Held(left),
         Err(error) => {
             log_score(call, &instance, &error);
             ScoreEnd::NoAnswer
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -1,11 +1,14 @@
-//! What operators may ask a node on its metrics address: customers, and who does which duty.
+//! What operators may ask a node on its metrics address: customers, who does which duty, and requests
+//! under which servers ended.
 //!
 //! Answers are JSON and come from what the node knows, without a call to the store. They hold no
 //! key; [docs/API.md](../../../../docs/API.md#entry-nodes) has the fields.
 
 use super::node::EntryNode;
 use serde::Serialize;
+use std::time::Duration;
 use trestlerack::Name;
+use trestlerack::process::{SuspectLine, SuspectStanding};
 
 /// Path of the list of customers.
 const CUSTOMERS_PATH: &str = "/v1/customers";
@@ -13,6 +16,9 @@
 /// Path of the list of duties.
 const DUTIES_PATH: &str = "/v1/duties";
 
+/// Path of the list of contents under which servers ended.
+const SUSPECTS_PATH: &str = "/v1/suspects";
+
 #[derive(Serialize)]
 struct CustomerLine {
     name: Name,
@@ -32,11 +38,22 @@
     is_held_here: bool,
 }
 
+#[derive(Serialize)]
+struct SuspectEntry {
+    fingerprint: String,
+    standing: &'static str,
+    /// Seconds for which it is held.
+    left_s: u64,
+    ended: usize,
+    unexplained: usize,
+}
+
 /// Answers a question for a path; `None` if it is no question of this module.
 pub fn answer(node: &EntryNode, path: &str) -> Option<Vec<u8>> {
     let lines = match path {
         CUSTOMERS_PATH => serde_json::to_vec(&customers(node)),
         DUTIES_PATH => serde_json::to_vec(&duties(node)),
+        SUSPECTS_PATH => serde_json::to_vec(&suspects(node)),
         _ => return None,
     };
     lines.ok()
@@ -54,6 +71,21 @@
     lines.collect()
 }
 
+fn suspects(node: &EntryNode) -> Vec<SuspectEntry> {
+    let lines = node.suspects.book().lines(node.now());
+    let entry = |line: &SuspectLine| {
+        let (standing, left) = match line.standing {
+            SuspectStanding::Held(left) => ("held", left),
+            SuspectStanding::Suspected(_) => ("suspected", Duration::ZERO),
+            SuspectStanding::Clear => ("clear", Duration::ZERO),
+        };
+        let SuspectLine { ended, unexplained, .. } = *line;
+        let fingerprint = line.fingerprint.to_string();
+        SuspectEntry { fingerprint, standing, left_s: left.as_secs(), ended, unexplained }
+    };
+    lines.iter().map(entry).collect()
+}
+
 fn duties(node: &EntryNode) -> Vec<DutyLine> {
     let lease = node.lease_row.lock().unwrap().as_ref().map(|(_, row)| row.clone());
     let held = lease.as_ref().filter(|row| !row.released);
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -1,11 +1,11 @@
 //! Passes event streams on as they arrive, and resumes those that may be resumed.
 
-use super::attempt::{self, AttemptError, OpenAnswer};
+use super::attempt::{self, OpenAnswer};
 use super::front::{BrokenReply, ClientRequest, ReplyBody};
 use super::node::EntryNode;
 use super::plain::{self, Shortfall};
-use super::server_end;
 use super::trail::RequestTrail;
+use super::{server_end, suspects};
 use bytes::Bytes;
 use futures_util::stream;
 use http::{HeaderMap, Response};
@@ -74,9 +74,15 @@
     resume_after: Option<u64>,
     trail: &mut RequestTrail,
 ) -> Result<OpenAnswer, Shortfall> {
+    let fingerprint = request.fingerprint();
     let mut shortfall = Shortfall::NotRun;
     while trail.runs() < route.max_attempts {
-        let Some(ticket) = plain::find_server(node, route, request, trail).await else { break };
+        if let Some(left) = suspects::held_for(node, fingerprint) {
+            suspects::log_held(node, request.head.request_id.as_deref().unwrap_or(""), fingerprint, left);
+            shortfall = shortfall.or_held(left);
+            break;
+        }
+        let Some(ticket) = plain::find_server(node, route, request, fingerprint, trail).await else { break };
         let instance = ticket.server.instance.clone();
         let left = deadline.since(node.now());
         let mut engine_request = plain::engine_request(request, &instance, left);
@@ -91,7 +97,7 @@
             }
             Ok(Err(error)) => {
                 trail.attempt_failed(&instance, &error);
-                if let AttemptError::NotRun(_) = error {
+                if error.is_not_run() {
                     trail.did_not_run();
                     continue;
                 }
@@ -130,6 +136,7 @@
     }
 
     fn keep_connection(self) {
+        suspects::answered(&self.node, &self.open.ticket);
         self.node.board.lock().unwrap().succeeded(&self.open.ticket.server.instance);
         if !self.open.head.is_closing {
             self.node.pool.keep(self.open.lease, self.open.head.idle_limit);
--- a/crates/trestlerackd/src/entry/tables.rs
+++ b/crates/trestlerackd/src/entry/tables.rs
@@ -35,6 +35,9 @@
 /// Partition of [`STATE`] that holds the order lease.
 pub const LEASES: &str = "leases";
 
+/// Partition of [`STATE`] that holds a row for each server that ended under a request.
+pub const SUSPECTS: &str = "suspects";
+
 /// Key of the lease on weight orders.
 pub const ORDER_LEASE: &str = "orders";
 
--- a/crates/trestlerackd/tests/entry/support/crashing.rs
+++ b/crates/trestlerackd/tests/entry/support/crashing.rs
@@ -8,7 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// A server ends when it runs a request whose body holds this.
 pub const FATAL: &str = "ends its server";
@@ -24,15 +24,12 @@
 pub struct CrashRun {
     pub id: String,
     pub body: String,
-    pub server: String,
-    pub at: Instant,
 }
 
 /// What crashing servers do and have seen.
 pub struct CrashingServers {
     pub runs: Mutex<Vec<CrashRun>>,
-    /// When servers ended.
-    pub ends: Mutex<Vec<Instant>>,
+    ends: AtomicUsize,
     /// Time that a server works on a request that does not end it, in milliseconds.
     pub work_ms: AtomicUsize,
     /// Streams of fatal requests end their server after so many events.
@@ -48,7 +45,7 @@
     pub fn start(store: &StandinStore, service: &'static str, count: usize, back_after: Duration) -> Arc<Self> {
         let servers = Arc::new(Self {
             runs: Mutex::default(),
-            ends: Mutex::default(),
+            ends: AtomicUsize::new(0),
             work_ms: AtomicUsize::new(WORK_TIME.as_millis() as usize),
             events_before_end: AtomicUsize::new(0),
             service,
@@ -67,7 +64,7 @@
 
     /// Returns how many servers ended.
     pub fn ended(&self) -> usize {
-        self.ends.lock().unwrap().len()
+        self.ends.load(Ordering::SeqCst)
     }
 
     /// Returns the runs of requests with a body.
@@ -140,7 +137,7 @@
             return reply(stream, 421, &[("request-id", &id), ("not-executed", "1")], "");
         }
         let body = String::from_utf8(request.body.clone()).unwrap();
-        let run = CrashRun { id: id.clone(), body: body.clone(), server: name.to_owned(), at: Instant::now() };
+        let run = CrashRun { id: id.clone(), body: body.clone() };
         self.runs.lock().unwrap().push(run);
         let is_fatal = body.contains(FATAL);
         let is_alive = if self.service == "models" {
@@ -150,7 +147,7 @@
             !is_fatal && reply(stream, 200, &[("request-id", &id), ("response-stamp", &format!("signed-{id}"))], &body)
         };
         if is_fatal && !is_over.swap(true, Ordering::SeqCst) {
-            self.ends.lock().unwrap().push(Instant::now());
+            self.ends.fetch_add(1, Ordering::SeqCst);
         }
         is_alive
     }
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -408,10 +408,15 @@
 /// Reads a stream whose body is chunked; returns the data of its events and whether it ended as a
 /// whole one does, or `None` if nothing came.
 pub fn read_stream_from(client: &str, path: &str, id: &str) -> Option<(String, bool)> {
+    read_stream_of(client, path, id, "prompt")
+}
+
+/// The same for a request with a body.
+pub fn read_stream_of(client: &str, path: &str, id: &str, body: &str) -> Option<(String, bool)> {
     let mut stream = TcpStream::connect(client).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
     let headers = [("request-id", id), ("model", "m"), ("connection", "close")];
-    send(&mut stream, "POST", path, &headers, "prompt")?;
+    send(&mut stream, "POST", path, &headers, body)?;
     let mut bytes = Vec::new();
     // A reply that breaks off may end with a reset, after the bytes before it.
     let _ = stream.read_to_end(&mut bytes);
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -31,6 +31,8 @@
     refuse_writes: Refusal,
     /// Writes that are applied and whose reply is then lost.
     lose_replies: usize,
+    /// Whether every call is refused.
+    is_down: bool,
     /// Watches of this table bring no news meanwhile; reads and writes do.
     silent_table: Option<&'static str>,
     /// Watches that ask for changes before this version are told that those are gone.
@@ -117,6 +119,12 @@
         self.state.0.lock().unwrap().refuse_writes = if refuse { Refusal::CommitRate } else { Refusal::None };
     }
 
+    /// Refuses every call, as a store that is down.
+    pub fn go_down(&self, is_down: bool) {
+        self.state.0.lock().unwrap().is_down = is_down;
+        self.state.1.notify_all();
+    }
+
     /// Returns how many transactions of a partition had conditions that did not hold.
     pub fn conflicts(&self, partition: &str) -> usize {
         self.state.0.lock().unwrap().conflicts.get(partition).copied().unwrap_or(0)
@@ -199,6 +207,9 @@
     std::thread::sleep(Duration::from_millis(slow_ms));
     let now_ms = started.elapsed().as_millis() as u64;
     let mut state = shared.0.lock().unwrap();
+    if state.is_down {
+        return (503, json!({}));
+    }
     match path.rsplit('/').next().unwrap() {
         "rows-tx" => {
             state.commits += 1;
@@ -240,7 +251,11 @@
                 state.silent_table != Some(&table)
                     && state.changes.iter().any(|(v, key, _)| *v > after && key.0 == table)
             };
-            let (state, _) = shared.1.wait_timeout_while(state, wait, |state| !has_news(state)).unwrap();
+            let may_wait = |state: &mut StoreState| !has_news(state) && !state.is_down;
+            let (state, _) = shared.1.wait_timeout_while(state, wait, may_wait).unwrap();
+            if state.is_down {
+                return (503, json!({}));
+            }
             if after < state.oldest_change {
                 return (410, json!({}));
             }
