Count suspensions of a VM in leases, deadlines, ages and waits

Cause: monotonic time and the runtime's timers stand still while a VM is suspended, so a holder of a lease would act on it for as long as it slept, idle connections looked fresh, and a request's wait went on past its deadline. Ruled out: timerfd on the boot clock for each wait (a descriptor and two system calls a wait); leaving waits as they are and only dating leases anew (a wait of a minute would go on after a suspension of an hour). Change: the daemon's clock is the time since boot (nix, through the C library); waits and time limits go through process/clock.rs, which looks again when a suspension is noticed, 0.2 s after it at the latest (TR1005). After a suspension a node asks peers for strikes as one that was cut off. Holds for the daemon's own interface too.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -49,6 +49,8 @@
     STOP_ENDED = (1003, "stop-ended", Info);
     /// A planned stop reached its limit with requests still in progress.
     STOP_OVERRUN = (1004, "stop-overrun", Error);
+    /// The VM was suspended; leases, deadlines and waits count that time.
+    VM_RESUMED = (1005, "vm-resumed", Warn);
     /// A peer's liveness changed.
     PEER_CHANGED = (1101, "peer-changed", Info);
     /// A link frame or handshake was refused.
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -26,6 +26,7 @@
 mod step;
 mod step_store;
 mod suspects;
+mod suspension;
 mod usage;
 
 pub use broadcast::BroadcastQueue;
@@ -60,6 +61,7 @@
 pub use suspects::{
     GossipSettings, StrikeNote, SuspectBook, SuspectLine, SuspectRun, SuspectSettings, SuspectStanding, server_start,
 };
+pub use suspension::SuspensionGauge;
 pub use usage::{
     CustomerCounts, UsageCounter, UsageDesk, UsageNote, UsageReport, UsageSender, UsageSettings, WindowNotes,
 };
--- a/crates/trestlerackd/src/connection/http_client.rs
+++ b/crates/trestlerackd/src/connection/http_client.rs
@@ -1,5 +1,6 @@
 //! HTTP towards back ends and the platform, with a verdict for every failure.
 
+use crate::process::clock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -64,7 +65,7 @@
     /// nobody can tell whether the request ran. On a fresh one, not-run can be told apart.
     pub async fn send_once(&self, address: &str, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
         let not_run = |detail: &str| Failure::not_run(Reason::BackendFailed, detail);
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let connecting = clock::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) => return Err(not_run("cannot connect to the backend server")),
@@ -92,7 +93,7 @@
             .body(Full::new(Bytes::from(body)))
             .map_err(|_| Failure::not_run(Reason::BadRequest, "the address or path cannot be used"))?;
         let exchange = async { read_whole(self.send(request).await?).await };
-        match tokio::time::timeout(timeout, exchange).await {
+        match clock::timeout(timeout, exchange).await {
             Ok(answer) => answer,
             Err(_) => Err(Failure::may_have_run(Reason::BackendFailed, "no answer in time")),
         }
--- a/crates/trestlerackd/src/connection/link_server.rs
+++ b/crates/trestlerackd/src/connection/link_server.rs
@@ -2,6 +2,7 @@
 
 use super::links::{socket_config, write_frames};
 use crate::node::Node;
+use crate::process::clock;
 use crate::process::{logs, member_loop, rollout_loop};
 use crate::request::{call_router, group_runner};
 use crate::version::config_loop;
@@ -49,7 +50,7 @@
         Err(refusal)
     };
     let handshake = tokio_tungstenite::accept_hdr_async_with_config(stream, check, Some(socket_config()));
-    let socket = match tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await {
+    let socket = match clock::timeout(HANDSHAKE_TIMEOUT, handshake).await {
         Ok(Ok(socket)) => socket,
         Ok(Err(error)) => return refuse(&remote, &error.to_string()),
         Err(_) => return refuse(&remote, "the handshake took too long"),
--- a/crates/trestlerackd/src/connection/links.rs
+++ b/crates/trestlerackd/src/connection/links.rs
@@ -1,6 +1,7 @@
 //! Links to peers: one WebSocket per peer for what this node asks of it.
 
 use crate::node::Node;
+use crate::process::clock;
 use crate::process::logs;
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
@@ -160,7 +161,7 @@
         sent.map_err(|_| link_failure("the link is closed"))?;
         answer.await.map_err(|_| link_failure("the link broke"))
     };
-    let outcome = tokio::time::timeout(timeout, exchange).await;
+    let outcome = clock::timeout(timeout, exchange).await;
     outcome.unwrap_or_else(|_| Err(link_failure("no answer in time")))
 }
 
@@ -234,7 +235,7 @@
     if let Some(link) = node.links.open_link(&peer.name) {
         return Ok(link);
     }
-    let socket = tokio::time::timeout(CONNECT_TIMEOUT, connect(node, peer)).await;
+    let socket = clock::timeout(CONNECT_TIMEOUT, connect(node, peer)).await;
     let socket = match socket {
         Ok(Ok(socket)) => socket,
         Ok(Err(error)) => return Err(link_failure(&format!("cannot open a link: {error:#}"))),
--- a/crates/trestlerackd/src/entry/adoption.rs
+++ b/crates/trestlerackd/src/entry/adoption.rs
@@ -6,6 +6,7 @@
 use super::job_driver;
 use super::node::{EntryNode, JobView};
 use super::{job_calls, tables};
+use crate::process::clock;
 use crate::process::logs;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -47,7 +48,7 @@
 pub async fn watch_owners(node: Arc<EntryNode>) {
     let mut suspicions: HashMap<Name, JobSuspicion> = HashMap::new();
     loop {
-        tokio::time::sleep(LOOK_INTERVAL).await;
+        clock::sleep(LOOK_INTERVAL).await;
         if node.is_stopping() || node.routing().is_none() {
             continue;
         }
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -3,6 +3,7 @@
 use super::node::{EntryNode, ServerTicket};
 use super::pool::{ConnectionLease, ExchangeError};
 use super::{server_end, suspects};
+use crate::process::clock;
 use crate::process::tracing::HopSpan;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
@@ -152,7 +153,7 @@
 async fn keep_after_body(node: &Arc<EntryNode>, body: Incoming, lease: ConnectionLease, head: &ReplyHead) {
     const REFUSAL_BYTES: usize = 4 * 1024;
     const REFUSAL_TIME: Duration = Duration::from_millis(50);
-    let read = tokio::time::timeout(REFUSAL_TIME, Limited::new(body, REFUSAL_BYTES).collect()).await;
+    let read = clock::timeout(REFUSAL_TIME, Limited::new(body, REFUSAL_BYTES).collect()).await;
     if matches!(read, Ok(Ok(_))) && !head.is_closing {
         node.pool.keep(lease, head.idle_limit);
     }
@@ -183,7 +184,7 @@
         }
         Ok(WholeAnswer { status: open.status, headers: open.headers, head: open.head, body: body.to_bytes() })
     };
-    match tokio::time::timeout(limit, exchange).await {
+    match clock::timeout(limit, exchange).await {
         Ok(answer) => answer,
         Err(_) => {
             node.board.lock().unwrap().failed(node.now(), &instance);
--- a/crates/trestlerackd/src/entry/callers.rs
+++ b/crates/trestlerackd/src/entry/callers.rs
@@ -2,6 +2,7 @@
 
 use super::feeds;
 use super::node::EntryNode;
+use crate::process::clock;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -75,7 +76,7 @@
     let is_due = refresh.gate.lock().unwrap().try_start(node.now());
     let flight = refresh.flight.lock().await;
     if is_due {
-        let read = tokio::time::timeout(REFRESH_TIMEOUT, feeds::read_configuration(node)).await;
+        let read = clock::timeout(REFRESH_TIMEOUT, feeds::read_configuration(node)).await;
         refresh.is_fresh.store(matches!(read, Ok(Ok(()))), Ordering::Relaxed);
     }
     drop(flight);
--- a/crates/trestlerackd/src/entry/duties/calls.rs
+++ b/crates/trestlerackd/src/entry/duties/calls.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::node::EntryNode;
 use crate::entry::pool::ExchangeError;
+use crate::process::clock;
 use bytes::Bytes;
 use http::{Request, header};
 use http_body_util::{BodyExt, Limited};
@@ -60,7 +61,7 @@
         }
         self.gate.lock().unwrap().called(now, fence);
         *self.not_before.lock().unwrap() = now + self.pause;
-        let answer = tokio::time::timeout(CALL_TIMEOUT, exchange(node, request)).await;
+        let answer = clock::timeout(CALL_TIMEOUT, exchange(node, request)).await;
         Some((fence, answer.unwrap_or(DutyAnswer::Unknown)))
     }
 }
--- a/crates/trestlerackd/src/entry/duties/engines.rs
+++ b/crates/trestlerackd/src/entry/duties/engines.rs
@@ -3,6 +3,7 @@
 use super::calls::DutyCaller;
 use crate::entry::node::EntryNode;
 use crate::entry::tables;
+use crate::process::clock;
 use crate::process::logs;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -32,7 +33,7 @@
     let mut held_fence = None;
     let mut desks: BTreeMap<Name, ServiceDesk> = BTreeMap::new();
     loop {
-        tokio::time::sleep(LOOK_INTERVAL).await;
+        clock::sleep(LOOK_INTERVAL).await;
         let fence = node.lease_fence(node.now());
         if fence != held_fence {
             desks.clear();
--- a/crates/trestlerackd/src/entry/duties/usage_count.rs
+++ b/crates/trestlerackd/src/entry/duties/usage_count.rs
@@ -1,9 +1,9 @@
 //! Counts the requests of customers that began to run here, and tells the holder of the lease.
 
 use crate::entry::node::EntryNode;
-use crate::process::clock::SystemClock;
+use crate::process::clock::{self, SystemClock};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::Notify;
 use trestlerack::Name;
 use trestlerack::process::{SteadyWall, UsageCounter, UsageDesk, UsageNote, UsageSender, UsageSettings};
@@ -21,7 +21,8 @@
 
 /// What this node counted, and what it was told by others as the holder of the lease.
 pub struct UsageBook {
-    started: Instant,
+    /// Time since boot at which the book was opened.
+    started: Duration,
     wall: Mutex<SteadyWall>,
     settings: Option<UsageSettings>,
     counter: Mutex<UsageCounter>,
@@ -34,7 +35,7 @@
     /// Opens a book; without settings nothing is counted.
     pub fn new(settings: Option<UsageSettings>) -> Self {
         Self {
-            started: Instant::now(),
+            started: clock::since_boot(),
             wall: Mutex::default(),
             settings,
             counter: Mutex::default(),
@@ -45,7 +46,10 @@
 
     /// Returns the time of day in milliseconds.
     pub fn wall_ms(&self) -> u64 {
-        self.wall.lock().unwrap().read(millis(self.started.elapsed()), SystemClock::unix_millis())
+        self.wall
+            .lock()
+            .unwrap()
+            .read(millis(clock::since_boot().saturating_sub(self.started)), SystemClock::unix_millis())
     }
 
     /// Counts a request that began to run at a time of day.
@@ -70,7 +74,7 @@
     let mut told_fence = None;
     loop {
         // Ends with news or with the interval; both lead to a look.
-        let _ = tokio::time::timeout(LOOK_INTERVAL, node.usage.news.notified()).await;
+        let _ = clock::timeout(LOOK_INTERVAL, node.usage.news.notified()).await;
         let first_kept = settings.first_kept(node.usage.wall_ms());
         node.usage.counter.lock().unwrap().forget_before(first_kept);
         node.usage.desk.lock().unwrap().forget_before(first_kept);
@@ -84,9 +88,9 @@
         }
         if tell(&node, &lease.holder, &sender, &notes).await {
             node.usage.counter.lock().unwrap().acknowledge(&notes);
-            tokio::time::sleep(TELL_PAUSE).await;
+            clock::sleep(TELL_PAUSE).await;
         } else {
-            tokio::time::sleep(RETRY_PAUSE).await;
+            clock::sleep(RETRY_PAUSE).await;
             node.usage.news.notify_one();
         }
     }
--- a/crates/trestlerackd/src/entry/duties/usage_report.rs
+++ b/crates/trestlerackd/src/entry/duties/usage_report.rs
@@ -7,6 +7,7 @@
 use super::calls::DutyCaller;
 use crate::entry::node::EntryNode;
 use crate::entry::tables;
+use crate::process::clock;
 use crate::process::logs;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -61,7 +62,7 @@
     let caller = DutyCaller::new(&node);
     let mut desk: Option<ReportDesk> = None;
     loop {
-        tokio::time::sleep(LOOK_INTERVAL).await;
+        clock::sleep(LOOK_INTERVAL).await;
         let Some(fence) = node.lease_fence(node.now()) else {
             desk = None;
             continue;
--- a/crates/trestlerackd/src/entry/engine_calls.rs
+++ b/crates/trestlerackd/src/entry/engine_calls.rs
@@ -2,6 +2,7 @@
 
 use super::node::EntryNode;
 use super::pool::ExchangeError;
+use crate::process::clock;
 use crate::process::logs;
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
@@ -79,5 +80,5 @@
         Ok((parts.status, body))
     };
     let lost = || ExchangeError::NoAnswer("no answer in time".into());
-    tokio::time::timeout(ORDER_TIMEOUT, exchange).await.unwrap_or_else(|_| Err(lost()))
+    clock::timeout(ORDER_TIMEOUT, exchange).await.unwrap_or_else(|_| Err(lost()))
 }
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -2,6 +2,7 @@
 
 use super::node::EntryNode;
 use super::{suspects, tables};
+use crate::process::clock;
 use crate::process::logs;
 use futures_util::{StreamExt, TryStreamExt, stream};
 use std::sync::Arc;
@@ -49,7 +50,7 @@
                 }
                 known = version;
                 failures = 0;
-                tokio::time::sleep(pause_between(&node, table)).await;
+                clock::sleep(pause_between(&node, table)).await;
             }
             Err(error) => {
                 if table == tables::STATE {
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -5,6 +5,7 @@
 use super::job_runs;
 use super::node::{EntryNode, ServerTicket};
 use super::{server_end, suspects};
+use crate::process::clock;
 use crate::process::logs;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use http_body_util::BodyExt;
@@ -88,7 +89,7 @@
     };
     let limits = RunLimits::at_pace(node.board.lock().unwrap().typical_pace(node.now(), &ticket.server.service));
     let opening = attempt::open_answer(node, ticket, request, false);
-    let open = match tokio::time::timeout(limits.head, opening).await {
+    let open = match clock::timeout(limits.head, opening).await {
         Ok(Ok(open)) => open,
         Ok(Err(AttemptError::MayHaveRun(detail))) => return (RunEnd::Broken, detail),
         Ok(Err(error)) => return (RunEnd::NotRun, error.to_string()),
@@ -136,7 +137,7 @@
     let mut decoder = EventDecoder::default();
     let mut last_event_at: Option<Instant> = None;
     loop {
-        let frame = match tokio::time::timeout(limits.event, body.frame()).await {
+        let frame = match clock::timeout(limits.event, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => {
                 node.board.lock().unwrap().failed(node.now(), &instance);
--- a/crates/trestlerackd/src/entry/job_calls.rs
+++ b/crates/trestlerackd/src/entry/job_calls.rs
@@ -3,6 +3,7 @@
 use super::front::{ClientRequest, ReplyBody, full_reply, own_reply};
 use super::node::{EntryNode, JobView};
 use super::tables;
+use crate::process::clock;
 use crate::process::logs;
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -144,7 +145,7 @@
             return Ok(read_job(node, job).await.unwrap_or(view));
         }
         // Ends with a change of any job or with the deadline; both lead to another look.
-        let _ = tokio::time::timeout(deadline.since(now), news.changed()).await;
+        let _ = clock::timeout(deadline.since(now), news.changed()).await;
     }
 }
 
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -2,6 +2,7 @@
 
 use super::node::EntryNode;
 use super::{job_records, job_runs, job_scores, job_texts, score_calls};
+use crate::process::clock;
 use crate::process::logs;
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -235,7 +236,7 @@
             bring_forward(node, driver, &routing, accepted_ms);
         }
         // Ends with news of the job or with the interval; both lead to another look.
-        let _ = tokio::time::timeout(LOOK_INTERVAL, driver.wake.notified()).await;
+        let _ = clock::timeout(LOOK_INTERVAL, driver.wake.notified()).await;
     }
     text_log.abort();
     driver.cancel_runs(node.now());
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -4,6 +4,7 @@
 use super::node::EntryNode;
 use super::score_calls::{self, ScoreEnd};
 use super::suspects;
+use crate::process::clock;
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,7 +69,7 @@
                     }
                 }
                 ScoreEnd::Held(_) => break,
-                ScoreEnd::NoAnswer => tokio::time::sleep(SCORE_PAUSE).await,
+                ScoreEnd::NoAnswer => clock::sleep(SCORE_PAUSE).await,
             }
         },
     }
--- a/crates/trestlerackd/src/entry/job_texts.rs
+++ b/crates/trestlerackd/src/entry/job_texts.rs
@@ -5,6 +5,7 @@
 use super::job_records::{WRITE_PAUSE, commit_head};
 use super::node::{EntryNode, JobView};
 use super::tables;
+use crate::process::clock;
 use crate::process::logs;
 use bytes::Bytes;
 use std::collections::HashMap;
@@ -126,7 +127,7 @@
 /// that is lost goes on from there.
 pub async fn log_texts(node: Arc<EntryNode>, driver: Arc<JobDriver>, fence: u64) {
     for number in 0.. {
-        tokio::time::sleep(TEXT_LOG_INTERVAL).await;
+        clock::sleep(TEXT_LOG_INTERVAL).await;
         let deltas = driver.ledger.lock().unwrap().take_unstored(TEXT_LOG_LEAST, tables::COMMIT_BYTES / 2);
         if deltas.is_empty() {
             continue;
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -38,6 +38,7 @@
 mod trail;
 mod weights;
 
+use crate::process::clock;
 use crate::process::logs;
 use anyhow::Context;
 use node::{EntryBounds, EntryNode};
@@ -75,6 +76,7 @@
     for table in [platform::OPERATOR_TABLE, platform::SERVER_TABLE, tables::STATE] {
         tokio::spawn(feeds::follow(node.clone(), table));
     }
+    tokio::spawn(note_suspensions(node.clone()));
     tokio::spawn(keep_registered(node.clone()));
     tokio::spawn(probe_store(node.clone()));
     tokio::spawn(adoption::watch_owners(node.clone()));
@@ -97,6 +99,15 @@
     Ok(())
 }
 
+/// Logs each time for which the VM was suspended. What peers and the store told meanwhile was missed.
+async fn note_suspensions(node: Arc<EntryNode>) {
+    let resumed = |suspended: Duration| {
+        logs::write_suspension(suspended);
+        node.suspects.set_cut_off(true);
+    };
+    clock::watch_suspensions(resumed).await;
+}
+
 async fn bind(address: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address).await.with_context(|| format!("cannot listen on {address}"))
 }
@@ -133,7 +144,7 @@
 
 async fn expire_connections(node: Arc<EntryNode>) {
     loop {
-        tokio::time::sleep(EXPIRE_INTERVAL).await;
+        clock::sleep(EXPIRE_INTERVAL).await;
         node.pool.expire();
     }
 }
--- a/crates/trestlerackd/src/entry/order_lease.rs
+++ b/crates/trestlerackd/src/entry/order_lease.rs
@@ -3,6 +3,7 @@
 use super::node::EntryNode;
 use super::weights::{self, OrderTasks};
 use super::{feeds, tables};
+use crate::process::clock;
 use crate::process::logs;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -69,7 +70,7 @@
     };
     loop {
         tokio::select! {
-            () = tokio::time::sleep(LOOK_INTERVAL) => {}
+            () = clock::sleep(LOOK_INTERVAL) => {}
             () = desk.orders.wait() => {}
         }
         if node.is_stopping() {
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -4,7 +4,7 @@
 use super::node::EntryNode;
 use super::pool::ConnectionPool;
 use super::suspects;
-use crate::process::clock::SystemClock;
+use crate::process::clock::{self, SystemClock};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -227,7 +227,7 @@
         let mut body = Vec::new();
         ciborium::into_writer(call, &mut body).ok()?;
         let request = Request::post(PEER_PATH).header(header::HOST, &**peer).body(Bytes::from(body)).ok()?;
-        tokio::time::timeout(limit, self.exchange(peer, request)).await.ok()?
+        clock::timeout(limit, self.exchange(peer, request)).await.ok()?
     }
 
     async fn exchange(&self, peer: &Name, request: Request<Bytes>) -> Option<PeerReply> {
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -5,6 +5,7 @@
 use super::node::{EntryNode, ServerTicket};
 use super::trail::RequestTrail;
 use super::{choice_log, streams, suspects};
+use crate::process::clock;
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,7 +62,7 @@
         return streams::serve(node, route, request, deadline, trail).await;
     }
     let attempts = attempt_all(node, route, &request, deadline, &mut trail);
-    let outcome = tokio::time::timeout(limit, attempts).await.unwrap_or(Err(Shortfall::TimedOut));
+    let outcome = clock::timeout(limit, attempts).await.unwrap_or(Err(Shortfall::TimedOut));
     let reply = match outcome {
         Ok(answer) => whole_reply(answer),
         Err(shortfall) => failure_reply(&request, &shortfall, trail.tried().is_empty()),
@@ -177,7 +178,7 @@
         if node.now() >= until {
             return None;
         }
-        tokio::time::sleep(SEARCH_PAUSE).await;
+        clock::sleep(SEARCH_PAUSE).await;
     }
 }
 
--- a/crates/trestlerackd/src/entry/pool.rs
+++ b/crates/trestlerackd/src/entry/pool.rs
@@ -4,6 +4,7 @@
 //! answer to the exchange's own request; in any other case it is closed at once, which is also
 //! what cancels the work of a backend server.
 
+use crate::process::clock;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -13,7 +14,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use trestlerack::Name;
@@ -100,7 +101,8 @@
 
 struct IdleConnection {
     connection: OpenConnection,
-    usable_until: Instant,
+    /// Time since boot from which it is used no more.
+    usable_until: Duration,
 }
 
 struct OpenConnection {
@@ -135,7 +137,7 @@
 
     /// Closes idle connections whose time is over.
     pub fn expire(&self) {
-        let now = Instant::now();
+        let now = clock::since_boot();
         let mut idle = self.idle.lock().unwrap();
         for connections in idle.values_mut() {
             connections.retain(|held| held.usable_until > now && !held.connection.sender.is_closed());
@@ -173,7 +175,7 @@
     }
 
     fn take_idle(&self, address: &Name) -> Option<ConnectionLease> {
-        let now = Instant::now();
+        let now = clock::since_boot();
         let mut idle = self.idle.lock().unwrap();
         let connections = idle.get_mut(address)?;
         while let Some(held) = connections.pop() {
@@ -187,7 +189,7 @@
 
     /// Finds out whether an address takes connections. One that it opens is kept for a later exchange.
     pub async fn listen_state(self: &Arc<Self>, address: &Name) -> ListenState {
-        match tokio::time::timeout(LISTEN_TIMEOUT, self.open(address)).await {
+        match clock::timeout(LISTEN_TIMEOUT, self.open(address)).await {
             Ok(Ok(lease)) => {
                 self.keep(lease, None);
                 ListenState::Listening
@@ -198,7 +200,7 @@
     }
 
     async fn open(&self, address: &Name) -> Result<ConnectionLease, OpenError> {
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&**address)).await {
+        let stream = match clock::timeout(CONNECT_TIMEOUT, TcpStream::connect(&**address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
                 return Err(OpenError::Refused(format!("cannot connect to {address}: {error}")));
@@ -224,7 +226,7 @@
         let mut idle = self.idle.lock().unwrap();
         let connections = idle.entry(address).or_default();
         if connections.len() < MAX_IDLE {
-            connections.push(IdleConnection { connection, usable_until: Instant::now() + usable });
+            connections.push(IdleConnection { connection, usable_until: clock::since_boot() + usable });
         }
     }
 }
--- a/crates/trestlerackd/src/entry/retention.rs
+++ b/crates/trestlerackd/src/entry/retention.rs
@@ -2,6 +2,7 @@
 
 use super::node::EntryNode;
 use super::{job_calls, suspects, tables};
+use crate::process::clock;
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +21,7 @@
 pub async fn sweep(node: Arc<EntryNode>) {
     let mut looks: u32 = 0;
     loop {
-        tokio::time::sleep(SWEEP_INTERVAL).await;
+        clock::sleep(SWEEP_INTERVAL).await;
         if !holds_lease(&node) {
             continue;
         }
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -3,6 +3,7 @@
 use super::attempt::{self, AttemptError};
 use super::node::{EntryNode, ServerTicket};
 use super::{plain, suspects};
+use crate::process::clock;
 use crate::process::logs;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -85,7 +86,7 @@
         let answer = match attempts.len() {
             // There is nothing to do before one of them answers or its time is over.
             open if open >= servers_at_once => Ok(attempts.next().await),
-            _ => tokio::time::timeout(patience(node, service, route), attempts.next()).await,
+            _ => clock::timeout(patience(node, service, route), attempts.next()).await,
         };
         match answer {
             Ok(Some((server, ScoreEnd::Scored(signature)))) => {
--- a/crates/trestlerackd/src/entry/stop.rs
+++ b/crates/trestlerackd/src/entry/stop.rs
@@ -2,6 +2,7 @@
 
 use super::node::EntryNode;
 use super::tables;
+use crate::process::clock;
 use crate::process::logs;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -38,11 +39,11 @@
         logs::write(event::ROW_REFUSED, &[("key", &node.settings.name), ("why", &error)]);
     }
     while node.now().since(started) < NOT_READY_TIME {
-        tokio::time::sleep(LOOK_INTERVAL).await;
+        clock::sleep(LOOK_INTERVAL).await;
     }
     node.closing.send_replace(true);
     while connections() + jobs() > 0 && node.now().since(started) < limit {
-        tokio::time::sleep(LOOK_INTERVAL).await;
+        clock::sleep(LOOK_INTERVAL).await;
     }
     let left = connections() + jobs();
     if left > 0 {
--- a/crates/trestlerackd/src/entry/store.rs
+++ b/crates/trestlerackd/src/entry/store.rs
@@ -3,19 +3,19 @@
 use super::peers::PeerClient;
 use super::pool::{ConnectionPool, ExchangeError};
 use super::tables;
-use crate::process::clock::SystemClock;
+use crate::process::clock::{self, SystemClock};
 use crate::process::logs;
 use async_trait::async_trait;
 use http_body_util::{BodyExt, Limited};
 use hyper::header;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::Notify;
 use trestlerack::border::{Clock, StoreError};
 use trestlerack::process::{DirectWay, WayChange, rate_pause};
 use trestlerack::rows::{RowStore, StoreCall, StoreMoment, StoreReply};
-use trestlerack::{Name, event};
+use trestlerack::{Name, event, time::millis};
 use trestlerack_platform as platform;
 
 /// Time after which a call counts as lost. A slow store takes 60 times its 4 to 8 ms.
@@ -68,7 +68,7 @@
 
     /// Makes a call within `limit`.
     pub async fn call_within(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreError> {
-        tokio::time::timeout(limit, self.exchange(call)).await.unwrap_or(Err(StoreError::Unknown))
+        clock::timeout(limit, self.exchange(call)).await.unwrap_or(Err(StoreError::Unknown))
     }
 }
 
@@ -109,7 +109,8 @@
 #[derive(Clone, Copy)]
 struct StoreClock {
     moment: StoreMoment,
-    at: Instant,
+    /// Time since boot of the reply.
+    at: Duration,
 }
 
 impl RelayedStore {
@@ -133,9 +134,9 @@
             StoreError::RateLimited => {
                 let is_lost = self.way_lost.notified();
                 // Ends with the pause or with the news; both lead to another try.
-                let _ = tokio::time::timeout(rate_pause(failures, rand::random()), is_lost).await;
+                let _ = clock::timeout(rate_pause(failures, rand::random()), is_lost).await;
             }
-            StoreError::Unavailable | StoreError::Unknown => tokio::time::sleep(pause).await,
+            StoreError::Unavailable | StoreError::Unknown => clock::sleep(pause).await,
         }
     }
 
@@ -146,11 +147,8 @@
 
     /// Returns the time on the store's clock, in milliseconds, or 0 before the first reply.
     pub fn clock_ms(&self) -> u64 {
-        let clock = *self.clock.lock().unwrap();
-        clock.map_or(0, |clock| {
-            let since = u64::try_from(clock.at.elapsed().as_millis()).unwrap_or(u64::MAX);
-            clock.moment.clock_ms + since
-        })
+        let seen = *self.clock.lock().unwrap();
+        seen.map_or(0, |seen| seen.moment.clock_ms + millis(clock::since_boot().saturating_sub(seen.at)))
     }
 
     async fn call_direct(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreError> {
@@ -184,7 +182,7 @@
             limit: 1,
         };
         loop {
-            tokio::time::sleep(PROBE_INTERVAL).await;
+            clock::sleep(PROBE_INTERVAL).await;
             if self.is_doubtful() {
                 // The outcome is noted by the call itself.
                 let _ = self.call_direct(&call, DIRECT_TIMEOUT).await;
@@ -224,7 +222,7 @@
         let mut clock = self.clock.lock().unwrap();
         // Replies may overtake each other, and the clock only goes forward.
         if clock.is_none_or(|held| held.moment.clock_ms <= moment.clock_ms) {
-            *clock = Some(StoreClock { moment, at: Instant::now() });
+            *clock = Some(StoreClock { moment, at: clock::since_boot() });
         }
     }
 }
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -6,6 +6,7 @@
 use super::plain::{self, Shortfall};
 use super::trail::RequestTrail;
 use super::{server_end, suspects};
+use crate::process::clock;
 use bytes::Bytes;
 use futures_util::stream;
 use http::{HeaderMap, Response};
@@ -88,7 +89,7 @@
         let mut engine_request = plain::engine_request(request, &instance, left);
         engine_request.resume_after = resume_after;
         let opening = attempt::open_answer(node, ticket, engine_request, !route.resumable);
-        match tokio::time::timeout(left, opening).await {
+        match clock::timeout(left, opening).await {
             Ok(Ok(answer)) => {
                 // A generation begins with its first event, with which the head comes.
                 trail.begins();
@@ -164,7 +165,7 @@
     async fn read_frame(&mut self) -> Result<Option<Bytes>, BrokenReply> {
         let can_resume = self.route.resumable && self.open.status.is_success();
         let frame = if can_resume {
-            tokio::time::timeout(EVENT_TIMEOUT, self.open.body.frame()).await?
+            clock::timeout(EVENT_TIMEOUT, self.open.body.frame()).await?
         } else {
             self.open.body.frame().await
         };
--- a/crates/trestlerackd/src/entry/suspects.rs
+++ b/crates/trestlerackd/src/entry/suspects.rs
@@ -7,6 +7,7 @@
 
 use super::node::{EntryNode, ServerTicket};
 use super::tables;
+use crate::process::clock;
 use crate::process::logs;
 use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
@@ -417,7 +418,7 @@
                 exchange(&node, &peer, &newest_notes(&node)).await;
             }
         }
-        tokio::time::sleep(gossip.ask_interval).await;
+        clock::sleep(gossip.ask_interval).await;
     }
 }
 
--- a/crates/trestlerackd/src/process/clock.rs
+++ b/crates/trestlerackd/src/process/clock.rs
@@ -1,22 +1,44 @@
-//! The clock of a running daemon.
+//! The clocks of a running daemon, and the waits that go by them.
+//!
+//! Leases, deadlines, ages and waits go by the time since boot: it counts the time for which the VM
+//! was suspended, which the runtime's own timers and `Instant` do not. A holder of a lease that was
+//! suspended would otherwise act on it for as long as it was asleep.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::future::Future;
+use std::sync::LazyLock;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
 use trestlerack::Timestamp;
 use trestlerack::border::Clock;
+use trestlerack::process::SuspensionGauge;
 use trestlerack::time::millis;
 
-/// Reads the operating system's clocks.
-pub struct SystemClock {
-    started: Instant,
-}
+/// Interval at which both clocks are compared. A wait that a suspension has ended is noticed so late;
+/// five looks a second cost less than a thousandth of a core.
+const GAUGE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time shown by a clock at its start, so that "some seconds ago" never falls below zero.
 const START_MS: u64 = 3_600_000;
 
+/// Counts the suspensions that were noticed.
+static RESUMPTIONS: LazyLock<watch::Sender<u64>> = LazyLock::new(|| watch::channel(0).0);
+
+/// Returns the time since the VM booted, suspensions included.
+pub fn since_boot() -> Duration {
+    let read = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME);
+    // Linux has had this clock since 2.6.39, and reading it takes no right.
+    Duration::from(read.expect("the clock of the time since boot can be read"))
+}
+
+/// Reads the operating system's clocks.
+pub struct SystemClock {
+    started: Duration,
+}
+
 impl SystemClock {
-    /// Starts a monotonic clock.
+    /// Starts a clock.
     pub fn new() -> Self {
-        Self { started: Instant::now() }
+        Self { started: since_boot() }
     }
 
     /// Returns wall clock milliseconds since the Unix epoch.
@@ -27,10 +49,68 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Timestamp {
-        Timestamp(START_MS + millis(self.started.elapsed()))
+        Timestamp(START_MS + millis(since_boot().saturating_sub(self.started)))
     }
 
     fn unix_seconds(&self) -> u64 {
         Self::unix_millis() / 1_000
     }
 }
+
+/// Looks for suspensions until the process ends, and calls `resumed` with the length of each.
+pub async fn watch_suspensions(resumed: impl Fn(Duration)) {
+    let (mut gauge, started) = (SuspensionGauge::default(), Instant::now());
+    loop {
+        if let Some(suspended) = gauge.read(since_boot(), started.elapsed()) {
+            RESUMPTIONS.send_modify(|count| *count += 1);
+            resumed(suspended);
+        }
+        tokio::time::sleep(GAUGE_INTERVAL).await;
+    }
+}
+
+/// A future did not end in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimeOver;
+
+impl std::fmt::Display for TimeOver {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("its time is over")
+    }
+}
+
+impl std::error::Error for TimeOver {}
+
+/// Waits for a future for `limit` at most.
+pub async fn timeout<F: Future>(limit: Duration, future: F) -> Result<F::Output, TimeOver> {
+    timeout_by(since_boot, RESUMPTIONS.subscribe(), limit, future).await
+}
+
+/// Waits for `span`.
+pub async fn sleep(span: Duration) {
+    // Nothing else can end this wait.
+    let _ = timeout(span, std::future::pending::<()>()).await;
+}
+
+/// Waits for a future until `clock` is further by `limit`. The runtime's timer may lag behind that clock;
+/// `resumptions` tells when to look again.
+pub async fn timeout_by<F: Future>(
+    clock: impl Fn() -> Duration,
+    mut resumptions: watch::Receiver<u64>,
+    limit: Duration,
+    future: F,
+) -> Result<F::Output, TimeOver> {
+    let started = clock();
+    tokio::pin!(future);
+    loop {
+        let left = limit.saturating_sub(clock().saturating_sub(started));
+        tokio::select! {
+            // A result that is there counts, also at the last moment.
+            biased;
+            output = &mut future => return Ok(output),
+            () = tokio::time::sleep(left) => return Err(TimeOver),
+            // The sender is never dropped.
+            _ = resumptions.changed() => {}
+        }
+    }
+}
--- a/crates/trestlerackd/src/process/logs.rs
+++ b/crates/trestlerackd/src/process/logs.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::time::Duration;
-use trestlerack::event::{LogEvent, Severity};
+use trestlerack::event::{self, LogEvent, Severity};
 
 /// Lines that wait to be written before further ones are dropped and counted.
 const MAX_WAITING_LINES: usize = 2_048;
@@ -31,6 +31,11 @@
     ConfigBuilder::new().set_time_format_rfc3339().add_filter_allow_str("trestlerack").build()
 }
 
+/// Logs for how long the VM was suspended.
+pub fn write_suspension(suspended: Duration) {
+    write(event::VM_RESUMED, &[("suspended_ms", &suspended.as_millis())]);
+}
+
 /// What the writing thread is handed.
 enum LogPiece {
     /// A whole line.
--- a/crates/trestlerackd/src/process/member_loop.rs
+++ b/crates/trestlerackd/src/process/member_loop.rs
@@ -3,6 +3,7 @@
 use super::logs;
 use crate::connection::links;
 use crate::node::Node;
+use crate::process::clock;
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::connection::LinkFrame;
@@ -43,7 +44,7 @@
             Err(error) => logs::write(event::LIST_UNAVAILABLE, &[("error", &error)]),
         }
         let nodes = node.ownership.read().unwrap().nodes().len();
-        tokio::time::sleep(list_interval(nodes)).await;
+        clock::sleep(list_interval(nodes)).await;
     }
 }
 
--- a/crates/trestlerackd/src/process/mod.rs
+++ b/crates/trestlerackd/src/process/mod.rs
@@ -57,6 +57,7 @@
         tokio::spawn(rollout_loop::drive_engines(node.clone())),
         tokio::spawn(step_loop::watch_steps(node.clone())),
         tokio::spawn(spool::drain(node.clone())),
+        tokio::spawn(clock::watch_suspensions(logs::write_suspension)),
     ]
 }
 
--- a/crates/trestlerackd/src/process/rollout_loop.rs
+++ b/crates/trestlerackd/src/process/rollout_loop.rs
@@ -3,6 +3,7 @@
 use super::logs;
 use crate::connection::links;
 use crate::node::Node;
+use crate::process::clock;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -58,7 +59,7 @@
             }
         }
         // A nudge ends the pause early; without one the pause is the backstop.
-        let _ = tokio::time::timeout(pause, node.leases.nudged.notified()).await;
+        let _ = clock::timeout(pause, node.leases.nudged.notified()).await;
     }
 }
 
--- a/crates/trestlerackd/src/process/spool.rs
+++ b/crates/trestlerackd/src/process/spool.rs
@@ -3,6 +3,7 @@
 use super::logs;
 use crate::connection::links;
 use crate::node::Node;
+use crate::process::clock;
 use crate::request::group_record::record;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -95,7 +96,7 @@
 /// Drains the spool at its rate, for as long as the process lives.
 pub async fn drain(node: Arc<Node>) {
     loop {
-        tokio::time::sleep(LOOK_INTERVAL).await;
+        clock::sleep(LOOK_INTERVAL).await;
         let nodes = node.ownership.read().unwrap().nodes().len();
         let next = node.spool.own.lock().unwrap().next(node.now(), nodes);
         let Some((group, size)) = next else { continue };
--- a/crates/trestlerackd/src/process/step_loop.rs
+++ b/crates/trestlerackd/src/process/step_loop.rs
@@ -4,6 +4,7 @@
 use super::rollout_loop::store_failed;
 use crate::connection::links;
 use crate::node::Node;
+use crate::process::clock;
 use crate::request::group_runner;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
@@ -58,9 +59,9 @@
             }
         }
         forget_old_requests(&node);
-        tokio::time::sleep(NUDGE_PAUSE).await;
+        clock::sleep(NUDGE_PAUSE).await;
         // A nudge ends the wait early; without one the poll is the backstop.
-        let _ = tokio::time::timeout(poll, node.steps.nudged.notified()).await;
+        let _ = clock::timeout(poll, node.steps.nudged.notified()).await;
     }
 }
 
--- a/crates/trestlerackd/src/process/stop.rs
+++ b/crates/trestlerackd/src/process/stop.rs
@@ -2,6 +2,7 @@
 
 use super::logs;
 use crate::node::Node;
+use crate::process::clock;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -74,14 +75,14 @@
     node.stop.stopping.store(true, Ordering::SeqCst);
     super::member_loop::tell(node, MembershipEvent::Leave);
     node.refresh_ownership();
-    tokio::time::sleep(NOT_READY_TIME).await;
+    clock::sleep(NOT_READY_TIME).await;
     node.stop.closed.send_replace(true);
     let deadline = node.now() + Duration::from_millis(node.settings.stop_limit_ms);
     while has_work(node) && node.now() < deadline {
-        tokio::time::sleep(LOOK_INTERVAL).await;
+        clock::sleep(LOOK_INTERVAL).await;
     }
     super::rollout_loop::release_leases(node).await;
-    tokio::time::sleep(FAREWELL_TIME).await;
+    clock::sleep(FAREWELL_TIME).await;
     let left = node.stop.in_progress() + node.spool.len();
     if left > 0 {
         logs::write(event::STOP_OVERRUN, &[("left", &left)]);
--- a/crates/trestlerackd/src/request/answer.rs
+++ b/crates/trestlerackd/src/request/answer.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::accept::NodeHandle;
 use crate::node::Node;
+use crate::process::clock;
 use crate::process::logs;
 use crate::process::stop::WorkGuard;
 use crate::process::tracing::HopSpan;
@@ -182,7 +183,7 @@
     let body = Body::take_from(state);
     let reading = Limited::new(body, limit).collect();
     let time = Duration::from_millis(node.settings.body_timeout_ms);
-    match tokio::time::timeout(time, reading).await {
+    match clock::timeout(time, reading).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => Err(too_large()),
         Ok(Err(_)) => Err(Failure::not_run(Reason::BadRequest, "the body broke off")),
--- a/crates/trestlerackd/src/request/call_driver.rs
+++ b/crates/trestlerackd/src/request/call_driver.rs
@@ -3,6 +3,7 @@
 use super::call_router::{choose_owner, route};
 use super::turnstile::wait_for_room;
 use crate::node::Node;
+use crate::process::clock;
 use crate::process::logs;
 use async_trait::async_trait;
 use rand::Rng;
@@ -74,7 +75,7 @@
                 // Another owner may serve the call at once; only when all of them failed is it time to wait.
                 if !elsewhere {
                     avoid.clear();
-                    tokio::time::sleep(wait_before(attempts, &failure)).await;
+                    clock::sleep(wait_before(attempts, &failure)).await;
                 }
             }
             ResumeDecision::GiveUp(failure) => return Err(failure),
--- a/crates/trestlerackd/src/request/call_router.rs
+++ b/crates/trestlerackd/src/request/call_router.rs
@@ -3,6 +3,7 @@
 use super::desks::Grant;
 use crate::connection::links::{self, RemoteCall};
 use crate::node::Node;
+use crate::process::clock;
 use crate::process::stop::WorkGuard;
 use async_trait::async_trait;
 use opentelemetry::KeyValue;
@@ -215,7 +216,7 @@
 ) -> Result<(), Failure> {
     let left = deadline.since(node.now());
     let call = node.engines.complete(&grant.address, spec, relay);
-    let answer = tokio::time::timeout(left, call).await;
+    let answer = clock::timeout(left, call).await;
     answer.unwrap_or_else(|_| Err(Failure::may_have_run(Reason::DeadlineExceeded, "the answer was not whole in time")))
 }
 
--- a/crates/trestlerackd/src/request/engine_client.rs
+++ b/crates/trestlerackd/src/request/engine_client.rs
@@ -1,6 +1,7 @@
 //! Model engines, met by the completions protocol with server-sent events.
 
 use crate::connection::http_client::{HttpAnswer, HttpClient, read_whole};
+use crate::process::clock;
 use async_trait::async_trait;
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
@@ -108,7 +109,7 @@
         }
         let mut events = response.into_body().into_data_stream().eventsource();
         loop {
-            let event = match tokio::time::timeout(CHUNK_TIMEOUT, events.next()).await {
+            let event = match clock::timeout(CHUNK_TIMEOUT, events.next()).await {
                 Ok(Some(Ok(event))) => event,
                 Ok(Some(Err(error))) => return Err(broken(&format!("the stream broke: {error}"))),
                 Ok(None) => return Err(broken("the stream ended without its end mark")),
--- a/crates/trestlerackd/src/request/plain.rs
+++ b/crates/trestlerackd/src/request/plain.rs
@@ -3,6 +3,7 @@
 use super::answer::{ApiCall, serve};
 use crate::connection::http_client::{HttpAnswer, read_whole};
 use crate::node::Node;
+use crate::process::clock;
 use crate::process::logs;
 use crate::process::stop::WorkGuard;
 use bytes::Bytes;
@@ -158,7 +159,7 @@
         node.desks.engine_answered(node.now(), &backend.name, is_leaving);
         read_whole(response).await
     };
-    let answer = tokio::time::timeout(left, exchange).await;
+    let answer = clock::timeout(left, exchange).await;
     answer
         .unwrap_or_else(|_| Err(Failure::may_have_run(Reason::DeadlineExceeded, "the service did not answer in time")))
 }
--- a/crates/trestlerackd/src/request/turnstile.rs
+++ b/crates/trestlerackd/src/request/turnstile.rs
@@ -6,6 +6,7 @@
 
 use super::call_router::{choose_owner, has_room};
 use crate::node::Node;
+use crate::process::clock;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -49,6 +50,6 @@
         if has_room(&choice) || node.now() >= deadline {
             return Ok((Turn { _guard: guard }, choice.owner));
         }
-        tokio::time::sleep(LOOK_INTERVAL).await;
+        clock::sleep(LOOK_INTERVAL).await;
     }
 }
--- a/crates/trestlerackd/src/version/config_loop.rs
+++ b/crates/trestlerackd/src/version/config_loop.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::links;
 use crate::node::Node;
+use crate::process::clock;
 use crate::process::logs;
 use crate::process::rollout_loop::store_failed;
 use rand::seq::IndexedRandom;
@@ -30,7 +31,7 @@
             store_failed(&node, "follow configuration", error);
         }
         let is_first = node.config.current().generation == 0;
-        tokio::time::sleep(if is_first { FIRST_POLL_INTERVAL } else { POLL_INTERVAL }).await;
+        clock::sleep(if is_first { FIRST_POLL_INTERVAL } else { POLL_INTERVAL }).await;
     }
 }
 
