Hold contents that end their servers on the daemon's own interface too

Keyed and other plain calls, completions, samples and scores bounded their attempts for each arrival; a keyed call under a new key is a new arrival. Ruled out: a frame of its own for strikes (a daemon of the version before would break the link on it); rows in the table (its users' table has no watch, and calls go on without it in an outage). Change: content_gate.rs asks the library's book before each exchange with a backend server and tells it how that ended; strikes travel with the probes between daemons, in a field that older ones skip. Refused as content-held, 503. Test: a_call_that_ends_its_services_is_held_by_all_daemons (keyed calls under new keys at three daemons, then at one that started just now: 3 or 4 of 6 services end).

--- a/crates/trestlerack-standins/src/faults.rs
+++ b/crates/trestlerack-standins/src/faults.rs
@@ -36,8 +36,13 @@
     BadAnswers,
     /// Says that it is leaving.
     Leaving,
+    /// Ends its process when it runs a record that begins with [`FATAL_RECORD`].
+    Exit,
 }
 
+/// Begins the records that end a service in the mode [`FaultMode::Exit`].
+pub const FATAL_RECORD: &str = "fatal";
+
 /// An order to fail.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 pub struct FaultOrder {
--- a/crates/trestlerack-standins/src/plain.rs
+++ b/crates/trestlerack-standins/src/plain.rs
@@ -1,11 +1,14 @@
 //! A plain service that counts each call that it ran.
 
-use crate::faults::{FaultMode, Faults};
+use crate::faults::{FATAL_RECORD, FaultMode, Faults};
 use crate::server::{Answer, Dropped, ReadRequest, ServerOptions, finish, json, serve, status};
 use hyper::StatusCode;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
+/// Exit code of a service that a record ended.
+const FATAL_EXIT: i32 = 9;
+
 #[derive(Default)]
 struct Plain {
     runs: Mutex<BTreeMap<String, u64>>,
@@ -35,6 +38,9 @@
         return status(StatusCode::INTERNAL_SERVER_ERROR);
     }
     let record = String::from_utf8_lossy(&request.body).into_owned();
+    if plain.faults.mode() == FaultMode::Exit && record.starts_with(FATAL_RECORD) {
+        std::process::exit(FATAL_EXIT);
+    }
     let runs = {
         let mut runs = plain.runs.lock().unwrap();
         let count = runs.entry(record.clone()).or_default();
--- a/crates/trestlerack-standins/tests/failures.rs
+++ b/crates/trestlerack-standins/tests/failures.rs
@@ -182,6 +182,44 @@
     assert_eq!(runs(&cluster, "lost-unkeyed"), 1, "not tried again on the other backend server");
 }
 
+/// A call that ends each backend server that runs it comes again under other keys at any daemon. It is
+/// sent to three of them, and from then on refused as not run, also by a daemon that starts later.
+#[test]
+fn a_call_that_ends_its_services_is_held_by_all_daemons() {
+    let mut cluster = campaign_cluster("3");
+    for _ in 0..4 {
+        cluster.service("plain", "a");
+    }
+    cluster.declare(&PLACES);
+    for (declared, process) in &cluster.backends {
+        if declared["kind"] == "plain" {
+            process.fault(json!({ "mode": "exit" }));
+        }
+    }
+    let is_held = |reply: &Reply| {
+        let kind = reply.json()["type"].as_str().unwrap_or_default().to_owned();
+        kind.ends_with("content-held") && reply.header("retry-after").is_some()
+    };
+    let mut held = false;
+    for arrival in 0..8 {
+        let reply = record(&cluster, arrival % 3, Some(&format!("fatal-{arrival}")), "fatal record");
+        assert!(reply.status == 502 || reply.status == 503, "{} {}", reply.status, reply.body);
+        held |= is_held(&reply);
+        std::thread::sleep(Duration::from_millis(900));
+    }
+    assert!(held, "the last arrivals are refused as held");
+    cluster.daemon("a");
+    cluster.settle();
+    std::thread::sleep(Duration::from_millis(1_500));
+    let newest = cluster.daemons.len() - 1;
+    assert!(is_held(&record(&cluster, newest, Some("fatal-new"), "fatal record")), "a daemon that started just now");
+    let mut plains = cluster.backends.iter_mut().filter(|(declared, _)| declared["kind"] == "plain");
+    let ended = plains.by_ref().filter_map(|(_, process)| process.child.try_wait().unwrap()).count();
+    assert!((3..=4).contains(&ended), "{ended} of 6 services ended");
+    let other = record(&cluster, 0, Some("other"), "another record");
+    assert_eq!(other.status, 200, "{}", other.body);
+}
+
 #[test]
 fn an_engine_that_names_no_version_makes_no_sample() {
     let cluster = campaign_cluster("3");
--- a/crates/trestlerack/src/connection/frame.rs
+++ b/crates/trestlerack/src/connection/frame.rs
@@ -1,6 +1,7 @@
 //! The frames that two daemons exchange over a node link, encoded as CBOR by the shell.
 
-use crate::process::{GroupSpec, Heartbeat};
+use crate::process::{GroupSpec, Heartbeat, StrikeNote};
+use crate::request::{RequestContent, RequestFingerprint};
 use crate::version::{ConfigDelta, Configuration, WeightTarget, WeightVersion};
 use crate::{Failure, Name, PlaceSet};
 use serde::{Deserialize, Serialize};
@@ -36,6 +37,23 @@
     pub deadline_ms: u64,
     /// W3C trace context of the caller's span.
     pub traceparent: Option<Name>,
+    /// What is asked for, the same over all resumptions; `None` from nodes that do not tell.
+    #[serde(default)]
+    pub content: Option<RequestFingerprint>,
+}
+
+impl CallSpec {
+    /// Returns the call with its content, as it is before the first attempt.
+    #[must_use]
+    pub fn with_content(self) -> Self {
+        let content = RequestContent {
+            customer: Some(&self.account),
+            host: &self.model,
+            path: "completions",
+            body: self.prompt.as_bytes(),
+        };
+        Self { content: Some(content.fingerprint()), ..self }
+    }
 }
 
 /// Tokens that an engine generated, with the version that the engine said made them.
@@ -115,6 +133,9 @@
         generation: u64,
         /// News of backend servers that are leaving or have come back.
         backends: Vec<BackendNews>,
+        /// Contents under which backend servers ended.
+        #[serde(default)]
+        strikes: Vec<StrikeNote>,
     },
     /// The answer to a probe.
     ProbeAnswer {
@@ -126,6 +147,9 @@
         generation: u64,
         /// News of backend servers that are leaving or have come back.
         backends: Vec<BackendNews>,
+        /// Contents under which backend servers ended.
+        #[serde(default)]
+        strikes: Vec<StrikeNote>,
     },
     /// Asks for the configuration after a generation.
     ConfigFetch {
--- a/crates/trestlerack/src/process/suspects/mod.rs
+++ b/crates/trestlerack/src/process/suspects/mod.rs
@@ -144,12 +144,22 @@
         fingerprint: RequestFingerprint,
         server: &ServerEntry,
         is_trial: bool,
+    ) -> Option<StrikeNote> {
+        self.ended_at(now, fingerprint, server_start(&server.instance, server.started_ms), is_trial)
+    }
+
+    /// The same for a server whose start the caller tells apart by a digest of its own.
+    pub fn ended_at(
+        &mut self,
+        now: Timestamp,
+        fingerprint: RequestFingerprint,
+        server: u64,
+        is_trial: bool,
     ) -> Option<StrikeNote> {
         if self.is_sound(now, fingerprint) {
             return None;
         }
-        let start = server_start(&server.instance, server.started_ms);
-        let note = StrikeNote { fingerprint, server: start, is_trial, is_void: false, age_ms: 0 };
+        let note = StrikeNote { fingerprint, server, is_trial, is_void: false, age_ms: 0 };
         self.join(now, &note).then_some(note)
     }
 
--- a/crates/trestlerack/src/verdict.rs
+++ b/crates/trestlerack/src/verdict.rs
@@ -67,6 +67,8 @@
     NoBackend,
     /// The backend server or the connection to it failed.
     BackendFailed,
+    /// Backend servers ended under what is asked for, so it is not sent to more of them for a while.
+    ContentHeld,
     /// The platform's store is needed for a safe answer and cannot be reached.
     StoreUnavailable,
     /// The node is stopping.
@@ -90,7 +92,7 @@
             Self::NotReady => 425,
             Self::RateLimited => 429,
             Self::BackendFailed => 502,
-            Self::Overloaded | Self::NoBackend | Self::StoreUnavailable | Self::Stopping => 503,
+            Self::Overloaded | Self::NoBackend | Self::ContentHeld | Self::StoreUnavailable | Self::Stopping => 503,
             Self::DeadlineExceeded => 504,
         }
     }
@@ -109,6 +111,7 @@
             Self::DeadlineExceeded => "deadline-exceeded",
             Self::NoBackend => "no-backend",
             Self::BackendFailed => "backend-failed",
+            Self::ContentHeld => "content-held",
             Self::StoreUnavailable => "store-unavailable",
             Self::Stopping => "stopping",
             Self::NotReady => "not-ready",
--- a/crates/trestlerackd/src/connection/link_server.rs
+++ b/crates/trestlerackd/src/connection/link_server.rs
@@ -4,7 +4,7 @@
 use crate::node::Node;
 use crate::process::clock;
 use crate::process::{logs, member_loop, rollout_loop};
-use crate::request::{call_router, group_runner};
+use crate::request::{call_router, content_gate, group_runner};
 use crate::version::config_loop;
 use futures_util::StreamExt;
 use std::collections::HashMap;
@@ -95,7 +95,8 @@
     async fn handle(self: Arc<Self>, node: &Arc<Node>, frame: LinkFrame) {
         match frame {
             LinkFrame::Hello { node: peer } => *self.peer.lock().unwrap() = peer,
-            LinkFrame::Probe { id, heartbeat, generation, backends } => {
+            LinkFrame::Probe { id, heartbeat, generation, backends, strikes } => {
+                content_gate::hear_strikes(node, &strikes);
                 member_loop::hear(node, heartbeat, generation, backends);
                 self.answer_probe(node, id).await;
             }
@@ -120,7 +121,8 @@
         let heartbeat = node.membership.lock().unwrap().heartbeat();
         let generation = node.config.current().generation;
         let backends = node.desks.take_news();
-        let answer = LinkFrame::ProbeAnswer { id, heartbeat, generation, backends };
+        let strikes = content_gate::probe_strikes(node);
+        let answer = LinkFrame::ProbeAnswer { id, heartbeat, generation, backends, strikes };
         // A closed link ends the session; there is nobody left to answer.
         let _ = self.outbox.send(answer).await;
     }
--- a/crates/trestlerackd/src/node.rs
+++ b/crates/trestlerackd/src/node.rs
@@ -12,6 +12,7 @@
 use crate::process::stop::StopState;
 use crate::process::telemetry::Telemetry;
 use crate::process::wanted::WantedGroups;
+use crate::request::content_gate::ContentGate;
 use crate::request::desks::DeskTable;
 use crate::request::engine_client::HttpEngineClient;
 use crate::request::loads::LoadTable;
@@ -86,6 +87,8 @@
     pub limits: UserLimits,
     /// Plain services.
     pub plain: PlainPool,
+    /// Contents under which backend servers ended.
+    pub gate: ContentGate,
     /// Groups that this node is making.
     pub wanted: WantedGroups,
     /// Groups that wait for the store.
@@ -142,6 +145,7 @@
             budget: Mutex::new(RetryBudget::new(RETRY_RATIO, RETRY_RESERVE)),
             limits: UserLimits::default(),
             plain: PlainPool::default(),
+            gate: ContentGate::default(),
             wanted: WantedGroups::default(),
             spool: GroupSpool::new(settings.spool_bytes),
             sample_slots: Arc::new(Semaphore::new(settings.max_samples)),
--- a/crates/trestlerackd/src/process/member_loop.rs
+++ b/crates/trestlerackd/src/process/member_loop.rs
@@ -4,6 +4,7 @@
 use crate::connection::links;
 use crate::node::Node;
 use crate::process::clock;
+use crate::request::content_gate;
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::connection::LinkFrame;
@@ -89,9 +90,11 @@
     let heartbeat = node.membership.lock().unwrap().heartbeat();
     let generation = node.config.current().generation;
     let backends = node.desks.take_news();
-    let build = |id| LinkFrame::Probe { id, heartbeat, generation, backends };
+    let strikes = content_gate::probe_strikes(&node);
+    let build = |id| LinkFrame::Probe { id, heartbeat, generation, backends, strikes };
     match links::request(&node, &peer, build, timeout).await {
-        Ok(LinkFrame::ProbeAnswer { heartbeat, generation, backends, .. }) => {
+        Ok(LinkFrame::ProbeAnswer { heartbeat, generation, backends, strikes, .. }) => {
+            content_gate::hear_strikes(&node, &strikes);
             hear(&node, heartbeat, generation, backends);
         }
         Ok(_) | Err(_) => tell(&node, MembershipEvent::Unanswered(peer.name)),
--- a/crates/trestlerackd/src/request/call_router.rs
+++ b/crates/trestlerackd/src/request/call_router.rs
@@ -1,5 +1,6 @@
 //! Takes a call to the owner of an engine, here or on a peer.
 
+use super::content_gate::{self, GuardedSend};
 use super::desks::Grant;
 use crate::connection::links::{self, RemoteCall};
 use crate::node::Node;
@@ -216,6 +217,15 @@
 ) -> Result<(), Failure> {
     let left = deadline.since(node.now());
     let call = node.engines.complete(&grant.address, spec, relay);
+    let call = async {
+        match spec.content {
+            Some(content) => {
+                let send = GuardedSend { backend: &grant.engine, address: &grant.address, content };
+                content_gate::guarded(node, send, call).await
+            }
+            None => call.await,
+        }
+    };
     let answer = clock::timeout(left, call).await;
     answer.unwrap_or_else(|_| Err(Failure::may_have_run(Reason::DeadlineExceeded, "the answer was not whole in time")))
 }
--- a/crates/trestlerackd/src/request/completions.rs
+++ b/crates/trestlerackd/src/request/completions.rs
@@ -85,7 +85,9 @@
         needs_version: false,
         deadline_ms: trestlerack::time::millis(allowed),
         traceparent: call.span.traceparent.clone(),
+        content: None,
     };
+    let spec = spec.with_content();
     let deadline = call.node.now() + allowed;
     if request.stream { stream(call, spec, deadline).await } else { collect(call, spec, deadline).await }
 }
--- /dev/null
+++ b/crates/trestlerackd/src/request/content_gate.rs
@@ -0,0 +1,132 @@
+//! Holds contents under which backend servers ended, on the daemon's own interface.
+//!
+//! The decisions are those of the entry service ([`SuspectBook`]). Nodes tell each other of strikes with
+//! their probes, so a node that starts or returns knows them with its first one.
+
+use crate::node::Node;
+use crate::process::clock::{self, SystemClock};
+use crate::process::logs;
+use std::future::Future;
+use std::io::ErrorKind;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use trestlerack::hash::hash_parts;
+use trestlerack::process::{StrikeNote, SuspectBook, SuspectSettings, SuspectStanding};
+use trestlerack::request::RequestFingerprint;
+use trestlerack::verdict::Reason;
+use trestlerack::{Failure, Name, Verdict, event};
+
+/// Time to find out whether an address still takes connections; one whose process has ended refuses
+/// within a round trip.
+const LISTEN_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Strikes that travel with a probe, newest first; some 50 bytes each.
+const PROBE_STRIKES: usize = 64;
+
+/// Time within which ends of one backend server count as one end. Declared servers have no start to
+/// tell their ends apart, and one that is down for seconds ends under several nodes' requests at once.
+const SAME_END_MS: u64 = 10_000;
+
+/// What this node knows of contents under which backend servers ended.
+pub struct ContentGate {
+    book: Mutex<SuspectBook>,
+}
+
+impl Default for ContentGate {
+    fn default() -> Self {
+        Self { book: Mutex::new(SuspectBook::new(SuspectSettings::default())) }
+    }
+}
+
+impl ContentGate {
+    fn book(&self) -> MutexGuard<'_, SuspectBook> {
+        self.book.lock().unwrap()
+    }
+}
+
+/// Where a request goes.
+pub struct GuardedSend<'a> {
+    /// Backend server.
+    pub backend: &'a Name,
+    /// Its address.
+    pub address: &'a str,
+    /// What is asked for.
+    pub content: RequestFingerprint,
+}
+
+/// Makes an exchange with a backend server, unless its content is held, and takes note of how it ends.
+pub async fn guarded<T>(
+    node: &Arc<Node>,
+    send: GuardedSend<'_>,
+    exchange: impl Future<Output = Result<T, Failure>>,
+) -> Result<T, Failure> {
+    let now = node.now();
+    // Taken before it is looked at: the refusal asks the book too.
+    let standing = node.gate.book().standing(now, send.content);
+    if let SuspectStanding::Held(left) = standing {
+        return Err(refuse(node, &send, left));
+    }
+    let run = node.gate.book().sent(now, send.backend, send.content);
+    let result = exchange.await;
+    let is_trial = run.is_some_and(|run| node.gate.book().is_trial(send.backend, run));
+    if let Some(run) = run {
+        node.gate.book().returned(send.backend, run);
+    }
+    match &result {
+        Ok(_) => {
+            node.gate.book().answered(node.now(), send.content);
+        }
+        Err(failure) if failure.verdict == Verdict::MayHaveRun && failure.reason == Reason::BackendFailed => {
+            if refuses_connections(send.address).await {
+                note_end(node, &send, is_trial);
+            }
+        }
+        Err(_) => {}
+    }
+    result
+}
+
+fn refuse(node: &Node, send: &GuardedSend<'_>, left: Duration) -> Failure {
+    let ended = node.gate.book().ended(send.content);
+    let fields: [(&str, &dyn std::fmt::Display); 4] =
+        [("request", &"-"), ("fingerprint", &send.content), ("ended", &ended), ("left_s", &left.as_secs())];
+    logs::write(event::REQUEST_HELD, &fields);
+    Failure::not_run(Reason::ContentHeld, "backend servers ended under what is asked for").retry_after(left)
+}
+
+fn note_end(node: &Node, send: &GuardedSend<'_>, is_trial: bool) {
+    let end = hash_parts(&[send.backend, &(SystemClock::unix_millis() / SAME_END_MS).to_string()]);
+    node.gate.book().ended_at(node.now(), send.content, end, is_trial);
+    let ended = node.gate.book().ended(send.content);
+    let fields: [(&str, &dyn std::fmt::Display); 5] = [
+        ("request", &"-"),
+        ("fingerprint", &send.content),
+        ("server", send.backend),
+        ("trial", &is_trial),
+        ("ended", &ended),
+    ];
+    logs::write(event::SERVER_ENDED, &fields);
+}
+
+async fn refuses_connections(address: &str) -> bool {
+    let connecting = clock::timeout(LISTEN_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connecting, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
+/// Returns the strikes that travel with a probe.
+pub fn probe_strikes(node: &Node) -> Vec<StrikeNote> {
+    let mut notes = node.gate.book().notes(node.now());
+    notes.sort_by_key(|note| note.age_ms);
+    notes.truncate(PROBE_STRIKES);
+    notes
+}
+
+/// Takes over the strikes that came with a probe.
+pub fn hear_strikes(node: &Node, notes: &[StrikeNote]) {
+    let now = node.now();
+    let mut book = node.gate.book();
+    for note in notes {
+        book.join(now, note);
+    }
+}
--- a/crates/trestlerackd/src/request/group_runner.rs
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -2,6 +2,7 @@
 
 use super::call_driver::{CallSink, HEDGE_PRIORITY, drive};
 use super::call_router::has_spare;
+use super::content_gate::{self, GuardedSend};
 use super::group_record::record;
 use crate::node::Node;
 use crate::process::stop::WorkGuard;
@@ -16,7 +17,7 @@
 use trestlerack::hash::hash_parts;
 use trestlerack::process::MadeGroup;
 use trestlerack::request::{
-    GroupAction, GroupDriver, GroupEvent, GroupSettings, ResumePolicy, Sample, SampleAssembler,
+    GroupAction, GroupDriver, GroupEvent, GroupSettings, RequestContent, ResumePolicy, Sample, SampleAssembler,
 };
 use trestlerack::verdict::Reason;
 use trestlerack::version::{BackendKind, Campaign, WeightVersion};
@@ -279,7 +280,7 @@
 ) -> CallSpec {
     let step = wanted.step.to_string();
     let index = attempt.index.to_string();
-    CallSpec {
+    let spec = CallSpec {
         account: campaign.name.clone(),
         weight: campaign.weight,
         model: campaign.model.clone(),
@@ -298,18 +299,24 @@
         needs_version: true,
         deadline_ms: node.left_ms(node.now() + SAMPLE_DEADLINE),
         traceparent,
-    }
+        content: None,
+    };
+    spec.with_content()
 }
 
 /// Scores a sample on a scoring service in the campaign's places.
 async fn score(node: &Arc<Node>, campaign: &Campaign, prompt: &str, text: &str) -> Result<f64, Failure> {
     let backends = node.plain.backends(BackendKind::Scoring, &campaign.scoring, &campaign.places);
+    let body = [prompt, "\n", text].concat();
+    let host = &campaign.scoring;
+    let content = RequestContent { customer: Some(&campaign.name), host, path: "score", body }.fingerprint();
     let mut tried = Vec::new();
     let mut last = Failure::not_run(Reason::NoBackend, "no scoring service in an allowed place");
     for _ in 0..SCORE_TRIES {
         let chosen = node.plain.choose(node.now(), &backends, &tried, |name| node.desks.is_leaving(name));
         let Some(backend) = chosen else { break };
-        let result = node.scoring.score(&backend.address, prompt, text).await;
+        let send = GuardedSend { backend: &backend.name, address: &backend.address, content };
+        let result = content_gate::guarded(node, send, node.scoring.score(&backend.address, prompt, text)).await;
         node.plain.ended(node.now(), &backend, result.is_ok());
         match result {
             Ok(score) => return Ok(score),
--- a/crates/trestlerackd/src/request/mod.rs
+++ b/crates/trestlerackd/src/request/mod.rs
@@ -4,6 +4,7 @@
 pub mod call_driver;
 pub mod call_router;
 pub mod completions;
+pub mod content_gate;
 pub mod desks;
 pub mod engine_client;
 pub mod group_record;
--- a/crates/trestlerackd/src/request/plain.rs
+++ b/crates/trestlerackd/src/request/plain.rs
@@ -1,6 +1,7 @@
 //! Calls to plain services, some of which must not run twice.
 
 use super::answer::{ApiCall, serve};
+use super::content_gate::{self, GuardedSend};
 use crate::connection::http_client::{HttpAnswer, read_whole};
 use crate::node::Node;
 use crate::process::clock;
@@ -16,7 +17,8 @@
 use std::time::Duration;
 use trestlerack::hash::digest_hex;
 use trestlerack::request::{
-    ClaimDecision, ClaimState, ClaimStore, ResumeDecision, ResumePolicy, claim_key, decide_resume,
+    ClaimDecision, ClaimState, ClaimStore, RequestContent, RequestFingerprint, ResumeDecision, ResumePolicy, claim_key,
+    decide_resume,
 };
 use trestlerack::verdict::Reason;
 use trestlerack::version::{Backend, BackendKind};
@@ -53,6 +55,13 @@
     repeatable: bool,
 }
 
+impl PlainCall {
+    fn content(&self) -> RequestFingerprint {
+        let path = [self.method.as_str(), " ", &self.target].concat();
+        RequestContent { customer: Some(&self.user), host: &self.service, path: &path, body: &self.body }.fingerprint()
+    }
+}
+
 async fn run(call: ApiCall) -> Result<Response<Body>, Failure> {
     let user = call.require_user()?;
     let service: Name = call.segment(2).into();
@@ -124,7 +133,8 @@
             let failure = Failure::not_run(Reason::NoBackend, "no backend server of the service takes requests");
             return Err(failure.retry_after(Duration::from_secs(1)));
         };
-        let result = send_once(node, call, &backend).await;
+        let send = GuardedSend { backend: &backend.name, address: &backend.address, content: call.content() };
+        let result = content_gate::guarded(node, send, send_once(node, call, &backend)).await;
         let is_good = result.as_ref().is_ok_and(|answer| !answer.status.is_server_error());
         node.plain.ended(node.now(), &backend, is_good);
         let failure = match result {
