Soak: requests that end their servers, suspended processes

Four servers that end when they run either of two contents and are back after 0.4 s; clients that send those to any node, and bystanders at the same servers, none of which may ever be held. Once all is calm each node holds both contents, with four more ends at most (strikes that only a killed node had seen are lost), and serves the rest. A third series suspends processes for 1.2 to 4.5 s; the seeds draw the same from the two others as before.

--- a/crates/trestlerackd/tests/entry/soak/faults.rs
+++ b/crates/trestlerackd/tests/entry/soak/faults.rs
@@ -25,6 +25,26 @@
     }
 }
 
+/// Pause between two suspensions, in milliseconds.
+const SUSPENSION_PAUSE_MS: std::ops::Range<u64> = 800..2_500;
+
+/// How long a process is suspended, in milliseconds: beyond its lease, the wait of the next holder, and
+/// its clients' patience. Signals stop its threads; that a suspended VM's monotonic clock stops too is
+/// tested apart, since no signal does that.
+const SUSPENDED_MS: std::ops::Range<u64> = 1_200..4_500;
+
+/// Suspends processes until `until`.
+pub fn run_suspensions(world: &Arc<World>, mut random: Pcg64Mcg, until: Instant) {
+    loop {
+        std::thread::sleep(Duration::from_millis(random.random_range(SUSPENSION_PAUSE_MS)));
+        if Instant::now() >= until {
+            return;
+        }
+        let node = random.random_range(0..world.nodes.len());
+        pause(world, node, Duration::from_millis(random.random_range(SUSPENDED_MS)));
+    }
+}
+
 fn inject(world: &Arc<World>, random: &mut Pcg64Mcg, lasting: Duration) {
     let node = random.random_range(0..world.nodes.len());
     match random.random_range(0..16) {
--- a/crates/trestlerackd/tests/entry/soak/mod.rs
+++ b/crates/trestlerackd/tests/entry/soak/mod.rs
@@ -7,6 +7,7 @@
 
 mod checks;
 mod clients;
+mod fatal;
 mod faults;
 mod link;
 mod world;
@@ -49,9 +50,14 @@
             scope.spawn(move || clients::send_requests(world, findings, random(stream), path));
         }
         scope.spawn(move || clients::read_streams(world, findings, random(5)));
+        // Series of their own, so that the seeds draw the same from the others as before.
+        let suspensions = scope.spawn(move || faults::run_suspensions(world, random(110), until));
+        scope.spawn(move || fatal::send_fatal(world, random(8)));
+        scope.spawn(move || fatal::send_bystanders(world, findings, random(9)));
+        scope.spawn(move || fatal::send_bystanders(world, findings, random(10)));
         scope.spawn(move || clients::train(world, findings, random(6), true));
         scope.spawn(move || clients::train(world, findings, random(7), false));
-        let ends: Vec<_> = series.into_iter().map(|series| series.join()).collect();
+        let ends: Vec<_> = series.into_iter().chain([suspensions]).map(|series| series.join()).collect();
         if ends.iter().all(Result::is_ok) {
             checks::all_serve_again(world);
         }
@@ -60,6 +66,7 @@
         ends.into_iter().for_each(|end| end.expect("a series of faults"));
     });
     checks::open_jobs_end(&world, &findings);
+    fatal::fatal_is_held(&world);
     checks::promises_held(&world, &findings);
     report(&world, &findings, seed)
 }
--- a/crates/trestlerackd/tests/entry/soak/world.rs
+++ b/crates/trestlerackd/tests/entry/soak/world.rs
@@ -13,6 +13,10 @@
 /// Servers of each kind.
 const SERVERS: usize = 3;
 
+/// Servers that some requests end, and the time after which they are back.
+const FRAGILE_SERVERS: usize = 4;
+const FRAGILE_BACK: Duration = Duration::from_millis(400);
+
 /// What a disturbance touches.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Place {
@@ -49,6 +53,8 @@
     pub platform: Platform,
     pub nodes: Vec<SoakNode>,
     pub server_links: Vec<Link>,
+    /// Servers that some requests end.
+    pub fragile: Arc<CrashingServers>,
     pub is_over: AtomicBool,
     pub logs: PathBuf,
     started: Instant,
@@ -69,6 +75,7 @@
             server_links.last().unwrap().address.clone()
         });
         platform.engine.pace_ms.store(25, Ordering::SeqCst);
+        let fragile = CrashingServers::start(&platform.store, "fragile", FRAGILE_SERVERS, FRAGILE_BACK);
         let logs = std::env::temp_dir().join(format!("soak-{seed}-{}", std::process::id()));
         std::fs::create_dir_all(&logs).unwrap();
         let mut started: Vec<SoakNode> = Vec::new();
@@ -93,6 +100,7 @@
             platform,
             nodes: started,
             server_links,
+            fragile,
             is_over: AtomicBool::new(false),
             logs,
             started: Instant::now(),
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -347,12 +347,15 @@
         "idle_timeout_ms": 15000 });
     json!({ "version": 1, "limits": limits,
         "services": [{ "name": "plain", "max_conns": 100 },
-            { "name": "models", "max_conns": 100, "engine": { "slots": 4, "models": [{ "name": "m" }] } }],
+            { "name": "models", "max_conns": 100, "engine": { "slots": 4, "models": [{ "name": "m" }] } },
+            { "name": "fragile", "max_conns": 100 }],
         "routes": [
             { "name": "safe", "host": "h.example", "prefix": "/safe/", "kind": "safe", "timeout_ms": 3000,
                 "target_latency_ms": 150, "service": "plain", "max_attempts": 3 },
             { "name": "untimed", "host": "h.example", "prefix": "/untimed/", "kind": "safe", "timeout_ms": 3000,
                 "service": "plain", "max_attempts": 3 },
+            { "name": "fragile", "host": "h.example", "prefix": "/fragile/", "kind": "safe", "timeout_ms": 3000,
+                "target_latency_ms": 150, "service": "fragile", "max_attempts": 3 },
             { "name": "once", "host": "h.example", "prefix": "/once/", "kind": "unsafe", "timeout_ms": 3000,
                 "target_latency_ms": 150, "service": "plain", "max_attempts": 3 },
             { "name": "resumed", "host": "h.example", "prefix": "/resumed/", "kind": "unsafe", "timeout_ms": 5000,
