--- a/crates/trestlerackd/tests/entry/soak/fatal.rs
+++ b/crates/trestlerackd/tests/entry/soak/fatal.rs
@@ -98,7 +98,7 @@
     }
     let until = Instant::now() + PATIENCE;
     for node in 0..world.nodes.len() {
-        while !ask(world, node, "calm", &format!("calm {node}")).is_some_and(|answer| answer.status == 200) {
+        while ask(world, node, "calm", &format!("calm {node}")).is_none_or(|answer| answer.status != 200) {
             if Instant::now() >= until {
                 world.violation(format!("node {node} does not serve what shared servers with held contents"));
                 break;
