Let cleared strikes make room for new ones

Cause: found in reading the change. A content keeps 16 strikes, void ones included, so one that was cleared 16 times could never be held, also if a new release of its service cannot bear it. The oldest void strike now makes room. Test: strikes_that_were_cleared_leave_room_for_new_ones, which failed before (the content stayed clear). An unused question of the book is gone.

--- a/crates/trestlerack/src/process/suspects/mod.rs
+++ b/crates/trestlerack/src/process/suspects/mod.rs
@@ -131,11 +131,6 @@
         Self { settings, ..Self::default() }
     }
 
-    /// Returns whether nothing is suspected, so that no request needs a look.
-    pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
-    }
-
     /// Records that a server ended as it worked on a request. Returns the strike, to be told to the
     /// other nodes, if it is news and counts.
     pub fn ended_under(
--- a/crates/trestlerack/src/process/suspects/record.rs
+++ b/crates/trestlerack/src/process/suspects/record.rs
@@ -24,11 +24,11 @@
     /// Joins a strike with what is known of the same server. Returns whether that says anything new.
     pub(super) fn join(&mut self, server: u64, strike: Strike, most: usize) -> bool {
         let Some(held) = self.strikes.get_mut(&server) else {
-            let has_room = self.strikes.len() < most;
-            if has_room {
-                self.strikes.insert(server, strike);
+            if self.strikes.len() >= most && !self.drop_void() {
+                return false;
             }
-            return has_room;
+            self.strikes.insert(server, strike);
+            return true;
         };
         // Only ever from false to true, so that the order in which nodes tell makes no difference.
         let joined =
@@ -38,6 +38,16 @@
         is_news
     }
 
+    /// Forgets the oldest void strike, so that a content that was sound for long can still be held once
+    /// it ends servers. Returns whether there was one.
+    fn drop_void(&mut self) -> bool {
+        let void = self.strikes.iter().filter(|(_, strike)| strike.is_void);
+        let Some((server, _)) = void.min_by_key(|(_, strike)| strike.at) else { return false };
+        let server = *server;
+        self.strikes.remove(&server);
+        true
+    }
+
     pub(super) fn void(&mut self, server: u64) {
         if let Some(strike) = self.strikes.get_mut(&server) {
             strike.is_void = true;
--- a/crates/trestlerack/tests/suspects.rs
+++ b/crates/trestlerack/tests/suspects.rs
@@ -168,6 +168,25 @@
     assert_eq!(mine, settings.most_strikes);
 }
 
+/// A content that was cleared again and again, of ends that were none of its doing, and then ends
+/// servers itself, as one does that a new release cannot bear.
+#[test]
+fn strikes_that_were_cleared_leave_room_for_new_ones() {
+    let (mut book, content) = (book(), fingerprint("sound for long"));
+    let apart = SuspectSettings::default().sound_life;
+    let mut now = NOW;
+    for number in 0..40 {
+        now = now + apart;
+        end_under(&mut book, now, number, &[content]);
+        book.answered(now, content);
+    }
+    for number in 100..103 {
+        now = now + apart;
+        end_under(&mut book, now, number, &[content]);
+    }
+    assert!(matches!(book.standing(now, content), SuspectStanding::Held(_)));
+}
+
 /// Whatever nodes hear, in whatever order and how often, they come to the same verdicts.
 #[test]
 fn the_order_of_news_makes_no_difference() {
