Tell strikes at once on the daemon's own interface, and ask an ended server's address again

Two ways lead there: strikes travelled with the probes of each 0.5 s only, so the next arrival could come before them, which makes its run no trial; and a process that ends may close its connection before its address, which then seems to listen, and the strike is lost. Change: news of strikes is told to three peers at once, by a probe, and passed on; the address is asked three times, 30 ms apart. The test names what each daemon saw if it fails again. The entry service does not run this code.

--- a/crates/trestlerack-standins/tests/failures.rs
+++ b/crates/trestlerack-standins/tests/failures.rs
@@ -215,7 +215,10 @@
     assert!(is_held(&record(&cluster, newest, Some("fatal-new"), "fatal record")), "a daemon that started just now");
     let mut plains = cluster.backends.iter_mut().filter(|(declared, _)| declared["kind"] == "plain");
     let ended = plains.by_ref().filter_map(|(_, process)| process.child.try_wait().unwrap()).count();
-    assert!((3..=4).contains(&ended), "{ended} of 6 services ended");
+    let tells = |line: &&str| line.contains("server-ended") || line.contains("request-held");
+    let lines_of = |log: String| log.lines().filter(tells).map(str::to_owned).collect::<Vec<_>>();
+    let told: Vec<Vec<String>> = cluster.daemons.iter().map(|daemon| lines_of(daemon.log())).collect();
+    assert!((3..=4).contains(&ended), "{ended} of 6 services ended: {told:#?}");
     let other = record(&cluster, 0, Some("other"), "another record");
     assert_eq!(other.status, 200, "{}", other.body);
 }
--- a/crates/trestlerackd/src/process/member_loop.rs
+++ b/crates/trestlerackd/src/process/member_loop.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::connection::LinkFrame;
-use trestlerack::event;
-use trestlerack::process::{Heartbeat, Liveness, MembershipAction, MembershipEvent, PeerInfo};
+use trestlerack::process::{GossipSettings, Heartbeat, Liveness, MembershipAction, MembershipEvent, PeerInfo};
 use trestlerack::version::FollowEvent;
+use trestlerack::{Name, event};
 
 /// Part of the interval between two reads of the platform's list for each node.
 const LIST_INTERVAL_PER_NODE: Duration = Duration::from_millis(80);
@@ -101,6 +101,20 @@
     }
 }
 
+/// Probes some peers at once, for news that cannot wait for the next interval.
+pub fn probe_some(node: &Arc<Node>, gossip: &GossipSettings) {
+    let alive: Vec<PeerInfo> = {
+        let membership = node.membership.lock().unwrap();
+        let alive = membership.peers().filter(|update| update.liveness == Liveness::Alive);
+        alive.map(|update| update.peer).filter(|peer| peer.name != *node.name()).collect()
+    };
+    let names: Vec<Name> = alive.iter().map(|peer| peer.name.clone()).collect();
+    let told = gossip.pick_told(&names, &mut rand::rng());
+    for peer in alive.into_iter().filter(|peer| told.contains(&peer.name)) {
+        tokio::spawn(probe(node.clone(), peer));
+    }
+}
+
 /// Takes in what a peer said in a probe or in its answer.
 pub fn hear(
     node: &Arc<Node>,
--- a/crates/trestlerackd/src/request/content_gate.rs
+++ b/crates/trestlerackd/src/request/content_gate.rs
@@ -1,18 +1,19 @@
 //! Holds contents under which backend servers ended, on the daemon's own interface.
 //!
 //! The decisions are those of the entry service ([`SuspectBook`]). Nodes tell each other of strikes with
-//! their probes, so a node that starts or returns knows them with its first one.
+//! their probes, so a node that starts or returns knows them with its first one. News is told at once:
+//! with the probes of each interval only, the next arrival of a content came before its strikes.
 
 use crate::node::Node;
 use crate::process::clock::{self, SystemClock};
-use crate::process::logs;
+use crate::process::{logs, member_loop};
 use std::future::Future;
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use trestlerack::hash::hash_parts;
-use trestlerack::process::{StrikeNote, SuspectBook, SuspectSettings, SuspectStanding};
+use trestlerack::process::{GossipSettings, StrikeNote, SuspectBook, SuspectSettings, SuspectStanding};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::verdict::Reason;
 use trestlerack::{Failure, Name, Verdict, event};
@@ -21,6 +22,10 @@
 /// within a round trip.
 const LISTEN_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// How often an address is asked, and the pause in between.
+const LISTEN_TRIES: usize = 3;
+const LISTEN_PAUSE: Duration = Duration::from_millis(30);
+
 /// Strikes that travel with a probe, newest first; some 50 bytes each.
 const PROBE_STRIKES: usize = 64;
 
@@ -95,9 +100,12 @@
     Failure::not_run(Reason::ContentHeld, "backend servers ended under what is asked for").retry_after(left)
 }
 
-fn note_end(node: &Node, send: &GuardedSend<'_>, is_trial: bool) {
+fn note_end(node: &Arc<Node>, send: &GuardedSend<'_>, is_trial: bool) {
     let end = hash_parts(&[send.backend, &(SystemClock::unix_millis() / SAME_END_MS).to_string()]);
-    node.gate.book().ended_at(node.now(), send.content, end, is_trial);
+    let is_news = node.gate.book().ended_at(node.now(), send.content, end, is_trial).is_some();
+    if is_news {
+        member_loop::probe_some(node, &GossipSettings::default());
+    }
     let ended = node.gate.book().ended(send.content);
     let fields: [(&str, &dyn std::fmt::Display); 5] = [
         ("request", &"-"),
@@ -109,9 +117,17 @@
     logs::write(event::SERVER_ENDED, &fields);
 }
 
+/// A process that ends may close a connection before the address that it listens on, and there is no
+/// service discovery here to tell later that it ended; so the address is asked several times.
 async fn refuses_connections(address: &str) -> bool {
-    let connecting = clock::timeout(LISTEN_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connecting, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    for _ in 0..LISTEN_TRIES {
+        let connecting = clock::timeout(LISTEN_TIMEOUT, TcpStream::connect(address)).await;
+        if matches!(connecting, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        clock::sleep(LISTEN_PAUSE).await;
+    }
+    false
 }
 
 /// Returns the strikes that travel with a probe.
@@ -123,10 +139,12 @@
 }
 
 /// Takes over the strikes that came with a probe.
-pub fn hear_strikes(node: &Node, notes: &[StrikeNote]) {
+pub fn hear_strikes(node: &Arc<Node>, notes: &[StrikeNote]) {
     let now = node.now();
     let mut book = node.gate.book();
-    for note in notes {
-        book.join(now, note);
+    let news = notes.iter().filter(|note| book.join(now, note)).count();
+    drop(book);
+    if news > 0 {
+        member_loop::probe_some(node, &GossipSettings::default());
     }
 }
