Derive figures of the first deployments, or make them settings

Ruled out: a learnt load_share, which would have to overload the store of weights to see its limit. The fields of the settings are written by kind, one block of equal shape less.

--- a/crates/trestlerack/src/process/answer_time.rs
+++ b/crates/trestlerack/src/process/answer_time.rs
@@ -1,5 +1,7 @@
 //! What is a usual time for an answer of a service.
 
+use crate::Name;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Answers after which the estimate is used; the first few of a service may all be short.
@@ -43,3 +45,29 @@
         (self.answers >= LEAST_ANSWERS).then(|| Duration::from_secs_f64((self.mean_ms + added_ms) / 1_000.0))
     }
 }
+
+/// Names whose estimates are kept at most. Routes come and go with each configuration; some 30 bytes
+/// and the name each.
+const MOST_NAMES: usize = 1_024;
+
+/// Estimates by the name of a service or route.
+#[derive(Clone, Debug, Default)]
+pub struct AnswerTimes {
+    times: BTreeMap<Name, AnswerTime>,
+}
+
+impl AnswerTimes {
+    /// Records how long a good answer took.
+    pub fn record(&mut self, name: &Name, took: Duration) {
+        if self.times.len() >= MOST_NAMES && !self.times.contains_key(name) {
+            // They are learnt anew within a few answers.
+            self.times.clear();
+        }
+        self.times.entry(name.clone()).or_default().record(took);
+    }
+
+    /// Returns the time after which an answer is late, or `None` while too few are known.
+    pub fn usual(&self, name: &str) -> Option<Duration> {
+        self.times.get(name)?.usual()
+    }
+}
--- a/crates/trestlerack/src/process/entry_settings.rs
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -4,6 +4,7 @@
 use crate::process::UsageSettings;
 use crate::schema::{DocumentFault, FieldKind, FieldSpec, check_document};
 use serde::Deserialize;
+use std::time::Duration;
 
 /// Settings of one entry node, read from a JSON file with comments.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -41,6 +42,12 @@
     pub order_handover_ms: u64,
     /// Time after its submission for which an ended job can be read, in seconds.
     pub retention_s: u64,
+    /// Interval at which backend servers write to service discovery.
+    pub server_heartbeat_ms: u64,
+    /// Share of a service's engines that may load weights at once.
+    pub load_share: f64,
+    /// Time that a load of weights takes, until loads were seen.
+    pub first_load_ms: u64,
     /// Address of the platform's interface for duties; empty where there is none.
     pub duty_service: Name,
     /// Duty calls that the platform takes from all nodes together, each second.
@@ -72,6 +79,9 @@
             stop_limit_s: 8.0,
             order_handover_ms: 3_000,
             retention_s: 600,
+            server_heartbeat_ms: 1_200,
+            load_share: 0.2,
+            first_load_ms: 950,
             duty_service: "".into(),
             duty_calls_per_s: 10.0,
             usage_window_s: 0.0,
@@ -81,14 +91,20 @@
     }
 }
 
+/// Heartbeats of silence after which the entry of a backend server lapses, by the platform's pages.
+const LAPSE_HEARTBEATS: u64 = 3;
+
 impl EntrySettings {
     /// Returns what the VM's processor can do, in thousandths of a core.
     pub fn capacity(&self) -> u32 {
         (self.cpu_share * self.cpu_speed * 1_000.0).round() as u32
     }
-}
 
-impl EntrySettings {
+    /// Returns the time after which service discovery has dropped the entry of a server that is gone.
+    pub fn lapse_time(&self) -> Duration {
+        Duration::from_millis(self.server_heartbeat_ms.saturating_mul(LAPSE_HEARTBEATS))
+    }
+
     /// Returns how usage is reported, where it is.
     pub fn usage(&self) -> Option<UsageSettings> {
         let millis = |seconds: f64| (seconds * 1_000.0) as u64;
@@ -101,6 +117,14 @@
     FieldSpec { name, kind, default, meaning }
 }
 
+const fn count(name: &'static str, min: u64, max: u64, default: &'static str, meaning: &'static str) -> FieldSpec {
+    field(name, FieldKind::Count { min, max }, Some(default), meaning)
+}
+
+const fn ratio(name: &'static str, min: f64, max: f64, default: &'static str, meaning: &'static str) -> FieldSpec {
+    field(name, FieldKind::Ratio { min, max }, Some(default), meaning)
+}
+
 const HOUR_MS: u64 = 3_600_000;
 
 /// The fields of the settings file, also the source of docs/SETTINGS.md.
@@ -114,72 +138,67 @@
     field("otlp_endpoint", FieldKind::Text, Some(""), "URL of an OTLP collector for spans; none if left out."),
     field("seeds", FieldKind::TextList, Some("[]"), "Peer addresses of a few nodes that may be up."),
     field("store", FieldKind::Address, None, "Address of the platform's store."),
-    field(
+    count(
         "store_reads_per_s",
-        FieldKind::Count { min: 1, max: 1 << 30 },
-        Some("2000"),
+        1,
+        1 << 30,
+        "2000",
         "Reading calls that the store takes from all nodes together, each second.",
     ),
-    field(
-        "store_row_bytes",
-        FieldKind::Count { min: 1_024, max: 1 << 30 },
-        Some("65536"),
-        "Most bytes of the content of a row in the store.",
-    ),
-    field(
+    count("store_row_bytes", 1_024, 1 << 30, "65536", "Most bytes of the content of a row in the store."),
+    ratio(
         "cpu_share",
-        FieldKind::Ratio { min: 0.001, max: 1_024.0 },
-        Some("1"),
+        0.001,
+        1_024.0,
+        "1",
         "Share of a processor core that the VM has; larger VMs drive the batch jobs.",
     ),
-    field(
-        "cpu_speed",
-        FieldKind::Ratio { min: 0.001, max: 1_024.0 },
-        Some("1"),
-        "How many times as fast as one core that core is.",
-    ),
-    field(
-        "stop_limit_s",
-        FieldKind::Ratio { min: 0.1, max: 3_600.0 },
-        Some("8"),
-        "Time from a planned stop to the kill.",
-    ),
-    field(
+    ratio("cpu_speed", 0.001, 1_024.0, "1", "How many times as fast as one core that core is."),
+    ratio("stop_limit_s", 0.1, 3_600.0, "8", "Time from a planned stop to the kill."),
+    count(
         "order_handover_ms",
-        FieldKind::Count { min: 1, max: HOUR_MS },
-        Some("3000"),
+        1,
+        HOUR_MS,
+        "3000",
         "Time that a new holder of the order lease waits before its first order.",
     ),
-    field(
-        "retention_s",
-        FieldKind::Count { min: 1, max: 30 * 86_400 },
-        Some("600"),
-        "Time after its submission for which an ended job can be read.",
+    count("retention_s", 1, 30 * 86_400, "600", "Time after its submission for which an ended job can be read."),
+    count(
+        "server_heartbeat_ms",
+        1,
+        HOUR_MS,
+        "1200",
+        "Interval at which backend servers write to service discovery; an entry lapses after three.",
+    ),
+    ratio(
+        "load_share",
+        0.0,
+        1.0,
+        "0.2",
+        "Share of a service's engines that may load weights at once; two may in any case.",
     ),
+    count("first_load_ms", 1, HOUR_MS, "950", "Time that a load of weights takes, until loads were seen."),
     field(
         "duty_service",
         FieldKind::Text,
         Some(""),
         "Address of the platform's interface for usage reports and orders of engines; none if left out.",
     ),
-    field(
+    ratio(
         "duty_calls_per_s",
-        FieldKind::Ratio { min: 0.1, max: 1_000_000.0 },
-        Some("10"),
+        0.1,
+        1_000_000.0,
+        "10",
         "Calls for duties that the platform takes from all nodes together, each second; a quarter of them are made for each duty.",
     ),
-    field(
+    ratio(
         "usage_window_s",
-        FieldKind::Ratio { min: 0.0, max: 86_400.0 },
-        Some("0"),
+        0.0,
+        86_400.0,
+        "0",
         "Length of a window of usage reports, counted from 1970; 0 for no reports.",
     ),
-    field(
-        "usage_due_s",
-        FieldKind::Ratio { min: 0.1, max: 86_400.0 },
-        Some("10"),
-        "Time after a window's end at which its report is due.",
-    ),
+    ratio("usage_due_s", 0.1, 86_400.0, "10", "Time after a window's end at which its report is due."),
     field(
         "log_level",
         FieldKind::Choice(&["error", "warn", "info", "debug", "trace"]),
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -30,6 +30,7 @@
 mod suspension;
 mod usage;
 
+pub use answer_time::AnswerTimes;
 pub use broadcast::BroadcastQueue;
 pub use direct_way::{DirectWay, WayChange};
 pub use duty_gate::{DutyGate, DutySettings};
@@ -61,7 +62,8 @@
 };
 pub use step_store::{MadeGroup, ManifestCache, Opened, Recorded, StepLook, StepStore};
 pub use suspects::{
-    GossipSettings, StrikeNote, SuspectBook, SuspectLine, SuspectRun, SuspectSettings, SuspectStanding, server_start,
+    GossipSettings, NEWS_LAG, StrikeNote, SuspectBook, SuspectLine, SuspectRun, SuspectSettings, SuspectStanding,
+    server_start,
 };
 pub use suspension::SuspensionGauge;
 pub use usage::{
--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -3,7 +3,7 @@
 //! Beliefs come from service discovery, from the servers' own answers and from the runs that this
 //! node made on them; no server is asked anything only to learn its state.
 
-use super::answer_time::AnswerTime;
+use super::answer_time::AnswerTimes;
 use super::registry::ServerRegistry;
 use super::server_belief::{ChoiceBasis, ServerBelief, StatedLoad};
 use crate::hash::{hash_parts, rendezvous_weight};
@@ -112,7 +112,7 @@
     /// The model that each engine is to serve, by instance; kept for engines not listed yet too.
     assigned: BTreeMap<Name, Name>,
     /// How long answers take, by service.
-    answer_times: BTreeMap<Name, AnswerTime>,
+    answer_times: AnswerTimes,
 }
 
 impl ServerBoard {
@@ -284,12 +284,12 @@
 
     /// Returns the time after which an answer of a service is late, once enough answers are known.
     pub fn usual_answer_time(&self, service: &str) -> Option<Duration> {
-        self.answer_times.get(service)?.usual()
+        self.answer_times.usual(service)
     }
 
     /// Records how long a good answer of a service took.
     pub fn answered(&mut self, service: &Name, took: Duration) {
-        self.answer_times.entry(service.clone()).or_default().record(took);
+        self.answer_times.record(service, took);
     }
 
     /// Records that a request was sent to a server.
--- a/crates/trestlerack/src/process/suspects/mod.rs
+++ b/crates/trestlerack/src/process/suspects/mod.rs
@@ -35,8 +35,8 @@
     /// Time after a whole answer in which ends are no strikes of its content: a content that is sent
     /// all the time is in progress at most ends, and was answered just before.
     pub sound_life: Duration,
-    /// Time in which service discovery may still tell that a server ended whose connection broke. An
-    /// entry lapses after three heartbeats, 3.6 s on the users' sheets.
+    /// Time in which service discovery may still tell that a server ended whose connection broke: what
+    /// an entry takes to lapse, and [`NEWS_LAG`].
     pub doubt_life: Duration,
     /// Contents kept at most; each takes some 100 bytes and 30 for each strike.
     pub most_suspects: usize,
@@ -46,13 +46,18 @@
     pub most_recent: usize,
 }
 
+/// Time by which news of a lapsed entry may be late here: the pause of a watch, a slow store's answer, and
+/// the work that the server still did for a client that had left. Reckoned; a longer one blames
+/// requests for ends that came after them.
+pub const NEWS_LAG: Duration = Duration::from_millis(1_400);
+
 impl Default for SuspectSettings {
     fn default() -> Self {
         Self {
             held_from: 3,
             life: Duration::from_secs(600),
             sound_life: Duration::from_secs(10),
-            doubt_life: Duration::from_secs(5),
+            doubt_life: Duration::from_millis(3_600) + NEWS_LAG,
             most_suspects: 512,
             most_strikes: 16,
             most_recent: 256,
--- a/crates/trestlerack/src/request/ledger/texts.rs
+++ b/crates/trestlerack/src/request/ledger/texts.rs
@@ -13,16 +13,17 @@
         }
     }
 
-    /// Takes what was generated since the last call, up to a size in bytes. Short texts are left out:
-    /// making them again costs less than storing them.
-    pub fn take_unstored(&mut self, least_bytes: usize, most_bytes: usize) -> Vec<TextDelta> {
+    /// Takes what was generated since the last call, up to a size in bytes. Fewer new events than
+    /// `least_events` are left out: making them again costs less than storing them.
+    pub fn take_unstored(&mut self, least_events: u64, most_bytes: usize) -> Vec<TextDelta> {
         let (mut deltas, mut bytes) = (Vec::new(), 0);
         for (item, state) in self.spec.items.iter().zip(&mut self.items) {
             let (after, length) = state.stored;
             let text = &state.transcript.text;
             let is_open = matches!(state.phase, ItemPhase::Running(_) | ItemPhase::Scoring);
             let Some(last_event) = state.transcript.last_event.filter(|_| is_open) else { continue };
-            if text.len() < length + least_bytes || bytes >= most_bytes {
+            let new_events = after.map_or(last_event.max(1), |after| last_event.saturating_sub(after));
+            if new_events < least_events || bytes >= most_bytes {
                 continue;
             }
             bytes += text.len() - length;
--- a/crates/trestlerack/src/version/mod.rs
+++ b/crates/trestlerack/src/version/mod.rs
@@ -27,4 +27,4 @@
 };
 pub use routing::{ClientLimits, RequestRoute, RouteKind, RoutedService, RoutingTable, SplitShare};
 pub use staleness::{SampleAge, StalenessRule, WeightVersion};
-pub use weight_plan::{DueOrder, EngineAssignment, OrderOutcome, WeightPlan, WeightPlanSettings};
+pub use weight_plan::{DueOrder, EngineAssignment, LIST_LAG, OrderOutcome, WeightPlan, WeightPlanSettings};
--- a/crates/trestlerack/src/version/weight_plan.rs
+++ b/crates/trestlerack/src/version/weight_plan.rs
@@ -11,8 +11,8 @@
 /// Settings of a [`WeightPlan`].
 #[derive(Clone, Debug)]
 pub struct WeightPlanSettings {
-    /// Share of a service's engines that may load at once. The users' sheets slow loads down from
-    /// two of nine to eleven engines on, and from nine of 44: a fifth in each case.
+    /// Share of a service's engines that may load at once, which an operator knows from the store of
+    /// weights. More of them at once only slow each other down.
     pub parallel_share: f64,
     /// Engines that may load at once in any case.
     pub parallel_least: usize,
@@ -21,15 +21,19 @@
     /// loads every second version, and half as many runs wait for a load. With a third or two
     /// thirds, days were worth 0.02 to 0.03 less (docs/MEASUREMENTS.md).
     pub newest_share: f64,
-    /// Time that a load takes until loads were seen; the users' sheets say 0.9 s.
+    /// Time that a load takes until loads were seen, from which it is learnt.
     pub load_time: Duration,
     /// Pause before an engine whose order failed is ordered again.
     pub retry_pause: Duration,
-    /// Time after which service discovery must show a load, or it counts as not done: three
-    /// heartbeats of 1.2 s and the lag of the list.
+    /// Time after which service discovery must show a load, or it counts as not done: what an entry
+    /// takes to lapse, and [`LIST_LAG`].
     pub proof_time: Duration,
 }
 
+/// Time by which service discovery may be behind an engine's heartbeat: the pause of its watch and a slow
+/// store's answer.
+pub const LIST_LAG: Duration = Duration::from_millis(900);
+
 impl Default for WeightPlanSettings {
     fn default() -> Self {
         Self {
@@ -38,7 +42,7 @@
             newest_share: 0.5,
             load_time: Duration::from_millis(950),
             retry_pause: Duration::from_millis(150),
-            proof_time: Duration::from_millis(4_500),
+            proof_time: Duration::from_millis(3_600) + LIST_LAG,
         }
     }
 }
--- a/crates/trestlerack/tests/answer_times.rs
+++ b/crates/trestlerack/tests/answer_times.rs
@@ -1,7 +1,7 @@
 //! How long an answer may take before a second server is asked.
 
 use std::time::Duration;
-use trestlerack::process::{BoardSettings, ServerBoard};
+use trestlerack::process::{AnswerTimes, BoardSettings, ServerBoard};
 
 fn usual_after(answers_ms: &[u64]) -> Option<Duration> {
     let mut board = ServerBoard::new(BoardSettings::default());
@@ -31,3 +31,15 @@
 fn answers_that_hardly_differ_leave_room_for_a_longer_one() {
     assert!(usual_after(&[30; 100]).unwrap() >= Duration::from_millis(59));
 }
+
+/// Routes come and go with configurations, and those that are in use are learnt anew at once.
+#[test]
+fn estimates_of_names_that_are_gone_do_not_pile_up() {
+    let mut times = AnswerTimes::default();
+    for number in 0..5_000 {
+        (0..8).for_each(|_| times.record(&format!("route-{number}").into(), Duration::from_millis(30)));
+    }
+    let kept = (0..5_000).filter(|number| times.usual(&format!("route-{number}")).is_some()).count();
+    assert!(kept <= 1_024, "{kept} names are kept");
+    assert!(times.usual("route-4999").is_some());
+}
--- a/crates/trestlerack/tests/ledger.rs
+++ b/crates/trestlerack/tests/ledger.rs
@@ -279,3 +279,20 @@
         kept.iter().filter(|item| &*item.id == "a2").map(|item| item.transcript.versions.as_slice()).collect();
     assert_eq!(texts, [&[MIN_VERSION][..], &[newest][..]]);
 }
+
+/// How long an event is makes no difference to when it is stored: making it again takes the same time.
+#[test]
+fn texts_are_stored_by_their_events() {
+    let mut ledger = ledger(LedgerSettings::default(), vec![], vec![]);
+    ledger.start(0, &"engine".into());
+    for number in 1..=7 {
+        let long = ItemEvent { data: "long ".repeat(1_000), ..event(number) };
+        ledger.append(0, RunLane::Main, &long, Some(MIN_VERSION)).unwrap();
+    }
+    assert!(ledger.take_unstored(8, 1_000_000).is_empty());
+    ledger.append(0, RunLane::Main, &event(8), Some(MIN_VERSION)).unwrap();
+    let deltas = ledger.take_unstored(8, 1_000_000);
+    assert_eq!((deltas.len(), deltas[0].after, deltas[0].last_event), (1, None, 8));
+    ledger.append(0, RunLane::Main, &event(9), Some(MIN_VERSION)).unwrap();
+    assert!(ledger.take_unstored(8, 1_000_000).is_empty(), "one event more");
+}
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -21,8 +21,9 @@
 /// Time from which a run that ended whole is logged too.
 const LONG_RUN: Duration = Duration::from_secs(3);
 
-/// Time that an engine is given for one run, which no run of the users' sheets reaches.
-const RUN_TIME: Duration = Duration::from_secs(30);
+/// Time that an engine is given for one run where the route sets no end to a job. Runs that make no
+/// progress are left long before; it bounds what a node that is gone leaves behind at an engine.
+const ENDLESS_RUN_TIME: Duration = Duration::from_secs(60);
 
 /// A run and what is noted of it for the log.
 struct RunTrace {
@@ -81,7 +82,7 @@
         headers: item_headers(item),
         instance: &instance,
         customer: driver.customer.as_deref(),
-        time_left: Some(RUN_TIME),
+        time_left: Some(run_time(node, driver)),
         priority: None,
         exact_version,
         resume_after,
@@ -110,6 +111,17 @@
     }
 }
 
+/// Returns the time that is left until the job's items are given up.
+fn run_time(node: &EntryNode, driver: &JobDriver) -> Duration {
+    let routing = node.routing();
+    let route = routing.as_ref().and_then(|routing| routing.select(&driver.spec.host, &driver.spec.path));
+    let Some(give_up_ms) = route.map(|route| route.give_up_ms).filter(|give_up_ms| *give_up_ms > 0) else {
+        return ENDLESS_RUN_TIME;
+    };
+    let age_ms = node.store.clock_ms().saturating_sub(driver.accepted_ms);
+    Duration::from_millis(give_up_ms.saturating_sub(age_ms))
+}
+
 fn item_headers(item: &JobItem) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -51,6 +51,8 @@
     pub spec: Arc<JobSpec>,
     /// Customer that the job belongs to.
     pub customer: Option<Name>,
+    /// When the job was accepted, on the store's clock.
+    pub accepted_ms: u64,
     /// What each item asks for, by its position.
     pub fingerprints: Vec<RequestFingerprint>,
     /// What the score call of each item asks for.
@@ -71,7 +73,8 @@
 }
 
 impl JobDriver {
-    fn new(spec: Arc<JobSpec>, customer: Option<Name>, ledger: JobLedger) -> Self {
+    fn new(spec: Arc<JobSpec>, head: &JobHead, ledger: JobLedger) -> Self {
+        let customer = head.customer.clone();
         let fingerprint = |item: &JobItem| {
             let customer = customer.as_deref();
             RequestContent { customer, host: &spec.host, path: &item.path, body: &item.body }.fingerprint()
@@ -82,6 +85,7 @@
         Self {
             spec,
             customer,
+            accepted_ms: head.accepted_ms,
             fingerprints,
             score_fingerprints,
             held: Mutex::default(),
@@ -187,7 +191,7 @@
     let node = node.clone();
     let settings = ledger_settings(&node, &spec);
     let ledger = JobLedger::new(spec.clone(), settings.clone(), Vec::new(), HashMap::new());
-    let driver = Arc::new(JobDriver::new(spec.clone(), head.customer.clone(), ledger));
+    let driver = Arc::new(JobDriver::new(spec.clone(), &head, ledger));
     node.drivers.lock().unwrap().insert(spec.id.clone(), driver.clone());
     // News of the job's end that came after its rows were read found no driver to tell.
     if node.job(&spec.id).is_some_and(|view| view.is_ended) {
@@ -223,7 +227,6 @@
 async fn drive(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, head: JobHead, version: u64) {
     let job = driver.spec.id.clone();
     logs::write(event::JOB_DRIVEN, &[("job", &job), ("fence", &head.fence), ("listed", &head.listed)]);
-    let accepted_ms = head.accepted_ms;
     let text_log = tokio::spawn(job_texts::log_texts(node.clone(), driver.clone(), head.fence));
     let recorder = tokio::spawn(job_records::record_results(node.clone(), driver.clone(), head, version));
     let mut told_at = node.now();
@@ -233,7 +236,7 @@
             tell_progress(node, driver);
         }
         if let Some(routing) = node.routing() {
-            bring_forward(node, driver, &routing, accepted_ms);
+            bring_forward(node, driver, &routing);
         }
         // Ends with news of the job or with the interval; both lead to another look.
         let _ = clock::timeout(LOOK_INTERVAL, driver.wake.notified()).await;
@@ -273,14 +276,14 @@
 }
 
 /// One look at the job: gives up what is overdue, places items and starts score calls.
-fn bring_forward(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, routing: &RoutingTable, accepted_ms: u64) {
+fn bring_forward(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, routing: &RoutingTable) {
     let Some(route) = routing.select(&driver.spec.host, &driver.spec.path) else {
         logs::write(event::JOB_OVERDUE, &[("job", &driver.spec.id), ("why", &"its route was removed")]);
         driver.ledger.lock().unwrap().give_up_all();
         driver.record.notify_one();
         return;
     };
-    let age_ms = node.store.clock_ms().saturating_sub(accepted_ms);
+    let age_ms = node.store.clock_ms().saturating_sub(driver.accepted_ms);
     if route.give_up_ms > 0 && age_ms >= route.give_up_ms {
         logs::write(event::JOB_OVERDUE, &[("job", &driver.spec.id), ("why", &"its time is over")]);
         driver.cancel_runs(node.now());
--- a/crates/trestlerackd/src/entry/job_texts.rs
+++ b/crates/trestlerackd/src/entry/job_texts.rs
@@ -25,8 +25,9 @@
 /// Interval at which new text is stored; what a lost node had made since then is made again.
 const TEXT_LOG_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Shortest new text that is stored, in bytes: some eight events of the users' sheets.
-const TEXT_LOG_LEAST: usize = 2_000;
+/// New events of a text from which they are stored. A takeover makes fewer again in a third of a second
+/// at 40 ms an event, and a row for each event would be a write for each.
+const TEXT_LOG_EVENTS: u64 = 8;
 
 /// Collects what was recorded of the job, and texts that earlier jobs left.
 pub async fn load_state(
@@ -128,7 +129,7 @@
 pub async fn log_texts(node: Arc<EntryNode>, driver: Arc<JobDriver>, fence: u64) {
     for number in 0.. {
         clock::sleep(TEXT_LOG_INTERVAL).await;
-        let deltas = driver.ledger.lock().unwrap().take_unstored(TEXT_LOG_LEAST, tables::COMMIT_BYTES / 2);
+        let deltas = driver.ledger.lock().unwrap().take_unstored(TEXT_LOG_EVENTS, tables::COMMIT_BYTES / 2);
         if deltas.is_empty() {
             continue;
         }
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -19,7 +19,8 @@
 use tokio::sync::{Notify, watch};
 use trestlerack::border::Clock;
 use trestlerack::process::{
-    BoardSettings, EntrySettings, LeaseGrant, LeaseRow, NodeRow, RegistrySettings, ServerBoard, ServerRegistry,
+    AnswerTimes, BoardSettings, EntrySettings, LeaseGrant, LeaseRow, NodeRow, RegistrySettings, ServerBoard,
+    ServerRegistry,
 };
 use trestlerack::request::JobHead;
 use trestlerack::version::{EngineAssignment, RoutingTable, WeightVersion};
@@ -84,6 +85,8 @@
     pub registry: Mutex<ServerRegistry>,
     /// What is believed of them.
     pub board: Mutex<ServerBoard>,
+    /// How long answers take, by route.
+    pub route_times: Mutex<AnswerTimes>,
     /// Requests under which servers ended.
     pub suspects: SuspectDesk,
     /// Whether service discovery was read once.
@@ -143,7 +146,8 @@
             key_refresh: KeyRefresh::default(),
             registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
             board: Mutex::new(ServerBoard::new(BoardSettings::default())),
-            suspects: SuspectDesk::default(),
+            route_times: Mutex::default(),
+            suspects: SuspectDesk::new(&settings),
             has_registry: AtomicBool::new(false),
             has_state: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -19,9 +19,9 @@
 /// Share of the target latency after which a repeatable request is tried at another server.
 const PATIENCE_SHARE: u32 = 3;
 
-/// Shortest time that a server gets to answer before another one is tried; slow requests of the
-/// users' sheets work for 190 to 220 ms.
-const PATIENCE_LEAST: Duration = Duration::from_millis(400);
+/// Shortest time that a server gets to answer before another one is tried, until enough answers on a
+/// route are known. A try that is left too early is work done twice.
+const FIRST_PATIENCE: Duration = Duration::from_millis(400);
 
 /// Pause before servers are looked for again while all are paused or gone.
 const SEARCH_PAUSE: Duration = Duration::from_millis(20);
@@ -129,17 +129,21 @@
         let Some(ticket) = find_server(node, route, request, fingerprint, trail).await else { break };
         let server = ticket.server.instance.clone();
         let left = deadline.since(node.now());
-        let patience = PATIENCE_LEAST.max(Duration::from_millis(route.target_latency_ms) * PATIENCE_SHARE);
         let is_last = trail.runs() + 1 == route.max_attempts || !is_safe;
-        let limit = if is_last { left } else { left.min(patience) };
+        let limit = if is_last { left } else { left.min(patience(node, route)) };
         let engine_request = engine_request(request, &server, left);
+        let started = node.now();
         match attempt::whole_answer(node, ticket, engine_request, !is_safe, limit).await {
             // A failure that the server states itself may pass at another one.
             Ok(answer) if is_safe && answer.status.is_server_error() => {
                 trail.add_run();
                 last_answer = Some(answer);
             }
-            Ok(answer) => return Ok(answer),
+            Ok(answer) => {
+                let took = node.now().since(started);
+                node.route_times.lock().unwrap().record(&route.name, took);
+                return Ok(answer);
+            }
             Err(error) => {
                 trail.attempt_failed(&server, &error);
                 if error.is_not_run() {
@@ -157,6 +161,14 @@
     last_answer.ok_or(shortfall)
 }
 
+/// Returns how long a server gets to answer a repeatable request: what is usual on its route, or longer
+/// where the target latency leaves the time.
+fn patience(node: &EntryNode, route: &RequestRoute) -> Duration {
+    let usual = node.route_times.lock().unwrap().usual(&route.name);
+    let by_target = Duration::from_millis(route.target_latency_ms) * PATIENCE_SHARE;
+    by_target.max(usual.unwrap_or(FIRST_PATIENCE))
+}
+
 /// Returns for how long a request is held, if it is, and logs that.
 pub fn hold_back(node: &EntryNode, request: &ClientRequest, fingerprint: RequestFingerprint) -> Option<Duration> {
     let left = suspects::held_for(node, fingerprint)?;
--- a/crates/trestlerackd/src/entry/suspects/desk.rs
+++ b/crates/trestlerackd/src/entry/suspects/desk.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use trestlerack::Timestamp;
-use trestlerack::process::{StrikeNote, SuspectBook, SuspectSettings};
+use trestlerack::process::{EntrySettings, NEWS_LAG, StrikeNote, SuspectBook, SuspectSettings};
 use trestlerack::request::RequestFingerprint;
 
 /// Strikes that wait to be stored, at most. In an outage as long as a strike's life, ends of a server a
@@ -39,10 +39,12 @@
     is_cut_off: AtomicBool,
 }
 
-impl Default for SuspectDesk {
-    fn default() -> Self {
+impl SuspectDesk {
+    /// Builds a desk that suspects nobody.
+    pub fn new(settings: &EntrySettings) -> Self {
+        let settings = SuspectSettings { doubt_life: settings.lapse_time() + NEWS_LAG, ..SuspectSettings::default() };
         Self {
-            book: Mutex::new(SuspectBook::new(SuspectSettings::default())),
+            book: Mutex::new(SuspectBook::new(settings)),
             unstored: Mutex::default(),
             untold: Mutex::default(),
             has_unstored: Notify::new(),
@@ -50,9 +52,7 @@
             is_cut_off: AtomicBool::new(true),
         }
     }
-}
 
-impl SuspectDesk {
     /// Gives access to the book; nothing else is to be locked meanwhile.
     pub fn book(&self) -> MutexGuard<'_, SuspectBook> {
         self.book.lock().unwrap()
--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -9,10 +9,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
-use trestlerack::process::ServerEntry;
+use trestlerack::process::{EntrySettings, ServerEntry};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall};
 use trestlerack::time::millis;
-use trestlerack::version::{DueOrder, EngineAssignment, OrderOutcome, RoutingTable, WeightPlan, WeightPlanSettings};
+use trestlerack::version::{
+    DueOrder, EngineAssignment, LIST_LAG, OrderOutcome, RoutingTable, WeightPlan, WeightPlanSettings,
+};
 use trestlerack::{Name, event};
 use trestlerack_platform::EngineReport;
 
@@ -57,7 +59,7 @@
 ) {
     take_ends(node, plans, running);
     for service in routing.services.values().filter(|service| !service.models.is_empty()) {
-        let plan = plans.entry(service.name.clone()).or_insert_with(|| WeightPlan::new(WeightPlanSettings::default()));
+        let plan = plans.entry(service.name.clone()).or_insert_with(|| WeightPlan::new(plan_settings(&node.settings)));
         let entries: Vec<ServerEntry> = {
             let registry = node.registry.lock().unwrap();
             let is_usable = |entry: &&ServerEntry| entry.service == service.name && !entry.is_draining;
@@ -229,3 +231,12 @@
         }
     }
 }
+
+fn plan_settings(settings: &EntrySettings) -> WeightPlanSettings {
+    WeightPlanSettings {
+        parallel_share: settings.load_share,
+        load_time: Duration::from_millis(settings.first_load_ms),
+        proof_time: settings.lapse_time() + LIST_LAG,
+        ..WeightPlanSettings::default()
+    }
+}
