Two tests of jobs judge by what they mean, also beside other work

Both failed once, beside a build in another folder (load 12), and passed otherwise. - score_calls_of_a_route_without_a_target_wait_in_peace allowed 150 ms of processor time in two seconds and saw 170. It now allows 90 ms beyond what the same node used without a job just before: stricter in calm (130 to 140 ms), and a busy wait would use 2,000. - a_second_run_gives_its_place_to_an_item_that_waits had engines with an event each 1.5 s, and an engine whose pace is not known is left after 1.6 s: under load runs broke and their items ran twice (4 items of 8 had run). Now 1.2 s; all its checks are the same.

--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -75,14 +75,19 @@
 fn score_calls_of_a_route_without_a_target_wait_in_peace() {
     let platform = Platform::start_behind(4, |address| address.to_string());
     let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    // Processor time is dearer beside other work, for a node without a job as well.
+    let used_in_two_seconds = || {
+        let before = daemon.cpu_time();
+        std::thread::sleep(Duration::from_secs(2));
+        daemon.cpu_time() - before
+    };
+    let idle = used_in_two_seconds();
     platform.plain.silent_answers.store(16, Ordering::SeqCst);
     let body = job_body_of("job1", 8, 1).replace("/safe/score", "/untimed/score");
     assert_eq!(call(&daemon.client, "POST", "/jobs/job1", &[("request-id", "job1")], &body).unwrap().status, 202);
     eventually("two servers were asked for each item", || platform.plain.runs.lock().unwrap().len() == 16);
-    let before = daemon.cpu_time();
-    std::thread::sleep(Duration::from_secs(2));
-    let used = daemon.cpu_time() - before;
-    assert!(used < Duration::from_millis(150), "{used:?} of two seconds");
+    let used = used_in_two_seconds();
+    assert!(used < idle + Duration::from_millis(90), "{used:?} of two seconds, {idle:?} without a job");
     assert_eq!(read_all(&daemon, "job1", 8).len(), 8);
 }
 
@@ -165,12 +170,13 @@
 fn a_second_run_gives_its_place_to_an_item_that_waits() {
     let platform = Platform::start();
     let daemon = EntryDaemon::start("a", &platform.store, &[]);
-    platform.engine.pace_ms.store(1_500, Ordering::SeqCst);
+    // An engine whose pace is not known yet is left after 1.6 s without an event.
+    platform.engine.pace_ms.store(1_200, Ordering::SeqCst);
     let runs_of = |job: &str| platform.engine.runs.lock().unwrap().iter().filter(|run| run.starts_with(job)).count();
     assert_eq!(submit(&daemon, "job1", 2), 202);
     eventually("its items run", || runs_of("job1") == 2);
     // A text whose first event the old weights made is of no use to a job that needs the new ones.
-    std::thread::sleep(Duration::from_millis(1_700));
+    std::thread::sleep(Duration::from_millis(1_400));
     platform.name_version(2);
     eventually("one of them runs a second time", || runs_of("job1") == 3);
     assert_eq!(submit(&daemon, "job2", 8), 202);
