Ask an ended server's address again without a second doubt

Cause: found in reading the change. Each question to an address that still took connections noted a doubt and a reason, so one broken connection took three of the 256 places. The doubt is noted once. Two comments named figures that no run had shown.

--- a/crates/trestlerack/src/process/event_pace.rs
+++ b/crates/trestlerack/src/process/event_pace.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 /// Time after a suspension of the caller's VM in which events arrive that were held up meanwhile: they
-/// come faster than the engine makes them. Links bring what waited within some ten milliseconds.
+/// come faster than the engine makes them. Reckoned: links bring what waited within some ten
+/// milliseconds.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 
 /// The time between events of one run.
--- a/crates/trestlerackd/src/entry/server_end.rs
+++ b/crates/trestlerackd/src/entry/server_end.rs
@@ -33,15 +33,22 @@
     let (node, server, fingerprint) = (node.clone(), ticket.server.clone(), ticket.fingerprint);
     let broken = BrokenRequest { id: request.into(), fingerprint, server, is_trial: ticket.is_trial() };
     let asked = tokio::spawn(async move {
-        if ask_server(&node, &broken).await == ListenState::Listening {
-            tokio::spawn(ask_again(node, broken));
+        let state = ask_server(&node, &broken).await;
+        // One that was to leave may end at any time.
+        if state != ListenState::Refusing && !may_leave(&node, &broken.server) {
+            // Another start may have its address already, or the VM may be gone: service discovery
+            // tells within seconds.
+            node.suspects.book().doubt(node.now(), broken.fingerprint, &broken.server, broken.is_trial);
+            if state == ListenState::Listening {
+                tokio::spawn(ask_again(node, broken));
+            }
         }
     });
     // It fails only if the process ends.
     let _ = asked.await;
 }
 
-/// Asks whether a server's address takes connections, and takes note if it has ended.
+/// Asks whether a server's address takes connections, and takes note if the server has ended.
 async fn ask_server(node: &Arc<EntryNode>, broken: &BrokenRequest) -> ListenState {
     let server = &broken.server;
     let state = node.pool.listen_state(&server.address).await;
@@ -52,18 +59,8 @@
         ("listens", &state.as_str()),
     ];
     logs::write(event::CONNECTION_BROKEN, &fields);
-    if may_leave(node, server) {
-        return state;
-    }
-    match state {
-        ListenState::Refusing => {
-            suspects::server_ended(node, &broken.id, broken.fingerprint, server, broken.is_trial);
-        }
-        // Another start may have its address already, or the VM may be gone: service discovery
-        // tells within seconds.
-        ListenState::Listening | ListenState::Unknown => {
-            node.suspects.book().doubt(node.now(), broken.fingerprint, server, broken.is_trial);
-        }
+    if state == ListenState::Refusing && !may_leave(node, server) {
+        suspects::server_ended(node, &broken.id, broken.fingerprint, server, broken.is_trial);
     }
     state
 }
--- a/crates/trestlerackd/src/process/clock.rs
+++ b/crates/trestlerackd/src/process/clock.rs
@@ -13,8 +13,8 @@
 use trestlerack::process::SuspensionGauge;
 use trestlerack::time::millis;
 
-/// Interval at which both clocks are compared. A wait that a suspension has ended is noticed so late;
-/// five looks a second cost less than a thousandth of a core.
+/// Interval at which both clocks are compared. A wait that a suspension has ended is noticed so late, and
+/// each look is a wake-up of the process.
 const GAUGE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time shown by a clock at its start, so that "some seconds ago" never falls below zero.
