Types that join the parts of hard load

One order of calls (CallRank), one estimate of wait (WaitEstimate, asked of the board), one message for use, shares and servers (NodeNews). Nothing uses them yet, so every choice is as before.

--- a/crates/trestlerack/src/process/answer_time.rs
+++ b/crates/trestlerack/src/process/answer_time.rs
@@ -39,6 +39,11 @@
         self.answers = self.answers.saturating_add(1);
     }
 
+    /// Returns the mean time of an answer, or `None` while too few are known.
+    pub fn mean(&self) -> Option<Duration> {
+        (self.answers >= LEAST_ANSWERS).then(|| Duration::from_secs_f64(self.mean_ms / 1_000.0))
+    }
+
     /// Returns the time after which an answer is late, or `None` while too few are known.
     pub fn usual(&self) -> Option<Duration> {
         let added_ms = (self.deviation_ms * DEVIATIONS).max(self.mean_ms * LEAST_ADDED);
@@ -70,4 +75,9 @@
     pub fn usual(&self, name: &str) -> Option<Duration> {
         self.times.get(name)?.usual()
     }
+
+    /// Returns the mean time of an answer, or `None` while too few are known.
+    pub fn mean(&self, name: &str) -> Option<Duration> {
+        self.times.get(name)?.mean()
+    }
 }
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_time;
 mod broadcast;
+mod call_rank;
 mod direct_way;
 mod duty_gate;
 mod engine_fleet;
@@ -12,6 +13,7 @@
 mod leaving;
 mod limiter;
 mod membership;
+mod news;
 mod node_rows;
 mod outlier;
 mod ownership;
@@ -29,9 +31,11 @@
 mod suspects;
 mod suspension;
 mod usage;
+mod wait_estimate;
 
 pub use answer_time::AnswerTimes;
 pub use broadcast::BroadcastQueue;
+pub use call_rank::{CallRank, call_priority};
 pub use direct_way::{DirectWay, WayChange};
 pub use duty_gate::{DutyGate, DutySettings};
 pub use engine_fleet::{EngineFleet, FleetRow, FleetSettings, ScalingTerms, ZoneEngines, ZoneOrder};
@@ -44,6 +48,7 @@
 pub use membership::{
     Heartbeat, Liveness, MembershipAction, MembershipEvent, MembershipSettings, PeerInfo, PeerMembership, PeerUpdate,
 };
+pub use news::{CustomerUse, NodeNews, ServerNote, ServiceShares};
 pub use node_rows::{NODE_PARTITIONS, NodeRow, NodeRows, is_node_partition, node_partition};
 pub use outlier::{OutlierDetector, OutlierSettings};
 pub use ownership::{ModelOwner, NodeView, OwnerTable, OwnershipView};
@@ -69,3 +74,4 @@
 pub use usage::{
     CustomerCounts, UsageCounter, UsageDesk, UsageNote, UsageReport, UsageSender, UsageSettings, WindowNotes,
 };
+pub use wait_estimate::WaitEstimate;
--- /dev/null
+++ b/crates/trestlerack/tests/call_ranks.rs
@@ -0,0 +1,44 @@
+//! Who goes first where room is short, and what is expected of a service.
+
+#[path = "support/load.rs"]
+mod load;
+
+use load::{board_of, plain_server, safe_route};
+use std::time::Duration;
+use trestlerack::Timestamp;
+use trestlerack::process::{CallRank, WaitEstimate};
+use trestlerack::version::Customer;
+
+#[test]
+fn the_customers_rank_goes_before_the_routes_then_the_share_then_the_deadline() {
+    let customer = |priority| Customer { name: "c".into(), priority };
+    let rank = |customer: &Customer, route_priority, is_over, deadline| {
+        CallRank::new(Some(customer), &safe_route(route_priority), is_over, Timestamp(deadline))
+    };
+    let (first, second, unranked) = (customer(Some(0)), customer(Some(1)), customer(None));
+    assert!(rank(&first, 9, true, 900) < rank(&second, 0, false, 100), "the customer's rank goes first");
+    assert!(rank(&unranked, 0, true, 900) < rank(&second, 9, false, 100), "a route's rank stands in for none");
+    assert!(rank(&second, 0, false, 900) < rank(&second, 9, true, 100), "then who is within its share");
+    assert!(rank(&second, 0, true, 100) < rank(&second, 0, true, 101), "then who leaves first");
+    assert!(CallRank::new(None, &safe_route(1), false, Timestamp(5)) < rank(&second, 9, false, 6));
+}
+
+#[test]
+fn a_service_is_expected_to_take_a_call_at_once_until_all_places_are_taken() {
+    let now = Timestamp(1_000);
+    let mut board = board_of(&[plain_server("i-1", "s", "z", 2), plain_server("i-2", "s", "z", 2)]);
+    for _ in 0..10 {
+        board.answered(&"s".into(), Duration::from_millis(40));
+    }
+    let estimate = board.wait_estimate(now, "s");
+    assert_eq!((estimate.wait, estimate.places, estimate.free), (Duration::ZERO, 4, 4));
+    assert_eq!((estimate.work, estimate.age), (Duration::from_millis(40), None));
+    assert!(estimate.fits(Duration::from_millis(40)) && !estimate.fits(Duration::from_millis(39)));
+    board.stated_load(now, "i-1", 2, 1);
+    board.stated_load(now, "i-2", 2, 0);
+    let full = board.wait_estimate(now, "s");
+    assert_eq!((full.free, full.age), (0, Some(Duration::ZERO)));
+    assert_eq!(full.wait, Duration::from_millis(20), "one waits already, and a place is free each 10 ms");
+    assert!(!WaitEstimate { wait: Duration::MAX, ..full }.fits(Duration::from_secs(1)));
+    assert_eq!(board.wait_estimate(now, "none").wait, Duration::MAX, "no server will ever take it");
+}
--- /dev/null
+++ b/crates/trestlerack/tests/support/load.rs
@@ -0,0 +1,49 @@
+//! Servers and routes for tests of decisions under load.
+
+use trestlerack::process::{BoardSettings, RegistrySettings, ServerBoard, ServerEntry, ServerRegistry};
+use trestlerack::version::{RequestRoute, RouteKind, SplitShare};
+
+/// Returns a server of a plain service.
+pub fn plain_server(instance: &str, service: &str, zone: &str, slots: u32) -> ServerEntry {
+    ServerEntry {
+        instance: instance.into(),
+        service: service.into(),
+        address: format!("10.0.0.1:{instance}").into(),
+        zone: zone.into(),
+        slots,
+        is_draining: false,
+        models: Vec::new(),
+        heartbeat: 1,
+        started_ms: 1,
+    }
+}
+
+/// Returns a board that knows these servers and nothing of them.
+pub fn board_of(entries: &[ServerEntry]) -> ServerBoard {
+    let mut registry = ServerRegistry::new(RegistrySettings::default());
+    entries.iter().for_each(|entry| assert!(registry.put(entry.clone())));
+    let mut board = ServerBoard::new(BoardSettings::default());
+    board.sync(&registry);
+    board
+}
+
+/// Returns a repeatable route to the service `s`.
+pub fn safe_route(priority: u8) -> RequestRoute {
+    RequestRoute {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        kind: RouteKind::Safe,
+        streaming: false,
+        resumable: false,
+        single_version: false,
+        timeout_ms: 800,
+        target_latency_ms: 150,
+        due_ms: 0,
+        give_up_ms: 0,
+        priority,
+        is_public: false,
+        max_attempts: 2,
+        shares: vec![SplitShare { service: "s".into(), weight: 1 }],
+    }
+}
