Give the lease and the weights owners of their own

Change: LeaseBook and WeightBook hold the locks and say what may be done with them; EntryNode loses four fields and two functions. No behaviour is changed: the same conditions stand in the books. Ruled out: one book for both, since the lease is also that of the duties.

--- a/crates/trestlerackd/src/entry/duties/calls.rs
+++ b/crates/trestlerackd/src/entry/duties/calls.rs
@@ -50,7 +50,7 @@
     ) -> Option<(u64, DutyAnswer)> {
         let now = node.now();
         // Checked next to the send, with nothing to wait for in between.
-        let fence = node.lease_fence(now).filter(|_| !node.is_stopping())?;
+        let fence = node.lease.fence(now).filter(|_| !node.is_stopping())?;
         if now < *self.not_before.lock().unwrap() || !self.gate.lock().unwrap().may_call(now, fence) {
             return None;
         }
--- a/crates/trestlerackd/src/entry/duties/engines.rs
+++ b/crates/trestlerackd/src/entry/duties/engines.rs
@@ -34,7 +34,7 @@
     let mut desks: BTreeMap<Name, ServiceDesk> = BTreeMap::new();
     loop {
         clock::sleep(LOOK_INTERVAL).await;
-        let fence = node.lease_fence(node.now());
+        let fence = node.lease.fence(node.now());
         if fence != held_fence {
             desks.clear();
             held_fence = fence;
--- a/crates/trestlerackd/src/entry/duties/usage_count.rs
+++ b/crates/trestlerackd/src/entry/duties/usage_count.rs
@@ -78,7 +78,7 @@
         let first_kept = settings.first_kept(node.usage.wall_ms());
         node.usage.counter.lock().unwrap().forget_before(first_kept);
         node.usage.desk.lock().unwrap().forget_before(first_kept);
-        let Some((_, lease)) = node.lease_row.lock().unwrap().clone() else { continue };
+        let Some(lease) = node.lease.row() else { continue };
         if told_fence.replace(lease.fence) != Some(lease.fence) {
             node.usage.counter.lock().unwrap().forget_acknowledged();
         }
--- a/crates/trestlerackd/src/entry/duties/usage_report.rs
+++ b/crates/trestlerackd/src/entry/duties/usage_report.rs
@@ -63,7 +63,7 @@
     let mut desk: Option<ReportDesk> = None;
     loop {
         clock::sleep(LOOK_INTERVAL).await;
-        let Some(fence) = node.lease_fence(node.now()) else {
+        let Some(fence) = node.lease.fence(node.now()) else {
             desk = None;
             continue;
         };
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -177,10 +177,7 @@
             }
         }
         Ok(platform::OperatorRow::Weights { model, version }) => {
-            let mut targets = node.targets.lock().unwrap();
-            let target = targets.entry(model.clone()).or_insert(0);
-            if version > *target {
-                *target = version;
+            if node.weights.name_version(&model, version) {
                 logs::write(event::WEIGHTS_TARGETED, &[("model", &model), ("version", &version)]);
             }
         }
@@ -213,7 +210,7 @@
 
 fn apply_engine_row(node: &Arc<EntryNode>, row: &StoredRow) -> Result<(), StoreError> {
     if row.removed {
-        node.assignments.lock().unwrap().remove(&row.key);
+        node.weights.assign(&row.key, None);
         node.board.lock().unwrap().assign(&row.key, None);
         return Ok(());
     }
@@ -229,15 +226,12 @@
         let until = node.now() + Duration::from_millis(assignment.load_ms).saturating_sub(age);
         node.board.lock().unwrap().loading(instance, &assignment.model, assignment.version, until);
     }
-    node.assignments.lock().unwrap().insert(instance.clone(), assignment);
+    node.weights.assign(instance, Some(assignment));
 }
 
 fn apply_lease_row(node: &Arc<EntryNode>, row: &StoredRow) -> Result<(), StoreError> {
-    let lease = if row.removed { None } else { Some((row.version, tables::decode(&row.value)?)) };
-    let mut held = node.lease_row.lock().unwrap();
-    if held.as_ref().is_none_or(|(version, _)| *version < row.version) {
-        *held = lease;
-    }
+    let lease = if row.removed { None } else { Some(tables::decode(&row.value)?) };
+    node.lease.learn_row(row.version, lease);
     Ok(())
 }
 
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -146,7 +146,7 @@
 /// the second one. One run at each look.
 pub fn start_spare(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
     let Some(model) = driver.spec.model.clone().filter(|_| !route.single_version) else { return };
-    let newest = node.targets.lock().unwrap().get(&model).copied().unwrap_or(0);
+    let newest = node.weights.newest_version(&model);
     if newest <= driver.spec.min_version || is_any_item_waiting(node) {
         return;
     }
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod job_runs;
 mod job_scores;
 mod job_texts;
+mod lease_book;
 mod metrics;
 mod node;
 mod order_lease;
@@ -38,6 +39,7 @@
 mod suspects;
 mod tables;
 mod trail;
+mod weight_book;
 mod weights;
 
 use crate::process::clock;
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -3,27 +3,28 @@
 use super::callers::KeyRefresh;
 use super::duties::UsageBook;
 use super::job_driver::JobDriver;
+use super::lease_book::LeaseBook;
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
 use super::pool::ConnectionPool;
 use super::store::{DirectStore, RelayedStore};
 use super::suspects::SuspectDesk;
+use super::weight_book::WeightBook;
 use crate::process::clock::SystemClock;
 use crate::process::tracing::{HopSpan, HopTracer, TRACE_HEADER};
 use http::HeaderMap;
 use opentelemetry::trace::SpanKind;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use trestlerack::border::Clock;
 use trestlerack::process::{
-    AnswerTimes, BoardSettings, EntrySettings, LeaseGrant, LeaseRow, NodeRow, RegistrySettings, ServerBoard,
-    ServerRegistry,
+    AnswerTimes, BoardSettings, EntrySettings, NodeRow, RegistrySettings, ServerBoard, ServerRegistry,
 };
 use trestlerack::request::JobHead;
-use trestlerack::version::{EngineAssignment, RoutingTable, WeightVersion};
+use trestlerack::version::{RoutingTable, WeightVersion};
 use trestlerack::{Name, Timestamp};
 
 /// What this node knows of a job from the store.
@@ -97,14 +98,10 @@
     pub is_registered: AtomicBool,
     /// Tells that the store had no row of this node when it was read last.
     pub unlisted: Notify,
-    /// Versions that trainers named.
-    pub targets: Mutex<BTreeMap<Name, WeightVersion>>,
-    /// What engines were ordered.
-    pub assignments: Mutex<BTreeMap<Name, EngineAssignment>>,
-    /// The lease row on weight orders, with its version.
-    pub lease_row: Mutex<Option<(u64, LeaseRow)>>,
-    /// What the lease allows this node, as of its last renewal.
-    pub lease_grant: Mutex<Option<LeaseGrant>>,
+    /// Versions that trainers named, and what engines were ordered.
+    pub weights: WeightBook,
+    /// The lease on weight orders and duties.
+    pub lease: LeaseBook,
     /// Requests of customers that began to run.
     pub usage: UsageBook,
     /// Jobs by id.
@@ -152,10 +149,8 @@
             has_state: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
             unlisted: Notify::new(),
-            targets: Mutex::default(),
-            assignments: Mutex::default(),
-            lease_row: Mutex::default(),
-            lease_grant: Mutex::default(),
+            weights: WeightBook::default(),
+            lease: LeaseBook::default(),
             usage: UsageBook::new(settings.usage()),
             jobs: Mutex::default(),
             early_ends: Mutex::default(),
@@ -192,12 +187,6 @@
         self.incarnation.wrapping_add(self.writes.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// Returns the fencing number of the lease if this node holds it at `now`.
-    pub fn lease_fence(&self, now: Timestamp) -> Option<u64> {
-        let grant = *self.lease_grant.lock().unwrap();
-        grant.filter(|grant| now < grant.valid_until).map(|grant| grant.fence)
-    }
-
     /// Returns the bounds in force.
     pub fn bounds(&self) -> EntryBounds {
         *self.bounds.read().unwrap()
@@ -238,7 +227,8 @@
             }
             None => {
                 let is_ended = self.early_ends.lock().unwrap().remove(job);
-                let lag = self.newest_version(head.model.as_ref()).saturating_sub(head.min_version);
+                let newest = head.model.as_ref().map_or(0, |model| self.weights.newest_version(model));
+                let lag = newest.saturating_sub(head.min_version);
                 jobs.insert(job.clone(), JobView { head, version, is_ended, lag, changed_at: now });
             }
         }
@@ -246,11 +236,6 @@
         self.job_news.send_modify(|count| *count += 1);
     }
 
-    fn newest_version(&self, model: Option<&Name>) -> WeightVersion {
-        let targets = self.targets.lock().unwrap();
-        model.and_then(|model| targets.get(model).copied()).unwrap_or(0)
-    }
-
     /// Returns how many versions behind the newest one the newest job of a model accepts.
     pub fn accepted_lag(&self, model: &Name) -> WeightVersion {
         let jobs = self.jobs.lock().unwrap();
--- a/crates/trestlerackd/src/entry/order_lease.rs
+++ b/crates/trestlerackd/src/entry/order_lease.rs
@@ -74,7 +74,7 @@
             () = desk.orders.wait() => {}
         }
         if node.is_stopping() {
-            *node.lease_grant.lock().unwrap() = None;
+            node.lease.set_grant(None);
             give_back(&node, &mut desk.keeper).await;
         } else {
             look(&node, &mut desk).await;
@@ -88,7 +88,7 @@
         desk.renewed_at = now;
         keep_lease(node, desk).await;
     }
-    *node.lease_grant.lock().unwrap() = desk.keeper.grant();
+    node.lease.set_grant(desk.keeper.grant());
     let fence = desk.keeper.fence(node.now());
     if fence != desk.held_fence {
         note_lease(node, fence);
@@ -119,8 +119,7 @@
 }
 
 async fn give_back(node: &Arc<EntryNode>, keeper: &mut LeaseKeeper) {
-    let held = node.lease_row.lock().unwrap().clone().map(|(_, row)| row);
-    if let Some(row) = keeper.release(held.as_ref()) {
+    if let Some(row) = keeper.release(node.lease.row().as_ref()) {
         // A row that still names this node lapses with its time.
         let why = match write_lease(node, row).await {
             Ok(_) => "this node stops".to_owned(),
@@ -147,7 +146,7 @@
     if now < desk.not_before {
         return;
     }
-    let mut row = node.lease_row.lock().unwrap().clone();
+    let mut row = node.lease.versioned_row();
     if let Some((version, held)) = &mut row {
         held.released |= node.peers.is_restarted(&held.holder, held.incarnation, *version);
     }
@@ -189,7 +188,7 @@
 
 /// Writes the lease row on condition that it is as this node last saw it. Returns whether it stands.
 async fn write_lease(node: &Arc<EntryNode>, row: LeaseRow) -> Result<bool, StoreError> {
-    let version = node.lease_row.lock().unwrap().as_ref().map_or(0, |(version, _)| *version);
+    let version = node.lease.versioned_row().map_or(0, |(version, _)| version);
     let transaction = RowTransaction::new(tables::LEASES).expect(tables::STATE, tables::ORDER_LEASE, version).put(
         tables::STATE,
         tables::ORDER_LEASE,
@@ -197,15 +196,15 @@
     );
     match node.store.call(&StoreCall::Commit(transaction)).await? {
         StoreReply::Committed(moment) => {
-            *node.lease_row.lock().unwrap() = Some((moment.version, row));
+            node.lease.set_row(moment.version, row);
             Ok(true)
         }
         StoreReply::Conflict(rows) => {
             let held = rows.into_iter().find(|held| &*held.key == tables::ORDER_LEASE);
             let held = held.and_then(|held| Some((held.version, tables::decode::<LeaseRow>(&held.value).ok()?)));
             let is_own = held.as_ref().is_some_and(|(_, held)| *held == row);
-            if held.is_some() {
-                *node.lease_row.lock().unwrap() = held;
+            if let Some((version, held)) = held {
+                node.lease.set_row(version, held);
             }
             Ok(is_own)
         }
--- a/crates/trestlerackd/src/entry/retention.rs
+++ b/crates/trestlerackd/src/entry/retention.rs
@@ -42,8 +42,8 @@
 }
 
 fn holds_lease(node: &EntryNode) -> bool {
-    let row = node.lease_row.lock().unwrap();
-    row.as_ref().is_some_and(|(_, row)| row.holder == node.settings.name && row.incarnation == node.incarnation)
+    let row = node.lease.row();
+    row.is_some_and(|row| row.holder == node.settings.name && row.incarnation == node.incarnation)
 }
 
 /// Returns the jobs that are over and were submitted long enough ago.
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -87,9 +87,9 @@
 }
 
 fn duties(node: &EntryNode) -> Vec<DutyLine> {
-    let lease = node.lease_row.lock().unwrap().as_ref().map(|(_, row)| row.clone());
+    let lease = node.lease.row();
     let held = lease.as_ref().filter(|row| !row.released);
-    let is_held_here = node.lease_fence(node.now()).is_some();
+    let is_held_here = node.lease.fence(node.now()).is_some();
     let line = |duty| DutyLine {
         duty,
         holder: held.map(|row| row.holder.clone()),
--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -65,12 +65,12 @@
             let is_usable = |entry: &&ServerEntry| entry.service == service.name && !entry.is_draining;
             registry.entries().filter(is_usable).cloned().collect()
         };
-        let targets = node.targets.lock().unwrap().clone();
+        let targets = node.weights.named_versions();
         for (model, version) in targets.iter().filter(|(model, _)| service.models.contains(model)) {
             plan.target(model, *version);
             plan.allow_lag(model, node.accepted_lag(model));
         }
-        let assigned = node.assignments.lock().unwrap().clone();
+        let assigned = node.weights.assignments();
         let decided = plan.sync(node.now(), &service.models, &entries.iter().collect::<Vec<_>>(), &assigned);
         let decided: Vec<(Name, EngineAssignment)> = decided
             .into_iter()
@@ -164,7 +164,7 @@
     let Some(orders_before) = order.orders_before else {
         return OrderDone::Asked(engine_calls::ask_report(node, entry).await);
     };
-    let before = node.assignments.lock().unwrap().get(&order.instance).cloned();
+    let before = node.weights.assignment(&order.instance);
     let clock_ms = node.store.clock_ms();
     let intent = EngineAssignment {
         model: order.model.clone(),
@@ -176,7 +176,7 @@
     };
     let is_told = write_assignment(node, &order.instance, &intent).await;
     // The lease is checked next to the send, since the write before it may have taken long.
-    let Some(fence) = node.lease_fence(node.now()).filter(|held| is_told && *held == terms.fence) else {
+    let Some(fence) = node.lease.fence(node.now()).filter(|held| is_told && *held == terms.fence) else {
         return OrderDone::Ordered(OrderOutcome::NotSent, orders_before);
     };
     let outcome = engine_calls::send_order(node, entry, order, fence, orders_before, terms.waits_for_runs).await;
