Split the ordering of engines into its steps

Change: which engines can be used, whether runs end first, and the division with its rows are functions of their own; the order of the steps and every condition are as before.

--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -13,7 +13,8 @@
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall};
 use trestlerack::time::millis;
 use trestlerack::version::{
-    DueOrder, EngineAssignment, LIST_LAG, OrderOutcome, RoutingTable, WeightPlan, WeightPlanSettings,
+    DueOrder, EngineAssignment, LIST_LAG, OrderOutcome, RequestRoute, RoutedService, RoutingTable, WeightPlan,
+    WeightPlanSettings,
 };
 use trestlerack::{Name, event};
 use trestlerack_platform::EngineReport;
@@ -60,47 +61,66 @@
     take_ends(node, plans, running);
     for service in routing.services.values().filter(|service| !service.models.is_empty()) {
         let plan = plans.entry(service.name.clone()).or_insert_with(|| WeightPlan::new(plan_settings(&node.settings)));
-        let entries: Vec<ServerEntry> = {
-            let registry = node.registry.lock().unwrap();
-            let is_usable = |entry: &&ServerEntry| entry.service == service.name && !entry.is_draining;
-            registry.entries().filter(is_usable).cloned().collect()
-        };
-        let targets = node.weights.named_versions();
-        for (model, version) in targets.iter().filter(|(model, _)| service.models.contains(model)) {
-            plan.target(model, *version);
-            plan.allow_lag(model, node.accepted_lag(model));
-        }
+        let engines = usable_engines(node, &service.name);
         let assigned = node.weights.assignments();
-        let decided = plan.sync(node.now(), &service.models, &entries.iter().collect::<Vec<_>>(), &assigned);
-        let decided: Vec<(Name, EngineAssignment)> = decided
-            .into_iter()
-            .map(|(instance, model)| {
-                let holder = node.settings.name.clone();
-                let (version, ordered_ms, tried_ms, load_ms) = (0, 0, 0, 0);
-                (instance, EngineAssignment { model, version, ordered_ms, tried_ms, holder, load_ms })
-            })
-            .collect();
-        decided.iter().for_each(|(instance, assignment)| feeds::learn_assignment(node, instance, assignment.clone()));
-        // Together, since a start decides on all engines: one by one, 102 of them took a second.
-        for batch in decided.chunks(tables::COMMIT_ROWS) {
-            write_assignments(node, batch).await;
-        }
+        divide_engines(node, plan, service, &engines, &assigned).await;
         let orders = due_orders(node, plan, &assigned);
-        let waits_for_runs = routing
-            .routes()
-            .any(|route| route.single_version && route.shares.iter().any(|share| share.service == service.name));
+        let waits_for_runs = wants_single_versions(routing, &service.name);
+        let terms = OrderTerms { fence, load_time: plan.load_time(), waits_for_runs };
         for order in orders {
-            let Some(entry) = entries.iter().find(|entry| entry.instance == order.instance) else { continue };
-            let terms = OrderTerms { fence, load_time: plan.load_time(), waits_for_runs };
-            let (node, entry, service) = (node.clone(), entry.clone(), service.name.clone());
+            let Some(engine) = engines.iter().find(|engine| engine.instance == order.instance) else { continue };
+            let (node, engine, service) = (node.clone(), engine.clone(), service.name.clone());
             running.tasks.spawn(async move {
-                let done = carry_out(&node, &entry, &order, terms).await;
+                let done = carry_out(&node, &engine, &order, terms).await;
                 OrderEnd { service, order, done }
             });
         }
     }
 }
 
+fn usable_engines(node: &EntryNode, service: &Name) -> Vec<ServerEntry> {
+    let registry = node.registry.lock().unwrap();
+    let is_usable = |entry: &&ServerEntry| entry.service == *service && !entry.is_draining;
+    registry.entries().filter(is_usable).cloned().collect()
+}
+
+/// Returns whether a route of a service wants each answer from one version, so that runs end before a
+/// load begins.
+fn wants_single_versions(routing: &RoutingTable, service: &Name) -> bool {
+    let is_of_service = |route: &RequestRoute| route.shares.iter().any(|share| share.service == *service);
+    routing.routes().any(|route| route.single_version && is_of_service(route))
+}
+
+/// Tells a plan what is wanted and what is there, and tells all nodes which engines it gave to another
+/// model.
+async fn divide_engines(
+    node: &Arc<EntryNode>,
+    plan: &mut WeightPlan,
+    service: &RoutedService,
+    engines: &[ServerEntry],
+    assigned: &BTreeMap<Name, EngineAssignment>,
+) {
+    let named = node.weights.named_versions();
+    for (model, version) in named.iter().filter(|(model, _)| service.models.contains(model)) {
+        plan.target(model, *version);
+        plan.allow_lag(model, node.accepted_lag(model));
+    }
+    let decided = plan.sync(node.now(), &service.models, &engines.iter().collect::<Vec<_>>(), assigned);
+    let decided: Vec<(Name, EngineAssignment)> = decided
+        .into_iter()
+        .map(|(instance, model)| {
+            let holder = node.settings.name.clone();
+            let (version, ordered_ms, tried_ms, load_ms) = (0, 0, 0, 0);
+            (instance, EngineAssignment { model, version, ordered_ms, tried_ms, holder, load_ms })
+        })
+        .collect();
+    decided.iter().for_each(|(instance, assignment)| feeds::learn_assignment(node, instance, assignment.clone()));
+    // Together, since a start decides on all engines: one by one, 102 of them took a second.
+    for batch in decided.chunks(tables::COMMIT_ROWS) {
+        write_assignments(node, batch).await;
+    }
+}
+
 /// Takes note of the orders that have come to an end.
 fn take_ends(node: &EntryNode, plans: &mut BTreeMap<Name, WeightPlan>, running: &mut OrderTasks) {
     while let Some(Ok(end)) = running.tasks.try_join_next() {
