Carry news of load between peers

One question and one answer for use by customers, shares and servers; what each kind holds has a module of its own, which takes nothing over yet. The carrier is not used until those modules are.

--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod job_scores;
 mod job_texts;
 mod metrics;
+mod news;
 mod node;
 mod order_lease;
 mod peers;
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -1,6 +1,7 @@
 //! What nodes ask each other: to relay a store call, and whether a job is driven.
 
 use super::adoption;
+use super::news;
 use super::node::EntryNode;
 use super::pool::ConnectionPool;
 use super::suspects;
@@ -17,7 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use trestlerack::Name;
 use trestlerack::border::{Clock, StoreError};
-use trestlerack::process::{NodeRow, NodeRows, RelayChoice, StrikeNote, UsageNote, UsageSender};
+use trestlerack::process::{NodeNews, NodeRow, NodeRows, RelayChoice, StrikeNote, UsageNote, UsageSender};
 use trestlerack::rows::{StoreCall, StoreReply};
 
 /// Path of all calls between nodes.
@@ -59,6 +60,8 @@
         /// What the caller knows.
         notes: Vec<StrikeNote>,
     },
+    /// Take news of load over, and say what the caller asks for.
+    News(NodeNews),
     /// A job is ended, as the store holds; say whether you drove it.
     End {
         /// The job.
@@ -83,6 +86,8 @@
     Noted,
     /// Strikes that the caller may not know.
     Strikes(Vec<StrikeNote>),
+    /// News of load that the caller asked for.
+    News(NodeNews),
 }
 
 /// Calls peers.
@@ -216,6 +221,14 @@
         }
     }
 
+    /// Tells a peer news of load and returns its own; `None` if it does not answer.
+    pub async fn tell_news(&self, peer: &Name, news: NodeNews) -> Option<NodeNews> {
+        match self.ask(peer, &PeerCall::News(news), PING_TIMEOUT).await {
+            Some(PeerReply::News(news)) => Some(news),
+            _ => None,
+        }
+    }
+
     async fn ask_about(&self, peer: &Name, call: &PeerCall) -> Option<bool> {
         match self.ask(peer, call, PING_TIMEOUT).await {
             Some(PeerReply::Drives(drives)) => Some(drives),
@@ -291,6 +304,7 @@
             PeerReply::Noted
         }
         PeerCall::Strikes { notes } => PeerReply::Strikes(suspects::answer_peer(node, &notes)),
+        PeerCall::News(told) => PeerReply::News(news::answer_peer(node, told)),
         PeerCall::Drive { job } => PeerReply::Drives(adoption::drive_assigned(node, &job).await),
         PeerCall::End { job } => {
             let is_driven = node.drivers.lock().unwrap().contains_key(&job);
