State ranks at engines, keep runs within engines' memory, bring last texts to fast engines

Cause, read in the code: every request to a server had no rank, so engines took all alike; only places bounded the runs at an engine, not the tokens that they hold; runs moved by a ratio of paces only, so a step's last text stayed on an engine that is a seventh slower, and behind items that wait it never moved unless it was a long one.

Ranks (process/urgency): stated where the configuration gives those that share a service different ones. Half made or once preempted: one step more urgent, from the customer's rank, so at most a tie with a fresh request of a more urgent customer. Half of its time used: ranks with the most urgent, which bounds the wait of the least urgent ones. Weighed: ageing step by step (a bound that grows with the number of ranks), a step for each preemption (adds up beyond more urgent customers).

Memory (process/engine_memory): tokens that this node's runs hold at each engine, by instance, taken and given back with the ticket; an engine without room is not chosen. An item that is expected to need more than any engine holds is not given up, since its output is an estimate: it goes where nothing else of this node runs. A client's prompt that alone fills any engine is refused at once, not run. Weighed: to count in the server's belief (lost while discovery does not list the engine, then given back twice).

Steps (process/run_move, ledger/outlook): the last quarter of the groups that a step waits for; their runs move for three times what a move costs, and their items are placed by pace before fill. Other runs keep the rule that they had.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -189,6 +189,12 @@
     SPARES_YIELDED = (2309, "spares-yielded", Info);
     /// The score call of an item ended, with the servers that were asked.
     SCORE_ENDED = (2308, "score-ended", Info);
+    /// An engine was left for a run because the tokens that it holds are spoken for.
+    ENGINE_FULL = (2311, "engine-full", Info);
+    /// An item is expected to need more than any engine's memory holds.
+    ITEM_OVERSIZE = (2312, "item-oversize", Warn);
+    /// A client's request was refused because its prompt alone fills any engine.
+    REQUEST_OVERSIZE = (2313, "request-oversize", Warn);
     /// An engine was ordered to load a version, with the outcome.
     ENGINE_ORDERED = (2401, "engine-ordered", Info);
     /// An engine was asked for its report.
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -6,6 +6,7 @@
 mod direct_way;
 mod duty_gate;
 mod engine_fleet;
+mod engine_memory;
 mod entry_settings;
 mod event_pace;
 mod job_owner;
@@ -22,6 +23,7 @@
 mod registry;
 mod relay_choice;
 mod run_limits;
+mod run_move;
 mod server_belief;
 mod settings;
 mod spool;
@@ -30,6 +32,7 @@
 mod step_store;
 mod suspects;
 mod suspension;
+mod urgency;
 mod usage;
 mod wait_estimate;
 
@@ -39,6 +42,7 @@
 pub use direct_way::{DirectWay, WayChange};
 pub use duty_gate::{DutyGate, DutySettings};
 pub use engine_fleet::{EngineFleet, FleetRow, FleetSettings, ScalingTerms, ZoneEngines, ZoneOrder};
+pub use engine_memory::{EngineMemory, SharedPrompt, TokenNeed};
 pub use entry_settings::{ENTRY_FIELDS, EntrySettings, parse_entry_settings};
 pub use event_pace::{EventPace, PaceSample};
 pub use job_owner::{OwnerCandidate, choose_job_owner, successor_rank};
@@ -57,6 +61,7 @@
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
 pub use relay_choice::RelayChoice;
 pub use run_limits::RunLimits;
+pub use run_move::{LAST_MOVE_SLOWNESS, MOVE_SLOWNESS, RunMove};
 pub use server_belief::{ChoiceBasis, ServerBelief};
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
 pub use spool::{SampleSpool, SpoolSettings};
@@ -71,6 +76,7 @@
     server_start,
 };
 pub use suspension::SuspensionGauge;
+pub use urgency::{CallHistory, ServiceRanks, engine_rank, shows_preemption};
 pub use usage::{
     CustomerCounts, UsageCounter, UsageDesk, UsageNote, UsageReport, UsageSender, UsageSettings, WindowNotes,
 };
--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -4,6 +4,7 @@
 //! node made on them; no server is asked anything only to learn its state.
 
 use super::answer_time::AnswerTimes;
+use super::engine_memory::{EngineMemory, TokenNeed};
 use super::registry::ServerRegistry;
 use super::server_belief::{ChoiceBasis, ServerBelief, StatedLoad};
 use super::wait_estimate::WaitEstimate;
@@ -96,6 +97,8 @@
     /// Whether the request is expected to last long, so that the server's pace counts for more than
     /// how full it is.
     pub is_long: bool,
+    /// Tokens that it takes in the memory of a model engine, where that is known.
+    pub tokens: Option<&'a TokenNeed>,
     /// Availability zone to prefer.
     pub zone: &'a str,
     /// Decides between servers that cost the same, as the name of the node does. Nodes that know of
@@ -114,6 +117,8 @@
     assigned: BTreeMap<Name, Name>,
     /// How long answers take, by service.
     answer_times: AnswerTimes,
+    /// Tokens that this node's runs hold at model engines.
+    pub memory: EngineMemory,
 }
 
 impl ServerBoard {
@@ -180,7 +185,7 @@
 
     /// Returns whether an engine that is to serve the model of `need` would do if it had a place.
     fn has_own(&self, now: Timestamp, need: &ServerNeed<'_>) -> bool {
-        let need = ServerNeed { room: ServerRoom::Any, avoid: &[], ..need.clone() };
+        let need = ServerNeed { room: ServerRoom::Any, avoid: &[], tokens: None, ..need.clone() };
         let mut of_service = self.of_service(need.service);
         need.weights.is_some()
             && of_service.any(|belief| self.is_own(belief, &need) && self.will_do(now, belief, &need))
@@ -193,10 +198,25 @@
 
     /// Returns how many servers would do if each had a free place.
     pub fn count(&self, now: Timestamp, need: &ServerNeed<'_>) -> usize {
-        let need = ServerNeed { room: ServerRoom::Any, ..need.clone() };
+        let need = ServerNeed { room: ServerRoom::Any, tokens: None, ..need.clone() };
         self.of_service(need.service).filter(|belief| self.will_do(now, belief, &need)).count()
     }
 
+    /// Returns the engines that would do if their memory were not spoken for, with the tokens that they
+    /// hold, leaving out those that were told of lately.
+    pub fn left_for_memory(&mut self, now: Timestamp, need: &ServerNeed<'_>) -> Vec<(Name, u64)> {
+        let Some(tokens) = need.tokens else { return Vec::new() };
+        let open = ServerNeed { tokens: None, ..need.clone() };
+        let would_do = |instance: &Name| {
+            let belief = self.servers.get(instance);
+            belief.is_some_and(|belief| &*belief.entry.service == need.service && self.will_do(now, belief, &open))
+        };
+        let mut left = self.memory.without_room(need.service, tokens);
+        left.retain(|(instance, _)| would_do(instance));
+        left.retain(|(instance, _)| self.memory.is_news(now, instance));
+        left
+    }
+
     fn will_do(&self, now: Timestamp, belief: &ServerBelief, need: &ServerNeed<'_>) -> bool {
         let is_new_enough = need.weights.is_none_or(|(model, oldest)| {
             let is_loading = belief.loading_until.is_some_and(|until| now < until);
@@ -210,7 +230,12 @@
             ServerRoom::Half => 2 * busy < belief.slots(),
         };
         let is_open = !belief.entry.is_draining && belief.not_before <= now;
-        is_open && is_new_enough && has_place && !need.avoid.contains(&belief.entry.instance)
+        let has_memory = |tokens| self.memory.has_room(need.service, &belief.entry.instance, tokens);
+        is_open
+            && is_new_enough
+            && has_place
+            && need.tokens.is_none_or(has_memory)
+            && !need.avoid.contains(&belief.entry.instance)
     }
 
     fn cost(&self, now: Timestamp, belief: &ServerBelief, need: &ServerNeed<'_>, typical: f64) -> f64 {
--- a/crates/trestlerack/src/request/ledger/mod.rs
+++ b/crates/trestlerack/src/request/ledger/mod.rs
@@ -1,11 +1,13 @@
 //! The state of one job's items while a node drives it.
 
+mod outlook;
 mod spare;
 mod texts;
 
 use super::job::{ItemEvent, ItemTranscript, JobResult, JobSpec, KeptItem, TranscriptError};
 use crate::version::WeightVersion;
 use crate::{Name, Timestamp};
+use outlook::LearntLength;
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -114,6 +116,8 @@
     score_failures: u32,
     not_before: Timestamp,
     is_carried: bool,
+    /// Whether an engine seems to have preempted a run of it.
+    was_preempted: bool,
     /// Whether the transcript is the whole text; an item that has a result may have none here.
     is_text_whole: bool,
     /// A second run of the item from its beginning, on newer weights than the first one's.
@@ -156,6 +160,8 @@
     long_from: u64,
     /// Items without a recorded result, by group.
     open_groups: HashMap<Name, usize>,
+    /// Length of the texts that are whole.
+    learnt: LearntLength,
 }
 
 impl JobLedger {
@@ -190,6 +196,7 @@
                 score_failures: 0,
                 not_before: Timestamp::default(),
                 is_carried,
+                was_preempted: false,
                 is_text_whole,
                 spare: None,
                 stored: (None, 0),
@@ -201,7 +208,8 @@
         }
         let (unlisted, long_from) = (items.len(), long_estimate(&spec));
         let (order, ready) = (Vec::new(), VecDeque::new());
-        let mut ledger = Self { order, unlisted, items, by_id, ready, settings, spec, open_groups, long_from };
+        let learnt = LearntLength::default();
+        let mut ledger = Self { order, unlisted, items, by_id, ready, settings, spec, open_groups, long_from, learnt };
         for result in listed {
             ledger.restore_listed(result);
         }
@@ -354,6 +362,9 @@
             RunEnd::Whole if state.transcript.last_event.is_some() => {
                 state.phase = ItemPhase::Scoring;
                 state.is_text_whole = true;
+                if let Some(hint) = self.spec.items[index].length_hint {
+                    self.learnt.record(state.transcript.last_event.unwrap_or(0), hint);
+                }
                 return true;
             }
             RunEnd::Whole | RunEnd::Broken => {
--- a/crates/trestlerack/src/version/customers.rs
+++ b/crates/trestlerack/src/version/customers.rs
@@ -92,6 +92,11 @@
         self.customers.iter().enumerate().map(move |(index, customer)| (customer, keys(index)))
     }
 
+    /// Returns the ranks of all customers, `None` for those without one of their own.
+    pub fn ranks(&self) -> impl Iterator<Item = Option<u8>> {
+        self.customers.iter().map(|customer| customer.priority)
+    }
+
     /// Returns a customer by its name.
     pub fn get(&self, name: &str) -> Option<&Customer> {
         self.customers.iter().find(|customer| &*customer.name == name)
--- a/crates/trestlerack/src/version/routing.rs
+++ b/crates/trestlerack/src/version/routing.rs
@@ -90,6 +90,8 @@
     pub max_connections: u32,
     /// Requests that a model engine runs at once; 0 for a plain service.
     pub engine_slots: u32,
+    /// Tokens that the memory of a model engine holds; 0 if that is not known.
+    pub engine_tokens: u64,
     /// Models that the engines of the service hold.
     pub models: Vec<Name>,
     /// What may be ordered of its engines; `None` if nothing.
--- a/crates/trestlerack/tests/support/load.rs
+++ b/crates/trestlerack/tests/support/load.rs
@@ -1,5 +1,7 @@
 //! Servers and routes for tests of decisions under load.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use trestlerack::process::{BoardSettings, RegistrySettings, ServerBoard, ServerEntry, ServerRegistry};
 use trestlerack::version::{RequestRoute, RouteKind, SplitShare};
 
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -173,7 +173,10 @@
             if routing.as_ref().is_none_or(|held| held.version < table.version) {
                 let fields: [(&str, &dyn std::fmt::Display); 2] = [("version", &table.version), ("row", &row.version)];
                 logs::write(event::ROUTING_APPLIED, &fields);
-                *routing = Some(Arc::new(table));
+                let table = Arc::new(table);
+                *routing = Some(table.clone());
+                drop(routing);
+                node.board.lock().unwrap().memory.set_capacities(&table);
             }
         }
         Ok(platform::OperatorRow::Weights { model, version }) => {
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{EventPace, RunLimits};
+use trestlerack::process::{EventPace, RunLimits, shows_preemption};
 use trestlerack::request::{JobItem, RunEnd, RunLane};
 use trestlerack::version::WeightVersion;
 use trestlerack::{Name, event};
@@ -25,19 +25,32 @@
 /// progress are left long before; it bounds what a node that is gone leaves behind at an engine.
 const ENDLESS_RUN_TIME: Duration = Duration::from_secs(60);
 
+/// What is to run.
+#[derive(Clone, Copy)]
+pub struct RunStart {
+    /// Position of the item in its job.
+    pub index: usize,
+    /// Which of its runs this is.
+    pub lane: RunLane,
+    /// Rank that the run states at its engine.
+    pub rank: Option<u8>,
+}
+
 /// A run and what is noted of it for the log.
 struct RunTrace {
     index: usize,
     lane: RunLane,
+    rank: Option<u8>,
     events: u64,
     longest_gap: Duration,
 }
 
 /// Runs an item and tells its driver how that ended.
-pub async fn run(node: Arc<EntryNode>, driver: Arc<JobDriver>, index: usize, lane: RunLane, ticket: ServerTicket) {
+pub async fn run(node: Arc<EntryNode>, driver: Arc<JobDriver>, start: RunStart, ticket: ServerTicket) {
+    let RunStart { index, lane, rank } = start;
     let engine = ticket.server.instance.clone();
     let started = node.now();
-    let mut trace = RunTrace { index, lane, events: 0, longest_gap: Duration::ZERO };
+    let mut trace = RunTrace { index, lane, rank, events: 0, longest_gap: Duration::ZERO };
     let (end, why) = attempt_run(&node, &driver, &mut trace, ticket).await;
     let item = &driver.spec.items[index];
     let took = node.now().since(started);
@@ -83,7 +96,7 @@
         instance: &instance,
         customer: driver.customer.as_deref(),
         time_left: Some(run_time(node, driver)),
-        priority: None,
+        priority: trace.rank,
         exact_version,
         resume_after,
         body: item.body.clone(),
@@ -168,6 +181,7 @@
             Err(error) => return (RunEnd::Broken, error.to_string()),
         };
         let gap = note_pace(node, &instance, &mut pace, events.len());
+        note_preemption(node, driver, trace, &ticket.server.service, gap);
         trace.longest_gap = gap.max(trace.longest_gap);
         trace.events += events.len() as u64;
         for event in events {
@@ -208,3 +222,15 @@
     node.board.lock().unwrap().event_gap(node.now(), instance, sample.pace);
     sample.gap
 }
+
+/// Takes note of a pause that shows that the engine preempted the run.
+fn note_preemption(node: &EntryNode, driver: &JobDriver, trace: &RunTrace, service: &str, gap: Duration) {
+    // Most pauses are shorter than the longest one so far, which needs no second look.
+    if gap <= trace.longest_gap || trace.lane == RunLane::Spare {
+        return;
+    }
+    let usual = node.board.lock().unwrap().typical_pace(node.now(), service);
+    if shows_preemption(gap, usual) {
+        driver.ledger.lock().unwrap().note_preempted(trace.index);
+    }
+}
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -10,12 +10,13 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
-use trestlerack::process::ServerNeed;
+use trestlerack::process::{ServerNeed, TokenNeed};
 use trestlerack::request::{
     JobHead, JobItem, JobLedger, JobSpec, LedgerSettings, RequestContent, RequestFingerprint, RunEnd, RunLane,
 };
 use trestlerack::version::RoutingTable;
 use trestlerack::{Name, Timestamp, event};
+use trestlerack_platform as platform;
 
 /// Longest time between two looks at a job without news.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
@@ -57,6 +58,10 @@
     pub fingerprints: Vec<RequestFingerprint>,
     /// What the score call of each item asks for.
     pub score_fingerprints: Vec<Option<RequestFingerprint>>,
+    /// What each item takes in the memory of its engine, by its position.
+    pub tokens: Vec<Option<TokenNeed>>,
+    /// Items that were logged as too large for any engine.
+    pub oversize: Mutex<HashSet<usize>>,
     /// Items that were logged as held.
     pub held: Mutex<HashSet<usize>>,
     /// State of its items.
@@ -82,12 +87,15 @@
         let fingerprints = spec.items.iter().map(fingerprint).collect();
         let score_fingerprint = |item: &JobItem| item.scorer.as_ref().map(score_calls::fingerprint);
         let score_fingerprints = spec.items.iter().map(score_fingerprint).collect();
+        let tokens = spec.items.iter().map(platform::item_tokens).collect();
         Self {
             spec,
             customer,
             accepted_ms: head.accepted_ms,
             fingerprints,
             score_fingerprints,
+            tokens,
+            oversize: Mutex::default(),
             held: Mutex::default(),
             ledger: Mutex::new(ledger),
             wake: Notify::new(),
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -1,23 +1,19 @@
 //! Places the items of a job on engines, moves runs and starts second ones.
 
+use super::item_run::{self, RunStart};
 use super::job_driver::{ItemRun, JobDriver};
 use super::node::EntryNode;
 use super::server_ticket::ServerTicket;
-use super::{choice_log, item_run, suspects};
+use super::{choice_log, engine_memory, suspects, urgency};
 use crate::process::logs;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{ServerEntry, ServerNeed, ServerRoom};
+use trestlerack::process::{LAST_MOVE_SLOWNESS, MOVE_SLOWNESS, RunMove, ServerEntry, ServerNeed, ServerRoom};
 use trestlerack::request::{ItemPhase, JobLedger, RequestFingerprint, RunEnd, RunLane};
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, event};
 
-/// How many times slower than another one with a free place an engine must be for its runs to be
-/// moved. Engines of one service differ by 1.3 (measured pace, 41 and 52 ms an event); a move costs
-/// some 40 ms.
-const MOVE_SLOWNESS: f64 = 1.2;
-
 /// Shortest time on an engine before a run is moved, so that its pace is known.
 pub const MOVE_AGE: Duration = Duration::from_millis(600);
 
@@ -29,6 +25,10 @@
     let now = node.now();
     let mut ledger = driver.ledger.lock().unwrap();
     let waiting: Vec<usize> = ledger.waiting(now).collect();
+    if waiting.is_empty() {
+        return;
+    }
+    let last = ledger.last_wanted();
     for (placed, index) in waiting.iter().copied().enumerate() {
         let item = &driver.spec.items[index];
         if hold_back(node, driver, &mut ledger, index) {
@@ -41,7 +41,8 @@
             weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
             pinned: ledger.pinned_version(index),
             room: ServerRoom::Place,
-            is_long: ledger.is_long(index),
+            is_long: ledger.is_long(index) || last.contains(&item.group),
+            tokens: driver.tokens[index].as_ref(),
             zone: &node.settings.zone,
             tie_key: &node.settings.name,
             ..ServerNeed::default()
@@ -54,10 +55,12 @@
         }
         drop(board);
         let (entry, is_apart) = choose_engine(node, driver.fingerprints[index], &need);
+        engine_memory::log_left(node, &item.id, &need);
+        let is_oversize = engine_memory::is_oversize(node, driver, index, service);
         match entry {
             Some(entry) => start_run(node, driver, &mut ledger, index, entry),
             // Others may find a place all the same.
-            None if need.pinned.is_some() || is_apart => {}
+            None if need.pinned.is_some() || is_apart || is_oversize => {}
             None => {
                 drop(ledger);
                 return yield_spares(node, driver, waiting.len() - placed);
@@ -119,23 +122,27 @@
     index: usize,
     engine: ServerEntry,
 ) {
+    let lane = RunLane::Main;
+    let rank = urgency::of_item(node, driver, ledger, &engine.service, index, lane);
     ledger.start(index, &engine.instance);
-    spawn_run(node, driver, index, RunLane::Main, engine);
+    spawn_run(node, driver, RunStart { index, lane, rank }, engine);
 }
 
-fn spawn_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, index: usize, lane: RunLane, engine: ServerEntry) {
-    log_start(node, driver, index, lane, &engine);
-    let ticket = ServerTicket::new(node, engine, driver.fingerprints[index]);
-    let run = tokio::spawn(item_run::run(node.clone(), driver.clone(), index, lane, ticket));
+fn spawn_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, start: RunStart, engine: ServerEntry) {
+    let RunStart { index, lane, .. } = start;
+    log_start(node, driver, start, &engine);
+    let ticket = ServerTicket::new(node, engine, driver.fingerprints[index]).holding(driver.tokens[index]);
+    let run = tokio::spawn(item_run::run(node.clone(), driver.clone(), start, ticket));
     let run = ItemRun { handle: run.abort_handle(), started: node.now() };
     driver.runs.lock().unwrap().insert((index, lane), run);
 }
 
-fn log_start(node: &EntryNode, driver: &JobDriver, index: usize, lane: RunLane, engine: &ServerEntry) {
-    let item = &driver.spec.items[index];
-    let (lane, model) = (lane.as_str(), driver.spec.model_of(item));
-    let about: [(&str, &dyn std::fmt::Display); 4] =
-        [("lane", &lane), ("item", &item.id), ("job", &driver.spec.id), ("engine", &engine.instance)];
+fn log_start(node: &EntryNode, driver: &JobDriver, start: RunStart, engine: &ServerEntry) {
+    let item = &driver.spec.items[start.index];
+    let (lane, model) = (start.lane.as_str(), driver.spec.model_of(item));
+    let rank = start.rank.map_or_else(|| "none".to_owned(), |rank| rank.to_string());
+    let about: [(&str, &dyn std::fmt::Display); 5] =
+        [("lane", &lane), ("item", &item.id), ("job", &driver.spec.id), ("engine", &engine.instance), ("rank", &rank)];
     choice_log::write_choice(node, event::RUN_STARTED, &about, engine, model.as_deref());
 }
 
@@ -160,15 +167,18 @@
         weights: Some((&model, newest)),
         room: ServerRoom::Half,
         avoid: std::slice::from_ref(&engine),
+        tokens: driver.tokens[index].as_ref(),
         zone: &node.settings.zone,
         tie_key: &node.settings.name,
         ..ServerNeed::default()
     };
     let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone());
     let Some(entry) = entry else { return };
+    let lane = RunLane::Spare;
+    let rank = urgency::of_item(node, driver, &ledger, &entry.service, index, lane);
     ledger.start_spare(index, &entry.instance);
     drop(ledger);
-    spawn_run(node, driver, index, RunLane::Spare, entry);
+    spawn_run(node, driver, RunStart { index, lane, rank }, entry);
 }
 
 fn is_any_item_waiting(node: &EntryNode) -> bool {
@@ -179,22 +189,26 @@
 
 /// Moves a run off an engine that is slower than another one with a free place: the connection is
 /// closed, which ends the work there, and the run goes on elsewhere. While items wait, only long
-/// runs move. One run at each look, because one free place takes one run only.
+/// runs move, and those that a step waits for last. One run at each look, because one free place takes
+/// one run only.
 pub fn move_slow_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
     let now = node.now();
-    let running: Vec<(usize, Name)> = {
+    let (running, last) = {
         let ledger = driver.ledger.lock().unwrap();
         let has_waiting = ledger.waiting(now).next().is_some();
-        let mut running = ledger.running();
-        running.retain(|(index, _)| !has_waiting || ledger.is_long(*index));
-        running
+        let last = ledger.last_wanted();
+        let is_last = |index: usize| last.contains(&driver.spec.items[index].group);
+        let mut running: Vec<(usize, Name)> = ledger.running();
+        running.retain(|(index, _)| !has_waiting || ledger.is_long(*index) || is_last(*index));
+        (running, last)
     };
-    let slow = slow_engines(node, route, &running);
+    let least = if last.is_empty() { MOVE_SLOWNESS } else { LAST_MOVE_SLOWNESS };
+    let slow = slow_engines(node, route, &running, least);
     for (index, engine) in running {
         if !slow.contains(&engine) || suspects::is_suspect(node, driver.fingerprints[index]) {
             continue;
         }
-        let Some((slowness, faster)) = worth_moving(node, driver, route, index, &engine) else { continue };
+        let Some((slowness, faster)) = worth_moving(node, driver, route, index, &engine, &last) else { continue };
         let Some(run) = driver.take_run(now, index) else { continue };
         run.abort();
         let mut ledger = driver.ledger.lock().unwrap();
@@ -210,11 +224,11 @@
 
 /// Returns the engines of runs that are slow enough for another one to be worth a move. Most looks find
 /// none; looking for a place for each of 200 runs took 0.5 ms each before 3,000 engines.
-fn slow_engines(node: &EntryNode, route: &RequestRoute, running: &[(usize, Name)]) -> HashSet<Name> {
+fn slow_engines(node: &EntryNode, route: &RequestRoute, running: &[(usize, Name)], least: f64) -> HashSet<Name> {
     let engines: HashSet<Name> = running.iter().map(|(_, engine)| engine.clone()).collect();
     let board = node.board.lock().unwrap();
     let services = route.shares.iter().map(|share| &share.service);
-    services.flat_map(|service| board.slow_among(node.now(), service, MOVE_SLOWNESS, &engines)).collect()
+    services.flat_map(|service| board.slow_among(node.now(), service, least, &engines)).collect()
 }
 
 /// Returns how slow the engine of a run is and another one with a free place that is much faster.
@@ -224,29 +238,39 @@
     route: &RequestRoute,
     index: usize,
     engine: &Name,
+    last: &HashSet<Name>,
 ) -> Option<(f64, ServerEntry)> {
-    let (pinned, is_long) = {
+    let (pinned, is_long, events_left) = {
         let ledger = driver.ledger.lock().unwrap();
-        (ledger.pinned_version(index), ledger.is_long(index))
+        (ledger.pinned_version(index), ledger.is_long(index), ledger.events_left(index))
     };
     let board = node.board.lock().unwrap();
     let now = node.now();
     let slowness = board.slowness(now, engine);
     let item = &driver.spec.items[index];
+    let is_last = last.contains(&item.group);
     let model = driver.spec.model_of(item);
+    let service = route.service_for(&item.id)?;
     let need = ServerNeed {
-        service: route.service_for(&item.id)?,
+        service,
         weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
         pinned,
         room: ServerRoom::Place,
-        is_long,
+        is_long: is_long || is_last,
+        tokens: driver.tokens[index].as_ref(),
         avoid: std::slice::from_ref(engine),
         zone: &node.settings.zone,
         tie_key: &node.settings.name,
     };
     let other = board.choose(now, &need)?;
-    let is_faster = board.slowness(now, &other.entry.instance) * MOVE_SLOWNESS < slowness;
-    is_faster.then(|| (slowness, other.entry.clone()))
+    let run_move = RunMove {
+        slowness,
+        other: board.slowness(now, &other.entry.instance),
+        pace: Duration::from_secs_f64(board.typical_pace(now, service) / 1_000.0),
+        events_left,
+        is_last,
+    };
+    run_move.is_worth().then(|| (slowness, other.entry.clone()))
 }
 
 /// Takes note of the end of a run, from the run's own task.
@@ -255,7 +279,13 @@
     runs.remove(&(index, lane));
     let mut ledger = driver.ledger.lock().unwrap();
     let (is_whole, other) = match lane {
-        RunLane::Main => (ledger.end_run(node.now(), index, end), RunLane::Spare),
+        RunLane::Main => {
+            let is_whole = ledger.end_run(node.now(), index, end);
+            if end == RunEnd::NotRun {
+                engine_memory::put_off_oversize(node, driver, &mut ledger, index);
+            }
+            (is_whole, RunLane::Spare)
+        }
         RunLane::Spare => (ledger.end_spare(index, end), RunLane::Main),
     };
     let is_settled = *ledger.phase(index) == ItemPhase::Settled;
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -60,14 +60,14 @@
             if !driver.is_driving() {
                 break;
             }
-            match score_calls::score(&node, &driver.spec.items[index].id, call).await {
+            let item = &driver.spec.items[index].id;
+            match score_calls::score(&node, item, driver.customer.as_ref(), call).await {
                 ScoreEnd::Scored(signature) => {
                     driver.ledger.lock().unwrap().settle(index, Some(signature));
                     break;
                 }
                 ScoreEnd::Failed => {
                     if driver.ledger.lock().unwrap().fail_score(index) {
-                        let item = &driver.spec.items[index].id;
                         logs::write(event::ITEM_GIVEN_UP, &[("item", item), ("why", &"its score call failed")]);
                         break;
                     }
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod choice_log;
 mod duties;
 mod engine_calls;
+mod engine_memory;
 mod feeds;
 mod front;
 mod item_run;
@@ -39,6 +40,7 @@
 mod suspects;
 mod tables;
 mod trail;
+mod urgency;
 mod weights;
 
 use crate::process::clock;
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -5,7 +5,7 @@
 use super::node::EntryNode;
 use super::server_ticket::ServerTicket;
 use super::trail::RequestTrail;
-use super::{choice_log, streams, suspects};
+use super::{choice_log, engine_memory, streams, suspects, urgency};
 use crate::process::clock;
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
@@ -29,6 +29,10 @@
 /// Time after which a client is told to return when no server takes its request.
 const RETURN_TIME: Duration = Duration::from_millis(150);
 
+/// Time after which a client is told to return whose request no engine's memory can hold: only a new
+/// configuration can change that.
+const TOO_LARGE_RETURN: Duration = Duration::from_secs(60);
+
 /// Share of the target latency for which a server is looked for before the request is refused.
 const SEARCH_SHARE: f64 = 0.2;
 
@@ -59,6 +63,11 @@
     let limit = time_limit(route, request.head.time_left);
     let deadline = node.now() + limit;
     let mut trail = RequestTrail::new(node, &request, &route.name);
+    if engine_memory::is_too_large(node, route, &request) {
+        let reply = platform::not_run_reply(request.head.request_id.as_ref(), TOO_LARGE_RETURN).map(full_reply);
+        trail.answered(reply.status());
+        return reply;
+    }
     if route.streaming {
         return streams::serve(node, route, request, deadline, trail).await;
     }
@@ -131,7 +140,8 @@
         let left = deadline.since(node.now());
         let is_last = trail.runs() + 1 == route.max_attempts || !is_safe;
         let limit = if is_last { left } else { left.min(patience(node, route)) };
-        let engine_request = engine_request(request, &server, left);
+        let mut engine_request = engine_request(request, &server, left);
+        engine_request.priority = urgency::of_request(node, route, &ticket.server.service, request, left);
         let started = node.now();
         match attempt::whole_answer(node, ticket, engine_request, !is_safe, limit).await {
             // A failure that the server states itself may pass at another one.
@@ -214,14 +224,23 @@
     let weights = model.map(|model| (model, 0));
     let id = request.head.request_id.clone().unwrap_or_else(|| "".into());
     let zone = &node.settings.zone;
-    let need =
-        ServerNeed { service, weights, avoid: tried, zone, tie_key: &node.settings.name, ..ServerNeed::default() };
+    let tokens = request.head.tokens;
+    let need = ServerNeed {
+        service,
+        weights,
+        tokens: tokens.as_ref(),
+        avoid: tried,
+        zone,
+        tie_key: &node.settings.name,
+        ..ServerNeed::default()
+    };
+    engine_memory::log_left(node, &id, &need);
     let entry = suspects::choose_apart(node, fingerprint, &need)?;
     let config = node.routing().map_or(0, |routing| routing.version);
     let about: [(&str, &dyn std::fmt::Display); 3] =
         [("request", &id), ("config", &config), ("server", &entry.instance)];
     choice_log::write_choice(node, event::SERVER_CHOSEN, &about, &entry, model);
-    Some(ServerTicket::new(node, entry, fingerprint))
+    Some(ServerTicket::new(node, entry, fingerprint).holding(tokens))
 }
 
 pub fn engine_request<'a>(request: &'a ClientRequest, instance: &'a str, left: Duration) -> EngineRequest<'a> {
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -3,7 +3,7 @@
 use super::attempt::{self, AttemptError};
 use super::node::EntryNode;
 use super::server_ticket::ServerTicket;
-use super::{plain, suspects};
+use super::{plain, suspects, urgency};
 use crate::process::clock;
 use crate::process::logs;
 use futures_util::StreamExt;
@@ -43,11 +43,11 @@
     RequestContent { customer: None, host: &call.host, path: &call.path, body: &call.body }.fingerprint()
 }
 
-/// Has the text of `item` scored, within the time limit of the scorer's route.
-pub async fn score(node: &Arc<EntryNode>, item: &Name, call: &ScoreCall) -> ScoreEnd {
+/// Has the text of `item` scored, within the time limit of the scorer's route, for a job of `customer`.
+pub async fn score(node: &Arc<EntryNode>, item: &Name, customer: Option<&Name>, call: &ScoreCall) -> ScoreEnd {
     let started = node.now();
     let mut tried: Vec<Name> = Vec::new();
-    let end = ask_servers(node, call, &mut tried).await;
+    let end = ask_servers(node, customer, call, &mut tried).await;
     let outcome = match &end {
         ScoreEnd::Scored(_) => "scored",
         ScoreEnd::Failed => "failed",
@@ -62,11 +62,17 @@
 }
 
 /// Asks servers until one answers; `tried` takes their names.
-async fn ask_servers(node: &Arc<EntryNode>, call: &ScoreCall, tried: &mut Vec<Name>) -> ScoreEnd {
+async fn ask_servers(
+    node: &Arc<EntryNode>,
+    customer: Option<&Name>,
+    call: &ScoreCall,
+    tried: &mut Vec<Name>,
+) -> ScoreEnd {
     let Some(routing) = node.routing() else { return ScoreEnd::NoAnswer };
     let Some(route) = routing.select(&call.host, &call.path) else { return ScoreEnd::NoAnswer };
     let Some(service) = route.service_for(&call.id) else { return ScoreEnd::NoAnswer };
     let deadline = node.now() + plain::time_limit(route, None);
+    let rank = urgency::of_score(&routing, route, service, customer);
     let fingerprint = fingerprint(call);
     let mut attempts = FuturesUnordered::new();
     loop {
@@ -82,7 +88,7 @@
             && let Some(ticket) = pick_server(node, fingerprint, service, tried)
         {
             tried.push(ticket.server.instance.clone());
-            attempts.push(attempt_score(node, call, ticket, deadline));
+            attempts.push(attempt_score(node, call, ticket, deadline, rank));
         }
         let answer = match attempts.len() {
             // There is nothing to do before one of them answers or its time is over.
@@ -141,6 +147,7 @@
     call: &ScoreCall,
     ticket: ServerTicket,
     deadline: Timestamp,
+    rank: Option<u8>,
 ) -> (Name, ScoreEnd) {
     let (instance, service) = (ticket.server.instance.clone(), ticket.server.service.clone());
     let started = node.now();
@@ -155,7 +162,7 @@
         // A score is of the item, for which its customer was identified already.
         customer: None,
         time_left: Some(left),
-        priority: None,
+        priority: rank,
         exact_version: None,
         resume_after: None,
         body: call.body.clone(),
--- a/crates/trestlerackd/src/entry/server_ticket.rs
+++ b/crates/trestlerackd/src/entry/server_ticket.rs
@@ -3,7 +3,7 @@
 use super::node::EntryNode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use trestlerack::process::{ServerEntry, SuspectRun};
+use trestlerack::process::{ServerEntry, SuspectRun, TokenNeed};
 use trestlerack::request::RequestFingerprint;
 
 /// Counts a request that a backend server works on until it is dropped.
@@ -15,6 +15,8 @@
     pub fingerprint: RequestFingerprint,
     /// The run, if that is suspected.
     run: Option<SuspectRun>,
+    /// What it takes in the server's memory.
+    tokens: Option<TokenNeed>,
     /// Whether the request is on its way, with an outcome still to come.
     is_open: AtomicBool,
 }
@@ -24,7 +26,16 @@
     pub fn new(node: &Arc<EntryNode>, server: ServerEntry, fingerprint: RequestFingerprint) -> Self {
         node.board.lock().unwrap().started(&server.instance);
         let run = node.suspects.book().sent(node.now(), &server.instance, fingerprint);
-        Self { node: node.clone(), server, fingerprint, run, is_open: AtomicBool::new(false) }
+        Self { node: node.clone(), server, fingerprint, run, tokens: None, is_open: AtomicBool::new(false) }
+    }
+
+    /// Counts what the request takes in the server's memory too.
+    pub fn holding(mut self, tokens: Option<TokenNeed>) -> Self {
+        if let Some(tokens) = &tokens {
+            self.node.board.lock().unwrap().memory.take(&self.server.instance, tokens);
+        }
+        self.tokens = tokens;
+        self
     }
 
     /// Records that the request is on its way to the server.
@@ -45,7 +56,13 @@
 
 impl Drop for ServerTicket {
     fn drop(&mut self) {
-        self.node.board.lock().unwrap().ended(&self.server.instance);
+        {
+            let mut board = self.node.board.lock().unwrap();
+            board.ended(&self.server.instance);
+            if let Some(tokens) = &self.tokens {
+                board.memory.give_back(&self.server.instance, tokens);
+            }
+        }
         if self.is_open.load(Ordering::Relaxed) {
             // Its client left or its time was over. Should its server end now, only service discovery
             // tells.
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -5,7 +5,7 @@
 use super::node::EntryNode;
 use super::plain::{self, Shortfall};
 use super::trail::RequestTrail;
-use super::{server_end, suspects};
+use super::{server_end, suspects, urgency};
 use crate::process::clock;
 use bytes::Bytes;
 use futures_util::stream;
@@ -87,6 +87,7 @@
         let left = deadline.since(node.now());
         let mut engine_request = plain::engine_request(request, &instance, left);
         engine_request.resume_after = resume_after;
+        engine_request.priority = urgency::of_request(node, route, &ticket.server.service, request, left);
         let opening = attempt::open_answer(node, ticket, engine_request, !route.resumable);
         match clock::timeout(left, opening).await {
             Ok(Ok(answer)) => {
--- /dev/null
+++ b/crates/trestlerackd/src/entry/urgency.rs
@@ -0,0 +1,68 @@
+//! The rank that each request of this node states at its server.
+
+use super::job_driver::JobDriver;
+use super::node::EntryNode;
+use super::{front::ClientRequest, plain};
+use std::time::Duration;
+use trestlerack::Name;
+use trestlerack::process::{CallHistory, ServiceRanks, call_priority, engine_rank};
+use trestlerack::request::{JobLedger, RunLane};
+use trestlerack::version::{Customer, RequestRoute, RoutingTable};
+
+/// Returns the rank of a client's request that has `left` of its time.
+pub fn of_request(
+    node: &EntryNode,
+    route: &RequestRoute,
+    service: &str,
+    request: &ClientRequest,
+    left: Duration,
+) -> Option<u8> {
+    let routing = node.routing()?;
+    let allowed = plain::time_limit(route, request.head.time_left);
+    let history =
+        CallHistory { waited: allowed.saturating_sub(left), allowed: Some(allowed), ..CallHistory::default() };
+    let priority = call_priority(request.caller.customer(), route);
+    engine_rank(ServiceRanks::of(&routing, service), priority, &history)
+}
+
+/// Returns the rank of a run of an item. A second run only saves work of a later job, so it ranks
+/// last.
+pub fn of_item(
+    node: &EntryNode,
+    driver: &JobDriver,
+    ledger: &JobLedger,
+    service: &str,
+    index: usize,
+    lane: RunLane,
+) -> Option<u8> {
+    let routing = node.routing()?;
+    let ranks = ServiceRanks::of(&routing, service);
+    let route = routing.select(&driver.spec.host, &driver.spec.path)?;
+    let priority = match lane {
+        RunLane::Main => call_priority(customer(&routing, driver.customer.as_ref()), route),
+        RunLane::Spare => return engine_rank(ranks, ranks?.last, &CallHistory::default()),
+    };
+    let limit_ms = if route.give_up_ms > 0 { route.give_up_ms } else { route.due_ms };
+    let history = CallHistory {
+        made: ledger.share_made(index),
+        was_preempted: ledger.was_preempted(index),
+        waited: Duration::from_millis(node.store.clock_ms().saturating_sub(driver.accepted_ms)),
+        allowed: (limit_ms > 0).then(|| Duration::from_millis(limit_ms)),
+    };
+    engine_rank(ranks, priority, &history)
+}
+
+/// Returns the rank of a score call for a customer's job.
+pub fn of_score(
+    routing: &RoutingTable,
+    route: &RequestRoute,
+    service: &str,
+    customer_name: Option<&Name>,
+) -> Option<u8> {
+    let priority = call_priority(customer(routing, customer_name), route);
+    engine_rank(ServiceRanks::of(routing, service), priority, &CallHistory::default())
+}
+
+fn customer<'a>(routing: &'a RoutingTable, name: Option<&Name>) -> Option<&'a Customer> {
+    routing.customers.as_ref()?.get(name?)
+}
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -317,6 +317,14 @@
         self.store.put("op", "config", &config);
     }
 
+    /// Puts the configuration of the start in force with a change to it.
+    pub fn reconfigure(&self, version: u64, change: impl FnOnce(&mut Value)) {
+        let mut config = configuration();
+        config["version"] = json!(version);
+        change(&mut config);
+        self.store.put("op", "config", &config);
+    }
+
     /// Lets engines of the model service be ordered; `autoscale` as on the wire.
     pub fn configure_scaling(&self, version: u64, autoscale: Value) {
         let mut config = configuration();
