Let a stream that is half made go on one step more urgent

A stream that is resumed counts what its client has of it, in events, against the output that is expected in tokens; an event has a token at least, so this says no more than is made. Until now only items of jobs counted what they had.

Test: a stream that breaks after two of four expected events goes on with a better rank, one of forty with its own (entry/engines; a first form of the test had two engines only, both of which pause after two breaks).

--- a/crates/trestlerack/src/process/engine_memory.rs
+++ b/crates/trestlerack/src/process/engine_memory.rs
@@ -41,10 +41,14 @@
         self.prompt.saturating_add(self.shared.map_or(0, |shared| shared.tokens))
     }
 
+    /// Returns the tokens of the expected output: the client's estimate, at most what it allows.
+    pub fn output(&self) -> u64 {
+        self.output_hint.map_or(self.output_most, |hint| hint.min(self.output_most))
+    }
+
     /// Returns the tokens that nobody else shares: the rest of the prompt and the expected output.
     fn own(&self) -> u64 {
-        let output = self.output_hint.map_or(self.output_most, |hint| hint.min(self.output_most));
-        self.prompt.saturating_add(output)
+        self.prompt.saturating_add(self.output())
     }
 
     /// Returns the tokens that it takes on an engine of its own.
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -141,7 +141,7 @@
         let is_last = trail.runs() + 1 == route.max_attempts || !is_safe;
         let limit = if is_last { left } else { left.min(patience(node, route)) };
         let mut engine_request = engine_request(request, &server, left);
-        engine_request.priority = urgency::of_request(node, route, &ticket.server.service, request, left);
+        engine_request.priority = urgency::of_request(node, route, &ticket.server.service, request, left, None);
         let started = node.now();
         match attempt::whole_answer(node, ticket, engine_request, !is_safe, limit).await {
             // A failure that the server states itself may pass at another one.
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -87,7 +87,8 @@
         let left = deadline.since(node.now());
         let mut engine_request = plain::engine_request(request, &instance, left);
         engine_request.resume_after = resume_after;
-        engine_request.priority = urgency::of_request(node, route, &ticket.server.service, request, left);
+        let service = &ticket.server.service;
+        engine_request.priority = urgency::of_request(node, route, service, request, left, resume_after);
         let opening = attempt::open_answer(node, ticket, engine_request, !route.resumable);
         match clock::timeout(left, opening).await {
             Ok(Ok(answer)) => {
--- a/crates/trestlerackd/src/entry/urgency.rs
+++ b/crates/trestlerackd/src/entry/urgency.rs
@@ -9,18 +9,26 @@
 use trestlerack::request::{JobLedger, RunLane};
 use trestlerack::version::{Customer, RequestRoute, RoutingTable};
 
-/// Returns the rank of a client's request that has `left` of its time.
+/// Returns the rank of a client's request that has `left` of its time and goes on after the event
+/// `resume_after`.
 pub fn of_request(
     node: &EntryNode,
     route: &RequestRoute,
     service: &str,
     request: &ClientRequest,
     left: Duration,
+    resume_after: Option<u64>,
 ) -> Option<u8> {
     let routing = node.routing()?;
     let allowed = plain::time_limit(route, request.head.time_left);
-    let history =
-        CallHistory { waited: allowed.saturating_sub(left), allowed: Some(allowed), ..CallHistory::default() };
+    let expected = request.head.tokens.map_or(0, |tokens| tokens.output());
+    let history = CallHistory {
+        // An event has a token at least, so no less is made than this says.
+        made: resume_after.filter(|_| expected > 0).map_or(0.0, |events| events as f64 / expected as f64),
+        waited: allowed.saturating_sub(left),
+        allowed: Some(allowed),
+        ..CallHistory::default()
+    };
     let priority = call_priority(request.caller.customer(), route);
     engine_rank(ServiceRanks::of(&routing, service), priority, &history)
 }
--- a/crates/trestlerackd/tests/entry/engines.rs
+++ b/crates/trestlerackd/tests/entry/engines.rs
@@ -2,6 +2,8 @@
 
 use super::support::*;
 use serde_json::json;
+use std::io::Read;
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -81,6 +83,37 @@
     std::fs::remove_file(log).unwrap();
 }
 
+/// The stream breaks off after two events of the four that are expected.
+#[test]
+fn a_stream_that_is_half_made_goes_on_one_step_more_urgent() {
+    // Each break pauses its engine for a moment.
+    let platform = Platform::start_counts(1, 4);
+    platform.configure(
+        2,
+        json!([{ "name": "one", "api_keys": [KEY], "priority": 3 }, { "name": "two", "api_keys": [OTHER_KEY] }]),
+    );
+    let (daemon, log, _) = start(&platform, "resumed");
+    let bearer = format!("Bearer {KEY}");
+    for (id, usage, rank) in [("short", "10,4", "2"), ("long", "10,40", "3")] {
+        platform.engine.broken_streams.store(1, Ordering::SeqCst);
+        let mut stream = TcpStream::connect(&daemon.client).unwrap();
+        let headers = [
+            ("request-id", id),
+            ("model", "m"),
+            ("token-usage", usage),
+            ("authorization", &bearer),
+            ("connection", "close"),
+        ];
+        send(&mut stream, "POST", "/resumed/x", &headers, "prompt").unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        assert!(text.ends_with("0\r\n\r\n"), "{text}");
+        let told = platform.engine.headers.lock().unwrap()[id].clone();
+        assert_eq!((&*told["last-event-id"], &*told["request-priority"]), ("2", rank), "{id}");
+    }
+    std::fs::remove_file(log).unwrap();
+}
+
 #[test]
 fn nobody_is_told_a_rank_where_all_have_the_same() {
     let platform = Platform::start();
