Keep an engine free for an item that needs all of one; part the moves of runs from their placing

Cause, from reading: an item that is expected to need more than an engine holds waited for one without other runs of this node, and while small runs keep all engines busy there never is one: in a plain loop over the board it waits for ever. Now the emptiest engine takes no other run of this node until the item is there, for five seconds at most; the only engine of a service is never kept. Weighed: to place nothing else of the job (stops a job for one item, and other jobs fill the engines all the same); to let it go among other runs (exceeds the engine's memory by our own count).

The tokens of an engine are kept as a sum, and a look for engines without room passes over those that would have room for the whole request, as nearly all do.

Moves of runs are a file of their own, and what an item needs of an engine is stated once for placing, moving and second runs.

Tests: engine_memory (the loop: for ever without, within a run's length with; the only engine).

--- a/crates/trestlerack/src/process/engine_memory.rs
+++ b/crates/trestlerack/src/process/engine_memory.rs
@@ -13,6 +13,9 @@
 /// Shortest time between two log lines that one engine has no room.
 const TELL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Longest time for which one engine of a service is kept free; runs that are there have ended by then.
+const KEEP_TIME: Duration = Duration::from_secs(5);
+
 /// The part of a prompt that other requests have too. An engine keeps it once for all of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SharedPrompt {
@@ -61,16 +64,13 @@
 #[derive(Clone, Debug, Default)]
 struct HeldTokens {
     runs: usize,
-    own: u64,
+    /// Tokens of all runs, shared parts counted once.
+    total: u64,
     /// Shared parts by key: how many runs have each, and its length.
     shared: HashMap<u64, (usize, u64)>,
 }
 
 impl HeldTokens {
-    fn total(&self) -> u64 {
-        self.shared.values().fold(self.own, |total, (_, tokens)| total.saturating_add(*tokens))
-    }
-
     /// Returns by how much one more run would add to the total.
     fn added_by(&self, need: &TokenNeed) -> u64 {
         let is_new = |shared: &SharedPrompt| !self.shared.contains_key(&shared.key);
@@ -78,8 +78,8 @@
     }
 
     fn take(&mut self, need: &TokenNeed) {
+        self.total = self.total.saturating_add(self.added_by(need));
         self.runs += 1;
-        self.own = self.own.saturating_add(need.own());
         if let Some(shared) = need.shared {
             self.shared.entry(shared.key).or_insert((0, shared.tokens)).0 += 1;
         }
@@ -87,16 +87,24 @@
 
     fn give_back(&mut self, need: &TokenNeed) {
         self.runs = self.runs.saturating_sub(1);
-        self.own = self.own.saturating_sub(need.own());
+        self.total = self.total.saturating_sub(need.own());
         let Some(shared) = need.shared else { return };
-        let Some((runs, _)) = self.shared.get_mut(&shared.key) else { return };
+        let Some((runs, tokens)) = self.shared.get_mut(&shared.key) else { return };
         *runs -= 1;
         if *runs == 0 {
+            self.total = self.total.saturating_sub(*tokens);
             self.shared.remove(&shared.key);
         }
     }
 }
 
+/// An engine that takes no further runs of this node, so that one gets it which needs all of it.
+#[derive(Clone, Debug)]
+struct KeptEngine {
+    instance: Name,
+    until: Timestamp,
+}
+
 /// Tokens that this node's runs hold at each engine, against what the engines of a service hold.
 ///
 /// Engines are known by instance and kept for as long as a run of this node is there, also while
@@ -108,6 +116,8 @@
     /// Capacity of an engine by service, in tokens; services whose capacity isn't known are left out.
     capacities: BTreeMap<Name, u64>,
     held: BTreeMap<Name, HeldTokens>,
+    /// Engines that are kept free, one of a service.
+    kept: BTreeMap<Name, KeptEngine>,
     /// When it was last told that an engine has no room.
     told: BTreeMap<Name, Timestamp>,
 }
@@ -141,13 +151,36 @@
 
     /// Returns whether an engine has room for one more run. One that is expected to need more than an
     /// engine holds may go where no other run of this node is: only the engine can tell.
-    pub fn has_room(&self, service: &str, instance: &str, need: &TokenNeed) -> bool {
-        let (Some(capacity), Some(held)) = (self.capacity(service), self.held.get(instance)) else { return true };
-        held.total().saturating_add(held.added_by(need)) <= capacity
+    pub fn has_room(&self, now: Timestamp, service: &str, instance: &str, need: &TokenNeed) -> bool {
+        let Some(capacity) = self.capacity(service) else { return true };
+        if need.alone() <= capacity && self.is_kept(now, service, instance) {
+            return false;
+        }
+        let Some(held) = self.held.get(instance) else { return true };
+        held.total.saturating_add(held.added_by(need)) <= capacity
+    }
+
+    fn is_kept(&self, now: Timestamp, service: &str, instance: &str) -> bool {
+        self.kept.get(service).is_some_and(|kept| &*kept.instance == instance && now < kept.until)
+    }
+
+    /// Keeps the emptiest of `engines` free for a run that needs all of one, unless one of the service
+    /// is kept already. The only engine of a service is never kept.
+    pub fn keep_one(&mut self, now: Timestamp, service: &str, engines: &[Name]) {
+        let is_kept = self.kept.get(service).is_some_and(|kept| now < kept.until);
+        if is_kept || engines.len() < 2 {
+            return;
+        }
+        let emptiest = engines.iter().min_by_key(|engine| self.held_at(engine));
+        if let Some(instance) = emptiest.cloned() {
+            self.kept.insert(service.into(), KeptEngine { instance, until: now + KEEP_TIME });
+        }
     }
 
     /// Takes the tokens of a run.
     pub fn take(&mut self, instance: &Name, need: &TokenNeed) {
+        // Only the one that it was kept for gets there.
+        self.kept.retain(|_, kept| kept.instance != *instance);
         self.held.entry(instance.clone()).or_default().take(need);
     }
 
@@ -162,14 +195,19 @@
 
     /// Returns the tokens that this node's runs hold at an engine.
     pub fn held_at(&self, instance: &str) -> u64 {
-        self.held.get(instance).map_or(0, HeldTokens::total)
+        self.held.get(instance).map_or(0, |held| held.total)
     }
 
     /// Returns the engines that hold tokens of this node's runs and have no room for one more, with how
     /// many they hold.
-    pub fn without_room(&self, service: &str, need: &TokenNeed) -> Vec<(Name, u64)> {
-        let is_short = |(instance, _): &(&Name, &HeldTokens)| !self.has_room(service, instance, need);
-        self.held.iter().filter(is_short).map(|(instance, held)| (instance.clone(), held.total())).collect()
+    pub fn without_room(&self, now: Timestamp, service: &str, need: &TokenNeed) -> Vec<(Name, u64)> {
+        let Some(capacity) = self.capacity(service) else { return Vec::new() };
+        // On most looks this leaves none.
+        let may_be_short = |held: &HeldTokens| held.total.saturating_add(need.alone()) > capacity;
+        let is_short = |(instance, held): &(&Name, &HeldTokens)| {
+            may_be_short(held) && !self.has_room(now, service, instance, need)
+        };
+        self.held.iter().filter(is_short).map(|(instance, held)| (instance.clone(), held.total)).collect()
     }
 
     /// Returns whether it is to be told now that an engine has no room, and takes note of that.
@@ -184,7 +222,7 @@
 
     /// Returns the engines that hold tokens of this node's runs, with how many, the fullest first.
     pub fn holders(&self) -> Vec<(Name, u64)> {
-        let mut holders: Vec<(Name, u64)> = self.held.iter().map(|(name, held)| (name.clone(), held.total())).collect();
+        let mut holders: Vec<(Name, u64)> = self.held.iter().map(|(name, held)| (name.clone(), held.total)).collect();
         holders.sort_by_key(|(_, tokens)| std::cmp::Reverse(*tokens));
         holders
     }
--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -202,6 +202,17 @@
         self.of_service(need.service).filter(|belief| self.will_do(now, belief, &need)).count()
     }
 
+    /// Keeps one engine free for a request that needs the whole memory of one.
+    pub fn keep_engine(&mut self, now: Timestamp, need: &ServerNeed<'_>) {
+        let open = ServerNeed { room: ServerRoom::Any, tokens: None, ..need.clone() };
+        let own_only = self.has_own(now, need);
+        let is_candidate =
+            |belief: &&ServerBelief| (!own_only || self.is_own(belief, need)) && self.will_do(now, belief, &open);
+        let candidates = self.of_service(need.service).filter(is_candidate);
+        let engines: Vec<Name> = candidates.map(|belief| belief.entry.instance.clone()).collect();
+        self.memory.keep_one(now, need.service, &engines);
+    }
+
     /// Returns the engines that would do if their memory were not spoken for, with the tokens that they
     /// hold, leaving out those that were told of lately.
     pub fn left_for_memory(&mut self, now: Timestamp, need: &ServerNeed<'_>) -> Vec<(Name, u64)> {
@@ -211,7 +222,7 @@
             let belief = self.servers.get(instance);
             belief.is_some_and(|belief| &*belief.entry.service == need.service && self.will_do(now, belief, &open))
         };
-        let mut left = self.memory.without_room(need.service, tokens);
+        let mut left = self.memory.without_room(now, need.service, tokens);
         left.retain(|(instance, _)| would_do(instance));
         left.retain(|(instance, _)| self.memory.is_news(now, instance));
         left
@@ -230,7 +241,7 @@
             ServerRoom::Half => 2 * busy < belief.slots(),
         };
         let is_open = !belief.entry.is_draining && belief.not_before <= now;
-        let has_memory = |tokens| self.memory.has_room(need.service, &belief.entry.instance, tokens);
+        let has_memory = |tokens| self.memory.has_room(now, need.service, &belief.entry.instance, tokens);
         is_open
             && is_new_enough
             && has_place
--- a/crates/trestlerack/tests/engine_memory.rs
+++ b/crates/trestlerack/tests/engine_memory.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use support::for_seeds;
-use trestlerack::process::{EngineMemory, ServerNeed, ServerRoom, SharedPrompt, TokenNeed};
+use trestlerack::process::{EngineMemory, ServerBoard, ServerNeed, ServerRoom, SharedPrompt, TokenNeed};
 use trestlerack::version::{ClientLimits, RoutedService, RoutingTable};
 use trestlerack::{Name, Timestamp};
 
@@ -85,7 +85,7 @@
 fn an_engine_whose_memory_is_spoken_for_is_not_chosen() {
     let mut board = board_of(&[plain_server("a", "s", "z", 8), plain_server("b", "s", "z", 8)]);
     board.memory.set_capacities(&configuration(2, 300));
-    let chosen = |board: &trestlerack::process::ServerBoard, tokens: &TokenNeed| {
+    let chosen = |board: &ServerBoard, tokens: &TokenNeed| {
         let need = ServerNeed { service: "s", tokens: Some(tokens), room: ServerRoom::Place, ..ServerNeed::default() };
         board.choose(NOW, &need).map(|belief| belief.entry.instance.clone())
     };
@@ -103,12 +103,70 @@
     assert_eq!(chosen(&board, &of_one), Some("a".into()));
 }
 
+/// Returns after how many turns an item that needs all of one engine is placed, if it ever is in 200.
+/// Three engines hold three small runs each. These last nine turns, end one after the other at each
+/// engine, and another one takes the room of each.
+fn turns_of_a_large_item(keeps_one: bool) -> Option<u64> {
+    let names = ["a", "b", "c"];
+    let mut board = board_of(&names.map(|name| plain_server(name, "s", "z", 8)));
+    board.memory.set_capacities(&configuration(2, 300));
+    let (small, large) = (TokenNeed { prompt: 100, ..TokenNeed::default() }, run(1, 10, 500));
+    let mut running: Vec<(u64, Name)> = Vec::new();
+    for turn in 0..200 {
+        let now = Timestamp(NOW.0 + 50 * turn);
+        let (ended, left) = running.into_iter().partition(|(ends, _)| *ends <= turn);
+        running = left;
+        let ended: Vec<(u64, Name)> = ended;
+        ended.iter().for_each(|(_, engine)| board.memory.give_back(engine, &small));
+        let need = |tokens| ServerNeed { service: "s", tokens, room: ServerRoom::Place, ..ServerNeed::default() };
+        let chosen = |board: &ServerBoard, tokens| {
+            board.choose(now, &need(Some(tokens))).map(|belief| belief.entry.instance.clone())
+        };
+        if turn > 20 {
+            if chosen(&board, &large).is_some() {
+                return Some(turn - 20);
+            }
+            if keeps_one {
+                board.keep_engine(now, &need(Some(&large)));
+            }
+        }
+        while let Some(engine) = chosen(&board, &small) {
+            board.memory.take(&engine, &small);
+            let lasts = if turn == 0 { 3 * (1 + running.len() as u64 % 3) } else { 9 };
+            running.push((turn + lasts, engine));
+        }
+    }
+    None
+}
+
+#[test]
+fn an_item_that_needs_all_of_an_engine_gets_one_while_others_keep_them_busy() {
+    assert_eq!(turns_of_a_large_item(false), None, "there is always a small run");
+    let turns = turns_of_a_large_item(true).expect("it is placed");
+    assert!(turns <= 10, "{turns} turns; a run lasts nine");
+}
+
+#[test]
+fn the_only_engine_of_a_service_is_never_kept_free() {
+    let mut memory = memory_of(300);
+    memory.keep_one(NOW, "s", &["a".into()]);
+    assert!(memory.has_room(NOW, "s", "a", &run(1, 10, 10)));
+    memory.keep_one(NOW, "s", &["a".into(), "b".into()]);
+    let has_room = |memory: &EngineMemory, ms: u64| {
+        ["a", "b"].map(|engine| memory.has_room(Timestamp(NOW.0 + ms), "s", engine, &run(1, 10, 10)))
+    };
+    assert_eq!((has_room(&memory, 4_999), has_room(&memory, 5_000)), ([false, true], [true, true]));
+    memory.take(&"a".into(), &run(1, 10, 500));
+    memory.give_back("a", &run(1, 10, 500));
+    assert_eq!(has_room(&memory, 1), [true, true], "the run that it was kept for has ended");
+}
+
 #[test]
 fn an_unknown_capacity_bounds_nothing() {
     for tokens in [0, u64::MAX] {
         let mut memory = memory_of(tokens);
         (0..1_000).for_each(|group| memory.take(&"a".into(), &run(group, 1 << 40, 0)));
-        assert!(memory.has_room("s", "a", &run(1, 1 << 40, 0)));
+        assert!(memory.has_room(NOW, "s", "a", &run(1, 1 << 40, 0)));
         assert!(!memory.is_oversize("s", &run(1, 1 << 40, 0)));
     }
 }
@@ -117,12 +175,12 @@
 fn what_is_expected_to_need_more_than_an_engine_holds_goes_where_nothing_else_is() {
     let mut memory = memory_of(300);
     let large = run(1, 10, 500);
-    assert!(memory.is_oversize("s", &large) && memory.has_room("s", "a", &large));
+    assert!(memory.is_oversize("s", &large) && memory.has_room(NOW, "s", "a", &large));
     assert!(!memory.can_never_run("s", &large), "its output may be shorter");
     memory.take(&"a".into(), &run(2, 1, 1));
-    assert!(!memory.has_room("s", "a", &large));
+    assert!(!memory.has_room(NOW, "s", "a", &large));
     memory.take(&"b".into(), &large);
-    assert!(!memory.has_room("s", "b", &run(2, 1, 1)), "and nothing comes beside it");
+    assert!(!memory.has_room(NOW, "s", "b", &run(2, 1, 1)), "and nothing comes beside it");
     assert!(memory.can_never_run("s", &run(1, 200, 1)) && !memory.can_never_run("s", &run(1, 199, 1)));
 }
 
--- a/crates/trestlerackd/src/entry/engine_memory.rs
+++ b/crates/trestlerackd/src/entry/engine_memory.rs
@@ -12,8 +12,8 @@
 use trestlerack::version::RequestRoute;
 
 /// Time for which an item is put off that an engine refused and that is expected to need more than any
-/// engine holds. Each try needs an engine where nothing else of this node runs.
-const OVERSIZE_PAUSE: Duration = Duration::from_secs(1);
+/// engine holds. Each try keeps an engine free of other runs.
+const OVERSIZE_PAUSE: Duration = Duration::from_secs(4);
 
 /// Most engines whose tokens are shown in the metrics, the fullest first.
 const SHOWN_ENGINES: usize = 32;
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -1,7 +1,7 @@
 //! Drives one job on the node that owns it: places items, scores texts, records results.
 
 use super::node::EntryNode;
-use super::{job_records, job_runs, job_scores, job_texts, score_calls};
+use super::{job_records, job_runs, job_scores, job_texts, run_moves, score_calls};
 use crate::process::clock;
 use crate::process::logs;
 use std::collections::{HashMap, HashSet};
@@ -159,7 +159,7 @@
     pub fn take_run(&self, now: Timestamp, index: usize) -> Option<AbortHandle> {
         let mut runs = self.runs.lock().unwrap();
         let key = (index, RunLane::Main);
-        let is_due = runs.get(&key).is_some_and(|run| now.since(run.started) >= job_runs::MOVE_AGE);
+        let is_due = runs.get(&key).is_some_and(|run| now.since(run.started) >= run_moves::MOVE_AGE);
         if is_due { runs.remove(&key).map(|run| run.handle) } else { None }
     }
 
@@ -299,7 +299,7 @@
         driver.record.notify_one();
         return;
     }
-    job_runs::move_slow_run(node, driver, route);
+    run_moves::move_slow_run(node, driver, route);
     job_runs::place_items(node, driver, route);
     job_runs::start_spare(node, driver, route);
     job_scores::start_scores(node, driver);
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -1,4 +1,4 @@
-//! Places the items of a job on engines, moves runs and starts second ones.
+//! Places the items of a job on engines and starts second runs.
 
 use super::item_run::{self, RunStart};
 use super::job_driver::{ItemRun, JobDriver};
@@ -6,17 +6,13 @@
 use super::server_ticket::ServerTicket;
 use super::{choice_log, engine_memory, suspects, urgency};
 use crate::process::logs;
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{LAST_MOVE_SLOWNESS, MOVE_SLOWNESS, RunMove, ServerEntry, ServerNeed, ServerRoom};
+use trestlerack::process::{ServerEntry, ServerNeed, ServerRoom};
 use trestlerack::request::{ItemPhase, JobLedger, RequestFingerprint, RunEnd, RunLane};
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, event};
 
-/// Shortest time on an engine before a run is moved, so that its pace is known.
-pub const MOVE_AGE: Duration = Duration::from_millis(600);
-
 /// Time after which a held item is looked at again; a whole answer elsewhere may end the hold.
 const HELD_PAUSE: Duration = Duration::from_millis(250);
 
@@ -34,19 +30,10 @@
         if hold_back(node, driver, &mut ledger, index) {
             continue;
         }
-        let Some(service) = route.service_for(&item.id) else { return };
         let model = driver.spec.model_of(item);
-        let mut need = ServerNeed {
-            service,
-            weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
-            pinned: ledger.pinned_version(index),
-            room: ServerRoom::Place,
-            is_long: ledger.is_long(index) || last.contains(&item.group),
-            tokens: driver.tokens[index].as_ref(),
-            zone: &node.settings.zone,
-            tie_key: &node.settings.name,
-            ..ServerNeed::default()
-        };
+        let Some(need) = item_need(node, driver, route, index, model.as_deref()) else { return };
+        let is_long = ledger.is_long(index) || last.contains(&item.group);
+        let mut need = ServerNeed { pinned: ledger.pinned_version(index), is_long, ..need };
         let board = node.board.lock().unwrap();
         if need.pinned.is_some() && board.count(now, &need) == 0 {
             // Nobody holds that version any more.
@@ -56,11 +43,12 @@
         drop(board);
         let (entry, is_apart) = choose_engine(node, driver.fingerprints[index], &need);
         engine_memory::log_left(node, &item.id, &need);
-        let is_oversize = engine_memory::is_oversize(node, driver, index, service);
+        let is_oversize = engine_memory::is_oversize(node, driver, index, need.service);
         match entry {
             Some(entry) => start_run(node, driver, &mut ledger, index, entry),
             // Others may find a place all the same.
-            None if need.pinned.is_some() || is_apart || is_oversize => {}
+            None if is_oversize => node.board.lock().unwrap().keep_engine(now, &need),
+            None if need.pinned.is_some() || is_apart => {}
             None => {
                 drop(ledger);
                 return yield_spares(node, driver, waiting.len() - placed);
@@ -69,6 +57,26 @@
     }
 }
 
+/// Returns what an item of `model` needs of an engine, as far as its job and its route say; `None` if its
+/// route leads nowhere.
+pub fn item_need<'a>(
+    node: &'a EntryNode,
+    driver: &'a JobDriver,
+    route: &'a RequestRoute,
+    index: usize,
+    model: Option<&'a str>,
+) -> Option<ServerNeed<'a>> {
+    Some(ServerNeed {
+        service: route.service_for(&driver.spec.items[index].id)?,
+        weights: model.map(|model| (model, driver.spec.min_version)),
+        room: ServerRoom::Place,
+        tokens: driver.tokens[index].as_ref(),
+        zone: &node.settings.zone,
+        tie_key: &node.settings.name,
+        ..ServerNeed::default()
+    })
+}
+
 /// Puts an item off whose content is held, or ended servers so lately that it is to be judged first.
 /// Returns whether it does.
 fn hold_back(node: &Arc<EntryNode>, driver: &JobDriver, ledger: &mut JobLedger, index: usize) -> bool {
@@ -115,7 +123,8 @@
     }
 }
 
-fn start_run(
+/// Starts the run that is to bring an item's result.
+pub fn start_run(
     node: &Arc<EntryNode>,
     driver: &Arc<JobDriver>,
     ledger: &mut JobLedger,
@@ -161,17 +170,9 @@
     // A second run of a suspect would be one more engine that ends.
     let is_clear = |(index, _): &(usize, Name)| !suspects::is_suspect(node, driver.fingerprints[*index]);
     let Some((index, engine)) = ledger.spare_candidates(newest).into_iter().find(is_clear) else { return };
-    let Some(service) = route.service_for(&driver.spec.items[index].id) else { return };
-    let need = ServerNeed {
-        service,
-        weights: Some((&model, newest)),
-        room: ServerRoom::Half,
-        avoid: std::slice::from_ref(&engine),
-        tokens: driver.tokens[index].as_ref(),
-        zone: &node.settings.zone,
-        tie_key: &node.settings.name,
-        ..ServerNeed::default()
-    };
+    let Some(need) = item_need(node, driver, route, index, Some(&model)) else { return };
+    let avoid = std::slice::from_ref(&engine);
+    let need = ServerNeed { weights: Some((&model, newest)), room: ServerRoom::Half, avoid, ..need };
     let entry = node.board.lock().unwrap().choose(node.now(), &need).map(|belief| belief.entry.clone());
     let Some(entry) = entry else { return };
     let lane = RunLane::Spare;
@@ -187,92 +188,6 @@
     drivers.iter().any(|driver| driver.ledger.lock().unwrap().waiting(now).next().is_some())
 }
 
-/// Moves a run off an engine that is slower than another one with a free place: the connection is
-/// closed, which ends the work there, and the run goes on elsewhere. While items wait, only long
-/// runs move, and those that a step waits for last. One run at each look, because one free place takes
-/// one run only.
-pub fn move_slow_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
-    let now = node.now();
-    let (running, last) = {
-        let ledger = driver.ledger.lock().unwrap();
-        let has_waiting = ledger.waiting(now).next().is_some();
-        let last = ledger.last_wanted();
-        let is_last = |index: usize| last.contains(&driver.spec.items[index].group);
-        let mut running: Vec<(usize, Name)> = ledger.running();
-        running.retain(|(index, _)| !has_waiting || ledger.is_long(*index) || is_last(*index));
-        (running, last)
-    };
-    let least = if last.is_empty() { MOVE_SLOWNESS } else { LAST_MOVE_SLOWNESS };
-    let slow = slow_engines(node, route, &running, least);
-    for (index, engine) in running {
-        if !slow.contains(&engine) || suspects::is_suspect(node, driver.fingerprints[index]) {
-            continue;
-        }
-        let Some((slowness, faster)) = worth_moving(node, driver, route, index, &engine, &last) else { continue };
-        let Some(run) = driver.take_run(now, index) else { continue };
-        run.abort();
-        let mut ledger = driver.ledger.lock().unwrap();
-        ledger.end_run(now, index, RunEnd::Broken);
-        start_run(node, driver, &mut ledger, index, faster);
-        drop(ledger);
-        let item = &driver.spec.items[index].id;
-        let slowness = format!("{slowness:.1}");
-        logs::write(event::RUN_MOVED, &[("item", item), ("engine", &engine), ("slowness", &slowness)]);
-        return;
-    }
-}
-
-/// Returns the engines of runs that are slow enough for another one to be worth a move. Most looks find
-/// none; looking for a place for each of 200 runs took 0.5 ms each before 3,000 engines.
-fn slow_engines(node: &EntryNode, route: &RequestRoute, running: &[(usize, Name)], least: f64) -> HashSet<Name> {
-    let engines: HashSet<Name> = running.iter().map(|(_, engine)| engine.clone()).collect();
-    let board = node.board.lock().unwrap();
-    let services = route.shares.iter().map(|share| &share.service);
-    services.flat_map(|service| board.slow_among(node.now(), service, least, &engines)).collect()
-}
-
-/// Returns how slow the engine of a run is and another one with a free place that is much faster.
-fn worth_moving(
-    node: &EntryNode,
-    driver: &JobDriver,
-    route: &RequestRoute,
-    index: usize,
-    engine: &Name,
-    last: &HashSet<Name>,
-) -> Option<(f64, ServerEntry)> {
-    let (pinned, is_long, events_left) = {
-        let ledger = driver.ledger.lock().unwrap();
-        (ledger.pinned_version(index), ledger.is_long(index), ledger.events_left(index))
-    };
-    let board = node.board.lock().unwrap();
-    let now = node.now();
-    let slowness = board.slowness(now, engine);
-    let item = &driver.spec.items[index];
-    let is_last = last.contains(&item.group);
-    let model = driver.spec.model_of(item);
-    let service = route.service_for(&item.id)?;
-    let need = ServerNeed {
-        service,
-        weights: model.as_deref().map(|model| (model, driver.spec.min_version)),
-        pinned,
-        room: ServerRoom::Place,
-        is_long: is_long || is_last,
-        tokens: driver.tokens[index].as_ref(),
-        avoid: std::slice::from_ref(engine),
-        zone: &node.settings.zone,
-        tie_key: &node.settings.name,
-    };
-    let other = board.choose(now, &need)?;
-    let run_move = RunMove {
-        slowness,
-        other: board.slowness(now, &other.entry.instance),
-        pace: Duration::from_secs_f64(board.typical_pace(now, service) / 1_000.0),
-        events_left,
-        is_last,
-    };
-    run_move.is_worth().then(|| (slowness, other.entry.clone()))
-}
-
 /// Takes note of the end of a run, from the run's own task.
 pub fn run_ended(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, index: usize, lane: RunLane, end: RunEnd) {
     let mut runs = driver.runs.lock().unwrap();
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -29,6 +29,7 @@
 mod plain;
 mod pool;
 mod retention;
+mod run_moves;
 mod score_calls;
 mod server_end;
 mod server_feed;
