--- a/crates/trestlerackd/tests/entry/engines.rs
+++ b/crates/trestlerackd/tests/entry/engines.rs
@@ -137,11 +137,13 @@
     platform.engine.pace_ms.store(PACE.as_millis() as usize, Ordering::SeqCst);
     let (daemon, log, metrics) = start(&platform, "memory");
     assert_eq!(submit(&daemon, "job1", 4), 202);
-    eventually("two runs began", || platform.engine.runs.lock().unwrap().len() >= 2);
-    let page = call(&metrics, "GET", "/metrics", &[], "").unwrap().body;
-    let shown =
-        page.lines().filter(|line| line.starts_with("trestlerack_entry_engine_tokens{") && line.ends_with(" 100"));
-    assert_eq!(shown.count(), 2, "{page}");
+    eventually("both engines hold a run", || {
+        let page = call(&metrics, "GET", "/metrics", &[], "").unwrap().body;
+        let shown = page.lines().filter(|line| line.starts_with("trestlerack_entry_engine_tokens{"));
+        let tokens: Vec<&str> = shown.filter_map(|line| line.split(' ').next_back()).collect();
+        assert!(tokens.iter().all(|tokens| *tokens == "100"), "{page}");
+        tokens.len() == 2
+    });
     assert_eq!(read_all(&daemon, "job1", 4).len(), 4);
     let begins = platform.engine.last_runs.lock().unwrap().clone();
     let headers = platform.engine.headers.lock().unwrap().clone();
