--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -145,6 +145,12 @@
     CONTENT_HELD = (2109, "content-held", Warn);
     /// Strikes could not be stored and wait; peers are told directly.
     STRIKES_WAIT = (2110, "strikes-wait", Warn);
+    /// The answers of a server changed against those of its peers, so that other nodes are told.
+    SERVER_JUDGED = (2141, "server-judged", Warn);
+    /// A peer told of a server what this node did not know.
+    SERVER_TOLD = (2142, "server-told", Info);
+    /// A second server was asked beside the first.
+    SECOND_ASKED = (2143, "second-asked", Info);
     /// A batch job was submitted, with the answer.
     JOB_SUBMITTED = (2201, "job-submitted", Info);
     /// A call about a batch job could not be served.
--- a/crates/trestlerack/src/process/news.rs
+++ b/crates/trestlerack/src/process/news.rs
@@ -68,12 +68,10 @@
     pub origin: Name,
     /// Number of the note at its origin, which grows.
     pub number: u64,
-    /// Learnt time of an answer, in milliseconds.
-    pub answer_ms: f32,
+    /// How many times longer than usual its answers take.
+    pub slowness: f32,
     /// Share of the recent answers that failed, from 0 to 1.
     pub failing: f32,
-    /// Requests that ran or waited there, as it stated; `None` if it states none.
-    pub busy: Option<u32>,
     /// Time since the origin saw this, in milliseconds; grows as the note is passed on.
     pub age_ms: u64,
 }
--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -4,14 +4,15 @@
 //! node made on them; no server is asked anything only to learn its state.
 
 use super::answer_time::AnswerTimes;
+use super::expectation::LearntTimes;
 use super::registry::ServerRegistry;
 use super::server_belief::{ChoiceBasis, ServerBelief, StatedLoad};
-use super::wait_estimate::WaitEstimate;
+use super::server_notes::NoteOutbox;
 use crate::hash::{hash_parts, rendezvous_weight};
 use crate::time::millis;
 use crate::version::WeightVersion;
 use crate::{Name, Timestamp};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Settings of a [`ServerBoard`].
@@ -108,12 +109,16 @@
 /// The servers and what is believed of them.
 #[derive(Debug, Default)]
 pub struct ServerBoard {
-    settings: BoardSettings,
-    servers: BTreeMap<Name, ServerBelief>,
+    pub(super) settings: BoardSettings,
+    pub(super) servers: BTreeMap<Name, ServerBelief>,
     /// The model that each engine is to serve, by instance; kept for engines not listed yet too.
     assigned: BTreeMap<Name, Name>,
     /// How long answers take, by service.
-    answer_times: AnswerTimes,
+    pub(super) answer_times: AnswerTimes,
+    /// What servers are compared by.
+    pub(super) learnt: LearntTimes,
+    /// What peers are to be told.
+    pub(super) outbox: NoteOutbox,
 }
 
 impl ServerBoard {
@@ -167,6 +172,10 @@
             let is_open = !own_only || self.is_own(belief, need);
             &*belief.entry.service == need.service && is_open && self.will_do(now, belief, need)
         };
+        if need.weights.is_none() && self.states_slowness(need.service) {
+            let candidates = self.servers.values().filter(is_candidate).collect();
+            return self.choose_expected(now, need, candidates);
+        }
         // Each cost is worked out once: a driver before 3,000 engines places 200 items at a time.
         let costs = self.servers.values().filter(is_candidate);
         let costs = costs.map(|belief| (self.cost(now, belief, need, typical), belief));
@@ -227,45 +236,6 @@
         pace * (1.0 + fill + self.settings.spare_version_cost * spare as f64)
     }
 
-    fn pace(&self, now: Timestamp, belief: &ServerBelief) -> Option<f64> {
-        belief.pace_ms.filter(|_| now.since(belief.pace_at) < self.settings.pace_age)
-    }
-
-    fn believed_slowness(&self, now: Timestamp, belief: &ServerBelief, typical: f64) -> f64 {
-        let Some(pace_ms) = belief.pace_ms else { return 1.0 };
-        let slowness = pace_ms / typical;
-        let is_old = now.since(belief.pace_at) >= self.settings.pace_age;
-        if is_old { slowness.clamp(1.0 / self.settings.old_slowness, self.settings.old_slowness) } else { slowness }
-    }
-
-    /// Returns the median pace of a service's servers, in milliseconds per event.
-    pub fn typical_pace(&self, now: Timestamp, service: &str) -> f64 {
-        let mut paces: Vec<f64> = self.of_service(service).filter_map(|belief| self.pace(now, belief)).collect();
-        if paces.is_empty() {
-            return self.settings.default_pace_ms;
-        }
-        let middle = paces.len() / 2;
-        *paces.select_nth_unstable_by(middle, f64::total_cmp).1
-    }
-
-    /// Returns those of `instances` that are more than `factor` times slower than the fastest server of
-    /// their service.
-    pub fn slow_among(&self, now: Timestamp, service: &str, factor: f64, instances: &HashSet<Name>) -> HashSet<Name> {
-        let typical = self.typical_pace(now, service);
-        let slowness = |belief: &ServerBelief| self.believed_slowness(now, belief, typical);
-        let least = self.of_service(service).map(slowness).fold(f64::INFINITY, f64::min);
-        let is_slow = |belief: &&ServerBelief| slowness(belief) > least * factor;
-        let wanted = self.of_service(service).filter(|belief| instances.contains(&belief.entry.instance));
-        wanted.filter(is_slow).map(|belief| belief.entry.instance.clone()).collect()
-    }
-
-    /// Returns how many times slower than its service's median a server is.
-    pub fn slowness(&self, now: Timestamp, instance: &str) -> f64 {
-        let Some(belief) = self.servers.get(instance) else { return 1.0 };
-        let typical = self.typical_pace(now, &belief.entry.service);
-        self.believed_slowness(now, belief, typical)
-    }
-
     /// Returns what is believed of a server at `now`, with its version of `model`.
     pub fn basis(&self, now: Timestamp, instance: &str, model: Option<&str>) -> Option<ChoiceBasis> {
         let belief = self.servers.get(instance)?;
@@ -274,30 +244,13 @@
             others: belief.busy(now, self.settings.load_age) - belief.in_flight,
             load_age_ms: (belief.load.at > Timestamp::default()).then(|| millis(now.since(belief.load.at))),
             slowness: self.slowness(now, instance),
+            expected: self.expected_slowness(now, belief),
+            standing: self.standing(now, instance),
+            told_by: belief.word_of_others(now).map(|told| told.origin.clone()),
             weights: model.and_then(|model| belief.version(model)).unwrap_or(0),
         })
     }
 
-    /// Returns what is expected of a service for one more call. Servers that are paused, draining or
-    /// loading count for nothing.
-    pub fn wait_estimate(&self, now: Timestamp, service: &str) -> WaitEstimate {
-        let is_open = |belief: &&ServerBelief| !belief.entry.is_draining && belief.not_before <= now;
-        let open: Vec<&ServerBelief> = self.of_service(service).filter(is_open).collect();
-        let busy = |belief: &ServerBelief| belief.busy(now, self.settings.load_age);
-        let places = open.iter().map(|belief| belief.slots()).sum();
-        let free = open.iter().map(|belief| belief.slots().saturating_sub(busy(belief))).sum();
-        let waiting: u32 = open.iter().map(|belief| busy(belief).saturating_sub(belief.slots())).sum();
-        let work = self.answer_times.mean(service).unwrap_or_default();
-        let wait = match (free, places) {
-            (1.., _) => Duration::ZERO,
-            (0, 0) => Duration::MAX,
-            // Places become free one after the other, evenly.
-            (0, places) => work.mul_f64(f64::from(waiting + 1) / f64::from(places)),
-        };
-        let ages = open.iter().map(|belief| now.since(belief.load.at)).filter(|age| *age < self.settings.load_age);
-        WaitEstimate { wait, work, places, free, age: ages.min() }
-    }
-
     /// Returns how many requests all servers of a service run at once.
     pub fn places(&self, service: &str) -> u32 {
         self.of_service(service).filter(|belief| !belief.entry.is_draining).map(ServerBelief::slots).sum()
@@ -315,7 +268,10 @@
 
     /// Records that a request was sent to a server.
     pub fn started(&mut self, instance: &str) {
-        self.change(instance, |belief| belief.in_flight += 1);
+        self.change(instance, |belief| {
+            belief.in_flight += 1;
+            belief.sent += 1;
+        });
     }
 
     /// Records that a server no longer works on a request of this node.
@@ -364,18 +320,6 @@
         });
     }
 
-    /// Records the time between two events of a run.
-    pub fn event_gap(&mut self, now: Timestamp, instance: &str, gap: Duration) {
-        let (weight, age) = (self.settings.pace_weight, self.settings.pace_age);
-        let gap_ms = gap.as_secs_f64() * 1_000.0;
-        self.change(instance, |belief| {
-            let is_old = now.since(belief.pace_at) >= age;
-            let held = belief.pace_ms.filter(|_| !is_old).unwrap_or(gap_ms);
-            belief.pace_ms = Some(held + weight * (gap_ms - held));
-            belief.pace_at = now;
-        });
-    }
-
     /// Records the version that a server stated in an answer, which overrides what was believed.
     pub fn stated_version(&mut self, instance: &str, model: &str, version: WeightVersion) {
         self.change(instance, |belief| {
@@ -400,7 +344,7 @@
         });
     }
 
-    fn change(&mut self, instance: &str, change: impl FnOnce(&mut ServerBelief)) {
+    pub(super) fn change(&mut self, instance: &str, change: impl FnOnce(&mut ServerBelief)) {
         // A server may have left while a request to it was in progress.
         if let Some(belief) = self.servers.get_mut(instance) {
             change(belief);
--- /dev/null
+++ b/crates/trestlerack/src/process/second_attempt.rs
@@ -0,0 +1,73 @@
+//! When a second server is asked beside the first for a request that may be repeated.
+//!
+//! Only services whose servers state how long work takes there get second attempts this early; see
+//! [docs/design/uneven-load.md](../../../../docs/design/uneven-load.md#parts).
+
+use super::limiter::RetryBudget;
+use super::placement::ServerBoard;
+use crate::{Name, Timestamp};
+use std::time::Duration;
+
+/// Share of the target latency within which a node must have the answer; the rest is the way to the
+/// client.
+const ANSWERED_SHARE: f64 = 0.9;
+
+/// Median times that the second server needs, with the choice and the connection.
+const SECOND_WORK: f64 = 1.5;
+
+/// Share of the target latency at which the second server is asked while no time is known.
+const UNKNOWN_SHARE: f64 = 0.5;
+
+/// Second attempts a call, so that they never double the load.
+const ATTEMPTS_PER_CALL: f64 = 0.1;
+
+/// Second attempts that a route may make before it has earned any.
+const FIRST_ATTEMPTS: f64 = 2.0;
+
+impl ServerBoard {
+    /// Returns how long after the first server a second one is asked: so late that the second still answers
+    /// within the target latency, but never before half of the answers are there. Where no target is
+    /// stated, what few answers take longer than. `None` where the service states no slowness or nothing is
+    /// known.
+    pub fn second_attempt_after(&self, service: &str, kind: &str, target: Duration) -> Option<Duration> {
+        if !self.states_slowness(service) {
+            return None;
+        }
+        if target.is_zero() {
+            return self.high_time(kind);
+        }
+        let Some(median) = self.median_time(kind) else { return Some(target.mul_f64(UNKNOWN_SHARE)) };
+        let latest = target.mul_f64(ANSWERED_SHARE).saturating_sub(median.mul_f64(SECOND_WORK));
+        Some(latest.max(median))
+    }
+
+    /// Returns whether a service has a free place for a second attempt.
+    pub fn has_room(&self, now: Timestamp, service: &str) -> bool {
+        self.wait_estimate(now, service).free > 0
+    }
+}
+
+/// Bounds second attempts to a share of the calls of a route.
+#[derive(Debug)]
+pub struct SecondAttemptBudget {
+    budget: RetryBudget,
+}
+
+impl Default for SecondAttemptBudget {
+    fn default() -> Self {
+        Self { budget: RetryBudget::new(ATTEMPTS_PER_CALL, FIRST_ATTEMPTS) }
+    }
+}
+
+impl SecondAttemptBudget {
+    /// Records a call.
+    pub fn earn(&mut self, route: &Name, service: &Name) {
+        self.budget.earn(route, service);
+    }
+
+    /// Takes a second attempt out of the budget, or returns `false` if it is used up.
+    #[must_use]
+    pub fn spend(&mut self, route: &Name, service: &Name) -> bool {
+        self.budget.spend(route, service)
+    }
+}
--- a/crates/trestlerack/src/process/server_belief.rs
+++ b/crates/trestlerack/src/process/server_belief.rs
@@ -1,6 +1,9 @@
 //! What a node believes of one backend server.
 
+use super::expectation::{LearntSlowness, StatedSlowness};
 use super::registry::ServerEntry;
+use super::server_notes::WordRecord;
+use super::standing::{ServerStanding, StandingRecord};
 use crate::version::WeightVersion;
 use crate::{Name, Timestamp};
 use std::collections::BTreeMap;
@@ -20,7 +23,13 @@
     pub entry: ServerEntry,
     /// Requests of this node that it works on.
     pub in_flight: u32,
+    /// Requests that this node has sent there.
+    pub(super) sent: u64,
     pub(super) load: StatedLoad,
+    pub(super) stated: Option<StatedSlowness>,
+    pub(super) learnt: LearntSlowness,
+    pub(super) record: StandingRecord,
+    pub(super) word: WordRecord,
     pub(super) pace_ms: Option<f64>,
     pub(super) pace_at: Timestamp,
     pub(super) failures: u32,
@@ -36,7 +45,12 @@
         Self {
             entry,
             in_flight: 0,
+            sent: 0,
             load: StatedLoad::default(),
+            stated: None,
+            learnt: LearntSlowness::default(),
+            record: StandingRecord::default(),
+            word: WordRecord::default(),
             pace_ms: None,
             pace_at: Timestamp::default(),
             failures: 0,
@@ -63,7 +77,7 @@
 }
 
 /// What was believed of a server when it was chosen, for the log.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ChoiceBasis {
     /// Requests of this node that it works on.
     pub in_flight: u32,
@@ -73,6 +87,12 @@
     pub load_age_ms: Option<u64>,
     /// How many times slower than its service's median it is.
     pub slowness: f64,
+    /// How many times longer than usual a call is expected to take, without what runs and waits there.
+    pub expected: f64,
+    /// Its standing.
+    pub standing: ServerStanding,
+    /// The node on whose word this rests; `None` where it rests on this node's own calls.
+    pub told_by: Option<Name>,
     /// Version of the model asked for; 0 where none is known or asked for.
     pub weights: WeightVersion,
 }
--- a/crates/trestlerack/src/process/wait_estimate.rs
+++ b/crates/trestlerack/src/process/wait_estimate.rs
@@ -1,5 +1,8 @@
 //! How long a service is expected to take for one more call.
 
+use super::placement::ServerBoard;
+use super::server_belief::ServerBelief;
+use crate::Timestamp;
 use std::time::Duration;
 
 /// What is expected of a service at one moment, as one node believes it.
@@ -27,3 +30,25 @@
         self.wait.saturating_add(self.work) <= left
     }
 }
+
+impl ServerBoard {
+    /// Returns what is expected of a service for one more call. Servers that are paused, draining or
+    /// loading count for nothing.
+    pub fn wait_estimate(&self, now: Timestamp, service: &str) -> WaitEstimate {
+        let is_open = |belief: &&ServerBelief| !belief.entry.is_draining && belief.not_before <= now;
+        let open: Vec<&ServerBelief> = self.of_service(service).filter(is_open).collect();
+        let busy = |belief: &ServerBelief| belief.busy(now, self.settings.load_age);
+        let places = open.iter().map(|belief| belief.slots()).sum();
+        let free = open.iter().map(|belief| belief.slots().saturating_sub(busy(belief))).sum();
+        let waiting: u32 = open.iter().map(|belief| busy(belief).saturating_sub(belief.slots())).sum();
+        let work = self.answer_times.mean(service).unwrap_or_default();
+        let wait = match (free, places) {
+            (1.., _) => Duration::ZERO,
+            (0, 0) => Duration::MAX,
+            // Places become free one after the other, evenly.
+            (0, places) => work.mul_f64(f64::from(waiting + 1) / f64::from(places)),
+        };
+        let ages = open.iter().map(|belief| now.since(belief.load.at)).filter(|age| *age < self.settings.load_age);
+        WaitEstimate { wait, work, places, free, age: ages.min() }
+    }
+}
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use super::node::EntryNode;
 use super::pool::{ConnectionLease, ExchangeError};
 use super::server_ticket::ServerTicket;
-use super::{server_end, suspects};
+use super::{server_answers, server_end, suspects};
 use crate::process::clock;
 use crate::process::tracing::HopSpan;
 use bytes::Bytes;
@@ -123,6 +123,9 @@
     }
     if let Some(load) = head.load {
         node.board.lock().unwrap().stated_load(node.now(), &instance, load.running, load.waiting);
+        if let Some(percent) = load.slowness_percent {
+            server_answers::stated_slowness(node, &instance, percent);
+        }
     }
     let is_other_server = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if head.is_not_run || is_other_server {
--- a/crates/trestlerackd/src/entry/choice_log.rs
+++ b/crates/trestlerackd/src/entry/choice_log.rs
@@ -19,11 +19,17 @@
     let Some(basis) = basis else { return logs::write(event, about) };
     let load_age_ms = basis.load_age_ms.map_or_else(|| "none".to_owned(), |age| age.to_string());
     let slowness = format!("{:.2}", basis.slowness);
-    let beliefs: [(&str, &dyn Display); 6] = [
+    let expected = format!("{:.2}", basis.expected);
+    let standing = basis.standing.as_str();
+    let told_by = basis.told_by.as_deref().unwrap_or("own");
+    let beliefs: [(&str, &dyn Display); 9] = [
         ("in_flight", &basis.in_flight),
         ("others", &basis.others),
         ("load_age_ms", &load_age_ms),
         ("slowness", &slowness),
+        ("expected", &expected),
+        ("standing", &standing),
+        ("told_by", &told_by),
         ("weights", &basis.weights),
         ("zone", &server.zone),
     ];
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -6,6 +6,7 @@
 
 mod adoption;
 mod attempt;
+mod attempts;
 mod callers;
 mod choice_log;
 mod duties;
@@ -29,6 +30,8 @@
 mod pool;
 mod retention;
 mod score_calls;
+mod second_attempts;
+mod server_answers;
 mod server_end;
 mod server_feed;
 mod server_ticket;
@@ -91,6 +94,7 @@
     tokio::spawn(suspects::store_strikes(node.clone()));
     tokio::spawn(suspects::tell_peers(node.clone()));
     tokio::spawn(suspects::ask_peers(node.clone()));
+    tokio::spawn(news::server_news::tell_peers(node.clone()));
     tokio::spawn(reload(node.clone(), hangup, settings_file));
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/trestlerackd/src/entry/news/mod.rs
+++ b/crates/trestlerackd/src/entry/news/mod.rs
@@ -3,7 +3,7 @@
 //! Each kind of news has a module of its own that says what is to be told and takes over what was; this
 //! one only carries. See [docs/design/room.md](../../../../../docs/design/room.md).
 
-mod server_news;
+pub mod server_news;
 mod share_news;
 
 use super::node::EntryNode;
@@ -14,7 +14,8 @@
 /// Takes over what a peer tells, and returns what it asked for.
 pub fn answer_peer(node: &Arc<EntryNode>, news: NodeNews) -> NodeNews {
     let shares = share_news::answer(node, &news.sender, &news.uses);
-    let servers = server_news::answer(node, news.servers);
+    let is_asking = news.is_empty();
+    let servers = server_news::answer(node, news.servers, is_asking);
     NodeNews { sender: node.settings.name.clone(), shares, servers, ..NodeNews::default() }
 }
 
--- a/crates/trestlerackd/src/entry/news/server_news.rs
+++ b/crates/trestlerackd/src/entry/news/server_news.rs
@@ -1,14 +1,119 @@
 //! What nodes tell each other of servers.
 
+use super::exchange;
 use crate::entry::node::EntryNode;
+use crate::process::{clock, logs};
+use futures_util::future::join_all;
 use std::sync::Arc;
-use trestlerack::process::ServerNote;
+use std::time::Duration;
+use trestlerack::event;
+use trestlerack::process::{GossipSettings, NodeNews, ServerNote};
 
-/// Takes over what a peer tells, and returns what it may not know.
-pub fn answer(node: &Arc<EntryNode>, told: Vec<ServerNote>) -> Vec<ServerNote> {
+/// Time in which notes are gathered before they are told, so that several share a message. Short beside
+/// the time that a caller waits for an answer.
+const GATHER_TIME: Duration = Duration::from_millis(20);
+
+/// Pause before notes that are over the allowance are told.
+const LATER: Duration = Duration::from_millis(500);
+
+/// Peers that are asked one after the other until one answers.
+const ASKED_PEERS: usize = 5;
+
+/// Pause before the next peer is asked.
+const ASK_PAUSE: Duration = Duration::from_millis(400);
+
+/// Says that there may be something to tell.
+pub fn wake(node: &EntryNode) {
+    node.has_server_notes.notify_one();
+}
+
+/// Takes over what a peer tells, and returns what it may not know: a peer that tells nothing has just
+/// started and asks.
+pub fn answer(node: &Arc<EntryNode>, told: Vec<ServerNote>, is_asking: bool) -> Vec<ServerNote> {
+    if is_asking {
+        let name = &node.settings.name;
+        return node.board.lock().unwrap().known_notes(node.now(), name);
+    }
     learn(node, told);
     Vec::new()
 }
 
-/// Takes over what a peer tells.
-pub fn learn(_node: &Arc<EntryNode>, _told: Vec<ServerNote>) {}
+/// Takes over what a peer tells, and passes on what is news.
+pub fn learn(node: &Arc<EntryNode>, told: Vec<ServerNote>) {
+    let mut has_news = false;
+    for note in told {
+        let is_news = node.board.lock().unwrap().learn_note(node.now(), &node.settings.name, &note);
+        if is_news {
+            log_told(&note);
+            has_news = true;
+        }
+    }
+    if has_news {
+        wake(node);
+    }
+}
+
+/// Tells peers of servers, until the process ends.
+pub async fn tell_peers(node: Arc<EntryNode>) {
+    loop {
+        node.has_server_notes.notified().await;
+        clock::sleep(GATHER_TIME).await;
+        while tell_some(&node).await {
+            clock::sleep(LATER).await;
+        }
+    }
+}
+
+/// Tells some peers what may be told now. Returns whether something is left.
+async fn tell_some(node: &Arc<EntryNode>) -> bool {
+    let (notes, is_left) = {
+        let mut board = node.board.lock().unwrap();
+        (board.take_notes(node.now(), &node.settings.name), board.has_notes())
+    };
+    if notes.is_empty() {
+        return is_left;
+    }
+    let own = notes.iter().filter(|note| note.origin == node.settings.name);
+    own.for_each(|note| log_changed(node, note));
+    let chosen = GossipSettings::default().pick_told(&node.peers.others(), &mut rand::rng());
+    let news = NodeNews { servers: notes, ..NodeNews::default() };
+    join_all(chosen.iter().map(|peer| exchange(node, peer, news.clone()))).await;
+    is_left
+}
+
+/// Asks a peer for what it knows of servers: a node that has just started would else find out by its own
+/// callers.
+pub async fn ask_peer(node: Arc<EntryNode>) {
+    let gossip = GossipSettings::default();
+    for _ in 0..ASKED_PEERS {
+        let peer = gossip.pick_asked(&node.peers.others(), &mut rand::rng());
+        if let Some(peer) = peer
+            && exchange(&node, &peer, NodeNews::default()).await
+        {
+            return;
+        }
+        clock::sleep(ASK_PAUSE).await;
+    }
+}
+
+fn log_changed(node: &EntryNode, note: &ServerNote) {
+    let standing = node.board.lock().unwrap().standing(node.now(), &note.instance).as_str();
+    let slowness = format!("{:.2}", note.slowness);
+    let failing = format!("{:.2}", note.failing);
+    let fields: [(&str, &dyn std::fmt::Display); 4] =
+        [("server", &note.instance), ("standing", &standing), ("slowness", &slowness), ("failing", &failing)];
+    logs::write(event::SERVER_JUDGED, &fields);
+}
+
+fn log_told(note: &ServerNote) {
+    let slowness = format!("{:.2}", note.slowness);
+    let failing = format!("{:.2}", note.failing);
+    let fields: [(&str, &dyn std::fmt::Display); 5] = [
+        ("server", &note.instance),
+        ("origin", &note.origin),
+        ("slowness", &slowness),
+        ("failing", &failing),
+        ("age_ms", &note.age_ms),
+    ];
+    logs::write(event::SERVER_TOLD, &fields);
+}
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -19,8 +19,8 @@
 use tokio::sync::{Notify, watch};
 use trestlerack::border::Clock;
 use trestlerack::process::{
-    AnswerTimes, BoardSettings, EntrySettings, LeaseGrant, LeaseRow, NodeRow, RegistrySettings, ServerBoard,
-    ServerRegistry,
+    AnswerTimes, BoardSettings, EntrySettings, LeaseGrant, LeaseRow, NodeRow, RegistrySettings, SecondAttemptBudget,
+    ServerBoard, ServerRegistry,
 };
 use trestlerack::request::JobHead;
 use trestlerack::version::{EngineAssignment, RoutingTable, WeightVersion};
@@ -87,6 +87,10 @@
     pub board: Mutex<ServerBoard>,
     /// How long answers take, by route.
     pub route_times: Mutex<AnswerTimes>,
+    /// Tells that peers may be to be told of servers.
+    pub has_server_notes: Notify,
+    /// What may be spent on second attempts.
+    pub second_attempts: Mutex<SecondAttemptBudget>,
     /// Requests under which servers ended.
     pub suspects: SuspectDesk,
     /// Whether service discovery was read once.
@@ -147,6 +151,8 @@
             registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
             board: Mutex::new(ServerBoard::new(BoardSettings::default())),
             route_times: Mutex::default(),
+            has_server_notes: Notify::new(),
+            second_attempts: Mutex::default(),
             suspects: SuspectDesk::new(&settings),
             has_registry: AtomicBool::new(false),
             has_state: AtomicBool::new(false),
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -1,19 +1,19 @@
 //! Requests that are passed on to a backend server of their route's service.
 
-use super::attempt::{self, WholeAnswer};
+use super::attempt::WholeAnswer;
 use super::front::{ClientRequest, ReplyBody, full_reply};
 use super::node::EntryNode;
 use super::server_ticket::ServerTicket;
 use super::trail::RequestTrail;
-use super::{choice_log, streams, suspects};
+use super::{attempts, choice_log, streams, suspects};
 use crate::process::clock;
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::process::ServerNeed;
 use trestlerack::request::RequestFingerprint;
-use trestlerack::version::{RequestRoute, RouteKind};
-use trestlerack::{Name, Timestamp, event};
+use trestlerack::version::RequestRoute;
+use trestlerack::{Name, event};
 use trestlerack_platform::{self as platform, EngineRequest};
 
 /// Share of the target latency after which a repeatable request is tried at another server.
@@ -62,7 +62,7 @@
     if route.streaming {
         return streams::serve(node, route, request, deadline, trail).await;
     }
-    let attempts = attempt_all(node, route, &request, deadline, &mut trail);
+    let attempts = attempts::attempt_all(node, route, &request, deadline, &mut trail);
     let outcome = clock::timeout(limit, attempts).await.unwrap_or(Err(Shortfall::TimedOut));
     let reply = match outcome {
         Ok(answer) => whole_reply(answer),
@@ -108,63 +108,9 @@
     reply.map(full_reply)
 }
 
-/// Tries servers until one answers, the attempts are used up or the request may have run and must
-/// not run again.
-async fn attempt_all(
-    node: &Arc<EntryNode>,
-    route: &RequestRoute,
-    request: &ClientRequest,
-    deadline: Timestamp,
-    trail: &mut RequestTrail,
-) -> Result<WholeAnswer, Shortfall> {
-    let is_safe = route.kind == RouteKind::Safe;
-    let fingerprint = request.fingerprint();
-    let mut shortfall = Shortfall::NotRun;
-    let mut last_answer = None;
-    while trail.runs() < route.max_attempts {
-        if let Some(left) = hold_back(node, request, fingerprint) {
-            shortfall = shortfall.or_held(left);
-            break;
-        }
-        let Some(ticket) = find_server(node, route, request, fingerprint, trail).await else { break };
-        let server = ticket.server.instance.clone();
-        let left = deadline.since(node.now());
-        let is_last = trail.runs() + 1 == route.max_attempts || !is_safe;
-        let limit = if is_last { left } else { left.min(patience(node, route)) };
-        let engine_request = engine_request(request, &server, left);
-        let started = node.now();
-        match attempt::whole_answer(node, ticket, engine_request, !is_safe, limit).await {
-            // A failure that the server states itself may pass at another one.
-            Ok(answer) if is_safe && answer.status.is_server_error() => {
-                trail.add_run();
-                last_answer = Some(answer);
-            }
-            Ok(answer) => {
-                let took = node.now().since(started);
-                node.route_times.lock().unwrap().record(&route.name, took);
-                return Ok(answer);
-            }
-            Err(error) => {
-                trail.attempt_failed(&server, &error);
-                if error.is_not_run() {
-                    trail.did_not_run();
-                    continue;
-                }
-                trail.add_run();
-                shortfall = Shortfall::MayHaveRun;
-                // Each arrival of what ended several servers takes one more at most.
-                if !is_safe || suspects::is_repeated(node, fingerprint) {
-                    return Err(shortfall);
-                }
-            }
-        }
-    }
-    last_answer.ok_or(shortfall)
-}
-
 /// Returns how long a server gets to answer a repeatable request: what is usual on its route, or longer
 /// where the target latency leaves the time.
-fn patience(node: &EntryNode, route: &RequestRoute) -> Duration {
+pub fn patience(node: &EntryNode, route: &RequestRoute) -> Duration {
     let usual = node.route_times.lock().unwrap().usual(&route.name);
     let by_target = Duration::from_millis(route.target_latency_ms) * PATIENCE_SHARE;
     by_target.max(usual.unwrap_or(FIRST_PATIENCE))
@@ -202,7 +148,7 @@
     }
 }
 
-fn pick_server(
+pub fn pick_server(
     node: &Arc<EntryNode>,
     service: &Name,
     request: &ClientRequest,
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -3,7 +3,7 @@
 use super::attempt::{self, AttemptError};
 use super::node::EntryNode;
 use super::server_ticket::ServerTicket;
-use super::{plain, suspects};
+use super::{plain, second_attempts, server_answers, suspects};
 use crate::process::clock;
 use crate::process::logs;
 use futures_util::StreamExt;
@@ -69,6 +69,10 @@
     let deadline = node.now() + plain::time_limit(route, None);
     let fingerprint = fingerprint(call);
     let mut attempts = FuturesUnordered::new();
+    let mut starts: Vec<Timestamp> = Vec::new();
+    let mut next_at = node.now();
+    let mut early_at = None;
+    second_attempts::earn(node, route, service);
     loop {
         if attempts.is_empty()
             && let Some(left) = suspects::held_for(node, fingerprint)
@@ -78,27 +82,37 @@
         }
         // A second server beside the first would be one more that ends.
         let servers_at_once = if suspects::is_suspect(node, fingerprint) { 1 } else { SERVERS_AT_ONCE };
-        if attempts.len() < servers_at_once
-            && let Some(ticket) = pick_server(node, fingerprint, service, tried)
-        {
-            tried.push(ticket.server.instance.clone());
-            attempts.push(attempt_score(node, call, ticket, deadline));
+        if attempts.len() < servers_at_once && node.now() >= next_at {
+            if let Some(ticket) = pick_server(node, fingerprint, service, tried) {
+                tried.push(ticket.server.instance.clone());
+                starts.push(node.now());
+                attempts.push(attempt_score(node, call, route, ticket, deadline));
+            }
+            next_at = node.now() + patience(node, service, route);
+            early_at = second_attempts::after(node, route, service).map(|after| node.now() + after);
         }
+        let wake_at = early_at.map_or(next_at, |early| next_at.min(early));
         let answer = match attempts.len() {
             // There is nothing to do before one of them answers or its time is over.
             open if open >= servers_at_once => Ok(attempts.next().await),
-            _ => clock::timeout(patience(node, service, route), attempts.next()).await,
+            _ => clock::timeout(wake_at.since(node.now()), attempts.next()).await,
         };
         match answer {
             Ok(Some((server, ScoreEnd::Scored(signature)))) => {
-                pause_slower(node, tried, &server);
+                note_slower(node, route, tried, &starts, &server);
                 return ScoreEnd::Scored(signature);
             }
             Ok(Some((_, ScoreEnd::Failed))) => return ScoreEnd::Failed,
             Ok(Some((_, ScoreEnd::Held(left)))) => return ScoreEnd::Held(left),
             Ok(Some((_, ScoreEnd::NoAnswer))) if attempts.is_empty() => return ScoreEnd::NoAnswer,
             Ok(None) => return ScoreEnd::NoAnswer,
-            Ok(Some((_, ScoreEnd::NoAnswer))) | Err(_) => {}
+            Ok(Some((_, ScoreEnd::NoAnswer))) => next_at = node.now(),
+            Err(_) => {
+                let is_early = early_at.take_if(|early| *early < next_at).is_some();
+                if is_early && second_attempts::spend(node, route, service) {
+                    next_at = node.now();
+                }
+            }
         }
     }
 }
@@ -128,17 +142,24 @@
     Some(ServerTicket::new(node, entry, fingerprint))
 }
 
-/// Pauses the servers that were asked before the one that answered: they are slow or silent.
-fn pause_slower(node: &EntryNode, tried: &[Name], answered: &Name) {
-    let mut board = node.board.lock().unwrap();
-    for server in tried.iter().take_while(|server| *server != answered) {
-        board.failed(node.now(), server);
+/// Takes note of the servers that were asked before the one that answered: they are slow or silent.
+/// Where they are compared by their times, a slow one is not paused like one that fails.
+fn note_slower(node: &EntryNode, route: &RequestRoute, tried: &[Name], starts: &[Timestamp], answered: &Name) {
+    let now = node.now();
+    for (server, started) in tried.iter().zip(starts).take_while(|(server, _)| *server != answered) {
+        let is_compared = node.board.lock().unwrap().is_compared(server);
+        if is_compared {
+            server_answers::outstanding(node, server, &route.name, now.since(*started));
+        } else {
+            node.board.lock().unwrap().failed(now, server);
+        }
     }
 }
 
 async fn attempt_score(
     node: &Arc<EntryNode>,
     call: &ScoreCall,
+    route: &RequestRoute,
     ticket: ServerTicket,
     deadline: Timestamp,
 ) -> (Name, ScoreEnd) {
@@ -163,7 +184,9 @@
     let end = match attempt::whole_answer(node, ticket, request, false, left).await {
         Ok(answer) if answer.status.is_success() => match answer.head.signature {
             Some(signature) => {
-                node.board.lock().unwrap().answered(&service, node.now().since(started));
+                let took = node.now().since(started);
+                node.board.lock().unwrap().answered(&service, took);
+                server_answers::took(node, &instance, &route.name, took);
                 ScoreEnd::Scored(signature)
             }
             None => ScoreEnd::NoAnswer,
@@ -172,11 +195,15 @@
         // Its deadline passed, or something before it failed: no failure of the item.
         Ok(answer) => {
             node.board.lock().unwrap().failed(node.now(), &instance);
+            server_answers::failed(node, &instance);
             log_score(call, &instance, &answer.status);
             ScoreEnd::NoAnswer
         }
         Err(AttemptError::Held(left)) => ScoreEnd::Held(left),
         Err(error) => {
+            if !error.is_not_run() {
+                server_answers::failed(node, &instance);
+            }
             log_score(call, &instance, &error);
             ScoreEnd::NoAnswer
         }
--- /dev/null
+++ b/crates/trestlerackd/src/entry/second_attempts.rs
@@ -0,0 +1,35 @@
+//! When a second server may be asked beside the first, by what this node has learnt and spent.
+
+use super::node::EntryNode;
+use crate::process::logs;
+use std::time::Duration;
+use trestlerack::version::RequestRoute;
+use trestlerack::{Name, event};
+
+/// Returns how long after the first server a second one may be asked; `None` where the service calls for
+/// none.
+pub fn after(node: &EntryNode, route: &RequestRoute, service: &Name) -> Option<Duration> {
+    let target = Duration::from_millis(route.target_latency_ms);
+    node.board.lock().unwrap().second_attempt_after(service, &route.name, target)
+}
+
+/// Records a call, which earns a part of a second attempt.
+pub fn earn(node: &EntryNode, route: &RequestRoute, service: &Name) {
+    if node.board.lock().unwrap().states_slowness(service) {
+        node.second_attempts.lock().unwrap().earn(&route.name, service);
+    }
+}
+
+/// Takes a second attempt out of the budget of the route; `false` if that is used up or the service has
+/// no free place.
+pub fn spend(node: &EntryNode, route: &RequestRoute, service: &Name) -> bool {
+    let has_room = node.board.lock().unwrap().has_room(node.now(), service);
+    has_room && node.second_attempts.lock().unwrap().spend(&route.name, service)
+}
+
+/// Logs that a second server was asked.
+pub fn log_asked(request: &str, server: &Name, waited: Duration) {
+    let fields: [(&str, &dyn std::fmt::Display); 3] =
+        [("request", &request), ("server", server), ("waited_ms", &waited.as_millis())];
+    logs::write(event::SECOND_ASKED, &fields);
+}
