Send calls where an answer is expected first, and tell peers

Cause: the cost of a server for a call without weights was its fill and zone alone, so a server that is six times slower cost what its neighbour costs; each node found that out for itself, and a second server was asked 450 ms after the first, three times the target latency. The stated fourth figure of the load was decoded and used nowhere.

--- a/crates/trestlerack/src/process/expectation.rs
+++ b/crates/trestlerack/src/process/expectation.rs
@@ -6,20 +6,20 @@
 use super::answer_time::AnswerTimes;
 use super::placement::{ServerBoard, ServerNeed};
 use super::server_belief::ServerBelief;
-use super::standing::{PeerFigures, ServerFigures, ServerStanding};
+use super::standing::{PeerFigures, SLOW_FACTOR, ServerFigures, ServerStanding};
 use crate::hash::{hash_parts, rendezvous_weight};
 use crate::{Name, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Weight of an answer that took longer than was learnt. Quick, because callers wait meanwhile.
-const RISE_WEIGHT: f64 = 0.3;
+const RISE_WEIGHT: f64 = 0.4;
 
 /// Weight of an answer that took less. Slow, because one short piece of work shows little.
 const FALL_WEIGHT: f64 = 0.15;
 
 /// Time in which half of a learnt difference is forgotten, so that a recovered server is tried again.
-const FORGET_HALF: Duration = Duration::from_secs(2);
+const FORGET_HALF: Duration = Duration::from_secs(4);
 
 /// Time in which a stated slowness loses half of its weight: it changes many times a second.
 const STATED_HALF: Duration = Duration::from_millis(100);
@@ -34,6 +34,9 @@
 /// Largest factor that one answer counts as, so that a single one is forgotten soon.
 const MOST_SLOWNESS: f64 = 16.0;
 
+/// Times as long as it was awaited that an answer counts for which another one made superfluous.
+const CUT_FACTOR: u32 = 2;
+
 /// Weight of an answer in the share of those that fail.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -69,7 +72,9 @@
     fn record(&mut self, now: Timestamp, factor: f64) {
         let held = self.figures(now);
         let factor = factor.min(MOST_SLOWNESS);
-        let weight = if factor > held.slowness { RISE_WEIGHT } else { FALL_WEIGHT };
+        // An answer as usual of a server that was slow shows that it has recovered.
+        let has_recovered = held.slowness >= SLOW_FACTOR && factor <= held.slowness / SLOW_FACTOR;
+        let weight = if factor > held.slowness || has_recovered { RISE_WEIGHT } else { FALL_WEIGHT };
         let slowness = held.slowness + weight * (factor - held.slowness);
         (self.factor, self.failing, self.at) = (slowness, held.failing, now);
     }
@@ -98,6 +103,9 @@
     0.5_f64.powf(age.as_secs_f64() / half.as_secs_f64())
 }
 
+/// Least spread over servers of which nothing is known: nodes that know the same would all take the same.
+const LEAST_SPREAD: f64 = 0.3;
+
 /// Time within which a node uses each connection to a service again if it has calls for all of them.
 const USED_TIME: Duration = Duration::from_secs(1);
 
@@ -194,6 +202,12 @@
         self.review(now, instance, None);
     }
 
+    /// Records that the work of a server was ended after `elapsed`, because another one answered first
+    /// that was asked later. It would have taken longer still.
+    pub fn answer_cut(&mut self, now: Timestamp, instance: &str, kind: &Name, elapsed: Duration) {
+        self.answer_outstanding(now, instance, kind, elapsed * CUT_FACTOR);
+    }
+
     /// Records that a server answered with a failure or broke off.
     pub fn answer_failed(&mut self, now: Timestamp, instance: &str) {
         if !self.is_compared(instance) {
@@ -297,7 +311,18 @@
         let (own, others) =
             recent.fold((0, 0), |(own, others), belief| (own + belief.in_flight, others + belief.load.others));
         let others_share = if own + others == 0 { 1.0 } else { f64::from(others) / f64::from(own + others) };
-        (1.0 - known / servers.len().max(1) as f64) * others_share
+        (1.0 - known / servers.len().max(1) as f64) * others_share * self.known_fill(now, servers)
+    }
+
+    /// Returns the mean fill of the servers heard of lately; 1 if there are none. Where it is low the fast
+    /// servers have room for more than their share.
+    fn known_fill(&self, now: Timestamp, servers: &[&ServerBelief]) -> f64 {
+        let recent = servers.iter().filter(|belief| now.since(belief.load.at) < self.settings.load_age);
+        let fills: Vec<f64> = recent.map(|belief| self.fill(now, belief)).collect();
+        if fills.is_empty() {
+            return 1.0;
+        }
+        (fills.iter().sum::<f64>() / fills.len() as f64).clamp(LEAST_SPREAD, 1.0)
     }
 
     /// Returns the key of a choice. A node with few calls keeps to its servers and their connections; one
@@ -327,8 +352,8 @@
         need: &ServerNeed<'_>,
         candidates: &[&'a ServerBelief],
     ) -> Option<&'a ServerBelief> {
-        // A second attempt goes where an answer is expected.
-        if !need.avoid.is_empty() {
+        // A second attempt goes where an answer is expected, and who cannot have one stays where it is.
+        if !need.is_repeatable || !need.avoid.is_empty() {
             return None;
         }
         let sent: u64 = self.of_service(need.service).map(|belief| belief.sent).sum();
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -64,6 +64,7 @@
 pub use run_limits::RunLimits;
 pub use second_attempt::SecondAttemptBudget;
 pub use server_belief::{ChoiceBasis, ServerBelief};
+pub use server_notes::server_gossip;
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
 pub use spool::{SampleSpool, SpoolSettings};
 pub use standing::{ServerFigures, ServerStanding};
--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -97,6 +97,8 @@
     /// Whether the request is expected to last long, so that the server's pace counts for more than
     /// how full it is.
     pub is_long: bool,
+    /// Whether the request may run twice, so that one may show how a server is that was set aside.
+    pub is_repeatable: bool,
     /// Availability zone to prefer.
     pub zone: &'a str,
     /// Decides between servers that cost the same, as the name of the node does. Nodes that know of
--- a/crates/trestlerack/src/process/second_attempt.rs
+++ b/crates/trestlerack/src/process/second_attempt.rs
@@ -5,6 +5,7 @@
 
 use super::limiter::RetryBudget;
 use super::placement::ServerBoard;
+use super::standing::ServerStanding;
 use crate::{Name, Timestamp};
 use std::time::Duration;
 
@@ -22,7 +23,7 @@
 const ATTEMPTS_PER_CALL: f64 = 0.1;
 
 /// Second attempts that a route may make before it has earned any.
-const FIRST_ATTEMPTS: f64 = 2.0;
+const FIRST_ATTEMPTS: f64 = 3.0;
 
 impl ServerBoard {
     /// Returns how long after the first server a second one is asked: so late that the second still answers
@@ -41,6 +42,12 @@
         Some(latest.max(median))
     }
 
+    /// Returns whether a call to a server is a trial, since that was set aside. A second attempt beside a
+    /// trial is outside the budget: trials are few, and their callers are not to pay for them.
+    pub fn is_trial(&self, now: Timestamp, instance: &str) -> bool {
+        self.is_compared(instance) && self.standing(now, instance) != ServerStanding::Well
+    }
+
     /// Returns whether a service has a free place for a second attempt.
     pub fn has_room(&self, now: Timestamp, service: &str) -> bool {
         self.wait_estimate(now, service).free > 0
--- a/crates/trestlerack/src/process/server_notes.rs
+++ b/crates/trestlerack/src/process/server_notes.rs
@@ -7,6 +7,7 @@
 use super::placement::ServerBoard;
 use super::server_belief::ServerBelief;
 use super::standing::{PeerFigures, SLOW_FACTOR, ServerFigures};
+use super::suspects::GossipSettings;
 use crate::time::millis;
 use crate::{Name, Timestamp};
 use std::collections::BTreeMap;
@@ -28,9 +29,18 @@
 
 /// Notes that a node may send in a second on average, to some peers each, and at once. They keep what a node
 /// sends under half a kilobyte a second.
-const NOTES_PER_SECOND: f64 = 0.8;
+const NOTES_PER_SECOND: f64 = 0.6;
 const NOTES_AT_ONCE: f64 = 6.0;
 
+/// Peers that are told at once. With three and a few lost messages one node in fifteen hears nothing; with
+/// four one in fifty.
+const TOLD_AT_ONCE: usize = 4;
+
+/// Returns the settings of the gossip about servers.
+pub fn server_gossip() -> GossipSettings {
+    GossipSettings { told_at_once: TOLD_AT_ONCE, ..GossipSettings::default() }
+}
+
 /// What peers told of a server.
 #[derive(Clone, Debug)]
 pub(super) struct ToldBelief {
@@ -96,11 +106,14 @@
 }
 
 impl ServerBoard {
-    /// Notes a change of a server to be told, if peers do not believe about the same.
-    pub(super) fn tell_if_news(&mut self, now: Timestamp, instance: &str, peers: &PeerFigures) {
+    /// Notes a change of a server to be told, if peers do not believe about the same. That it is better is
+    /// told after a good answer only: what is merely forgotten shows nothing.
+    pub(super) fn tell_if_news(&mut self, now: Timestamp, instance: &str, peers: &PeerFigures, is_good: bool) {
         let Some(belief) = self.servers.get_mut(instance) else { return };
         let figures = belief.learnt.figures(now);
-        if !is_news(belief.public_figures(now), figures, peers) {
+        let before = belief.public_figures(now);
+        let is_better = badness(figures) < badness(before);
+        if !is_news(before, figures, peers) || (is_better && !is_good) {
             return;
         }
         belief.word.public = Some((figures, now));
--- a/crates/trestlerack/src/process/standing.rs
+++ b/crates/trestlerack/src/process/standing.rs
@@ -181,7 +181,8 @@
             }
             belief.record.judge(now, figures, &peers, may_leave);
         });
-        self.tell_if_news(now, instance, &peers);
+        let is_good = factor.is_some_and(|factor| factor < SLOW_FACTOR);
+        self.tell_if_news(now, instance, &peers, is_good);
     }
 
     /// Returns whether one more server can be set aside: at least half of a service stays.
--- a/crates/trestlerackd/src/entry/attempts.rs
+++ b/crates/trestlerackd/src/entry/attempts.rs
@@ -46,6 +46,8 @@
 struct OpenAttempt {
     server: Name,
     started: Timestamp,
+    /// Whether the server had been set aside.
+    is_trial: bool,
 }
 
 /// How long the next server waits for the ones before it.
@@ -133,7 +135,9 @@
                 } else if let Some(left) = plain::hold_back(node, request, fingerprint) {
                     shortfall = shortfall.or_held(left);
                 } else if let Some(ticket) = self.find_server(trail, open.first()).await {
-                    open.push(OpenAttempt { server: ticket.server.instance.clone(), started: node.now() });
+                    let server = ticket.server.instance.clone();
+                    let is_trial = second_attempts::is_trial(node, &server);
+                    open.push(OpenAttempt { server, started: node.now(), is_trial });
                     at_work.push(self.attempt(ticket, self.deadline.since(node.now())));
                 }
             }
@@ -145,8 +149,13 @@
                         Ok(ended) => ended,
                         Err(_) => {
                             self.note_outstanding(&open);
-                            wants_server =
-                                matches!(next, NextServer::Late(_)) || second_attempts::spend(node, route, service);
+                            wants_server = matches!(next, NextServer::Late(_))
+                                || second_attempts::may_ask(
+                                    node,
+                                    route,
+                                    service,
+                                    open.iter().any(|attempt| attempt.is_trial),
+                                );
                             is_early_over = true;
                             if matches!(next, NextServer::Late(_)) {
                                 self.pause_silent(&open);
@@ -157,6 +166,7 @@
                 }
             };
             let Some((server, outcome)) = ended else { break };
+            let started = open.iter().find(|attempt| attempt.server == server).map(|attempt| attempt.started);
             open.retain(|attempt| attempt.server != server);
             match outcome {
                 Ok(answer) if answer.status.is_server_error() => {
@@ -164,7 +174,7 @@
                     last_answer = Some(answer);
                 }
                 Ok(answer) => {
-                    self.note_outstanding(&open);
+                    self.note_cut(&open, started);
                     return Ok(answer);
                 }
                 Err(error) => {
@@ -192,7 +202,7 @@
         let Some(before) = before else {
             return plain::find_server(node, route, request, fingerprint, trail).await;
         };
-        let ticket = plain::pick_server(node, self.service()?, request, fingerprint, trail.tried())?;
+        let ticket = plain::pick_server(node, self.service()?, request, fingerprint, trail.tried(), true)?;
         trail.add(&ticket.server.instance);
         let (id, waited) = (request.head.request_id.as_deref().unwrap_or(""), node.now().since(before.started));
         second_attempts::log_asked(id, &ticket.server.instance, waited);
@@ -226,6 +236,15 @@
         }
     }
 
+    /// Records that servers lost against one that was asked later.
+    fn note_cut(&self, open: &[OpenAttempt], winner_started: Option<Timestamp>) {
+        let now = self.node.now();
+        let slower = open.iter().filter(|attempt| winner_started.is_some_and(|started| attempt.started < started));
+        for attempt in slower {
+            server_answers::cut(self.node, &attempt.server, &self.route.name, now.since(attempt.started));
+        }
+    }
+
     /// Pauses servers that may never answer.
     fn pause_silent(&self, open: &[OpenAttempt]) {
         let now = self.node.now();
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -243,6 +243,7 @@
         avoid: std::slice::from_ref(engine),
         zone: &node.settings.zone,
         tie_key: &node.settings.name,
+        ..ServerNeed::default()
     };
     let other = board.choose(now, &need)?;
     let is_faster = board.slowness(now, &other.entry.instance) * MOVE_SLOWNESS < slowness;
--- a/crates/trestlerackd/src/entry/news/server_news.rs
+++ b/crates/trestlerackd/src/entry/news/server_news.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::event;
-use trestlerack::process::{GossipSettings, NodeNews, ServerNote};
+use trestlerack::process::{NodeNews, ServerNote, server_gossip};
 
 /// Time in which notes are gathered before they are told, so that several share a message. Short beside
 /// the time that a caller waits for an answer.
@@ -75,7 +75,7 @@
     }
     let own = notes.iter().filter(|note| note.origin == node.settings.name);
     own.for_each(|note| log_changed(node, note));
-    let chosen = GossipSettings::default().pick_told(&node.peers.others(), &mut rand::rng());
+    let chosen = server_gossip().pick_told(&node.peers.others(), &mut rand::rng());
     let news = NodeNews { servers: notes, ..NodeNews::default() };
     join_all(chosen.iter().map(|peer| exchange(node, peer, news.clone()))).await;
     is_left
@@ -84,7 +84,7 @@
 /// Asks a peer for what it knows of servers: a node that has just started would else find out by its own
 /// callers.
 pub async fn ask_peer(node: Arc<EntryNode>) {
-    let gossip = GossipSettings::default();
+    let gossip = server_gossip();
     for _ in 0..ASKED_PEERS {
         let peer = gossip.pick_asked(&node.peers.others(), &mut rand::rng());
         if let Some(peer) = peer
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use trestlerack::process::ServerNeed;
 use trestlerack::request::RequestFingerprint;
-use trestlerack::version::RequestRoute;
+use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, event};
 use trestlerack_platform::{self as platform, EngineRequest};
 
@@ -134,10 +134,11 @@
 ) -> Option<ServerTicket> {
     let id = request.head.request_id.as_deref().unwrap_or("");
     let service = route.service_for(id)?.clone();
+    let is_repeatable = route.kind == RouteKind::Safe && !route.streaming;
     let search = Duration::from_millis(route.target_latency_ms).mul_f64(SEARCH_SHARE);
     let until = node.now() + search;
     loop {
-        if let Some(ticket) = pick_server(node, &service, request, fingerprint, trail.tried()) {
+        if let Some(ticket) = pick_server(node, &service, request, fingerprint, trail.tried(), is_repeatable) {
             trail.add(&ticket.server.instance);
             return Some(ticket);
         }
@@ -154,14 +155,22 @@
     request: &ClientRequest,
     fingerprint: RequestFingerprint,
     tried: &[Name],
+    is_repeatable: bool,
 ) -> Option<ServerTicket> {
     // A generation may run under any version of its model.
     let model = request.head.model.as_deref();
     let weights = model.map(|model| (model, 0));
     let id = request.head.request_id.clone().unwrap_or_else(|| "".into());
     let zone = &node.settings.zone;
-    let need =
-        ServerNeed { service, weights, avoid: tried, zone, tie_key: &node.settings.name, ..ServerNeed::default() };
+    let need = ServerNeed {
+        service,
+        weights,
+        avoid: tried,
+        zone,
+        tie_key: &node.settings.name,
+        is_repeatable,
+        ..ServerNeed::default()
+    };
     let entry = suspects::choose_apart(node, fingerprint, &need)?;
     let config = node.routing().map_or(0, |routing| routing.version);
     let about: [(&str, &dyn std::fmt::Display); 3] =
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -72,6 +72,7 @@
     let mut starts: Vec<Timestamp> = Vec::new();
     let mut next_at = node.now();
     let mut early_at = None;
+    let mut is_trial = false;
     second_attempts::earn(node, route, service);
     loop {
         if attempts.is_empty()
@@ -86,6 +87,7 @@
             if let Some(ticket) = pick_server(node, fingerprint, service, tried) {
                 tried.push(ticket.server.instance.clone());
                 starts.push(node.now());
+                is_trial = second_attempts::is_trial(node, &ticket.server.instance);
                 attempts.push(attempt_score(node, call, route, ticket, deadline));
             }
             next_at = node.now() + patience(node, service, route);
@@ -109,7 +111,7 @@
             Ok(Some((_, ScoreEnd::NoAnswer))) => next_at = node.now(),
             Err(_) => {
                 let is_early = early_at.take_if(|early| *early < next_at).is_some();
-                if is_early && second_attempts::spend(node, route, service) {
+                if is_early && second_attempts::may_ask(node, route, service, is_trial) {
                     next_at = node.now();
                 }
             }
@@ -136,6 +138,7 @@
         room: ServerRoom::Place,
         zone: &node.settings.zone,
         tie_key: &node.settings.name,
+        is_repeatable: true,
         ..ServerNeed::default()
     };
     let entry = suspects::choose_apart(node, fingerprint, &need)?;
@@ -149,7 +152,7 @@
     for (server, started) in tried.iter().zip(starts).take_while(|(server, _)| *server != answered) {
         let is_compared = node.board.lock().unwrap().is_compared(server);
         if is_compared {
-            server_answers::outstanding(node, server, &route.name, now.since(*started));
+            server_answers::cut(node, server, &route.name, now.since(*started));
         } else {
             node.board.lock().unwrap().failed(now, server);
         }
--- a/crates/trestlerackd/src/entry/second_attempts.rs
+++ b/crates/trestlerackd/src/entry/second_attempts.rs
@@ -20,11 +20,16 @@
     }
 }
 
-/// Takes a second attempt out of the budget of the route; `false` if that is used up or the service has
-/// no free place.
-pub fn spend(node: &EntryNode, route: &RequestRoute, service: &Name) -> bool {
+/// Returns whether a call to a server is a trial of one that was set aside.
+pub fn is_trial(node: &EntryNode, server: &str) -> bool {
+    node.board.lock().unwrap().is_trial(node.now(), server)
+}
+
+/// Returns whether a second server may be asked now: the service has a free place, and the first is a
+/// trial or the budget of the route pays for it.
+pub fn may_ask(node: &EntryNode, route: &RequestRoute, service: &Name, is_trial: bool) -> bool {
     let has_room = node.board.lock().unwrap().has_room(node.now(), service);
-    has_room && node.second_attempts.lock().unwrap().spend(&route.name, service)
+    has_room && (is_trial || node.second_attempts.lock().unwrap().spend(&route.name, service))
 }
 
 /// Logs that a second server was asked.
--- a/crates/trestlerackd/src/entry/server_answers.rs
+++ b/crates/trestlerackd/src/entry/server_answers.rs
@@ -26,6 +26,11 @@
     note(node, |board| board.answer_outstanding(node.now(), server, route, elapsed));
 }
 
+/// Records that the work of a server was ended after `elapsed`, because one that was asked later answered.
+pub fn cut(node: &EntryNode, server: &str, route: &Name, elapsed: Duration) {
+    note(node, |board| board.answer_cut(node.now(), server, route, elapsed));
+}
+
 /// Records an answer that is a failure, or none.
 pub fn failed(node: &EntryNode, server: &str) {
     note(node, |board| board.answer_failed(node.now(), server));
