Show the standing of servers to operators, and test it with processes

Cause: what a node believes of a server could be read only in the line of a choice, and not what its peers told it.

Change: /v1/servers and `trestlerack show servers` with the standing at this node, what its own calls showed and what a peer told, with origin and age; gauges by server (expected time, requests sent, set aside). Plain stand-ins state a load, and one of them can be slow or fail.

Tests: entry::uneven: a server that turns slow, that answers errors, that returns; a peer and a node that starts know what another learnt; attempts stay within the route's; the loser's connection is closed; servers that state no slowness are asked one after the other, as before. They weren't run on the code before, which lacks what they read.

--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -145,6 +145,20 @@
     match name {
         "customers" => Some(("/v1/customers", &["name", "priority", "keys", "configuration"])),
         "suspects" => Some(("/v1/suspects", &["fingerprint", "standing", "left_s", "ended", "unexplained"])),
+        "servers" => Some((
+            "/v1/servers",
+            &[
+                "server",
+                "service",
+                "standing",
+                "expected",
+                "slowness",
+                "failing",
+                "told_by",
+                "told_slowness",
+                "told_age_ms",
+            ],
+        )),
         "duties" => Some(("/v1/duties", &["duty", "holder", "fence", "is_held_here"])),
         _ => None,
     }
@@ -174,7 +188,7 @@
         }
         _ => {
             return Err(usage(
-                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties or suspects",
+                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, suspects or servers",
             ));
         }
     };
--- a/crates/trestlerack/src/process/server_notes.rs
+++ b/crates/trestlerack/src/process/server_notes.rs
@@ -64,8 +64,12 @@
 impl ServerBelief {
     /// Returns what others told, unless this node has seen something younger.
     pub(super) fn word_of_others(&self, now: Timestamp) -> Option<&ToldBelief> {
-        let is_young = |told: &&ToldBelief| now.since(told.at) < BELIEF_TIME && told.at > self.learnt.at;
-        self.word.told.as_ref().filter(is_young)
+        self.last_word(now).filter(|told| told.at > self.learnt.at)
+    }
+
+    /// Returns what others told last, while it is young.
+    pub(super) fn last_word(&self, now: Timestamp) -> Option<&ToldBelief> {
+        self.word.told.as_ref().filter(|told| now.since(told.at) < BELIEF_TIME)
     }
 }
 
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use trestlerack::process::{ServerLine, ServerStanding};
 use trestlerack::request::RunEnd;
 use trestlerack::version::OrderOutcome;
 
@@ -118,6 +119,22 @@
 
 fn metrics_page(node: &EntryNode) -> Vec<u8> {
     let mut page = node.metrics.page();
+    server_gauges(node, &mut page);
     page.extend_from_slice(format!("trestlerack_entry_connections_opened {}\n", node.pool.opened()).as_bytes());
     page
 }
+
+/// Adds the gauges of the servers that are compared with their peers.
+fn server_gauges(node: &EntryNode, page: &mut Vec<u8>) {
+    let lines = node.board.lock().unwrap().server_lines(node.now());
+    for ServerLine { instance, service, standing, expected, sent, .. } in lines {
+        let labels = format!("{{server=\"{instance}\",service=\"{service}\"}}");
+        let is_aside = u8::from(standing != ServerStanding::Well);
+        let gauges = format!(
+            "trestlerack_entry_server_expected{labels} {expected:.3}\n\
+             trestlerack_entry_server_sent{labels} {sent}\n\
+             trestlerack_entry_server_aside{labels} {is_aside}\n"
+        );
+        page.extend_from_slice(gauges.as_bytes());
+    }
+}
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -1,5 +1,5 @@
-//! What operators may ask a node on its metrics address: customers, who does which duty, and requests
-//! under which servers ended.
+//! What operators may ask a node on its metrics address: customers, who does which duty, requests under
+//! which servers ended, and how servers answer.
 //!
 //! Answers are JSON and come from what the node knows, without a call to the store. They hold no
 //! key; [docs/API.md](../../../../docs/API.md#entry-nodes) has the fields.
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use std::time::Duration;
 use trestlerack::Name;
-use trestlerack::process::{SuspectLine, SuspectStanding};
+use trestlerack::process::{ServerLine, SuspectLine, SuspectStanding};
 
 /// Path of the list of customers.
 const CUSTOMERS_PATH: &str = "/v1/customers";
@@ -19,6 +19,9 @@
 /// Path of the list of contents under which servers ended.
 const SUSPECTS_PATH: &str = "/v1/suspects";
 
+/// Path of the list of backend servers.
+const SERVERS_PATH: &str = "/v1/servers";
+
 #[derive(Serialize)]
 struct CustomerLine {
     name: Name,
@@ -48,12 +51,28 @@
     unexplained: usize,
 }
 
+#[derive(Serialize)]
+struct ServerEntryLine {
+    server: Name,
+    service: Name,
+    standing: &'static str,
+    expected: f64,
+    sent: u64,
+    slowness: f64,
+    failing: f64,
+    told_by: Option<Name>,
+    told_slowness: Option<f64>,
+    told_failing: Option<f64>,
+    told_age_ms: Option<u64>,
+}
+
 /// Answers a question for a path; `None` if it is no question of this module.
 pub fn answer(node: &EntryNode, path: &str) -> Option<Vec<u8>> {
     let lines = match path {
         CUSTOMERS_PATH => serde_json::to_vec(&customers(node)),
         DUTIES_PATH => serde_json::to_vec(&duties(node)),
         SUSPECTS_PATH => serde_json::to_vec(&suspects(node)),
+        SERVERS_PATH => serde_json::to_vec(&servers(node)),
         _ => return None,
     };
     lines.ok()
@@ -86,6 +105,32 @@
     lines.iter().map(entry).collect()
 }
 
+fn servers(node: &EntryNode) -> Vec<ServerEntryLine> {
+    let lines = node.board.lock().unwrap().server_lines(node.now());
+    let entry = |line: ServerLine| {
+        let told = line.told.as_ref();
+        ServerEntryLine {
+            standing: line.standing.as_str(),
+            expected: rounded(line.expected),
+            sent: line.sent,
+            slowness: rounded(line.own.slowness),
+            failing: rounded(line.own.failing),
+            told_by: told.map(|told| told.origin.clone()),
+            told_slowness: told.map(|told| rounded(told.figures.slowness)),
+            told_failing: told.map(|told| rounded(told.figures.failing)),
+            told_age_ms: told.map(|told| told.age_ms),
+            server: line.instance,
+            service: line.service,
+        }
+    };
+    lines.into_iter().map(entry).collect()
+}
+
+/// Rounds to hundredths, which is as much as the figures say.
+fn rounded(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
+
 fn duties(node: &EntryNode) -> Vec<DutyLine> {
     let lease = node.lease_row.lock().unwrap().as_ref().map(|(_, row)| row.clone());
     let held = lease.as_ref().filter(|row| !row.released);
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -10,3 +10,4 @@
 mod store_rate;
 mod support;
 mod tracing;
+mod uneven;
--- a/crates/trestlerackd/tests/entry/support/mod.rs
+++ b/crates/trestlerackd/tests/entry/support/mod.rs
@@ -14,8 +14,8 @@
 pub use daemon::{DaemonSettings, EntryDaemon, STOP_LIMIT, free_address};
 pub use duties::DutyPlatform;
 pub use platform::{
-    EVENTS, EngineOrder, Platform, job_body_of, job_body_with, read_all, read_stream_from, read_stream_of, submit,
-    whole_text,
+    EVENTS, EngineOrder, Platform, ServerMode, job_body_of, job_body_with, read_all, read_stream_from, read_stream_of,
+    submit, whole_text,
 };
 pub use server::{refusing_store, reply, serve};
 
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -14,6 +14,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// Load that plain servers state: requests that run, that wait and that can run, and how long work takes.
+const STATED_LOAD: &str = "1,0,4,100";
+
 /// Events of each stream of an engine.
 pub const EVENTS: u64 = 5;
 
@@ -44,6 +47,12 @@
     pub silent_answers: AtomicUsize,
     /// Time that a plain server works on a request, in milliseconds.
     pub work_ms: AtomicUsize,
+    /// Whether plain servers state their load, with how long work takes there.
+    pub states_slowness: AtomicBool,
+    /// How one plain server, by its number, differs from the others.
+    pub uneven: Mutex<Option<(usize, ServerMode)>>,
+    /// Requests that ran, by the number of their plain server.
+    pub runs_at: Mutex<BTreeMap<usize, usize>>,
     /// Connections that were closed by the caller while a request hung.
     pub left: AtomicUsize,
     /// Pause between two events, in milliseconds.
@@ -64,6 +73,15 @@
     pub reports_given_up: Mutex<Vec<Instant>>,
 }
 
+/// How a plain server differs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ServerMode {
+    /// It takes so many milliseconds more.
+    Slow(u64),
+    /// It answers with an error of its own.
+    Failing,
+}
+
 /// An order that an engine accepted.
 #[derive(Clone, Debug)]
 pub struct EngineOrder {
@@ -79,7 +97,7 @@
 }
 
 /// A plain server, which is also the scoring service; it answers with the body that it got.
-fn plain_server(behaviour: Arc<ServerBehaviour>) -> SocketAddr {
+fn plain_server(behaviour: Arc<ServerBehaviour>, number: usize) -> SocketAddr {
     serve(move |request, stream| {
         let id = request.headers["request-id"].clone();
         if take(&behaviour.refusals) {
@@ -97,6 +115,11 @@
             return false;
         }
         std::thread::sleep(Duration::from_millis(behaviour.work_ms.load(Ordering::SeqCst) as u64));
+        *behaviour.runs_at.lock().unwrap().entry(number).or_default() += 1;
+        let mode = behaviour.uneven.lock().unwrap().filter(|(uneven, _)| *uneven == number).map(|(_, mode)| mode);
+        if let Some(ServerMode::Slow(ms)) = mode {
+            std::thread::sleep(Duration::from_millis(ms));
+        }
         if take(&behaviour.overdue_answers) {
             return reply(stream, 504, &[("request-id", &id), ("response-stamp", "s")], "");
         }
@@ -114,7 +137,13 @@
         }
         // After the others, so that an answer is spoilt in one way.
         let echoed = if take(&behaviour.foreign_answers) { "another" } else { &id };
-        reply(stream, 200, &[("request-id", echoed), ("response-stamp", &format!("signed-{id}"))], &body)
+        let stamp = format!("signed-{id}");
+        let mut headers = vec![("request-id", echoed), ("response-stamp", &stamp)];
+        if behaviour.states_slowness.load(Ordering::SeqCst) {
+            headers.push(("server-load", STATED_LOAD));
+        }
+        let status = if mode == Some(ServerMode::Failing) { 500 } else { 200 };
+        reply(stream, status, &headers, &body)
     })
 }
 
@@ -285,7 +314,7 @@
         store.put("op", "config", &configuration());
         for number in 0..plain_count.max(engine_count) {
             if number < plain_count {
-                let address = relay(plain_server(plain.clone()));
+                let address = relay(plain_server(plain.clone(), number));
                 register(&store, &format!("i-plain-{number}"), "plain", &address, json!([]));
             }
             if number >= engine_count {
