--- /dev/null
+++ b/crates/trestlerackd/src/entry/server_answers.rs
@@ -0,0 +1,80 @@
+//! How backend servers answered, told to the board and, where it is news, to peers.
+
+use super::news::server_news;
+use super::node::EntryNode;
+use crate::process::clock;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::process::{ServerBoard, SuspensionGauge};
+use trestlerack::{Name, Timestamp};
+
+/// Records how long work takes at a server, as it stated. The first to do so has a node that started ask
+/// a peer what it knows.
+pub fn stated_slowness(node: &Arc<EntryNode>, server: &str, percent: u32) {
+    let is_first = node.board.lock().unwrap().stated_slowness(node.now(), server, percent);
+    if is_first {
+        tokio::spawn(server_news::ask_peer(node.clone()));
+    }
+}
+
+/// Measures how long a server takes. A time in which the VM was suspended says nothing of the server.
+#[derive(Clone, Copy)]
+pub struct AnswerWatch {
+    /// When the server was asked.
+    pub started: Timestamp,
+    gauge: SuspensionGauge,
+}
+
+impl AnswerWatch {
+    /// Starts to measure.
+    pub fn start(node: &EntryNode) -> Self {
+        let mut gauge = SuspensionGauge::default();
+        let (since_boot, monotonic) = clock::both_clocks();
+        gauge.read(since_boot, monotonic);
+        Self { started: node.now(), gauge }
+    }
+
+    /// Returns the time since the start, or `None` if the VM was suspended since.
+    fn elapsed(mut self, node: &EntryNode) -> Option<Duration> {
+        let (since_boot, monotonic) = clock::both_clocks();
+        let suspended = self.gauge.read(since_boot, monotonic);
+        suspended.is_none().then(|| node.now().since(self.started))
+    }
+}
+
+/// Records that a good answer to a request of `route` has come now.
+pub fn took(node: &EntryNode, server: &str, route: &Name, watch: AnswerWatch) {
+    if let Some(elapsed) = watch.elapsed(node) {
+        note(node, |board| board.answer_took(node.now(), server, route, elapsed));
+    }
+}
+
+/// Records that a server has not answered yet.
+pub fn outstanding(node: &EntryNode, server: &str, route: &Name, watch: AnswerWatch) {
+    if let Some(elapsed) = watch.elapsed(node) {
+        note(node, |board| board.answer_outstanding(node.now(), server, route, elapsed));
+    }
+}
+
+/// Records that the work of a server was ended now, because one that was asked later answered.
+pub fn cut(node: &EntryNode, server: &str, route: &Name, watch: AnswerWatch) {
+    if let Some(elapsed) = watch.elapsed(node) {
+        note(node, |board| board.answer_cut(node.now(), server, route, elapsed));
+    }
+}
+
+/// Records an answer that is a failure, or none.
+pub fn failed(node: &EntryNode, server: &str) {
+    note(node, |board| board.answer_failed(node.now(), server));
+}
+
+fn note(node: &EntryNode, record: impl FnOnce(&mut ServerBoard)) {
+    let has_notes = {
+        let mut board = node.board.lock().unwrap();
+        record(&mut board);
+        board.has_notes()
+    };
+    if has_notes {
+        server_news::wake(node);
+    }
+}
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -11,3 +11,4 @@
 mod store_rate;
 mod support;
 mod tracing;
+mod uneven;
