Share short services among customers over all nodes

Cause: a customer that calls many nodes took a share at each, because nobody added up; at many nodes each sees too few calls to know of shortage at all.

Change: the carrier of news tells (entry/news::tell, for some peers at once: spawn it; server notes go the same way). Nodes count what customers ask for and are given, tell the adder of a service while that is short, and admit the part of a large customer's calls that it answers. What an adder answered is passed on once a second, since at many nodes it would be too old by a node's next call. Counts begin anew every two seconds once they were taken, so that an adder which takes over sees no old use as new.

Nothing is counted or told where the configuration names no customers; with them, nothing is told before a call was refused or had to wait.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -145,6 +145,16 @@
     CONTENT_HELD = (2109, "content-held", Warn);
     /// Strikes could not be stored and wait; peers are told directly.
     STRIKES_WAIT = (2110, "strikes-wait", Warn);
+    /// A service has too little room from now on, as this node sees or was told.
+    SERVICE_SHORT = (2131, "service-short", Warn);
+    /// A service is no longer short.
+    SERVICE_EASED = (2132, "service-eased", Info);
+    /// Other customers than before are over their share of a service; at most once a second.
+    SHARES_CHANGED = (2133, "shares-changed", Info);
+    /// A call was refused because its customer is over its share.
+    SHARE_REFUSED = (2134, "share-refused", Info);
+    /// The node that adds up the use of a service does not answer; the next one is told.
+    ADDER_SILENT = (2135, "adder-silent", Info);
     /// A batch job was submitted, with the answer.
     JOB_SUBMITTED = (2201, "job-submitted", Info);
     /// A call about a batch job could not be served.
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -24,6 +24,7 @@
 mod run_limits;
 mod server_belief;
 mod settings;
+mod shares;
 mod spool;
 mod steady_wall;
 mod step;
@@ -59,6 +60,10 @@
 pub use run_limits::RunLimits;
 pub use server_belief::{ChoiceBasis, ServerBelief};
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
+pub use shares::{
+    PartGate, ShareAdder, ShareBook, ShareCall, ShareDemand, ShareLine, ShareSettings, ShareVerdict, choose_adders,
+    fair_shares,
+};
 pub use spool::{SampleSpool, SpoolSettings};
 pub use steady_wall::SteadyWall;
 pub use step::{
--- a/crates/trestlerack/src/process/news.rs
+++ b/crates/trestlerack/src/process/news.rs
@@ -12,10 +12,13 @@
     /// Name of the node that tells.
     pub sender: Name,
     /// What customers took at the sender.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub uses: Vec<CustomerUse>,
     /// Shares that the sender worked out.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub shares: Vec<ServiceShares>,
     /// What is known of servers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub servers: Vec<ServerNote>,
 }
 
--- /dev/null
+++ b/crates/trestlerack/src/process/shares/adder.rs
@@ -0,0 +1,183 @@
+//! Adds up what customers take at all nodes, and works out their shares.
+
+use super::rate::WorkRate;
+use super::{ShareDemand, ShareSettings, fair_shares};
+use crate::process::{CustomerUse, ServiceShares};
+use crate::time::millis;
+use crate::{Name, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Time for which the counts of a silent node are kept, so that a message that comes late or twice is
+/// known as such.
+const COUNT_LIFE: Duration = Duration::from_secs(10);
+
+/// Milliseconds of work a second below which a customer is no longer kept.
+const FORGOTTEN_RATE: f64 = 0.01;
+
+/// Counts as a node last told them.
+#[derive(Clone, Copy, Debug, Default)]
+struct ToldCount {
+    incarnation: u64,
+    asked_ms: u64,
+    given_ms: u64,
+}
+
+impl ToldCount {
+    /// Takes over counts and returns what is new in them, asked and given.
+    fn take(&mut self, told: &CustomerUse) -> (u64, u64) {
+        if told.incarnation < self.incarnation {
+            return (0, 0);
+        }
+        if told.incarnation > self.incarnation {
+            *self = Self { incarnation: told.incarnation, ..Self::default() };
+        }
+        let asked = told.asked_ms.saturating_sub(self.asked_ms);
+        let given = told.given_ms.saturating_sub(self.given_ms);
+        self.asked_ms += asked;
+        self.given_ms += given;
+        (asked, given)
+    }
+}
+
+#[derive(Debug, Default)]
+struct NodeAccount {
+    told_at: Timestamp,
+    counts: BTreeMap<Name, ToldCount>,
+}
+
+#[derive(Debug, Default)]
+struct CustomerAccount {
+    weight: u32,
+    asked: WorkRate,
+}
+
+/// What is known of one service.
+#[derive(Debug)]
+struct ServiceAccount {
+    nodes: BTreeMap<Name, NodeAccount>,
+    customers: BTreeMap<Name, CustomerAccount>,
+    asked: WorkRate,
+    given: WorkRate,
+    /// Periods since the first use was told.
+    periods: i32,
+    /// Milliseconds of work a second that servers are taken to do.
+    room: f64,
+    opened_at: Timestamp,
+    turned_at: Timestamp,
+    told_at: Timestamp,
+    is_short: bool,
+    parts: Vec<(Name, f32)>,
+}
+
+/// Adds up the use of services for which this node is asked.
+#[derive(Debug, Default)]
+pub struct ShareAdder {
+    settings: ShareSettings,
+    services: BTreeMap<Name, ServiceAccount>,
+}
+
+impl ShareAdder {
+    /// Builds an adder that knows of no use.
+    pub fn new(settings: ShareSettings) -> Self {
+        Self { settings, services: BTreeMap::new() }
+    }
+
+    /// Takes over the use that a node tells, and returns the shares of those of its services that are
+    /// short.
+    ///
+    /// Counts grow from the start that their incarnation names, so a message that was lost, comes late or
+    /// comes twice does no harm.
+    pub fn answer(&mut self, now: Timestamp, sender: &Name, uses: &[CustomerUse]) -> Vec<ServiceShares> {
+        let life = self.settings.life;
+        self.services.retain(|_, service| now.since(service.told_at) <= life);
+        let mut told = BTreeSet::new();
+        for customer_use in uses {
+            let name = &customer_use.service;
+            let service = self.services.entry(name.clone()).or_insert_with(|| ServiceAccount::open(now));
+            service.take(now, sender, customer_use);
+            told.insert(name);
+        }
+        let shares = told.into_iter().filter_map(|name| {
+            let service = self.services.get_mut(name)?;
+            service.turn(now, &self.settings);
+            let age_ms = millis(now.since(service.turned_at));
+            let shares = ServiceShares { service: name.clone(), parts: service.parts.clone(), age_ms };
+            service.is_short.then_some(shares)
+        });
+        shares.collect()
+    }
+}
+
+impl ServiceAccount {
+    fn open(now: Timestamp) -> Self {
+        Self {
+            nodes: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            asked: WorkRate::default(),
+            given: WorkRate::default(),
+            periods: 0,
+            room: 0.0,
+            opened_at: now,
+            turned_at: now,
+            told_at: now,
+            // A node tells because its calls were refused or waited.
+            is_short: true,
+            parts: Vec::new(),
+        }
+    }
+
+    fn take(&mut self, now: Timestamp, sender: &Name, told: &CustomerUse) {
+        self.told_at = now;
+        let node = self.nodes.entry(sender.clone()).or_default();
+        node.told_at = now;
+        let (asked, given) = node.counts.entry(told.customer.clone()).or_default().take(told);
+        self.asked.add(asked);
+        self.given.add(given);
+        let customer = self.customers.entry(told.customer.clone()).or_default();
+        customer.weight = told.weight;
+        customer.asked.add(asked);
+    }
+
+    /// Works the shares out anew once a period is over.
+    fn turn(&mut self, now: Timestamp, settings: &ShareSettings) {
+        let passed = now.since(self.turned_at);
+        if passed < settings.period {
+            return;
+        }
+        self.turned_at = now;
+        self.nodes.retain(|_, node| now.since(node.told_at) <= COUNT_LIFE);
+        let seconds = passed.as_secs_f64();
+        self.periods = self.periods.saturating_add(1);
+        self.asked.turn(seconds);
+        self.given.turn(seconds);
+        self.customers.values_mut().for_each(|customer| customer.asked.turn(seconds));
+        let periods = self.periods;
+        self.customers.retain(|_, customer| customer.asked.quick(periods) >= FORGOTTEN_RATE);
+        let given = self.given.quick(periods);
+        self.room = (given * (1.0 + settings.growth)).max(self.room * (1.0 - settings.growth));
+        if now.since(self.opened_at) < settings.listen {
+            return;
+        }
+        self.is_short = self.given.steady(periods) < self.asked.steady(periods) * (1.0 - settings.missing);
+        self.parts = if self.is_short { self.work_out(settings) } else { Vec::new() };
+    }
+
+    /// Returns the part to admit of each customer over its share. One that is alone takes from nobody.
+    fn work_out(&self, settings: &ShareSettings) -> Vec<(Name, f32)> {
+        if self.customers.len() < 2 {
+            return Vec::new();
+        }
+        let demand = |customer: &CustomerAccount| ShareDemand {
+            weight: customer.weight,
+            asked: customer.asked.lesser(self.periods),
+        };
+        let demands: Vec<ShareDemand> = self.customers.values().map(demand).collect();
+        let shares = fair_shares(self.room, &demands);
+        let parts = self.customers.keys().zip(&demands).zip(shares).filter_map(|((name, demand), share)| {
+            let part = (share / demand.asked) as f32;
+            (share > 0.0 && part < 1.0).then(|| (name.clone(), part.max(settings.least_part)))
+        });
+        parts.collect()
+    }
+}
--- a/crates/trestlerack/tests/call_ranks.rs
+++ b/crates/trestlerack/tests/call_ranks.rs
@@ -11,7 +11,7 @@
 
 #[test]
 fn the_customers_rank_goes_before_the_routes_then_the_share_then_the_deadline() {
-    let customer = |priority| Customer { name: "c".into(), priority };
+    let customer = |priority| Customer { name: "c".into(), priority, ..Customer::default() };
     let rank = |customer: &Customer, route_priority, is_over, deadline| {
         CallRank::new(Some(customer), &safe_route(route_priority), is_over, Timestamp(deadline))
     };
--- a/crates/trestlerack/tests/customers.rs
+++ b/crates/trestlerack/tests/customers.rs
@@ -8,8 +8,9 @@
 fn directory() -> CustomerDirectory {
     let mut directory = CustomerDirectory::default();
     let key = CustomerKey::new;
-    directory.add(Customer { name: "wash".into(), priority: Some(1) }, &[key("k-one"), key("k-two")]);
-    directory.add(Customer { name: "pension".into(), priority: None }, &[key("k-three"), key("")]);
+    directory
+        .add(Customer { name: "wash".into(), priority: Some(1), ..Customer::default() }, &[key("k-one"), key("k-two")]);
+    directory.add(Customer { name: "pension".into(), ..Customer::default() }, &[key("k-three"), key("")]);
     directory
 }
 
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use super::node::EntryNode;
 use super::pool::{ConnectionLease, ExchangeError};
 use super::server_ticket::ServerTicket;
-use super::{server_end, suspects};
+use super::{server_end, shares, suspects};
 use crate::process::clock;
 use crate::process::tracing::HopSpan;
 use bytes::Bytes;
@@ -129,6 +129,9 @@
         ticket.settle();
         let is_gone = platform::names_instance(&parts.headers).is_some_and(|other| other != instance);
         note_refusal(node, &instance, is_gone);
+        if !is_gone {
+            shares::note_short(node, &ticket.server.service);
+        }
         keep_after_body(node, body, lease, &head).await;
         return Err(AttemptError::NotRun(format!("refused with {}", parts.status)));
     }
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -5,7 +5,7 @@
 use super::job_runs;
 use super::node::EntryNode;
 use super::server_ticket::ServerTicket;
-use super::{server_end, suspects};
+use super::{server_end, shares, suspects};
 use crate::process::clock;
 use crate::process::logs;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -38,6 +38,7 @@
     let engine = ticket.server.instance.clone();
     let started = node.now();
     let mut trace = RunTrace { index, lane, events: 0, longest_gap: Duration::ZERO };
+    let call_use = shares::count(&node, &ticket.server.service, driver.customer.as_ref());
     let (end, why) = attempt_run(&node, &driver, &mut trace, ticket).await;
     let item = &driver.spec.items[index];
     let took = node.now().since(started);
@@ -55,6 +56,9 @@
         ];
         logs::write(event::RUN_ENDED, &fields);
     }
+    if end == RunEnd::Whole {
+        call_use.served();
+    }
     node.metrics.run(end);
     job_runs::run_ended(&node, &driver, index, lane, end);
 }
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -60,7 +60,7 @@
             if !driver.is_driving() {
                 break;
             }
-            match score_calls::score(&node, &driver.spec.items[index].id, call).await {
+            match score_calls::score(&node, &driver.spec.items[index].id, driver.customer.as_ref(), call).await {
                 ScoreEnd::Scored(signature) => {
                     driver.ledger.lock().unwrap().settle(index, Some(signature));
                     break;
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -32,6 +32,7 @@
     usage_missed: Counter<u64>,
     held: Counter<u64>,
     servers_ended: Counter<u64>,
+    over_share: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -50,6 +51,7 @@
             usage_missed: meter.u64_counter("trestlerack.entry.usage.missed").build(),
             held: meter.u64_counter("trestlerack.entry.requests.held").build(),
             servers_ended: meter.u64_counter("trestlerack.entry.servers.ended").build(),
+            over_share: meter.u64_counter("trestlerack.entry.requests.over.share").build(),
             registry,
             _meters: meters,
         })
@@ -92,6 +94,11 @@
         self.servers_ended.add(1, &[]);
     }
 
+    /// Counts a request that was refused because its customer is over its share of a service.
+    pub fn over_share(&self, service: &str) {
+        self.over_share.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     fn page(&self) -> Vec<u8> {
         let mut page = Vec::new();
         // Text of numbers cannot fail to encode; an empty page would show if it did.
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -32,6 +32,7 @@
 mod server_end;
 mod server_feed;
 mod server_ticket;
+mod shares;
 mod status;
 mod stop;
 mod store;
@@ -91,6 +92,7 @@
     tokio::spawn(suspects::store_strikes(node.clone()));
     tokio::spawn(suspects::tell_peers(node.clone()));
     tokio::spawn(suspects::ask_peers(node.clone()));
+    tokio::spawn(news::tell_adders(node.clone()));
     tokio::spawn(reload(node.clone(), hangup, settings_file));
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/trestlerackd/src/entry/news/mod.rs
+++ b/crates/trestlerackd/src/entry/news/mod.rs
@@ -6,21 +6,32 @@
 mod server_news;
 mod share_news;
 
+pub use share_news::tell_adders;
+
 use super::node::EntryNode;
+use futures_util::future::join_all;
 use std::sync::Arc;
 use trestlerack::Name;
 use trestlerack::process::NodeNews;
 
 /// Takes over what a peer tells, and returns what it asked for.
 pub fn answer_peer(node: &Arc<EntryNode>, news: NodeNews) -> NodeNews {
+    share_news::learn(node, news.shares);
     let shares = share_news::answer(node, &news.sender, &news.uses);
     let servers = server_news::answer(node, news.servers);
     NodeNews { sender: node.settings.name.clone(), shares, servers, ..NodeNews::default() }
 }
 
+/// Tells peers, by their addresses, and takes over their answers. Returns how many answered. To tell
+/// some peers at once without waiting, spawn it.
+pub async fn tell(node: &Arc<EntryNode>, peers: &[Name], news: NodeNews) -> usize {
+    let news = NodeNews { sender: node.settings.name.clone(), ..news };
+    let answers = join_all(peers.iter().map(|peer| exchange(node, peer, news.clone()))).await;
+    answers.into_iter().filter(|is_answered| *is_answered).count()
+}
+
 /// Tells a peer and takes over its answer. Returns whether it answered.
 async fn exchange(node: &Arc<EntryNode>, peer: &Name, news: NodeNews) -> bool {
-    let news = NodeNews { sender: node.settings.name.clone(), ..news };
     let Some(answer) = node.peers.tell_news(peer, news).await else { return false };
     share_news::learn(node, answer.shares);
     server_news::learn(node, answer.servers);
--- a/crates/trestlerackd/src/entry/news/share_news.rs
+++ b/crates/trestlerackd/src/entry/news/share_news.rs
@@ -1,14 +1,90 @@
 //! What nodes tell of the use of customers, and the shares that are worked out of it.
 
+use super::tell;
 use crate::entry::node::EntryNode;
+use crate::process::clock;
+use crate::process::logs;
+use std::collections::BTreeSet;
 use std::sync::Arc;
-use trestlerack::Name;
-use trestlerack::process::{CustomerUse, ServiceShares};
+use std::time::Duration;
+use trestlerack::process::{CustomerUse, GossipSettings, NodeNews, ServiceShares};
+use trestlerack::{Name, event};
 
-/// Adds up what customers took at the sender, and returns the shares of its services.
-pub fn answer(_node: &Arc<EntryNode>, _sender: &Name, _uses: &[CustomerUse]) -> Vec<ServiceShares> {
-    Vec::new()
+/// Interval at which a short service without news is looked at, to log that it no longer is.
+const EASE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Adds up what customers took at the sender, and returns the shares of its services that are short.
+pub fn answer(node: &Arc<EntryNode>, sender: &Name, uses: &[CustomerUse]) -> Vec<ServiceShares> {
+    let now = node.now();
+    let shares = node.shares.add_up(now, sender, uses);
+    // A node that is asked because its senders cannot reach the right one knows of their use only, and
+    // keeps what comes of it to them.
+    let is_own = |shares: &ServiceShares| {
+        let adder = node.shares.choose_adder(now, &shares.service, node.peers.names());
+        adder.as_ref() == Some(&node.settings.name)
+    };
+    learn(node, shares.iter().filter(|shares| is_own(shares)).cloned().collect());
+    shares
+}
+
+/// Takes over shares that were worked out by a peer, and passes them on where that is due.
+pub fn learn(node: &Arc<EntryNode>, shares: Vec<ServiceShares>) {
+    if shares.is_empty() {
+        return;
+    }
+    let shares = node.shares.learn(node.now(), shares);
+    if shares.is_empty() {
+        return;
+    }
+    let peers = GossipSettings::default().pick_told(&node.peers.others(), &mut rand::rng());
+    let node = node.clone();
+    tokio::spawn(async move { tell(&node, &peers, NodeNews { shares, ..NodeNews::default() }).await });
+}
+
+/// Tells the nodes that add up what is taken here of services that are short, until the process ends.
+pub async fn tell_adders(node: Arc<EntryNode>) {
+    let mut short = BTreeSet::new();
+    loop {
+        if short.is_empty() {
+            node.shares.wait_news().await;
+        } else {
+            // Ends with news or with the interval; both lead to a look.
+            let _ = clock::timeout(EASE_INTERVAL, node.shares.wait_news()).await;
+        }
+        let services: BTreeSet<Name> = node.shares.short_services(node.now()).into_iter().collect();
+        log_changes(&short, &services);
+        for service in &services {
+            tell_adder(&node, service).await;
+        }
+        short = services;
+        clock::sleep(node.shares.period()).await;
+    }
+}
+
+fn log_changes(before: &BTreeSet<Name>, now: &BTreeSet<Name>) {
+    now.difference(before).for_each(|service| logs::write(event::SERVICE_SHORT, &[("service", service)]));
+    before.difference(now).for_each(|service| logs::write(event::SERVICE_EASED, &[("service", service)]));
 }
 
-/// Takes over shares that were worked out by a peer.
-pub fn learn(_node: &Arc<EntryNode>, _shares: Vec<ServiceShares>) {}
+async fn tell_adder(node: &Arc<EntryNode>, service: &Name) {
+    let uses = node.shares.untold(node.now(), service);
+    if uses.is_empty() {
+        return;
+    }
+    let Some(adder) = node.shares.choose_adder(node.now(), service, node.peers.names()) else { return };
+    let is_told = if adder == node.settings.name {
+        answer(node, &adder, &uses);
+        true
+    } else {
+        let news = NodeNews { uses: uses.clone(), ..NodeNews::default() };
+        match node.peers.get(&adder) {
+            Some(row) => tell(node, &[row.address], news).await == 1,
+            None => false,
+        }
+    };
+    if is_told {
+        node.shares.told(node.now(), &uses);
+    } else {
+        node.shares.note_silent(node.now(), service, &adder);
+    }
+}
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -6,6 +6,7 @@
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
 use super::pool::ConnectionPool;
+use super::shares::ShareDesk;
 use super::store::{DirectStore, RelayedStore};
 use super::suspects::SuspectDesk;
 use crate::process::clock::SystemClock;
@@ -89,6 +90,8 @@
     pub route_times: Mutex<AnswerTimes>,
     /// Requests under which servers ended.
     pub suspects: SuspectDesk,
+    /// Shares of customers in services that are short.
+    pub shares: ShareDesk,
     /// Whether service discovery was read once.
     pub has_registry: AtomicBool,
     /// Whether the system's own rows were read once.
@@ -148,6 +151,7 @@
             board: Mutex::new(ServerBoard::new(BoardSettings::default())),
             route_times: Mutex::default(),
             suspects: SuspectDesk::new(&settings),
+            shares: ShareDesk::new(settings.name.clone()),
             has_registry: AtomicBool::new(false),
             has_state: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -5,7 +5,7 @@
 use super::node::EntryNode;
 use super::server_ticket::ServerTicket;
 use super::trail::RequestTrail;
-use super::{choice_log, streams, suspects};
+use super::{choice_log, shares, streams, suspects};
 use crate::process::clock;
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
@@ -40,7 +40,8 @@
     MayHaveRun,
     /// Its time is over, and it may have run.
     TimedOut,
-    /// It ran nowhere and is not to be sent for so long: servers ended under what it asks for.
+    /// It ran nowhere and is not to be sent for so long: servers ended under what it asks for, or its
+    /// customer is over its share.
     Held(Duration),
 }
 
@@ -59,13 +60,28 @@
     let limit = time_limit(route, request.head.time_left);
     let deadline = node.now() + limit;
     let mut trail = RequestTrail::new(node, &request, &route.name);
+    let call_use = match shares::ask(node, route, &request) {
+        Ok(call_use) => call_use,
+        Err(returns) => {
+            let reply = failure_reply(&request, &Shortfall::Held(returns), true);
+            trail.answered(reply.status());
+            return reply;
+        }
+    };
     if route.streaming {
-        return streams::serve(node, route, request, deadline, trail).await;
+        let reply = streams::serve(node, route, request, deadline, trail).await;
+        if reply.status().is_success() {
+            call_use.begun();
+        }
+        return reply;
     }
     let attempts = attempt_all(node, route, &request, deadline, &mut trail);
     let outcome = clock::timeout(limit, attempts).await.unwrap_or(Err(Shortfall::TimedOut));
     let reply = match outcome {
-        Ok(answer) => whole_reply(answer),
+        Ok(answer) => {
+            call_use.served();
+            whole_reply(answer)
+        }
         Err(shortfall) => failure_reply(&request, &shortfall, trail.tried().is_empty()),
     };
     trail.answered(reply.status());
@@ -195,6 +211,7 @@
             trail.add(&ticket.server.instance);
             return Some(ticket);
         }
+        shares::note_short(node, &service);
         if node.now() >= until {
             return None;
         }
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -3,7 +3,7 @@
 use super::attempt::{self, AttemptError};
 use super::node::EntryNode;
 use super::server_ticket::ServerTicket;
-use super::{plain, suspects};
+use super::{plain, shares, suspects};
 use crate::process::clock;
 use crate::process::logs;
 use futures_util::StreamExt;
@@ -43,11 +43,15 @@
     RequestContent { customer: None, host: &call.host, path: &call.path, body: &call.body }.fingerprint()
 }
 
-/// Has the text of `item` scored, within the time limit of the scorer's route.
-pub async fn score(node: &Arc<EntryNode>, item: &Name, call: &ScoreCall) -> ScoreEnd {
+/// Has the text of `item`, of a job of `customer`, scored, within the time limit of the scorer's route.
+pub async fn score(node: &Arc<EntryNode>, item: &Name, customer: Option<&Name>, call: &ScoreCall) -> ScoreEnd {
     let started = node.now();
     let mut tried: Vec<Name> = Vec::new();
+    let call_use = call_service(node, call).map(|service| shares::count(node, &service, customer));
     let end = ask_servers(node, call, &mut tried).await;
+    if let (ScoreEnd::Scored(_), Some(call_use)) = (&end, call_use) {
+        call_use.served();
+    }
     let outcome = match &end {
         ScoreEnd::Scored(_) => "scored",
         ScoreEnd::Failed => "failed",
@@ -61,6 +65,12 @@
     end
 }
 
+/// Returns the service that scores a call.
+fn call_service(node: &EntryNode, call: &ScoreCall) -> Option<Name> {
+    let routing = node.routing()?;
+    routing.select(&call.host, &call.path)?.service_for(&call.id).cloned()
+}
+
 /// Asks servers until one answers; `tried` takes their names.
 async fn ask_servers(node: &Arc<EntryNode>, call: &ScoreCall, tried: &mut Vec<Name>) -> ScoreEnd {
     let Some(routing) = node.routing() else { return ScoreEnd::NoAnswer };
--- /dev/null
+++ b/crates/trestlerackd/src/entry/shares/desk.rs
@@ -0,0 +1,176 @@
+//! What customers take at this node, and what this node adds up for others.
+
+use crate::process::clock::SystemClock;
+use crate::process::logs;
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::sync::Notify;
+use trestlerack::process::{
+    CustomerUse, ServiceShares, ShareAdder, ShareBook, ShareCall, ShareLine, ShareSettings, ShareVerdict, choose_adders,
+};
+use trestlerack::{Name, Timestamp, event};
+
+/// Time for which a node that did not answer is not told.
+const SILENT_TIME: Duration = Duration::from_secs(2);
+
+/// Least time between two log lines about changed shares of a service.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What customers take at this node, and what this node adds up for others.
+///
+/// Each lock is held for one step only, and none while another is taken.
+pub struct ShareDesk {
+    settings: ShareSettings,
+    node: Name,
+    book: Mutex<ShareBook>,
+    adder: Mutex<ShareAdder>,
+    /// Nodes that did not answer, and when.
+    silent: Mutex<HashMap<Name, Timestamp>>,
+    logged: Mutex<HashMap<Name, Timestamp>>,
+    news: Notify,
+}
+
+impl ShareDesk {
+    /// Builds the desk of a node that knows of no use.
+    pub fn new(node: Name) -> Self {
+        let settings = ShareSettings::default();
+        Self {
+            settings,
+            book: Mutex::new(ShareBook::new(settings, node.clone(), SystemClock::unix_millis())),
+            adder: Mutex::new(ShareAdder::new(settings)),
+            silent: Mutex::default(),
+            logged: Mutex::default(),
+            news: Notify::new(),
+            node,
+        }
+    }
+
+    /// Counts a call and judges it.
+    pub fn ask(&self, now: Timestamp, service: &Name, customer: &Name, weight: u32) -> ShareVerdict {
+        let (verdict, is_short) = {
+            let mut book = self.book.lock().unwrap();
+            (book.ask(now, service, customer, weight), book.is_short(now, service))
+        };
+        self.wake_if(is_short);
+        verdict
+    }
+
+    /// Counts a call that is not refused any more.
+    pub fn count(&self, now: Timestamp, service: &Name, customer: &Name, weight: u32) -> ShareCall {
+        let (call, is_short) = {
+            let mut book = self.book.lock().unwrap();
+            (book.count(now, service, customer, weight), book.is_short(now, service))
+        };
+        self.wake_if(is_short);
+        call
+    }
+
+    /// Counts a call that a server did.
+    pub fn give(&self, now: Timestamp, call: &ShareCall, took: Option<Duration>) {
+        let is_short = {
+            let mut book = self.book.lock().unwrap();
+            book.give(call, took);
+            book.is_short(now, &call.service)
+        };
+        self.wake_if(is_short);
+    }
+
+    /// Records that a service has no room for a call.
+    pub fn note_short(&self, now: Timestamp, service: &Name) {
+        self.book.lock().unwrap().note_short(now, service);
+        self.news.notify_one();
+    }
+
+    fn wake_if(&self, is_short: bool) {
+        if is_short {
+            self.news.notify_one();
+        }
+    }
+
+    /// Returns whether a customer has more than its share of a service, as far as that is known here.
+    #[expect(dead_code, reason = "the queue of a service asks for it")]
+    pub fn is_over_share(&self, now: Timestamp, service: &Name, customer: &str) -> bool {
+        self.book.lock().unwrap().is_over_share(now, service, customer)
+    }
+
+    /// Waits until a service is short and there may be something to tell of it.
+    pub async fn wait_news(&self) {
+        self.news.notified().await;
+    }
+
+    /// Returns the interval at which adders are told.
+    pub fn period(&self) -> Duration {
+        self.settings.period
+    }
+
+    /// Returns the services that are short here, or were lately.
+    pub fn short_services(&self, now: Timestamp) -> Vec<Name> {
+        self.book.lock().unwrap().short_services(now)
+    }
+
+    /// Returns what the adder of a service does not know yet.
+    pub fn untold(&self, now: Timestamp, service: &Name) -> Vec<CustomerUse> {
+        self.book.lock().unwrap().untold(now, service)
+    }
+
+    /// Records that an adder took these counts.
+    pub fn told(&self, now: Timestamp, uses: &[CustomerUse]) {
+        self.book.lock().unwrap().told(now, uses);
+    }
+
+    /// Returns the node that adds up the use of a service, of those that did not fail to answer lately.
+    pub fn choose_adder(&self, now: Timestamp, service: &Name, mut nodes: Vec<Name>) -> Option<Name> {
+        if !nodes.contains(&self.node) {
+            nodes.push(self.node.clone());
+        }
+        let silent = self.silent.lock().unwrap();
+        let is_silent = |node: &Name| silent.get(node).is_some_and(|at| now.since(*at) < SILENT_TIME);
+        choose_adders(service, nodes.into_iter()).into_iter().find(|node| !is_silent(node))
+    }
+
+    /// Records that a node did not answer.
+    pub fn note_silent(&self, now: Timestamp, service: &Name, adder: &Name) {
+        let mut silent = self.silent.lock().unwrap();
+        silent.retain(|_, at| now.since(*at) < SILENT_TIME);
+        silent.insert(adder.clone(), now);
+        drop(silent);
+        logs::write(event::ADDER_SILENT, &[("service", service), ("adder", adder)]);
+    }
+
+    /// Adds up what a node tells, and returns the shares of its services that are short.
+    pub fn add_up(&self, now: Timestamp, sender: &Name, uses: &[CustomerUse]) -> Vec<ServiceShares> {
+        self.adder.lock().unwrap().answer(now, sender, uses)
+    }
+
+    /// Takes over what an adder answered, and returns what of it peers are to be told.
+    pub fn learn(&self, now: Timestamp, shares: Vec<ServiceShares>) -> Vec<ServiceShares> {
+        for shares in shares {
+            let service = shares.service.clone();
+            let (is_changed, count) = {
+                let mut book = self.book.lock().unwrap();
+                (book.learn(now, shares), book.customers_over_share(now, &service))
+            };
+            if is_changed && self.may_log(now, &service) {
+                logs::write(event::SHARES_CHANGED, &[("service", &service), ("over_share", &count)]);
+            }
+            // The short service is to be noticed, whether there is use to tell or not.
+            self.news.notify_one();
+        }
+        self.book.lock().unwrap().take_passed(now)
+    }
+
+    fn may_log(&self, now: Timestamp, service: &Name) -> bool {
+        let mut logged = self.logged.lock().unwrap();
+        let is_due = logged.get(service).is_none_or(|at| now.since(*at) >= LOG_INTERVAL);
+        if is_due {
+            logged.insert(service.clone(), now);
+        }
+        is_due
+    }
+
+    /// Returns the customers that asked for most.
+    pub fn lines(&self, now: Timestamp, most: usize) -> Vec<ShareLine> {
+        self.book.lock().unwrap().lines(now, most)
+    }
+}
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -1,4 +1,4 @@
-//! What operators may ask a node on its metrics address: customers, who does which duty, and requests
+//! What operators may ask a node on its metrics address: customers and what they take, who does which duty, and requests
 //! under which servers ended.
 //!
 //! Answers are JSON and come from what the node knows, without a call to the store. They hold no
@@ -8,11 +8,17 @@
 use serde::Serialize;
 use std::time::Duration;
 use trestlerack::Name;
-use trestlerack::process::{SuspectLine, SuspectStanding};
+use trestlerack::process::{ShareLine, SuspectLine, SuspectStanding};
 
 /// Path of the list of customers.
 const CUSTOMERS_PATH: &str = "/v1/customers";
 
+/// Path of the list of customers by what they take.
+const SHARES_PATH: &str = "/v1/shares";
+
+/// Customers told at most, those that ask for most first.
+const MOST_SHARES: usize = 32;
+
 /// Path of the list of duties.
 const DUTIES_PATH: &str = "/v1/duties";
 
@@ -38,6 +44,16 @@
     is_held_here: bool,
 }
 
+#[derive(Serialize)]
+struct ShareEntry {
+    service: Name,
+    customer: Name,
+    asked_ms: u64,
+    given_ms: u64,
+    /// Part of its calls that is admitted; null for all.
+    part: Option<f32>,
+}
+
 #[derive(Serialize)]
 struct SuspectEntry {
     fingerprint: String,
@@ -52,6 +68,7 @@
 pub fn answer(node: &EntryNode, path: &str) -> Option<Vec<u8>> {
     let lines = match path {
         CUSTOMERS_PATH => serde_json::to_vec(&customers(node)),
+        SHARES_PATH => serde_json::to_vec(&shares(node)),
         DUTIES_PATH => serde_json::to_vec(&duties(node)),
         SUSPECTS_PATH => serde_json::to_vec(&suspects(node)),
         _ => return None,
@@ -71,6 +88,14 @@
     lines.collect()
 }
 
+fn shares(node: &EntryNode) -> Vec<ShareEntry> {
+    let entry = |line: ShareLine| {
+        let ShareLine { service, customer, asked_ms, given_ms, part } = line;
+        ShareEntry { service, customer, asked_ms, given_ms, part }
+    };
+    node.shares.lines(node.now(), MOST_SHARES).into_iter().map(entry).collect()
+}
+
 fn suspects(node: &EntryNode) -> Vec<SuspectEntry> {
     let lines = node.suspects.book().lines(node.now());
     let entry = |line: &SuspectLine| {
--- a/crates/trestlerackd/src/process/keys.rs
+++ b/crates/trestlerackd/src/process/keys.rs
@@ -22,7 +22,7 @@
             .with_context(|| format!("{}: expected an object from key to user", settings.caller_keys_file))?;
         let mut callers = CustomerDirectory::default();
         for (key, name) in holders {
-            callers.add(Customer { name, priority: None }, &[CustomerKey::new(&key)]);
+            callers.add(Customer { name, ..Customer::default() }, &[CustomerKey::new(&key)]);
         }
         let operator = read(&settings.operator_key_file)?.trim().to_owned();
         let link = read(&settings.link_key_file)?.trim().to_owned();
