--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -31,6 +31,7 @@
 mod server_notes;
 mod server_pace;
 mod settings;
+mod shares;
 mod spool;
 mod standing;
 mod steady_wall;
@@ -73,6 +74,10 @@
 pub use server_lines::{ServerLine, ToldLine};
 pub use server_notes::server_gossip;
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
+pub use shares::{
+    AdderChoice, PartGate, ShareAdder, ShareBook, ShareCall, ShareDemand, ShareLine, ShareSettings, ShareVerdict,
+    fair_shares,
+};
 pub use spool::{SampleSpool, SpoolSettings};
 pub use standing::{ServerFigures, ServerStanding};
 pub use steady_wall::SteadyWall;
--- a/crates/trestlerack/src/version/customers.rs
+++ b/crates/trestlerack/src/version/customers.rs
@@ -58,6 +58,14 @@
     pub name: Name,
     /// Rank of the customer's requests, from 0 (first); goes before that of a route.
     pub priority: Option<u8>,
+    /// Weight of its share where a service has too little room.
+    pub weight: u32,
+}
+
+impl Default for Customer {
+    fn default() -> Self {
+        Self { name: "".into(), priority: None, weight: 1 }
+    }
 }
 
 /// The customers of one configuration by their keys.
--- a/crates/trestlerack/tests/urgency.rs
+++ b/crates/trestlerack/tests/urgency.rs
@@ -22,7 +22,7 @@
     let Some(ranks) = customers else { return table };
     let mut directory = CustomerDirectory::default();
     for (number, priority) in ranks.iter().enumerate() {
-        directory.add(Customer { name: format!("c{number}").into(), priority: *priority }, &[]);
+        directory.add(Customer { name: format!("c{number}").into(), priority: *priority, ..Customer::default() }, &[]);
     }
     table.with_customers(directory)
 }
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -38,6 +38,7 @@
 mod server_end;
 mod server_feed;
 mod server_ticket;
+mod shares;
 mod status;
 mod stop;
 mod store;
@@ -100,6 +101,7 @@
     tokio::spawn(suspects::tell_peers(node.clone()));
     tokio::spawn(suspects::ask_peers(node.clone()));
     tokio::spawn(news::server_news::tell_peers(node.clone()));
+    tokio::spawn(news::tell_adders(node.clone()));
     tokio::spawn(reload(node.clone(), hangup, settings_file));
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/trestlerackd/src/entry/news/server_news.rs
+++ b/crates/trestlerackd/src/entry/news/server_news.rs
@@ -1,9 +1,8 @@
 //! What nodes tell each other of servers.
 
-use super::exchange;
+use super::{exchange, tell};
 use crate::entry::node::EntryNode;
 use crate::process::{clock, logs};
-use futures_util::future::join_all;
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::event;
@@ -77,7 +76,8 @@
     own.for_each(|note| log_changed(node, note));
     let chosen = server_gossip().pick_told(&node.peers.others(), &mut rand::rng());
     let news = NodeNews { servers: notes, ..NodeNews::default() };
-    join_all(chosen.iter().map(|peer| exchange(node, peer, news.clone()))).await;
+    // A peer that does not answer hears of it from others.
+    tell(node, &chosen, news).await;
     is_left
 }
 
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -7,6 +7,7 @@
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
 use super::pool::ConnectionPool;
+use super::shares::ShareDesk;
 use super::store::{DirectStore, RelayedStore};
 use super::suspects::SuspectDesk;
 use super::weight_book::WeightBook;
@@ -95,6 +96,8 @@
     pub second_attempts: Mutex<SecondAttemptBudget>,
     /// Requests under which servers ended.
     pub suspects: SuspectDesk,
+    /// Shares of customers in services that are short.
+    pub shares: ShareDesk,
     /// Whether service discovery was read once.
     pub has_registry: AtomicBool,
     /// Whether the system's own rows were read once.
@@ -152,6 +155,7 @@
             has_server_notes: Notify::new(),
             second_attempts: Mutex::default(),
             suspects: SuspectDesk::new(&settings),
+            shares: ShareDesk::new(settings.name.clone()),
             has_registry: AtomicBool::new(false),
             has_state: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -4,7 +4,7 @@
 use super::node::EntryNode;
 use super::server_answers::{self, AnswerWatch};
 use super::server_ticket::ServerTicket;
-use super::{plain, second_attempts, suspects, urgency};
+use super::{plain, second_attempts, shares, suspects, urgency};
 use crate::process::clock;
 use crate::process::logs;
 use futures_util::StreamExt;
@@ -48,7 +48,11 @@
 pub async fn score(node: &Arc<EntryNode>, item: &Name, customer: Option<&Name>, call: &ScoreCall) -> ScoreEnd {
     let started = node.now();
     let mut tried: Vec<Name> = Vec::new();
+    let call_use = call_service(node, call).map(|service| shares::count(node, &service, customer));
     let end = ask_servers(node, customer, call, &mut tried).await;
+    if let (ScoreEnd::Scored(_), Some(call_use)) = (&end, call_use) {
+        call_use.served();
+    }
     let outcome = match &end {
         ScoreEnd::Scored(_) => "scored",
         ScoreEnd::Failed => "failed",
@@ -62,6 +66,12 @@
     end
 }
 
+/// Returns the service that scores a call.
+fn call_service(node: &EntryNode, call: &ScoreCall) -> Option<Name> {
+    let routing = node.routing()?;
+    routing.select(&call.host, &call.path)?.service_for(&call.id).cloned()
+}
+
 /// Asks servers until one answers; `tried` takes their names.
 async fn ask_servers(
     node: &Arc<EntryNode>,
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -45,6 +45,9 @@
     pub hangs: AtomicBool,
     /// How many requests are never answered.
     pub silent_answers: AtomicUsize,
+    /// Most requests that plain servers run at once, all together; the others are refused. 0 for any.
+    most_at_once: AtomicUsize,
+    running: AtomicUsize,
     /// Time that a plain server works on a request, in milliseconds.
     pub work_ms: AtomicUsize,
     /// Whether plain servers state their load, with how long work takes there.
@@ -92,6 +95,18 @@
     pub at: Instant,
 }
 
+impl ServerBehaviour {
+    /// Bounds how many requests plain servers run at once.
+    pub fn limit_at_once(&self, most: usize) {
+        self.most_at_once.store(most, Ordering::SeqCst);
+    }
+
+    fn is_full(&self) -> bool {
+        let most = self.most_at_once.load(Ordering::SeqCst);
+        most > 0 && self.running.load(Ordering::SeqCst) >= most
+    }
+}
+
 fn take(count: &AtomicUsize) -> bool {
     count.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1)).is_ok()
 }
@@ -100,7 +115,7 @@
 fn plain_server(behaviour: Arc<ServerBehaviour>, number: usize) -> SocketAddr {
     serve(move |request, stream| {
         let id = request.headers["request-id"].clone();
-        if take(&behaviour.refusals) {
+        if take(&behaviour.refusals) || behaviour.is_full() {
             return reply(stream, 503, &[("request-id", &id), ("not-executed", "1")], "");
         }
         behaviour.runs.lock().unwrap().push(id.clone());
@@ -114,12 +129,14 @@
             }
             return false;
         }
+        behaviour.running.fetch_add(1, Ordering::SeqCst);
         std::thread::sleep(Duration::from_millis(behaviour.work_ms.load(Ordering::SeqCst) as u64));
         *behaviour.runs_at.lock().unwrap().entry(number).or_default() += 1;
         let mode = behaviour.uneven.lock().unwrap().filter(|(uneven, _)| *uneven == number).map(|(_, mode)| mode);
         if let Some(ServerMode::Slow(ms)) = mode {
             std::thread::sleep(Duration::from_millis(ms));
         }
+        behaviour.running.fetch_sub(1, Ordering::SeqCst);
         if take(&behaviour.overdue_answers) {
             return reply(stream, 504, &[("request-id", &id), ("response-stamp", "s")], "");
         }
