Queue calls before a service by rank

Where a service has less room than is asked for, nodes found out by trial and in no order. The queue, its estimate of who can still be served, the times of return and the budget of second attempts are pure decisions.

A queue by places alone was weighed: a node without calls of its own at a service would wait until what it believes of the load is void. So a call also goes when a place is expected by the time between two answers.

--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -21,6 +21,7 @@
 mod placement;
 mod registry;
 mod relay_choice;
+mod room;
 mod run_limits;
 mod server_belief;
 mod settings;
@@ -56,6 +57,10 @@
 pub use placement::{BoardSettings, ServerBoard, ServerNeed, ServerRoom};
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
 pub use relay_choice::RelayChoice;
+pub use room::{
+    AdmissionQueue, CallAdmission, CallFate, CallKind, CallNumber, CallRefusal, RefusalReason, ReturnTimes,
+    RoomSettings, SecondAttempts, WaitingCall,
+};
 pub use run_limits::RunLimits;
 pub use server_belief::{ChoiceBasis, ServerBelief};
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
--- /dev/null
+++ b/crates/trestlerack/src/process/room/queue.rs
@@ -0,0 +1,350 @@
+//! The calls that wait for a place of one service.
+
+use super::RoomSettings;
+use super::parts::{RankClass, RankParts};
+use super::returns::ReturnTimes;
+use crate::process::{CallRank, WaitEstimate};
+use crate::{Name, Timestamp};
+use std::time::Duration;
+
+/// Shortest time between two calls that go because a place is expected; times are in milliseconds.
+const LEAST_STEP: Duration = Duration::from_millis(1);
+
+/// Who makes a call. Of two calls of one priority a client's goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum CallKind {
+    /// A client, who waits for the answer.
+    Client,
+    /// A batch job, which asks for the score of an item. It is made again until it has an answer, so
+    /// refusing it would gain nothing.
+    Score,
+}
+
+/// A call that may have to wait.
+#[derive(Clone, Debug)]
+pub struct WaitingCall {
+    /// Id of the request.
+    pub id: Name,
+    /// Customer that it is served for.
+    pub customer: Option<Name>,
+    /// Who makes it.
+    pub kind: CallKind,
+    /// Place in the order.
+    pub rank: CallRank,
+    /// When it came to this node.
+    pub arrived: Timestamp,
+    /// Time after `arrived` at which its answer is late; `None` where only the deadline counts.
+    pub objective: Option<Duration>,
+}
+
+impl WaitingCall {
+    fn class(&self) -> RankClass {
+        (self.rank.priority, self.kind)
+    }
+
+    /// Returns when its answer has to be there.
+    fn due(&self) -> Timestamp {
+        self.objective.map_or(self.rank.deadline, |objective| self.rank.deadline.min(self.arrived + objective))
+    }
+
+    /// Returns for how long it may wait in all.
+    fn longest_wait(&self, settings: &RoomSettings) -> Duration {
+        match self.kind {
+            CallKind::Client => self.due().since(self.arrived).mul_f64(settings.wait_part),
+            CallKind::Score => self.rank.deadline.since(self.arrived),
+        }
+    }
+}
+
+/// Names a call of one queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallNumber(u64);
+
+/// Why a call is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RefusalReason {
+    /// Its answer would come too late.
+    TooLate,
+    /// As many calls wait as may.
+    QueueFull,
+    /// More urgent calls came after it and took its place in the queue.
+    Displaced,
+    /// It waited for as long as it may.
+    Waited,
+}
+
+impl RefusalReason {
+    /// All reasons.
+    pub const ALL: [Self; 4] = [Self::TooLate, Self::QueueFull, Self::Displaced, Self::Waited];
+
+    /// Returns the reason as logs and metrics name it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::TooLate => "too late",
+            Self::QueueFull => "queue full",
+            Self::Displaced => "displaced",
+            Self::Waited => "waited",
+        }
+    }
+}
+
+/// A refusal, with what its caller is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallRefusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// Time after which the caller returns.
+    pub return_after: Duration,
+}
+
+/// What becomes of a call that comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallAdmission {
+    /// It goes to a server now.
+    Go,
+    /// It waits; `expected` is for how long.
+    Wait {
+        /// Names it from now on.
+        number: CallNumber,
+        /// Time until a place is expected for it.
+        expected: Duration,
+    },
+    /// It is not served here now.
+    Refuse(CallRefusal),
+}
+
+/// How the wait of a call ended.
+#[derive(Clone, Debug)]
+pub enum CallFate {
+    /// It goes to a server now. Whoever is told so says [`AdmissionQueue::settled`] once.
+    Go(CallNumber),
+    /// It is refused.
+    Refuse(CallNumber, CallRefusal),
+}
+
+#[derive(Clone, Debug)]
+struct QueuedCall {
+    number: CallNumber,
+    call: WaitingCall,
+    /// Whether its rank was served too little when it came.
+    is_favoured: bool,
+}
+
+/// The calls that wait for a place of one service, in the order in which they go.
+///
+/// A place is free when the estimate says so, or when one is expected by the time between two answers: a
+/// node that has no call of its own at the service hears of no free place. A call that goes for the
+/// latter reason may wait at its server.
+#[derive(Clone, Debug)]
+pub struct AdmissionQueue {
+    settings: RoomSettings,
+    waiting: Vec<QueuedCall>,
+    next_number: u64,
+    /// Calls that were told to go and are not at a server yet.
+    going: u32,
+    /// When the next place is expected.
+    place_at: Timestamp,
+    parts: RankParts,
+    returns: ReturnTimes,
+}
+
+impl AdmissionQueue {
+    /// Builds an empty queue.
+    pub fn new(settings: RoomSettings) -> Self {
+        Self {
+            settings,
+            waiting: Vec::new(),
+            next_number: 0,
+            going: 0,
+            place_at: Timestamp::default(),
+            parts: RankParts::default(),
+            returns: ReturnTimes::default(),
+        }
+    }
+
+    /// Returns how many calls wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns the calls that wait, the first to go first.
+    pub fn calls(&self) -> impl Iterator<Item = &WaitingCall> {
+        self.waiting.iter().map(|queued| &queued.call)
+    }
+
+    /// Lets a call go for which a place is known, unless others are to have it first.
+    pub fn pass(&mut self, now: Timestamp, call: &WaitingCall) -> bool {
+        if !self.is_empty() || self.going > 0 {
+            return false;
+        }
+        self.parts.asked(now, call.class());
+        self.parts.served(call.class());
+        true
+    }
+
+    /// Decides on a call that comes.
+    pub fn submit(&mut self, now: Timestamp, call: WaitingCall, estimate: &WaitEstimate) -> CallAdmission {
+        let class = call.class();
+        self.parts.asked(now, class);
+        let is_favoured = self.parts.is_behind(class, self.settings.least_part);
+        let queued = QueuedCall { number: CallNumber(self.next_number), call, is_favoured };
+        self.expect_place(now, estimate);
+        let key = self.key(now, &queued);
+        let place = self.waiting.partition_point(|other| self.key(now, other) <= key);
+        if place == 0 && self.take_place(now, estimate) {
+            self.parts.served(class);
+            return CallAdmission::Go;
+        }
+        let expected = self.expected_wait(now, place, estimate);
+        if let Some(reason) = self.fault(now, &queued.call, place, estimate) {
+            return CallAdmission::Refuse(self.refuse(now, &queued.call, reason, estimate));
+        }
+        let number = queued.number;
+        self.next_number += 1;
+        self.waiting.insert(place, queued);
+        CallAdmission::Wait { number, expected }
+    }
+
+    /// Takes out a call whose caller left.
+    pub fn leave(&mut self, number: CallNumber) {
+        self.waiting.retain(|queued| queued.number != number);
+    }
+
+    /// Records that a call that was told to go is at a server, or will not go.
+    pub fn settled(&mut self) {
+        self.going = self.going.saturating_sub(1);
+    }
+
+    /// Returns who goes and who is refused by now.
+    pub fn advance(&mut self, now: Timestamp, estimate: &WaitEstimate) -> Vec<CallFate> {
+        let mut fates = Vec::new();
+        if self.is_empty() {
+            return fates;
+        }
+        self.expect_place(now, estimate);
+        self.order(now);
+        while !self.is_empty() && self.take_place(now, estimate) {
+            let first = self.waiting.remove(0);
+            self.parts.served(first.call.class());
+            self.going += 1;
+            fates.push(CallFate::Go(first.number));
+        }
+        self.refuse_hopeless(now, estimate, &mut fates);
+        fates
+    }
+
+    /// Returns when [`Self::advance`] is due next, if nothing else happens.
+    pub fn next_due(&self) -> Option<Timestamp> {
+        let limits = self.waiting.iter().map(|queued| self.limit(&queued.call));
+        limits.min().map(|limit| limit.min(self.place_at))
+    }
+
+    /// Refuses those whose wait is over, and the last ones while they cannot be served in time any more.
+    fn refuse_hopeless(&mut self, now: Timestamp, estimate: &WaitEstimate, fates: &mut Vec<CallFate>) {
+        let mut place = self.waiting.len();
+        while place > 0 {
+            place -= 1;
+            let call = &self.waiting[place].call;
+            let reason = match now >= self.limit(call) {
+                true => Some(RefusalReason::Waited),
+                false => self.fault(now, call, place, estimate).map(|_| RefusalReason::Displaced),
+            };
+            let Some(reason) = reason else { continue };
+            let queued = self.waiting.remove(place);
+            let refusal = self.refuse(now, &queued.call, reason, estimate);
+            fates.push(CallFate::Refuse(queued.number, refusal));
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        now: Timestamp,
+        call: &WaitingCall,
+        reason: RefusalReason,
+        estimate: &WaitEstimate,
+    ) -> CallRefusal {
+        let drain = self.expected_wait(now, self.waiting.len(), estimate);
+        let is_known = estimate.places > 0 && !estimate.work.is_zero();
+        let expected = is_known.then(|| (drain, step(estimate)));
+        let left = call.rank.deadline.since(now);
+        let return_after = self.returns.return_after(&self.settings, now, expected, &call.id, left);
+        CallRefusal { reason, return_after }
+    }
+
+    /// Returns why a call at a place of the queue cannot be served in time, if it cannot.
+    fn fault(
+        &self,
+        now: Timestamp,
+        call: &WaitingCall,
+        place: usize,
+        estimate: &WaitEstimate,
+    ) -> Option<RefusalReason> {
+        if call.kind == CallKind::Score {
+            return None;
+        }
+        let is_client = |queued: &&QueuedCall| queued.call.kind == CallKind::Client;
+        if self.waiting.iter().take(place).filter(is_client).count() >= self.settings.most_waiting {
+            return Some(RefusalReason::QueueFull);
+        }
+        let goes_at = now + self.expected_wait(now, place, estimate);
+        // The first one may wait for a place that is free sooner than is expected.
+        let waits_too_long = place > 0 && goes_at > self.limit(call);
+        (waits_too_long || goes_at + estimate.work > call.due()).then_some(RefusalReason::TooLate)
+    }
+
+    /// Works out anew when a place is expected.
+    fn expect_place(&mut self, now: Timestamp, estimate: &WaitEstimate) {
+        self.place_at = self.place_at.min(now + pause(estimate));
+        if self.is_empty() {
+            self.place_at = self.place_at.max(now + estimate.wait);
+        }
+    }
+
+    /// Returns whether a call may go, and counts on the next place from then on.
+    fn take_place(&mut self, now: Timestamp, estimate: &WaitEstimate) -> bool {
+        let has_place = estimate.free > self.going || now >= self.place_at;
+        if has_place {
+            self.place_at = now + pause(estimate);
+        }
+        has_place
+    }
+
+    /// Returns when a call has waited for as long as it may.
+    fn limit(&self, call: &WaitingCall) -> Timestamp {
+        call.arrived + call.longest_wait(&self.settings)
+    }
+
+    fn expected_wait(&self, now: Timestamp, place: usize, estimate: &WaitEstimate) -> Duration {
+        let first = self.place_at.since(now);
+        first.saturating_add(step(estimate).saturating_mul(u32::try_from(place).unwrap_or(u32::MAX)))
+    }
+
+    fn order(&mut self, now: Timestamp) {
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by_cached_key(|queued| self.key(now, queued));
+        self.waiting = waiting;
+    }
+
+    /// Returns the order of a call; the least goes first.
+    fn key(&self, now: Timestamp, queued: &QueuedCall) -> (bool, RankClass, CallRank, CallNumber) {
+        let call = &queued.call;
+        let age = call.longest_wait(&self.settings).mul_f64(self.settings.aged_part);
+        let is_aged = now.since(call.arrived) >= age && self.parts.is_behind(call.class(), 1.0);
+        (!(queued.is_favoured || is_aged), call.class(), call.rank, queued.number)
+    }
+}
+
+/// Returns the time between two places that become free.
+fn step(estimate: &WaitEstimate) -> Duration {
+    estimate.work / estimate.places.max(1)
+}
+
+/// Returns the time after a call has gone until the next place is expected.
+fn pause(estimate: &WaitEstimate) -> Duration {
+    step(estimate).max(estimate.wait).max(LEAST_STEP)
+}
