Hold calls until their service has a place

Calls looked for a server in steps of 20 ms, each for itself, so whoever looked at the right moment went first and full servers refused many. Where the configuration has customers, or servers state how long work takes, calls and scores now wait in one queue a service and are woken as a place becomes free.

Elsewhere the search is as it was. Calls of which nothing ran yet may wait for a second server; one that may have run takes a free place or none. A timer task for each service that has a queue was chosen over one timer a call, which would wake all who wait at each place.

--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -140,11 +140,16 @@
     Ok(())
 }
 
+/// Columns of what an entry node tells of room.
+const ROOM_COLUMNS: [&str; 8] =
+    ["service", "waiting", "places", "free", "wait_ms", "waiting_customers", "refused", "refused_customers"];
+
 /// Returns the path and the columns of what an entry node tells on its metrics address.
 fn entry_list(name: &str) -> Option<(&'static str, &'static [&'static str])> {
     match name {
         "customers" => Some(("/v1/customers", &["name", "priority", "keys", "configuration"])),
         "suspects" => Some(("/v1/suspects", &["fingerprint", "standing", "left_s", "ended", "unexplained"])),
+        "room" => Some(("/v1/room", &ROOM_COLUMNS)),
         "duties" => Some(("/v1/duties", &["duty", "holder", "fence", "is_held_here"])),
         _ => None,
     }
@@ -174,7 +179,7 @@
         }
         _ => {
             return Err(usage(
-                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties or suspects",
+                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, suspects or room",
             ));
         }
     };
--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -145,6 +145,12 @@
     CONTENT_HELD = (2109, "content-held", Warn);
     /// Strikes could not be stored and wait; peers are told directly.
     STRIKES_WAIT = (2110, "strikes-wait", Warn);
+    /// A call waits for a place of its service.
+    CALL_WAITS = (2121, "call-waits", Info);
+    /// A call was refused, because its service has no room for it in time.
+    CALL_REFUSED = (2122, "call-refused", Warn);
+    /// A call was not sent to one more server.
+    RETRY_REFUSED = (2123, "retry-refused", Warn);
     /// A batch job was submitted, with the answer.
     JOB_SUBMITTED = (2201, "job-submitted", Info);
     /// A call about a batch job could not be served.
--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -298,6 +298,18 @@
         WaitEstimate { wait, work, places, free, age: ages.min() }
     }
 
+    /// Returns whether servers of a service state how long work takes on them.
+    pub fn states_slowness(&self, _service: &str) -> bool {
+        false
+    }
+
+    /// Returns when the first pause of a service's servers ends; `None` where it has none that will take
+    /// work again.
+    pub fn opens_at(&self, service: &str) -> Option<Timestamp> {
+        let open = self.of_service(service).filter(|belief| !belief.entry.is_draining);
+        open.map(|belief| belief.not_before).min()
+    }
+
     /// Returns how many requests all servers of a service run at once.
     pub fn places(&self, service: &str) -> u32 {
         self.of_service(service).filter(|belief| !belief.entry.is_draining).map(ServerBelief::slots).sum()
--- a/crates/trestlerack/src/process/room/queue.rs
+++ b/crates/trestlerack/src/process/room/queue.rs
@@ -177,14 +177,15 @@
         self.waiting.iter().map(|queued| &queued.call)
     }
 
-    /// Lets a call go for which a place is known, unless others are to have it first.
-    pub fn pass(&mut self, now: Timestamp, call: &WaitingCall) -> bool {
-        if !self.is_empty() || self.going > 0 {
-            return false;
-        }
+    /// Returns whether a call may take a place that is known to be free, since nobody else waits for one.
+    pub fn is_open(&self) -> bool {
+        self.is_empty() && self.going == 0
+    }
+
+    /// Records that a call went to a place that was known to be free.
+    pub fn passed(&mut self, now: Timestamp, call: &WaitingCall) {
         self.parts.asked(now, call.class());
         self.parts.served(call.class());
-        true
     }
 
     /// Decides on a call that comes.
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms, served as text on the metrics address.
 
 use super::node::EntryNode;
+use super::room::RoomMetrics;
 use super::status;
 use http::StatusCode;
 use http_body_util::Full;
@@ -32,6 +33,8 @@
     usage_missed: Counter<u64>,
     held: Counter<u64>,
     servers_ended: Counter<u64>,
+    /// Calls that want a place.
+    pub room: RoomMetrics,
 }
 
 impl EntryMetrics {
@@ -50,6 +53,7 @@
             usage_missed: meter.u64_counter("trestlerack.entry.usage.missed").build(),
             held: meter.u64_counter("trestlerack.entry.requests.held").build(),
             servers_ended: meter.u64_counter("trestlerack.entry.servers.ended").build(),
+            room: RoomMetrics::start(&meter),
             registry,
             _meters: meters,
         })
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -28,6 +28,7 @@
 mod plain;
 mod pool;
 mod retention;
+mod room;
 mod score_calls;
 mod server_end;
 mod server_feed;
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -6,6 +6,7 @@
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
 use super::pool::ConnectionPool;
+use super::room::{NoShares, RoomDesk};
 use super::store::{DirectStore, RelayedStore};
 use super::suspects::SuspectDesk;
 use crate::process::clock::SystemClock;
@@ -87,6 +88,8 @@
     pub board: Mutex<ServerBoard>,
     /// How long answers take, by route.
     pub route_times: Mutex<AnswerTimes>,
+    /// Calls that wait for a place of a service.
+    pub room: RoomDesk,
     /// Requests under which servers ended.
     pub suspects: SuspectDesk,
     /// Whether service discovery was read once.
@@ -147,6 +150,7 @@
             registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
             board: Mutex::new(ServerBoard::new(BoardSettings::default())),
             route_times: Mutex::default(),
+            room: RoomDesk::new(Box::new(NoShares)),
             suspects: SuspectDesk::new(&settings),
             has_registry: AtomicBool::new(false),
             has_state: AtomicBool::new(false),
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -3,6 +3,7 @@
 use super::attempt::{self, WholeAnswer};
 use super::front::{ClientRequest, ReplyBody, full_reply};
 use super::node::EntryNode;
+use super::room::{self, RoomCall};
 use super::server_ticket::ServerTicket;
 use super::trail::RequestTrail;
 use super::{choice_log, streams, suspects};
@@ -10,7 +11,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::ServerNeed;
+use trestlerack::process::{CallKind, ServerNeed, ServerRoom};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp, event};
@@ -40,7 +41,8 @@
     MayHaveRun,
     /// Its time is over, and it may have run.
     TimedOut,
-    /// It ran nowhere and is not to be sent for so long: servers ended under what it asks for.
+    /// It ran nowhere and is not to be sent for so long: servers ended under what it asks for, or its
+    /// service has no room for it.
     Held(Duration),
 }
 
@@ -126,7 +128,15 @@
             shortfall = shortfall.or_held(left);
             break;
         }
-        let Some(ticket) = find_server(node, route, request, fingerprint, trail).await else { break };
+        let ticket = match find_server(node, route, request, fingerprint, deadline, trail).await {
+            Ok(ticket) => ticket,
+            Err(return_after) => {
+                if let Some(left) = return_after {
+                    shortfall = shortfall.or_held(left);
+                }
+                break;
+            }
+        };
         let server = ticket.server.instance.clone();
         let left = deadline.since(node.now());
         let is_last = trail.runs() + 1 == route.max_attempts || !is_safe;
@@ -142,6 +152,7 @@
             Ok(answer) => {
                 let took = node.now().since(started);
                 node.route_times.lock().unwrap().record(&route.name, took);
+                note_work(node, route, request, took);
                 return Ok(answer);
             }
             Err(error) => {
@@ -177,22 +188,74 @@
     Some(left)
 }
 
-/// Finds a server that was not tried yet. While all are paused for a moment, waits a little; a
-/// request that nobody takes is refused early, so that its client can come again in time.
+/// Finds a server that was not tried yet, or returns when the client is to come again, if that is known.
 pub async fn find_server(
     node: &Arc<EntryNode>,
     route: &RequestRoute,
     request: &ClientRequest,
     fingerprint: RequestFingerprint,
+    deadline: Timestamp,
     trail: &mut RequestTrail,
-) -> Option<ServerTicket> {
+) -> Result<ServerTicket, Option<Duration>> {
+    let id = request.head.request_id.as_deref().unwrap_or("");
+    let service = route.service_for(id).ok_or(None)?;
+    let pick = |room| pick_server(node, service, request, fingerprint, trail.tried(), room);
+    let ticket = if room::is_active(node, service) {
+        let arrived = trail.started();
+        let customer = request.caller.customer();
+        let call = RoomCall { id, service, route, customer, kind: CallKind::Client, arrived, deadline };
+        find_place(node, &call, trail, pick).await?
+    } else {
+        search_server(node, route, pick).await.ok_or(None)?
+    };
+    trail.add(&ticket.server.instance);
+    Ok(ticket)
+}
+
+/// Finds a place for a call in the order of all that want one. A call that may have run somewhere does
+/// not wait for one more place, since another call can use it first.
+async fn find_place(
+    node: &Arc<EntryNode>,
+    call: &RoomCall<'_>,
+    trail: &RequestTrail,
+    pick: impl Fn(ServerRoom) -> Option<ServerTicket>,
+) -> Result<ServerTicket, Option<Duration>> {
+    if trail.tried().is_empty() {
+        room::note_call(node, call);
+        return room::enter(node, call, pick).await;
+    }
+    let ticket = pick(ServerRoom::Place);
+    if !room::may_try_again(node, call, ticket.is_some()) {
+        return Err(None);
+    }
+    match ticket {
+        Some(ticket) => Ok(ticket),
+        None if trail.runs() == 0 => room::enter(node, call, pick).await,
+        None => pick(ServerRoom::Any).ok_or(None),
+    }
+}
+
+/// Records how long an answer took where calls are admitted by that.
+fn note_work(node: &EntryNode, route: &RequestRoute, request: &ClientRequest, took: Duration) {
     let id = request.head.request_id.as_deref().unwrap_or("");
-    let service = route.service_for(id)?.clone();
+    if let Some(service) = route.service_for(id)
+        && room::is_active(node, service)
+    {
+        node.board.lock().unwrap().answered(service, took);
+    }
+}
+
+/// Looks for a server. While all are paused for a moment, waits a little; a request that nobody takes is
+/// refused early, so that its client can come again in time.
+async fn search_server(
+    node: &EntryNode,
+    route: &RequestRoute,
+    pick: impl Fn(ServerRoom) -> Option<ServerTicket>,
+) -> Option<ServerTicket> {
     let search = Duration::from_millis(route.target_latency_ms).mul_f64(SEARCH_SHARE);
     let until = node.now() + search;
     loop {
-        if let Some(ticket) = pick_server(node, &service, request, fingerprint, trail.tried()) {
-            trail.add(&ticket.server.instance);
+        if let Some(ticket) = pick(ServerRoom::Any) {
             return Some(ticket);
         }
         if node.now() >= until {
@@ -208,14 +271,22 @@
     request: &ClientRequest,
     fingerprint: RequestFingerprint,
     tried: &[Name],
+    room: ServerRoom,
 ) -> Option<ServerTicket> {
     // A generation may run under any version of its model.
     let model = request.head.model.as_deref();
     let weights = model.map(|model| (model, 0));
     let id = request.head.request_id.clone().unwrap_or_else(|| "".into());
     let zone = &node.settings.zone;
-    let need =
-        ServerNeed { service, weights, avoid: tried, zone, tie_key: &node.settings.name, ..ServerNeed::default() };
+    let need = ServerNeed {
+        service,
+        weights,
+        avoid: tried,
+        room,
+        zone,
+        tie_key: &node.settings.name,
+        ..ServerNeed::default()
+    };
     let entry = suspects::choose_apart(node, fingerprint, &need)?;
     let config = node.routing().map_or(0, |routing| routing.version);
     let about: [(&str, &dyn std::fmt::Display); 3] =
--- /dev/null
+++ b/crates/trestlerackd/src/entry/room/entrance.rs
@@ -0,0 +1,94 @@
+//! Gets calls a place at a server of their service.
+
+use super::is_over_share;
+use super::wait::wait_for_place;
+use crate::entry::node::EntryNode;
+use crate::entry::server_ticket::ServerTicket;
+use crate::process::logs;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::process::{CallKind, CallRank, ServerRoom, WaitingCall};
+use trestlerack::version::{Customer, RequestRoute};
+use trestlerack::{Name, Timestamp, event};
+
+/// A call for a place.
+pub struct RoomCall<'a> {
+    /// Id of the request.
+    pub id: &'a str,
+    /// Service that is to serve it.
+    pub service: &'a Name,
+    /// Its route.
+    pub route: &'a RequestRoute,
+    /// Customer that it is served for.
+    pub customer: Option<&'a Customer>,
+    /// Who makes it.
+    pub kind: CallKind,
+    /// When it came to this node.
+    pub arrived: Timestamp,
+    /// When its caller leaves.
+    pub deadline: Timestamp,
+}
+
+impl RoomCall<'_> {
+    fn customer_name(&self) -> Option<&Name> {
+        self.customer.map(|customer| &customer.name)
+    }
+
+    fn waiting_call(&self, node: &EntryNode) -> WaitingCall {
+        let is_over_share = is_over_share(node, self.service, self.customer_name());
+        let target = Duration::from_millis(self.route.target_latency_ms);
+        WaitingCall {
+            id: self.id.into(),
+            customer: self.customer_name().cloned(),
+            kind: self.kind,
+            rank: CallRank::new(self.customer, self.route, is_over_share, self.deadline),
+            arrived: self.arrived,
+            objective: (!target.is_zero()).then_some(target),
+        }
+    }
+}
+
+/// Gets a call a place at the server that `pick` chooses, at once or after a wait in the queue. Returns
+/// when the caller is to return if there is none; `None` where that is not known.
+pub async fn enter(
+    node: &Arc<EntryNode>,
+    call: &RoomCall<'_>,
+    pick: impl Fn(ServerRoom) -> Option<ServerTicket>,
+) -> Result<ServerTicket, Option<Duration>> {
+    let waiting_call = call.waiting_call(node);
+    if node.room.is_open(call.service)
+        && let Some(ticket) = pick(ServerRoom::Place)
+    {
+        let now = node.now();
+        node.room.with_queue(call.service, |held| held.queue.passed(now, &waiting_call));
+        return Ok(ticket);
+    }
+    let hold = wait_for_place(node, call.service, waiting_call).await;
+    let hold = hold.map_err(|refusal| Some(refusal.return_after))?;
+    let ticket = pick(ServerRoom::Place).or_else(|| pick(ServerRoom::Any));
+    // Counted at the server by now, so that the next one does not take the same place.
+    drop(hold);
+    ticket.ok_or(None)
+}
+
+/// Records that a call came, which pays for a part of a second attempt.
+pub fn note_call(node: &EntryNode, call: &RoomCall<'_>) {
+    node.room.second_attempts.lock().unwrap().call(call.customer_name(), &call.route.name);
+    node.metrics.room.call(call.service);
+}
+
+/// Returns whether a call may be sent to one more server; `has_place` is whether one is known to have a
+/// free place.
+pub fn may_try_again(node: &EntryNode, call: &RoomCall<'_>, has_place: bool) -> bool {
+    let is_short = !node.room.is_open(call.service);
+    let mut second_attempts = node.room.second_attempts.lock().unwrap();
+    let is_paid = second_attempts.pay(call.customer_name(), &call.route.name, is_short, has_place);
+    drop(second_attempts);
+    if !is_paid {
+        node.metrics.room.retry_refused(call.service);
+        let fields: [(&str, &dyn std::fmt::Display); 4] =
+            [("request", &call.id), ("service", call.service), ("short", &is_short), ("place", &has_place)];
+        logs::write(event::RETRY_REFUSED, &fields);
+    }
+    is_paid
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/room/mod.rs
@@ -0,0 +1,176 @@
+//! Holds the calls that wait for a place of a service, and wakes them.
+//!
+//! Active for services of configurations with customers, and for those whose servers state how long
+//! work takes; elsewhere calls look for a server as they always did. See
+//! [docs/design/room.md](../../../../../docs/design/room.md).
+
+mod entrance;
+mod lines;
+mod metrics;
+mod share;
+mod wait;
+
+pub use entrance::{RoomCall, enter, may_try_again, note_call};
+pub use lines::lines;
+pub use metrics::RoomMetrics;
+pub use share::{NoShares, ShareView};
+
+use super::node::EntryNode;
+use crate::process::clock;
+use lines::RefusalCounts;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use trestlerack::process::{
+    AdmissionQueue, CallFate, CallNumber, CallRefusal, RoomSettings, SecondAttempts, WaitEstimate,
+};
+use trestlerack::{Name, Timestamp};
+
+/// Longest sleep before a queue is looked at again without news, so that an estimate that has improved
+/// meanwhile is seen.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How the wait of a call ended.
+type WaitEnd = Result<(), CallRefusal>;
+
+/// The calls that wait for one service.
+struct ServiceQueue {
+    queue: AdmissionQueue,
+    ends: HashMap<CallNumber, oneshot::Sender<WaitEnd>>,
+    /// Whether a task looks after the queue.
+    is_driven: bool,
+    counts: RefusalCounts,
+}
+
+impl ServiceQueue {
+    fn new() -> Self {
+        Self {
+            queue: AdmissionQueue::new(RoomSettings::default()),
+            ends: HashMap::new(),
+            is_driven: false,
+            counts: RefusalCounts::default(),
+        }
+    }
+}
+
+/// The queues of a node, by service.
+pub struct RoomDesk {
+    queues: Mutex<HashMap<Name, ServiceQueue>>,
+    /// Calls that wait in all queues, so that the end of a request costs nothing while none do.
+    waiting: AtomicUsize,
+    second_attempts: Mutex<SecondAttempts>,
+    shares: Box<dyn ShareView>,
+}
+
+impl RoomDesk {
+    /// Builds a desk without calls.
+    pub fn new(shares: Box<dyn ShareView>) -> Self {
+        Self {
+            queues: Mutex::default(),
+            waiting: AtomicUsize::new(0),
+            second_attempts: Mutex::new(SecondAttempts::new(&RoomSettings::default())),
+            shares,
+        }
+    }
+
+    /// Returns whether a call may take a place of a service that is known to be free.
+    fn is_open(&self, service: &str) -> bool {
+        self.queues().get(service).is_none_or(|held| held.queue.is_open())
+    }
+
+    fn has_waiting(&self) -> bool {
+        self.waiting.load(Ordering::Relaxed) > 0
+    }
+
+    fn queues(&self) -> MutexGuard<'_, HashMap<Name, ServiceQueue>> {
+        self.queues.lock().unwrap()
+    }
+
+    /// Changes the queue of a service, which is made if there is none.
+    fn with_queue<T>(&self, service: &Name, change: impl FnOnce(&mut ServiceQueue) -> T) -> T {
+        let mut queues = self.queues();
+        if let Some(held) = queues.get_mut(service) {
+            return change(held);
+        }
+        change(queues.entry(service.clone()).or_insert_with(ServiceQueue::new))
+    }
+}
+
+/// Returns whether calls for a service are admitted by its room.
+pub fn is_active(node: &EntryNode, service: &str) -> bool {
+    let has_customers = node.routing().is_some_and(|routing| routing.customers.is_some());
+    has_customers || node.board.lock().unwrap().states_slowness(service)
+}
+
+/// Returns what is expected of a service. Where all its servers are paused, a place is expected when the
+/// first pause ends.
+fn estimate(node: &EntryNode, service: &str) -> WaitEstimate {
+    let now = node.now();
+    let board = node.board.lock().unwrap();
+    let mut estimate = board.wait_estimate(now, service);
+    if estimate.places == 0
+        && let Some(opens_at) = board.opens_at(service)
+    {
+        estimate.wait = opens_at.since(now);
+    }
+    estimate
+}
+
+/// Tells that a place of a service may be free.
+pub fn place_freed(node: &EntryNode, service: &Name) {
+    if node.room.has_waiting() {
+        advance(node, service);
+    }
+}
+
+/// Tells that service discovery has changed, so that any service may have places.
+pub fn servers_changed(node: &EntryNode) {
+    if !node.room.has_waiting() {
+        return;
+    }
+    let services: Vec<Name> = node.room.queues().keys().cloned().collect();
+    for service in &services {
+        advance(node, service);
+    }
+}
+
+/// Lets those go for whom there is a place, and refuses those whom none can serve in time. Returns when
+/// to look again; `None` if nobody waits.
+fn advance(node: &EntryNode, service: &Name) -> Option<Timestamp> {
+    let estimate = estimate(node, service);
+    let now = node.now();
+    let mut ended = Vec::new();
+    let next_due = node.room.with_queue(service, |held| {
+        for fate in held.queue.advance(now, &estimate) {
+            let (number, end) = match fate {
+                CallFate::Go(number) => (number, Ok(())),
+                CallFate::Refuse(number, refusal) => (number, Err(refusal)),
+            };
+            ended.extend(held.ends.remove(&number).map(|sender| (sender, end)));
+        }
+        let next_due = held.queue.next_due();
+        held.is_driven &= next_due.is_some();
+        next_due
+    });
+    node.room.waiting.fetch_sub(ended.len(), Ordering::Relaxed);
+    for (sender, end) in ended {
+        // The guard of a caller that leaves just now gives its place back.
+        let _ = sender.send(end);
+    }
+    next_due
+}
+
+/// Looks after the queue of a service until nobody waits.
+async fn drive(node: Arc<EntryNode>, service: Name) {
+    while let Some(next_due) = advance(&node, &service) {
+        let pause = next_due.since(node.now()).min(LOOK_INTERVAL);
+        clock::sleep(pause.max(Duration::from_millis(1))).await;
+    }
+}
+
+/// Returns whether the share of a call's customer is used up.
+fn is_over_share(node: &EntryNode, service: &str, customer: Option<&Name>) -> bool {
+    node.room.shares.is_over_share(service, customer.map(|name| &**name))
+}
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{self, AttemptError};
 use super::node::EntryNode;
+use super::room::{self, RoomCall};
 use super::server_ticket::ServerTicket;
 use super::{plain, suspects};
 use crate::process::clock;
@@ -11,7 +12,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{ServerNeed, ServerRoom};
+use trestlerack::process::{CallKind, ServerNeed, ServerRoom};
 use trestlerack::request::{RequestContent, RequestFingerprint, ScoreCall};
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, Timestamp, event};
@@ -68,6 +69,9 @@
     let Some(service) = route.service_for(&call.id) else { return ScoreEnd::NoAnswer };
     let deadline = node.now() + plain::time_limit(route, None);
     let fingerprint = fingerprint(call);
+    let (kind, arrived) = (CallKind::Score, node.now());
+    let room_call = RoomCall { id: &call.id, service, route, customer: None, kind, arrived, deadline };
+    let is_by_room = room::is_active(node, service);
     let mut attempts = FuturesUnordered::new();
     loop {
         if attempts.is_empty()
@@ -78,9 +82,13 @@
         }
         // A second server beside the first would be one more that ends.
         let servers_at_once = if suspects::is_suspect(node, fingerprint) { 1 } else { SERVERS_AT_ONCE };
-        if attempts.len() < servers_at_once
-            && let Some(ticket) = pick_server(node, fingerprint, service, tried)
-        {
+        let pick = |room| pick_server(node, fingerprint, service, tried, room);
+        let ticket = match attempts.len() {
+            open if open >= servers_at_once => None,
+            open if is_by_room => find_place(node, &room_call, open == 0, pick).await,
+            _ => pick(ServerRoom::Place),
+        };
+        if let Some(ticket) = ticket {
             tried.push(ticket.server.instance.clone());
             attempts.push(attempt_score(node, call, ticket, deadline));
         }
@@ -110,16 +118,33 @@
     usual.unwrap_or(Duration::from_millis(route.target_latency_ms)).max(LEAST_PATIENCE)
 }
 
+/// Finds a place for a call in the order of all that want one, for its first server, or for one more while
+/// that works.
+async fn find_place(
+    node: &Arc<EntryNode>,
+    call: &RoomCall<'_>,
+    is_first: bool,
+    pick: impl Fn(ServerRoom) -> Option<ServerTicket>,
+) -> Option<ServerTicket> {
+    if is_first {
+        room::note_call(node, call);
+        return room::enter(node, call, pick).await.ok();
+    }
+    let ticket = pick(ServerRoom::Place)?;
+    room::may_try_again(node, call, true).then_some(ticket)
+}
+
 fn pick_server(
     node: &Arc<EntryNode>,
     fingerprint: RequestFingerprint,
     service: &Name,
     tried: &[Name],
+    room: ServerRoom,
 ) -> Option<ServerTicket> {
     let need = ServerNeed {
         service,
         avoid: tried,
-        room: ServerRoom::Place,
+        room,
         zone: &node.settings.zone,
         tie_key: &node.settings.name,
         ..ServerNeed::default()
--- a/crates/trestlerackd/src/entry/server_feed.rs
+++ b/crates/trestlerackd/src/entry/server_feed.rs
@@ -1,7 +1,7 @@
 //! Takes over what service discovery tells of backend servers.
 
 use super::node::EntryNode;
-use super::suspects;
+use super::{room, suspects};
 use crate::process::logs;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -46,6 +46,9 @@
     }
     drop(registry);
     gone.iter().for_each(|server| suspects::server_gone(node, server));
+    if is_news {
+        room::servers_changed(node);
+    }
 }
 
 /// Returns the starts of servers that end by news of service discovery: the entry is removed, or of a
@@ -116,6 +119,7 @@
     let gone: Vec<ServerEntry> = held.iter().filter(is_gone).cloned().collect();
     drop(registry);
     gone.iter().for_each(|server| suspects::server_gone(node, server));
+    room::servers_changed(node);
     node.has_registry.store(true, Ordering::Relaxed);
     logs::write(event::SERVERS_READ, &[("count", &count)]);
 }
--- a/crates/trestlerackd/src/entry/server_ticket.rs
+++ b/crates/trestlerackd/src/entry/server_ticket.rs
@@ -1,6 +1,7 @@
 //! A request that a backend server works on, as this node counts it.
 
 use super::node::EntryNode;
+use super::room;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use trestlerack::process::{ServerEntry, SuspectRun};
@@ -30,6 +31,7 @@
     /// Records that the request is on its way to the server.
     pub fn sent(&self) {
         self.is_open.store(true, Ordering::Relaxed);
+        self.node.metrics.room.attempt(&self.server.service);
     }
 
     /// Records that the outcome is known: an answer, a refusal or a broken connection.
@@ -55,5 +57,6 @@
         if let Some(run) = self.run {
             self.node.suspects.book().returned(&self.server.instance, run);
         }
+        room::place_freed(&self.node, &self.server.service);
     }
 }
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -1,10 +1,11 @@
-//! What operators may ask a node on its metrics address: customers, who does which duty, and requests
-//! under which servers ended.
+//! What operators may ask a node on its metrics address: customers, who does which duty, requests
+//! under which servers ended, and who waits for room.
 //!
 //! Answers are JSON and come from what the node knows, without a call to the store. They hold no
 //! key; [docs/API.md](../../../../docs/API.md#entry-nodes) has the fields.
 
 use super::node::EntryNode;
+use super::room;
 use serde::Serialize;
 use std::time::Duration;
 use trestlerack::Name;
@@ -19,6 +20,9 @@
 /// Path of the list of contents under which servers ended.
 const SUSPECTS_PATH: &str = "/v1/suspects";
 
+/// Path of the list of services whose calls are admitted by room.
+const ROOM_PATH: &str = "/v1/room";
+
 #[derive(Serialize)]
 struct CustomerLine {
     name: Name,
@@ -54,6 +58,7 @@
         CUSTOMERS_PATH => serde_json::to_vec(&customers(node)),
         DUTIES_PATH => serde_json::to_vec(&duties(node)),
         SUSPECTS_PATH => serde_json::to_vec(&suspects(node)),
+        ROOM_PATH => serde_json::to_vec(&room::lines(node)),
         _ => return None,
     };
     lines.ok()
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -82,7 +82,15 @@
             shortfall = shortfall.or_held(left);
             break;
         }
-        let Some(ticket) = plain::find_server(node, route, request, fingerprint, trail).await else { break };
+        let ticket = match plain::find_server(node, route, request, fingerprint, deadline, trail).await {
+            Ok(ticket) => ticket,
+            Err(return_after) => {
+                if let Some(left) = return_after {
+                    shortfall = shortfall.or_held(left);
+                }
+                break;
+            }
+        };
         let instance = ticket.server.instance.clone();
         let left = deadline.since(node.now());
         let mut engine_request = plain::engine_request(request, &instance, left);
--- a/crates/trestlerackd/src/entry/trail.rs
+++ b/crates/trestlerackd/src/entry/trail.rs
@@ -70,6 +70,11 @@
         self.count_usage();
     }
 
+    /// Returns when the request came.
+    pub fn started(&self) -> Timestamp {
+        self.started
+    }
+
     /// Returns the servers that the request was sent to.
     pub fn tried(&self) -> &[Name] {
         &self.tried
