Test room with processes, and let what never ran wait again

A burst of 8 calls at a service with one of two servers gone refused one in three runs of the new test: a call that the dead server had not run was denied its second attempt, because others were queued for the live one. What ran nowhere now pays for its second attempt and waits in order.

--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -225,12 +225,14 @@
         return room::enter(node, call, pick).await;
     }
     let ticket = pick(ServerRoom::Place);
-    if !room::may_try_again(node, call, ticket.is_some()) {
+    // What ran nowhere yet waits for its place like any other call.
+    let may_wait = trail.runs() == 0;
+    if !room::may_try_again(node, call, may_wait || ticket.is_some()) {
         return Err(None);
     }
     match ticket {
         Some(ticket) => Ok(ticket),
-        None if trail.runs() == 0 => room::enter(node, call, pick).await,
+        None if may_wait => room::enter(node, call, pick).await,
         None => pick(ServerRoom::Any).ok_or(None),
     }
 }
--- a/crates/trestlerackd/src/entry/room/entrance.rs
+++ b/crates/trestlerackd/src/entry/room/entrance.rs
@@ -78,7 +78,7 @@
 }
 
 /// Returns whether a call may be sent to one more server; `has_place` is whether one is known to have a
-/// free place.
+/// free place, or the call waits until one has.
 pub fn may_try_again(node: &EntryNode, call: &RoomCall<'_>, has_place: bool) -> bool {
     let is_short = !node.room.is_open(call.service);
     let mut second_attempts = node.room.second_attempts.lock().unwrap();
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod lease;
 mod requests;
+mod room;
 mod soak;
 mod store_rate;
 mod support;
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -44,6 +44,9 @@
     pub silent_answers: AtomicUsize,
     /// Time that a plain server works on a request, in milliseconds.
     pub work_ms: AtomicUsize,
+    /// Requests that plain servers work on, and the most so far.
+    pub at_once: AtomicUsize,
+    pub most_at_once: AtomicUsize,
     /// Connections that were closed by the caller while a request hung.
     pub left: AtomicUsize,
     /// Pause between two events, in milliseconds.
@@ -96,7 +99,10 @@
             }
             return false;
         }
+        let at_once = behaviour.at_once.fetch_add(1, Ordering::SeqCst) + 1;
+        behaviour.most_at_once.fetch_max(at_once, Ordering::SeqCst);
         std::thread::sleep(Duration::from_millis(behaviour.work_ms.load(Ordering::SeqCst) as u64));
+        behaviour.at_once.fetch_sub(1, Ordering::SeqCst);
         if take(&behaviour.overdue_answers) {
             return reply(stream, 504, &[("request-id", &id), ("response-stamp", "s")], "");
         }
