Refuse calls past their wait before places are handed out

After a stall of the process the queue gave places to calls that could not be answered in time any more, since those were refused only after the places.

room_queue and room_returns hold single decisions, each call ending once under random load, the spread of returns, and the budget of attempts.

--- a/crates/trestlerack/src/process/room/queue.rs
+++ b/crates/trestlerack/src/process/room/queue.rs
@@ -228,6 +228,9 @@
             return fates;
         }
         self.expect_place(now, estimate);
+        self.refuse_where(now, estimate, &mut fates, |queue, call, _| {
+            (now >= queue.limit(call)).then_some(RefusalReason::Waited)
+        });
         self.order(now);
         while !self.is_empty() && self.take_place(now, estimate) {
             let first = self.waiting.remove(0);
@@ -235,7 +238,9 @@
             self.going += 1;
             fates.push(CallFate::Go(first.number));
         }
-        self.refuse_hopeless(now, estimate, &mut fates);
+        self.refuse_where(now, estimate, &mut fates, |queue, call, place| {
+            queue.fault(now, call, place, estimate).map(|_| RefusalReason::Displaced)
+        });
         fates
     }
 
@@ -245,17 +250,17 @@
         limits.min().map(|limit| limit.min(self.place_at))
     }
 
-    /// Refuses those whose wait is over, and the last ones while they cannot be served in time any more.
-    fn refuse_hopeless(&mut self, now: Timestamp, estimate: &WaitEstimate, fates: &mut Vec<CallFate>) {
-        let mut place = self.waiting.len();
-        while place > 0 {
-            place -= 1;
-            let call = &self.waiting[place].call;
-            let reason = match now >= self.limit(call) {
-                true => Some(RefusalReason::Waited),
-                false => self.fault(now, call, place, estimate).map(|_| RefusalReason::Displaced),
-            };
-            let Some(reason) = reason else { continue };
+    /// Refuses those for whom `reason_of` has a reason, the last one first, since each makes room for those
+    /// behind it.
+    fn refuse_where(
+        &mut self,
+        now: Timestamp,
+        estimate: &WaitEstimate,
+        fates: &mut Vec<CallFate>,
+        reason_of: impl Fn(&Self, &WaitingCall, usize) -> Option<RefusalReason>,
+    ) {
+        for place in (0..self.waiting.len()).rev() {
+            let Some(reason) = reason_of(self, &self.waiting[place].call, place) else { continue };
             let queued = self.waiting.remove(place);
             let refusal = self.refuse(now, &queued.call, reason, estimate);
             fates.push(CallFate::Refuse(queued.number, refusal));
--- a/crates/trestlerack/src/process/room/returns.rs
+++ b/crates/trestlerack/src/process/room/returns.rs
@@ -6,6 +6,10 @@
 use crate::{Name, Timestamp};
 use std::time::Duration;
 
+/// Part of the longest time over which callers are spread in any case, also those whose turn would come
+/// after it.
+const LEAST_SPREAD: f64 = 0.25;
+
 /// Tells refused callers of one service when to return.
 ///
 /// Those refused while the queue drains are spread over the time that serving them all takes, by their
@@ -33,8 +37,7 @@
         let (drain, step) = expected.unwrap_or((settings.return_time, Duration::ZERO));
         self.served_by = self.served_by.max(now + drain) + step;
         let window = drain.max(self.served_by.since(now).saturating_sub(drain));
-        // What lies past the longest time is spread below it and not cut to one moment.
-        let first = drain.min(longest / 2);
+        let first = drain.min(longest.mul_f64(1.0 - LEAST_SPREAD));
         let window = window.min(longest.saturating_sub(first));
         first + window.mul_f64(spread(id))
     }
