Count on expected places at one node at a time

All nodes counted on the same next place, and each believed all places free once the last stated load was too old.

A node with calls at the service now waits for their answers, which state the load, and goes on expectation only when they are overdue. While the service is short and no load is believed, the last stated wait has to pass and one call goes first. room_load plays 1, 2, 9 and 81 nodes; it was red before at 81.

The slow place of the process test is now freed within the time that a call may wait, since none goes on expectation beside the node's own.

--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -59,7 +59,7 @@
 pub use relay_choice::RelayChoice;
 pub use room::{
     AdmissionQueue, CallAdmission, CallFate, CallKind, CallNumber, CallRefusal, RefusalReason, ReturnTimes,
-    RoomSettings, SecondAttempts, WaitingCall,
+    RoomSettings, SecondAttempts, ServiceView, WaitingCall,
 };
 pub use run_limits::RunLimits;
 pub use server_belief::{ChoiceBasis, ServerBelief};
--- a/crates/trestlerack/src/process/room/mod.rs
+++ b/crates/trestlerack/src/process/room/mod.rs
@@ -7,7 +7,7 @@
 mod returns;
 
 pub use queue::{
-    AdmissionQueue, CallAdmission, CallFate, CallKind, CallNumber, CallRefusal, RefusalReason, WaitingCall,
+    AdmissionQueue, CallAdmission, CallFate, CallKind, CallNumber, CallRefusal, RefusalReason, ServiceView, WaitingCall,
 };
 pub use returns::{ReturnTimes, SecondAttempts};
 
--- a/crates/trestlerack/src/process/room/queue.rs
+++ b/crates/trestlerack/src/process/room/queue.rs
@@ -10,6 +10,13 @@
 /// Shortest time between two calls that go because a place is expected; times are in milliseconds.
 const LEAST_STEP: Duration = Duration::from_millis(1);
 
+/// Times that work usually takes after which the answer to this node's own call is overdue.
+const OVERDUE_WORKS: u32 = 2;
+
+/// Time after which a service counts as short no more. It is longer than a load that a server stated is
+/// believed, after which all places look free.
+const SHORT_TIME: Duration = Duration::from_secs(1);
+
 /// Who makes a call. Of two calls of one priority a client's goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum CallKind {
@@ -48,7 +55,7 @@
     }
 
     /// Returns for how long it may wait in all.
-    fn longest_wait(&self, settings: &RoomSettings) -> Duration {
+    pub fn longest_wait(&self, settings: &RoomSettings) -> Duration {
         match self.kind {
             CallKind::Client => self.due().since(self.arrived).mul_f64(settings.wait_part),
             CallKind::Score => self.rank.deadline.since(self.arrived),
@@ -56,6 +63,22 @@
     }
 }
 
+/// What this node knows of a service at one moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServiceView {
+    /// What is expected of it.
+    pub estimate: WaitEstimate,
+    /// Calls of this node that its servers have.
+    pub in_flight: u32,
+}
+
+impl ServiceView {
+    /// Returns the time between two places that become free.
+    fn step(&self) -> Duration {
+        self.estimate.work / self.estimate.places.max(1)
+    }
+}
+
 /// Names a call of one queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallNumber(u64);
@@ -132,9 +155,10 @@
 
 /// The calls that wait for a place of one service, in the order in which they go.
 ///
-/// A place is free when the estimate says so, or when one is expected by the time between two answers: a
-/// node that has no call of its own at the service hears of no free place. A call that goes for the
-/// latter reason may wait at its server.
+/// A place is free when the view says so. Other nodes' answers tell this node nothing, so a call also goes
+/// when a place is expected; that one may wait at its server. While this node has calls there, their
+/// answers bring news, and none goes on expectation before they are overdue: many nodes that all counted
+/// on the same places would fill the servers with calls that wait.
 #[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     settings: RoomSettings,
@@ -142,8 +166,12 @@
     next_number: u64,
     /// Calls that were told to go and are not at a server yet.
     going: u32,
-    /// When the next place is expected.
+    /// When a call goes though no place is known to be free.
     place_at: Timestamp,
+    /// When a call last had to wait or was refused; `None` if none was yet.
+    short_at: Option<Timestamp>,
+    /// When a place was expected by the load that servers stated last; `None` where they state none.
+    stated_place_at: Option<Timestamp>,
     parts: RankParts,
     returns: ReturnTimes,
 }
@@ -157,6 +185,8 @@
             next_number: 0,
             going: 0,
             place_at: Timestamp::default(),
+            short_at: None,
+            stated_place_at: None,
             parts: RankParts::default(),
             returns: ReturnTimes::default(),
         }
@@ -178,8 +208,8 @@
     }
 
     /// Returns whether a call may take a place that is known to be free, since nobody else waits for one.
-    pub fn is_open(&self) -> bool {
-        self.is_empty() && self.going == 0
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        self.is_empty() && self.going == 0 && !self.is_short(now)
     }
 
     /// Records that a call went to a place that was known to be free.
@@ -189,21 +219,23 @@
     }
 
     /// Decides on a call that comes.
-    pub fn submit(&mut self, now: Timestamp, call: WaitingCall, estimate: &WaitEstimate) -> CallAdmission {
+    pub fn submit(&mut self, now: Timestamp, call: WaitingCall, view: &ServiceView) -> CallAdmission {
         let class = call.class();
         self.parts.asked(now, class);
         let is_favoured = self.parts.is_behind(class, self.settings.least_part);
         let queued = QueuedCall { number: CallNumber(self.next_number), call, is_favoured };
-        self.expect_place(now, estimate);
+        let view = &self.learn(now, view);
+        self.expect_place(now, view);
         let key = self.key(now, &queued);
         let place = self.waiting.partition_point(|other| self.key(now, other) <= key);
-        if place == 0 && self.take_place(now, estimate) {
+        if place == 0 && self.take_place(now, view) {
             self.parts.served(class);
             return CallAdmission::Go;
         }
-        let expected = self.expected_wait(now, place, estimate);
-        if let Some(reason) = self.fault(now, &queued.call, place, estimate) {
-            return CallAdmission::Refuse(self.refuse(now, &queued.call, reason, estimate));
+        self.short_at = Some(now);
+        let expected = expected_wait(place, view);
+        if let Some(reason) = self.fault(now, &queued.call, place, view) {
+            return CallAdmission::Refuse(self.refuse(now, &queued.call, reason, view));
         }
         let number = queued.number;
         self.next_number += 1;
@@ -222,24 +254,25 @@
     }
 
     /// Returns who goes and who is refused by now.
-    pub fn advance(&mut self, now: Timestamp, estimate: &WaitEstimate) -> Vec<CallFate> {
+    pub fn advance(&mut self, now: Timestamp, view: &ServiceView) -> Vec<CallFate> {
         let mut fates = Vec::new();
         if self.is_empty() {
             return fates;
         }
-        self.expect_place(now, estimate);
-        self.refuse_where(now, estimate, &mut fates, |queue, call, _| {
+        let view = &self.learn(now, view);
+        self.expect_place(now, view);
+        self.refuse_where(now, view, &mut fates, |queue, call, _| {
             (now >= queue.limit(call)).then_some(RefusalReason::Waited)
         });
         self.order(now);
-        while !self.is_empty() && self.take_place(now, estimate) {
+        while !self.is_empty() && self.take_place(now, view) {
             let first = self.waiting.remove(0);
             self.parts.served(first.call.class());
             self.going += 1;
             fates.push(CallFate::Go(first.number));
         }
-        self.refuse_where(now, estimate, &mut fates, |queue, call, place| {
-            queue.fault(now, call, place, estimate).map(|_| RefusalReason::Displaced)
+        self.refuse_where(now, view, &mut fates, |queue, call, place| {
+            queue.fault(now, call, place, view).map(|_| RefusalReason::Displaced)
         });
         fates
     }
@@ -255,41 +288,29 @@
     fn refuse_where(
         &mut self,
         now: Timestamp,
-        estimate: &WaitEstimate,
+        view: &ServiceView,
         fates: &mut Vec<CallFate>,
         reason_of: impl Fn(&Self, &WaitingCall, usize) -> Option<RefusalReason>,
     ) {
         for place in (0..self.waiting.len()).rev() {
             let Some(reason) = reason_of(self, &self.waiting[place].call, place) else { continue };
             let queued = self.waiting.remove(place);
-            let refusal = self.refuse(now, &queued.call, reason, estimate);
+            let refusal = self.refuse(now, &queued.call, reason, view);
             fates.push(CallFate::Refuse(queued.number, refusal));
         }
     }
 
-    fn refuse(
-        &mut self,
-        now: Timestamp,
-        call: &WaitingCall,
-        reason: RefusalReason,
-        estimate: &WaitEstimate,
-    ) -> CallRefusal {
-        let drain = self.expected_wait(now, self.waiting.len(), estimate);
-        let is_known = estimate.places > 0 && !estimate.work.is_zero();
-        let expected = is_known.then(|| (drain, step(estimate)));
+    fn refuse(&mut self, now: Timestamp, call: &WaitingCall, reason: RefusalReason, view: &ServiceView) -> CallRefusal {
+        let drain = expected_wait(self.waiting.len(), view);
+        let is_known = view.estimate.places > 0 && !view.estimate.work.is_zero();
+        let expected = is_known.then(|| (drain, view.step()));
         let left = call.rank.deadline.since(now);
         let return_after = self.returns.return_after(&self.settings, now, expected, &call.id, left);
         CallRefusal { reason, return_after }
     }
 
     /// Returns why a call at a place of the queue cannot be served in time, if it cannot.
-    fn fault(
-        &self,
-        now: Timestamp,
-        call: &WaitingCall,
-        place: usize,
-        estimate: &WaitEstimate,
-    ) -> Option<RefusalReason> {
+    fn fault(&self, now: Timestamp, call: &WaitingCall, place: usize, view: &ServiceView) -> Option<RefusalReason> {
         if call.kind == CallKind::Score {
             return None;
         }
@@ -297,39 +318,63 @@
         if self.waiting.iter().take(place).filter(is_client).count() >= self.settings.most_waiting {
             return Some(RefusalReason::QueueFull);
         }
-        let goes_at = now + self.expected_wait(now, place, estimate);
+        let goes_at = now + expected_wait(place, view);
         // The first one may wait for a place that is free sooner than is expected.
         let waits_too_long = place > 0 && goes_at > self.limit(call);
-        (waits_too_long || goes_at + estimate.work > call.due()).then_some(RefusalReason::TooLate)
+        (waits_too_long || goes_at + view.estimate.work > call.due()).then_some(RefusalReason::TooLate)
     }
 
     /// Works out anew when a place is expected.
-    fn expect_place(&mut self, now: Timestamp, estimate: &WaitEstimate) {
-        self.place_at = self.place_at.min(now + pause(estimate));
-        if self.is_empty() {
-            self.place_at = self.place_at.max(now + estimate.wait);
-        }
+    fn expect_place(&mut self, now: Timestamp, view: &ServiceView) {
+        let place_at = now + self.pause(view);
+        self.place_at = if self.is_empty() { place_at } else { self.place_at.min(place_at) };
     }
 
     /// Returns whether a call may go, and counts on the next place from then on.
-    fn take_place(&mut self, now: Timestamp, estimate: &WaitEstimate) -> bool {
-        let has_place = estimate.free > self.going || now >= self.place_at;
+    fn take_place(&mut self, now: Timestamp, view: &ServiceView) -> bool {
+        let has_place = view.estimate.free > self.going || now >= self.place_at;
         if has_place {
-            self.place_at = now + pause(estimate);
+            let sent = ServiceView { in_flight: view.in_flight + 1, ..*view };
+            self.place_at = now + self.pause(&sent);
         }
         has_place
     }
 
+    /// Takes over what a view tells, and returns it without what only looks free: while the service is
+    /// short and no stated load is believed any more, places are counted on when the last one would have
+    /// passed, and for one call, whose answer brings news.
+    fn learn(&mut self, now: Timestamp, view: &ServiceView) -> ServiceView {
+        let mut view = *view;
+        if view.estimate.age.is_some() {
+            self.stated_place_at = Some(now + view.estimate.wait);
+        } else if let Some(place_at) = self.stated_place_at.filter(|_| self.is_short(now)) {
+            let is_full = now < place_at || view.in_flight + self.going > 0;
+            view.estimate.free = if is_full { 0 } else { view.estimate.free.min(1) };
+            view.estimate.wait = view.estimate.wait.max(place_at.since(now));
+        }
+        view
+    }
+
+    fn is_short(&self, now: Timestamp) -> bool {
+        self.short_at.is_some_and(|short_at| now.since(short_at) < SHORT_TIME)
+    }
+
+    /// Returns the time after which a call goes though no place is known to be free.
+    fn pause(&self, view: &ServiceView) -> Duration {
+        let estimate = &view.estimate;
+        let awaits_news = estimate.places > 0 && view.in_flight + self.going > 0;
+        let pause = match awaits_news {
+            true => estimate.wait.saturating_add(estimate.work * OVERDUE_WORKS),
+            false => estimate.wait.max(view.step()),
+        };
+        if estimate.work.is_zero() { estimate.wait } else { pause.max(LEAST_STEP) }
+    }
+
     /// Returns when a call has waited for as long as it may.
     fn limit(&self, call: &WaitingCall) -> Timestamp {
         call.arrived + call.longest_wait(&self.settings)
     }
 
-    fn expected_wait(&self, now: Timestamp, place: usize, estimate: &WaitEstimate) -> Duration {
-        let first = self.place_at.since(now);
-        first.saturating_add(step(estimate).saturating_mul(u32::try_from(place).unwrap_or(u32::MAX)))
-    }
-
     fn order(&mut self, now: Timestamp) {
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_cached_key(|queued| self.key(now, queued));
@@ -345,12 +390,8 @@
     }
 }
 
-/// Returns the time between two places that become free.
-fn step(estimate: &WaitEstimate) -> Duration {
-    estimate.work / estimate.places.max(1)
-}
-
-/// Returns the time after a call has gone until the next place is expected.
-fn pause(estimate: &WaitEstimate) -> Duration {
-    step(estimate).max(estimate.wait).max(LEAST_STEP)
+/// Returns the wait until a call goes that so many others go before.
+fn expected_wait(before: usize, view: &ServiceView) -> Duration {
+    let before = u32::try_from(before).unwrap_or(u32::MAX);
+    view.estimate.wait.saturating_add(view.step().saturating_mul(before))
 }
--- a/crates/trestlerackd/src/entry/room/entrance.rs
+++ b/crates/trestlerackd/src/entry/room/entrance.rs
@@ -1,13 +1,13 @@
 //! Gets calls a place at a server of their service.
 
-use super::is_over_share;
 use super::wait::wait_for_place;
+use super::{LOOK_INTERVAL, is_over_share};
 use crate::entry::node::EntryNode;
 use crate::entry::server_ticket::ServerTicket;
-use crate::process::logs;
+use crate::process::{clock, logs};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{CallKind, CallRank, ServerRoom, WaitingCall};
+use trestlerack::process::{CallKind, CallRank, RoomSettings, ServerRoom, WaitingCall};
 use trestlerack::version::{Customer, RequestRoute};
 use trestlerack::{Name, Timestamp, event};
 
@@ -56,19 +56,37 @@
     pick: impl Fn(ServerRoom) -> Option<ServerTicket>,
 ) -> Result<ServerTicket, Option<Duration>> {
     let waiting_call = call.waiting_call(node);
-    if node.room.is_open(call.service)
+    if node.room.is_open(node.now(), call.service)
         && let Some(ticket) = pick(ServerRoom::Place)
     {
         let now = node.now();
         node.room.with_queue(call.service, |held| held.queue.passed(now, &waiting_call));
         return Ok(ticket);
     }
+    let longest_wait = waiting_call.longest_wait(&RoomSettings::default());
     let hold = wait_for_place(node, call.service, waiting_call).await;
     let hold = hold.map_err(|refusal| Some(refusal.return_after))?;
-    let ticket = pick(ServerRoom::Place).or_else(|| pick(ServerRoom::Any));
+    let pick = || pick(ServerRoom::Place).or_else(|| pick(ServerRoom::Any));
+    let ticket = pick();
     // Counted at the server by now, so that the next one does not take the same place.
     drop(hold);
-    ticket.ok_or(None)
+    match ticket {
+        Some(ticket) => Ok(ticket),
+        None if call.kind == CallKind::Score => Err(None),
+        None => search(node, call.arrived + longest_wait, pick).await.ok_or(None),
+    }
+}
+
+/// Looks for a server until a moment, where those that have room will not do for the call: they were
+/// tried already, or load the weights that it asks for.
+async fn search(node: &EntryNode, until: Timestamp, pick: impl Fn() -> Option<ServerTicket>) -> Option<ServerTicket> {
+    while node.now() < until {
+        clock::sleep(LOOK_INTERVAL).await;
+        if let Some(ticket) = pick() {
+            return Some(ticket);
+        }
+    }
+    None
 }
 
 /// Records that a call came, which pays for a part of a second attempt.
@@ -80,7 +98,7 @@
 /// Returns whether a call may be sent to one more server; `has_place` is whether one is known to have a
 /// free place, or the call waits until one has.
 pub fn may_try_again(node: &EntryNode, call: &RoomCall<'_>, has_place: bool) -> bool {
-    let is_short = !node.room.is_open(call.service);
+    let is_short = !node.room.is_open(node.now(), call.service);
     let mut second_attempts = node.room.second_attempts.lock().unwrap();
     let is_paid = second_attempts.pay(call.customer_name(), &call.route.name, is_short, has_place);
     drop(second_attempts);
--- a/crates/trestlerackd/src/entry/room/lines.rs
+++ b/crates/trestlerackd/src/entry/room/lines.rs
@@ -1,6 +1,6 @@
 //! What operators are told of room: by service who waits, who is refused and why.
 
-use super::estimate;
+use super::view;
 use crate::entry::node::EntryNode;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -60,7 +60,7 @@
 }
 
 fn line(node: &EntryNode, service: Name) -> RoomLine {
-    let estimate = estimate(node, &service);
+    let estimate = view(node, &service).estimate;
     let millis = |time: std::time::Duration| u64::try_from(time.as_millis()).ok();
     node.room.with_queue(&service, |held| {
         let mut waiting_customers: BTreeMap<Name, u64> = BTreeMap::new();
--- a/crates/trestlerackd/src/entry/room/mod.rs
+++ b/crates/trestlerackd/src/entry/room/mod.rs
@@ -24,7 +24,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use trestlerack::process::{
-    AdmissionQueue, CallFate, CallNumber, CallRefusal, RoomSettings, SecondAttempts, WaitEstimate,
+    AdmissionQueue, CallFate, CallNumber, CallRefusal, RoomSettings, SecondAttempts, ServiceView,
 };
 use trestlerack::{Name, Timestamp};
 
@@ -76,8 +76,12 @@
     }
 
     /// Returns whether a call may take a place of a service that is known to be free.
-    fn is_open(&self, service: &str) -> bool {
-        self.queues().get(service).is_none_or(|held| held.queue.is_open())
+    fn is_open(&self, now: Timestamp, service: &str) -> bool {
+        self.queues().get(service).is_none_or(|held| held.queue.is_open(now))
+    }
+
+    fn is_waited_for(&self, service: &str) -> bool {
+        self.queues().get(service).is_some_and(|held| !held.queue.is_empty())
     }
 
     fn has_waiting(&self) -> bool {
@@ -104,9 +108,9 @@
     has_customers || node.board.lock().unwrap().states_slowness(service)
 }
 
-/// Returns what is expected of a service. Where all its servers are paused, a place is expected when the
+/// Returns what is known of a service. Where all its servers are paused, a place is expected when the
 /// first pause ends.
-fn estimate(node: &EntryNode, service: &str) -> WaitEstimate {
+fn view(node: &EntryNode, service: &str) -> ServiceView {
     let now = node.now();
     let board = node.board.lock().unwrap();
     let mut estimate = board.wait_estimate(now, service);
@@ -115,12 +119,13 @@
     {
         estimate.wait = opens_at.since(now);
     }
-    estimate
+    let in_flight = board.of_service(service).map(|belief| belief.in_flight).sum();
+    ServiceView { estimate, in_flight }
 }
 
 /// Tells that a place of a service may be free.
 pub fn place_freed(node: &EntryNode, service: &Name) {
-    if node.room.has_waiting() {
+    if node.room.has_waiting() && node.room.is_waited_for(service) {
         advance(node, service);
     }
 }
@@ -139,11 +144,11 @@
 /// Lets those go for whom there is a place, and refuses those whom none can serve in time. Returns when
 /// to look again; `None` if nobody waits.
 fn advance(node: &EntryNode, service: &Name) -> Option<Timestamp> {
-    let estimate = estimate(node, service);
+    let view = view(node, service);
     let now = node.now();
     let mut ended = Vec::new();
     let next_due = node.room.with_queue(service, |held| {
-        for fate in held.queue.advance(now, &estimate) {
+        for fate in held.queue.advance(now, &view) {
             let (number, end) = match fate {
                 CallFate::Go(number) => (number, Ok(())),
                 CallFate::Refuse(number, refusal) => (number, Err(refusal)),
--- a/crates/trestlerackd/src/entry/room/wait.rs
+++ b/crates/trestlerackd/src/entry/room/wait.rs
@@ -1,6 +1,6 @@
 //! One call's wait for a place.
 
-use super::{WaitEnd, advance, drive, estimate};
+use super::{WaitEnd, advance, drive, view};
 use crate::entry::node::EntryNode;
 use crate::process::logs;
 use std::fmt::Display;
@@ -61,12 +61,12 @@
     service: &Name,
     call: WaitingCall,
 ) -> Result<PlaceHold, CallRefusal> {
-    let estimate = estimate(node, service);
+    let view = view(node, service);
     let (now, about) = (node.now(), call.clone());
     let mut ending = None;
     let (admission, length) = node.room.with_queue(service, |held| {
         let length = held.queue.len();
-        let admission = held.queue.submit(now, call, &estimate);
+        let admission = held.queue.submit(now, call, &view);
         if let CallAdmission::Wait { number, .. } = admission {
             let (sender, receiver) = oneshot::channel();
             held.ends.insert(number, sender);
@@ -78,13 +78,13 @@
     let hold = |state| PlaceHold { node: node.clone(), service: service.clone(), state };
     match (admission, ending) {
         (CallAdmission::Refuse(refusal), _) => {
-            log_refusal(node, service, &about, refusal, &estimate);
+            log_refusal(node, service, &about, refusal, &view.estimate);
             Err(refusal)
         }
         (CallAdmission::Wait { number, expected }, Some((receiver, is_first))) => {
             let hold = hold(HoldState::Waits(number, receiver));
             node.metrics.room.queued(service, length);
-            log_wait(service, &about, length, expected, &estimate);
+            log_wait(service, &about, length, expected, &view.estimate);
             if is_first {
                 tokio::spawn(drive(node.clone(), service.clone()));
             } else {
@@ -106,7 +106,7 @@
     hold.node.metrics.room.waited(&hold.service, hold.node.now().since(began));
     hold.state = if end.is_ok() { HoldState::Goes } else { HoldState::Free };
     if let Err(refusal) = end {
-        let estimate = estimate(&hold.node, &hold.service);
+        let estimate = view(&hold.node, &hold.service).estimate;
         log_refusal(&hold.node, &hold.service, call, refusal, &estimate);
         return Err(refusal);
     }
