--- a/crates/trestlerack/src/process/room/mod.rs
+++ b/crates/trestlerack/src/process/room/mod.rs
@@ -21,10 +21,12 @@
     /// Part of a call's objective for which it may wait, so that a refused caller can still be served
     /// in time elsewhere.
     pub wait_part: f64,
-    /// Part of the wait that a call may have after which it goes before newcomers.
+    /// Part of the wait that a call may have after which it goes before newcomers, while its rank is
+    /// served less than `least_part` says.
     pub aged_part: f64,
-    /// Least part of its calls that a less urgent rank is served, as a part of what more urgent
-    /// ones are.
+    /// Least part of its calls that a less urgent rank is served, as a part of what the best served of the
+    /// more urgent ones is. It is small, since ranks that ask for many times the room would leave
+    /// the first one little otherwise.
     pub least_part: f64,
     /// Shortest time after which a caller returns where nothing is known of the service.
     pub return_time: Duration,
@@ -42,7 +44,7 @@
             most_waiting: 64,
             wait_part: 0.25,
             aged_part: 0.5,
-            least_part: 0.25,
+            least_part: 0.04,
             return_time: Duration::from_millis(150),
             return_part: 1.0 / 3.0,
             retry_ratio: 0.1,
--- a/crates/trestlerack/src/process/room/parts.rs
+++ b/crates/trestlerack/src/process/room/parts.rs
@@ -43,11 +43,12 @@
         self.classes.entry(class).or_default().served += 1.0;
     }
 
-    /// Returns whether a class is served less than `part` of what each more urgent one is.
+    /// Returns whether a class is served less than `part` of what the best served of the more urgent ones
+    /// is, and less than any of them.
     pub fn is_behind(&self, class: RankClass, part: f64) -> bool {
-        let more_urgent = self.classes.range(..class).map(|(_, counts)| counts.part());
-        let Some(least) = more_urgent.min_by(f64::total_cmp) else { return false };
-        self.classes.get(&class).is_some_and(|counts| counts.part() < part * least)
+        let Some(own) = self.classes.get(&class).map(ClassCounts::part) else { return false };
+        let more_urgent = || self.classes.range(..class).map(|(_, counts)| counts.part());
+        more_urgent().all(|other| own < other) && more_urgent().any(|other| own < part * other)
     }
 
     fn halve(&mut self, now: Timestamp) {
--- a/crates/trestlerack/src/process/room/queue.rs
+++ b/crates/trestlerack/src/process/room/queue.rs
@@ -385,7 +385,7 @@
     fn key(&self, now: Timestamp, queued: &QueuedCall) -> (bool, RankClass, CallRank, CallNumber) {
         let call = &queued.call;
         let age = call.longest_wait(&self.settings).mul_f64(self.settings.aged_part);
-        let is_aged = now.since(call.arrived) >= age && self.parts.is_behind(call.class(), 1.0);
+        let is_aged = now.since(call.arrived) >= age && self.parts.is_behind(call.class(), self.settings.least_part);
         (!(queued.is_favoured || is_aged), call.class(), call.rank, queued.number)
     }
 }
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -201,7 +201,8 @@
     let service = route.service_for(id).ok_or(None)?;
     let pick = |room| pick_server(node, service, request, fingerprint, trail.tried(), room);
     let ticket = if room::is_active(node, service) {
-        let arrived = trail.started();
+        // A stream that has begun goes on as a new call would.
+        let arrived = if goes_on(route, trail) { node.now() } else { trail.started() };
         let customer = request.caller.customer();
         let call = RoomCall { id, service, route, customer, kind: CallKind::Client, arrived, deadline };
         find_place(node, &call, trail, pick).await?
@@ -212,8 +213,13 @@
     Ok(ticket)
 }
 
+/// Returns whether a client has got a part of its stream, which is to be finished.
+fn goes_on(route: &RequestRoute, trail: &RequestTrail) -> bool {
+    route.resumable && trail.runs() > 0
+}
+
 /// Finds a place for a call in the order of all that want one. A call that may have run somewhere does
-/// not wait for one more place, since another call can use it first.
+/// not wait for one more place, since another call can use it first; a stream that has begun does.
 async fn find_place(
     node: &Arc<EntryNode>,
     call: &RoomCall<'_>,
@@ -222,6 +228,8 @@
 ) -> Result<ServerTicket, Option<Duration>> {
     if trail.tried().is_empty() {
         room::note_call(node, call);
+    }
+    if trail.tried().is_empty() || goes_on(call.route, trail) {
         return room::enter(node, call, pick).await;
     }
     let ticket = pick(ServerRoom::Place);
