Look after a queue by one task and wake it in time

The task that looks after a queue was recorded as ended by whoever emptied the queue, so a further one was started while it slept, and under changing load they would have added up. It now records its own end, and is woken when something is due before it would look again. Found by reading.

A score call whose second server was denied does not ask again, since each question writes a line.

--- a/crates/trestlerackd/src/entry/room/mod.rs
+++ b/crates/trestlerackd/src/entry/room/mod.rs
@@ -22,7 +22,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use trestlerack::process::{
     AdmissionQueue, CallFate, CallNumber, CallRefusal, RoomSettings, SecondAttempts, ServiceView,
 };
@@ -32,6 +32,9 @@
 /// meanwhile is seen.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Shortest such sleep; times are in milliseconds.
+const LEAST_PAUSE: Duration = Duration::from_millis(1);
+
 /// How the wait of a call ended.
 type WaitEnd = Result<(), CallRefusal>;
 
@@ -41,6 +44,9 @@
     ends: HashMap<CallNumber, oneshot::Sender<WaitEnd>>,
     /// Whether a task looks after the queue.
     is_driven: bool,
+    /// When that task looks next, unless it is woken.
+    looks_at: Timestamp,
+    wake: Arc<Notify>,
     counts: RefusalCounts,
 }
 
@@ -50,9 +56,18 @@
             queue: AdmissionQueue::new(RoomSettings::default()),
             ends: HashMap::new(),
             is_driven: false,
+            looks_at: Timestamp::default(),
+            wake: Arc::default(),
             counts: RefusalCounts::default(),
         }
     }
+
+    /// Returns whether nobody waits, so that the task that looks after the queue ends. It alone records
+    /// that it does, so that there is never a second one.
+    fn is_left(&mut self) -> bool {
+        self.is_driven = !self.queue.is_empty();
+        !self.is_driven
+    }
 }
 
 /// The queues of a node, by service.
@@ -156,7 +171,9 @@
             ended.extend(held.ends.remove(&number).map(|sender| (sender, end)));
         }
         let next_due = held.queue.next_due();
-        held.is_driven &= next_due.is_some();
+        if next_due.is_some_and(|due| due < held.looks_at) {
+            held.wake.notify_one();
+        }
         next_due
     });
     node.room.waiting.fetch_sub(ended.len(), Ordering::Relaxed);
@@ -169,9 +186,14 @@
 
 /// Looks after the queue of a service until nobody waits.
 async fn drive(node: Arc<EntryNode>, service: Name) {
-    while let Some(next_due) = advance(&node, &service) {
-        let pause = next_due.since(node.now()).min(LOOK_INTERVAL);
-        clock::sleep(pause.max(Duration::from_millis(1))).await;
+    let wake = node.room.with_queue(&service, |held| held.wake.clone());
+    while !node.room.with_queue(&service, ServiceQueue::is_left) {
+        let next_due = advance(&node, &service);
+        let now = node.now();
+        let pause = next_due.map_or(Duration::ZERO, |due| due.since(now)).clamp(LEAST_PAUSE, LOOK_INTERVAL);
+        node.room.with_queue(&service, |held| held.looks_at = now + pause);
+        // Either way it is time to look again.
+        let _ = clock::timeout(pause, wake.notified()).await;
     }
 }
 
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -72,6 +72,7 @@
     let (kind, arrived) = (CallKind::Score, node.now());
     let room_call = RoomCall { id: &call.id, service, route, customer: None, kind, arrived, deadline };
     let is_by_room = room::is_active(node, service);
+    let mut may_add = true;
     let mut attempts = FuturesUnordered::new();
     loop {
         if attempts.is_empty()
@@ -85,7 +86,7 @@
         let pick = |room| pick_server(node, fingerprint, service, tried, room);
         let ticket = match attempts.len() {
             open if open >= servers_at_once => None,
-            open if is_by_room => find_place(node, &room_call, open == 0, pick).await,
+            open if is_by_room => find_place(node, &room_call, open == 0, &mut may_add, pick).await,
             _ => pick(ServerRoom::Place),
         };
         if let Some(ticket) = ticket {
@@ -119,19 +120,24 @@
 }
 
 /// Finds a place for a call in the order of all that want one, for its first server, or for one more while
-/// that works.
+/// that works. Once a second one was denied, `may_add` is false and none is asked for again.
 async fn find_place(
     node: &Arc<EntryNode>,
     call: &RoomCall<'_>,
     is_first: bool,
+    may_add: &mut bool,
     pick: impl Fn(ServerRoom) -> Option<ServerTicket>,
 ) -> Option<ServerTicket> {
     if is_first {
         room::note_call(node, call);
         return room::enter(node, call, pick).await.ok();
     }
+    if !*may_add {
+        return None;
+    }
     let ticket = pick(ServerRoom::Place)?;
-    room::may_try_again(node, call, true).then_some(ticket)
+    *may_add = room::may_try_again(node, call, true);
+    may_add.then_some(ticket)
 }
 
 fn pick_server(
