Let a stated wait pass from when it was stated

The wait of a load that was stated up to 300 ms ago was counted from the moment of each look, so nodes held back for up to 300 ms longer than it took. Attempts are counted only for services whose calls are, so that their ratio means something. Found by reading; a test of the queue now holds what happens once nothing is known of a service that was short.

--- a/crates/trestlerack/src/process/room/queue.rs
+++ b/crates/trestlerack/src/process/room/queue.rs
@@ -345,8 +345,8 @@
     /// passed, and for one call, whose answer brings news.
     fn learn(&mut self, now: Timestamp, view: &ServiceView) -> ServiceView {
         let mut view = *view;
-        if view.estimate.age.is_some() {
-            self.stated_place_at = Some(now + view.estimate.wait);
+        if let Some(age) = view.estimate.age {
+            self.stated_place_at = Some((now - age) + view.estimate.wait);
         } else if let Some(place_at) = self.stated_place_at.filter(|_| self.is_short(now)) {
             let is_full = now < place_at || view.in_flight + self.going > 0;
             view.estimate.free = if is_full { 0 } else { view.estimate.free.min(1) };
--- a/crates/trestlerack/tests/room_queue.rs
+++ b/crates/trestlerack/tests/room_queue.rs
@@ -118,6 +118,26 @@
     assert_eq!(goers(&mut queue, now + 30 * MS, &with_free(4)).len(), 1);
 }
 
+/// All places look free once a stated load is too old; at many nodes at once that filled the servers.
+#[test]
+fn one_call_brings_news_after_a_shortage_of_which_nothing_is_known_any_more() {
+    let now = Timestamp(1_000);
+    let mut queue = queue();
+    let long = view(WaitEstimate { wait: OBJECTIVE * 4, ..full().estimate });
+    assert_eq!(refusal(queue.submit(now, call_of("a", 0, now), &long)), RefusalReason::TooLate);
+    let unknown = |in_flight: u32| {
+        let estimate = WaitEstimate { free: 10 - in_flight, age: None, wait: Duration::ZERO, ..full().estimate };
+        ServiceView { estimate, in_flight }
+    };
+    let soon = now + 301 * MS;
+    assert_eq!(refusal(queue.submit(soon, call_of("b", 0, soon), &unknown(0))), RefusalReason::TooLate);
+    let later = now + 600 * MS;
+    assert!(!queue.is_open(later), "a call is not to go by what looks free");
+    assert_eq!(queue.submit(later, call_of("c", 0, later), &unknown(0)), CallAdmission::Go);
+    assert!(matches!(queue.submit(later, call_of("d", 0, later), &unknown(1)), CallAdmission::Wait { .. }));
+    assert_eq!(goers(&mut queue, later + 20 * MS, &with_free(9)).len(), 1, "the answer has come");
+}
+
 #[test]
 fn what_cannot_be_served_in_time_is_refused_at_once() {
     let now = Timestamp(100);
--- a/crates/trestlerackd/src/entry/room/entrance.rs
+++ b/crates/trestlerackd/src/entry/room/entrance.rs
@@ -98,6 +98,14 @@
     node.metrics.room.call(call.service);
 }
 
+/// Records that a call is sent to a server, where calls of its service are admitted by room.
+pub fn note_attempt(node: &EntryNode, service: &Name) {
+    let is_counted = node.room.queues().contains_key(service);
+    if is_counted {
+        node.metrics.room.attempt(service);
+    }
+}
+
 /// Returns whether a call may be sent to one more server; `has_place` is whether one is known to have a
 /// free place, or the call waits until one has.
 pub fn may_try_again(node: &EntryNode, call: &RoomCall<'_>, has_place: bool) -> bool {
--- a/crates/trestlerackd/src/entry/room/mod.rs
+++ b/crates/trestlerackd/src/entry/room/mod.rs
@@ -10,7 +10,7 @@
 mod share;
 mod wait;
 
-pub use entrance::{RoomCall, enter, may_try_again, note_call};
+pub use entrance::{RoomCall, enter, may_try_again, note_attempt, note_call};
 pub use lines::lines;
 pub use metrics::RoomMetrics;
 pub use share::{NoShares, ShareView};
--- a/crates/trestlerackd/src/entry/server_ticket.rs
+++ b/crates/trestlerackd/src/entry/server_ticket.rs
@@ -31,7 +31,7 @@
     /// Records that the request is on its way to the server.
     pub fn sent(&self) {
         self.is_open.store(true, Ordering::Relaxed);
-        self.node.metrics.room.attempt(&self.server.service);
+        room::note_attempt(&self.node, &self.server.service);
     }
 
     /// Records that the outcome is known: an answer, a refusal or a broken connection.
