--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -140,6 +140,10 @@
     Ok(())
 }
 
+/// Columns of what an entry node tells of room.
+const ROOM_COLUMNS: [&str; 8] =
+    ["service", "waiting", "places", "free", "wait_ms", "waiting_customers", "refused", "refused_customers"];
+
 /// Returns the path and the columns of what an entry node tells on its metrics address.
 fn entry_list(name: &str) -> Option<(&'static str, &'static [&'static str])> {
     match name {
@@ -159,6 +163,7 @@
                 "told_age_ms",
             ],
         )),
+        "room" => Some(("/v1/room", &ROOM_COLUMNS)),
         "duties" => Some(("/v1/duties", &["duty", "holder", "fence", "is_held_here"])),
         _ => None,
     }
@@ -188,7 +193,7 @@
         }
         _ => {
             return Err(usage(
-                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, suspects or servers",
+                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, suspects, servers or room",
             ));
         }
     };
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -23,6 +23,7 @@
 mod placement;
 mod registry;
 mod relay_choice;
+mod room;
 mod run_limits;
 mod run_move;
 mod second_attempt;
@@ -67,9 +68,12 @@
 pub use placement::{BoardSettings, ServerBoard, ServerNeed, ServerRoom};
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
 pub use relay_choice::RelayChoice;
+pub use room::{
+    AdmissionQueue, CallAdmission, CallFate, CallKind, CallNumber, CallRefusal, RefusalReason, ReturnTimes,
+    RoomSettings, SecondAttempts, ServiceView, WaitingCall,
+};
 pub use run_limits::RunLimits;
 pub use run_move::{LAST_MOVE_SLOWNESS, MOVE_SLOWNESS, RunMove};
-pub use second_attempt::SecondAttemptBudget;
 pub use server_belief::{ChoiceBasis, ServerBelief};
 pub use server_lines::{ServerLine, ToldLine};
 pub use server_notes::server_gossip;
--- a/crates/trestlerackd/src/entry/attempts.rs
+++ b/crates/trestlerackd/src/entry/attempts.rs
@@ -10,12 +10,13 @@
 use super::server_answers::{self, AnswerWatch};
 use super::server_ticket::ServerTicket;
 use super::trail::RequestTrail;
-use super::{second_attempts, suspects, urgency};
+use super::{room, second_attempts, suspects, urgency};
 use crate::process::clock;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use std::sync::Arc;
 use std::time::Duration;
+use trestlerack::process::ServerRoom;
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp};
@@ -79,8 +80,13 @@
 
 impl BesideState {
     fn hold(&mut self, left: Duration) {
+        self.hold_until(Some(left));
+    }
+
+    /// Notes after which time the caller may return; `None` where that is not known.
+    fn hold_until(&mut self, return_after: Option<Duration>) {
         let shortfall = std::mem::replace(&mut self.shortfall, Shortfall::NotRun);
-        self.shortfall = shortfall.or_held(left);
+        self.shortfall = shortfall.or_returning(return_after);
     }
 
     fn may_have_run_alone(&self) -> bool {
@@ -123,7 +129,13 @@
                 shortfall = shortfall.or_held(left);
                 break;
             }
-            let Some(ticket) = plain::find_server(node, route, request, fingerprint, trail).await else { break };
+            let ticket = match plain::find_server(node, route, request, fingerprint, deadline, trail).await {
+                Ok(ticket) => ticket,
+                Err(return_after) => {
+                    shortfall = shortfall.or_returning(return_after);
+                    break;
+                }
+            };
             let server = ticket.server.instance.clone();
             let left = deadline.since(node.now());
             let is_last = trail.runs() + 1 == route.max_attempts || !is_safe;
@@ -157,7 +169,6 @@
     /// connections are closed with it, which ends the work there.
     async fn attempt_beside(&self, trail: &mut RequestTrail) -> Result<WholeAnswer, Shortfall> {
         let Some(service) = self.service() else { return Err(Shortfall::NotRun) };
-        second_attempts::earn(self.node, self.route, service);
         let mut at_work = FuturesUnordered::new();
         let mut state = BesideState::default();
         loop {
@@ -198,7 +209,19 @@
             state.hold(left);
             return None;
         }
-        let ticket = self.find_server(trail, state.open.first()).await?;
+        let ticket = match state.open.first() {
+            Some(before) => self.find_beside(trail, before)?,
+            None => {
+                let Self { node, route, request, deadline, fingerprint } = *self;
+                match plain::find_server(node, route, request, fingerprint, deadline, trail).await {
+                    Ok(ticket) => ticket,
+                    Err(return_after) => {
+                        state.hold_until(return_after);
+                        return None;
+                    }
+                }
+            }
+        };
         let server = ticket.server.instance.clone();
         let is_trial = second_attempts::is_trial(self.node, &server);
         state.open.push(OpenAttempt { server, watch: AnswerWatch::start(self.node), is_trial });
@@ -218,8 +241,7 @@
             self.pause_silent(&state.open);
             state.wants_server = true;
         } else {
-            let is_trial = state.open.iter().any(|attempt| attempt.is_trial);
-            state.wants_server = second_attempts::may_ask(self.node, self.route, service, is_trial);
+            state.wants_server = second_attempts::has_place(self.node, service);
         }
     }
 
@@ -255,13 +277,15 @@
         None
     }
 
-    /// Finds a server. One beside others is wanted now or not at all.
-    async fn find_server(&self, trail: &mut RequestTrail, before: Option<&OpenAttempt>) -> Option<ServerTicket> {
-        let Self { node, route, request, fingerprint, .. } = *self;
-        let Some(before) = before else {
-            return plain::find_server(node, route, request, fingerprint, trail).await;
-        };
-        let ticket = plain::pick_server(node, self.service()?, request, fingerprint, trail.tried(), true)?;
+    /// Finds a server beside those at work, which is wanted now or not at all.
+    fn find_beside(&self, trail: &mut RequestTrail, before: &OpenAttempt) -> Option<ServerTicket> {
+        let Self { node, route, request, deadline, fingerprint } = *self;
+        let pick = |room| plain::pick_server(node, route, request, fingerprint, trail.tried(), room);
+        let ticket = pick(ServerRoom::Place)?;
+        let call = plain::room_call(route, request, trail.started(), deadline)?;
+        if !before.is_trial && !room::may_try_again(node, &call, true) {
+            return None;
+        }
         trail.add(&ticket.server.instance);
         let (id, waited) = (request.head.request_id.as_deref().unwrap_or(""), node.now().since(before.watch.started));
         second_attempts::log_asked(id, &ticket.server.instance, waited);
@@ -323,7 +347,9 @@
         match &outcome {
             Ok(answer) if answer.status.is_server_error() => server_answers::failed(node, &server),
             Ok(_) => {
-                node.route_times.lock().unwrap().record(&route.name, node.now().since(watch.started));
+                let took = node.now().since(watch.started);
+                node.route_times.lock().unwrap().record(&route.name, took);
+                plain::note_work(node, route, request, took);
                 server_answers::took(node, &server, &route.name, watch);
             }
             Err(error) if error.is_not_run() => {}
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms, served as text on the metrics address.
 
 use super::node::EntryNode;
+use super::room::RoomMetrics;
 use super::{engine_memory, status};
 use http::StatusCode;
 use http_body_util::Full;
@@ -34,6 +35,8 @@
     held: Counter<u64>,
     servers_ended: Counter<u64>,
     over_share: Counter<u64>,
+    /// Calls that want a place.
+    pub room: RoomMetrics,
 }
 
 impl EntryMetrics {
@@ -53,6 +56,7 @@
             held: meter.u64_counter("trestlerack.entry.requests.held").build(),
             servers_ended: meter.u64_counter("trestlerack.entry.servers.ended").build(),
             over_share: meter.u64_counter("trestlerack.entry.requests.over.share").build(),
+            room: RoomMetrics::start(&meter),
             registry,
             _meters: meters,
         })
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -31,6 +31,7 @@
 mod plain;
 mod pool;
 mod retention;
+mod room;
 mod run_moves;
 mod score_calls;
 mod second_attempts;
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -7,7 +7,8 @@
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
 use super::pool::ConnectionPool;
-use super::shares::ShareDesk;
+use super::room::RoomDesk;
+use super::shares::{NodeShares, ShareDesk};
 use super::store::{DirectStore, RelayedStore};
 use super::suspects::SuspectDesk;
 use super::weight_book::WeightBook;
@@ -22,8 +23,7 @@
 use tokio::sync::{Notify, watch};
 use trestlerack::border::Clock;
 use trestlerack::process::{
-    AnswerTimes, BoardSettings, EntrySettings, NodeRow, RegistrySettings, SecondAttemptBudget, ServerBoard,
-    ServerRegistry,
+    AnswerTimes, BoardSettings, EntrySettings, NodeRow, RegistrySettings, ServerBoard, ServerRegistry,
 };
 use trestlerack::request::JobHead;
 use trestlerack::version::{RoutingTable, WeightVersion};
@@ -92,12 +92,12 @@
     pub route_times: Mutex<AnswerTimes>,
     /// Tells that peers may be to be told of servers.
     pub has_server_notes: Notify,
-    /// What may be spent on second attempts.
-    pub second_attempts: Mutex<SecondAttemptBudget>,
+    /// Calls that wait for a place of a service.
+    pub room: RoomDesk,
     /// Requests under which servers ended.
     pub suspects: SuspectDesk,
     /// Shares of customers in services that are short.
-    pub shares: ShareDesk,
+    pub shares: Arc<ShareDesk>,
     /// Whether service discovery was read once.
     pub has_registry: AtomicBool,
     /// Whether the system's own rows were read once.
@@ -139,10 +139,12 @@
         let pool = Arc::new(ConnectionPool::default());
         let peers = Arc::new(PeerClient::new(pool.clone(), settings.peer_listen.clone(), settings.seeds.clone()));
         let direct_store = Arc::new(DirectStore::new(pool.clone(), settings.store.clone()));
+        let clock = SystemClock::new();
+        let shares = Arc::new(ShareDesk::new(settings.name.clone()));
         Ok(Self {
             bounds: RwLock::new(EntryBounds::from(&settings)),
             incarnation: rand::random::<u64>() >> 1,
-            clock: SystemClock::new(),
+            clock,
             store: RelayedStore::new(direct_store.clone(), peers.clone()),
             direct_store,
             peers,
@@ -153,9 +155,9 @@
             board: Mutex::new(ServerBoard::new(BoardSettings::default())),
             route_times: Mutex::default(),
             has_server_notes: Notify::new(),
-            second_attempts: Mutex::default(),
+            room: RoomDesk::new(Box::new(NodeShares::new(shares.clone(), clock))),
             suspects: SuspectDesk::new(&settings),
-            shares: ShareDesk::new(settings.name.clone()),
+            shares,
             has_registry: AtomicBool::new(false),
             has_state: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -3,6 +3,7 @@
 use super::attempt::WholeAnswer;
 use super::front::{ClientRequest, ReplyBody, full_reply};
 use super::node::EntryNode;
+use super::room::{self, RoomCall};
 use super::server_ticket::ServerTicket;
 use super::trail::RequestTrail;
 use super::{attempts, choice_log, engine_memory, shares, streams, suspects};
@@ -10,10 +11,10 @@
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::ServerNeed;
+use trestlerack::process::{CallKind, ServerNeed, ServerRoom};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
-use trestlerack::{Name, event};
+use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform::{self as platform, EngineRequest};
 
 /// Share of the target latency after which a repeatable request is tried at another server.
@@ -45,7 +46,7 @@
     /// Its time is over, and it may have run.
     TimedOut,
     /// It ran nowhere and is not to be sent for so long: servers ended under what it asks for, or its
-    /// customer is over its share.
+    /// customer is over its share, or its service has no room for it.
     Held(Duration),
 }
 
@@ -57,6 +58,15 @@
             Self::MayHaveRun | Self::TimedOut => self,
         }
     }
+
+    /// Returns how a request comes out that found no server, after which its caller may return; `None` where
+    /// that is not known.
+    pub fn or_returning(self, return_after: Option<Duration>) -> Self {
+        match return_after {
+            Some(left) => self.or_held(left),
+            None => self,
+        }
+    }
 }
 
 /// Passes a request on and returns the reply for the client.
@@ -148,26 +158,96 @@
     Some(left)
 }
 
-/// Finds a server that was not tried yet. While all are paused for a moment, waits a little; a
-/// request that nobody takes is refused early, so that its client can come again in time.
+/// Finds a server that was not tried yet, or returns when the client is to come again, if that is known.
 pub async fn find_server(
     node: &Arc<EntryNode>,
     route: &RequestRoute,
     request: &ClientRequest,
     fingerprint: RequestFingerprint,
+    deadline: Timestamp,
     trail: &mut RequestTrail,
-) -> Option<ServerTicket> {
+) -> Result<ServerTicket, Option<Duration>> {
+    // A stream that has begun goes on as a new call would.
+    let arrived = if goes_on(route, trail) { node.now() } else { trail.started() };
+    let call = room_call(route, request, arrived, deadline).ok_or(None)?;
+    let pick = |room| pick_server(node, route, request, fingerprint, trail.tried(), room);
+    let ticket = if room::is_active(node, call.service) {
+        find_place(node, &call, trail, pick).await?
+    } else {
+        search_server(node, &call, pick).await.ok_or(None)?
+    };
+    trail.add(&ticket.server.instance);
+    Ok(ticket)
+}
+
+/// Describes a client's request as a call for a place; `None` if its route has no service.
+pub fn room_call<'a>(
+    route: &'a RequestRoute,
+    request: &'a ClientRequest,
+    arrived: Timestamp,
+    deadline: Timestamp,
+) -> Option<RoomCall<'a>> {
     let id = request.head.request_id.as_deref().unwrap_or("");
-    let service = route.service_for(id)?.clone();
-    let is_repeatable = route.kind == RouteKind::Safe && !route.streaming;
-    let search = Duration::from_millis(route.target_latency_ms).mul_f64(SEARCH_SHARE);
+    let service = route.service_for(id)?;
+    let customer = request.caller.customer();
+    Some(RoomCall { id, service, route, customer, kind: CallKind::Client, arrived, deadline })
+}
+
+/// Returns whether a client has got a part of its stream, which is to be finished.
+fn goes_on(route: &RequestRoute, trail: &RequestTrail) -> bool {
+    route.resumable && trail.runs() > 0
+}
+
+/// Finds a place for a call in the order of all that want one. A call that may have run somewhere does
+/// not wait for one more place, since another call can use it first; a stream that has begun does.
+async fn find_place(
+    node: &Arc<EntryNode>,
+    call: &RoomCall<'_>,
+    trail: &RequestTrail,
+    pick: impl Fn(ServerRoom) -> Option<ServerTicket>,
+) -> Result<ServerTicket, Option<Duration>> {
+    if trail.tried().is_empty() {
+        room::note_call(node, call);
+    }
+    if trail.tried().is_empty() || goes_on(call.route, trail) {
+        return room::enter(node, call, pick).await;
+    }
+    let ticket = pick(ServerRoom::Place);
+    // What ran nowhere yet waits for its place like any other call.
+    let may_wait = trail.runs() == 0;
+    if !room::may_try_again(node, call, may_wait || ticket.is_some()) {
+        return Err(None);
+    }
+    match ticket {
+        Some(ticket) => Ok(ticket),
+        None if may_wait => room::enter(node, call, pick).await,
+        None => pick(ServerRoom::Any).ok_or(None),
+    }
+}
+
+/// Records how long an answer took where calls are admitted by that.
+pub fn note_work(node: &EntryNode, route: &RequestRoute, request: &ClientRequest, took: Duration) {
+    let id = request.head.request_id.as_deref().unwrap_or("");
+    if let Some(service) = route.service_for(id)
+        && room::is_active(node, service)
+    {
+        node.board.lock().unwrap().answered(service, took);
+    }
+}
+
+/// Looks for a server. While all are paused for a moment, waits a little; a request that nobody takes is
+/// refused early, so that its client can come again in time.
+async fn search_server(
+    node: &EntryNode,
+    call: &RoomCall<'_>,
+    pick: impl Fn(ServerRoom) -> Option<ServerTicket>,
+) -> Option<ServerTicket> {
+    let search = Duration::from_millis(call.route.target_latency_ms).mul_f64(SEARCH_SHARE);
     let until = node.now() + search;
     loop {
-        if let Some(ticket) = pick_server(node, &service, request, fingerprint, trail.tried(), is_repeatable) {
-            trail.add(&ticket.server.instance);
+        if let Some(ticket) = pick(ServerRoom::Any) {
             return Some(ticket);
         }
-        shares::note_short(node, &service);
         if node.now() >= until {
             return None;
         }
@@ -175,25 +255,29 @@
     }
 }
 
+/// Chooses a server that was not tried yet and has the room that is asked for.
 pub fn pick_server(
     node: &Arc<EntryNode>,
-    service: &Name,
+    route: &RequestRoute,
     request: &ClientRequest,
     fingerprint: RequestFingerprint,
     tried: &[Name],
-    is_repeatable: bool,
+    room: ServerRoom,
 ) -> Option<ServerTicket> {
     // A generation may run under any version of its model.
     let model = request.head.model.as_deref();
     let weights = model.map(|model| (model, 0));
     let id = request.head.request_id.clone().unwrap_or_else(|| "".into());
+    let service = route.service_for(&id)?;
     let zone = &node.settings.zone;
+    let is_repeatable = route.kind == RouteKind::Safe && !route.streaming;
     let tokens = request.head.tokens;
     let need = ServerNeed {
         service,
         weights,
         tokens: tokens.as_ref(),
         avoid: tried,
+        room,
         zone,
         tie_key: &node.settings.name,
         is_repeatable,
--- /dev/null
+++ b/crates/trestlerackd/src/entry/room/mod.rs
@@ -0,0 +1,203 @@
+//! Holds the calls that wait for a place of a service, and wakes them.
+//!
+//! Active for services of configurations with customers, and for those whose servers state how long
+//! work takes; elsewhere calls look for a server as they always did. See
+//! [docs/design/room.md](../../../../../docs/design/room.md).
+
+mod entrance;
+mod lines;
+mod metrics;
+mod share;
+mod wait;
+
+pub use entrance::{RoomCall, enter, may_try_again, note_attempt, note_call};
+pub use lines::lines;
+pub use metrics::RoomMetrics;
+pub use share::ShareView;
+
+use super::node::EntryNode;
+use crate::process::clock;
+use lines::RefusalCounts;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+use trestlerack::process::{
+    AdmissionQueue, CallFate, CallNumber, CallRefusal, RoomSettings, SecondAttempts, ServiceView,
+};
+use trestlerack::{Name, Timestamp};
+
+/// Longest sleep before a queue is looked at again without news, so that an estimate that has improved
+/// meanwhile is seen.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Shortest such sleep; times are in milliseconds.
+const LEAST_PAUSE: Duration = Duration::from_millis(1);
+
+/// How the wait of a call ended.
+type WaitEnd = Result<(), CallRefusal>;
+
+/// The calls that wait for one service.
+struct ServiceQueue {
+    queue: AdmissionQueue,
+    ends: HashMap<CallNumber, oneshot::Sender<WaitEnd>>,
+    /// Whether a task looks after the queue.
+    is_driven: bool,
+    /// When that task looks next, unless it is woken.
+    looks_at: Timestamp,
+    wake: Arc<Notify>,
+    counts: RefusalCounts,
+}
+
+impl ServiceQueue {
+    fn new() -> Self {
+        Self {
+            queue: AdmissionQueue::new(RoomSettings::default()),
+            ends: HashMap::new(),
+            is_driven: false,
+            looks_at: Timestamp::default(),
+            wake: Arc::default(),
+            counts: RefusalCounts::default(),
+        }
+    }
+
+    /// Returns whether nobody waits, so that the task that looks after the queue ends. It alone records
+    /// that it does, so that there is never a second one.
+    fn is_left(&mut self) -> bool {
+        self.is_driven = !self.queue.is_empty();
+        !self.is_driven
+    }
+}
+
+/// The queues of a node, by service.
+pub struct RoomDesk {
+    queues: Mutex<HashMap<Name, ServiceQueue>>,
+    /// Calls that wait in all queues, so that the end of a request costs nothing while none do.
+    waiting: AtomicUsize,
+    second_attempts: Mutex<SecondAttempts>,
+    shares: Box<dyn ShareView>,
+}
+
+impl RoomDesk {
+    /// Builds a desk without calls.
+    pub fn new(shares: Box<dyn ShareView>) -> Self {
+        Self {
+            queues: Mutex::default(),
+            waiting: AtomicUsize::new(0),
+            second_attempts: Mutex::new(SecondAttempts::new(&RoomSettings::default())),
+            shares,
+        }
+    }
+
+    /// Returns whether a call may take a place of a service that is known to be free.
+    fn is_open(&self, now: Timestamp, service: &str) -> bool {
+        self.queues().get(service).is_none_or(|held| held.queue.is_open(now))
+    }
+
+    fn is_waited_for(&self, service: &str) -> bool {
+        self.queues().get(service).is_some_and(|held| !held.queue.is_empty())
+    }
+
+    fn has_waiting(&self) -> bool {
+        self.waiting.load(Ordering::Relaxed) > 0
+    }
+
+    fn queues(&self) -> MutexGuard<'_, HashMap<Name, ServiceQueue>> {
+        self.queues.lock().unwrap()
+    }
+
+    /// Changes the queue of a service, which is made if there is none.
+    fn with_queue<T>(&self, service: &Name, change: impl FnOnce(&mut ServiceQueue) -> T) -> T {
+        let mut queues = self.queues();
+        if let Some(held) = queues.get_mut(service) {
+            return change(held);
+        }
+        change(queues.entry(service.clone()).or_insert_with(ServiceQueue::new))
+    }
+}
+
+/// Returns whether calls for a service are admitted by its room.
+pub fn is_active(node: &EntryNode, service: &str) -> bool {
+    let has_customers = node.routing().is_some_and(|routing| routing.customers.is_some());
+    has_customers || node.board.lock().unwrap().states_slowness(service)
+}
+
+/// Returns what is known of a service. Where all its servers are paused, a place is expected when the
+/// first pause ends.
+fn view(node: &EntryNode, service: &str) -> ServiceView {
+    let now = node.now();
+    let board = node.board.lock().unwrap();
+    let mut estimate = board.wait_estimate(now, service);
+    if estimate.places == 0
+        && let Some(opens_at) = board.opens_at(service)
+    {
+        estimate.wait = opens_at.since(now);
+    }
+    let in_flight = board.of_service(service).map(|belief| belief.in_flight).sum();
+    ServiceView { estimate, in_flight }
+}
+
+/// Tells that a place of a service may be free.
+pub fn place_freed(node: &EntryNode, service: &Name) {
+    if node.room.has_waiting() && node.room.is_waited_for(service) {
+        advance(node, service);
+    }
+}
+
+/// Tells that service discovery has changed, so that any service may have places.
+pub fn servers_changed(node: &EntryNode) {
+    if !node.room.has_waiting() {
+        return;
+    }
+    let services: Vec<Name> = node.room.queues().keys().cloned().collect();
+    for service in &services {
+        advance(node, service);
+    }
+}
+
+/// Lets those go for whom there is a place, and refuses those whom none can serve in time. Returns when
+/// to look again; `None` if nobody waits.
+fn advance(node: &EntryNode, service: &Name) -> Option<Timestamp> {
+    let view = view(node, service);
+    let now = node.now();
+    let mut ended = Vec::new();
+    let next_due = node.room.with_queue(service, |held| {
+        for fate in held.queue.advance(now, &view) {
+            let (number, end) = match fate {
+                CallFate::Go(number) => (number, Ok(())),
+                CallFate::Refuse(number, refusal) => (number, Err(refusal)),
+            };
+            ended.extend(held.ends.remove(&number).map(|sender| (sender, end)));
+        }
+        let next_due = held.queue.next_due();
+        if next_due.is_some_and(|due| due < held.looks_at) {
+            held.wake.notify_one();
+        }
+        next_due
+    });
+    node.room.waiting.fetch_sub(ended.len(), Ordering::Relaxed);
+    for (sender, end) in ended {
+        // The guard of a caller that leaves just now gives its place back.
+        let _ = sender.send(end);
+    }
+    next_due
+}
+
+/// Looks after the queue of a service until nobody waits.
+async fn drive(node: Arc<EntryNode>, service: Name) {
+    let wake = node.room.with_queue(&service, |held| held.wake.clone());
+    while !node.room.with_queue(&service, ServiceQueue::is_left) {
+        let next_due = advance(&node, &service);
+        let now = node.now();
+        let pause = next_due.map_or(Duration::ZERO, |due| due.since(now)).clamp(LEAST_PAUSE, LOOK_INTERVAL);
+        node.room.with_queue(&service, |held| held.looks_at = now + pause);
+        // Either way it is time to look again.
+        let _ = clock::timeout(pause, wake.notified()).await;
+    }
+}
+
+/// Returns whether the share of a call's customer is used up.
+fn is_over_share(node: &EntryNode, service: &Name, customer: Option<&Name>) -> bool {
+    node.room.shares.is_over_share(service, customer)
+}
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{self, AttemptError};
 use super::node::EntryNode;
+use super::room::{self, RoomCall};
 use super::server_answers::{self, AnswerWatch};
 use super::server_ticket::ServerTicket;
 use super::{plain, second_attempts, shares, suspects, urgency};
@@ -12,7 +13,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{ServerNeed, ServerRoom};
+use trestlerack::process::{CallKind, ServerNeed, ServerRoom};
 use trestlerack::request::{RequestContent, RequestFingerprint, ScoreCall};
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, Timestamp, event};
@@ -85,12 +86,19 @@
     let deadline = node.now() + plain::time_limit(route, None);
     let rank = urgency::of_score(&routing, route, service, customer);
     let fingerprint = fingerprint(call);
+    let (kind, arrived) = (CallKind::Score, node.now());
+    let directory = routing.customers.as_ref();
+    let customer = customer.and_then(|name| directory?.get(name));
+    let room_call = RoomCall { id: &call.id, service, route, customer, kind, arrived, deadline };
+    let is_by_room = room::is_active(node, service);
     let mut attempts = FuturesUnordered::new();
     let mut starts: Vec<AnswerWatch> = Vec::new();
     let mut next_at = node.now();
     let mut early_at = None;
     let mut is_trial = false;
-    second_attempts::earn(node, route, service);
+    if is_by_room {
+        room::note_call(node, &room_call);
+    }
     loop {
         if attempts.is_empty()
             && let Some(left) = suspects::held_for(node, fingerprint)
@@ -100,13 +108,20 @@
         }
         // A second server beside the first would be one more that ends.
         let servers_at_once = if suspects::is_suspect(node, fingerprint) { 1 } else { SERVERS_AT_ONCE };
-        if attempts.len() < servers_at_once && node.now() >= next_at {
-            if let Some(ticket) = pick_server(node, fingerprint, service, tried) {
-                tried.push(ticket.server.instance.clone());
-                starts.push(AnswerWatch::start(node));
-                is_trial = second_attempts::is_trial(node, &ticket.server.instance);
-                attempts.push(attempt_score(node, call, route, ticket, deadline, rank));
-            }
+        let is_due = attempts.len() < servers_at_once && node.now() >= next_at;
+        let pick = |room| pick_server(node, fingerprint, service, tried, room);
+        let ticket = match attempts.len() {
+            _ if !is_due => None,
+            open if is_by_room => find_place(node, &room_call, open == 0, is_trial, pick).await,
+            _ => pick(ServerRoom::Place),
+        };
+        if let Some(ticket) = ticket {
+            tried.push(ticket.server.instance.clone());
+            starts.push(AnswerWatch::start(node));
+            is_trial = second_attempts::is_trial(node, &ticket.server.instance);
+            attempts.push(attempt_score(node, call, route, ticket, deadline, rank));
+        }
+        if is_due {
             next_at = node.now() + patience(node, service, route);
             early_at = second_attempts::after(node, route, service).map(|after| node.now() + after);
         }
@@ -128,7 +143,7 @@
             Ok(Some((_, ScoreEnd::NoAnswer))) => next_at = node.now(),
             Err(_) => {
                 let is_early = early_at.take_if(|early| *early < next_at).is_some();
-                if is_early && second_attempts::may_ask(node, route, service, is_trial) {
+                if is_early && second_attempts::has_place(node, service) {
                     next_at = node.now();
                 }
             }
@@ -143,16 +158,33 @@
     usual.unwrap_or(Duration::from_millis(route.target_latency_ms)).max(LEAST_PATIENCE)
 }
 
+/// Finds a place for a call in the order of all that want one, for its first server, or for one more beside
+/// it. One beside a trial is not paid for.
+async fn find_place(
+    node: &Arc<EntryNode>,
+    call: &RoomCall<'_>,
+    is_first: bool,
+    is_trial: bool,
+    pick: impl Fn(ServerRoom) -> Option<ServerTicket>,
+) -> Option<ServerTicket> {
+    if is_first {
+        return room::enter(node, call, pick).await.ok();
+    }
+    let ticket = pick(ServerRoom::Place)?;
+    (is_trial || room::may_try_again(node, call, true)).then_some(ticket)
+}
+
 fn pick_server(
     node: &Arc<EntryNode>,
     fingerprint: RequestFingerprint,
     service: &Name,
     tried: &[Name],
+    room: ServerRoom,
 ) -> Option<ServerTicket> {
     let need = ServerNeed {
         service,
         avoid: tried,
-        room: ServerRoom::Place,
+        room,
         zone: &node.settings.zone,
         tie_key: &node.settings.name,
         is_repeatable: true,
--- a/crates/trestlerackd/src/entry/second_attempts.rs
+++ b/crates/trestlerackd/src/entry/second_attempts.rs
@@ -1,4 +1,5 @@
-//! When a second server may be asked beside the first, by what this node has learnt and spent.
+//! When a second server may be asked beside the first, by what this node has learnt. The budget is that of
+//! [`super::room`].
 
 use super::node::EntryNode;
 use crate::process::logs;
@@ -13,23 +14,14 @@
     node.board.lock().unwrap().second_attempt_after(service, &route.name, target)
 }
 
-/// Records a call, which earns a part of a second attempt.
-pub fn earn(node: &EntryNode, route: &RequestRoute, service: &Name) {
-    if node.board.lock().unwrap().states_slowness(service) {
-        node.second_attempts.lock().unwrap().earn(&route.name, service);
-    }
-}
-
 /// Returns whether a call to a server is a trial of one that was set aside.
 pub fn is_trial(node: &EntryNode, server: &str) -> bool {
     node.board.lock().unwrap().is_trial(node.now(), server)
 }
 
-/// Returns whether a second server may be asked now: the service has a free place, and the first is a
-/// trial or the budget of the route pays for it.
-pub fn may_ask(node: &EntryNode, route: &RequestRoute, service: &Name, is_trial: bool) -> bool {
-    let has_room = node.board.lock().unwrap().has_room(node.now(), service);
-    has_room && (is_trial || node.second_attempts.lock().unwrap().spend(&route.name, service))
+/// Returns whether a service has a free place for a second attempt.
+pub fn has_place(node: &EntryNode, service: &str) -> bool {
+    node.board.lock().unwrap().has_room(node.now(), service)
 }
 
 /// Logs that a second server was asked.
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -1,10 +1,11 @@
 //! What operators may ask a node on its metrics address: customers and what they take, who does which
-//! duty, requests under which servers ended, and how servers answer.
+//! duty, requests under which servers ended, how servers answer, and who waits for room.
 //!
 //! Answers are JSON and come from what the node knows, without a call to the store. They hold no
 //! key; [docs/API.md](../../../../docs/API.md#entry-nodes) has the fields.
 
 use super::node::EntryNode;
+use super::room;
 use serde::Serialize;
 use std::time::Duration;
 use trestlerack::Name;
@@ -28,6 +29,9 @@
 /// Path of the list of backend servers.
 const SERVERS_PATH: &str = "/v1/servers";
 
+/// Path of the list of services whose calls are admitted by room.
+const ROOM_PATH: &str = "/v1/room";
+
 #[derive(Serialize)]
 struct CustomerLine {
     name: Name,
@@ -90,6 +94,7 @@
         DUTIES_PATH => serde_json::to_vec(&duties(node)),
         SUSPECTS_PATH => serde_json::to_vec(&suspects(node)),
         SERVERS_PATH => serde_json::to_vec(&servers(node)),
+        ROOM_PATH => serde_json::to_vec(&room::lines(node)),
         _ => return None,
     };
     lines.ok()
--- a/crates/trestlerackd/src/process/clock.rs
+++ b/crates/trestlerackd/src/process/clock.rs
@@ -37,6 +37,7 @@
 }
 
 /// Reads the operating system's clocks.
+#[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
     started: Duration,
 }
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod jobs;
 mod lease;
 mod requests;
+mod room;
 mod shares;
 mod soak;
 mod store_rate;
