List the alternation of calls at ten nodes as known red

The bound is back, in a test of its own.

Ruled out: what callers notice of it.

The exemption of one node at 0.95 of the room from the comparison with the choice by fill is gone as well: that holds now.

--- a/crates/trestlerack/tests/uneven_load.rs
+++ b/crates/trestlerack/tests/uneven_load.rs
@@ -377,9 +377,7 @@
             let (learning, fill, best) = (p99(Chooser::Learning), p99(Chooser::Fill), p99(Chooser::Omniscient));
             let ratio = learning as f64 / best as f64;
             println!("{nodes} nodes at {share}: p99 {learning} ms, {ratio:.2} of the best, by fill {fill} ms");
-            // Near its limit one node that sees all has nothing to learn.
-            let is_limit = nodes == 1 && share > 0.9;
-            assert!(is_limit || learning < fill, "{nodes} nodes at {share}: {learning} ms, by fill {fill} ms");
+            assert!(learning < fill, "{nodes} nodes at {share}: {learning} ms, by fill {fill} ms");
         }
     }
 }
@@ -395,13 +393,22 @@
                 "{nodes} nodes at {share}: busiest {busiest:.2}, in half a second {herd:.2}, swings {swings:.2}, second attempts {seconds:.3}"
             );
             assert!(busiest < 1.2, "{nodes} nodes at {share}: busiest {busiest:.2}");
-            // Half of what moves would be an oscillation.
-            assert!(swings < 0.5, "{nodes} nodes at {share}: swings {swings:.2}");
             assert!(herd < 2.0, "{nodes} nodes at {share}: {herd:.2} times its share in half a second");
         }
     }
 }
 
+/// What chance makes of 90 counts is within twice 1 / sqrt(90).
+#[test]
+fn calls_do_not_swing_between_even_servers() {
+    for nodes in [1, 10, 86, 300] {
+        for share in [0.5, 0.8] {
+            let swings = played(nodes, 5, Chooser::Learning, even, share, 7).swings();
+            assert!(swings < 0.2, "{nodes} nodes at {share}: swings {swings:.2}");
+        }
+    }
+}
+
 /// Red before: 0.11 to 0.23 of the calls were late as long as the servers were slow.
 #[test]
 fn calls_leave_two_slow_servers_of_five_after_300_ms() {
