Add the ledger of held bytes and who gives way for it

Cause: a node has no figure for what it holds for slow callers, and nothing bounds it; connections of all kinds share the process's descriptors.

The ledger counts bytes by purpose and customer. A guard takes them and gives them back when it is dropped, so an early return or a panic leaks nothing. A part of the bound is for calls of 64 KiB and less; new large bodies are taken up to half of the bound. Who gives way, least rates of senders and readers, and descriptors by kind are functions of their own. Ruled out: a bound on connections alone, and the allocator's figure (docs/design/held-memory.md).

--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod engine_fleet;
 mod entry_settings;
 mod event_pace;
+mod held;
 mod job_owner;
 mod lease;
 mod leaving;
@@ -41,6 +42,11 @@
 pub use engine_fleet::{EngineFleet, FleetRow, FleetSettings, ScalingTerms, ZoneEngines, ZoneOrder};
 pub use entry_settings::{ENTRY_FIELDS, EntrySettings, parse_entry_settings};
 pub use event_pace::{EventPace, PaceSample};
+pub use held::{
+    ByteLedger, CONNECTION_BYTES, DescriptorBoard, DescriptorBounds, DescriptorKind, DescriptorSeat, HeldBounds,
+    HeldBytes, HeldPurpose, IdleClient, LedgerView, REQUEST_BYTES, ReadPace, ReaderView, SMALL_BYTES, STREAM_BYTES,
+    SendPace, SenderView, TakeRefusal, longest_idle, reader_to_cut, run_limit, sender_to_refuse,
+};
 pub use job_owner::{OwnerCandidate, choose_job_owner, successor_rank};
 pub use lease::{LeaseGrant, LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep};
 pub use leaving::LeavingBoard;
