Bound what a node holds for slow senders, slow readers and floods of connections

Cause, from the code: a body was collected for as long as its sender took, with the route's timeout only after it; answers were collected and replies written without any count; connections were accepted without a bound, each with room for a whole request's task.

Change, where the settings state memory_mb and max_descriptors: a body takes its length from the ledger before it is read, has to come at a least rate and within the route's timeout or the client's deadline (408 otherwise, which is true: nothing was sent on), and is refused with 503 where it does not fit. The rest of a refused body is dropped for a second at most, since a connection closed with bytes unread is reset and the answer with it. Answers of servers wait unread for room, and the slowest reader that holds most is cut for them. Replies are handed to the connection in pieces and counted until the last is taken. A write that waits starts a timer; a client that takes too little is closed. Streams take what they cost before they are sent anywhere. Texts of jobs are always counted; from three quarters of the bound on fewer runs are started. Each kind of connection has descriptors of its own, and the longest idle client is closed for a new one. /v1/memory, show memory, metrics and events TR2151 to TR2156 tell of it.

A request's task is boxed, so that an idle connection keeps no room for it.

--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -145,6 +145,7 @@
     match name {
         "customers" => Some(("/v1/customers", &["name", "priority", "keys", "configuration"])),
         "suspects" => Some(("/v1/suspects", &["fingerprint", "standing", "left_s", "ended", "unexplained"])),
+        "memory" => Some(("/v1/memory", &["kind", "name", "used", "bound"])),
         "duties" => Some(("/v1/duties", &["duty", "holder", "fence", "is_held_here"])),
         _ => None,
     }
@@ -174,7 +175,7 @@
         }
         _ => {
             return Err(usage(
-                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties or suspects",
+                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, memory or suspects",
             ));
         }
     };
--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -145,6 +145,18 @@
     CONTENT_HELD = (2109, "content-held", Warn);
     /// Strikes could not be stored and wait; peers are told directly.
     STRIKES_WAIT = (2110, "strikes-wait", Warn);
+    /// A body was not read, because what is held leaves no room for it.
+    BODY_REFUSED = (2151, "body-refused", Warn);
+    /// A sender that was too slow was cut off.
+    SENDER_CUT = (2152, "sender-cut", Warn);
+    /// A reader that was too slow was cut off.
+    READER_CUT = (2153, "reader-cut", Warn);
+    /// A connection was closed or refused because its kind has no more descriptors.
+    CONNECTIONS_FULL = (2154, "connections-full", Warn);
+    /// Fewer runs of items are started, because what is held nears its bound.
+    RUNS_LIMITED = (2155, "runs-limited", Warn);
+    /// An answer of a server waits until what is held leaves room for it.
+    ANSWER_WAITS = (2156, "answer-waits", Warn);
     /// A batch job was submitted, with the answer.
     JOB_SUBMITTED = (2201, "job-submitted", Info);
     /// A call about a batch job could not be served.
--- a/crates/trestlerack/src/process/entry_settings.rs
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -36,6 +36,10 @@
     pub cpu_share: f64,
     /// How many times as fast as one core that core is.
     pub cpu_speed: f64,
+    /// Memory of the VM in megabytes; 0 bounds nothing that is held.
+    pub memory_mb: u64,
+    /// Descriptors that the process may have open; 0 bounds no connections.
+    pub max_descriptors: u64,
     /// Time from a planned stop to the kill, in seconds.
     pub stop_limit_s: f64,
     /// Time that a new holder of the order lease waits for the last order of the holder before it.
@@ -76,6 +80,8 @@
             store_row_bytes: 65_536,
             cpu_share: 1.0,
             cpu_speed: 1.0,
+            memory_mb: 0,
+            max_descriptors: 0,
             stop_limit_s: 8.0,
             order_handover_ms: 3_000,
             retention_s: 600,
@@ -154,6 +160,20 @@
         "Share of a processor core that the VM has; larger VMs drive the batch jobs.",
     ),
     ratio("cpu_speed", 0.001, 1_024.0, "1", "How many times as fast as one core that core is."),
+    count(
+        "memory_mb",
+        0,
+        1 << 30,
+        "0",
+        "Memory of the VM in megabytes, from which it follows how much is held for callers; 0 for no bound.",
+    ),
+    count(
+        "max_descriptors",
+        0,
+        1 << 30,
+        "0",
+        "Descriptors that the process may have open, of which clients, peers, servers and the store have parts; 0 for no bound.",
+    ),
     ratio("stop_limit_s", 0.1, 3_600.0, "8", "Time from a planned stop to the kill."),
     count(
         "order_handover_ms",
--- a/crates/trestlerack/src/request/job.rs
+++ b/crates/trestlerack/src/request/job.rs
@@ -73,6 +73,12 @@
         item.model.clone().or_else(|| self.model.clone())
     }
 
+    /// Returns how many bytes its items hold, which are nearly all of it.
+    pub fn bytes(&self) -> usize {
+        let of_scorer = |item: &JobItem| item.scorer.as_ref().map_or(0, |scorer| scorer.body.len());
+        self.items.iter().map(|item| size_of::<JobItem>() + item.body.len() + of_scorer(item)).sum()
+    }
+
     /// Returns a digest by which a repeated submission is told from another job of the same id: of
     /// what its items are and ask, in their order, and of the oldest version that may serve them.
     pub fn digest(&self) -> u64 {
--- a/crates/trestlerack/src/request/ledger/texts.rs
+++ b/crates/trestlerack/src/request/ledger/texts.rs
@@ -1,7 +1,7 @@
 //! Texts that are stored for whoever drives the job next, or kept for a later one.
 
 use super::super::job::{KeptItem, TextDelta};
-use super::{ItemPhase, JobLedger};
+use super::{ItemPhase, ItemState, JobLedger};
 
 impl JobLedger {
     /// Forgets the texts of a group that is whole, to save memory.
@@ -13,6 +13,12 @@
         }
     }
 
+    /// Returns how many bytes of texts are held.
+    pub fn text_bytes(&self) -> usize {
+        let of_spare = |state: &ItemState| state.spare.as_ref().map_or(0, |spare| spare.transcript.text.len());
+        self.items.iter().map(|state| state.transcript.text.len() + of_spare(state)).sum()
+    }
+
     /// Takes what was generated since the last call, up to a size in bytes. Fewer new events than
     /// `least_events` are left out: making them again costs less than storing them.
     pub fn take_unstored(&mut self, least_events: u64, most_bytes: usize) -> Vec<TextDelta> {
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use super::node::EntryNode;
 use super::pool::{ConnectionLease, ExchangeError};
 use super::server_ticket::ServerTicket;
-use super::{server_end, suspects};
+use super::{held, server_end, suspects};
 use crate::process::clock;
 use crate::process::tracing::HopSpan;
 use bytes::Bytes;
@@ -13,6 +13,7 @@
 use opentelemetry::trace::SpanKind;
 use std::sync::Arc;
 use std::time::Duration;
+use trestlerack::process::HeldBytes;
 use trestlerack_platform::{self as platform, EngineRequest, ReplyHead};
 
 /// Longest answer that is read whole before it is passed on, in bytes.
@@ -29,6 +30,8 @@
     pub head: ReplyHead,
     /// Body.
     pub body: Bytes,
+    /// Count of the bytes of the body.
+    pub held: HeldBytes,
 }
 
 /// The head of an answer whose body is still to come.
@@ -172,8 +175,8 @@
     let request_id = request.request_id.to_owned();
     let exchange = async {
         let open = open_answer(node, ticket, request, wants_fresh).await?;
-        let body = Limited::new(open.body, MAX_ANSWER).collect().await;
-        let Ok(body) = body else {
+        let body = held::read_answer(node, &request_id, open.body, MAX_ANSWER).await;
+        let Some((body, held)) = body else {
             node.board.lock().unwrap().failed(node.now(), &instance);
             server_end::connection_broke(node, &open.ticket, &request_id).await;
             return Err(AttemptError::MayHaveRun("the answer broke off".into()));
@@ -183,7 +186,7 @@
         if !open.head.is_closing {
             node.pool.keep(open.lease, open.head.idle_limit);
         }
-        Ok(WholeAnswer { status: open.status, headers: open.headers, head: open.head, body: body.to_bytes() })
+        Ok(WholeAnswer { status: open.status, headers: open.headers, head: open.head, body, held })
     };
     match clock::timeout(limit, exchange).await {
         Ok(answer) => answer,
--- a/crates/trestlerackd/src/entry/front.rs
+++ b/crates/trestlerackd/src/entry/front.rs
@@ -1,41 +1,38 @@
-//! Serves clients: accepts their connections and hands each request to what it is about.
+//! Serves clients: reads each request and hands it to what it is about.
 
 use super::callers::{self, CallerAnswer};
+use super::held::{self, BodyRefusal};
 use super::node::EntryNode;
 use super::{job_accept, job_calls, plain};
 use crate::process::logs;
 use bytes::Bytes;
-use http::{HeaderMap, Method};
+use http::{HeaderMap, HeaderValue, Method};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use opentelemetry::trace::SpanKind;
-use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use trestlerack::process::{HeldBytes, HeldPurpose};
 use trestlerack::request::{RequestContent, RequestFingerprint};
 use trestlerack::version::{CallerCredential, CallerVerdict, RouteKind, RoutingTable};
 use trestlerack::{Name, event};
 use trestlerack_platform::{self as platform, ClientHead, FrontCall};
 
-/// Time that an idle connection of a client stays open before a configuration says otherwise.
-const DEFAULT_IDLE: Duration = Duration::from_secs(15);
-
-/// Longest head of a request, in bytes; configurations seen allow 16 KiB.
-const MAX_HEADER: usize = 32 * 1024;
-
 /// Time after which a client is told to return while this node knows no configuration.
 const NO_CONFIG_RETURN: Duration = Duration::from_millis(200);
 
 /// Time after which a client is told to return whose key or route could not be looked up.
 const UNSURE_RETURN: Duration = Duration::from_millis(300);
 
+/// Time after which a client is told to return for whose body there is no room. Those before it are read
+/// by then, or are refused for their pace.
+const ROOM_RETURN: Duration = Duration::from_millis(500);
+
+/// Time for a body whose request no route matches.
+const UNROUTED_BODY_TIME: Duration = Duration::from_secs(5);
+
 /// Body of a reply.
 pub type ReplyBody = UnsyncBoxBody<Bytes, BrokenReply>;
 
@@ -60,6 +57,8 @@
     pub caller: CallerVerdict,
     /// Body.
     pub body: Bytes,
+    /// Count of the bytes of the body, which are given back with the request.
+    pub held: HeldBytes,
 }
 
 impl ClientRequest {
@@ -80,48 +79,8 @@
     Full::new(body.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Accepts clients until the planned stop closes the node.
-pub async fn serve(node: Arc<EntryNode>, listener: TcpListener) {
-    loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve_client(node.clone(), stream));
-        }
-    }
-}
-
-async fn serve_client(node: Arc<EntryNode>, stream: TcpStream) {
-    super::pool::prepare(&stream);
-    node.client_connections.fetch_add(1, Ordering::Relaxed);
-    let idle = node.routing().map_or(DEFAULT_IDLE, |table| Duration::from_millis(table.limits.idle_timeout_ms));
-    let mut closing = node.closing.subscribe();
-    let handler_node = node.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
-        let node = handler_node.clone();
-        async move { Ok::<_, Infallible>(answer(&node, request).await) }
-    });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(MAX_HEADER)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        // A client that breaks its connection has nobody left to tell.
-        _ = connection.as_mut() => {}
-        () = wait_true(&mut closing) => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.as_mut().await;
-        }
-    }
-    node.client_connections.fetch_sub(1, Ordering::Relaxed);
-}
-
-async fn wait_true(flag: &mut watch::Receiver<bool>) {
-    // The sender lives as long as the node, so this ends only when the value turns true.
-    let _ = flag.wait_for(|value| *value).await;
-}
-
-async fn answer(node: &Arc<EntryNode>, request: Request<Incoming>) -> Response<ReplyBody> {
+/// Answers a request.
+pub async fn answer(node: &Arc<EntryNode>, request: Request<Incoming>) -> Response<ReplyBody> {
     let (mut parts, body) = request.into_parts();
     let credential = platform::take_credential(&mut parts.headers);
     let head = platform::decode_client_head(&parts.headers);
@@ -134,13 +93,6 @@
         logs::write(event::REQUEST_REFUSED, &[("request", &or_empty(&id)), ("why", &"no configuration is known")]);
         return platform::not_run_reply(id.as_ref(), NO_CONFIG_RETURN).map(full_reply);
     };
-    let body = match Limited::new(body, routing.limits.max_body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            logs::write(event::REQUEST_REFUSED, &[("request", &or_empty(&id)), ("why", &error)]);
-            return own_reply(StatusCode::PAYLOAD_TOO_LARGE, id.as_ref());
-        }
-    };
     let host = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
     let mut request = ClientRequest {
         host: host.into(),
@@ -150,15 +102,24 @@
         headers: parts.headers,
         head,
         caller: CallerVerdict::Unknown,
-        body,
+        body: Bytes::new(),
+        held: node.held.ledger.count(HeldPurpose::Bodies, 0),
     };
+    if let Err(refusal) = take_body(node, &routing, &mut request, body).await {
+        return refusal;
+    }
     let call = platform::classify_call(&request.method, &request.path, parts.uri.query().unwrap_or(""));
     let mut reply = match identify(node, &routing, &call, &mut request, &credential).await {
-        Ok(()) => dispatch(node, call, request).await,
+        Ok(()) => {
+            if let Some(customer) = request.caller.customer() {
+                request.held.assign(&customer.name);
+            }
+            dispatch(node, call, request).await
+        }
         Err(refusal) => refusal,
     };
     if node.is_stopping() {
-        reply.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
+        reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     if let Some(span) = span {
         span.set("status", reply.status().as_u16().to_string());
@@ -166,6 +127,44 @@
     reply
 }
 
+/// Reads the body of a request, or returns the reply that refuses it.
+async fn take_body(
+    node: &Arc<EntryNode>,
+    routing: &RoutingTable,
+    request: &mut ClientRequest,
+    body: Incoming,
+) -> Result<(), Response<ReplyBody>> {
+    let route = routing.select(&request.host, &request.path);
+    let time_left = request.head.time_left;
+    let limit = route.map_or(UNROUTED_BODY_TIME, |route| plain::time_limit(route, time_left));
+    let id = or_empty(&request.head.request_id);
+    match held::read_body(node, &id, body, routing.limits.max_body_bytes, limit).await {
+        Ok((body, held)) => {
+            (request.body, request.held) = (body, held);
+            Ok(())
+        }
+        Err(refusal) => Err(refuse_body(request.head.request_id.as_ref(), &refusal)),
+    }
+}
+
+fn refuse_body(id: Option<&Name>, refusal: &BodyRefusal) -> Response<ReplyBody> {
+    let mut reply = match refusal {
+        BodyRefusal::TooLarge => {
+            let why = "the body is too large";
+            logs::write(event::REQUEST_REFUSED, &[("request", &or_empty(&id.cloned())), ("why", &why)]);
+            return own_reply(StatusCode::PAYLOAD_TOO_LARGE, id);
+        }
+        BodyRefusal::Broken(why) => {
+            logs::write(event::REQUEST_REFUSED, &[("request", &or_empty(&id.cloned())), ("why", why)]);
+            return own_reply(StatusCode::BAD_REQUEST, id);
+        }
+        BodyRefusal::NoRoom => return platform::not_run_reply(id, ROOM_RETURN).map(full_reply),
+        BodyRefusal::TooSlow => own_reply(StatusCode::REQUEST_TIMEOUT, id),
+    };
+    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    reply
+}
+
 fn or_empty(id: &Option<Name>) -> Name {
     id.clone().unwrap_or_else(|| "".into())
 }
@@ -259,24 +258,3 @@
         Some(route) => plain::serve(node, route, request).await,
     }
 }
-
-/// Tells the platform whether clients may be sent here.
-pub async fn serve_readiness(node: Arc<EntryNode>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        let node = node.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let is_known = request.uri().path() == platform::READY_PATH;
-                let status = match (is_known, node.is_ready()) {
-                    (false, _) => StatusCode::NOT_FOUND,
-                    (true, true) => StatusCode::OK,
-                    (true, false) => StatusCode::SERVICE_UNAVAILABLE,
-                };
-                async move { Ok::<_, Infallible>(own_reply(status, None)) }
-            });
-            // The platform asks again in a second if its connection breaks.
-            let _ = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
-}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/held/answers.rs
@@ -0,0 +1,67 @@
+//! Reads whole answers of backend servers as there is room for them.
+
+use super::HeldDecision;
+use crate::entry::node::EntryNode;
+use crate::process::clock;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use std::fmt::Display;
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::process::{HeldBytes, HeldPurpose, TakeRefusal};
+
+/// Interval at which an answer that waits looks for room again.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Reads an answer of `most` bytes at most; `None` if it breaks off or is longer.
+///
+/// An answer for which there is no room stays with its server: it is not read on meanwhile.
+pub async fn read_answer(
+    node: &Arc<EntryNode>,
+    request: &str,
+    mut body: Incoming,
+    most: usize,
+) -> Option<(Bytes, HeldBytes)> {
+    let mut held = node.held.ledger.count(HeldPurpose::Answers, 0);
+    let stated = body.size_hint().exact().map_or(0, |length| usize::try_from(length).unwrap_or(usize::MAX));
+    if stated > most {
+        return None;
+    }
+    wait_for_room(node, request, &mut held, stated).await?;
+    let mut bytes = BytesMut::with_capacity(stated);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        let length = bytes.len() + data.len();
+        if length > most {
+            return None;
+        }
+        let missing = length.saturating_sub(held.bytes());
+        wait_for_room(node, request, &mut held, missing).await?;
+        bytes.extend_from_slice(&data);
+    }
+    Some((bytes.freeze(), held))
+}
+
+/// Takes bytes for an answer, as soon as there is room; `None` if there never is.
+async fn wait_for_room(node: &EntryNode, request: &str, held: &mut HeldBytes, more: usize) -> Option<()> {
+    loop {
+        match held.grow(more) {
+            Ok(()) => return Some(()),
+            Err(TakeRefusal::Never) => return None,
+            Err(TakeRefusal::NotNow) => {}
+        }
+        make_room(node, request, more);
+        clock::sleep(ROOM_INTERVAL).await;
+    }
+}
+
+/// Notes that an answer waits, and cuts a reader that takes nothing.
+fn make_room(node: &EntryNode, request: &str, bytes: usize) {
+    let (now, ledger) = (node.now(), &node.held.ledger);
+    let (held, bound) = (ledger.total(), ledger.bounds().total);
+    let fields: [(&str, &dyn Display); 4] =
+        [("request", &request), ("bytes", &bytes), ("held", &held), ("bound", &bound)];
+    node.held.note(now, HeldDecision::AnswerWaits, &fields);
+    node.held.cut_reader(now);
+}
--- /dev/null
+++ b/crates/trestlerackd/src/entry/held/mod.rs
@@ -0,0 +1,146 @@
+//! What this node holds for its callers, and how it stays within the VM's memory and descriptors.
+//!
+//! Who gives way is decided in `trestlerack::process`; here it is carried out. See
+//! [docs/design/held-memory.md](../../../../../docs/design/held-memory.md).
+
+mod answers;
+mod bodies;
+mod body_reader;
+mod links;
+mod pace_gate;
+mod page;
+mod reply;
+mod watched_stream;
+
+pub use answers::read_answer;
+pub use body_reader::{BodyRefusal, read_body};
+pub use links::{Admission, ClientLink, LinkSeat};
+pub use page::{memory_lines, write_metrics};
+pub use reply::{AnswerBytes, LinkedBody};
+pub use watched_stream::WatchedStream;
+
+use crate::process::logs;
+use bodies::BodyTable;
+use links::LinkTable;
+use pace_gate::PaceGate;
+use std::fmt::Display;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use trestlerack::event::LogEvent;
+use trestlerack::process::{
+    ByteLedger, CONNECTION_BYTES, DescriptorBoard, DescriptorBounds, DescriptorKind, EntrySettings, HeldBounds,
+    run_limit,
+};
+use trestlerack::{Timestamp, event};
+
+/// Share of the bound that idle connections of clients may have, one part in so many.
+const CONNECTION_PARTS: usize = 4;
+
+/// Least time between two log lines of one kind, so that a flood of callers is no flood of lines.
+const LINE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Least time between two looks for a reader to cut. One cut frees a large answer's room.
+const RELIEF_INTERVAL: Duration = Duration::from_millis(10);
+
+/// What was decided for want of room or of pace, as metrics count it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeldDecision {
+    /// A body was refused before it was read.
+    BodyRefused,
+    /// A sender was too slow.
+    SenderCut,
+    /// A reader was too slow.
+    ReaderCut,
+    /// A connection was refused, or an idle one was closed for it.
+    ConnectionsFull,
+    /// Fewer runs were started.
+    RunsLimited,
+    /// An answer waited for room.
+    AnswerWaits,
+}
+
+impl HeldDecision {
+    const ALL: [Self; 6] = [
+        Self::BodyRefused,
+        Self::SenderCut,
+        Self::ReaderCut,
+        Self::ConnectionsFull,
+        Self::RunsLimited,
+        Self::AnswerWaits,
+    ];
+
+    fn event(self) -> LogEvent {
+        match self {
+            Self::BodyRefused => event::BODY_REFUSED,
+            Self::SenderCut => event::SENDER_CUT,
+            Self::ReaderCut => event::READER_CUT,
+            Self::ConnectionsFull => event::CONNECTIONS_FULL,
+            Self::RunsLimited => event::RUNS_LIMITED,
+            Self::AnswerWaits => event::ANSWER_WAITS,
+        }
+    }
+}
+
+/// Owner of what is known of held bytes and open connections.
+pub struct HeldDesk {
+    /// Held bytes.
+    pub ledger: ByteLedger,
+    /// Open connections by kind.
+    pub descriptors: DescriptorBoard,
+    /// Clients' connections.
+    pub links: LinkTable,
+    bodies: BodyTable,
+    /// Readers are looked through for one to cut this often, however many answers wait.
+    relief: PaceGate,
+    counts: [AtomicU64; HeldDecision::ALL.len()],
+    gates: [PaceGate; HeldDecision::ALL.len()],
+}
+
+impl HeldDesk {
+    /// Builds a desk for a VM of these settings.
+    pub fn new(settings: &EntrySettings) -> Self {
+        let bounds = HeldBounds::of_memory(settings.memory_mb);
+        let clients = bounds.total / CONNECTION_PARTS / CONNECTION_BYTES;
+        let descriptors = DescriptorBounds::of_descriptors(settings.max_descriptors);
+        Self {
+            ledger: ByteLedger::new(bounds),
+            descriptors: DescriptorBoard::new(descriptors.at_most(DescriptorKind::Clients, clients)),
+            links: LinkTable::default(),
+            bodies: BodyTable::default(),
+            relief: PaceGate::every(RELIEF_INTERVAL),
+            counts: Default::default(),
+            gates: std::array::from_fn(|_| PaceGate::every(LINE_INTERVAL)),
+        }
+    }
+
+    /// Returns whether the settings bound what is held.
+    pub fn is_bounded(&self) -> bool {
+        self.ledger.bounds().is_bounded()
+    }
+
+    /// Returns how many more runs of items may be started beside those that `running` counts.
+    pub fn runs_left(&self, now: Timestamp, running: impl FnOnce() -> usize) -> usize {
+        let (held, bound) = (self.ledger.total(), self.ledger.bounds().total);
+        let Some(limit) = run_limit(held, bound) else { return usize::MAX };
+        let running = running();
+        if running >= limit {
+            let fields: [(&str, &dyn Display); 4] =
+                [("limit", &limit), ("running", &running), ("held", &held), ("bound", &bound)];
+            self.note(now, HeldDecision::RunsLimited, &fields);
+        }
+        limit.saturating_sub(running)
+    }
+
+    /// Counts a decision and logs it, one line a second.
+    pub fn note(&self, now: Timestamp, decision: HeldDecision, fields: &[(&str, &dyn Display)]) {
+        self.counts[decision as usize].fetch_add(1, Ordering::Relaxed);
+        let Some(skipped) = self.gates[decision as usize].pass(now) else { return };
+        let mut fields = fields.to_vec();
+        fields.push(("skipped", &skipped));
+        logs::write(decision.event(), &fields);
+    }
+
+    fn count(&self, decision: HeldDecision) -> u64 {
+        self.counts[decision as usize].load(Ordering::Relaxed)
+    }
+}
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
-use trestlerack::process::ServerNeed;
+use trestlerack::process::{HeldBytes, HeldPurpose, ServerNeed};
 use trestlerack::request::{
     JobHead, JobItem, JobLedger, JobSpec, LedgerSettings, RequestContent, RequestFingerprint, RunEnd, RunLane,
 };
@@ -69,11 +69,13 @@
     pub runs: Mutex<HashMap<(usize, RunLane), ItemRun>>,
     /// Items whose score calls are in progress.
     pub scoring: Mutex<HashSet<usize>>,
+    /// Count of the bytes of its specification and its texts.
+    memory: Mutex<HeldBytes>,
     mode: AtomicU8,
 }
 
 impl JobDriver {
-    fn new(spec: Arc<JobSpec>, head: &JobHead, ledger: JobLedger) -> Self {
+    fn new(spec: Arc<JobSpec>, head: &JobHead, ledger: JobLedger, memory: HeldBytes) -> Self {
         let customer = head.customer.clone();
         let fingerprint = |item: &JobItem| {
             let customer = customer.as_deref();
@@ -95,6 +97,7 @@
             mode: AtomicU8::new(DriveMode::Drive as u8),
             runs: Mutex::default(),
             scoring: Mutex::default(),
+            memory: Mutex::new(memory),
         }
     }
 
@@ -107,6 +110,12 @@
         }
     }
 
+    /// Counts what the job holds now.
+    fn count_memory(&self) {
+        let texts = self.ledger.lock().unwrap().text_bytes();
+        self.memory.lock().unwrap().set(self.spec.bytes() + texts);
+    }
+
     /// Returns whether the job is to be brought forward.
     pub fn is_driving(&self) -> bool {
         self.mode() == DriveMode::Drive
@@ -191,7 +200,9 @@
     let node = node.clone();
     let settings = ledger_settings(&node, &spec);
     let ledger = JobLedger::new(spec.clone(), settings.clone(), Vec::new(), HashMap::new());
-    let driver = Arc::new(JobDriver::new(spec.clone(), &head, ledger));
+    // What was accepted is kept in any case, and counted so that others make room for it.
+    let memory = node.held.ledger.count(HeldPurpose::Texts, spec.bytes());
+    let driver = Arc::new(JobDriver::new(spec.clone(), &head, ledger, memory));
     node.drivers.lock().unwrap().insert(spec.id.clone(), driver.clone());
     // News of the job's end that came after its rows were read found no driver to tell.
     if node.job(&spec.id).is_some_and(|view| view.is_ended) {
@@ -234,6 +245,7 @@
         if node.now().since(told_at) >= TELL_INTERVAL {
             told_at = node.now();
             tell_progress(node, driver);
+            driver.count_memory();
         }
         if let Some(routing) = node.routing() {
             bring_forward(node, driver, &routing);
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -27,6 +27,7 @@
 /// Starts the items that wait, as far as there are engines with free places for them.
 pub fn place_items(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
     let now = node.now();
+    let mut left = node.held.runs_left(now, || runs_of_node(node));
     let mut ledger = driver.ledger.lock().unwrap();
     let waiting: Vec<usize> = ledger.waiting(now).collect();
     for (placed, index) in waiting.iter().copied().enumerate() {
@@ -55,7 +56,12 @@
         drop(board);
         let (entry, is_apart) = choose_engine(node, driver.fingerprints[index], &need);
         match entry {
-            Some(entry) => start_run(node, driver, &mut ledger, index, entry),
+            // The item waits until what is held leaves room for its text.
+            Some(_) if left == 0 => return,
+            Some(entry) => {
+                left -= 1;
+                start_run(node, driver, &mut ledger, index, entry);
+            }
             // Others may find a place all the same.
             None if need.pinned.is_some() || is_apart => {}
             None => {
@@ -66,6 +72,12 @@
     }
 }
 
+/// Returns how many runs this node has in progress.
+fn runs_of_node(node: &EntryNode) -> usize {
+    let drivers: Vec<Arc<JobDriver>> = node.drivers.lock().unwrap().values().cloned().collect();
+    drivers.iter().map(|driver| driver.runs.lock().unwrap().len()).sum()
+}
+
 /// Puts an item off whose content is held, or ended servers so lately that it is to be judged first.
 /// Returns whether it does.
 fn hold_back(node: &Arc<EntryNode>, driver: &JobDriver, ledger: &mut JobLedger, index: usize) -> bool {
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms, served as text on the metrics address.
 
 use super::node::EntryNode;
-use super::status;
+use super::{held, status};
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -118,6 +118,8 @@
 
 fn metrics_page(node: &EntryNode) -> Vec<u8> {
     let mut page = node.metrics.page();
-    page.extend_from_slice(format!("trestlerack_entry_connections_opened {}\n", node.pool.opened()).as_bytes());
+    let mut lines = format!("trestlerack_entry_connections_opened {}\n", node.pool.opened());
+    held::write_metrics(&node.held, &mut lines);
+    page.extend_from_slice(lines.as_bytes());
     page
 }
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -2,6 +2,7 @@
 
 use super::callers::KeyRefresh;
 use super::duties::UsageBook;
+use super::held::HeldDesk;
 use super::job_driver::JobDriver;
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
@@ -123,6 +124,8 @@
     pub stopping: watch::Sender<bool>,
     /// Whether connections of clients are to end.
     pub closing: watch::Sender<bool>,
+    /// What is held for callers, and the bounds of it.
+    pub held: Arc<HeldDesk>,
     /// Open connections of clients.
     pub client_connections: AtomicUsize,
     writes: AtomicU64,
@@ -131,7 +134,8 @@
 impl EntryNode {
     /// Opens a node; nothing is served yet.
     pub fn open(settings: EntrySettings) -> anyhow::Result<Self> {
-        let pool = Arc::new(ConnectionPool::default());
+        let held = Arc::new(HeldDesk::new(&settings));
+        let pool = Arc::new(ConnectionPool::new(held.descriptors.clone(), settings.store.clone()));
         let peers = Arc::new(PeerClient::new(pool.clone(), settings.peer_listen.clone(), settings.seeds.clone()));
         let direct_store = Arc::new(DirectStore::new(pool.clone(), settings.store.clone()));
         Ok(Self {
@@ -165,6 +169,7 @@
             tracer: start_tracer(&settings.otlp_endpoint)?,
             stopping: watch::channel(false).0,
             closing: watch::channel(false).0,
+            held,
             client_connections: AtomicUsize::new(0),
             writes: AtomicU64::new(1),
             settings,
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -1,6 +1,7 @@
 //! What nodes ask each other: to relay a store call, and whether a job is driven.
 
 use super::adoption;
+use super::held::HeldDecision;
 use super::news;
 use super::node::EntryNode;
 use super::pool::ConnectionPool;
@@ -18,7 +19,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use trestlerack::Name;
 use trestlerack::border::{Clock, StoreError};
-use trestlerack::process::{NodeNews, NodeRow, NodeRows, RelayChoice, StrikeNote, UsageNote, UsageSender};
+use trestlerack::process::{
+    DescriptorKind, DescriptorSeat, HeldPurpose, NodeNews, NodeRow, NodeRows, RelayChoice, StrikeNote, UsageNote,
+    UsageSender,
+};
 use trestlerack::rows::{StoreCall, StoreReply};
 
 /// Path of all calls between nodes.
@@ -254,13 +258,20 @@
 /// Answers peers until the process ends.
 pub async fn serve(node: Arc<EntryNode>, listener: TcpListener) {
     loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve_peer(node.clone(), stream));
-        }
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        // A peer whose connection is closed asks another one.
+        let Some(seat) = node.held.descriptors.take(DescriptorKind::Peers) else {
+            let (kind, why) = (DescriptorKind::Peers.as_str(), "the part of the peers is used up");
+            let open = node.held.descriptors.open(DescriptorKind::Peers);
+            let fields: [(&str, &dyn std::fmt::Display); 3] = [("kind", &kind), ("why", &why), ("open", &open)];
+            node.held.note(node.now(), HeldDecision::ConnectionsFull, &fields);
+            continue;
+        };
+        tokio::spawn(serve_peer(node.clone(), seat, stream));
     }
 }
 
-async fn serve_peer(node: Arc<EntryNode>, stream: TcpStream) {
+async fn serve_peer(node: Arc<EntryNode>, _seat: DescriptorSeat, stream: TcpStream) {
     super::pool::prepare(&stream);
     let service = hyper::service::service_fn(move |request: Request<Incoming>| {
         let node = node.clone();
@@ -284,6 +295,7 @@
 
 async fn answer(node: &Arc<EntryNode>, request: Request<Incoming>) -> Option<Bytes> {
     let body = Limited::new(request.into_body(), MAX_MESSAGE).collect().await.ok()?.to_bytes();
+    let _held = node.held.ledger.count(HeldPurpose::Peers, body.len());
     let call: PeerCall = ciborium::from_reader(&body[..]).ok()?;
     let reply = match call {
         PeerCall::Relay(call) => {
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{self, WholeAnswer};
 use super::front::{ClientRequest, ReplyBody, full_reply};
+use super::held::AnswerBytes;
 use super::node::EntryNode;
 use super::server_ticket::ServerTicket;
 use super::trail::RequestTrail;
@@ -83,6 +84,7 @@
     let mut reply = Response::new(full_reply(answer.body));
     *reply.status_mut() = answer.status;
     copy_headers(&answer.headers, reply.headers_mut());
+    reply.extensions_mut().insert(AnswerBytes::new(answer.held));
     reply
 }
 
--- a/crates/trestlerackd/src/entry/pool.rs
+++ b/crates/trestlerackd/src/entry/pool.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use trestlerack::Name;
+use trestlerack::process::{DescriptorBoard, DescriptorKind, DescriptorSeat};
 
 /// Time to open a connection. Links take a few milliseconds; a lost first packet is repeated after
 /// a second, and another server is tried before that.
@@ -106,6 +107,7 @@
 }
 
 struct OpenConnection {
+    _seat: DescriptorSeat,
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
 }
@@ -117,10 +119,12 @@
 }
 
 /// Connections by address.
-#[derive(Default)]
 pub struct ConnectionPool {
     idle: Mutex<HashMap<Name, Vec<IdleConnection>>>,
     opened: AtomicU64,
+    descriptors: DescriptorBoard,
+    /// Address of the store, whose connections have descriptors of their own.
+    store: Name,
 }
 
 /// A connection that one exchange uses; dropping it closes it.
@@ -130,6 +134,27 @@
 }
 
 impl ConnectionPool {
+    /// Builds a pool without connections.
+    pub fn new(descriptors: DescriptorBoard, store: Name) -> Self {
+        Self { idle: Mutex::default(), opened: AtomicU64::new(0), descriptors, store }
+    }
+
+    /// Takes the descriptor of a connection to an address. Where there is none, an idle connection to
+    /// the address that has most of them is closed for it.
+    fn take_seat(&self, address: &Name) -> Option<DescriptorSeat> {
+        let kind = if *address == self.store { DescriptorKind::Store } else { DescriptorKind::Servers };
+        if let Some(seat) = self.descriptors.take(kind) {
+            return Some(seat);
+        }
+        let mut idle = self.idle.lock().unwrap();
+        let is_of_kind =
+            |(held, _): &(&Name, &mut Vec<IdleConnection>)| (**held == self.store) == (*address == self.store);
+        let most = idle.iter_mut().filter(is_of_kind).max_by_key(|(_, connections)| connections.len());
+        drop(most.map(|(_, connections)| connections.pop()));
+        drop(idle);
+        self.descriptors.take(kind)
+    }
+
     /// Returns how many connections were opened.
     pub fn opened(&self) -> u64 {
         self.opened.load(Ordering::Relaxed)
@@ -200,6 +225,9 @@
     }
 
     async fn open(&self, address: &Name) -> Result<ConnectionLease, OpenError> {
+        let Some(seat) = self.take_seat(address) else {
+            return Err(OpenError::Failed(format!("no descriptor is left for a connection to {address}")));
+        };
         let stream = match clock::timeout(CONNECT_TIMEOUT, TcpStream::connect(&**address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
@@ -216,7 +244,7 @@
             // The exchange that uses the connection sees the error too and reports it.
             let _ = connection.await;
         });
-        Ok(ConnectionLease { connection: OpenConnection { sender, task }, address: address.clone() })
+        Ok(ConnectionLease { connection: OpenConnection { _seat: seat, sender, task }, address: address.clone() })
     }
 
     /// Takes a connection back after a whole answer.
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -1,9 +1,10 @@
-//! What operators may ask a node on its metrics address: customers, who does which duty, and requests
-//! under which servers ended.
+//! What operators may ask a node on its metrics address: customers, who does which duty, requests
+//! under which servers ended, and what is held for callers.
 //!
 //! Answers are JSON and come from what the node knows, without a call to the store. They hold no
 //! key; [docs/API.md](../../../../docs/API.md#entry-nodes) has the fields.
 
+use super::held;
 use super::node::EntryNode;
 use serde::Serialize;
 use std::time::Duration;
@@ -19,6 +20,9 @@
 /// Path of the list of contents under which servers ended.
 const SUSPECTS_PATH: &str = "/v1/suspects";
 
+/// Path of the list of what is held.
+const MEMORY_PATH: &str = "/v1/memory";
+
 #[derive(Serialize)]
 struct CustomerLine {
     name: Name,
@@ -54,6 +58,7 @@
         CUSTOMERS_PATH => serde_json::to_vec(&customers(node)),
         DUTIES_PATH => serde_json::to_vec(&duties(node)),
         SUSPECTS_PATH => serde_json::to_vec(&suspects(node)),
+        MEMORY_PATH => serde_json::to_vec(&held::memory_lines(&node.held)),
         _ => return None,
     };
     lines.ok()
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::Timestamp;
+use trestlerack::process::{HeldBytes, HeldPurpose, STREAM_BYTES};
 use trestlerack::version::RequestRoute;
 use trestlerack_platform::EventDecoder;
 
@@ -32,6 +33,8 @@
     open: OpenAnswer,
     decoder: EventDecoder,
     last_event: Option<u64>,
+    /// What the stream costs; its events are read only as the client reads them.
+    _held: HeldBytes,
 }
 
 /// Serves a request for a stream: the reply has the head of the first server that answers.
@@ -43,6 +46,11 @@
     mut trail: RequestTrail,
 ) -> Response<ReplyBody> {
     let resume_after = request.head.resume_after;
+    let Ok(held) = node.held.ledger.take(HeldPurpose::Streams, STREAM_BYTES) else {
+        let reply = plain::failure_reply(&request, &Shortfall::NotRun, true);
+        trail.answered(reply.status());
+        return reply;
+    };
     let opened = open(node, route, &request, deadline, resume_after, &mut trail).await;
     let open = match opened {
         Ok(open) => open,
@@ -62,6 +70,7 @@
         open,
         decoder: EventDecoder::default(),
         last_event: resume_after,
+        _held: held,
     };
     relay.into_reply()
 }
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod customers;
 mod duties;
+mod held;
 mod jobs;
 mod lease;
 mod requests;
--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -147,6 +147,16 @@
         fields.map(|ticks| TICK * ticks.parse::<u32>().unwrap()).sum()
     }
 
+    /// Returns the bytes of memory that the process has resident now, and had at most so far.
+    pub fn resident_bytes(&self) -> (usize, usize) {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let field = |name: &str| -> usize {
+            let line = status.lines().find(|line| line.starts_with(name)).unwrap();
+            line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() * 1_024
+        };
+        (field("VmRSS:"), field("VmHWM:"))
+    }
+
     /// Starts the process again, with the settings that it had.
     pub fn restart(&mut self) {
         self.child = spawn(&self.settings, self.log.as_deref());
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -46,6 +46,8 @@
     pub work_ms: AtomicUsize,
     /// Connections that were closed by the caller while a request hung.
     pub left: AtomicUsize,
+    /// Bytes of the answers to requests whose path ends in "large".
+    pub large_bytes: AtomicUsize,
     /// Pause between two events, in milliseconds.
     pub pace_ms: AtomicUsize,
     /// Bytes by which each event is longer than what it tells.
@@ -100,7 +102,11 @@
         if take(&behaviour.overdue_answers) {
             return reply(stream, 504, &[("request-id", &id), ("response-stamp", "s")], "");
         }
-        let body = String::from_utf8(request.body).unwrap();
+        let is_large = request.path.ends_with("large");
+        let body = match is_large {
+            true => "x".repeat(behaviour.large_bytes.load(Ordering::SeqCst)),
+            false => String::from_utf8(request.body).unwrap(),
+        };
         let is_reset = take(&behaviour.reset_answers);
         if is_reset || take(&behaviour.unframed_answers) {
             return end_with_connection(stream, &id, &body, is_reset);
