Count texts of jobs as they grow, and submissions while they are stored

Cause: texts were counted once a second, in which a job of sixteen items had come and gone, so that nothing slowed it; a submission was held in three copies while the store was away, of which one was counted. Peers had a tenth of the descriptors: with some hundreds of nodes, each of which keeps a connection, their calls would have been refused.

Texts are counted at each look at the job, where anything is bounded. The body of a submission is dropped once it is decoded, and its specification and rows are counted until it is stored. Peers have a quarter of the descriptors.

Test: a_job_larger_than_the_bound_ends_whole_with_fewer_runs_at_once, red with the count of each second (no run was limited).

--- a/crates/trestlerack/src/process/held/descriptors.rs
+++ b/crates/trestlerack/src/process/held/descriptors.rs
@@ -42,12 +42,13 @@
         }
     }
 
-    /// Returns the kind's share of all descriptors. Requests need one on each side.
+    /// Returns the kind's share of all descriptors. Requests need one on each side; each of some hundreds
+    /// of peers may keep a connection.
     fn share(self) -> f64 {
         match self {
-            Self::Clients => 0.5,
-            Self::Peers => 0.1,
-            Self::Servers => 0.35,
+            Self::Clients => 0.4,
+            Self::Peers => 0.25,
+            Self::Servers => 0.3,
             Self::Store => 0.05,
         }
     }
--- a/crates/trestlerackd/src/entry/front.rs
+++ b/crates/trestlerackd/src/entry/front.rs
@@ -67,6 +67,12 @@
         self.caller.customer().map(|customer| &customer.name)
     }
 
+    /// Drops the body, of which nothing more is needed.
+    pub fn drop_body(&mut self) {
+        self.body = Bytes::new();
+        self.held.set(0);
+    }
+
     /// Returns the fingerprint of what the request asks for.
     pub fn fingerprint(&self) -> RequestFingerprint {
         let customer = self.customer().map(|name| &**name);
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::border::StoreError;
-use trestlerack::process::{NodeRow, OwnerCandidate, choose_job_owner};
+use trestlerack::process::{HeldPurpose, NodeRow, OwnerCandidate, choose_job_owner};
 use trestlerack::request::{JobHead, JobSpec};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
 use trestlerack::version::RequestRoute;
@@ -26,7 +26,7 @@
 const ROWS_BYTES: usize = 450_000;
 
 /// Accepts a batch job: its 202 follows one transaction that expects its absence.
-pub async fn submit(node: &Arc<EntryNode>, route: &RequestRoute, request: ClientRequest) -> Response<ReplyBody> {
+pub async fn submit(node: &Arc<EntryNode>, route: &RequestRoute, mut request: ClientRequest) -> Response<ReplyBody> {
     let started = node.now();
     let Some(id) = request.head.request_id.clone() else {
         return own_reply(StatusCode::BAD_REQUEST, None);
@@ -38,6 +38,8 @@
             return platform::plain_reply(StatusCode::BAD_REQUEST, Some(&id), error.to_string()).map(full_reply);
         }
     };
+    // What was decoded takes the place of the body, also while the store is away.
+    request.drop_body();
     let outcome = accept(node, &spec, request.customer()).await;
     let took = node.now().since(started);
     let (status, reply) = match &outcome {
@@ -81,6 +83,10 @@
         return known_job(&view.head, view.version, spec, customer);
     }
     let content = tables::encode(&**spec);
+    let mut held = node.held.ledger.count(HeldPurpose::Texts, spec.bytes() + content.len());
+    if let Some(customer) = customer {
+        held.assign(customer);
+    }
     let in_rows = content.len() <= ROWS_BYTES;
     if !in_rows {
         put_object(node, spec, &content).await?;
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -69,6 +69,8 @@
     pub runs: Mutex<HashMap<(usize, RunLane), ItemRun>>,
     /// Items whose score calls are in progress.
     pub scoring: Mutex<HashSet<usize>>,
+    /// Bytes of its specification.
+    spec_bytes: usize,
     /// Count of the bytes of its specification and its texts.
     memory: Mutex<HeldBytes>,
     mode: AtomicU8,
@@ -97,6 +99,7 @@
             mode: AtomicU8::new(DriveMode::Drive as u8),
             runs: Mutex::default(),
             scoring: Mutex::default(),
+            spec_bytes: memory.bytes(),
             memory: Mutex::new(memory),
         }
     }
@@ -113,7 +116,7 @@
     /// Counts what the job holds now.
     fn count_memory(&self) {
         let texts = self.ledger.lock().unwrap().text_bytes();
-        self.memory.lock().unwrap().set(self.spec.bytes() + texts);
+        self.memory.lock().unwrap().set(self.spec_bytes + texts);
     }
 
     /// Returns whether the job is to be brought forward.
@@ -201,7 +204,10 @@
     let settings = ledger_settings(&node, &spec);
     let ledger = JobLedger::new(spec.clone(), settings.clone(), Vec::new(), HashMap::new());
     // What was accepted is kept in any case, and counted so that others make room for it.
-    let memory = node.held.ledger.count(HeldPurpose::Texts, spec.bytes());
+    let mut memory = node.held.ledger.count(HeldPurpose::Texts, spec.bytes());
+    if let Some(customer) = &head.customer {
+        memory.assign(customer);
+    }
     let driver = Arc::new(JobDriver::new(spec.clone(), &head, ledger, memory));
     node.drivers.lock().unwrap().insert(spec.id.clone(), driver.clone());
     // News of the job's end that came after its rows were read found no driver to tell.
@@ -245,6 +251,8 @@
         if node.now().since(told_at) >= TELL_INTERVAL {
             told_at = node.now();
             tell_progress(node, driver);
+        }
+        if node.held.is_bounded() {
             driver.count_memory();
         }
         if let Some(routing) = node.routing() {
--- a/crates/trestlerackd/tests/entry/held.rs
+++ b/crates/trestlerackd/tests/entry/held.rs
@@ -304,6 +304,23 @@
     innocents.check();
 }
 
+/// A job whose texts are more than may be held is not given up: its items run one after the other.
+#[test]
+fn a_job_larger_than_the_bound_ends_whole_with_fewer_runs_at_once() {
+    let platform = Platform::start();
+    platform.engine.pace_ms.store(20, Ordering::SeqCst);
+    platform.engine.event_bytes.store(40_000, Ordering::SeqCst);
+    let metrics = free_address();
+    // Leaves the least bound that there is, a megabyte.
+    let daemon = start(&platform, json!({ "memory_mb": 10, "metrics_listen": metrics }));
+    assert_eq!(submit(&daemon, "job1", 16), 202);
+    let results = read_all(&daemon, "job1", 16);
+    assert!(results.iter().all(|result| result["state"] == "completed"));
+    let lines = memory(&metrics);
+    let limited = lines.as_array().unwrap().iter().find(|line| line["name"] == "runs-limited").unwrap();
+    assert!(limited["used"].as_u64() > Some(0), "{lines}");
+}
+
 #[test]
 fn eight_thousand_idle_connections_keep_nobody_out() {
     let platform = Platform::start();
