Keep the reserve of small calls whole beside what is only counted

Hundreds of answers that waited for room also looked for it every 20 ms each, which took the processor from the small calls.

Small calls now have their reserve in any case, also where the total lies above the bound, and no more than that beyond it. One answer at a time looks for room and the others wait behind it. A body that came with its head needs no timer.

--- a/crates/trestlerack/src/process/held/ledger.rs
+++ b/crates/trestlerack/src/process/held/ledger.rs
@@ -97,9 +97,14 @@
             _ if !self.is_bounded() => usize::MAX,
             _ if held <= SMALL_BYTES => self.total,
             HeldPurpose::Bodies => share(self.total, BODY_SHARE),
-            _ => self.total - share(self.total, RESERVE_SHARE),
+            _ => self.total - self.reserve(),
         }
     }
+
+    /// Returns what small calls may hold in any case, also where what is only counted is above the bound.
+    fn reserve(self) -> usize {
+        share(self.total, RESERVE_SHARE)
+    }
 }
 
 fn share(whole: usize, share: f64) -> usize {
@@ -120,6 +125,8 @@
     total: usize,
     by_purpose: [usize; HeldPurpose::ALL.len()],
     by_customer: HashMap<Name, usize>,
+    /// Bytes of small holders that were taken, not only counted.
+    small: usize,
 }
 
 impl Sums {
@@ -182,7 +189,7 @@
 
     /// Counts bytes that are held in any case, as those of accepted jobs.
     pub fn count(&self, purpose: HeldPurpose, bytes: usize) -> HeldBytes {
-        let mut held = HeldBytes { ledger: self.clone(), purpose, customer: None, bytes: 0 };
+        let mut held = HeldBytes { ledger: self.clone(), purpose, customer: None, bytes: 0, small: 0 };
         held.set(bytes);
         held
     }
@@ -216,6 +223,8 @@
     purpose: HeldPurpose,
     customer: Option<Name>,
     bytes: usize,
+    /// How many of them the reserve for small calls may have given.
+    small: usize,
 }
 
 impl HeldBytes {
@@ -234,13 +243,17 @@
         if held > limit {
             return Err(TakeRefusal::Never);
         }
+        let small = if held <= SMALL_BYTES { held } else { 0 };
         let mut sums = self.ledger.sums();
-        if sums.total.saturating_add(more) > limit {
+        let small_sum = sums.small - self.small + small;
+        let is_in_reserve = small > 0 && small_sum <= self.ledger.bounds.reserve();
+        if sums.total.saturating_add(more) > limit && !is_in_reserve {
             return Err(TakeRefusal::NotNow);
         }
         sums.add(self.purpose, self.customer.as_ref(), more);
+        sums.small = small_sum;
         drop(sums);
-        self.bytes = held;
+        (self.bytes, self.small) = (held, small);
         Ok(())
     }
 
@@ -252,8 +265,9 @@
         let mut sums = self.ledger.sums();
         sums.subtract(self.purpose, self.customer.as_ref(), self.bytes);
         sums.add(self.purpose, self.customer.as_ref(), bytes);
+        sums.small -= self.small;
         drop(sums);
-        self.bytes = bytes;
+        (self.bytes, self.small) = (bytes, 0);
     }
 
     /// Says for which customer the bytes are held, once that is known.
--- a/crates/trestlerackd/src/entry/held/answers.rs
+++ b/crates/trestlerackd/src/entry/held/answers.rs
@@ -45,20 +45,21 @@
 
 /// Takes bytes for an answer, as soon as there is room; `None` if there never is.
 async fn wait_for_room(node: &EntryNode, request: &str, held: &mut HeldBytes, more: usize) -> Option<()> {
-    let mut has_waited = false;
-    loop {
-        match held.grow(more) {
-            Ok(()) => return Some(()),
-            Err(TakeRefusal::Never) => return None,
-            Err(TakeRefusal::NotNow) => {}
-        }
-        if !has_waited {
-            has_waited = true;
-            tell_wait(node, request, more);
+    match held.grow(more) {
+        Ok(()) => return Some(()),
+        Err(TakeRefusal::Never) => return None,
+        Err(TakeRefusal::NotNow) => tell_wait(node, request, more),
+    }
+    // One answer at a time looks for room, so that hundreds that wait cost no more than one.
+    let _turn = node.held.turn.lock().await;
+    while let Err(refusal) = held.grow(more) {
+        if refusal == TakeRefusal::Never {
+            return None;
         }
         node.held.cut_reader(node.now());
         clock::sleep(ROOM_INTERVAL).await;
     }
+    Some(())
 }
 
 fn tell_wait(node: &EntryNode, request: &str, bytes: usize) {
--- a/crates/trestlerackd/src/entry/held/body_reader.rs
+++ b/crates/trestlerackd/src/entry/held/body_reader.rs
@@ -5,6 +5,7 @@
 use crate::entry::node::EntryNode;
 use crate::process::clock;
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::sync::Arc;
@@ -138,6 +139,13 @@
         node: &EntryNode,
         body: &mut Incoming,
     ) -> Result<Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>, BodyRefusal> {
+        if body.is_end_stream() {
+            return Ok(None);
+        }
+        // Most bodies came with their heads, and need no timer.
+        if let Some(frame) = body.frame().now_or_never() {
+            return Ok(frame);
+        }
         if !self.desk.is_bounded() {
             return Ok(body.frame().await);
         }
--- a/crates/trestlerackd/src/entry/held/mod.rs
+++ b/crates/trestlerackd/src/entry/held/mod.rs
@@ -90,6 +90,8 @@
     /// Clients' connections.
     pub links: LinkTable,
     bodies: BodyTable,
+    /// The turn of the answer that waits for room; the others wait behind it.
+    turn: tokio::sync::Mutex<()>,
     /// Readers are looked through for one to cut this often, however many answers wait.
     relief: PaceGate,
     counts: [AtomicU64; HeldDecision::ALL.len()],
@@ -107,6 +109,7 @@
             descriptors: DescriptorBoard::new(descriptors.at_most(DescriptorKind::Clients, clients)),
             links: LinkTable::default(),
             bodies: BodyTable::default(),
+            turn: tokio::sync::Mutex::default(),
             relief: PaceGate::every(RELIEF_INTERVAL),
             counts: Default::default(),
             gates: std::array::from_fn(|_| PaceGate::every(LINE_INTERVAL)),
