--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -19,6 +19,7 @@
 /// Starts the items that wait, as far as there are engines with free places for them.
 pub fn place_items(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
     let now = node.now();
+    let mut left = node.held.runs_left(now, || runs_of_node(node));
     let mut ledger = driver.ledger.lock().unwrap();
     let waiting: Vec<usize> = ledger.waiting(now).collect();
     if waiting.is_empty() {
@@ -45,7 +46,12 @@
         engine_memory::log_left(node, &item.id, &need);
         let is_oversize = engine_memory::is_oversize(node, driver, index, need.service);
         match entry {
-            Some(entry) => start_run(node, driver, &mut ledger, index, entry),
+            // The item waits until what is held leaves room for its text.
+            Some(_) if left == 0 => return,
+            Some(entry) => {
+                left -= 1;
+                start_run(node, driver, &mut ledger, index, entry);
+            }
             // Others may find a place all the same.
             None if is_oversize => node.board.lock().unwrap().keep_engine(now, &need),
             None if need.pinned.is_some() || is_apart => {}
@@ -77,6 +83,12 @@
     })
 }
 
+/// Returns how many runs this node has in progress.
+fn runs_of_node(node: &EntryNode) -> usize {
+    let drivers: Vec<Arc<JobDriver>> = node.drivers.lock().unwrap().values().cloned().collect();
+    drivers.iter().map(|driver| driver.runs.lock().unwrap().len()).sum()
+}
+
 /// Puts an item off whose content is held, or ended servers so lately that it is to be judged first.
 /// Returns whether it does.
 fn hold_back(node: &Arc<EntryNode>, driver: &JobDriver, ledger: &mut JobLedger, index: usize) -> bool {
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -2,7 +2,7 @@
 
 use super::node::EntryNode;
 use super::room::RoomMetrics;
-use super::{engine_memory, status};
+use super::{engine_memory, held, status};
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -132,7 +132,9 @@
     let mut page = node.metrics.page();
     page.extend_from_slice(engine_memory::metrics_lines(node).as_bytes());
     server_gauges(node, &mut page);
-    page.extend_from_slice(format!("trestlerack_entry_connections_opened {}\n", node.pool.opened()).as_bytes());
+    let mut lines = format!("trestlerack_entry_connections_opened {}\n", node.pool.opened());
+    held::write_metrics(&node.held, &mut lines);
+    page.extend_from_slice(lines.as_bytes());
     page
 }
 
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::WholeAnswer;
 use super::front::{ClientRequest, ReplyBody, full_reply};
+use super::held::AnswerBytes;
 use super::node::EntryNode;
 use super::room::{self, RoomCall};
 use super::server_ticket::ServerTicket;
@@ -118,6 +119,7 @@
     let mut reply = Response::new(full_reply(answer.body));
     *reply.status_mut() = answer.status;
     copy_headers(&answer.headers, reply.headers_mut());
+    reply.extensions_mut().insert(AnswerBytes::new(answer.held));
     reply
 }
 
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -1,9 +1,11 @@
 //! What operators may ask a node on its metrics address: customers and what they take, who does which
-//! duty, requests under which servers ended, how servers answer, and who waits for room.
+//! duty, requests under which servers ended, how servers answer, who waits for room, and what is held for
+//! callers.
 //!
 //! Answers are JSON and come from what the node knows, without a call to the store. They hold no
 //! key; [docs/API.md](../../../../docs/API.md#entry-nodes) has the fields.
 
+use super::held;
 use super::node::EntryNode;
 use super::room;
 use serde::Serialize;
@@ -32,6 +34,9 @@
 /// Path of the list of services whose calls are admitted by room.
 const ROOM_PATH: &str = "/v1/room";
 
+/// Path of the list of what is held.
+const MEMORY_PATH: &str = "/v1/memory";
+
 #[derive(Serialize)]
 struct CustomerLine {
     name: Name,
@@ -95,6 +100,7 @@
         SUSPECTS_PATH => serde_json::to_vec(&suspects(node)),
         SERVERS_PATH => serde_json::to_vec(&servers(node)),
         ROOM_PATH => serde_json::to_vec(&room::lines(node)),
+        MEMORY_PATH => serde_json::to_vec(&held::memory_lines(&node.held)),
         _ => return None,
     };
     lines.ok()
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod customers;
 mod duties;
 mod engines;
+mod held;
 mod jobs;
 mod lease;
 mod requests;
