--- a/crates/trestlerack/src/process/entry_settings.rs
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -60,6 +60,8 @@
     pub usage_window_s: f64,
     /// Time after a window's end at which its report is due, in seconds.
     pub usage_due_s: f64,
+    /// Whether calls of customers that have more than their share of a short service are refused.
+    pub customer_shares: bool,
     /// Log level.
     pub log_level: Name,
 }
@@ -92,6 +94,7 @@
             duty_calls_per_s: 10.0,
             usage_window_s: 0.0,
             usage_due_s: 10.0,
+            customer_shares: false,
             log_level: "info".into(),
         }
     }
@@ -219,6 +222,12 @@
         "Length of a window of usage reports, counted from 1970; 0 for no reports.",
     ),
     ratio("usage_due_s", 0.1, 86_400.0, "10", "Time after a window's end at which its report is due."),
+    field(
+        "customer_shares",
+        FieldKind::Flag,
+        Some("false"),
+        "Whether calls of customers that have more than their share of a service that is short are refused.",
+    ),
     field(
         "log_level",
         FieldKind::Choice(&["error", "warn", "info", "debug", "trace"]),
--- a/crates/trestlerack/src/process/expectation.rs
+++ b/crates/trestlerack/src/process/expectation.rs
@@ -165,7 +165,7 @@
     }
 
     /// Compares the servers of a service from now on. Returns whether they were not before.
-    pub(super) fn compare_servers(&mut self, service: &Name) -> bool {
+    pub fn compare_servers(&mut self, service: &Name) -> bool {
         !self.learnt.stating.contains(service) && self.learnt.stating.insert(service.clone())
     }
 
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -75,8 +75,8 @@
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
 pub use relay_choice::RelayChoice;
 pub use room::{
-    AdmissionQueue, CallAdmission, CallFate, CallKind, CallNumber, CallRefusal, RefusalReason, ReturnTimes,
-    RoomSettings, SecondAttempts, ServiceView, WaitingCall,
+    AdmissionQueue, AttemptReason, CallAdmission, CallFate, CallKind, CallNumber, CallRefusal, RefusalReason,
+    ReturnTimes, RoomSettings, SecondAttempts, ServiceView, WaitingCall,
 };
 pub use run_limits::RunLimits;
 pub use run_move::{LAST_MOVE_SLOWNESS, MOVE_SLOWNESS, RunMove};
--- a/crates/trestlerack/src/process/room/mod.rs
+++ b/crates/trestlerack/src/process/room/mod.rs
@@ -9,7 +9,7 @@
 pub use queue::{
     AdmissionQueue, CallAdmission, CallFate, CallKind, CallNumber, CallRefusal, RefusalReason, ServiceView, WaitingCall,
 };
-pub use returns::{ReturnTimes, SecondAttempts};
+pub use returns::{AttemptReason, ReturnTimes, SecondAttempts};
 
 use std::time::Duration;
 
@@ -48,7 +48,7 @@
             return_time: Duration::from_millis(150),
             return_part: 1.0 / 3.0,
             retry_ratio: 0.1,
-            retry_reserve: 10.0,
+            retry_reserve: 3.0,
         }
     }
 }
--- a/crates/trestlerack/src/process/room/queue.rs
+++ b/crates/trestlerack/src/process/room/queue.rs
@@ -212,6 +212,11 @@
         self.is_empty() && self.going == 0 && !self.is_short(now)
     }
 
+    /// Records that a server had no room for a call.
+    pub fn note_full(&mut self, now: Timestamp) {
+        self.short_at = Some(now);
+    }
+
     /// Records that a call went to a place that was known to be free.
     pub fn passed(&mut self, now: Timestamp, call: &WaitingCall) {
         self.parts.asked(now, call.class());
@@ -355,7 +360,8 @@
         view
     }
 
-    fn is_short(&self, now: Timestamp) -> bool {
+    /// Returns whether the service has had no room for a call of late.
+    pub fn is_short(&self, now: Timestamp) -> bool {
         self.short_at.is_some_and(|short_at| now.since(short_at) < SHORT_TIME)
     }
 
--- a/crates/trestlerack/src/process/room/returns.rs
+++ b/crates/trestlerack/src/process/room/returns.rs
@@ -49,6 +49,25 @@
     (hash_parts(&["return", id]) % STEPS) as f64 / STEPS as f64
 }
 
+/// Why a call is to be sent to one more server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptReason {
+    /// The one before failed it, and no free place is known.
+    AfterFailure,
+    /// The one before takes long and goes on.
+    Beside,
+}
+
+impl AttemptReason {
+    /// Returns the reason as logs name it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::AfterFailure => "after a failure",
+            Self::Beside => "beside another",
+        }
+    }
+}
+
 /// Pays for second attempts at servers, by customer and route.
 #[derive(Debug)]
 pub struct SecondAttempts {
@@ -66,13 +85,14 @@
         self.budget.earn(&key(customer), route);
     }
 
-    /// Returns whether a call may be sent to one more server.
+    /// Takes a second attempt of a call out of the budget, or returns `false` if there is none for it.
     ///
-    /// While the service is short, only a call whose earlier server failed may, and only to a place that
-    /// is known to be free: `has_place`.
+    /// While the service is short, a call has no second server beside a first one that works on it: it
+    /// would take the room of a call that has none.
     #[must_use]
-    pub fn pay(&mut self, customer: Option<&Name>, route: &Name, is_short: bool, has_place: bool) -> bool {
-        (!is_short || has_place) && self.budget.spend(&key(customer), route)
+    pub fn pay(&mut self, customer: Option<&Name>, route: &Name, reason: AttemptReason, is_short: bool) -> bool {
+        let is_allowed = !is_short || reason == AttemptReason::AfterFailure;
+        is_allowed && self.budget.spend(&key(customer), route)
     }
 }
 
--- a/crates/trestlerack/src/process/wait_estimate.rs
+++ b/crates/trestlerack/src/process/wait_estimate.rs
@@ -41,7 +41,7 @@
         let places = open.iter().map(|belief| belief.slots()).sum();
         let free = open.iter().map(|belief| belief.slots().saturating_sub(busy(belief))).sum();
         let waiting: u32 = open.iter().map(|belief| busy(belief).saturating_sub(belief.slots())).sum();
-        let work = self.answer_times.mean(service).unwrap_or_default();
+        let work = self.answer_times.median(service).unwrap_or_default();
         let wait = match (free, places) {
             (1.., _) => Duration::ZERO,
             (0, 0) => Duration::MAX,
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use super::node::EntryNode;
 use super::pool::{ConnectionLease, ExchangeError};
 use super::server_ticket::ServerTicket;
-use super::{held, server_answers, server_end, shares, suspects};
+use super::{held, room, server_answers, server_end, suspects};
 use crate::process::clock;
 use crate::process::tracing::HopSpan;
 use bytes::Bytes;
@@ -136,7 +136,7 @@
         let is_gone = platform::names_instance(&parts.headers).is_some_and(|other| other != instance);
         note_refusal(node, &instance, is_gone);
         if !is_gone {
-            shares::note_short(node, &ticket.server.service);
+            room::note_full(node, &ticket.server.service);
         }
         keep_after_body(node, body, lease, &head).await;
         return Err(AttemptError::NotRun(format!("refused with {}", parts.status)));
--- a/crates/trestlerackd/src/entry/attempts.rs
+++ b/crates/trestlerackd/src/entry/attempts.rs
@@ -16,7 +16,7 @@
 use futures_util::stream::FuturesUnordered;
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::ServerRoom;
+use trestlerack::process::{AttemptReason, ServerRoom};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp};
@@ -60,6 +60,8 @@
     wants_server: bool,
     /// Whether the time of the early second attempt is over.
     is_early_over: bool,
+    /// Whether those at work may never answer.
+    is_late: bool,
     /// How it comes out if no server answers.
     shortfall: Shortfall,
     /// The last failure that a server stated itself.
@@ -72,6 +74,7 @@
             open: Vec::new(),
             wants_server: true,
             is_early_over: false,
+            is_late: false,
             shortfall: Shortfall::NotRun,
             last_answer: None,
         }
@@ -210,7 +213,7 @@
             return None;
         }
         let ticket = match state.open.first() {
-            Some(before) => self.find_beside(trail, before)?,
+            Some(before) => self.find_beside(trail, before, !state.is_late)?,
             None => {
                 let Self { node, route, request, deadline, fingerprint } = *self;
                 match plain::find_server(node, route, request, fingerprint, deadline, trail).await {
@@ -239,6 +242,7 @@
         state.is_early_over = true;
         if matches!(next, NextServer::Late(_)) {
             self.pause_silent(&state.open);
+            state.is_late = true;
             state.wants_server = true;
         } else {
             state.wants_server = second_attempts::has_place(self.node, service);
@@ -277,13 +281,14 @@
         None
     }
 
-    /// Finds a server beside those at work, which is wanted now or not at all.
-    fn find_beside(&self, trail: &mut RequestTrail, before: &OpenAttempt) -> Option<ServerTicket> {
+    /// Finds a server beside those at work, which is wanted now or not at all. One that is asked early is paid
+    /// for; later on the first one may never answer.
+    fn find_beside(&self, trail: &mut RequestTrail, before: &OpenAttempt, is_early: bool) -> Option<ServerTicket> {
         let Self { node, route, request, deadline, fingerprint } = *self;
         let pick = |room| plain::pick_server(node, route, request, fingerprint, trail.tried(), room);
         let ticket = pick(ServerRoom::Place)?;
         let call = plain::room_call(route, request, trail.started(), deadline)?;
-        if !before.is_trial && !room::may_try_again(node, &call, true) {
+        if is_early && !before.is_trial && !room::may_try_again(node, &call, AttemptReason::Beside) {
             return None;
         }
         trail.add(&ticket.server.instance);
--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -11,7 +11,7 @@
 use trestlerack::border::StoreError;
 use trestlerack::process::{failure_pause, is_node_partition, watch_pause};
 use trestlerack::rows::{RowStore, StoreCall, StoreReply, StoredRow};
-use trestlerack::version::EngineAssignment;
+use trestlerack::version::{EngineAssignment, RoutingTable};
 use trestlerack::{Name, event};
 use trestlerack_platform as platform;
 
@@ -177,6 +177,7 @@
                 *routing = Some(table.clone());
                 drop(routing);
                 node.board.lock().unwrap().memory.set_capacities(&table);
+                compare_shared_servers(node, &table);
             }
         }
         Ok(platform::OperatorRow::Weights { model, version }) => {
@@ -189,6 +190,18 @@
     }
 }
 
+/// Has the servers compared of plain services that several customers share: one that is slow takes room from
+/// all of them.
+fn compare_shared_servers(node: &EntryNode, table: &RoutingTable) {
+    if table.customers.is_none() {
+        return;
+    }
+    let mut board = node.board.lock().unwrap();
+    for service in table.services.values().filter(|service| service.models.is_empty()) {
+        board.compare_servers(&service.name);
+    }
+}
+
 fn apply_state_row(node: &Arc<EntryNode>, row: &StoredRow) {
     let applied = match &*row.partition {
         partition if is_node_partition(partition) => apply_node_row(node, row),
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{CallKind, ServerNeed, ServerRoom};
+use trestlerack::process::{AttemptReason, CallKind, ServerNeed, ServerRoom};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp, event};
@@ -211,19 +211,14 @@
     if trail.tried().is_empty() {
         room::note_call(node, call);
     }
-    if trail.tried().is_empty() || goes_on(call.route, trail) {
-        return room::enter(node, call, pick).await;
-    }
-    let ticket = pick(ServerRoom::Place);
     // What ran nowhere yet waits for its place like any other call.
-    let may_wait = trail.runs() == 0;
-    if !room::may_try_again(node, call, may_wait || ticket.is_some()) {
-        return Err(None);
+    if trail.runs() == 0 || goes_on(call.route, trail) {
+        return room::enter(node, call, pick).await;
     }
-    match ticket {
+    match pick(ServerRoom::Place) {
         Some(ticket) => Ok(ticket),
-        None if may_wait => room::enter(node, call, pick).await,
-        None => pick(ServerRoom::Any).ok_or(None),
+        None if room::may_try_again(node, call, AttemptReason::AfterFailure) => pick(ServerRoom::Any).ok_or(None),
+        None => Err(None),
     }
 }
 
--- a/crates/trestlerackd/src/entry/room/entrance.rs
+++ b/crates/trestlerackd/src/entry/room/entrance.rs
@@ -7,7 +7,7 @@
 use crate::process::{clock, logs};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{CallKind, CallRank, RoomSettings, ServerRoom, WaitingCall};
+use trestlerack::process::{AttemptReason, CallKind, CallRank, RoomSettings, ServerRoom, WaitingCall};
 use trestlerack::version::{Customer, RequestRoute};
 use trestlerack::{Name, Timestamp, event};
 
@@ -56,13 +56,19 @@
     pick: impl Fn(ServerRoom) -> Option<ServerTicket>,
 ) -> Result<ServerTicket, Option<Duration>> {
     let waiting_call = call.waiting_call(node);
-    if node.room.is_open(node.now(), call.service)
+    // A place that only looks free is tried all the same: a server that is full says so sooner than a wait
+    // would tell, and another one may have a place.
+    if !node.room.is_waited_for(call.service)
         && let Some(ticket) = pick(ServerRoom::Place)
     {
         let now = node.now();
         node.room.with_queue(call.service, |held| held.queue.passed(now, &waiting_call));
         return Ok(ticket);
     }
+    if call.kind == CallKind::Score {
+        // A score call is made again soon, and in the queue it would hold up clients.
+        return Err(None);
+    }
     let longest_wait = waiting_call.longest_wait(&RoomSettings::default());
     let hold = wait_for_place(node, call.service, waiting_call.clone()).await;
     let hold = hold.map_err(|refusal| Some(refusal.return_after))?;
@@ -72,7 +78,6 @@
     drop(hold);
     match ticket {
         Some(ticket) => Ok(ticket),
-        None if call.kind == CallKind::Score => Err(None),
         None => match search(node, call.arrived + longest_wait, pick).await {
             Some(ticket) => Ok(ticket),
             None => Err(Some(refuse_unserved(node, call.service, &waiting_call))),
@@ -106,17 +111,16 @@
     }
 }
 
-/// Returns whether a call may be sent to one more server; `has_place` is whether one is known to have a
-/// free place, or the call waits until one has.
-pub fn may_try_again(node: &EntryNode, call: &RoomCall<'_>, has_place: bool) -> bool {
-    let is_short = !node.room.is_open(node.now(), call.service);
+/// Returns whether a call may be sent to one more server.
+pub fn may_try_again(node: &EntryNode, call: &RoomCall<'_>, reason: AttemptReason) -> bool {
+    let is_short = node.room.is_short(node.now(), call.service);
     let mut second_attempts = node.room.second_attempts.lock().unwrap();
-    let is_paid = second_attempts.pay(call.customer_name(), &call.route.name, is_short, has_place);
+    let is_paid = second_attempts.pay(call.customer_name(), &call.route.name, reason, is_short);
     drop(second_attempts);
     if !is_paid {
         node.metrics.room.retry_refused(call.service);
         let fields: [(&str, &dyn std::fmt::Display); 4] =
-            [("request", &call.id), ("service", call.service), ("short", &is_short), ("place", &has_place)];
+            [("request", &call.id), ("service", call.service), ("short", &is_short), ("reason", &reason.as_str())];
         logs::write(event::RETRY_REFUSED, &fields);
     }
     is_paid
--- a/crates/trestlerackd/src/entry/room/mod.rs
+++ b/crates/trestlerackd/src/entry/room/mod.rs
@@ -90,9 +90,8 @@
         }
     }
 
-    /// Returns whether a call may take a place of a service that is known to be free.
-    fn is_open(&self, now: Timestamp, service: &str) -> bool {
-        self.queues().get(service).is_none_or(|held| held.queue.is_open(now))
+    fn is_short(&self, now: Timestamp, service: &str) -> bool {
+        self.queues().get(service).is_some_and(|held| held.queue.is_short(now))
     }
 
     fn is_waited_for(&self, service: &str) -> bool {
@@ -123,6 +122,14 @@
     has_customers || node.board.lock().unwrap().states_slowness(service)
 }
 
+/// Records that a server had no room for a call.
+pub fn note_full(node: &EntryNode, service: &Name) {
+    if is_active(node, service) {
+        let now = node.now();
+        node.room.with_queue(service, |held| held.queue.note_full(now));
+    }
+}
+
 /// Returns what is known of a service. Where all its servers are paused, a place is expected when the
 /// first pause ends.
 fn view(node: &EntryNode, service: &str) -> ServiceView {
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{CallKind, ServerNeed, ServerRoom};
+use trestlerack::process::{AttemptReason, CallKind, ServerNeed, ServerRoom};
 use trestlerack::request::{RequestContent, RequestFingerprint, ScoreCall};
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, Timestamp, event};
@@ -95,7 +95,7 @@
     let mut starts: Vec<AnswerWatch> = Vec::new();
     let mut next_at = node.now();
     let mut early_at = None;
-    let mut is_trial = false;
+    let (mut is_trial, mut is_early) = (false, false);
     if is_by_room {
         room::note_call(node, &room_call);
     }
@@ -112,7 +112,7 @@
         let pick = |room| pick_server(node, fingerprint, service, tried, room);
         let ticket = match attempts.len() {
             _ if !is_due => None,
-            open if is_by_room => find_place(node, &room_call, open == 0, is_trial, pick).await,
+            open if is_by_room => find_place(node, &room_call, open == 0, is_trial || !is_early, pick).await,
             _ => pick(ServerRoom::Place),
         };
         if let Some(ticket) = ticket {
@@ -122,6 +122,7 @@
             attempts.push(attempt_score(node, call, route, ticket, deadline, rank));
         }
         if is_due {
+            is_early = false;
             next_at = node.now() + patience(node, service, route);
             early_at = second_attempts::after(node, route, service).map(|after| node.now() + after);
         }
@@ -142,7 +143,7 @@
             Ok(None) => return ScoreEnd::NoAnswer,
             Ok(Some((_, ScoreEnd::NoAnswer))) => next_at = node.now(),
             Err(_) => {
-                let is_early = early_at.take_if(|early| *early < next_at).is_some();
+                is_early = early_at.take_if(|early| *early < next_at).is_some();
                 if is_early && second_attempts::has_place(node, service) {
                     next_at = node.now();
                 }
@@ -159,19 +160,19 @@
 }
 
 /// Finds a place for a call in the order of all that want one, for its first server, or for one more beside
-/// it. One beside a trial is not paid for.
+/// it, which is paid for unless it `is_free`.
 async fn find_place(
     node: &Arc<EntryNode>,
     call: &RoomCall<'_>,
     is_first: bool,
-    is_trial: bool,
+    is_free: bool,
     pick: impl Fn(ServerRoom) -> Option<ServerTicket>,
 ) -> Option<ServerTicket> {
     if is_first {
         return room::enter(node, call, pick).await.ok();
     }
     let ticket = pick(ServerRoom::Place)?;
-    (is_trial || room::may_try_again(node, call, true)).then_some(ticket)
+    (is_free || room::may_try_again(node, call, AttemptReason::Beside)).then_some(ticket)
 }
 
 fn pick_server(
--- a/crates/trestlerackd/src/entry/shares/mod.rs
+++ b/crates/trestlerackd/src/entry/shares/mod.rs
@@ -1,7 +1,7 @@
 //! Shares of customers, as this node applies them.
 //!
 //! Calls are counted and judged here ([`ask`]); [`super::news`] tells the node that adds up. Nothing
-//! is counted where the configuration names no customers. See
+//! is counted where the settings do not ask for it or the configuration names no customers. See
 //! [docs/design/room.md](../../../../../docs/design/room.md).
 
 mod desk;
@@ -74,7 +74,7 @@
 /// may return.
 pub fn ask(node: &Arc<EntryNode>, route: &RequestRoute, request: &ClientRequest) -> Result<CallUse, Duration> {
     let id = request.head.request_id.as_ref();
-    let Some(service) = route.service_for(id.map_or("", |id| id)).filter(|_| has_customers(node)) else {
+    let Some(service) = route.service_for(id.map_or("", |id| id)).filter(|_| is_active(node)) else {
         return Ok(CallUse::new(node, None));
     };
     let customer = request.caller.customer();
@@ -100,7 +100,8 @@
 /// Counts a call of a job, which was accepted and is not refused any more.
 pub fn count(node: &Arc<EntryNode>, service: &Name, customer: Option<&Name>) -> CallUse {
     let routing = node.routing();
-    let Some(directory) = routing.as_ref().and_then(|routing| routing.customers.as_ref()) else {
+    let directory = routing.as_ref().and_then(|routing| routing.customers.as_ref());
+    let Some(directory) = directory.filter(|_| is_active(node)) else {
         return CallUse::new(node, None);
     };
     let weight = customer.and_then(|name| directory.get(name)).map_or(1, |customer| customer.weight);
@@ -111,11 +112,12 @@
 
 /// Records that a service has no room for a call: it was refused, or has to wait.
 pub fn note_short(node: &EntryNode, service: &Name) {
-    if has_customers(node) {
+    if is_active(node) {
         node.shares.note_short(node.now(), service);
     }
 }
 
-fn has_customers(node: &EntryNode) -> bool {
-    node.routing().is_some_and(|routing| routing.customers.is_some())
+/// Returns whether shares are applied: the settings ask for them and the configuration names customers.
+fn is_active(node: &EntryNode) -> bool {
+    node.settings.customer_shares && node.routing().is_some_and(|routing| routing.customers.is_some())
 }
