Close a crashing server's address before its connections

The stand-in broke its connections while its listener still took new ones, so the node that asks the address found it listening and counted no strike; a process that ends closes its address as well. Ruled out: the product's rule, which service discovery settles where the address still answers. Change: the stand-in drops its listener first.

--- a/crates/trestlerackd/tests/entry/support/crashing.rs
+++ b/crates/trestlerackd/tests/entry/support/crashing.rs
@@ -85,8 +85,7 @@
     fn live(self: Arc<Self>, mut listener: TcpListener, mut name: String) {
         let address = listener.local_addr().unwrap();
         loop {
-            self.serve_until_end(&listener, &name);
-            drop(listener);
+            self.serve_until_end(listener, &name);
             std::thread::sleep(self.back_after);
             self.store.remove("servers", &name);
             listener = TcpListener::bind(address).unwrap();
@@ -95,7 +94,7 @@
     }
 
     /// Serves connections until a request ends the server, which breaks all of them.
-    fn serve_until_end(self: &Arc<Self>, listener: &TcpListener, name: &str) {
+    fn serve_until_end(self: &Arc<Self>, listener: TcpListener, name: &str) {
         listener.set_nonblocking(true).unwrap();
         let is_over = Arc::new(AtomicBool::new(false));
         let mut open: Vec<TcpStream> = Vec::new();
@@ -109,6 +108,8 @@
             let (servers, name, is_over) = (self.clone(), name.to_owned(), is_over.clone());
             std::thread::spawn(move || servers.serve_connection(stream, &name, &is_over));
         }
+        // Nothing listens once a process has ended, and its callers ask as soon as their connections break.
+        drop(listener);
         // The other side may have closed its end already.
         open.iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
     }
