Read as a newcomer: compared servers named as such, a fresh node asks, dead code gone

Two facts are kept now; the_first_stated_slowness_is_news_also_where_servers_are_compared_already was red before by reading (it asks for true where the set already held the service). - states_slowness is compares_servers, patience was a multiple, is_patient meant the opposite; comments that told history, measurements or prices say the reason only; the notes on design say what the code does. - Gone: WaitEstimate::fits, AnswerTime::mean, AdmissionQueue::is_open and the trait between queue and shares, which had one implementation. Their checks went with them; the one of is_open is one of is_short now, since a call may try a place that only looks free.

--- a/crates/trestlerack/src/process/answer_time.rs
+++ b/crates/trestlerack/src/process/answer_time.rs
@@ -78,11 +78,6 @@
         if self.answers == 0 { 1.0 } else { took.as_secs_f64() * 1_000.0 / self.median_ms.max(1.0) }
     }
 
-    /// Returns the mean time of an answer, or `None` while too few are known.
-    pub fn mean(&self) -> Option<Duration> {
-        (self.answers >= LEAST_ANSWERS).then(|| Duration::from_secs_f64(self.mean_ms / 1_000.0))
-    }
-
     /// Returns the time after which an answer is late, or `None` while too few are known.
     pub fn usual(&self) -> Option<Duration> {
         let added_ms = (self.deviation_ms * DEVIATIONS).max(self.mean_ms * LEAST_ADDED);
@@ -115,11 +110,6 @@
         self.times.get(name)?.usual()
     }
 
-    /// Returns the mean time of an answer, or `None` while too few are known.
-    pub fn mean(&self, name: &str) -> Option<Duration> {
-        self.times.get(name)?.mean()
-    }
-
     /// Returns the time that half of the answers take, or `None` while too few are known.
     pub fn median(&self, name: &str) -> Option<Duration> {
         self.times.get(name)?.median()
--- a/crates/trestlerack/src/process/expectation.rs
+++ b/crates/trestlerack/src/process/expectation.rs
@@ -1,6 +1,7 @@
 //! How long a backend server is expected to take, against its peers.
 //!
-//! Only services whose servers state how long work takes there are judged by this; see
+//! Only services whose servers are compared are judged by this: they state how long work takes, or
+//! customers share them; see
 //! [docs/design/uneven-load.md](../../../../docs/design/uneven-load.md).
 
 use super::answer_time::AnswerTimes;
@@ -124,7 +125,9 @@
 pub(super) struct LearntTimes {
     /// How often answers come, by service.
     gaps: BTreeMap<Name, AnswerGap>,
-    /// Services of which a server states how long work takes there.
+    /// Services whose servers are compared by the time of their answers.
+    compared: BTreeSet<Name>,
+    /// Services of which a server has stated how long work takes there.
     stating: BTreeSet<Name>,
     /// How long answers take, by kind of request.
     kinds: AnswerTimes,
@@ -148,10 +151,10 @@
 }
 
 impl ServerBoard {
-    /// Returns whether servers of a service state how long work takes there. Only then are they
-    /// compared by the time of their answers.
-    pub fn states_slowness(&self, service: &str) -> bool {
-        self.learnt.stating.contains(service)
+    /// Returns whether the servers of a service are compared by the time of their answers: they state how
+    /// long work takes, customers share them, or a peer told of them.
+    pub fn compares_servers(&self, service: &str) -> bool {
+        self.learnt.compared.contains(service)
     }
 
     /// Records how long work takes at a server, as it stated, in hundredths of what is usual. Returns
@@ -161,12 +164,15 @@
         let Some(belief) = self.servers.get_mut(instance) else { return false };
         belief.stated = Some(StatedSlowness { factor, at: now });
         let service = belief.entry.service.clone();
-        self.compare_servers(&service)
+        self.compare_servers(&service);
+        !self.learnt.stating.contains(&service) && self.learnt.stating.insert(service)
     }
 
-    /// Compares the servers of a service from now on. Returns whether they were not before.
-    pub fn compare_servers(&mut self, service: &Name) -> bool {
-        !self.learnt.stating.contains(service) && self.learnt.stating.insert(service.clone())
+    /// Compares the servers of a service from now on.
+    pub fn compare_servers(&mut self, service: &Name) {
+        if !self.learnt.compared.contains(service) {
+            self.learnt.compared.insert(service.clone());
+        }
     }
 
     /// Records how long a good answer to a kind of request took, as a route names it.
@@ -229,7 +235,7 @@
 
     /// Returns whether a server is compared with its peers by the time of its answers.
     pub fn is_compared(&self, instance: &str) -> bool {
-        self.servers.get(instance).is_some_and(|belief| self.states_slowness(&belief.entry.service))
+        self.servers.get(instance).is_some_and(|belief| self.compares_servers(&belief.entry.service))
     }
 
     /// Returns what is believed of a server's answers: what this node has seen, or others since.
--- a/crates/trestlerack/src/process/held/descriptors.rs
+++ b/crates/trestlerack/src/process/held/descriptors.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-/// Descriptors that connections cannot have: 200 for files, by the platform's pages, and listeners.
+/// Descriptors that connections cannot have: files and listeners.
 const OWN_DESCRIPTORS: usize = 264;
 
 /// Time for which a connection is idle between requests before it may be closed for another one; the
--- a/crates/trestlerack/src/process/news.rs
+++ b/crates/trestlerack/src/process/news.rs
@@ -30,9 +30,9 @@
     }
 }
 
-/// What a customer took of a service at one node since that node started.
+/// What a customer took of a service at one node since its counts began.
 ///
-/// Counts only grow, so a message that is lost or comes twice does no harm.
+/// Counts of one incarnation only grow, so a message that is lost or comes twice does no harm.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CustomerUse {
     /// Service.
@@ -44,7 +44,7 @@
     /// Weight of the customer's share.
     #[serde(rename = "w")]
     pub weight: u32,
-    /// Start of the node, which begins the counts anew.
+    /// When the counts began; a later one begins them anew.
     #[serde(rename = "i")]
     pub incarnation: u64,
     /// Milliseconds of work asked for.
--- a/crates/trestlerack/src/process/placement.rs
+++ b/crates/trestlerack/src/process/placement.rs
@@ -179,7 +179,7 @@
             let is_open = !own_only || self.is_own(belief, need);
             &*belief.entry.service == need.service && is_open && self.will_do(now, belief, need)
         };
-        if need.weights.is_none() && self.states_slowness(need.service) {
+        if need.weights.is_none() && self.compares_servers(need.service) {
             let candidates = self.servers.values().filter(is_candidate).collect();
             return self.choose_expected(now, need, candidates);
         }
--- a/crates/trestlerack/src/process/room/queue.rs
+++ b/crates/trestlerack/src/process/room/queue.rs
@@ -22,8 +22,8 @@
 pub enum CallKind {
     /// A client, who waits for the answer.
     Client,
-    /// A batch job, which asks for the score of an item. It is made again until it has an answer, so
-    /// refusing it would gain nothing.
+    /// A batch job, which asks for the score of an item. It takes a place that is known or none, and is
+    /// made again soon.
     Score,
 }
 
@@ -90,7 +90,7 @@
     TooLate,
     /// As many calls wait as may.
     QueueFull,
-    /// More urgent calls came after it and took its place in the queue.
+    /// It could be served in time when it came and no longer can: more urgent calls came, or places went.
     Displaced,
     /// It waited for as long as it may.
     Waited,
@@ -168,7 +168,7 @@
     going: u32,
     /// When a call goes though no place is known to be free.
     place_at: Timestamp,
-    /// When a call last had to wait or was refused; `None` if none was yet.
+    /// When a server last refused a call, or a call had to wait or was refused; `None` if none was yet.
     short_at: Option<Timestamp>,
     /// When a place was expected by the load that servers stated last; `None` where they state none.
     stated_place_at: Option<Timestamp>,
@@ -207,11 +207,6 @@
         self.waiting.iter().map(|queued| &queued.call)
     }
 
-    /// Returns whether a call may take a place that is known to be free, since nobody else waits for one.
-    pub fn is_open(&self, now: Timestamp) -> bool {
-        self.is_empty() && self.going == 0 && !self.is_short(now)
-    }
-
     /// Records that a server had no room for a call.
     pub fn note_full(&mut self, now: Timestamp) {
         self.short_at = Some(now);
--- a/crates/trestlerack/src/process/run_move.rs
+++ b/crates/trestlerack/src/process/run_move.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 /// How many times slower than another one with a free place an engine must be for its runs to be
-/// moved. Engines of one service differ by 1.3 in good order, and each move costs the time to begin
-/// elsewhere.
+/// moved. Each move costs the time to begin elsewhere.
 pub const MOVE_SLOWNESS: f64 = 1.2;
 
 /// The same for a look at runs that a step waits for last; what these gain is weighed against the cost
--- a/crates/trestlerack/src/process/second_attempt.rs
+++ b/crates/trestlerack/src/process/second_attempt.rs
@@ -1,6 +1,6 @@
 //! When a second server is asked beside the first for a request that may be repeated.
 //!
-//! Only services whose servers state how long work takes there get second attempts this early; see
+//! Only services whose servers are compared get second attempts this early; see
 //! [docs/design/uneven-load.md](../../../../docs/design/uneven-load.md#parts).
 
 use super::placement::ServerBoard;
@@ -21,10 +21,10 @@
 impl ServerBoard {
     /// Returns how long after the first server a second one is asked: so late that the second still answers
     /// within the target latency, but never before half of the answers are there. Where no target is
-    /// stated, what few answers take longer than. `None` where the service states no slowness or nothing is
-    /// known.
+    /// stated, what few answers take longer than. `None` where the servers are not compared, or no
+    /// target is stated and no time is known yet.
     pub fn second_attempt_after(&self, service: &str, kind: &str, target: Duration) -> Option<Duration> {
-        if !self.states_slowness(service) {
+        if !self.compares_servers(service) {
             return None;
         }
         if target.is_zero() {
--- a/crates/trestlerack/src/process/server_lines.rs
+++ b/crates/trestlerack/src/process/server_lines.rs
@@ -39,7 +39,7 @@
 impl ServerBoard {
     /// Returns what is known of the servers that are compared with their peers, by name.
     pub fn server_lines(&self, now: Timestamp) -> Vec<ServerLine> {
-        let compared = self.servers.values().filter(|belief| self.states_slowness(&belief.entry.service));
+        let compared = self.servers.values().filter(|belief| self.compares_servers(&belief.entry.service));
         compared.map(|belief| self.server_line(now, belief)).collect()
     }
 
--- a/crates/trestlerack/src/process/server_notes.rs
+++ b/crates/trestlerack/src/process/server_notes.rs
@@ -27,18 +27,15 @@
 /// node that is wrong about all of them then takes about a third away at most.
 const WORD_SHARE: f64 = 1.0 / 3.0;
 
-/// Notes that a node may send in a second on average, to some peers each, and at once. They keep what a node
-/// sends under half a kilobyte a second.
+/// Notes that a node may send in a second on average, to some peers each, and at once.
 const NOTES_PER_SECOND: f64 = 0.6;
 const NOTES_AT_ONCE: f64 = 6.0;
 
-/// Times the median at which a server is left on the word of others: more than neighbours on its host or one
-/// hitch of the node that tells make of it, and less than one's own calls must show, since it lasts five
-/// seconds at most.
+/// Times the median at which a server is set aside by what others told. More than neighbours on its host make
+/// of it; less than own calls must show, since it ends with what is believed.
 const LEFT_FACTOR: f64 = 2.5;
 
-/// Peers that are told at once. With three and a few lost messages one node in fifteen hears nothing; with
-/// four one in fifty.
+/// Peers that are told at once, so that a few lost messages leave nobody out as a rule.
 const TOLD_AT_ONCE: usize = 4;
 
 /// Returns the settings of the gossip about servers.
@@ -197,7 +194,7 @@
         belief.word.told = Some(ToldBelief { figures, at, origin: note.origin.clone() });
         belief.word.public = Some((figures, at));
         let service = belief.entry.service.clone();
-        // Nodes tell only of services whose servers state how long work takes there.
+        // Nodes tell only of services whose servers they compare.
         self.compare_servers(&service);
         let peers = self.peer_figures(now, &service);
         if !is_news(before, figures, &peers) {
--- a/crates/trestlerack/src/process/standing.rs
+++ b/crates/trestlerack/src/process/standing.rs
@@ -16,8 +16,8 @@
 /// that much.
 const FAR_TOO_SLOW: f64 = 3.0;
 
-/// Time for which all answers of a server must have been slow to set it aside. Neighbours on its host slow
-/// a server again and again, for some hundred milliseconds each time.
+/// Time for which all answers of a server must have been slow to set it aside, longer than neighbours on its
+/// host slow it.
 const SLOW_TIME: Duration = Duration::from_millis(2_400);
 
 /// Answers that must have shown it.
--- a/crates/trestlerack/src/process/urgency.rs
+++ b/crates/trestlerack/src/process/urgency.rs
@@ -26,7 +26,7 @@
 
 /// Share of its time after which a request ranks with the most urgent ones; what is left has to be
 /// enough for the work itself.
-const PATIENT_SHARE: f64 = 0.5;
+const LONG_WAIT_SHARE: f64 = 0.5;
 
 /// Usual times between events that a pause must be longer than to show that a run was preempted; a
 /// run that waits for memory waits until others end.
@@ -88,8 +88,8 @@
         self.was_preempted || self.made >= COSTLY_SHARE
     }
 
-    fn is_patient(&self) -> bool {
-        self.allowed.is_some_and(|allowed| self.waited >= allowed.mul_f64(PATIENT_SHARE))
+    fn has_waited_long(&self) -> bool {
+        self.allowed.is_some_and(|allowed| self.waited >= allowed.mul_f64(LONG_WAIT_SHARE))
     }
 }
 
@@ -98,7 +98,7 @@
 pub fn engine_rank(ranks: Option<ServiceRanks>, priority: u8, history: &CallHistory) -> Option<u8> {
     let ranks = ranks.filter(ServiceRanks::differ)?;
     let rank = priority.min(LAST_RANK);
-    if history.is_patient() {
+    if history.has_waited_long() {
         return Some(rank.min(ranks.first));
     }
     let step = if history.is_costly() && rank > ranks.first { 1 } else { 0 };
--- a/crates/trestlerack/src/process/wait_estimate.rs
+++ b/crates/trestlerack/src/process/wait_estimate.rs
@@ -7,8 +7,8 @@
 
 /// What is expected of a service at one moment, as one node believes it.
 ///
-/// Admission and the choice of a server use the same estimate; see
-/// [docs/design/uneven-load.md](../../../../docs/design/uneven-load.md).
+/// Admission uses it, and second attempts ask it for a free place; the choice of a server goes by the time
+/// expected of each. See [docs/design/room.md](../../../../docs/design/room.md).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WaitEstimate {
     /// Time until a place is free.
@@ -24,13 +24,6 @@
     pub age: Option<Duration>,
 }
 
-impl WaitEstimate {
-    /// Returns whether a call that came now would be answered within `left`.
-    pub fn fits(&self, left: Duration) -> bool {
-        self.wait.saturating_add(self.work) <= left
-    }
-}
-
 impl ServerBoard {
     /// Returns what is expected of a service for one more call. Servers that are paused, draining or
     /// loading count for nothing.
--- a/crates/trestlerack/tests/call_ranks.rs
+++ b/crates/trestlerack/tests/call_ranks.rs
@@ -6,7 +6,7 @@
 use load::{board_of, plain_server, safe_route};
 use std::time::Duration;
 use trestlerack::Timestamp;
-use trestlerack::process::{CallRank, WaitEstimate};
+use trestlerack::process::CallRank;
 use trestlerack::version::Customer;
 
 #[test]
@@ -33,13 +33,11 @@
     let estimate = board.wait_estimate(now, "s");
     assert_eq!((estimate.wait, estimate.places, estimate.free), (Duration::ZERO, 4, 4));
     assert_eq!((estimate.work, estimate.age), (Duration::from_millis(40), None));
-    assert!(estimate.fits(Duration::from_millis(40)) && !estimate.fits(Duration::from_millis(39)));
     board.stated_load(now, "i-1", 2, 1);
     board.stated_load(now, "i-2", 2, 0);
     let full = board.wait_estimate(now, "s");
     assert_eq!((full.free, full.age), (0, Some(Duration::ZERO)));
     assert_eq!(full.wait, Duration::from_millis(20), "one waits already, and a place is free each 10 ms");
-    assert!(!WaitEstimate { wait: Duration::MAX, ..full }.fits(Duration::from_secs(1)));
     assert_eq!(board.wait_estimate(now, "none").wait, Duration::MAX, "no server will ever take it");
 }
 
--- a/crates/trestlerack/tests/room_queue.rs
+++ b/crates/trestlerack/tests/room_queue.rs
@@ -132,7 +132,7 @@
     let soon = now + 301 * MS;
     assert_eq!(refusal(queue.submit(soon, call_of("b", 0, soon), &unknown(0))), RefusalReason::TooLate);
     let later = now + 600 * MS;
-    assert!(!queue.is_open(later), "a call is not to go by what looks free");
+    assert!(queue.is_short(later), "what looks free is not known to be");
     assert_eq!(queue.submit(later, call_of("c", 0, later), &unknown(0)), CallAdmission::Go);
     assert!(matches!(queue.submit(later, call_of("d", 0, later), &unknown(1)), CallAdmission::Wait { .. }));
     assert_eq!(goers(&mut queue, later + 20 * MS, &with_free(9)).len(), 1, "the answer has come");
--- a/crates/trestlerack/tests/uneven_choices.rs
+++ b/crates/trestlerack/tests/uneven_choices.rs
@@ -154,3 +154,14 @@
     let far = (0..50).filter(|node| &*chosen(&board, &format!("n-{node}")) != "i-0").count();
     assert!(far > 25, "{far} of 50 nodes go to other zones");
 }
+
+/// A node that has just started asks a peer for what it knows once a server states its slowness, also where
+/// servers are compared already because customers share them.
+#[test]
+fn the_first_stated_slowness_is_news_also_where_servers_are_compared_already() {
+    let mut board = load::board_of(&[load::plain_server("a", "s", "z", 4)]);
+    board.compare_servers(&"s".into());
+    assert!(board.compares_servers("s"));
+    assert!(board.stated_slowness(Timestamp(1_000), "a", 100));
+    assert!(!board.stated_slowness(Timestamp(1_001), "a", 100));
+}
--- a/crates/trestlerackd/src/entry/attempts.rs
+++ b/crates/trestlerackd/src/entry/attempts.rs
@@ -113,12 +113,12 @@
     }
 
     fn service(&self) -> Option<&Name> {
-        self.route.service_for(self.request.head.request_id.as_deref().unwrap_or(""))
+        self.route.service_for(self.request.id())
     }
 
     fn may_have_second(&self) -> bool {
-        let states_slowness = |service: &Name| self.node.board.lock().unwrap().states_slowness(service);
-        self.is_safe() && self.service().is_some_and(states_slowness)
+        let is_compared = |service: &Name| self.node.board.lock().unwrap().compares_servers(service);
+        self.is_safe() && self.service().is_some_and(is_compared)
     }
 
     /// Tries one server after the other.
@@ -292,7 +292,7 @@
             return None;
         }
         trail.add(&ticket.server.instance);
-        let (id, waited) = (request.head.request_id.as_deref().unwrap_or(""), node.now().since(before.watch.started));
+        let (id, waited) = (request.id(), node.now().since(before.watch.started));
         second_attempts::log_asked(id, &ticket.server.instance, waited);
         Some(ticket)
     }
--- a/crates/trestlerackd/src/entry/engine_memory.rs
+++ b/crates/trestlerackd/src/entry/engine_memory.rs
@@ -21,7 +21,7 @@
 /// Returns whether the prompt of a client's request alone fills any engine, and logs that.
 pub fn is_too_large(node: &EntryNode, route: &RequestRoute, request: &ClientRequest) -> bool {
     let Some(tokens) = request.head.tokens else { return false };
-    let id = request.head.request_id.as_deref().unwrap_or("");
+    let id = request.id();
     let Some(service) = route.service_for(id) else { return false };
     let (is_too_large, capacity) = {
         let memory = &node.board.lock().unwrap().memory;
--- a/crates/trestlerackd/src/entry/front.rs
+++ b/crates/trestlerackd/src/entry/front.rs
@@ -62,6 +62,11 @@
 }
 
 impl ClientRequest {
+    /// Returns the id of the request; empty if it has none.
+    pub fn id(&self) -> &str {
+        self.head.request_id.as_deref().unwrap_or("")
+    }
+
     /// Returns the name of the customer that the request is served for.
     pub fn customer(&self) -> Option<&Name> {
         self.caller.customer().map(|customer| &customer.name)
@@ -211,7 +216,7 @@
 }
 
 /// Reads the configuration once more for a route that is not known. Returns whether the route is open
-/// to all, or the reply if there is none. At 300 nodes one was 4.5 s behind and refused a new route.
+/// to all, or the reply if there is none. A node may be some seconds behind.
 async fn find_new_route(node: &Arc<EntryNode>, request: &ClientRequest) -> Result<bool, Response<ReplyBody>> {
     let is_fresh = callers::refresh(node).await;
     let Some(newest) = node.routing() else { return Err(own_reply(StatusCode::NOT_FOUND, None)) };
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -9,7 +9,7 @@
 use super::peers::PeerClient;
 use super::pool::ConnectionPool;
 use super::room::RoomDesk;
-use super::shares::{NodeShares, ShareDesk};
+use super::shares::ShareDesk;
 use super::store::{DirectStore, RelayedStore};
 use super::suspects::SuspectDesk;
 use super::weight_book::WeightBook;
@@ -98,7 +98,7 @@
     /// Requests under which servers ended.
     pub suspects: SuspectDesk,
     /// Shares of customers in services that are short.
-    pub shares: Arc<ShareDesk>,
+    pub shares: ShareDesk,
     /// Whether service discovery was read once.
     pub has_registry: AtomicBool,
     /// Whether the system's own rows were read once.
@@ -143,12 +143,10 @@
         let pool = Arc::new(ConnectionPool::new(held.descriptors.clone(), settings.store.clone()));
         let peers = Arc::new(PeerClient::new(pool.clone(), settings.peer_listen.clone(), settings.seeds.clone()));
         let direct_store = Arc::new(DirectStore::new(pool.clone(), settings.store.clone()));
-        let clock = SystemClock::new();
-        let shares = Arc::new(ShareDesk::new(settings.name.clone()));
         Ok(Self {
             bounds: RwLock::new(EntryBounds::from(&settings)),
             incarnation: rand::random::<u64>() >> 1,
-            clock,
+            clock: SystemClock::new(),
             store: RelayedStore::new(direct_store.clone(), peers.clone()),
             direct_store,
             peers,
@@ -159,9 +157,9 @@
             board: Mutex::new(ServerBoard::new(BoardSettings::default())),
             route_times: Mutex::default(),
             has_server_notes: Notify::new(),
-            room: RoomDesk::new(Box::new(NodeShares::new(shares.clone(), clock))),
+            room: RoomDesk::new(),
             suspects: SuspectDesk::new(&settings),
-            shares,
+            shares: ShareDesk::new(settings.name.clone()),
             has_registry: AtomicBool::new(false),
             has_state: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -18,8 +18,8 @@
 use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform::{self as platform, EngineRequest};
 
-/// Share of the target latency after which a repeatable request is tried at another server.
-const PATIENCE_SHARE: u32 = 3;
+/// Target latencies after which a repeatable request is tried at another server.
+const PATIENCE_FACTOR: u32 = 3;
 
 /// Shortest time that a server gets to answer before another one is tried, until enough answers on a
 /// route are known. A try that is left too early is work done twice.
@@ -46,7 +46,7 @@
     MayHaveRun,
     /// Its time is over, and it may have run.
     TimedOut,
-    /// It ran nowhere and is not to be sent for so long: servers ended under what it asks for, or its
+    /// It ran nowhere, and its caller may return after this time: servers ended under what it asks for, its
     /// customer is over its share, or its service has no room for it.
     Held(Duration),
 }
@@ -149,14 +149,14 @@
 /// where the target latency leaves the time.
 pub fn patience(node: &EntryNode, route: &RequestRoute) -> Duration {
     let usual = node.route_times.lock().unwrap().usual(&route.name);
-    let by_target = Duration::from_millis(route.target_latency_ms) * PATIENCE_SHARE;
+    let by_target = Duration::from_millis(route.target_latency_ms) * PATIENCE_FACTOR;
     by_target.max(usual.unwrap_or(FIRST_PATIENCE))
 }
 
 /// Returns for how long a request is held, if it is, and logs that.
 pub fn hold_back(node: &EntryNode, request: &ClientRequest, fingerprint: RequestFingerprint) -> Option<Duration> {
     let left = suspects::held_for(node, fingerprint)?;
-    suspects::log_held(node, request.head.request_id.as_deref().unwrap_or(""), fingerprint, left);
+    suspects::log_held(node, request.id(), fingerprint, left);
     Some(left)
 }
 
@@ -189,7 +189,7 @@
     arrived: Timestamp,
     deadline: Timestamp,
 ) -> Option<RoomCall<'a>> {
-    let id = request.head.request_id.as_deref().unwrap_or("");
+    let id = request.id();
     let service = route.service_for(id)?;
     let customer = request.caller.customer();
     Some(RoomCall { id, service, route, customer, kind: CallKind::Client, arrived, deadline })
@@ -224,7 +224,7 @@
 
 /// Records how long an answer took where calls are admitted by that.
 pub fn note_work(node: &EntryNode, route: &RequestRoute, request: &ClientRequest, took: Duration) {
-    let id = request.head.request_id.as_deref().unwrap_or("");
+    let id = request.id();
     if let Some(service) = route.service_for(id)
         && room::is_active(node, service)
     {
@@ -296,7 +296,7 @@
         method: request.method.clone(),
         path: &request.path_and_query,
         host: &request.host,
-        request_id: request.head.request_id.as_deref().unwrap_or(""),
+        request_id: request.id(),
         headers,
         instance,
         customer: request.customer().map(|name| &**name),
--- a/crates/trestlerackd/src/entry/room/entrance.rs
+++ b/crates/trestlerackd/src/entry/room/entrance.rs
@@ -1,9 +1,10 @@
 //! Gets calls a place at a server of their service.
 
+use super::LOOK_INTERVAL;
 use super::wait::{refuse_unserved, wait_for_place};
-use super::{LOOK_INTERVAL, is_over_share};
 use crate::entry::node::EntryNode;
 use crate::entry::server_ticket::ServerTicket;
+use crate::entry::shares;
 use crate::process::{clock, logs};
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,7 +36,7 @@
     }
 
     fn waiting_call(&self, node: &EntryNode) -> WaitingCall {
-        let is_over_share = is_over_share(node, self.service, self.customer_name());
+        let is_over_share = shares::is_over_share(node, self.service, self.customer_name());
         let target = Duration::from_millis(self.route.target_latency_ms);
         WaitingCall {
             id: self.id.into(),
--- a/crates/trestlerackd/src/entry/room/mod.rs
+++ b/crates/trestlerackd/src/entry/room/mod.rs
@@ -1,19 +1,17 @@
 //! Holds the calls that wait for a place of a service, and wakes them.
 //!
-//! Active for services of configurations with customers, and for those whose servers state how long
-//! work takes; elsewhere calls look for a server as they always did. See
+//! Active for services of configurations with customers, and for those whose servers are compared;
+//! elsewhere a call looks for any server for a part of its target latency. See
 //! [docs/design/room.md](../../../../../docs/design/room.md).
 
 mod entrance;
 mod lines;
 mod metrics;
-mod share;
 mod wait;
 
 pub use entrance::{RoomCall, enter, may_try_again, note_attempt, note_call};
 pub use lines::lines;
 pub use metrics::RoomMetrics;
-pub use share::ShareView;
 
 use super::node::EntryNode;
 use crate::process::clock;
@@ -76,17 +74,15 @@
     /// Calls that wait in all queues, so that the end of a request costs nothing while none do.
     waiting: AtomicUsize,
     second_attempts: Mutex<SecondAttempts>,
-    shares: Box<dyn ShareView>,
 }
 
 impl RoomDesk {
     /// Builds a desk without calls.
-    pub fn new(shares: Box<dyn ShareView>) -> Self {
+    pub fn new() -> Self {
         Self {
             queues: Mutex::default(),
             waiting: AtomicUsize::new(0),
             second_attempts: Mutex::new(SecondAttempts::new(&RoomSettings::default())),
-            shares,
         }
     }
 
@@ -119,7 +115,7 @@
 /// Returns whether calls for a service are admitted by its room.
 pub fn is_active(node: &EntryNode, service: &str) -> bool {
     let has_customers = node.routing().is_some_and(|routing| routing.customers.is_some());
-    has_customers || node.board.lock().unwrap().states_slowness(service)
+    has_customers || node.board.lock().unwrap().compares_servers(service)
 }
 
 /// Records that a server had no room for a call.
@@ -203,8 +199,3 @@
         let _ = clock::timeout(pause, wake.notified()).await;
     }
 }
-
-/// Returns whether the share of a call's customer is used up.
-fn is_over_share(node: &EntryNode, service: &Name, customer: Option<&Name>) -> bool {
-    node.room.shares.is_over_share(service, customer)
-}
--- a/crates/trestlerackd/src/entry/run_moves.rs
+++ b/crates/trestlerackd/src/entry/run_moves.rs
@@ -51,7 +51,7 @@
 }
 
 /// Returns the engines of runs that are slow enough for another one to be worth a move. Most looks find
-/// none; looking for a place for each of 200 runs took 0.5 ms each before 3,000 engines.
+/// none, and looking for a place for each run costs more.
 fn slow_engines(node: &EntryNode, route: &RequestRoute, running: &[(usize, Name)], least: f64) -> HashSet<Name> {
     let engines: HashSet<Name> = running.iter().map(|(_, engine)| engine.clone()).collect();
     let board = node.board.lock().unwrap();
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -159,8 +159,8 @@
     usual.unwrap_or(Duration::from_millis(route.target_latency_ms)).max(LEAST_PATIENCE)
 }
 
-/// Finds a place for a call in the order of all that want one, for its first server, or for one more beside
-/// it, which is paid for unless it `is_free`.
+/// Finds a server with a free place, if nobody waits for one: the first of a call, or one more beside it,
+/// which is paid for unless it `is_free`.
 async fn find_place(
     node: &Arc<EntryNode>,
     call: &RoomCall<'_>,
--- a/crates/trestlerackd/src/entry/shares/mod.rs
+++ b/crates/trestlerackd/src/entry/shares/mod.rs
@@ -10,35 +10,13 @@
 
 use super::front::ClientRequest;
 use super::node::EntryNode;
-use super::room::ShareView;
-use crate::process::clock::SystemClock;
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::border::Clock;
 use trestlerack::process::{ShareCall, ShareVerdict};
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, Timestamp, event};
 
-/// Tells the queues of a node who is over its share.
-pub struct NodeShares {
-    desk: Arc<ShareDesk>,
-    clock: SystemClock,
-}
-
-impl NodeShares {
-    /// Builds the view of a desk.
-    pub fn new(desk: Arc<ShareDesk>, clock: SystemClock) -> Self {
-        Self { desk, clock }
-    }
-}
-
-impl ShareView for NodeShares {
-    fn is_over_share(&self, service: &Name, customer: Option<&Name>) -> bool {
-        customer.is_some_and(|customer| self.desk.is_over_share(self.clock.now(), service, customer))
-    }
-}
-
 /// A call of a customer that was counted as asked for; [`CallUse::served`] counts it as given.
 pub struct CallUse {
     node: Arc<EntryNode>,
@@ -110,6 +88,11 @@
     CallUse::new(node, Some(call))
 }
 
+/// Returns whether a customer has more than its share of a service.
+pub fn is_over_share(node: &EntryNode, service: &Name, customer: Option<&Name>) -> bool {
+    customer.is_some_and(|customer| node.shares.is_over_share(node.now(), service, customer))
+}
+
 /// Records that a service has no room for a call: it was refused, or has to wait.
 pub fn note_short(node: &EntryNode, service: &Name) {
     if is_active(node) {
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -94,9 +94,7 @@
         let ticket = match plain::find_server(node, route, request, fingerprint, deadline, trail).await {
             Ok(ticket) => ticket,
             Err(return_after) => {
-                if let Some(left) = return_after {
-                    shortfall = shortfall.or_held(left);
-                }
+                shortfall = shortfall.or_returning(return_after);
                 break;
             }
         };
@@ -173,7 +171,7 @@
                 Err(error) => error,
             };
             if why.is::<hyper::Error>() {
-                let id = self.request.head.request_id.as_deref().unwrap_or("");
+                let id = self.request.id();
                 server_end::connection_broke(&self.node, &self.open.ticket, id).await;
             }
             self.resume(why).await?;
--- a/crates/trestlerackd/src/entry/weights.rs
+++ b/crates/trestlerackd/src/entry/weights.rs
@@ -115,7 +115,7 @@
         })
         .collect();
     decided.iter().for_each(|(instance, assignment)| feeds::learn_assignment(node, instance, assignment.clone()));
-    // Together, since a start decides on all engines: one by one, 102 of them took a second.
+    // Together, since a start decides on all engines.
     for batch in decided.chunks(tables::COMMIT_ROWS) {
         write_assignments(node, batch).await;
     }
