Hold each of several contents that end servers together

Ruled out: differing bytes.

Change: one node keeps the trials of a server in memory and gives it to one suspect at a time over all nodes; a content under which several servers ended is not sent where another one is tried; three ends, one on a trial that no other content had there, hold it for good.

--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -98,7 +98,7 @@
 pub use step_store::{MadeGroup, ManifestCache, Opened, Recorded, StepLook, StepStore};
 pub use suspects::{
     GossipSettings, NEWS_LAG, StrikeNote, SuspectBook, SuspectLine, SuspectRun, SuspectSettings, SuspectStanding,
-    server_start,
+    TrialBook, server_start,
 };
 pub use suspension::SuspensionGauge;
 pub use urgency::{CallHistory, ServiceRanks, engine_rank, shows_preemption};
--- a/crates/trestlerack/src/process/suspects/mod.rs
+++ b/crates/trestlerack/src/process/suspects/mod.rs
@@ -6,12 +6,15 @@
 //! them in any order, any number of times, comes to the same. A content is held once enough servers
 //! ended under it that no other content accounts for, one of them on a trial: it was sent there as a
 //! known suspect, with no other suspect beside it. Strikes count once those of others have had the time to
-//! arrive. A whole answer voids a content's strikes.
+//! arrive. A whole answer voids a content's strikes. Where several contents end servers and few servers are
+//! left, they account for each other's ends; an end on a trial that no other content had there is then
+//! enough, with as many ends in all.
 //! [docs/PLATFORM.md](../../../../../docs/PLATFORM.md#requests-that-end-servers) has the reasons.
 
 mod gossip;
 mod in_progress;
 mod record;
+mod trials;
 
 use crate::hash::hash_parts;
 use crate::process::ServerEntry;
@@ -24,6 +27,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
+pub use trials::TrialBook;
 
 /// Settings of a [`SuspectBook`].
 #[derive(Clone, Debug)]
@@ -242,15 +246,29 @@
         if ended == 0 || left.is_zero() {
             return SuspectStanding::Clear;
         }
+        let is_settled = |strike: &Strike| now.since(strike.at) >= self.settings.settle_time;
         let mut unexplained = self.unexplained(now, fingerprint, record);
-        unexplained.retain(|strike| now.since(strike.at) >= self.settings.settle_time);
+        unexplained.retain(is_settled);
         let is_tried = unexplained.iter().any(|strike| strike.is_trial);
-        if unexplained.len() >= self.settings.held_from && is_tried {
+        let is_sole_cause = unexplained.len() >= self.settings.held_from && is_tried;
+        let settled = record.live().filter(|(_, strike)| is_settled(strike));
+        let (mut ends, mut lone_trials) = (0, 0);
+        for (server, strike) in settled {
+            ends += 1;
+            lone_trials += usize::from(strike.is_trial && !self.is_tried_by_other(fingerprint, *server));
+        }
+        if is_sole_cause || (ends >= self.settings.held_from && lone_trials > 0) {
             return SuspectStanding::Held(left);
         }
         SuspectStanding::Suspected(ended)
     }
 
+    /// Returns whether another content ended a server on a trial too, so that neither had it for itself.
+    fn is_tried_by_other(&self, own: RequestFingerprint, server: u64) -> bool {
+        let mut others = self.records.iter().filter(|(other, _)| **other != own);
+        others.any(|(_, record)| record.live().any(|(struck, strike)| *struck == server && strike.is_trial))
+    }
+
     /// Returns how many servers ended under a content, as far as it was not cleared since.
     pub fn ended(&self, fingerprint: RequestFingerprint) -> usize {
         self.records.get(&fingerprint).map_or(0, |record| record.live().count())
--- a/crates/trestlerack/tests/suspects.rs
+++ b/crates/trestlerack/tests/suspects.rs
@@ -2,7 +2,9 @@
 
 use bolero::check;
 use std::time::Duration;
-use trestlerack::process::{ServerEntry, StrikeNote, SuspectBook, SuspectSettings, SuspectStanding, server_start};
+use trestlerack::process::{
+    ServerEntry, StrikeNote, SuspectBook, SuspectSettings, SuspectStanding, TrialBook, server_start,
+};
 use trestlerack::request::{RequestContent, RequestFingerprint};
 use trestlerack::{Name, Timestamp};
 
@@ -240,3 +242,41 @@
         assert_eq!(late.lines(settled(NOW)), left.lines(settled(NOW)));
     });
 }
+
+/// Several contents end servers, of which few are left, so each accounts for ends of the others. Each is held
+/// once three servers ended under it, one of them while it had the server for itself.
+#[test]
+fn contents_that_end_servers_together_are_all_held() {
+    let mut book = book();
+    let fatal: Vec<RequestFingerprint> = (0..4).map(|number| fingerprint(&format!("fatal {number}"))).collect();
+    end_under(&mut book, NOW, 1, &fatal);
+    end_under(&mut book, NOW, 2, &fatal);
+    for (number, content) in (3_u64..).zip(&fatal) {
+        assert!(!is_held(&book, *content));
+        end_under(&mut book, NOW, number, std::slice::from_ref(content));
+    }
+    assert!(fatal.iter().all(|content| is_held(&book, *content)));
+}
+
+/// A verdict stands, whatever servers end under other contents later.
+#[test]
+fn ends_of_others_release_nobody() {
+    let (mut book, first, second) = (book(), fingerprint("first"), fingerprint("second"));
+    (1..=3).for_each(|number| end_under(&mut book, NOW, number, &[first]));
+    assert!(is_held(&book, first));
+    for number in 1..=8 {
+        book.ended_under(NOW, second, &server(number), number > 3);
+    }
+    assert!(is_held(&book, first));
+}
+
+#[test]
+fn a_server_is_given_to_one_suspect_at_a_time() {
+    let (mut trials, server): (TrialBook, Name) = (TrialBook::default(), "i-1".into());
+    let (first, second) = (fingerprint("first"), fingerprint("second"));
+    assert!(trials.grant(NOW, &server, first));
+    assert!(trials.grant(NOW, &server, first), "its node asks again after a lost answer");
+    assert!(!trials.grant(NOW, &server, second));
+    assert!(trials.grant(NOW, &"i-2".into(), second));
+    assert!(trials.grant(NOW + Duration::from_secs(1), &server, second));
+}
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -94,6 +94,9 @@
         suspects::log_held(node, &request_id, ticket.fingerprint, left);
         return Err(AttemptError::Held(left));
     }
+    if !suspects::ask_trial(node, &ticket).await {
+        return Err(AttemptError::NotRun("another suspect is tried at this server".into()));
+    }
     let span = node.hop("attempt", SpanKind::Client, &mut request.headers);
     if let Some(span) = &span {
         span.set("request", request_id.clone());
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -23,6 +23,7 @@
     DescriptorKind, DescriptorSeat, HeldPurpose, NodeNews, NodeRow, NodeRows, RelayChoice, StrikeNote, UsageNote,
     UsageSender,
 };
+use trestlerack::request::RequestFingerprint;
 use trestlerack::rows::{StoreCall, StoreReply};
 
 /// Path of all calls between nodes.
@@ -66,6 +67,13 @@
     },
     /// Take news of load over, and say what the caller asks for.
     News(NodeNews),
+    /// Give a server to a suspect, if you keep its trials for nobody else.
+    Trial {
+        /// The server.
+        server: Name,
+        /// What the suspect asks for.
+        fingerprint: RequestFingerprint,
+    },
     /// A job is ended, as the store holds; say whether you drove it.
     End {
         /// The job.
@@ -92,6 +100,8 @@
     Strikes(Vec<StrikeNote>),
     /// News of load that the caller asked for.
     News(NodeNews),
+    /// Whether the server is given to the suspect.
+    Trial(bool),
 }
 
 /// Calls peers.
@@ -233,6 +243,14 @@
         }
     }
 
+    /// Asks a peer that keeps a server's trials to give it to a suspect; `None` if it does not answer.
+    pub async fn ask_trial(&self, peer: &Name, server: &Name, fingerprint: RequestFingerprint) -> Option<bool> {
+        match self.ask(peer, &PeerCall::Trial { server: server.clone(), fingerprint }, PING_TIMEOUT).await {
+            Some(PeerReply::Trial(is_granted)) => Some(is_granted),
+            _ => None,
+        }
+    }
+
     async fn ask_about(&self, peer: &Name, call: &PeerCall) -> Option<bool> {
         match self.ask(peer, call, PING_TIMEOUT).await {
             Some(PeerReply::Drives(drives)) => Some(drives),
@@ -316,6 +334,7 @@
             PeerReply::Noted
         }
         PeerCall::Strikes { notes } => PeerReply::Strikes(suspects::answer_peer(node, &notes)),
+        PeerCall::Trial { server, fingerprint } => PeerReply::Trial(suspects::grant_trial(node, &server, fingerprint)),
         PeerCall::News(told) => PeerReply::News(news::answer_peer(node, told)),
         PeerCall::Drive { job } => PeerReply::Drives(adoption::drive_assigned(node, &job).await),
         PeerCall::End { job } => {
--- a/crates/trestlerackd/src/entry/server_ticket.rs
+++ b/crates/trestlerackd/src/entry/server_ticket.rs
@@ -20,6 +20,8 @@
     tokens: Option<TokenNeed>,
     /// Whether the request is on its way, with an outcome still to come.
     is_open: AtomicBool,
+    /// Whether a suspect of another node may be beside it.
+    is_shared: AtomicBool,
 }
 
 impl ServerTicket {
@@ -27,7 +29,8 @@
     pub fn new(node: &Arc<EntryNode>, server: ServerEntry, fingerprint: RequestFingerprint) -> Self {
         node.board.lock().unwrap().started(&server.instance);
         let run = node.suspects.book().sent(node.now(), &server.instance, fingerprint);
-        Self { node: node.clone(), server, fingerprint, run, tokens: None, is_open: AtomicBool::new(false) }
+        let (is_open, is_shared) = (AtomicBool::new(false), AtomicBool::new(false));
+        Self { node: node.clone(), server, fingerprint, run, tokens: None, is_open, is_shared }
     }
 
     /// Counts what the request takes in the server's memory too.
@@ -50,9 +53,15 @@
         self.is_open.store(false, Ordering::Relaxed);
     }
 
+    /// Records that a suspect of another node may be beside the request.
+    pub fn share_trial(&self) {
+        self.is_shared.store(true, Ordering::Relaxed);
+    }
+
     /// Returns whether the request is there as a known suspect, with no other suspect beside it.
     pub fn is_trial(&self) -> bool {
-        self.run.is_some_and(|run| self.node.suspects.book().is_trial(&self.server.instance, run))
+        !self.is_shared.load(Ordering::Relaxed)
+            && self.run.is_some_and(|run| self.node.suspects.book().is_trial(&self.server.instance, run))
     }
 }
 
--- a/crates/trestlerackd/src/entry/suspects/desk.rs
+++ b/crates/trestlerackd/src/entry/suspects/desk.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use trestlerack::Timestamp;
-use trestlerack::process::{EntrySettings, NEWS_LAG, StrikeNote, SuspectBook, SuspectSettings};
+use trestlerack::process::{EntrySettings, NEWS_LAG, StrikeNote, SuspectBook, SuspectSettings, TrialBook};
 use trestlerack::request::RequestFingerprint;
 
 /// Strikes that wait to be stored, at most. In an outage as long as a strike's life, ends of a server a
@@ -31,6 +31,7 @@
 /// What a node knows of suspects, and what of it other nodes are still to be told.
 pub struct SuspectDesk {
     book: Mutex<SuspectBook>,
+    trials: Mutex<TrialBook>,
     unstored: Mutex<BTreeMap<StrikeKey, RowChange>>,
     untold: Mutex<Vec<StrikeNote>>,
     pub(super) has_unstored: Notify,
@@ -47,6 +48,7 @@
         let settings = SuspectSettings { doubt_life: settings.lapse_time() + NEWS_LAG, ..SuspectSettings::default() };
         Self {
             book: Mutex::new(SuspectBook::new(settings)),
+            trials: Mutex::default(),
             unstored: Mutex::default(),
             untold: Mutex::default(),
             has_unstored: Notify::new(),
@@ -61,6 +63,11 @@
         self.book.lock().unwrap()
     }
 
+    /// Gives access to the trials that this node keeps for all.
+    pub(super) fn trials(&self) -> MutexGuard<'_, TrialBook> {
+        self.trials.lock().unwrap()
+    }
+
     /// Returns whether a process that started has looked for what is known already, so that clients may
     /// be sent here.
     pub fn has_looked(&self) -> bool {
--- a/crates/trestlerackd/src/entry/suspects/mod.rs
+++ b/crates/trestlerackd/src/entry/suspects/mod.rs
@@ -8,10 +8,12 @@
 mod desk;
 mod gossip;
 mod rows;
+mod trials;
 
 pub use desk::SuspectDesk;
 pub use gossip::{answer_peer, ask_peers, tell_peers};
 pub use rows::{apply_row, read_at_start, store_strikes, sweep_rows};
+pub use trials::{ask_trial, grant_trial};
 
 use super::node::EntryNode;
 use super::server_ticket::ServerTicket;
--- a/crates/trestlerackd/tests/entry/crashes.rs
+++ b/crates/trestlerackd/tests/entry/crashes.rs
@@ -252,6 +252,31 @@
     assert!((3..=MOST_ENDS).contains(&ended), "{ended} scorers ended");
 }
 
+/// Score calls of several items end servers, and few servers are left, so that the same end strikes several
+/// of them. Each is still sent to three servers and one more at most, as the bytes that were submitted.
+#[test]
+fn score_calls_that_end_servers_together_are_each_held() {
+    let platform = Platform::start_counts(0, 2);
+    let scorers = plain_servers(&platform, 3);
+    let nodes = start_nodes(&platform, &["a", "b", "c"]);
+    let fatal: Vec<String> = (0..4).map(|number| format!("{FATAL}, number {number}")).collect();
+    for (number, score_body) in fatal.iter().enumerate() {
+        let (job, node) = (format!("job{number}"), &nodes[number % nodes.len()]);
+        let body = job_with_fatal_item(&job, score_body);
+        let answer = call(&node.client, "POST", &format!("/jobs/{job}"), &[("request-id", &job)], &body).unwrap();
+        assert_eq!(answer.status, 202);
+    }
+    for number in 0..fatal.len() {
+        eventually("all others are scored", || listed(&nodes[0], &format!("job{number}")).len() == 5);
+    }
+    std::thread::sleep(5 * ARRIVAL_PAUSE);
+    for (number, score_body) in fatal.iter().enumerate() {
+        let runs = scorers.runs_of(score_body);
+        assert!((1..=MOST_ENDS).contains(&runs.len()), "{score_body} ran {} times", runs.len());
+        assert!(runs.iter().all(|run| run.id == format!("job{number}-item-0-score")), "{runs:?}");
+    }
+}
+
 #[test]
 fn a_node_that_starts_knows_what_is_held() {
     let platform = Platform::start_counts(0, 0);
