Start no work on news of ended jobs that is two seconds old

A driver starts runs in one task and takes in its watch in another; while its processor is short the first goes on with what the second has not read yet. Told ends (PeerCall::End) need the same processor.

Change: each start of a run, of a second run, a move or a score call asks EndNews, a pure decision, for the age of the answer that was taken in last. Weighed: an end acknowledged by the driver before the client's answer; it costs a round trip for each end and has to fall back on the lease's lapse where the driver is gone.

Test: a driver that is late by 1 to 10 s, with ends at any moment, starts nothing that reaches a server later than 3 s after the end.

--- a/crates/trestlerackd/src/entry/feeds.rs
+++ b/crates/trestlerackd/src/entry/feeds.rs
@@ -31,6 +31,7 @@
     let mut known: Option<u64> = None;
     let mut failures = 0;
     loop {
+        let asked_at = node.now();
         let step = match known {
             None => read_whole(&node, table).await.map(Some),
             Some(after) => watch_once(&node, table, after).await,
@@ -39,6 +40,7 @@
             Ok(version) => {
                 if table == tables::STATE {
                     node.suspects.set_cut_off(false);
+                    node.end_news.lock().unwrap().taken_in(asked_at);
                 }
                 node.registry.lock().unwrap().store_returned(node.now());
                 if version.is_none() {
@@ -51,6 +53,7 @@
             Err(error) => {
                 if table == tables::STATE {
                     node.suspects.set_cut_off(true);
+                    node.end_news.lock().unwrap().failed();
                 }
                 // A store that refuses for a rate is there, and entries do not lapse by that.
                 if error != StoreError::RateLimited {
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -105,6 +105,9 @@
         resume_after,
         body: item.body.clone(),
     };
+    if !node.may_start_work() {
+        return (RunEnd::NotRun, "news of ended jobs is too old".into());
+    }
     let limits = RunLimits::at_pace(node.board.lock().unwrap().typical_pace(node.now(), &ticket.server.service));
     let opening = attempt::open_answer(node, ticket, request, false);
     let open = match clock::timeout(limits.head, opening).await {
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -319,6 +319,10 @@
         driver.record.notify_one();
         return;
     }
+    // Other nodes may have ended the job meanwhile.
+    if !node.may_start_work() {
+        return;
+    }
     run_moves::move_slow_run(node, driver, route);
     job_runs::place_items(node, driver, route);
     job_runs::start_spare(node, driver, route);
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -57,7 +57,7 @@
     match &driver.spec.items[index].scorer {
         None => driver.ledger.lock().unwrap().settle(index, None),
         Some(call) => loop {
-            if !driver.is_driving() {
+            if !driver.is_driving() || !node.may_start_work() {
                 break;
             }
             let item = &driver.spec.items[index].id;
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -24,7 +24,7 @@
 use tokio::sync::{Notify, watch};
 use trestlerack::border::Clock;
 use trestlerack::process::{
-    AnswerTimes, BoardSettings, EntrySettings, NodeRow, RegistrySettings, ServerBoard, ServerRegistry,
+    AnswerTimes, BoardSettings, EndNews, EntrySettings, NodeRow, RegistrySettings, ServerBoard, ServerRegistry,
 };
 use trestlerack::request::JobHead;
 use trestlerack::version::{RoutingTable, WeightVersion};
@@ -113,6 +113,8 @@
     pub lease: LeaseBook,
     /// Requests of customers that began to run.
     pub usage: UsageBook,
+    /// How old what is known of ended jobs is.
+    pub end_news: Mutex<EndNews>,
     /// Jobs by id.
     pub jobs: Mutex<HashMap<Name, JobView>>,
     /// Jobs whose end was seen before their head.
@@ -167,6 +169,7 @@
             weights: WeightBook::default(),
             lease: LeaseBook::default(),
             usage: UsageBook::new(settings.usage()),
+            end_news: Mutex::default(),
             jobs: Mutex::default(),
             early_ends: Mutex::default(),
             job_news: watch::channel(0).0,
@@ -286,6 +289,11 @@
         self.jobs.lock().unwrap().retain(|job, view| view.version > as_of || listed.contains(job));
     }
 
+    /// Returns whether what is known of ended jobs is recent enough to start work on one.
+    pub fn may_start_work(&self) -> bool {
+        self.end_news.lock().unwrap().may_start(self.now())
+    }
+
     /// Returns what is known of a job.
     pub fn job(&self, job: &str) -> Option<JobView> {
         self.jobs.lock().unwrap().get(job).cloned()
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -111,7 +111,7 @@
         let is_due = attempts.len() < servers_at_once && node.now() >= next_at;
         let pick = |room| pick_server(node, fingerprint, service, tried, room);
         let ticket = match attempts.len() {
-            _ if !is_due => None,
+            _ if !is_due || !node.may_start_work() => None,
             open if is_by_room => find_place(node, &room_call, open == 0, is_trial || !is_early, pick).await,
             _ => pick(ServerRoom::Place),
         };
