--- a/crates/trestlerack/src/process/direct_way.rs
+++ b/crates/trestlerack/src/process/direct_way.rs
@@ -32,6 +32,8 @@
     is_doubtful: bool,
     refusals: u32,
     refused_since: Timestamp,
+    /// When the store answered a direct call last.
+    answered_at: Timestamp,
 }
 
 impl DirectWay {
@@ -40,11 +42,16 @@
         self.is_doubtful
     }
 
-    /// Takes note of how a direct call ended; `failure` is `None` if the store answered it.
-    pub fn note(&mut self, now: Timestamp, failure: Option<StoreError>) -> Option<WayChange> {
+    /// Takes note of how a direct call ended that was sent at `sent_at`; `failure` is `None` if the store
+    /// answered it.
+    ///
+    /// A call without an answer says nothing of the way where the store answered others meanwhile: its
+    /// partition has many to carry out.
+    pub fn note(&mut self, sent_at: Timestamp, now: Timestamp, failure: Option<StoreError>) -> Option<WayChange> {
         let was_doubtful = self.is_doubtful;
         match failure {
-            None => (self.refusals, self.is_doubtful) = (0, false),
+            None => (self.refusals, self.is_doubtful, self.answered_at) = (0, false, now),
+            Some(StoreError::Unknown) if self.answered_at > sent_at => {}
             Some(StoreError::RateLimited) => {
                 if self.refusals == 0 {
                     self.refused_since = now;
--- a/crates/trestlerack/src/process/registry.rs
+++ b/crates/trestlerack/src/process/registry.rs
@@ -3,7 +3,7 @@
 use crate::version::WeightVersion;
 use crate::{Name, Timestamp};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::Duration;
 
 /// One registered backend server.
@@ -48,6 +48,10 @@
 pub struct ServerRegistry {
     settings: RegistrySettings,
     entries: BTreeMap<Name, ServerEntry>,
+    /// Instances by service.
+    services: BTreeMap<Name, BTreeSet<Name>>,
+    /// Counts changes of entries other than heartbeats.
+    changes: u64,
     /// Lapsed entries that are still believed, until the given time.
     lapsed: BTreeMap<Name, Timestamp>,
     outage_ended: Option<Timestamp>,
@@ -87,10 +91,29 @@
         }
         self.lapsed.remove(&entry.instance);
         let is_news = held.is_none_or(|held| ServerEntry { heartbeat: entry.heartbeat, ..held.clone() } != entry);
+        if is_news {
+            self.changes += 1;
+            self.leave_service(&entry.instance);
+            self.services.entry(entry.service.clone()).or_default().insert(entry.instance.clone());
+        }
         self.entries.insert(entry.instance.clone(), entry);
         is_news
     }
 
+    fn leave_service(&mut self, instance: &str) {
+        let Some(held) = self.entries.get(instance) else { return };
+        if let Some(instances) = self.services.get_mut(&held.service) {
+            instances.remove(instance);
+        }
+    }
+
+    fn forget(&mut self, instance: &str) -> bool {
+        self.leave_service(instance);
+        let was_held = self.entries.remove(instance).is_some();
+        self.changes += u64::from(was_held);
+        was_held
+    }
+
     /// Records that an entry was removed. Shortly after an outage it is believed a little longer,
     /// because servers that live are about to register again. Returns whether it is gone now.
     pub fn remove(&mut self, now: Timestamp, instance: &str) -> bool {
@@ -100,7 +123,7 @@
                 self.lapsed.insert(instance.into(), limit);
                 false
             }
-            _ => self.entries.remove(instance).is_some(),
+            _ => self.forget(instance),
         }
     }
 
@@ -108,16 +131,16 @@
     /// did before, it is not believed any longer. Returns whether there was one.
     pub fn refuse(&mut self, instance: &str) -> bool {
         self.lapsed.remove(instance);
-        self.entries.remove(instance).is_some()
+        self.forget(instance)
     }
 
     /// Replaces everything by a full read; entries that it lacks are removed as by [`Self::remove`].
     pub fn replace(&mut self, now: Timestamp, entries: Vec<ServerEntry>) {
-        let listed: Vec<Name> = entries.iter().map(|entry| entry.instance.clone()).collect();
+        let listed: HashSet<Name> = entries.iter().map(|entry| entry.instance.clone()).collect();
         for entry in entries {
             self.put(entry);
         }
-        let missing: Vec<Name> = self.entries.keys().filter(|name| !listed.contains(name)).cloned().collect();
+        let missing: Vec<Name> = self.entries.keys().filter(|name| !listed.contains(*name)).cloned().collect();
         for instance in missing {
             if !self.lapsed.contains_key(&instance) {
                 self.remove(now, &instance);
@@ -131,7 +154,7 @@
             self.lapsed.iter().filter(|(_, limit)| **limit <= now).map(|(name, _)| name.clone()).collect();
         for instance in &over {
             self.lapsed.remove(instance);
-            self.entries.remove(instance);
+            self.forget(instance);
         }
         over
     }
@@ -141,6 +164,17 @@
         self.entries.get(instance)
     }
 
+    /// Returns how often more than a heartbeat changed.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns the entries of a service, ordered by instance.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &ServerEntry> {
+        let instances = self.services.get(service).into_iter().flatten();
+        instances.filter_map(|instance| self.entries.get(instance))
+    }
+
     /// Returns all entries, ordered by instance.
     pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
         self.entries.values()
--- a/crates/trestlerack/src/version/mod.rs
+++ b/crates/trestlerack/src/version/mod.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod customers;
 mod declaration;
+mod engine_need;
 mod follower;
 mod load_time;
 mod plan;
@@ -20,6 +21,7 @@
 pub use declaration::{
     Backend, BackendKind, Campaign, DECLARATION_SECTIONS, Declaration, User, Zone, parse_declaration,
 };
+pub use engine_need::engines_needed;
 pub use follower::{ConfigFollower, FollowAction, FollowEvent};
 pub use plan::{ChangePlan, PlanError, plan_change};
 pub use rollout::{
--- a/crates/trestlerack/src/version/weight_plan.rs
+++ b/crates/trestlerack/src/version/weight_plan.rs
@@ -5,7 +5,7 @@
 use crate::process::ServerEntry;
 use crate::{Name, Timestamp};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
 /// Settings of a [`WeightPlan`].
@@ -124,7 +124,12 @@
     targets: BTreeMap<Name, WeightVersion>,
     /// How many versions behind the target a model's jobs accept.
     lags: BTreeMap<Name, WeightVersion>,
+    /// Engines that a model's work needs; all share alike where that is not known.
+    needs: BTreeMap<Name, usize>,
+    /// The engines that serve a model. Those that no model needs yet are not among them.
     engines: BTreeMap<Name, EngineState>,
+    /// Engines of the service, with those that no model needs yet.
+    listed: usize,
     load_time: LoadTime,
 }
 
@@ -157,6 +162,12 @@
         self.lags.insert(model.clone(), lag);
     }
 
+    /// Records how many engines the work of a model needs. It gets no more while others have none to spare,
+    /// and keeps those that it has.
+    pub fn need(&mut self, model: &Name, engines: usize) {
+        self.needs.insert(model.clone(), engines);
+    }
+
     /// Takes over the registered engines of the service, which serves `models`, and what the
     /// store says about their models. Returns the engines whose model was decided or changed now.
     pub fn sync(
@@ -166,27 +177,53 @@
         entries: &[&ServerEntry],
         assigned: &BTreeMap<Name, EngineAssignment>,
     ) -> Vec<(Name, Name)> {
-        self.engines.retain(|instance, _| entries.iter().any(|entry| entry.instance == *instance));
+        let listed: HashSet<&Name> = entries.iter().map(|entry| &entry.instance).collect();
+        self.listed = listed.len();
+        self.engines.retain(|instance, _| listed.contains(instance));
         if !self.engines.keys().any(|instance| self.load_time.is_watched(instance)) {
             self.load_time.lost();
         }
-        let mut decided = Vec::new();
+        let mut free: Vec<&ServerEntry> = Vec::new();
         for entry in entries {
             self.forget_earlier_start(entry);
             if !self.engines.contains_key(&entry.instance) {
-                let known = assigned.get(&entry.instance).map(|assignment| assignment.model.clone());
-                let Some(model) = known.clone().or_else(|| self.least_served(models)) else { continue };
-                if known.is_none() {
-                    decided.push((entry.instance.clone(), model.clone()));
-                }
-                self.engines.insert(entry.instance.clone(), EngineState::new(model, entry.started_ms));
+                let Some(assignment) = assigned.get(&entry.instance) else {
+                    free.push(entry);
+                    continue;
+                };
+                self.take(entry, assignment.model.clone());
             }
             self.observe(now, entry);
         }
-        decided.extend(self.rebalance(models));
+        let mut served = self.count_served(models);
+        let mut decided = Vec::new();
+        for entry in free {
+            let Some(model) = self.least_served(&served) else { break };
+            decided.push((entry.instance.clone(), model.clone()));
+            self.take(entry, model.clone());
+            self.observe(now, entry);
+            *served.entry(model).or_default() += 1;
+        }
+        if self.engines.len() == self.listed {
+            decided.extend(self.rebalance(served));
+        }
         decided
     }
 
+    fn take(&mut self, entry: &ServerEntry, model: Name) {
+        self.engines.insert(entry.instance.clone(), EngineState::new(model, entry.started_ms));
+    }
+
+    fn count_served(&self, models: &[Name]) -> BTreeMap<Name, usize> {
+        let mut served: BTreeMap<Name, usize> = models.iter().map(|model| (model.clone(), 0)).collect();
+        for state in self.engines.values() {
+            if let Some(count) = served.get_mut(&state.model) {
+                *count += 1;
+            }
+        }
+        served
+    }
+
     /// Forgets what an engine held and was ordered before it started again: its versions may be
     /// others now, and it counts orders from zero. It keeps its model.
     fn forget_earlier_start(&mut self, entry: &ServerEntry) {
@@ -220,23 +257,29 @@
         }
     }
 
-    fn least_served(&self, models: &[Name]) -> Option<Name> {
-        let served = |model: &Name| self.engines.values().filter(|state| state.model == *model).count();
-        models.iter().min_by_key(|model| served(model)).cloned()
+    /// Returns the model with the fewest engines among those that need more.
+    fn least_served(&self, served: &BTreeMap<Name, usize>) -> Option<Name> {
+        let lacking = served.iter().filter(|(model, count)| self.lacks(model, **count));
+        lacking.min_by_key(|(_, count)| **count).map(|(model, _)| model.clone())
+    }
+
+    fn lacks(&self, model: &Name, count: usize) -> bool {
+        self.needs.get(model).is_none_or(|need| count < *need)
     }
 
     /// Moves an engine from the model with the most engines to the one with the fewest, if the
     /// difference is more than one, as it is after engines were lost.
-    fn rebalance(&mut self, models: &[Name]) -> Vec<(Name, Name)> {
+    fn rebalance(&mut self, mut served: BTreeMap<Name, usize>) -> Vec<(Name, Name)> {
         let mut moved = Vec::new();
         loop {
-            let count = |model: &Name| self.engines.values().filter(|state| state.model == *model).count();
-            let Some(least) = models.iter().min_by_key(|model| count(model)) else { return moved };
-            let Some(most) = models.iter().max_by_key(|model| count(model)) else { return moved };
-            if count(most) <= count(least) + 1 {
+            let Some(least) = self.least_served(&served) else { return moved };
+            let Some((most, count)) = served.iter().max_by_key(|(_, count)| **count) else { return moved };
+            if *count <= served[&least] + 1 {
                 return moved;
             }
-            let (least, most) = (least.clone(), most.clone());
+            let most = most.clone();
+            *served.entry(least.clone()).or_default() += 1;
+            *served.entry(most.clone()).or_default() -= 1;
             let Some((instance, state)) = self.engines.iter_mut().find(|(_, state)| state.model == most) else {
                 return moved;
             };
@@ -248,7 +291,7 @@
     /// Returns the orders to send now, engines with the oldest weights first; `busy` says how much
     /// an engine has to do, since idle ones load first, or that it may not be ordered yet.
     pub fn next_orders(&mut self, now: Timestamp, busy: impl Fn(&str) -> Option<u32>) -> Vec<DueOrder> {
-        let share = (self.engines.len() as f64 * self.settings.parallel_share).round() as usize;
+        let share = (self.listed as f64 * self.settings.parallel_share).round() as usize;
         let most = share.max(self.settings.parallel_least);
         let loading = self.engines.values().filter(|state| self.is_loading(now, state)).count();
         let mut due: Vec<(WeightVersion, u32, Name)> = Vec::new();
@@ -291,13 +334,18 @@
     /// Takes out engines whose version jobs still accept, beyond the share that is to have the
     /// newest one already.
     fn keep_share(&self, due: &mut Vec<(WeightVersion, u32, Name)>) {
-        let mut missing: BTreeMap<&Name, usize> = BTreeMap::new();
-        for (model, target) in &self.targets {
-            let of_model = || self.engines.values().filter(|state| state.model == *model);
-            let newest = of_model().filter(|state| state.is_sending || state.coming() >= *target).count();
-            let wanted = (of_model().count() as f64 * self.settings.newest_share).ceil() as usize;
-            missing.insert(model, wanted.saturating_sub(newest));
+        let mut engines: BTreeMap<&Name, (usize, usize)> = BTreeMap::new();
+        for state in self.engines.values() {
+            let Some(target) = self.targets.get(&state.model) else { continue };
+            let (all, newest) = engines.entry(&state.model).or_default();
+            *all += 1;
+            *newest += usize::from(state.is_sending || state.coming() >= *target);
         }
+        let missing_of = |(model, (all, newest)): (_, (usize, usize))| {
+            let wanted = (all as f64 * self.settings.newest_share).ceil() as usize;
+            (model, wanted.saturating_sub(newest))
+        };
+        let mut missing: BTreeMap<&Name, usize> = engines.into_iter().map(missing_of).collect();
         // The oldest and idlest ones go first.
         due.sort();
         due.retain(|(held, _, instance)| {
--- a/crates/trestlerack/tests/weight_plans.rs
+++ b/crates/trestlerack/tests/weight_plans.rs
@@ -369,3 +369,37 @@
     }
     assert!(plan.load_time() <= Duration::from_millis(1_200), "{:?}", plan.load_time());
 }
+
+/// Steps of 176 items before engines with six places each need some sixty engines, however many there are.
+#[test]
+fn a_model_gets_the_engines_that_its_work_needs() {
+    const NEED: usize = 60;
+    let names = ["a", "b", "c"];
+    for count in [90, 252, 1_000, 10_000, 20_000] {
+        let all: Vec<ServerEntry> =
+            (0..count).map(|number| entry(&format!("i-{number:05}"), &names.map(|name| (name, 1)))).collect();
+        let mut plan = WeightPlan::new(WeightPlanSettings::default());
+        names.iter().for_each(|name| plan.need(&(*name).into(), NEED));
+        let decided = sync(&mut plan, NOW, &names, &all);
+        assert_eq!(decided.len(), count.min(names.len() * NEED));
+        names.iter().for_each(|name| plan.allow_lag(&(*name).into(), 1));
+        names.iter().for_each(|name| plan.target(&(*name).into(), 2));
+        let (mut orders, mut now) = (0, NOW);
+        for _ in 0..40 {
+            now = now + Duration::from_millis(100);
+            orders += carry_out(&mut plan, now).len();
+        }
+        assert_eq!(orders, count.min(names.len() * NEED).div_ceil(2), "half of the engines of each, of {count}");
+        // What is lost is replaced from those that nobody needed yet.
+        let left: Vec<ServerEntry> = all
+            .iter()
+            .filter(|entry| !decided[..10].iter().any(|(lost, _)| *lost == entry.instance))
+            .cloned()
+            .collect();
+        let replaced = sync(&mut plan, now, &names, &left);
+        assert!(count == 90 || replaced.len() == 10, "{} of {count}", replaced.len());
+        names.iter().for_each(|name| plan.need(&(*name).into(), 2 * NEED));
+        sync(&mut plan, now, &names, &left);
+        assert_eq!(plan.models().count(), left.len().min(names.len() * 2 * NEED), "more work gets more engines");
+    }
+}
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -262,6 +262,15 @@
         of_model.max_by_key(|view| view.head.accepted_ms).map_or(0, |view| view.lag)
     }
 
+    /// Returns the items of a model's open jobs, or of its largest job where that has more: the next one is
+    /// likely to be as large.
+    pub fn open_items(&self, model: &Name) -> usize {
+        let jobs = self.jobs.lock().unwrap();
+        let of_model = || jobs.values().filter(|view| view.head.model.as_ref() == Some(model));
+        let open: usize = of_model().filter(|view| !view.is_ended).map(|view| view.head.total).sum();
+        of_model().map(|view| view.head.total).max().unwrap_or(0).max(open)
+    }
+
     /// Records that a client ended a job.
     pub fn learn_end(&self, job: &Name) {
         match self.jobs.lock().unwrap().get_mut(job) {
--- a/crates/trestlerackd/src/entry/order_lease.rs
+++ b/crates/trestlerackd/src/entry/order_lease.rs
@@ -1,7 +1,7 @@
 //! Holds the lease on weight orders while it can, and orders engines while it holds it.
 
 use super::node::EntryNode;
-use super::weights::{self, OrderTasks};
+use super::weights::{self, OrderTasks, ServicePlan};
 use super::{feeds, tables};
 use crate::process::clock;
 use crate::process::logs;
@@ -13,7 +13,6 @@
 use trestlerack::hash::{hash_parts, rank_among};
 use trestlerack::process::{LeaseKeeper, LeaseRow, LeaseSettings, LeaseStep, rate_pause};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
-use trestlerack::version::WeightPlan;
 use trestlerack::{Name, Timestamp, event};
 
 /// Interval between two looks.
@@ -40,7 +39,7 @@
 /// What this node does about the lease.
 struct OrderDesk {
     keeper: LeaseKeeper,
-    plans: BTreeMap<Name, WeightPlan>,
+    plans: BTreeMap<Name, ServicePlan>,
     orders: OrderTasks,
     renewed_at: Timestamp,
     held_fence: Option<u64>,
--- a/crates/trestlerackd/src/entry/store.rs
+++ b/crates/trestlerackd/src/entry/store.rs
@@ -156,7 +156,7 @@
         let reply = self.direct.call_within(call, time_limit(call, limit)).await;
         let now = self.time.now();
         let failure = reply.as_ref().err().copied();
-        let change = self.way.lock().unwrap().note(now, failure);
+        let change = self.way.lock().unwrap().note(sent_at, now, failure);
         match (change, failure) {
             (Some(WayChange::Regained), _) => logs::write(event::STORE_REGAINED, &[]),
             (Some(WayChange::Lost), Some(error)) => {
