--- a/crates/trestlerack/src/process/entry_settings.rs
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -48,6 +48,8 @@
     pub retention_s: u64,
     /// Interval at which backend servers write to service discovery.
     pub server_heartbeat_ms: u64,
+    /// Nodes that follow the store and tell the others; 0 decides by the size of the fleet.
+    pub followers: usize,
     /// Share of a service's engines that may load weights at once.
     pub load_share: f64,
     /// Time that a load of weights takes, until loads were seen.
@@ -88,6 +90,7 @@
             order_handover_ms: 3_000,
             retention_s: 600,
             server_heartbeat_ms: 1_200,
+            followers: 0,
             load_share: 0.2,
             first_load_ms: 950,
             duty_service: "".into(),
@@ -193,6 +196,13 @@
         "1200",
         "Interval at which backend servers write to service discovery; an entry lapses after three.",
     ),
+    count(
+        "followers",
+        0,
+        1 << 20,
+        "0",
+        "Nodes that follow the store and tell the others of changes, two a zone at least; 0 decides by the size of the fleet.",
+    ),
     ratio(
         "load_share",
         0.0,
--- a/crates/trestlerackd/src/entry/levels.rs
+++ b/crates/trestlerackd/src/entry/levels.rs
@@ -209,7 +209,10 @@
         nodes.push(own_node(node));
     }
     let heartbeat = Duration::from_millis(node.settings.server_heartbeat_ms);
-    let count = node.levels.keep_count(follower_count(nodes.len(), known_servers(node), heartbeat), nodes.len());
+    let count = match node.settings.followers {
+        0 => node.levels.keep_count(follower_count(nodes.len(), known_servers(node), heartbeat), nodes.len()),
+        count => count,
+    };
     let followers = (count < nodes.len()).then(|| choose_followers(&nodes, count));
     let is_chosen = followers.as_ref().is_none_or(|followers| followers.contains(&node.settings.name));
     let number = followers.as_ref().map_or(nodes.len(), BTreeSet::len);
--- a/crates/trestlerackd/src/entry/server_feed.rs
+++ b/crates/trestlerackd/src/entry/server_feed.rs
@@ -24,8 +24,9 @@
             // Shortly after an outage an entry is believed a little longer, and passed on once it is not.
             let held = registry.get(&row.key).cloned();
             if registry.remove(now, &row.key) {
-                news.removed(held, row);
+                news.removed(row);
             }
+            news.gone.extend(held);
             continue;
         }
         match platform::decode_server(&row) {
@@ -38,15 +39,14 @@
             Ok(_) => {}
             Err(error) => {
                 logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]);
-                let held = registry.get(&row.key).cloned();
                 if registry.refuse(&row.key) {
-                    news.removed(held, row);
+                    news.removed(row);
                 }
             }
         }
     }
     for instance in registry.expire(now) {
-        news.removed(None, removed_row(&instance));
+        news.removed(removed_row(&instance));
     }
     drop(registry);
     take_news(node, news);
@@ -83,8 +83,8 @@
     }
     for (instance, held) in before {
         if registry.get(&instance).is_none() {
-            let row = removed_row(&instance);
-            news.removed(Some(held), row);
+            news.removed(removed_row(&instance));
+            news.gone.push(held);
         }
     }
     drop(registry);
@@ -129,10 +129,9 @@
         self.rows.push(row);
     }
 
-    fn removed(&mut self, held: Option<ServerEntry>, row: StoredRow) {
+    fn removed(&mut self, row: StoredRow) {
         self.lines.push((row.key.clone(), "removed"));
         self.removed.push(row.key.clone());
-        self.gone.extend(held);
         self.rows.push(row);
     }
 
@@ -150,6 +149,7 @@
 }
 
 fn take_news(node: &Arc<EntryNode>, news: ServerNews) {
+    news.gone.iter().for_each(|server| suspects::server_gone(node, server));
     if news.changed.is_empty() && news.removed.is_empty() {
         return;
     }
@@ -170,7 +170,6 @@
             board.remove(instance);
         }
     }
-    news.gone.iter().for_each(|server| suspects::server_gone(node, server));
     node.levels.put(news.rows);
     room::servers_changed(node);
 }
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -1,6 +1,6 @@
 //! What operators may ask a node on its metrics address: customers and what they take, who does which
 //! duty, requests under which servers ended, how servers answer, who waits for room, and what is held for
-//! callers.
+//! callers, and where the node hears of changes.
 //!
 //! Answers are JSON and come from what the node knows, without a call to the store. They hold no
 //! key; [docs/API.md](../../../../docs/API.md#entry-nodes) has the fields.
@@ -34,6 +34,9 @@
 /// Path of the list of services whose calls are admitted by room.
 const ROOM_PATH: &str = "/v1/room";
 
+/// Path of where the node hears of changes.
+const LEVEL_PATH: &str = "/v1/level";
+
 /// Path of the list of what is held.
 const MEMORY_PATH: &str = "/v1/memory";
 
@@ -56,6 +59,18 @@
     is_held_here: bool,
 }
 
+#[derive(Serialize)]
+struct LevelLine {
+    /// Where the node hears of changes: from the store or from a follower.
+    source: &'static str,
+    /// Nodes that follow the store; null while all do.
+    followers: Option<usize>,
+    /// Whether the node passes changes on.
+    passes_on: bool,
+    /// Servers that it makes use of.
+    servers: usize,
+}
+
 #[derive(Serialize)]
 struct ShareEntry {
     service: Name,
@@ -100,6 +115,7 @@
         SUSPECTS_PATH => serde_json::to_vec(&suspects(node)),
         SERVERS_PATH => serde_json::to_vec(&servers(node)),
         ROOM_PATH => serde_json::to_vec(&room::lines(node)),
+        LEVEL_PATH => serde_json::to_vec(&[level(node)]),
         MEMORY_PATH => serde_json::to_vec(&held::memory_lines(&node.held)),
         _ => return None,
     };
@@ -118,6 +134,15 @@
     lines.collect()
 }
 
+fn level(node: &EntryNode) -> LevelLine {
+    LevelLine {
+        source: if node.levels.is_direct() { "store" } else { "follower" },
+        followers: node.levels.followers().map(|followers| followers.len()),
+        passes_on: node.levels.passes_on(),
+        servers: node.board.lock().unwrap().instances().count(),
+    }
+}
+
 fn shares(node: &EntryNode) -> Vec<ShareEntry> {
     let entry = |line: ShareLine| {
         let ShareLine { service, customer, asked_ms, given_ms, part } = line;
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod held;
 mod jobs;
 mod lease;
+mod levels;
 mod requests;
 mod room;
 mod shares;
