--- a/crates/trestlerack/src/process/feed_log.rs
+++ b/crates/trestlerack/src/process/feed_log.rs
@@ -3,7 +3,7 @@
 use crate::Name;
 use crate::rows::StoredRow;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 /// Removed rows that are remembered, for those that have not heard of their removal.
 const MOST_REMOVED: usize = 4_096;
@@ -75,11 +75,10 @@
 
     /// Takes over a table that was read whole: rows that it lacks were removed.
     pub fn replace(&mut self, table: &str, rows: Vec<StoredRow>) {
-        let is_listed: std::collections::HashSet<(&Name, &Name)> =
-            rows.iter().map(|row| (&row.partition, &row.key)).collect();
+        let listed: HashSet<(&Name, &Name)> = rows.iter().map(|row| (&row.partition, &row.key)).collect();
         let of_table = self.rows.values().map(|(_, row)| row).filter(|row| &*row.table == table && !row.removed);
         let missing: Vec<StoredRow> =
-            of_table.filter(|row| !is_listed.contains(&(&row.partition, &row.key))).cloned().collect();
+            of_table.filter(|row| !listed.contains(&(&row.partition, &row.key))).cloned().collect();
         for row in missing {
             self.put(StoredRow { removed: true, ..row });
         }
--- a/crates/trestlerackd/src/entry/levels.rs
+++ b/crates/trestlerackd/src/entry/levels.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use trestlerack::process::{
-    FeedLog, LeaseRow, LevelNode, ServerCounts, choose_followers, follower_count, is_node_partition,
+    FeedLog, LeaseRow, LevelNode, ServerCounts, ServerEntry, choose_followers, follower_count, is_node_partition,
 };
 use trestlerack::request::JobHead;
 use trestlerack::rows::StoredRow;
@@ -197,7 +197,7 @@
     }
 
     /// Returns whether a node makes use of a server.
-    pub fn is_in_part(&self, node: &str, zone: &str, entry: &trestlerack::process::ServerEntry) -> bool {
+    pub fn is_in_part(&self, node: &str, zone: &str, entry: &ServerEntry) -> bool {
         self.counts.lock().unwrap().is_in_part(node, zone, entry)
     }
 }
