Let up to 128 nodes all follow until the servers are known

Cause: a process reckons with ten servers a node in its first 8 s, which at 76 nodes and a heartbeat each 1.2 s gave levels for that time, though with the 50 servers of that deployment all nodes follow. Nodes that start together would have heard of changes from each other and changed again at 8 s.

Change: where the servers are not known yet and 128 nodes or fewer are, all follow. Test: levels::what_followers_read_together_is_bounded.

--- a/crates/trestlerack/src/process/levels.rs
+++ b/crates/trestlerack/src/process/levels.rs
@@ -38,6 +38,10 @@
 /// Returns how many of `nodes` follow the store, where `servers` write each `heartbeat`; `None` for the
 /// servers if they are not known yet. It is a power of two, so that it seldom changes, or all.
 pub fn follower_count(nodes: usize, servers: Option<usize>, heartbeat: Duration) -> usize {
+    // So few nodes may all follow until the servers are known.
+    if servers.is_none() && nodes <= NODES_PER_FOLLOWER {
+        return nodes;
+    }
     let servers = servers.unwrap_or(nodes * SERVERS_PER_NODE);
     let rows_per_s = servers.max(1) as f64 / heartbeat.as_secs_f64().max(0.001);
     let borne = (FOLLOWED_ROWS_PER_S / rows_per_s) as usize;
--- a/crates/trestlerack/tests/levels.rs
+++ b/crates/trestlerack/tests/levels.rs
@@ -64,6 +64,8 @@
     }
     assert_eq!(followers_of(&nodes(25), 250).len(), 25, "a small fleet has no levels");
     assert!(followers_of(&nodes(2_000), 20_000).len() <= 64);
+    assert_eq!(follower_count(100, None, Duration::from_millis(1_200)), 100, "while the servers are not known");
+    assert!(follower_count(1_000, None, HEARTBEAT) <= 64);
 }
 
 #[test]
