--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -6,8 +6,8 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// An entry daemon.
@@ -49,9 +49,14 @@
     GUARD.get_or_init(claim).1
 }
 
+/// Held while a port is tried and while a process is started: between its fork and its exec a child holds all
+/// sockets of this process, and a daemon would find a port in use that was only being tried.
+static FORKS: Mutex<()> = Mutex::new(());
+
 /// Returns an address that nothing listens on, another one at each call for a long while.
 pub fn free_address() -> String {
     static NEXT: AtomicU16 = AtomicU16::new(0);
+    let _no_fork = lock_forks();
     loop {
         let port = own_ports() + NEXT.fetch_add(1, Ordering::SeqCst) % (PORTS_OF_RUN - 1);
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
@@ -60,6 +65,11 @@
     }
 }
 
+fn lock_forks() -> MutexGuard<'static, ()> {
+    // A test that failed meanwhile leaves nothing half done.
+    FORKS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Settings of a daemon that tests choose.
 #[derive(Clone)]
 pub struct DaemonSettings {
@@ -134,7 +144,12 @@
     }
 
     pub fn signal(&self, signal: &str) {
-        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
+        let process = self.child.id().to_string();
+        let kill = {
+            let _no_trial = lock_forks();
+            Command::new("kill").args([signal, &process]).spawn()
+        };
+        let status = kill.unwrap().wait().unwrap();
         assert!(status.success());
     }
 
@@ -189,6 +204,7 @@
         let file = std::fs::OpenOptions::new().create(true).append(true).open(log);
         file.unwrap().into()
     });
+    let _no_trial = lock_forks();
     Command::new(env!("CARGO_BIN_EXE_trestlerackd"))
         .args(["entry", "--settings"])
         .arg(settings)
