Drive a job by its configuration's bounds, and ask seeds for 60 ms only

A process that has just started may be told to drive a job (PeerCall::Drive) before it knows the configuration; it then went by the default of three answers of 500 to a score call, where that deployment allows four.

Change: a driver waits for the configuration; a start asks its seeds for 60 ms at most.

Not shown by a test yet.

--- a/crates/trestlerackd/src/entry/feed_relay.rs
+++ b/crates/trestlerackd/src/entry/feed_relay.rs
@@ -24,8 +24,9 @@
 /// Time for an answer, beyond the wait that was asked for.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 
-/// Time for all questions of a node that starts to its seeds, before it reads the store.
-const START_TIME: Duration = Duration::from_millis(250);
+/// Time for all questions of a node that starts to its seeds, before it reads the store. Seeds that are up answer
+/// within milliseconds, and one that starts beside them is not to wait for those that are not.
+const START_TIME: Duration = Duration::from_millis(60);
 
 /// Age from which what a follower knows is too old, and another one is asked.
 const LONGEST_AGE: Duration = Duration::from_millis(1_800);
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -213,8 +213,7 @@
         return;
     }
     let node = node.clone();
-    let settings = ledger_settings(&node, &spec);
-    let ledger = JobLedger::new(spec.clone(), settings.clone(), Vec::new(), HashMap::new());
+    let ledger = JobLedger::new(spec.clone(), LedgerSettings::default(), Vec::new(), HashMap::new());
     // What was accepted is kept in any case, and counted so that others make room for it.
     let mut memory = node.held.ledger.count(HeldPurpose::Texts, spec.bytes());
     if let Some(customer) = &head.customer {
@@ -228,6 +227,7 @@
         driver.end();
     }
     tokio::spawn(async move {
+        let settings = wait_for_settings(&node, &spec).await;
         let loaded = job_texts::load_state(&node, &spec, &head, settings).await;
         match loaded {
             Ok(ledger) => {
@@ -240,9 +240,19 @@
     });
 }
 
-fn ledger_settings(node: &EntryNode, spec: &JobSpec) -> LedgerSettings {
+/// Returns what the configuration says of a job. A process that has just started may be given a job before it
+/// knows the configuration, and would give up items by other bounds.
+async fn wait_for_settings(node: &EntryNode, spec: &JobSpec) -> LedgerSettings {
+    loop {
+        match node.routing() {
+            Some(routing) => return ledger_settings(&routing, spec),
+            None => clock::sleep(LOOK_INTERVAL).await,
+        }
+    }
+}
+
+fn ledger_settings(routing: &RoutingTable, spec: &JobSpec) -> LedgerSettings {
     let defaults = LedgerSettings::default();
-    let Some(routing) = node.routing() else { return defaults };
     let route = routing.select(&spec.host, &spec.path);
     let scorer = spec.items.first().and_then(|item| item.scorer.as_ref());
     let score_route = scorer.and_then(|scorer| routing.select(&scorer.host, &scorer.path));
