Let the other node hear of the first job before its driver is frozen

Read from the code: the other node gives the second job to the driver of the first one only if its watch has brought that job's head by then; else it drives the second job itself, asks nobody, and takes nobody for gone. Nothing in the test waited for that. It now reads the first job at that node too; what is asserted stays.

--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -233,6 +233,8 @@
     eventually("it is registered", || rows() == 1);
     assert_eq!(submit(&frozen, "job1", 2), 202);
     assert_eq!(read_all(&frozen, "job1", 2).len(), 2);
+    // The other node names the driver of the last job only once it has heard of that job.
+    assert_eq!(read_all(&other, "job1", 2).len(), 2);
     frozen.signal("-STOP");
     assert_eq!(submit(&other, "job2", 2), 202);
     eventually("its row is removed", || rows() == 0);
