Ask for a server's trial only for plain services and repeated suspects

Cause: after two engines have ended, every group that ran on both is a repeated suspect; each asked for an engine of its own for a second, and a step's groups waited for each other. A dead keeper of trials cost each first suspect 350 ms besides.

--- a/crates/trestlerackd/src/entry/suspects/trials.rs
+++ b/crates/trestlerackd/src/entry/suspects/trials.rs
@@ -17,6 +17,10 @@
 pub async fn ask_trial(node: &Arc<EntryNode>, ticket: &ServerTicket) -> bool {
     let standing = node.suspects.book().standing(node.now(), ticket.fingerprint);
     let SuspectStanding::Suspected(ended) = standing else { return true };
+    // A run on an engine lasts longer than a trial, and a step has many: they would wait for each other.
+    if ended == 1 || !ticket.server.models.is_empty() {
+        return true;
+    }
     let server = &ticket.server.instance;
     let is_granted = match keeper(node, server) {
         None => Some(grant_trial(node, server, ticket.fingerprint)),
@@ -25,7 +29,7 @@
     if is_granted == Some(false) {
         ticket.share_trial();
     }
-    is_granted != Some(false) || ended == 1
+    is_granted != Some(false)
 }
 
 /// Answers a node that asks for a server's trial.
