Place items of earlier jobs of a model before those of later jobs

Cause: a node that drives several steps of one model did not order them. Each driver places its own items when it wakes, and the end of a run wakes the driver of that run, so the job that occupies the places keeps them.

Change: each pass over a job first places the items of earlier jobs of the same model and customer that this node drives, oldest first. Jobs whose stored state is still being read are skipped.

Test: jobs::an_earlier_job_of_a_model_gets_free_places_first fails without the change (the later job starts its other 16 items first) and passes with it.

--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -5,7 +5,7 @@
 use crate::process::clock;
 use crate::process::logs;
 use std::collections::{BTreeSet, HashMap, HashSet};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -81,6 +81,8 @@
     /// Count of the bytes of its specification and its texts.
     memory: Mutex<HeldBytes>,
     mode: AtomicU8,
+    /// Whether `ledger` reflects the stored state of the job, which is read after the driver is created.
+    is_ledger_loaded: AtomicBool,
 }
 
 impl JobDriver {
@@ -109,6 +111,7 @@
             wake: Notify::new(),
             record: Notify::new(),
             mode: AtomicU8::new(DriveMode::Drive as u8),
+            is_ledger_loaded: AtomicBool::new(false),
             runs: Mutex::default(),
             scoring: Mutex::default(),
             spec_bytes: memory.bytes(),
@@ -136,6 +139,11 @@
         self.mode() == DriveMode::Drive
     }
 
+    /// Returns whether the driver is active and its ledger has been loaded from the store.
+    pub fn can_place_items(&self) -> bool {
+        self.is_driving() && self.is_ledger_loaded.load(Ordering::Relaxed)
+    }
+
     /// Returns whether another node drives the job.
     pub fn is_lost(&self) -> bool {
         self.mode() == DriveMode::Lost
@@ -232,6 +240,7 @@
         match loaded {
             Ok(ledger) => {
                 *driver.ledger.lock().unwrap() = ledger;
+                driver.is_ledger_loaded.store(true, Ordering::Relaxed);
                 drive(&node, &driver, head, version).await;
             }
             Err(error) => logs::write(event::JOB_LEFT, &[("job", &spec.id), ("why", &error)]),
@@ -339,7 +348,7 @@
         return;
     }
     run_moves::move_slow_run(node, driver, route);
-    job_runs::place_items(node, driver, route);
+    job_runs::place_items(node, driver, routing);
     job_runs::start_spare(node, driver, route);
     job_scores::start_scores(node, driver);
 }
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -10,14 +10,45 @@
 use std::time::Duration;
 use trestlerack::process::{ServerEntry, ServerNeed, ServerRoom};
 use trestlerack::request::{ItemPhase, JobLedger, RequestFingerprint, RunEnd, RunLane};
-use trestlerack::version::RequestRoute;
+use trestlerack::version::{RequestRoute, RoutingTable};
 use trestlerack::{Name, event};
 
 /// Time after which a held item is looked at again; a whole answer elsewhere may end the hold.
 const HELD_PAUSE: Duration = Duration::from_millis(250);
 
-/// Starts the items that wait, as far as there are engines with free places for them.
-pub fn place_items(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
+/// Starts waiting items on engines with free places, after those of earlier jobs of the same model and
+/// customer. Without this order, a job would reuse every place that its own runs free, and an earlier job,
+/// whose results a trainer needs first, could starve.
+pub fn place_items(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, routing: &RoutingTable) {
+    for job in earlier_jobs(node, driver).iter().chain([driver]) {
+        if let Some(route) = routing.select(&job.spec.host, &job.spec.path) {
+            place_job_items(node, job, route);
+        }
+    }
+}
+
+/// Returns the drivers on this node of jobs of the same model and customer accepted before this one, oldest
+/// first. Jobs whose ledger is not loaded yet are skipped.
+fn earlier_jobs(node: &EntryNode, driver: &JobDriver) -> Vec<Arc<JobDriver>> {
+    if driver.spec.model.is_none() {
+        return Vec::new();
+    }
+    let acceptance_order = |job: &JobDriver| (job.accepted_ms, job.spec.id.clone());
+    let driver_order = acceptance_order(driver);
+    let is_earlier = |job: &&Arc<JobDriver>| {
+        job.spec.model == driver.spec.model
+            && job.customer == driver.customer
+            && job.can_place_items()
+            && acceptance_order(job) < driver_order
+    };
+    let drivers = node.drivers.lock().unwrap();
+    let mut earlier: Vec<Arc<JobDriver>> = drivers.values().filter(is_earlier).cloned().collect();
+    drop(drivers);
+    earlier.sort_by_key(|job| acceptance_order(job));
+    earlier
+}
+
+fn place_job_items(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, route: &RequestRoute) {
     let now = node.now();
     let mut left = node.held.runs_left(now, || runs_of_node(node));
     let mut ledger = driver.ledger.lock().unwrap();
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -185,6 +185,30 @@
     assert_eq!(runs_of("job1"), 3);
 }
 
+/// Guards against a later job that reuses every place its own runs free while an earlier job of the same
+/// model waits.
+#[test]
+fn an_earlier_job_of_a_model_gets_free_places_first() {
+    const PLACES: usize = 8;
+    let platform = Platform::start();
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    platform.engine.pace_ms.store(200, Ordering::SeqCst);
+    let runs = || platform.engine.runs.lock().unwrap().clone();
+    // The earlier job requires version 2, which no engine has yet, so the later job fills all places.
+    let body = job_body_of("earlier", PLACES, 2);
+    assert_eq!(call(&daemon.client, "POST", "/jobs/earlier", &[("request-id", "earlier")], &body).unwrap().status, 202);
+    assert_eq!(submit(&daemon, "later", 3 * PLACES), 202);
+    eventually("the later job occupies all places", || runs().len() == PLACES);
+    platform.name_version(2);
+    eventually("both engines accept a load order", || platform.engine.orders.lock().unwrap().len() == 2);
+    assert_eq!(runs().len(), PLACES, "no further run has started");
+    read_all(&daemon, "earlier", PLACES);
+    let runs = runs();
+    let last_earlier = runs.iter().rposition(|run| run.starts_with("earlier")).unwrap();
+    let later_runs = runs[..last_earlier].iter().filter(|run| run.starts_with("later")).count();
+    assert_eq!(later_runs, PLACES, "{runs:?}");
+}
+
 #[test]
 fn a_small_node_has_its_jobs_driven_by_a_large_one() {
     let platform = Platform::start();
