Report usage from before the first holder opened its reports

Symptom: requests that ran before a node first opened the usage reports appeared in no report, so they were missing from customers' bills. duties::usage_is_reported_once_for_each_request_that_ran failed intermittently because of it ("in vain: all usage is reported").

Cause: a holder that finds no stored report starts with the window in which it opens the reports. The test now prints the usage calls that the platform received and the usage lines of the log when it fails.

Ruled out: late notes, a change of holder and reports counted twice. The log of a failed run shows one fence, one holder and empty counts from the first window on.

Change: without a stored report, the holder starts with the oldest window that is kept. Windows before the one in which it opens are reported only if requests ran in them. All other behaviour is unchanged.

Tests: duties::usage_from_before_the_first_holder_is_reported, in which the holder reads the reports only after a delay, fails without the change and passes with it.

Open: a note that reaches the holder after the report of its window was stored (35% of the due time after the window's end) is dropped without a log line. This was not seen in any run.

--- a/crates/trestlerackd/src/entry/duties/usage_report.rs
+++ b/crates/trestlerackd/src/entry/duties/usage_report.rs
@@ -44,6 +44,8 @@
     listening_ms: u64,
     /// First window whose report is not stored.
     next: u64,
+    /// First window whose report is stored even if it is empty.
+    report_empty_from: u64,
     /// Reports that the platform may not have.
     unsent: BTreeMap<u64, UsageReport>,
     /// Windows whose report the platform has and whose row does not say so.
@@ -109,7 +111,9 @@
     let mut desk = ReportDesk {
         fence,
         listening_ms: wall_ms,
-        next: settings.window_at(wall_ms),
+        // Used if no report is stored: requests may have run before the first holder opened its reports.
+        next: settings.first_kept(wall_ms),
+        report_empty_from: settings.window_at(wall_ms),
         unsent: BTreeMap::new(),
         unmarked: BTreeMap::new(),
         old_keys: Vec::new(),
@@ -142,6 +146,7 @@
     }
     if let Some(newest) = newest {
         desk.next = newest + 1;
+        desk.report_empty_from = desk.next;
     }
     let fields: [(&str, &dyn std::fmt::Display); 3] =
         [("fence", &fence), ("next", &desk.next), ("unsent", &desk.unsent.len())];
@@ -158,6 +163,10 @@
         return true;
     }
     let report = UsageReport { counts: node.usage.desk.lock().unwrap().total(window), is_sent: false };
+    if report.counts.is_empty() && window < desk.report_empty_from {
+        desk.next += 1;
+        return true;
+    }
     let key = report_key(window);
     let mut transaction = RowTransaction::new(tables::USAGE).expect(tables::USAGE, &key, 0).put(
         tables::USAGE,
--- a/crates/trestlerackd/tests/entry/duties.rs
+++ b/crates/trestlerackd/tests/entry/duties.rs
@@ -3,7 +3,9 @@
 use super::support::*;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::path::Path;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// Window of usage reports in these tests, and the time in which they are due, in seconds.
 const WINDOW_S: u64 = 1;
@@ -41,6 +43,17 @@
     total
 }
 
+/// Formats the usage calls that the platform received and the usage lines of a log, for failure messages.
+fn usage_diagnostics(duties: &DutyPlatform, log: &Path) -> String {
+    let calls = duties.calls("/usage");
+    let call =
+        |call: &DutyCall| format!("status {} holder {} fence {}: {}", call.status, call.holder, call.fence, call.body);
+    let calls: Vec<String> = calls.iter().map(call).collect();
+    let text = std::fs::read_to_string(log).unwrap_or_default();
+    let lines: Vec<&str> = text.lines().filter(|line| line.contains("name=usage-")).collect();
+    format!("calls:\n{}\nlog:\n{}", calls.join("\n"), lines.join("\n"))
+}
+
 fn ask(daemon: &EntryDaemon, id: &str, key: &str) -> u16 {
     let bearer = format!("Bearer {key}");
     let headers = [("request-id", id), ("authorization", bearer.as_str())];
@@ -51,7 +64,9 @@
 /// answer of the platform or of a server is lost.
 #[test]
 fn usage_is_reported_once_for_each_request_that_ran() {
-    let (platform, duties, settings) = start();
+    let (platform, duties, mut settings) = start();
+    let log = std::env::temp_dir().join(format!("entry-usage-once-{}.log", std::process::id()));
+    settings.log = Some(log.clone());
     let first = EntryDaemon::start_with("a", &settings);
     let second = EntryDaemon::start_with("b", &DaemonSettings { seeds: vec![first.peer.clone()], ..settings });
     duties.answer_next(&[429, 0, 503]);
@@ -65,8 +80,28 @@
     assert_eq!(ask(&second, "bad", "k-nobody"), 401);
     let expected: BTreeMap<String, u64> = [("wash".into(), 10), ("pension".into(), 11)].into();
     let is_sent_again = || duties.calls("/usage").iter().any(|call| call.status == 503);
-    eventually("all usage is reported", || reported(&duties) == expected && is_sent_again());
+    let is_reported = || reported(&duties) == expected && is_sent_again();
+    eventually_with_detail("all usage is reported", is_reported, || usage_diagnostics(&duties, &log));
     duties.check("/usage");
+    std::fs::remove_file(log).unwrap();
+}
+
+/// Guards against the loss of usage from windows before the one in which the first holder opens its reports.
+#[test]
+fn usage_from_before_the_first_holder_is_reported() {
+    let (platform, duties, mut settings) = start();
+    let log = std::env::temp_dir().join(format!("entry-usage-first-{}.log", std::process::id()));
+    settings.log = Some(log.clone());
+    // Delays the holder's first read, so that it opens its reports in a later window than the request's.
+    platform.store.slow_down_reads("usage", 2_500);
+    let daemon = EntryDaemon::start_with("a", &settings);
+    assert_eq!(ask(&daemon, "r1", "k-wash"), 200);
+    std::thread::sleep(Duration::from_secs(WINDOW_S) + Duration::from_millis(200));
+    platform.store.slow_down_reads("usage", 0);
+    let is_reported = || reported(&duties).get("wash") == Some(&1);
+    eventually_with_detail("the usage is reported", is_reported, || usage_diagnostics(&duties, &log));
+    duties.check("/usage");
+    std::fs::remove_file(log).unwrap();
 }
 
 /// The holder dies after nodes told it, and one of those nodes dies with it. What they counted is
@@ -85,7 +120,7 @@
         }
     }
     // The holder stores what it is told each second.
-    std::thread::sleep(std::time::Duration::from_millis(1_800));
+    std::thread::sleep(Duration::from_millis(1_800));
     for daemon in &mut daemons[..2] {
         daemon.signal("-KILL");
         daemon.wait_end();
