Let aged server loads decay to the service mean

With ten nodes calling five even servers, the number of calls at a server alternated between consecutive 100 ms intervals.

The weight of a stated load decayed with age, to an eighth after 300 ms and on towards zero. A server without a recent report therefore looked emptier than one that had just reported. All nodes that had just received the other server's report moved to it together, received its load and moved back.

Let a stated load decay to the mean of the loads recently stated by all servers of the service instead of to zero. The mean is taken as 0 if the total weight of these loads is at most 0.05.

--- a/crates/trestlerack/src/process/expectation.rs
+++ b/crates/trestlerack/src/process/expectation.rs
@@ -104,6 +104,9 @@
     0.5_f64.powf(age.as_secs_f64() / half.as_secs_f64())
 }
 
+/// Total weight of the stated loads of a service above which their mean is used.
+const LEAST_LOAD_WEIGHT: f64 = 0.05;
+
 /// Least spread over servers of which nothing is known: nodes that know the same would all take the same.
 const LEAST_SPREAD: f64 = 0.3;
 
@@ -262,12 +265,29 @@
     }
 
     /// Returns the time that a server is expected to take for one more call, in usual answer times.
-    pub(super) fn expected_time(&self, now: Timestamp, belief: &ServerBelief) -> f64 {
-        self.expected_slowness(now, belief) * (1.0 + self.fill(now, belief))
+    fn expected_time(&self, now: Timestamp, belief: &ServerBelief, mean_others: f64) -> f64 {
+        self.expected_slowness(now, belief) * (1.0 + self.fill(now, belief, mean_others))
     }
 
-    fn fill(&self, now: Timestamp, belief: &ServerBelief) -> f64 {
-        let others = f64::from(belief.load.others) * half_life(now.since(belief.load.at), STATED_HALF);
+    /// Returns the mean number of requests from other nodes at the servers of a service, with stated loads
+    /// weighted by age; 0 if no server has stated its load recently.
+    fn mean_others(&self, now: Timestamp, service: &str) -> f64 {
+        let (mut weighted_sum, mut total_weight) = (0.0, 0.0);
+        for belief in self.of_service(service) {
+            let weight = half_life(now.since(belief.load.at), STATED_HALF);
+            weighted_sum += weight * f64::from(belief.load.others);
+            total_weight += weight;
+        }
+        if total_weight > LEAST_LOAD_WEIGHT { weighted_sum / total_weight } else { 0.0 }
+    }
+
+    /// Returns the estimated ratio of requests to slots at a server.
+    ///
+    /// As a stated load ages, the estimate decays to the mean of the service. If it decayed to zero, a server
+    /// without a recent report would look idle and all nodes would send their calls to it at once.
+    fn fill(&self, now: Timestamp, belief: &ServerBelief, mean_others: f64) -> f64 {
+        let weight = half_life(now.since(belief.load.at), STATED_HALF);
+        let others = mean_others + weight * (f64::from(belief.load.others) - mean_others);
         (f64::from(belief.in_flight) + others) / f64::from(belief.slots())
     }
 
@@ -295,11 +315,12 @@
             }
             open = candidates;
         }
-        let times: Vec<f64> = open.iter().map(|belief| self.expected_time(now, belief)).collect();
+        let mean_others = self.mean_others(now, need.service);
+        let times: Vec<f64> = open.iter().map(|belief| self.expected_time(now, belief, mean_others)).collect();
         let is_near = |belief: &ServerBelief| &*belief.entry.zone == need.zone;
         let least = times.iter().copied().fold(f64::INFINITY, f64::min);
         let stays_near = open.iter().zip(&times).any(|(belief, time)| is_near(belief) && *time <= least + NEAR_SHARE);
-        let spread = self.unknown_share(now, &open);
+        let spread = self.unknown_share(now, &open, mean_others);
         let key = self.draw_key(now, need, open.len());
         let score = |belief: &ServerBelief, time: f64| {
             let draw = exponential(rendezvous_weight(key, &belief.entry.instance));
@@ -316,20 +337,20 @@
 
     /// Returns how much of the present load this node does not know, from 0 to 1: the servers that it has not
     /// heard of lately, as far as others send calls as well.
-    fn unknown_share(&self, now: Timestamp, servers: &[&ServerBelief]) -> f64 {
+    fn unknown_share(&self, now: Timestamp, servers: &[&ServerBelief], mean_others: f64) -> f64 {
         let known: f64 = servers.iter().map(|belief| half_life(now.since(belief.load.at), STATED_HALF)).sum();
         let recent = servers.iter().filter(|belief| now.since(belief.load.at) < self.settings.load_age);
         let (own, others) =
             recent.fold((0, 0), |(own, others), belief| (own + belief.in_flight, others + belief.load.others));
         let others_share = if own + others == 0 { 1.0 } else { f64::from(others) / f64::from(own + others) };
-        (1.0 - known / servers.len().max(1) as f64) * others_share * self.known_fill(now, servers)
+        (1.0 - known / servers.len().max(1) as f64) * others_share * self.known_fill(now, servers, mean_others)
     }
 
     /// Returns the mean fill of the servers heard of lately; 1 if there are none. Where it is low the fast
     /// servers have room for more than their share.
-    fn known_fill(&self, now: Timestamp, servers: &[&ServerBelief]) -> f64 {
+    fn known_fill(&self, now: Timestamp, servers: &[&ServerBelief], mean_others: f64) -> f64 {
         let recent = servers.iter().filter(|belief| now.since(belief.load.at) < self.settings.load_age);
-        let fills: Vec<f64> = recent.map(|belief| self.fill(now, belief)).collect();
+        let fills: Vec<f64> = recent.map(|belief| self.fill(now, belief, mean_others)).collect();
         if fills.is_empty() {
             return 1.0;
         }
