Read regions, cold times and evacuations from the platform

Cause: allowed regions of routes and customers, the cold time of engines and the evacuation of a zone were neither decoded nor part of the choice of a server.

Change: settings hold the regions of zones and the two figures of the limit of cold engines; routes and customers have allowed regions, which the routing table resolves to allowed zones; services have a cold start, entries and responses a cold time; the operator's evacuation rows are decoded.

--- a/crates/trestlerack/benches/decisions.rs
+++ b/crates/trestlerack/benches/decisions.rs
@@ -95,6 +95,7 @@
             zone: zone(number),
             slots: 8,
             is_draining: false,
+            cold_left_ms: 0,
             models: vec![("model".into(), 1)],
             heartbeat: 1,
         };
--- a/crates/trestlerack/src/process/entry_settings.rs
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -3,6 +3,7 @@
 use crate::Name;
 use crate::process::UsageSettings;
 use crate::schema::{DocumentError, FieldKind, FieldSpec, check_document};
+use crate::version::Zone;
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
     pub name: Name,
     /// Availability zone of the VM.
     pub zone: Name,
+    /// Availability zones of the deployment with their regions; empty if it has no regions.
+    pub zones: Vec<Zone>,
     /// Listen address for clients.
     pub client_listen: Name,
     /// Listen address for readiness checks.
@@ -66,6 +69,11 @@
     pub usage_due_s: f64,
     /// Whether calls of customers that exceed their share of an overloaded service are refused.
     pub customer_shares: bool,
+    /// Factor on the requests per second that a cold engine tolerates, above which all nodes together must
+    /// not send.
+    pub cold_over: f64,
+    /// Requests per second that are added to that limit.
+    pub cold_slack: f64,
     /// Least severe level that is logged.
     pub log_level: Name,
 }
@@ -75,6 +83,7 @@
         Self {
             name: "".into(),
             zone: "".into(),
+            zones: Vec::new(),
             client_listen: "127.0.0.1:0".into(),
             ready_listen: "127.0.0.1:0".into(),
             peer_listen: "127.0.0.1:0".into(),
@@ -100,6 +109,8 @@
             usage_window_s: 0.0,
             usage_due_s: 10.0,
             customer_shares: false,
+            cold_over: 1.5,
+            cold_slack: 5.0,
             log_level: "info".into(),
         }
     }
@@ -141,10 +152,22 @@
 
 const HOUR_MS: u64 = 3_600_000;
 
+/// The fields of an availability zone in the settings file.
+pub const ZONE_FIELDS: &[FieldSpec] = &[
+    field("name", FieldKind::Text, None, "Name of the availability zone."),
+    field("region", FieldKind::Text, None, "Region that the zone lies in."),
+];
+
 /// The fields of the settings file, from which `docs/SETTINGS.md` is generated as well.
 pub const ENTRY_FIELDS: &[FieldSpec] = &[
     field("name", FieldKind::Text, None, "Name of the VM; unique."),
     field("zone", FieldKind::Text, None, "Availability zone of the VM."),
+    field(
+        "zones",
+        FieldKind::Records(ZONE_FIELDS),
+        Some("[]"),
+        "Availability zones of the deployment with their regions.",
+    ),
     field("client_listen", FieldKind::Address, Some("127.0.0.1:0"), "Listen address for clients."),
     field("ready_listen", FieldKind::Address, Some("127.0.0.1:0"), "Listen address for readiness checks."),
     field("peer_listen", FieldKind::Address, Some("127.0.0.1:0"), "Listen address for peers."),
@@ -246,6 +269,14 @@
         Some("false"),
         "Whether calls of customers that exceed their share of an overloaded service are refused.",
     ),
+    ratio(
+        "cold_over",
+        0.0,
+        1_000.0,
+        "1.5",
+        "Factor on `cold_per_s` in the limit of requests that a cold engine gets in any second from all nodes.",
+    ),
+    ratio("cold_slack", 0.0, 1_000_000.0, "5", "Requests per second that are added to that limit."),
     field(
         "log_level",
         FieldKind::Choice(&["error", "warn", "info", "debug", "trace"]),
--- a/crates/trestlerack/src/process/load_balancer.rs
+++ b/crates/trestlerack/src/process/load_balancer.rs
@@ -12,8 +12,8 @@
 use crate::hash::{hash_parts, rendezvous_weight};
 use crate::time::millis;
 use crate::version::WeightVersion;
-use crate::{Name, Timestamp};
-use std::collections::BTreeMap;
+use crate::{AllowedZones, Name, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Settings of a [`LoadBalancer`].
@@ -103,6 +103,8 @@
     pub is_repeatable: bool,
     /// Availability zone to prefer.
     pub zone: &'a str,
+    /// Availability zones in which the request may be served; `None` for all.
+    pub allowed_zones: Option<&'a AllowedZones>,
     /// Breaks ties between servers of equal cost; usually the name of the node. Without it, nodes that know no
     /// load would all choose the same server: at 295 nodes and 63 servers the busiest one got 5.6 times the
     /// mean, and 1.2 times with a key. A key that differs with each request would send a node to another server
@@ -117,6 +119,8 @@
     pub(super) servers: BTreeMap<Name, ServerState>,
     /// The model that each engine is assigned to, by instance, including engines that are not listed yet.
     assigned_models: BTreeMap<Name, Name>,
+    /// Availability zones whose servers get no new work.
+    evacuated_zones: BTreeSet<Name>,
     /// Response latencies by service.
     pub(super) service_latencies: LatencyEstimates,
     /// Tokens that this node's runs use at model engines.
@@ -156,9 +160,18 @@
             *known = (*known).max(*version);
         }
         server.entry = entry.clone();
+        server.is_evacuated = self.evacuated_zones.contains(&entry.zone);
         self.servers.insert(entry.instance.clone(), server);
     }
 
+    /// Replaces the availability zones whose servers get no new work.
+    pub fn set_evacuated_zones(&mut self, zones: BTreeSet<Name>) {
+        for server in self.servers.values_mut() {
+            server.is_evacuated = zones.contains(&server.entry.zone);
+        }
+        self.evacuated_zones = zones;
+    }
+
     /// Removes a server.
     pub fn remove(&mut self, instance: &str) {
         self.servers.remove(instance);
@@ -268,9 +281,10 @@
             SlotNeed::One => requests < server.slots(),
             SlotNeed::HalfFree => 2 * requests < server.slots(),
         };
-        let is_open = !server.entry.is_draining && server.paused_until <= now;
+        let is_open = server.accepts_work() && server.paused_until <= now;
         let has_memory = |tokens| self.memory.has_capacity(now, need.service, &server.entry.instance, tokens);
         is_open
+            && need.allowed_zones.is_none_or(|zones| zones.allows(&server.entry.zone))
             && is_new_enough
             && has_slot
             && need.tokens.is_none_or(has_memory)
@@ -307,15 +321,15 @@
         })
     }
 
-    /// Returns when the first server of a service can be used; `None` if all are draining or there are none.
+    /// Returns when the first server of a service can be used; `None` if none accepts work.
     pub fn available_at(&self, service: &str) -> Option<Timestamp> {
-        let available = self.of_service(service).filter(|server| !server.entry.is_draining);
+        let available = self.of_service(service).filter(|server| server.accepts_work());
         available.map(|server| server.paused_until).min()
     }
 
     /// Returns the total number of slots of a service.
     pub fn slot_count(&self, service: &str) -> u32 {
-        self.of_service(service).filter(|server| !server.entry.is_draining).map(ServerState::slots).sum()
+        self.of_service(service).filter(|server| server.accepts_work()).map(ServerState::slots).sum()
     }
 
     /// Returns the time after which a response of a service is late, once enough responses are known.
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod broadcast;
 mod call_rank;
 mod change_feed;
+mod cold_start;
 mod direct_access;
 mod draining;
 mod duty_gate;
@@ -58,6 +59,7 @@
 pub use broadcast::BroadcastQueue;
 pub use call_rank::{CallRank, call_priority};
 pub use change_feed::{ChangeFeed, FeedPosition};
+pub use cold_start::ColdStartConfig;
 pub use direct_access::{AccessChange, DirectAccess};
 pub use draining::DrainingServers;
 pub use duty_gate::{DutyGate, DutySettings};
--- a/crates/trestlerack/src/process/registry.rs
+++ b/crates/trestlerack/src/process/registry.rs
@@ -23,6 +23,9 @@
     pub slots: u32,
     /// Whether it is draining, that is, asks for no new work.
     pub is_draining: bool,
+    /// How much longer the server stays cold after its start, in milliseconds, at its last heartbeat.
+    #[serde(default)]
+    pub cold_left_ms: u64,
     /// Models and the weight versions that were loaded at its last heartbeat.
     pub models: Vec<(Name, WeightVersion)>,
     /// Number of heartbeats so far.
--- a/crates/trestlerack/src/process/server_state.rs
+++ b/crates/trestlerack/src/process/server_state.rs
@@ -37,6 +37,8 @@
     pub(super) paused_until: Timestamp,
     pub(super) versions: BTreeMap<Name, WeightVersion>,
     pub(super) loading_until: Option<Timestamp>,
+    /// Whether its availability zone is evacuated.
+    pub(super) is_evacuated: bool,
 }
 
 impl ServerState {
@@ -58,6 +60,7 @@
             paused_until: Timestamp::default(),
             versions,
             loading_until: None,
+            is_evacuated: false,
         }
     }
 
@@ -66,6 +69,12 @@
         self.versions.get(model).copied()
     }
 
+    /// Returns whether the server may get new work: it is not draining, and its availability zone is not
+    /// evacuated.
+    pub fn accepts_work(&self) -> bool {
+        !self.entry.is_draining && !self.is_evacuated
+    }
+
     pub(super) fn slots(&self) -> u32 {
         self.entry.slots.max(1)
     }
--- a/crates/trestlerack/src/process/wait_estimate.rs
+++ b/crates/trestlerack/src/process/wait_estimate.rs
@@ -24,10 +24,10 @@
 }
 
 impl LoadBalancer {
-    /// Estimates the wait of one more call to a service. Servers that are paused, draining or loading are
-    /// ignored.
+    /// Estimates the wait of one more call to a service. Servers that are paused, draining or in an
+    /// evacuated zone are ignored.
     pub fn wait_estimate(&self, now: Timestamp, service: &str) -> WaitEstimate {
-        let is_available = |server: &&ServerState| !server.entry.is_draining && server.paused_until <= now;
+        let is_available = |server: &&ServerState| server.accepts_work() && server.paused_until <= now;
         let available: Vec<&ServerState> = self.of_service(service).filter(is_available).collect();
         let busy = |server: &ServerState| server.requests(now, self.settings.max_load_age);
         let slots = available.iter().map(|server| server.slots()).sum();
--- a/crates/trestlerack/src/version/customers.rs
+++ b/crates/trestlerack/src/version/customers.rs
@@ -60,11 +60,13 @@
     pub priority: Option<u8>,
     /// Weight of the customer's share of a service that is overloaded.
     pub weight: u32,
+    /// Regions in which its requests may be served and stored; empty for all.
+    pub allowed_regions: Vec<Name>,
 }
 
 impl Default for Customer {
     fn default() -> Self {
-        Self { name: "".into(), priority: None, weight: 1 }
+        Self { name: "".into(), priority: None, weight: 1, allowed_regions: Vec::new() }
     }
 }
 
--- a/crates/trestlerack/src/version/mod.rs
+++ b/crates/trestlerack/src/version/mod.rs
@@ -7,11 +7,13 @@
 mod engine_need;
 mod follower;
 mod load_time;
+mod placement;
 mod plan;
 mod rollout;
 mod routing;
 mod staleness;
 mod weight_scheduler;
+mod zone_map;
 
 pub use config_store::{ConfigStore, PlanCommit, PlanConfirmation};
 pub use configuration::{ConfigContent, ConfigDelta, ConfigItem, Configuration};
@@ -23,6 +25,7 @@
 };
 pub use engine_need::engines_needed;
 pub use follower::{ConfigFollower, FollowAction, FollowEvent};
+pub use placement::Placement;
 pub use plan::{ChangePlan, PlanError, plan_change};
 pub use rollout::{
     EngineOrder, EngineRollout, RolloutEngine, RolloutEvent, RolloutPlanner, RolloutSettings, WeightTarget,
@@ -32,3 +35,4 @@
 pub use weight_scheduler::{
     DueOrder, EngineAssignment, MAX_HEARTBEAT_LAG, OrderOutcome, WeightScheduler, WeightSchedulerSettings,
 };
+pub use zone_map::ZoneMap;
--- a/crates/trestlerack/src/version/routing.rs
+++ b/crates/trestlerack/src/version/routing.rs
@@ -1,9 +1,10 @@
 //! Routes requests to services by host and path prefix.
 
+use super::placement::PlacementTable;
 use crate::Name;
 use crate::hash::hash_parts;
-use crate::process::ScalingConfig;
-use crate::version::CustomerDirectory;
+use crate::process::{ColdStartConfig, ScalingConfig};
+use crate::version::{CustomerDirectory, Placement, ZoneMap};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -60,6 +61,8 @@
     pub max_attempts: u32,
     /// Services with their shares; a single one if the route is not split.
     pub shares: Vec<SplitShare>,
+    /// Regions in which the requests may be served and stored; empty for all.
+    pub allowed_regions: Vec<Name>,
 }
 
 impl RequestRoute {
@@ -96,6 +99,8 @@
     pub models: Vec<Name>,
     /// Terms on which its engines may be scaled; `None` if they may not be.
     pub scaling: Option<ScalingConfig>,
+    /// Behaviour of its engines while they are cold; `None` if no limit applies then.
+    pub cold_start: Option<ColdStartConfig>,
 }
 
 /// Limits on what clients send.
@@ -124,6 +129,8 @@
     pub limits: ClientLimits,
     /// Customers; `None` if every caller is served without a key.
     pub customers: Option<CustomerDirectory>,
+    /// Placements of restricted routes and customers.
+    placements: PlacementTable,
 }
 
 impl RoutingTable {
@@ -137,7 +144,7 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        Self { version, routes: by_host, services, limits, customers: None }
+        Self { version, routes: by_host, services, limits, customers: None, placements: PlacementTable::default() }
     }
 
     /// Returns the table with customers, so that only callers with a customer's key are served, except on
@@ -146,6 +153,27 @@
         Self { customers: Some(customers), ..self }
     }
 
+    /// Returns the table with the regions of its routes and customers resolved to zones. Without this, a request
+    /// may be served anywhere.
+    pub fn with_zones(self, zones: &ZoneMap) -> Self {
+        let customers = self.customers.iter().flat_map(CustomerDirectory::iter).map(|(customer, _)| customer);
+        let placements = PlacementTable::new(zones, self.routes(), customers);
+        Self { placements, ..self }
+    }
+
+    /// Returns where the requests of a customer on a route may be served.
+    pub fn placement(&self, route: &RequestRoute, customer: Option<&str>) -> Placement {
+        if self.placements.is_empty() {
+            return Placement::Anywhere;
+        }
+        self.placements.placement(&route.name, customer)
+    }
+
+    /// Returns whether a route or customer may be served in some regions only.
+    pub fn has_restricted_placements(&self) -> bool {
+        !self.placements.is_empty()
+    }
+
     /// Returns the route of `host` whose prefix is the longest one that matches `path`.
     pub fn select(&self, host: &str, path: &str) -> Option<&RequestRoute> {
         self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
--- a/crates/trestlerack/tests/engine_memory.rs
+++ b/crates/trestlerack/tests/engine_memory.rs
@@ -35,6 +35,7 @@
         engine_tokens,
         models: Vec::new(),
         scaling: None,
+        cold_start: None,
     };
     RoutingTable::new(version, Vec::new(), vec![service], limits)
 }
--- a/crates/trestlerack/tests/followers.rs
+++ b/crates/trestlerack/tests/followers.rs
@@ -47,6 +47,7 @@
         zone: zone(number / 3),
         slots: 6,
         is_draining: false,
+        cold_left_ms: 0,
         models: Vec::new(),
         heartbeat: 1,
     }
--- a/crates/trestlerack/tests/load_balancer.rs
+++ b/crates/trestlerack/tests/load_balancer.rs
@@ -16,6 +16,7 @@
         zone: zone.into(),
         slots: 2,
         is_draining: false,
+        cold_left_ms: 0,
         models: vec![("m".into(), version)],
         heartbeat: 1,
         started_ms: 1,
--- a/crates/trestlerack/tests/support/load.rs
+++ b/crates/trestlerack/tests/support/load.rs
@@ -14,6 +14,7 @@
         zone: zone.into(),
         slots,
         is_draining: false,
+        cold_left_ms: 0,
         models: Vec::new(),
         heartbeat: 1,
         started_ms: 1,
@@ -47,5 +48,6 @@
         is_public: false,
         max_attempts: 2,
         shares: vec![SplitShare { service: "s".into(), weight: 1 }],
+        allowed_regions: Vec::new(),
     }
 }
--- a/crates/trestlerack/tests/suspects.rs
+++ b/crates/trestlerack/tests/suspects.rs
@@ -23,6 +23,7 @@
         zone: "z".into(),
         slots: 4,
         is_draining: false,
+        cold_left_ms: 0,
         models: Vec::new(),
         heartbeat: 1,
     }
--- a/crates/trestlerack/tests/weight_scheduler.rs
+++ b/crates/trestlerack/tests/weight_scheduler.rs
@@ -16,6 +16,7 @@
         zone: "z".into(),
         slots: 12,
         is_draining: false,
+        cold_left_ms: 0,
         models: versions.iter().map(|(model, version)| (Name::from(*model), *version)).collect(),
         heartbeat: 1,
         started_ms: 1,
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -29,7 +29,7 @@
     ServerRegistry,
 };
 use trestlerack::request::JobRecord;
-use trestlerack::version::{RoutingTable, WeightVersion};
+use trestlerack::version::{RoutingTable, WeightVersion, ZoneMap};
 use trestlerack::{Name, Timestamp};
 
 /// What this node knows of a job from the store.
@@ -72,6 +72,8 @@
     pub settings: EntrySettings,
     /// Settings that take effect as soon as the settings file is read again.
     pub live_settings: RwLock<LiveSettings>,
+    /// Regions of the availability zones.
+    pub zones: ZoneMap,
     /// Tells this process from earlier ones on the same VM.
     pub incarnation: u64,
     /// Monotonic clock of this node.
@@ -156,6 +158,7 @@
         let direct_store = Arc::new(DirectStore::new(pool.clone(), settings.store.clone()));
         Ok(Self {
             live_settings: RwLock::new(LiveSettings::from(&settings)),
+            zones: ZoneMap::new(&settings.zones),
             incarnation: rand::random::<u64>() >> 1,
             clock,
             store: RelayedStore::new(direct_store.clone(), peers.clone()),
--- a/crates/trestlerackd/src/entry/table_watch.rs
+++ b/crates/trestlerackd/src/entry/table_watch.rs
@@ -199,7 +199,7 @@
             if routing.as_ref().is_none_or(|current| current.version < table.version) {
                 let fields: [(&str, &dyn std::fmt::Display); 2] = [("version", &table.version), ("row", &row.version)];
                 logs::write(event::ROUTING_APPLIED, &fields);
-                let table = Arc::new(table);
+                let table = Arc::new(table.with_zones(&node.zones));
                 *routing = Some(table.clone());
                 drop(routing);
                 node.balancer.lock().unwrap().memory.set_capacities(&table);
@@ -211,7 +211,7 @@
                 logs::write(event::WEIGHTS_TARGETED, &[("model", &model), ("version", &version)]);
             }
         }
-        Ok(platform::OperatorRow::Other) => {}
+        Ok(platform::OperatorRow::Evacuation { .. } | platform::OperatorRow::Other) => {}
         Err(error) => logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]),
     }
 }
