Drive jobs near the store and start their items sooner in fleets of several regions

Change: with several regions, a node measures the latency of the store at its registration and publishes it in its row, and an owner near the store is preferred over the accepting node. The accepting node sends the record with its request to drive the job, and the owner reads the specification and the texts together. A deployment with one region measures nothing and reads as before.

Tests of jobs and of the choice of owners pass.

--- a/crates/trestlerack/src/process/job_owner.rs
+++ b/crates/trestlerack/src/process/job_owner.rs
@@ -17,13 +17,30 @@
     pub capacity: u32,
     /// Number of other models whose open jobs the node owns; the model of the new job does not count.
     pub models: usize,
+    /// Shortest time that the store took to answer the node, in milliseconds; 0 if it is unknown.
+    pub store_latency_ms: u32,
+}
+
+/// Difference in the store's latency from which a node counts as farther from the store, in milliseconds. It is
+/// more than the latency varies within a region, and less than a round trip between regions takes.
+const STORE_DISTANCE_MS: u32 = 20;
+
+/// Returns how far a node is from the store, compared to the nearest one. A node that did not measure its latency
+/// counts as the farthest.
+fn store_distance(latency_ms: u32, min_latency_ms: u32) -> u32 {
+    match latency_ms {
+        0 => u32::MAX,
+        _ => latency_ms.saturating_sub(min_latency_ms) / STORE_DISTANCE_MS,
+    }
 }
 
 /// Returns the owner for the next job of a model.
 ///
 /// `newest` owns the newest job of the model, so it knows the engines' load and has connections to them.
 /// It is chosen again, unless it is gone or it is small and there is a large node. Otherwise the large
-/// node that owns jobs of the fewest other models is chosen. A tie goes to `own`, the node that accepted
+/// node that owns jobs of the fewest other models is chosen, and among those one near the store: an owner reads
+/// the job and its stored texts before it starts an item, and writes each result. In another region than the store
+/// that took 0.5 s before the first item, and 0.15 s for each result. A tie goes to `own`, the node that accepted
 /// the job, or else to the highest rendezvous weight.
 pub fn choose_job_owner<'a>(
     model: &str,
@@ -34,9 +51,12 @@
     let threshold = large_threshold(candidates.iter().map(|candidate| candidate.capacity));
     let large = || candidates.iter().filter(|candidate| candidate.capacity >= threshold);
     let key = hash_parts(&[model]);
+    let known_latencies = large().map(|candidate| candidate.store_latency_ms).filter(|latency_ms| *latency_ms > 0);
+    let min_latency_ms = known_latencies.min().unwrap_or(0);
     let cost = |candidate: &&OwnerCandidate| {
         let weight = rendezvous_weight(key, &candidate.name);
-        (candidate.models, &*candidate.name != own, Reverse(weight))
+        let distance = store_distance(candidate.store_latency_ms, min_latency_ms);
+        (candidate.models, distance, &*candidate.name != own, Reverse(weight))
     };
     let current_owner = newest.and_then(|newest| large().find(|candidate| &*candidate.name == newest));
     current_owner.or_else(|| large().min_by_key(cost))
--- a/crates/trestlerack/src/process/node_rows.rs
+++ b/crates/trestlerack/src/process/node_rows.rs
@@ -38,6 +38,10 @@
     /// Availability zone of the node.
     #[serde(default)]
     pub zone: Name,
+    /// Shortest time that the store took to answer the node, in milliseconds; 0 if it was not measured, which it
+    /// is only in a deployment with several regions.
+    #[serde(default)]
+    pub store_latency_ms: u32,
 }
 
 /// The newest known row of each node.
--- a/crates/trestlerack/src/version/zone_map.rs
+++ b/crates/trestlerack/src/version/zone_map.rs
@@ -29,6 +29,13 @@
         zone == other || self.region(zone) == self.region(other)
     }
 
+    /// Returns whether the listed zones lie in more than one region.
+    pub fn has_several_regions(&self) -> bool {
+        let mut regions = self.regions.values();
+        let first = regions.next();
+        regions.any(|region| Some(region) != first)
+    }
+
     /// Returns whether a zone is listed.
     pub fn contains(&self, zone: &str) -> bool {
         self.regions.contains_key(zone)
--- a/crates/trestlerack/tests/job_owners.rs
+++ b/crates/trestlerack/tests/job_owners.rs
@@ -4,7 +4,7 @@
 use trestlerack::process::{OwnerCandidate, choose_job_owner, successor_rank};
 
 fn candidate(name: &str, capacity: u32, models: usize) -> OwnerCandidate {
-    OwnerCandidate { name: name.into(), capacity, models }
+    OwnerCandidate { name: name.into(), capacity, models, store_latency_ms: 0 }
 }
 
 fn owner_of(model: &str, own: &str, newest: Option<&str>, candidates: &[OwnerCandidate]) -> String {
@@ -38,6 +38,22 @@
     assert_eq!(owner_of("m", "a", None, &nodes), "b");
 }
 
+/// An owner in another region than the store delays the first item of each job, and each result, by round trips.
+#[test]
+fn an_owner_near_the_store_is_chosen_over_the_acceptor() {
+    let at = |name: &str, models, store_latency_ms| OwnerCandidate { store_latency_ms, ..candidate(name, 500, models) };
+    let nodes = [at("near", 0, 5), at("far", 0, 65)];
+    assert_eq!(owner_of("m", "far", None, &nodes), "near");
+    let nodes = [at("near", 0, 5), at("acceptor", 0, 19)];
+    assert_eq!(owner_of("m", "acceptor", None, &nodes), "acceptor", "latencies within a region do not count");
+    let nodes = [at("near", 1, 5), at("far", 0, 65)];
+    assert_eq!(owner_of("m", "far", None, &nodes), "far", "a node that drives another model is left alone");
+    let nodes = [at("unmeasured", 0, 0), at("far", 0, 65)];
+    assert_eq!(owner_of("m", "unmeasured", None, &nodes), "far");
+    let nodes = [at("a", 0, 0), at("acceptor", 0, 0)];
+    assert_eq!(owner_of("m", "acceptor", None, &nodes), "acceptor", "without measurements the acceptor is chosen");
+}
+
 /// The first jobs of six models arrive at the same time at nodes that do not know of each other's choices.
 #[test]
 fn small_nodes_that_choose_at_the_same_time_choose_different_owners() {
--- a/crates/trestlerack/tests/node_rows.rs
+++ b/crates/trestlerack/tests/node_rows.rs
@@ -4,7 +4,7 @@
 use trestlerack::process::{NodeRow, NodeRows};
 
 fn row(incarnation: u64) -> Option<NodeRow> {
-    Some(NodeRow { address: "127.0.0.1:1".into(), incarnation, capacity: 500, zone: "z".into() })
+    Some(NodeRow { address: "127.0.0.1:1".into(), incarnation, capacity: 500, zone: "z".into(), store_latency_ms: 0 })
 }
 
 /// A node registers as incarnation 2 and writes the lease at version 20. A peer whose watch lags still has
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -166,9 +166,9 @@
 fn start_accepted(node: &Arc<EntryNode>, spec: &Arc<JobSpec>, record: JobRecord, version: u64) {
     node.merge_job_record(record.clone(), version, &spec.id);
     if record.owner == node.settings.name {
-        job_driver::start(node, spec.clone(), record, version);
+        job_driver::start(node, spec.clone(), record, version, None);
     } else {
-        tokio::spawn(job_takeover::ensure_driven(node.clone(), spec.id.clone(), record));
+        tokio::spawn(job_takeover::ensure_driven(node.clone(), spec.id.clone(), record, version));
     }
 }
 
@@ -184,18 +184,21 @@
             models_by_owner.entry(record.owner.clone()).or_default().insert(record.model.clone());
         }
     }
-    let own = (node.settings.name.clone(), node.settings.capacity());
-    let mut nodes = node.peers.capacities();
-    if !nodes.contains(&own) {
-        nodes.push(own);
+    let models = |name: &Name| models_by_owner.get(name).map_or(0, BTreeSet::len);
+    let candidate = |name: &Name, row: &NodeRow| OwnerCandidate {
+        models: models(name),
+        name: name.clone(),
+        capacity: row.capacity,
+        store_latency_ms: row.store_latency_ms,
+    };
+    let mut candidates = node.peers.rows(candidate);
+    if candidates.iter().all(|candidate| candidate.name != node.settings.name) {
+        candidates.push(candidate(&node.settings.name, &node.node_row()));
     }
     // A node that is no follower would have to read the complete store first.
-    if nodes.iter().any(|(name, _)| node.follower.is_follower(name)) {
-        nodes.retain(|(name, _)| node.follower.is_follower(name));
+    if candidates.iter().any(|candidate| node.follower.is_follower(&candidate.name)) {
+        candidates.retain(|candidate| node.follower.is_follower(&candidate.name));
     }
-    let models = |name: &Name| models_by_owner.get(name).map_or(0, BTreeSet::len);
-    let candidates: Vec<OwnerCandidate> =
-        nodes.into_iter().map(|(name, capacity)| OwnerCandidate { models: models(&name), name, capacity }).collect();
     let model = spec.model.as_deref().unwrap_or("");
     let newest_owner = newest_owner.as_ref().map(|(_, owner)| &**owner);
     let owner = choose_job_owner(model, &node.settings.name, newest_owner, &candidates);
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -1,6 +1,7 @@
 //! Drives one job on the node that owns it: starts item runs, has complete texts scored and records results.
 
 use super::drive_mode::DriveMode;
+use super::job_texts::StoredTexts;
 use super::node::EntryNode;
 use super::{job_records, job_runs, job_scores, job_texts, run_moves, score_calls, server_discovery};
 use crate::process::clock;
@@ -203,8 +204,9 @@
     }
 }
 
-/// Starts a driver for a job that this node owns, unless it has one.
-pub fn start(node: &Arc<EntryNode>, spec: Arc<JobSpec>, record: JobRecord, version: u64) {
+/// Starts a driver for a job that this node owns, unless it has one. `texts` are the stored texts if they were
+/// read together with the specification.
+pub fn start(node: &Arc<EntryNode>, spec: Arc<JobSpec>, record: JobRecord, version: u64, texts: Option<StoredTexts>) {
     if node.drivers.lock().unwrap().contains_key(&spec.id) {
         return;
     }
@@ -224,7 +226,7 @@
     }
     tokio::spawn(async move {
         let settings = wait_for_settings(&node, &spec).await;
-        let loaded = job_texts::load_state(&node, &spec, &record, settings).await;
+        let loaded = job_texts::load_state(&node, &spec, &record, settings, texts).await;
         match loaded {
             Ok(tracker) => {
                 *driver.tracker.lock().unwrap() = tracker;
--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -5,7 +5,7 @@
 
 use super::job_driver;
 use super::node::{EntryNode, JobView};
-use super::{job_calls, tables};
+use super::{job_calls, job_texts, tables};
 use crate::process::clock;
 use crate::process::logs;
 use std::collections::HashMap;
@@ -60,7 +60,7 @@
         probes_by_job.retain(|job, _| open.iter().any(|(id, _)| id == job));
         for (job, view) in open {
             if is_own(&node, &view.record) {
-                drive_assigned(&node, &job).await;
+                drive_assigned(&node, &job, None).await;
                 continue;
             }
             let probes = probes_by_job.entry(job.clone()).or_default();
@@ -86,8 +86,9 @@
     record.owner == node.settings.name && record.incarnation == node.incarnation
 }
 
-/// Drives a job whose record names this node as its owner. Returns whether this node drives it now.
-pub async fn drive_assigned(node: &Arc<EntryNode>, job: &Name) -> bool {
+/// Drives a job whose record names this node as its owner. Returns whether this node drives it now. `accepted` is
+/// the record with its version if the accepting node has sent it; otherwise it is read from the store.
+pub async fn drive_assigned(node: &Arc<EntryNode>, job: &Name, accepted: Option<(JobRecord, u64)>) -> bool {
     let is_driven = || node.drivers.lock().unwrap().contains_key(job);
     if is_driven() {
         return true;
@@ -95,13 +96,27 @@
     if node.is_stopping() {
         return false;
     }
-    let Ok((record, version, is_ended)) = read_record(node, job).await else { return false };
+    let is_accepted = accepted.is_some();
+    let current = match accepted {
+        Some((record, version)) => Ok((record, version, false)),
+        None => read_record(node, job).await,
+    };
+    let Ok((record, version, is_ended)) = current else { return false };
     if is_ended || !is_own(node, &record) {
         return false;
     }
-    let Ok(spec) = job_calls::load_spec(node, job, &record).await else { return false };
+    let load_spec = job_calls::load_spec(node, job, &record);
+    let (spec, texts) = if is_accepted {
+        // Each read may take a round trip between regions, and no item can start before the last of them.
+        let load_texts = job_texts::load_texts(node, job, &record, job_texts::MAX_CHECKPOINT_JOBS);
+        let (spec, texts) = tokio::join!(load_spec, load_texts);
+        (spec, Some(texts))
+    } else {
+        (load_spec.await, None)
+    };
+    let Ok(spec) = spec else { return false };
     node.merge_job_record(record.clone(), version, job);
-    job_driver::start(node, Arc::new(spec), record, version);
+    job_driver::start(node, Arc::new(spec), record, version, texts);
     true
 }
 
@@ -114,9 +129,11 @@
 
 /// Asks the owner of a job that was just accepted to drive it, and takes the job over if the owner does not
 /// confirm.
-pub async fn ensure_driven(node: Arc<EntryNode>, job: Name, record: JobRecord) {
+pub async fn ensure_driven(node: Arc<EntryNode>, job: Name, record: JobRecord, version: u64) {
+    // Within one region the owner reads the record in some milliseconds.
+    let accepted = node.zones.has_several_regions().then(|| (record.clone(), version));
     for _ in 0..MAX_FAILED_PROBES {
-        if node.peers.drive(&record.owner_address, &job).await == Some(true) {
+        if node.peers.drive(&record.owner_address, &job, accepted.clone()).await == Some(true) {
             return;
         }
     }
@@ -231,7 +248,7 @@
                 [("job", job), ("from", &stored.owner), ("fence", &record.fence), ("listed", &record.recorded)];
             logs::write(event::JOB_TAKEN, &fields);
             node.merge_job_record(record.clone(), moment.version, job);
-            job_driver::start(node, spec, record, moment.version);
+            job_driver::start(node, spec, record, moment.version, None);
             Ok(true)
         }
         StoreReply::Conflict(_) => Ok(false),
--- a/crates/trestlerackd/src/entry/job_texts.rs
+++ b/crates/trestlerackd/src/entry/job_texts.rs
@@ -8,6 +8,7 @@
 use crate::process::clock;
 use crate::process::logs;
 use bytes::Bytes;
+use futures_util::{StreamExt, stream};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +21,7 @@
 use trestlerack::{Name, event};
 
 /// Largest number of ended jobs of the same model whose unfinished texts are loaded.
-const MAX_CHECKPOINT_JOBS: usize = 3;
+pub const MAX_CHECKPOINT_JOBS: usize = 3;
 
 /// Interval at which new text is stored; text that a crashed node generated after its last write is generated
 /// again.
@@ -30,12 +31,28 @@
 /// that within a third of a second, while storing each event would take a write for each.
 const TEXT_LOG_MIN_EVENTS: u64 = 8;
 
-/// Loads the recorded results of a job and the checkpoints that earlier drivers and jobs stored.
+/// Rows of texts that earlier drivers and jobs stored, by job.
+pub type StoredTexts = Vec<(Name, Result<Vec<StoredRow>, StoreError>)>;
+
+/// Reads the texts that earlier drivers of a job, and earlier jobs of its model, stored, with up to `max_parallel`
+/// reads at a time.
+pub async fn load_texts(node: &Arc<EntryNode>, job: &Name, record: &JobRecord, max_parallel: usize) -> StoredTexts {
+    let reads = checkpoint_sources(node, job, record).into_iter().map(|source| async move {
+        let first = if source == *job { tables::CHECKPOINT_LOG } else { tables::FINAL_CHECKPOINT };
+        let rows = tables::read_from(&node.store, tables::CHECKPOINTS, &source, first).await;
+        (source, rows)
+    });
+    stream::iter(reads).buffered(max_parallel).collect().await
+}
+
+/// Loads the recorded results of a job and the checkpoints that earlier drivers and jobs stored, which are read
+/// unless `texts` has them.
 pub async fn load_state(
     node: &Arc<EntryNode>,
     spec: &Arc<JobSpec>,
     record: &JobRecord,
     settings: TrackerSettings,
+    texts: Option<StoredTexts>,
 ) -> Result<JobTracker, StoreError> {
     let mut recorded: Vec<JobResult> = Vec::new();
     while recorded.len() < record.recorded {
@@ -46,10 +63,13 @@
         recorded.extend(page);
     }
     let mut checkpoints: HashMap<Name, ItemCheckpoint> = HashMap::new();
-    for job in checkpoint_sources(node, spec, record) {
-        let first = if job == spec.id { tables::CHECKPOINT_LOG } else { tables::FINAL_CHECKPOINT };
+    let texts = match texts {
+        Some(texts) => texts,
+        None => load_texts(node, &spec.id, record, 1).await,
+    };
+    for (job, rows) in texts {
         // Checkpoints only save time, so a failed read does not delay the job.
-        match tables::read_from(&node.store, tables::CHECKPOINTS, &job, first).await {
+        match rows {
             Ok(rows) => merge_checkpoints(&mut checkpoints, rows, spec.min_version),
             Err(error) => logs::write(event::TEXTS_LOST, &[("job", &job), ("why", &error)]),
         }
@@ -63,13 +83,13 @@
 
 /// Returns the jobs whose checkpoints are loaded: the job itself if it had another driver, then the newest ended
 /// jobs of the same model, host and customer, newest first.
-fn checkpoint_sources(node: &EntryNode, spec: &JobSpec, record: &JobRecord) -> Vec<Name> {
+fn checkpoint_sources(node: &EntryNode, job: &Name, record: &JobRecord) -> Vec<Name> {
     let jobs = node.jobs.lock().unwrap();
     // Texts of one customer never become part of another customer's results, even if item ids are equal.
     let is_related = |id: &Name, view: &&JobView| {
         let known = &view.record;
-        let is_same = known.model == spec.model && known.host == spec.host && known.customer == record.customer;
-        view.is_ended && *id != spec.id && is_same
+        let is_same = known.model == record.model && known.host == record.host && known.customer == record.customer;
+        view.is_ended && id != job && is_same
     };
     let mut related: Vec<(u64, Name)> = jobs
         .iter()
@@ -78,7 +98,7 @@
         .collect();
     related.sort_by(|left, right| right.cmp(left));
     related.truncate(MAX_CHECKPOINT_JOBS);
-    let own = (record.fence > 1).then(|| spec.id.clone());
+    let own = (record.fence > 1).then(|| job.clone());
     own.into_iter().chain(related.into_iter().map(|(_, id)| id)).collect()
 }
 
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -155,6 +155,11 @@
 
 /// Writes this node's registration row, and retries until the store has it.
 async fn register(node: &Arc<EntryNode>) {
+    if node.zones.has_several_regions() {
+        let latency = node.direct_store.measure_latency().await;
+        let latency_ms = latency.map_or(0, |latency| u32::try_from(latency.as_millis()).unwrap_or(u32::MAX));
+        node.store_latency_ms.store(latency_ms, Ordering::Relaxed);
+    }
     let row = tables::encode(&node.node_row());
     let partition = node_partition(&node.settings.name);
     let transaction = RowTransaction::new(partition).put(tables::STATE, &node.settings.name, row);
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -19,7 +19,7 @@
 use http::HeaderMap;
 use opentelemetry::trace::SpanKind;
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -110,6 +110,8 @@
     pub has_read_state: AtomicBool,
     /// Whether the store has this node's row.
     pub is_registered: AtomicBool,
+    /// Shortest time that the store took to answer this node, in milliseconds; 0 if it was not measured.
+    pub store_latency_ms: AtomicU32,
     /// Notified when the store turns out to have no row of this node.
     pub row_missing: Notify,
     /// Weight versions that trainers published, and the assignments of engines.
@@ -177,6 +179,7 @@
             has_read_registry: AtomicBool::new(false),
             has_read_state: AtomicBool::new(false),
             is_registered: AtomicBool::new(false),
+            store_latency_ms: AtomicU32::new(0),
             row_missing: Notify::new(),
             weights: WeightState::default(),
             lease: LeaseCache::default(),
@@ -245,7 +248,8 @@
     pub fn node_row(&self) -> NodeRow {
         let address = self.settings.peer_listen.clone();
         let (capacity, zone) = (self.settings.capacity(), self.settings.zone.clone());
-        NodeRow { address, incarnation: self.incarnation, capacity, zone }
+        let store_latency_ms = self.store_latency_ms.load(Ordering::Relaxed);
+        NodeRow { address, incarnation: self.incarnation, capacity, zone, store_latency_ms }
     }
 
     /// Stores a job record that was read or written, unless a newer version is known.
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -24,7 +24,7 @@
     ConnectionKind, ConnectionPermit, CrashReport, LoadMessage, MemoryPurpose, NodeRow, NodeRows, RelaySelector,
     UsageSender, UsageSnapshot,
 };
-use trestlerack::request::RequestFingerprint;
+use trestlerack::request::{JobRecord, RequestFingerprint};
 use trestlerack::rows::{StoreCall, StoreReply};
 
 /// Path of all calls between nodes.
@@ -54,6 +54,9 @@
     Drive {
         /// The job.
         job: Name,
+        /// The job's record with its version, so that the peer need not read it from the store first.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        record: Option<Box<(JobRecord, u64)>>,
     },
     /// Sends the usage that a node counted for its customers.
     Usage {
@@ -233,8 +236,9 @@
     }
 
     /// Asks a peer to drive a job that names it as owner. Returns `None` if it does not answer.
-    pub async fn drive(&self, peer: &Name, job: &Name) -> Option<bool> {
-        self.call_about_job(peer, &PeerCall::Drive { job: job.clone() }).await
+    pub async fn drive(&self, peer: &Name, job: &Name, accepted: Option<(JobRecord, u64)>) -> Option<bool> {
+        let record = accepted.map(Box::new);
+        self.call_about_job(peer, &PeerCall::Drive { job: job.clone(), record }).await
     }
 
     /// Tells the owner of a job that the job has ended, which its watch would show only later. Returns
@@ -371,7 +375,9 @@
         PeerCall::Feed(call) => PeerReply::Feed(feed_relay::handle_call(node, call).await),
         PeerCall::Trial { server, fingerprint } => PeerReply::Trial(suspects::grant_trial(node, &server, fingerprint)),
         PeerCall::Load(message) => PeerReply::Load(load_gossip::respond_to_peer(node, message)),
-        PeerCall::Drive { job } => PeerReply::IsDriving(job_takeover::drive_assigned(node, &job).await),
+        PeerCall::Drive { job, record } => {
+            PeerReply::IsDriving(job_takeover::drive_assigned(node, &job, record.map(|record| *record)).await)
+        }
         PeerCall::End { job } => {
             let is_driven = node.drivers.lock().unwrap().contains_key(&job);
             node.record_job_end(&job);
--- a/crates/trestlerackd/src/entry/store.rs
+++ b/crates/trestlerackd/src/entry/store.rs
@@ -70,6 +70,21 @@
         platform::decode_store_reply(call, parts.status, body)
     }
 
+    /// Returns the shortest latency of a few calls; `None` if none succeeds.
+    pub async fn measure_latency(&self) -> Option<Duration> {
+        let clock = SystemClock::new();
+        let call = short_read();
+        let mut shortest: Option<Duration> = None;
+        for _ in 0..LATENCY_SAMPLES {
+            let sent_at = clock.now();
+            if self.call_within(&call, DIRECT_TIMEOUT).await.is_ok() {
+                let latency = clock.now().since(sent_at);
+                shortest = Some(shortest.map_or(latency, |shortest| shortest.min(latency)));
+            }
+        }
+        shortest
+    }
+
     /// Makes a call with a timeout. A call that times out may have been applied, so it returns
     /// [`StoreError::Unknown`].
     pub async fn call_within(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreError> {
@@ -77,6 +92,21 @@
     }
 }
 
+/// Number of calls by which the latency of the store is measured. The first one opens the connection, and calls
+/// are delayed while all nodes of a fleet start.
+const LATENCY_SAMPLES: usize = 4;
+
+/// Returns the read of at most one row, which the store answers as fast as any call.
+fn short_read() -> StoreCall {
+    StoreCall::Read {
+        table: tables::STATE.into(),
+        partition: tables::LEASES.into(),
+        from: "".into(),
+        to: "".into(),
+        limit: 1,
+    }
+}
+
 /// Returns the timeout of a call, including the time for which a watch waits for changes.
 fn time_limit(call: &StoreCall, base: Duration) -> Duration {
     match call {
@@ -181,13 +211,7 @@
 
     /// Probes the store with direct calls while direct access is lost. Runs until the process ends.
     pub async fn probe_direct(&self) {
-        let call = StoreCall::Read {
-            table: tables::STATE.into(),
-            partition: tables::LEASES.into(),
-            from: "".into(),
-            to: "".into(),
-            limit: 1,
-        };
+        let call = short_read();
         loop {
             if !self.prefers_peers() {
                 // A notification just before this is missed; the check then follows the timeout.
