--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -141,8 +141,12 @@
 }
 
 /// Columns of what an entry node tells of room.
-const ROOM_COLUMNS: [&str; 8] =
-    ["service", "waiting", "places", "free", "wait_ms", "waiting_customers", "refused", "refused_customers"];
+const ROOM_COLUMNS: [&str; 9] =
+    ["service", "zones", "waiting", "places", "free", "wait_ms", "waiting_customers", "refused", "refused_customers"];
+
+/// Columns of what an entry node tells of the servers that the requests of each route may use.
+const PLACEMENT_COLUMNS: [&str; 9] =
+    ["route", "customer", "service", "regions", "zones", "servers", "allowed", "eligible", "why"];
 
 /// Returns the path and the columns of what an entry node tells on its metrics address.
 fn entry_list(name: &str) -> Option<(&'static str, &'static [&'static str])> {
@@ -163,6 +167,7 @@
                 "told_age_ms",
             ],
         )),
+        "placement" => Some(("/v1/placement", &PLACEMENT_COLUMNS)),
         "room" => Some(("/v1/room", &ROOM_COLUMNS)),
         "level" => Some(("/v1/level", &["source", "followers", "passes_on", "servers"])),
         "memory" => Some(("/v1/memory", &["kind", "name", "used", "bound"])),
@@ -195,7 +200,7 @@
         }
         _ => {
             return Err(usage(
-                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, level, memory, suspects, servers or room",
+                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, level, memory, placement, suspects, servers or room",
             ));
         }
     };
--- a/crates/trestlerack/src/allowed_zones.rs
+++ b/crates/trestlerack/src/allowed_zones.rs
@@ -9,7 +9,7 @@
 /// Engines, scoring services, spool peers and group owners are all selected with
 /// [`AllowedZones::allows`], and no fallback ignores it
 /// ([docs/DESIGN.md](../../../docs/DESIGN.md#place)).
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct AllowedZones {
     zones: BTreeSet<Name>,
--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -251,4 +251,18 @@
     USAGE_MISSED = (2504, "usage-missed", Error);
     /// Engines were ordered from the platform; the line has the answer.
     ENGINES_ORDERED = (2511, "engines-ordered", Info);
+    /// A list of allowed regions cannot be read; no region is allowed for its route or customer.
+    REGIONS_UNREADABLE = (2601, "regions-unreadable", Warn);
+    /// No known zone belongs to an allowed region.
+    REGION_UNKNOWN = (2602, "region-unknown", Warn);
+    /// A request was refused, not run, because no zone is allowed for it.
+    REQUEST_UNPLACED = (2603, "request-unplaced", Warn);
+    /// A request was refused, not run, because no server in its allowed zones accepts work.
+    REGION_UNSERVED = (2604, "region-unserved", Warn);
+    /// An attempt was not sent because the zone of its server is not allowed any more.
+    SEND_PREVENTED = (2605, "send-prevented", Info);
+    /// The owner of an accepted job does not respond, and this node may not take the job over.
+    TAKEOVER_NOT_PERMITTED = (2606, "takeover-not-permitted", Info);
+    /// The peers that may relay this node's store calls were limited to its region, or the limit ended.
+    RELAYS_LIMITED = (2607, "relays-limited", Info);
 }
--- a/crates/trestlerack/src/process/expected_latency.rs
+++ b/crates/trestlerack/src/process/expected_latency.rs
@@ -318,7 +318,7 @@
         if accepting.is_empty() {
             // A request that needs a free slot can wait for one at a server that is not degraded.
             if need.slot_need != SlotNeed::Any
-                && self.of_service(need.service).any(|server| self.accepts_calls(now, server))
+                && self.in_scope(need.into()).any(|server| self.accepts_calls(now, server))
             {
                 return None;
             }
--- a/crates/trestlerack/src/process/hedging.rs
+++ b/crates/trestlerack/src/process/hedging.rs
@@ -5,6 +5,7 @@
 
 use super::load_balancer::LoadBalancer;
 use super::server_health::ServerHealth;
+use super::server_scope::ServerScope;
 use crate::Timestamp;
 use std::time::Duration;
 
@@ -42,8 +43,8 @@
         self.is_compared(instance) && self.health(now, instance) != ServerHealth::Healthy
     }
 
-    /// Returns whether a service has a free slot for a second attempt.
-    pub fn has_free_slot(&self, now: Timestamp, service: &str) -> bool {
-        self.wait_estimate(now, service).free_slots > 0
+    /// Returns whether a service, or its servers in some zones, have a free slot for a second attempt.
+    pub fn has_free_slot<'a>(&'a self, now: Timestamp, scope: impl Into<ServerScope<'a>>) -> bool {
+        self.wait_estimate(now, scope).free_slots > 0
     }
 }
--- a/crates/trestlerack/src/process/job_owner.rs
+++ b/crates/trestlerack/src/process/job_owner.rs
@@ -2,6 +2,7 @@
 
 use crate::Name;
 use crate::hash::{hash_parts, rendezvous_weight};
+use crate::version::{Placement, ZoneMap};
 use std::cmp::Reverse;
 
 /// Fraction of the largest capacity from which a node counts as large. The users' VMs have 0.5 or 0.12 of
@@ -54,6 +55,38 @@
     others.iter().filter(|(name, capacity)| **name != *own.0 && rank(name, *capacity) > own_rank).count()
 }
 
+/// Which nodes may take over a job whose owner is lost; see
+/// [docs/design/allowed-regions.md](../../../../docs/design/allowed-regions.md).
+#[derive(Clone, Copy, Debug)]
+pub struct TakeoverRule<'a> {
+    /// Where the requests of the job may be served.
+    pub placement: &'a Placement,
+    /// Regions of the availability zones.
+    pub zones: &'a ZoneMap,
+    /// Availability zone of the previous owner; `None` if it is unknown.
+    pub previous_zone: Option<&'a str>,
+}
+
+impl TakeoverRule<'_> {
+    /// Returns whether a node in a zone may take the job over: the job's data may be in that zone, or the previous
+    /// owner already had it in the same region.
+    pub fn permits(&self, zone: &str) -> bool {
+        self.placement.allows(zone) || self.previous_zone.is_some_and(|previous| self.is_near(previous, zone))
+    }
+
+    fn is_near(&self, previous: &str, zone: &str) -> bool {
+        // Rows of nodes from before zones were published have none.
+        !previous.is_empty() && self.zones.is_same_region(previous, zone)
+    }
+
+    /// Returns whether the node that accepted the job may drive it itself, although it is in `zone` and does not
+    /// satisfy [`Self::permits`]: no other node that is registered may. `registered_zones` excludes the owner that
+    /// does not respond.
+    pub fn permits_acceptor<'z>(&self, zone: &str, mut registered_zones: impl Iterator<Item = &'z str>) -> bool {
+        self.permits(zone) || !registered_zones.any(|other| self.permits(other))
+    }
+}
+
 /// Returns the capacity from which a node counts as large.
 fn large_threshold(capacities: impl Iterator<Item = u32>) -> u32 {
     (f64::from(capacities.max().unwrap_or(0)) * LARGE_CAPACITY_RATIO).ceil() as u32
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -34,9 +34,11 @@
 mod resource_limits;
 mod run_move;
 mod run_timeouts;
+mod scope_counts;
 mod server_health;
 mod server_observations;
 mod server_pace;
+mod server_scope;
 mod server_state;
 mod server_status;
 mod server_subset;
@@ -71,7 +73,7 @@
 pub use fleet_controller::{FleetController, FleetRow, FleetSettings, ScalingConfig, ZoneEngines, ZoneOrder};
 pub use follower_choice::{FollowerCandidate, choose_followers, follower_count, follower_order};
 pub use job_end_freshness::{JobEndFreshness, JobEndFreshnessSettings};
-pub use job_owner::{OwnerCandidate, choose_job_owner, successor_rank};
+pub use job_owner::{OwnerCandidate, TakeoverRule, choose_job_owner, successor_rank};
 pub use latency_estimate::LatencyEstimates;
 pub use lease::{LeaseAction, LeaseGrant, LeaseKeeper, LeaseRow, LeaseSettings};
 pub use limiter::{RetryBudget, UserLimiter};
@@ -84,7 +86,7 @@
 pub use outlier::{OutlierDetector, OutlierSettings};
 pub use ownership::{EligibleNode, EngineOwners, ModelOwner, OwnershipView};
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
-pub use relay_selector::RelaySelector;
+pub use relay_selector::{RelaySelector, may_relay};
 pub use resource_limits::{
     CONNECTION_BYTES, ConnectionCounter, ConnectionKind, ConnectionLimits, ConnectionPermit, DownloadProgress,
     DownloadStatus, IdleClient, MemoryLimits, MemoryPool, MemoryPurpose, MemoryReservation, MemoryUsage, REQUEST_BYTES,
@@ -93,8 +95,10 @@
 };
 pub use run_move::{FINAL_MOVE_SLOWNESS, MOVE_SLOWNESS, RunMove};
 pub use run_timeouts::RunTimeouts;
+pub use scope_counts::ScopeCounts;
 pub use server_health::{ServerHealth, ServerStats};
 pub use server_observations::server_gossip_settings;
+pub use server_scope::{ServerScope, ServiceScope};
 pub use server_state::{ServerSnapshot, ServerState};
 pub use server_status::{PeerObservation, ServerStatus};
 pub use server_subset::ServerCounts;
--- a/crates/trestlerack/src/process/relay_selector.rs
+++ b/crates/trestlerack/src/process/relay_selector.rs
@@ -1,7 +1,7 @@
 //! Selects the peers that are asked to relay a store call.
 
 use crate::hash::hash_parts;
-use crate::{Name, Timestamp};
+use crate::{AllowedZones, Name, Timestamp};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -12,6 +12,18 @@
 /// Time for which a peer that failed to relay a call is skipped.
 const FAILED_RELAY_PAUSE: Duration = Duration::from_secs(1);
 
+/// Returns whether a peer may relay a store call while relays are limited to `zones`.
+///
+/// `peer_zone` is `None` for a seed that is not known as a registered node yet. It may relay calls without the body
+/// of a request, because a node that starts while the store does not serve it learns of registered nodes only through
+/// its seeds.
+pub fn may_relay(zones: &AllowedZones, peer_zone: Option<&str>, contains_bodies: bool) -> bool {
+    match peer_zone {
+        Some(zone) => zones.allows(zone),
+        None => !contains_bodies,
+    }
+}
+
 /// Selects relays among the peers of a node, by their recent successes and failures.
 #[derive(Debug)]
 pub struct RelaySelector {
--- /dev/null
+++ b/crates/trestlerack/src/process/server_scope.rs
@@ -0,0 +1,76 @@
+//! The servers of a service that a request may use.
+
+use super::load_balancer::{LoadBalancer, ServerNeed};
+use super::server_state::ServerState;
+use crate::version::Placement;
+use crate::{AllowedZones, Name};
+use std::sync::Arc;
+
+/// The servers of a service in the zones where a request may be served.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerScope<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Availability zones of the servers; `None` for all.
+    pub allowed_zones: Option<&'a AllowedZones>,
+}
+
+impl<'a> From<&'a str> for ServerScope<'a> {
+    fn from(service: &'a str) -> Self {
+        Self { service, allowed_zones: None }
+    }
+}
+
+impl<'a> From<&'a Name> for ServerScope<'a> {
+    fn from(service: &'a Name) -> Self {
+        Self { service, allowed_zones: None }
+    }
+}
+
+impl<'a> From<&ServerNeed<'a>> for ServerScope<'a> {
+    fn from(need: &ServerNeed<'a>) -> Self {
+        Self { service: need.service, allowed_zones: need.allowed_zones }
+    }
+}
+
+/// A service and the zones in which some of its requests may be served. Each has a queue of its own, because
+/// requests wait for different servers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceScope {
+    /// Service.
+    pub service: Name,
+    /// Availability zones; `None` for all.
+    pub allowed_zones: Option<Arc<AllowedZones>>,
+}
+
+impl ServiceScope {
+    /// Builds the scope of the requests to a service that have a placement.
+    pub fn new(service: Name, placement: &Placement) -> Self {
+        let allowed_zones = match placement {
+            Placement::Anywhere => None,
+            Placement::Within(zones) => Some(zones.clone()),
+            Placement::Nowhere => Some(Arc::default()),
+        };
+        Self { service, allowed_zones }
+    }
+
+    /// Returns whether some zones are not allowed.
+    pub fn is_restricted(&self) -> bool {
+        self.allowed_zones.is_some()
+    }
+}
+
+impl<'a> From<&'a ServiceScope> for ServerScope<'a> {
+    fn from(scope: &'a ServiceScope) -> Self {
+        Self { service: &scope.service, allowed_zones: scope.allowed_zones.as_deref() }
+    }
+}
+
+impl LoadBalancer {
+    /// Returns the servers of a scope.
+    pub fn in_scope<'a>(&'a self, scope: ServerScope<'a>) -> impl Iterator<Item = &'a ServerState> {
+        let is_allowed =
+            move |server: &&ServerState| scope.allowed_zones.is_none_or(|zones| zones.allows(&server.entry.zone));
+        self.of_service(scope.service).filter(is_allowed)
+    }
+}
--- a/crates/trestlerack/src/process/server_subset.rs
+++ b/crates/trestlerack/src/process/server_subset.rs
@@ -24,6 +24,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerCounts {
     counts: BTreeMap<Name, BTreeMap<Name, usize>>,
+    /// Whether a subset has servers of each other zone, because some requests may be served in some zones only.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    covers_zones: bool,
 }
 
 impl ServerCounts {
@@ -33,7 +36,19 @@
         for entry in entries {
             *counts.entry(entry.service.clone()).or_default().entry(entry.zone.clone()).or_default() += 1;
         }
-        Self { counts }
+        Self { counts, covers_zones: false }
+    }
+
+    /// Returns the counts for subsets that have servers of each zone. Otherwise a small zone may have none in the
+    /// subset of a node, which could then not serve a request that only that zone may serve.
+    #[must_use]
+    pub fn covering_zones(self, covers_zones: bool) -> Self {
+        Self { covers_zones, ..self }
+    }
+
+    /// Returns whether the subsets have servers of each zone.
+    pub fn covers_zones(&self) -> bool {
+        self.covers_zones
     }
 
     /// Returns the total number of servers.
@@ -55,7 +70,7 @@
                 zones.iter().all(|(zone, number)| is_similar(*number, count(right, service, zone)))
             })
         };
-        if covers(self, &counts) && covers(&counts, self) {
+        if self.covers_zones == counts.covers_zones && covers(self, &counts) && covers(&counts, self) {
             return false;
         }
         *self = counts;
@@ -68,8 +83,11 @@
         let own = zones.get(node_zone).copied().unwrap_or(0);
         let others = zones.values().sum::<usize>() - own;
         let fraction = match (own, &*entry.zone == node_zone) {
-            (0, _) => subset_fraction(MIN_OWN_ZONE_SERVERS, others),
+            (0, _) if !self.covers_zones => subset_fraction(MIN_OWN_ZONE_SERVERS, others),
             (_, true) => subset_fraction(MIN_OWN_ZONE_SERVERS, own),
+            (_, false) if self.covers_zones => {
+                subset_fraction(MIN_OTHER_ZONE_SERVERS, zones.get(&entry.zone).copied().unwrap_or(0))
+            }
             (_, false) => subset_fraction(MIN_OTHER_ZONE_SERVERS, others),
         };
         fraction >= 1.0 || hash_parts(&[node, &entry.instance]) as f64 / u64::MAX as f64 <= fraction
--- a/crates/trestlerack/src/version/customers.rs
+++ b/crates/trestlerack/src/version/customers.rs
@@ -3,6 +3,7 @@
 //! Keys are secrets. Only their digests stay in memory, so that neither a log line nor a memory dump reveals a
 //! key; see [docs/PLATFORM.md](../../../../docs/PLATFORM.md#customers).
 
+use super::AllowedRegions;
 use crate::{Name, Timestamp};
 use secrecy::{ExposeSecret, SecretString};
 use sha2::{Digest, Sha256};
@@ -60,13 +61,13 @@
     pub priority: Option<u8>,
     /// Weight of the customer's share of a service that is overloaded.
     pub weight: u32,
-    /// Regions in which its requests may be served and stored; empty for all.
-    pub allowed_regions: Vec<Name>,
+    /// Regions in which its requests may be served and stored.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl Default for Customer {
     fn default() -> Self {
-        Self { name: "".into(), priority: None, weight: 1, allowed_regions: Vec::new() }
+        Self { name: "".into(), priority: None, weight: 1, allowed_regions: AllowedRegions::All }
     }
 }
 
--- a/crates/trestlerack/src/version/mod.rs
+++ b/crates/trestlerack/src/version/mod.rs
@@ -1,5 +1,6 @@
 //! State that is replaced as a whole: configuration generations and weight versions.
 
+mod allowed_regions;
 mod config_store;
 mod configuration;
 mod customers;
@@ -8,6 +9,7 @@
 mod follower;
 mod load_time;
 mod placement;
+mod placement_report;
 mod plan;
 mod rollout;
 mod routing;
@@ -15,6 +17,7 @@
 mod weight_scheduler;
 mod zone_map;
 
+pub use allowed_regions::AllowedRegions;
 pub use config_store::{ConfigStore, PlanCommit, PlanConfirmation};
 pub use configuration::{ConfigContent, ConfigDelta, ConfigItem, Configuration};
 pub use customers::{
@@ -25,7 +28,8 @@
 };
 pub use engine_need::engines_needed;
 pub use follower::{ConfigFollower, FollowAction, FollowEvent};
-pub use placement::Placement;
+pub use placement::{Placement, RequestPlacement};
+pub use placement_report::{ConfigFinding, FindingReason, PlacementRule};
 pub use plan::{ChangePlan, PlanError, plan_change};
 pub use rollout::{
     EngineOrder, EngineRollout, RolloutEngine, RolloutEvent, RolloutPlanner, RolloutSettings, WeightTarget,
--- a/crates/trestlerack/src/version/routing.rs
+++ b/crates/trestlerack/src/version/routing.rs
@@ -4,7 +4,7 @@
 use crate::Name;
 use crate::hash::hash_parts;
 use crate::process::{ColdStartConfig, ScalingConfig};
-use crate::version::{CustomerDirectory, Placement, ZoneMap};
+use crate::version::{AllowedRegions, CustomerDirectory, Placement, ZoneMap};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -61,8 +61,8 @@
     pub max_attempts: u32,
     /// Services with their shares; a single one if the route is not split.
     pub shares: Vec<SplitShare>,
-    /// Regions in which the requests may be served and stored; empty for all.
-    pub allowed_regions: Vec<Name>,
+    /// Regions in which the requests may be served and stored.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl RequestRoute {
--- a/crates/trestlerack/src/version/zone_map.rs
+++ b/crates/trestlerack/src/version/zone_map.rs
@@ -44,6 +44,12 @@
         self.regions.keys()
     }
 
+    /// Returns a zone with all other listed zones of its region.
+    pub fn zones_near(&self, zone: &str) -> AllowedZones {
+        let is_near = |other: &&Name| self.is_same_region(zone, other);
+        AllowedZones::new(self.zones().filter(is_near).cloned().chain([zone.into()]))
+    }
+
     /// Returns the listed zones of some regions. Regions without a listed zone add none.
     pub fn zones_of(&self, regions: &[Name]) -> AllowedZones {
         let is_in_regions = |(_, region): &(&Name, &Name)| regions.contains(region);
--- a/crates/trestlerack/tests/support/load.rs
+++ b/crates/trestlerack/tests/support/load.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "no test file uses all of them")]
 
 use trestlerack::process::{BalancerSettings, LoadBalancer, RegistrySettings, ServerEntry, ServerRegistry};
-use trestlerack::version::{RequestRoute, RouteKind, SplitShare};
+use trestlerack::version::{AllowedRegions, RequestRoute, RouteKind, SplitShare};
 
 /// Returns a server of a service without models.
 pub fn plain_server(instance: &str, service: &str, zone: &str, slots: u32) -> ServerEntry {
@@ -48,6 +48,6 @@
         is_public: false,
         max_attempts: 2,
         shares: vec![SplitShare { service: "s".into(), weight: 1 }],
-        allowed_regions: Vec::new(),
+        allowed_regions: AllowedRegions::All,
     }
 }
--- a/crates/trestlerackd/src/entry/admission/mod.rs
+++ b/crates/trestlerackd/src/entry/admission/mod.rs
@@ -22,7 +22,8 @@
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use trestlerack::process::{
-    AdmissionQueue, AdmissionSettings, CallRefusal, QueuedCallId, SecondAttemptBudget, ServiceLoad, WaitOutcome,
+    AdmissionQueue, AdmissionSettings, CallRefusal, QueuedCallId, SecondAttemptBudget, ServiceLoad, ServiceScope,
+    WaitOutcome,
 };
 use trestlerack::{Name, Timestamp};
 
@@ -36,7 +37,7 @@
 /// Result of a call's wait in the queue.
 type WaitResult = Result<(), CallRefusal>;
 
-/// The queue of one service.
+/// The queue of one scope.
 struct ServiceQueue {
     queue: AdmissionQueue,
     waiters: HashMap<QueuedCallId, oneshot::Sender<WaitResult>>,
@@ -68,9 +69,9 @@
     }
 }
 
-/// The admission queues of a node, by service.
+/// The admission queues of a node, by the servers that their calls may use.
 pub struct AdmissionControl {
-    queues: Mutex<HashMap<Name, ServiceQueue>>,
+    queues: Mutex<HashMap<ServiceScope, ServiceQueue>>,
     /// Number of waiting calls in all queues, so that a finished request locks no queue while none wait.
     waiting: AtomicUsize,
     second_attempts: Mutex<SecondAttemptBudget>,
@@ -86,29 +87,41 @@
         }
     }
 
-    fn is_overloaded(&self, now: Timestamp, service: &str) -> bool {
-        self.queues().get(service).is_some_and(|service_queue| service_queue.queue.is_overloaded(now))
+    fn is_overloaded(&self, now: Timestamp, scope: &ServiceScope) -> bool {
+        self.queues().get(scope).is_some_and(|service_queue| service_queue.queue.is_overloaded(now))
     }
 
-    fn has_waiting_calls(&self, service: &str) -> bool {
-        self.queues().get(service).is_some_and(|service_queue| !service_queue.queue.is_empty())
+    fn has_waiting_calls(&self, scope: &ServiceScope) -> bool {
+        self.queues().get(scope).is_some_and(|service_queue| !service_queue.queue.is_empty())
+    }
+
+    /// Returns the scopes of a service for which calls wait. Restricted ones come first, since their calls can use
+    /// fewer servers.
+    fn waiting_scopes(&self, service: &str) -> Vec<ServiceScope> {
+        let queues = self.queues();
+        let is_waiting = |(scope, service_queue): &(&ServiceScope, &ServiceQueue)| {
+            &*scope.service == service && !service_queue.queue.is_empty()
+        };
+        let mut scopes: Vec<ServiceScope> = queues.iter().filter(is_waiting).map(|(scope, _)| scope.clone()).collect();
+        scopes.sort_by(|left, right| right.cmp(left));
+        scopes
     }
 
     fn has_any_waiting(&self) -> bool {
         self.waiting.load(Ordering::Relaxed) > 0
     }
 
-    fn queues(&self) -> MutexGuard<'_, HashMap<Name, ServiceQueue>> {
+    fn queues(&self) -> MutexGuard<'_, HashMap<ServiceScope, ServiceQueue>> {
         self.queues.lock().unwrap()
     }
 
-    /// Runs `change` on the queue of a service, which is created if it does not exist.
-    fn with_queue<T>(&self, service: &Name, change: impl FnOnce(&mut ServiceQueue) -> T) -> T {
+    /// Runs `change` on the queue of a scope, which is created if it does not exist.
+    fn with_queue<T>(&self, scope: &ServiceScope, change: impl FnOnce(&mut ServiceQueue) -> T) -> T {
         let mut queues = self.queues();
-        if let Some(service_queue) = queues.get_mut(service) {
+        if let Some(service_queue) = queues.get_mut(scope) {
             return change(service_queue);
         }
-        change(queues.entry(service.clone()).or_insert_with(ServiceQueue::new))
+        change(queues.entry(scope.clone()).or_insert_with(ServiceQueue::new))
     }
 }
 
@@ -119,32 +132,34 @@
 }
 
 /// Records that a server had no free slot for a call.
-pub fn record_full_server(node: &EntryNode, service: &Name) {
-    if is_active(node, service) {
+pub fn record_full_server(node: &EntryNode, scope: &ServiceScope) {
+    if is_active(node, &scope.service) {
         let now = node.now();
-        node.admission.with_queue(service, |service_queue| service_queue.queue.record_full_server(now));
+        node.admission.with_queue(scope, |service_queue| service_queue.queue.record_full_server(now));
     }
 }
 
-/// Returns the load of a service. If all its servers are paused, a slot is expected when the first pause
+/// Returns the load of the servers of a scope. If all are paused, a slot is expected when the first pause
 /// ends.
-fn service_load(node: &EntryNode, service: &str) -> ServiceLoad {
+fn service_load(node: &EntryNode, scope: &ServiceScope) -> ServiceLoad {
     let now = node.now();
     let balancer = node.balancer.lock().unwrap();
-    let mut estimate = balancer.wait_estimate(now, service);
+    let mut estimate = balancer.wait_estimate(now, scope);
     if estimate.slots == 0
-        && let Some(available_at) = balancer.available_at(service)
+        && let Some(available_at) = balancer.available_at(scope)
     {
         estimate.wait = available_at.since(now);
     }
-    let in_flight = balancer.of_service(service).map(|server| server.in_flight).sum();
+    let in_flight = balancer.in_scope(scope.into()).map(|server| server.in_flight).sum();
     ServiceLoad { estimate, in_flight }
 }
 
 /// Called when a slot of a service may have become free.
 pub fn slot_freed(node: &EntryNode, service: &Name) {
-    if node.admission.has_any_waiting() && node.admission.has_waiting_calls(service) {
-        advance(node, service);
+    if node.admission.has_any_waiting() {
+        for scope in &node.admission.waiting_scopes(service) {
+            advance(node, scope);
+        }
     }
 }
 
@@ -153,19 +168,19 @@
     if !node.admission.has_any_waiting() {
         return;
     }
-    let services: Vec<Name> = node.admission.queues().keys().cloned().collect();
-    for service in &services {
-        advance(node, service);
+    let scopes: Vec<ServiceScope> = node.admission.queues().keys().cloned().collect();
+    for scope in &scopes {
+        advance(node, scope);
     }
 }
 
 /// Admits the waiting calls for which there is a slot, and refuses those that cannot be served in time.
 /// Returns when to check again, or `None` if no call waits.
-fn advance(node: &EntryNode, service: &Name) -> Option<Timestamp> {
-    let service_load = service_load(node, service);
+fn advance(node: &EntryNode, scope: &ServiceScope) -> Option<Timestamp> {
+    let service_load = service_load(node, scope);
     let now = node.now();
     let mut results = Vec::new();
-    let next_due = node.admission.with_queue(service, |service_queue| {
+    let next_due = node.admission.with_queue(scope, |service_queue| {
         for outcome in service_queue.queue.advance(now, &service_load) {
             let (id, result) = match outcome {
                 WaitOutcome::Admit(id) => (id, Ok(())),
@@ -187,14 +202,14 @@
     next_due
 }
 
-/// Checks the queue of a service until no call waits.
-async fn drive(node: Arc<EntryNode>, service: Name) {
-    let wake = node.admission.with_queue(&service, |service_queue| service_queue.wake.clone());
-    while !node.admission.with_queue(&service, ServiceQueue::try_release_driver) {
-        let next_due = advance(&node, &service);
+/// Checks the queue of a scope until no call waits.
+async fn drive(node: Arc<EntryNode>, scope: ServiceScope) {
+    let wake = node.admission.with_queue(&scope, |service_queue| service_queue.wake.clone());
+    while !node.admission.with_queue(&scope, ServiceQueue::try_release_driver) {
+        let next_due = advance(&node, &scope);
         let now = node.now();
         let delay = next_due.map_or(Duration::ZERO, |due| due.since(now)).clamp(MIN_RECHECK_DELAY, MAX_RECHECK_DELAY);
-        node.admission.with_queue(&service, |service_queue| service_queue.next_check = now + delay);
+        node.admission.with_queue(&scope, |service_queue| service_queue.next_check = now + delay);
         // Whether woken or timed out, the queue is checked again.
         let _ = clock::timeout(delay, wake.notified()).await;
     }
--- a/crates/trestlerackd/src/entry/admission/queue_wait.rs
+++ b/crates/trestlerackd/src/entry/admission/queue_wait.rs
@@ -10,14 +10,15 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use trestlerack::process::{
-    AdmissionDecision, AdmissionSettings, CallRefusal, QueuedCallId, RefusalReason, WaitEstimate, WaitingCall,
+    AdmissionDecision, AdmissionSettings, CallRefusal, QueuedCallId, RefusalReason, ServiceScope, WaitEstimate,
+    WaitingCall,
 };
 use trestlerack::{Name, event};
 
 /// Keeps a call in the queue, or reserves the slot that it was given, until it is dropped.
 pub struct QueueGuard {
     node: Arc<EntryNode>,
-    service: Name,
+    scope: ServiceScope,
     state: GuardState,
 }
 
@@ -36,21 +37,21 @@
             GuardState::Released => false,
             GuardState::Admitted => true,
             GuardState::Waiting(id, result) => {
-                remove_waiting(&self.node, &self.service, *id);
+                remove_waiting(&self.node, &self.scope, *id);
                 matches!(result.try_recv(), Ok(Ok(())))
             }
         };
         if has_slot {
-            self.node.admission.with_queue(&self.service, |service_queue| service_queue.queue.finish_dispatch());
+            self.node.admission.with_queue(&self.scope, |service_queue| service_queue.queue.finish_dispatch());
             // Another call may use the slot if this one did not.
-            super::slot_freed(&self.node, &self.service);
+            super::slot_freed(&self.node, &self.scope.service);
         }
     }
 }
 
 /// Removes a call from the queue if it still waits.
-fn remove_waiting(node: &EntryNode, service: &Name, id: QueuedCallId) {
-    node.admission.with_queue(service, |service_queue| {
+fn remove_waiting(node: &EntryNode, scope: &ServiceScope, id: QueuedCallId) {
+    node.admission.with_queue(scope, |service_queue| {
         service_queue.queue.remove(id);
         if service_queue.waiters.remove(&id).is_some() {
             node.admission.waiting.fetch_sub(1, Ordering::Relaxed);
@@ -61,13 +62,13 @@
 /// Waits until a call may be sent to a server, or returns why it is refused.
 pub async fn wait_for_slot(
     node: &Arc<EntryNode>,
-    service: &Name,
+    scope: &ServiceScope,
     call: WaitingCall,
 ) -> Result<QueueGuard, CallRefusal> {
-    let service_load = service_load(node, service);
+    let service_load = service_load(node, scope);
     let (now, logged_call) = (node.now(), call.clone());
     let mut waiting = None;
-    let (admission, length) = node.admission.with_queue(service, |service_queue| {
+    let (admission, length) = node.admission.with_queue(scope, |service_queue| {
         let length = service_queue.queue.len();
         let admission = service_queue.queue.submit(now, call, &service_load);
         if let AdmissionDecision::Wait { id, .. } = admission {
@@ -78,22 +79,22 @@
         }
         (admission, length)
     });
-    let guard = |state| QueueGuard { node: node.clone(), service: service.clone(), state };
+    let guard = |state| QueueGuard { node: node.clone(), scope: scope.clone(), state };
     match (admission, waiting) {
         (AdmissionDecision::Refuse(refusal), _) => {
-            shares::record_overload(node, service);
-            log_refusal(node, service, &logged_call, refusal, &service_load.estimate);
+            record_overload(node, scope, &service_load.estimate);
+            log_refusal(node, scope, &logged_call, refusal, &service_load.estimate);
             Err(refusal)
         }
         (AdmissionDecision::Wait { id, expected }, Some((receiver, is_first))) => {
-            shares::record_overload(node, service);
+            record_overload(node, scope, &service_load.estimate);
             let guard = guard(GuardState::Waiting(id, receiver));
-            node.metrics.admission.record_queued(service, length);
-            log_wait(service, &logged_call, length, expected, &service_load.estimate);
+            node.metrics.admission.record_queued(&scope.service, length);
+            log_wait(&scope.service, &logged_call, length, expected, &service_load.estimate);
             if is_first {
-                tokio::spawn(drive(node.clone(), service.clone()));
+                tokio::spawn(drive(node.clone(), scope.clone()));
             } else {
-                advance(node, service);
+                advance(node, scope);
             }
             wait_in_queue(guard, &logged_call).await
         }
@@ -101,6 +102,14 @@
     }
 }
 
+/// Records that a service is overloaded, so that its customers get shares. Calls that may only use zones without an
+/// available server do not show that: the servers elsewhere may be idle.
+fn record_overload(node: &EntryNode, scope: &ServiceScope, estimate: &WaitEstimate) {
+    if !scope.is_restricted() || estimate.slots > 0 {
+        shares::record_overload(node, &scope.service);
+    }
+}
+
 async fn wait_in_queue(mut guard: QueueGuard, call: &WaitingCall) -> Result<QueueGuard, CallRefusal> {
     let started = guard.node.now();
     let result = match &mut guard.state {
@@ -108,11 +117,11 @@
         GuardState::Waiting(_, receiver) => receiver.await.unwrap_or(Ok(())),
         GuardState::Admitted | GuardState::Released => Ok(()),
     };
-    guard.node.metrics.admission.record_wait(&guard.service, guard.node.now().since(started));
+    guard.node.metrics.admission.record_wait(&guard.scope.service, guard.node.now().since(started));
     guard.state = if result.is_ok() { GuardState::Admitted } else { GuardState::Released };
     if let Err(refusal) = result {
-        let estimate = service_load(&guard.node, &guard.service).estimate;
-        log_refusal(&guard.node, &guard.service, call, refusal, &estimate);
+        let estimate = service_load(&guard.node, &guard.scope).estimate;
+        log_refusal(&guard.node, &guard.scope, call, refusal, &estimate);
         return Err(refusal);
     }
     Ok(guard)
@@ -120,10 +129,10 @@
 
 /// Refuses a call for which none of the servers with a free slot is suitable. Returns the delay after which
 /// its caller is to retry.
-pub fn refuse_without_server(node: &EntryNode, service: &Name, call: &WaitingCall) -> Duration {
+pub fn refuse_without_server(node: &EntryNode, scope: &ServiceScope, call: &WaitingCall) -> Duration {
     let retry_after = AdmissionSettings::default().default_retry_after;
     let refusal = CallRefusal { reason: RefusalReason::NoServer, retry_after };
-    log_refusal(node, service, call, refusal, &service_load(node, service).estimate);
+    log_refusal(node, scope, call, refusal, &service_load(node, scope).estimate);
     retry_after
 }
 
@@ -141,8 +150,15 @@
     logs::write(event::CALL_WAITS, &fields);
 }
 
-fn log_refusal(node: &EntryNode, service: &Name, call: &WaitingCall, refusal: CallRefusal, estimate: &WaitEstimate) {
-    let length = node.admission.with_queue(service, |service_queue| {
+fn log_refusal(
+    node: &EntryNode,
+    scope: &ServiceScope,
+    call: &WaitingCall,
+    refusal: CallRefusal,
+    estimate: &WaitEstimate,
+) {
+    let service = &scope.service;
+    let length = node.admission.with_queue(scope, |service_queue| {
         service_queue.counts.add(refusal.reason, call.customer.as_ref());
         service_queue.queue.len()
     });
--- a/crates/trestlerackd/src/entry/admission/status.rs
+++ b/crates/trestlerackd/src/entry/admission/status.rs
@@ -2,10 +2,11 @@
 
 use super::service_load;
 use crate::entry::node::EntryNode;
+use crate::entry::placement;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use trestlerack::Name;
-use trestlerack::process::RefusalReason;
+use trestlerack::process::{RefusalReason, ServiceScope};
 
 /// Maximum number of customers that a row lists.
 const MAX_LISTED_CUSTOMERS: usize = 5;
@@ -31,10 +32,12 @@
     }
 }
 
-/// Row of the status page for one service.
+/// Row of the status page for one service, or for its servers in some zones.
 #[derive(Serialize)]
 pub struct AdmissionStatus {
     service: Name,
+    /// Zones of the servers that the calls may use, separated by commas; empty for all.
+    zones: String,
     waiting: usize,
     /// Priority of the first waiting call.
     first_priority: Option<u8>,
@@ -55,17 +58,17 @@
     refused_customers: String,
 }
 
-/// Returns a row for each service that has a queue at this node.
+/// Returns a row for each queue of this node.
 pub fn status(node: &EntryNode) -> Vec<AdmissionStatus> {
-    let mut services: Vec<Name> = node.admission.queues().keys().cloned().collect();
-    services.sort();
-    services.into_iter().map(|service| service_status(node, service)).collect()
+    let mut scopes: Vec<ServiceScope> = node.admission.queues().keys().cloned().collect();
+    scopes.sort();
+    scopes.into_iter().map(|scope| scope_status(node, &scope)).collect()
 }
 
-fn service_status(node: &EntryNode, service: Name) -> AdmissionStatus {
-    let estimate = service_load(node, &service).estimate;
+fn scope_status(node: &EntryNode, scope: &ServiceScope) -> AdmissionStatus {
+    let estimate = service_load(node, scope).estimate;
     let millis = |time: std::time::Duration| u64::try_from(time.as_millis()).ok();
-    node.admission.with_queue(&service, |service_queue| {
+    node.admission.with_queue(scope, |service_queue| {
         let mut waiting_customers: BTreeMap<Name, u64> = BTreeMap::new();
         for customer in service_queue.queue.calls().filter_map(|call| call.customer.clone()) {
             *waiting_customers.entry(customer).or_default() += 1;
@@ -73,7 +76,8 @@
         let refused =
             service_queue.counts.by_reason.iter().map(|(reason, count)| format!("{}:{count}", reason.as_str()));
         AdmissionStatus {
-            service: service.clone(),
+            service: scope.service.clone(),
+            zones: placement::zone_list(scope),
             waiting: service_queue.queue.len(),
             first_priority: service_queue.queue.calls().next().map(|call| call.rank.priority),
             slots: estimate.slots,
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use super::in_flight::InFlightGuard;
 use super::node::EntryNode;
 use super::pool::{ConnectionLease, ExchangeError};
-use super::{admission, crash_detection, resource_limits, server_responses, suspects};
+use super::{admission, crash_detection, placement, resource_limits, server_responses, suspects};
 use crate::process::clock;
 use crate::process::tracing::HopSpan;
 use bytes::Bytes;
@@ -104,6 +104,13 @@
         span.set("server", instance.to_string());
     }
     let encoded = platform::encode_request(request).map_err(|error| AttemptError::NotRun(error.to_string()))?;
+    // Checked last, because the configuration or the server's zone may have changed since the server was chosen.
+    let routing = node.routing();
+    if let Err(why) = placement::check_send(routing.as_deref(), &node.balancer, &guard.placement, &guard.server) {
+        placement::log_prevented(&request_id, &guard.server, why, &node.metrics.placement);
+        return Err(AttemptError::NotRun(why.into()));
+    }
+    drop(routing);
     guard.record_sent();
     let sent = node.pool.send(&guard.server.address, encoded, wants_fresh).await;
     let (response, lease) = match sent {
@@ -140,7 +147,7 @@
         let is_gone = platform::responding_instance(&parts.headers).is_some_and(|other| other != instance);
         record_refusal(node, &instance, is_gone);
         if !is_gone {
-            admission::record_full_server(node, &guard.server.service);
+            admission::record_full_server(node, &guard.scope());
         }
         keep_after_refusal(node, body, lease, &head).await;
         return Err(AttemptError::NotRun(format!("refused with {}", parts.status)));
--- a/crates/trestlerackd/src/entry/attempts.rs
+++ b/crates/trestlerackd/src/entry/attempts.rs
@@ -10,13 +10,13 @@
 use super::plain::{self, RequestFailure};
 use super::request_history::RequestHistory;
 use super::server_responses::{self, ResponseTimer};
-use super::{admission, engine_priority, hedging, suspects};
+use super::{admission, engine_priority, hedging, placement, suspects};
 use crate::process::clock;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{AttemptReason, SlotNeed};
+use trestlerack::process::{AttemptReason, ServiceScope, SlotNeed};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp};
@@ -248,7 +248,10 @@
             state.is_overdue = true;
             state.wants_server = true;
         } else {
-            state.wants_server = hedging::has_free_slot(self.node, service);
+            let routing = self.node.routing();
+            let placement = placement::decide(routing.as_deref(), self.route, self.request.customer());
+            let scope = ServiceScope::new(service.clone(), placement.placement());
+            state.wants_server = hedging::has_free_slot(self.node, &scope);
         }
     }
 
@@ -297,7 +300,7 @@
         let Self { node, route, request, deadline, fingerprint } = *self;
         let pick = |slot_need| plain::pick_server(node, route, request, fingerprint, history.tried(), slot_need);
         let guard = pick(SlotNeed::One)?;
-        let call = plain::service_call(route, request, history.started(), deadline)?;
+        let call = plain::service_call(node, route, request, history.started(), deadline)?;
         if is_hedge && !previous.is_probe && !admission::try_spend_attempt(node, &call, AttemptReason::Hedge) {
             return None;
         }
--- a/crates/trestlerackd/src/entry/client_requests.rs
+++ b/crates/trestlerackd/src/entry/client_requests.rs
@@ -3,7 +3,7 @@
 use super::callers::{self, CallerDecision};
 use super::node::EntryNode;
 use super::resource_limits::{self, RequestBodyError};
-use super::{job_accept, job_calls, plain};
+use super::{job_accept, job_calls, placement, plain};
 use crate::process::logs;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use trestlerack::process::{MemoryPurpose, MemoryReservation};
 use trestlerack::request::{RequestContent, RequestFingerprint};
-use trestlerack::version::{CallerCredential, CallerIdentity, RouteKind, RoutingTable};
+use trestlerack::version::{CallerCredential, CallerIdentity, RequestRoute, RouteKind, RoutingTable};
 use trestlerack::{Name, event};
 use trestlerack_platform::{self as platform, ClientOperation, RequestHead};
 
@@ -255,6 +255,19 @@
     }
 }
 
+/// Returns the reply to a request that may be served in no zone; `None` for any other request.
+fn refuse_unplaced(
+    node: &EntryNode,
+    routing: &RoutingTable,
+    route: &RequestRoute,
+    request: &ClientRequest,
+) -> Option<Response<ReplyBody>> {
+    let decided = placement::decide(Some(routing), route, request.customer());
+    let refusal = placement::refuse_unplaced(&decided, request.head.request_id.as_ref(), &node.metrics.placement)?;
+    node.metrics.record_request(&route.name, refusal.status(), Duration::ZERO);
+    Some(refusal.map(full_body))
+}
+
 /// Serves a request with the newest configuration, which may have been loaded while the caller was
 /// identified.
 async fn serve_routed(node: &Arc<EntryNode>, request: ClientRequest) -> Response<ReplyBody> {
@@ -262,7 +275,13 @@
     let Some(routing) = routing.as_deref() else {
         return platform::not_run_reply(request.head.request_id.as_ref(), NO_CONFIG_RETRY_DELAY).map(full_body);
     };
-    match routing.select(&request.host, &request.path) {
+    let route = routing.select(&request.host, &request.path);
+    if let Some(route) = route
+        && let Some(refusal) = refuse_unplaced(node, routing, route, &request)
+    {
+        return refusal;
+    }
+    match route {
         None => refuse(&request, routing, "no route matches", StatusCode::NOT_FOUND),
         Some(route) if route.kind == RouteKind::Batch && request.method == Method::POST => {
             job_accept::submit(node, route, request).await
--- a/crates/trestlerackd/src/entry/follower_state.rs
+++ b/crates/trestlerackd/src/entry/follower_state.rs
@@ -282,14 +282,20 @@
     if has_followers && node.now().since(*node.follower.counts_changed_at.lock().unwrap()) < MIN_REFRESH_INTERVAL {
         return;
     }
+    let covers_zones = node.routing().is_some_and(|routing| routing.has_restricted_placements());
     let counts = {
         let registry = node.registry.lock().unwrap();
         if has_followers
             && node.follower.counted_changes.swap(registry.changes(), Ordering::Relaxed) == registry.changes()
+            && node.follower.counts().covers_zones() == covers_zones
         {
             return;
         }
-        if has_followers { ServerCounts::of(registry.entries()) } else { ServerCounts::default() }
+        if has_followers {
+            ServerCounts::of(registry.entries()).covering_zones(covers_zones)
+        } else {
+            ServerCounts::default()
+        }
     };
     let is_replaced = node.follower.counts.lock().unwrap().replace_if_changed(counts);
     if is_replaced {
--- a/crates/trestlerackd/src/entry/hedging.rs
+++ b/crates/trestlerackd/src/entry/hedging.rs
@@ -4,6 +4,7 @@
 use super::node::EntryNode;
 use crate::process::logs;
 use std::time::Duration;
+use trestlerack::process::ServiceScope;
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, event};
 
@@ -19,9 +20,9 @@
     node.balancer.lock().unwrap().is_probe(node.now(), server)
 }
 
-/// Returns whether a service has a free slot for a second attempt.
-pub fn has_free_slot(node: &EntryNode, service: &str) -> bool {
-    node.balancer.lock().unwrap().has_free_slot(node.now(), service)
+/// Returns whether a scope has a free slot for a second attempt.
+pub fn has_free_slot(node: &EntryNode, scope: &ServiceScope) -> bool {
+    node.balancer.lock().unwrap().has_free_slot(node.now(), scope)
 }
 
 /// Logs a hedged request: `server` was asked after `waited`.
--- a/crates/trestlerackd/src/entry/in_flight.rs
+++ b/crates/trestlerackd/src/entry/in_flight.rs
@@ -4,8 +4,9 @@
 use super::node::EntryNode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use trestlerack::process::{ServerEntry, SuspectRun, TokenNeed};
+use trestlerack::process::{ServerEntry, ServiceScope, SuspectRun, TokenNeed};
 use trestlerack::request::RequestFingerprint;
+use trestlerack::version::RequestPlacement;
 
 /// Counts a request as in flight at a backend server until the guard is dropped.
 pub struct InFlightGuard {
@@ -14,6 +15,8 @@
     pub server: ServerEntry,
     /// Fingerprint of the content of the request.
     pub fingerprint: RequestFingerprint,
+    /// Where the request may be served.
+    pub placement: RequestPlacement,
     /// Run of the content, if it is suspected of crashing servers.
     suspect_run: Option<SuspectRun>,
     /// Tokens that the request occupies in the server's memory.
@@ -26,7 +29,12 @@
 
 impl InFlightGuard {
     /// Counts a request as in flight at a server.
-    pub fn new(node: &Arc<EntryNode>, server: ServerEntry, fingerprint: RequestFingerprint) -> Self {
+    pub fn new(
+        node: &Arc<EntryNode>,
+        server: ServerEntry,
+        fingerprint: RequestFingerprint,
+        placement: RequestPlacement,
+    ) -> Self {
         node.balancer.lock().unwrap().started(&server.instance);
         let suspect_run = node.suspects.tracker().begin_run(node.now(), &server.instance, fingerprint);
         let (is_outcome_pending, may_share_server) = (AtomicBool::new(false), AtomicBool::new(false));
@@ -34,6 +42,7 @@
             node: node.clone(),
             server,
             fingerprint,
+            placement,
             suspect_run,
             tokens: None,
             is_outcome_pending,
@@ -50,6 +59,11 @@
         self
     }
 
+    /// Returns the servers that the request may use.
+    pub fn scope(&self) -> ServiceScope {
+        ServiceScope::new(self.server.service.clone(), self.placement.placement())
+    }
+
     /// Records that the request is sent to the server.
     pub fn record_sent(&self) {
         self.is_outcome_pending.store(true, Ordering::Relaxed);
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -15,7 +15,7 @@
 use trestlerack::process::{MemoryPurpose, NodeRow, OwnerCandidate, choose_job_owner};
 use trestlerack::request::{JobRecord, JobSpec};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
-use trestlerack::version::RequestRoute;
+use trestlerack::version::{Placement, RequestRoute};
 use trestlerack::{Name, event};
 use trestlerack_platform as platform;
 
@@ -94,7 +94,7 @@
         put_object(node, spec, &content).await?;
     }
     let spec_rows = if fits_rows { content.len().div_ceil(node.settings.store_row_bytes).max(1) } else { 0 };
-    let record = JobRecord { customer: customer.cloned(), ..new_record(node, spec, spec_rows) };
+    let record = new_record(node, spec, spec_rows, customer);
     let mut transaction = RowTransaction::new(spec.id.clone()).expect(tables::STATE, tables::JOB_RECORD, 0).put(
         tables::STATE,
         tables::JOB_RECORD,
@@ -172,8 +172,9 @@
     }
 }
 
-/// Chooses the node that is to drive a job. Returns its name and row.
-fn choose_owner(node: &EntryNode, spec: &JobSpec) -> (Name, NodeRow) {
+/// Chooses the node that is to drive a job, in a zone where its requests may be served. If no such node is registered,
+/// this node drives it. Returns the name and row of the node.
+fn choose_owner(node: &EntryNode, spec: &JobSpec, placement: &Placement) -> (Name, NodeRow) {
     let mut newest_owner: Option<(u64, Name)> = None;
     let mut models_by_owner: BTreeMap<Name, BTreeSet<Option<Name>>> = BTreeMap::new();
     for view in node.jobs.lock().unwrap().values() {
@@ -185,8 +186,8 @@
         }
     }
     let own = (node.settings.name.clone(), node.settings.capacity());
-    let mut nodes = node.peers.capacities();
-    if !nodes.contains(&own) {
+    let mut nodes = node.peers.capacities_within(placement);
+    if !nodes.contains(&own) && placement.allows(&node.settings.zone) {
         nodes.push(own);
     }
     // A node that is no follower would have to read the complete store first.
@@ -204,8 +205,10 @@
     peer.unwrap_or_else(|| (node.settings.name.clone(), node.node_row()))
 }
 
-fn new_record(node: &Arc<EntryNode>, spec: &JobSpec, spec_rows: usize) -> JobRecord {
-    let (owner, row) = choose_owner(node, spec);
+fn new_record(node: &Arc<EntryNode>, spec: &JobSpec, spec_rows: usize, customer: Option<&Name>) -> JobRecord {
+    let routing = node.routing();
+    let placement = job_takeover::record_placement(routing.as_deref(), &spec.host, &spec.path, customer);
+    let (owner, row) = choose_owner(node, spec, &placement);
     JobRecord {
         owner,
         owner_address: row.address,
@@ -222,7 +225,7 @@
         model: spec.model.clone(),
         step: spec.step,
         min_version: spec.min_version,
-        customer: None,
+        customer: customer.cloned(),
     }
 }
 
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -300,7 +300,10 @@
     let service = route.and_then(|route| route.service_for(&spec.id));
     let engines = service.map_or(0, |service| {
         let weights = spec.model.as_deref().map(|model| (model, spec.min_version));
-        let need = ServerNeed { service, weights, zone: &node.settings.zone, ..ServerNeed::default() };
+        let placement = job_runs::job_placement(node, driver);
+        let allowed_zones = placement.allowed_zones();
+        let zone = &node.settings.zone;
+        let need = ServerNeed { service, weights, zone, allowed_zones, ..ServerNeed::default() };
         node.balancer.lock().unwrap().count_eligible(node.now(), &need)
     });
     let fields: [(&str, &dyn std::fmt::Display); 7] = [
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -4,13 +4,13 @@
 use super::item_run::{self, RunStart};
 use super::job_driver::{ItemRun, JobDriver};
 use super::node::EntryNode;
-use super::{choice_log, engine_memory, engine_priority, suspects};
+use super::{choice_log, engine_memory, engine_priority, placement, suspects};
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::process::{ServerEntry, ServerNeed, SlotNeed};
 use trestlerack::request::{ItemPhase, JobTracker, RequestFingerprint, RunEnd, RunKind};
-use trestlerack::version::{RequestRoute, RoutingTable};
+use trestlerack::version::{RequestPlacement, RequestRoute, RoutingTable};
 use trestlerack::{Name, event};
 
 /// Longest time until a blocked item is checked again: a complete response to the same content on another node
@@ -58,13 +58,16 @@
         return;
     }
     let final_groups = tracker.final_groups();
+    let placement = job_placement(node, driver);
     for (handled, index) in waiting.iter().copied().enumerate() {
         let item = &driver.spec.items[index];
         if defer_suspect(node, driver, &mut tracker, index) {
             continue;
         }
         let model = driver.spec.model_of(item);
-        let Some(need) = item_need(node, driver, route, index, model.as_deref()) else { return };
+        let Some(need) = item_need(node, driver, route, index, model.as_deref(), &placement) else {
+            return;
+        };
         let is_long = tracker.is_long(index) || final_groups.contains(&item.group);
         let mut need = ServerNeed { pinned_version: tracker.pinned_version(index), is_long, ..need };
         let balancer = node.balancer.lock().unwrap();
@@ -87,6 +90,10 @@
             // Other items may still find a free slot.
             None if is_oversize => node.balancer.lock().unwrap().reserve_engine(now, &need),
             None if need.pinned_version.is_some() || needs_isolation => {}
+            // No cancelled run would free a slot that this job may use.
+            None if need.allowed_zones.is_some() && node.balancer.lock().unwrap().count_eligible(now, &need) == 0 => {
+                return;
+            }
             None => {
                 drop(tracker);
                 return cancel_speculative_runs(node, driver, waiting.len() - handled);
@@ -95,6 +102,15 @@
     }
 }
 
+/// Returns where the items of a job may run. A job whose route was removed runs nowhere, until it is given up.
+pub fn job_placement(node: &EntryNode, driver: &JobDriver) -> RequestPlacement {
+    let routing = node.routing();
+    let route = routing.as_ref().and_then(|routing| routing.select(&driver.spec.host, &driver.spec.path));
+    route.map_or_else(RequestPlacement::nowhere, |route| {
+        placement::decide(routing.as_deref(), route, driver.customer.as_ref())
+    })
+}
+
 /// Returns what an item of `model` requires of an engine, as given by its job and route; `None` if the route has
 /// no service.
 pub fn item_need<'a>(
@@ -103,8 +119,10 @@
     route: &'a RequestRoute,
     index: usize,
     model: Option<&'a str>,
+    placement: &'a RequestPlacement,
 ) -> Option<ServerNeed<'a>> {
     Some(ServerNeed {
+        allowed_zones: placement.allowed_zones(),
         service: route.service_for(&driver.spec.items[index].id)?,
         weights: model.map(|model| (model, driver.spec.min_version)),
         slot_need: SlotNeed::One,
@@ -184,7 +202,9 @@
 fn spawn_run(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, start: RunStart, engine: ServerEntry) {
     let RunStart { index, kind, .. } = start;
     log_start(node, driver, start, &engine);
-    let guard = InFlightGuard::new(node, engine, driver.fingerprints[index]).with_tokens(driver.tokens[index]);
+    let placement = job_placement(node, driver);
+    let guard = InFlightGuard::new(node, engine, driver.fingerprints[index], placement);
+    let guard = guard.with_tokens(driver.tokens[index]);
     let run = tokio::spawn(item_run::run(node.clone(), driver.clone(), start, guard));
     let run = ItemRun { handle: run.abort_handle(), started: node.now() };
     driver.runs.lock().unwrap().insert((index, kind), run);
@@ -219,7 +239,8 @@
     // A second run of a suspect might crash one more engine.
     let is_unsuspected = |(index, _): &(usize, Name)| !suspects::is_suspect(node, driver.fingerprints[*index]);
     let Some((index, engine)) = tracker.speculation_candidates(newest).into_iter().find(is_unsuspected) else { return };
-    let Some(need) = item_need(node, driver, route, index, Some(&model)) else { return };
+    let placement = job_placement(node, driver);
+    let Some(need) = item_need(node, driver, route, index, Some(&model), &placement) else { return };
     let avoid = std::slice::from_ref(&engine);
     let need = ServerNeed { weights: Some((&model, newest)), slot_need: SlotNeed::HalfFree, avoid, ..need };
     let entry = node.balancer.lock().unwrap().choose(node.now(), &need).map(|server| server.entry.clone());
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -3,12 +3,13 @@
 use super::job_driver::JobDriver;
 use super::node::EntryNode;
 use super::score_calls::{self, ScoreOutcome};
-use super::suspects;
+use super::{placement, suspects};
 use crate::process::clock;
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::event;
+use trestlerack::process::ServiceScope;
 
 /// Delay before a score call without a response is retried.
 const SCORE_RETRY_DELAY: Duration = Duration::from_millis(30);
@@ -44,7 +45,11 @@
     let routing = node.routing();
     let route = scorer.zip(routing.as_ref()).and_then(|(scorer, routing)| routing.select(&scorer.host, &scorer.path));
     let service = route.zip(scorer).and_then(|(route, scorer)| route.service_for(&scorer.id));
-    let slots = service.map_or(0, |service| node.balancer.lock().unwrap().slot_count(service));
+    let slots = service.zip(route).map_or(0, |(service, route)| {
+        let placement = placement::decide(routing.as_deref(), route, driver.customer.as_ref());
+        let scope = ServiceScope::new(service.clone(), placement.placement());
+        node.balancer.lock().unwrap().slot_count(&scope)
+    });
     ((f64::from(slots) * MAX_SCORE_SLOT_FRACTION) as usize).max(1)
 }
 
--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -12,9 +12,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::interfaces::StoreError;
-use trestlerack::process::{node_partition, successor_rank};
+use trestlerack::process::{TakeoverRule, node_partition, successor_rank};
 use trestlerack::request::JobRecord;
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
+use trestlerack::version::{Placement, RoutingTable};
 use trestlerack::{Name, Timestamp, event};
 
 /// Interval between two checks of all open jobs.
@@ -121,10 +122,43 @@
         }
     }
     logs::write(event::OWNER_SILENT, &[("job", &job), ("owner", &record.owner), ("strikes", &MAX_FAILED_PROBES)]);
-    take_over(&node, &job).await;
+    if may_replace_owner(&node, &record) {
+        take_over(&node, &job).await;
+    } else {
+        // A node in an allowed zone takes it over, because its owner's record does not change.
+        logs::write(event::TAKEOVER_NOT_PERMITTED, &[("job", &job), ("owner", &record.owner)]);
+    }
     unregister_node(&node, &record.owner).await;
 }
 
+/// Returns where the requests of a job may be served. A job without a route is only waiting to be given up, which any
+/// node may do.
+pub fn record_placement(routing: Option<&RoutingTable>, host: &str, path: &str, customer: Option<&Name>) -> Placement {
+    let route = routing.and_then(|routing| Some((routing, routing.select(host, path)?)));
+    route.map_or(Placement::Anywhere, |(routing, route)| routing.placement(route, customer.map(|name| &**name)))
+}
+
+/// Runs `decide` with the rule that says which nodes may take a job over.
+fn with_takeover_rule<T>(node: &EntryNode, record: &JobRecord, decide: impl FnOnce(&TakeoverRule<'_>) -> T) -> T {
+    let routing = node.routing();
+    let placement = record_placement(routing.as_deref(), &record.host, &record.path, record.customer.as_ref());
+    let previous = node.peers.get(&record.owner);
+    let previous_zone = previous.as_ref().map(|row| &*row.zone);
+    decide(&TakeoverRule { placement: &placement, zones: &node.zones, previous_zone })
+}
+
+/// Returns whether this node may take a job over.
+fn may_take_over(node: &EntryNode, record: &JobRecord) -> bool {
+    with_takeover_rule(node, record, |rule| rule.permits(&node.settings.zone))
+}
+
+/// Returns whether this node, which accepted a job, may drive it in place of an owner that does not respond.
+fn may_replace_owner(node: &EntryNode, record: &JobRecord) -> bool {
+    let rows = node.peers.rows(|name, row| (name.clone(), row.zone.clone()));
+    let others = rows.iter().filter(|(name, _)| *name != record.owner).map(|(_, zone)| &**zone);
+    with_takeover_rule(node, record, |rule| rule.permits_acceptor(&node.settings.zone, others))
+}
+
 /// Removes the row of a node that does not respond, if the row has not changed since it was read. Otherwise the
 /// row of a lost VM would attract each next job of its model, and each would wait for a takeover. A node that was
 /// only cut off or suspended registers again when it learns of the removal.
@@ -144,9 +178,15 @@
 }
 
 /// Returns this node's rank in the order of a job's successors, from 0.
-fn own_rank(node: &EntryNode, job: &Name, owner: &Name) -> usize {
-    let mut others = node.peers.capacities();
-    others.retain(|(name, _)| name != owner && node.follower.is_follower(name));
+fn own_rank(node: &EntryNode, job: &Name, record: &JobRecord) -> usize {
+    let others = node.peers.rows(|name, row| (name.clone(), row.capacity, row.zone.clone()));
+    let is_successor = |(name, _, zone): &&(Name, u32, Name)| {
+        *name != record.owner
+            && node.follower.is_follower(name)
+            && with_takeover_rule(node, record, |rule| rule.permits(zone))
+    };
+    let others: Vec<(Name, u32)> =
+        others.iter().filter(is_successor).map(|(name, capacity, _)| (name.clone(), *capacity)).collect();
     successor_rank(job, (&node.settings.name, node.settings.capacity()), &others)
 }
 
@@ -159,7 +199,10 @@
     if record.owner == node.settings.name {
         return record.incarnation != node.incarnation;
     }
-    let rank = own_rank(node, job, &record.owner);
+    if !may_take_over(node, record) {
+        return false;
+    }
+    let rank = own_rank(node, job, record);
     let rank_delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX);
     if record.owner.is_empty() {
         let since = *probes.unclaimed_since.get_or_insert(now);
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -2,6 +2,7 @@
 
 use super::admission::AdmissionMetrics;
 use super::node::EntryNode;
+use super::placement::PlacementMetrics;
 use super::{engine_memory, resource_limits, status};
 use http::StatusCode;
 use http_body_util::Full;
@@ -37,6 +38,8 @@
     over_share: Counter<u64>,
     /// Metrics of admission control.
     pub admission: AdmissionMetrics,
+    /// Metrics of allowed regions.
+    pub placement: PlacementMetrics,
 }
 
 impl EntryMetrics {
@@ -57,6 +60,7 @@
             server_crashes: meter.u64_counter("trestlerack.entry.servers.ended").build(),
             over_share: meter.u64_counter("trestlerack.entry.requests.over.share").build(),
             admission: AdmissionMetrics::start(&meter),
+            placement: PlacementMetrics::start(&meter),
             registry,
             _meters: meters,
         })
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -36,6 +36,7 @@
 mod node;
 mod order_lease;
 mod peers;
+mod placement;
 mod plain;
 mod pool;
 mod readiness;
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -1,31 +1,33 @@
 //! Calls between nodes: relayed store calls, jobs, usage, load, crash reports and store changes.
 
 use super::feed_relay::{self, FeedCall, FeedReply};
-
 use super::node::EntryNode;
 use super::pool::ConnectionPool;
 use super::resource_limits::LimitDecision;
 use super::suspects;
-use super::{job_takeover, load_gossip};
+use super::{job_takeover, load_gossip, tables};
 use crate::process::clock::{self, SystemClock};
+use crate::process::logs;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use trestlerack::Name;
 use trestlerack::interfaces::{Clock, StoreError};
 use trestlerack::process::{
     ConnectionKind, ConnectionPermit, CrashReport, LoadMessage, MemoryPurpose, NodeRow, NodeRows, RelaySelector,
-    UsageSender, UsageSnapshot,
+    UsageSender, UsageSnapshot, may_relay,
 };
 use trestlerack::request::RequestFingerprint;
 use trestlerack::rows::{StoreCall, StoreReply};
+use trestlerack::version::Placement;
+use trestlerack::{AllowedZones, Name, event};
 
 /// Path of all calls between nodes.
 const PEER_PATH: &str = "/peer";
@@ -125,6 +127,8 @@
     seeds: Mutex<Vec<Name>>,
     nodes: Mutex<NodeRows>,
     relays: Mutex<RelaySelector>,
+    /// Availability zones of the peers that may relay store calls; `None` for all.
+    relay_zones: RwLock<Option<AllowedZones>>,
     clock: SystemClock,
 }
 
@@ -133,7 +137,7 @@
     pub fn new(pool: Arc<ConnectionPool>, own_address: Name, seeds: Vec<Name>) -> Self {
         let relays = Mutex::new(RelaySelector::new(&own_address));
         let (seeds, nodes, clock) = (Mutex::new(seeds), Mutex::default(), SystemClock::new());
-        Self { pool, own_address, seeds, nodes, relays, clock }
+        Self { pool, own_address, seeds, nodes, relays, relay_zones: RwLock::default(), clock }
     }
 
     /// Replaces the seeds.
@@ -173,9 +177,11 @@
         self.nodes.lock().unwrap().iter().map(|(name, _)| name.clone()).collect()
     }
 
-    /// Returns all registered nodes with their capacities.
-    pub fn capacities(&self) -> Vec<(Name, u32)> {
-        self.nodes.lock().unwrap().iter().map(|(name, row)| (name.clone(), row.capacity)).collect()
+    /// Returns the registered nodes in allowed zones with their capacities.
+    pub fn capacities_within(&self, placement: &Placement) -> Vec<(Name, u32)> {
+        let nodes = self.nodes.lock().unwrap();
+        let allowed = nodes.iter().filter(|(_, row)| placement.allows(&row.zone));
+        allowed.map(|(name, row)| (name.clone(), row.capacity)).collect()
     }
 
     /// Applies `take` to the rows of all registered nodes and returns the results.
@@ -204,9 +210,27 @@
         addresses
     }
 
+    /// Limits the peers that may relay store calls to those in some zones; `None` ends the limit. A relayed call may
+    /// contain the body of a request.
+    pub fn limit_relays(&self, zones: Option<AllowedZones>) {
+        let mut current = self.relay_zones.write().unwrap();
+        if *current == zones {
+            return;
+        }
+        let names: Vec<&str> = zones.iter().flat_map(AllowedZones::zones).map(|zone| &**zone).collect();
+        logs::write(event::RELAYS_LIMITED, &[("zones", &names.join(","))]);
+        *current = zones;
+    }
+
     /// Returns the peers that may relay a store call, in the order in which to ask them.
-    pub fn pick_relays(&self) -> Vec<Name> {
-        let addresses = self.peer_addresses();
+    pub fn pick_relays(&self, call: &StoreCall) -> Vec<Name> {
+        let mut addresses = self.peer_addresses();
+        if let Some(zones) = &*self.relay_zones.read().unwrap() {
+            let known: BTreeMap<Name, Name> =
+                self.rows(|_, row| (row.address.clone(), row.zone.clone())).into_iter().collect();
+            let zone = |address: &Name| known.get(address).map(|zone| &**zone);
+            addresses.retain(|address| may_relay(zones, zone(address), tables::contains_bodies(call)));
+        }
         self.relays.lock().unwrap().pick(self.clock.now(), addresses)
     }
 
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -7,12 +7,12 @@
 use super::node::EntryNode;
 use super::request_history::RequestHistory;
 use super::resource_limits::ResponseReservation;
-use super::{attempts, choice_log, engine_memory, shares, streams, suspects};
+use super::{attempts, choice_log, engine_memory, placement, shares, streams, suspects};
 use crate::process::clock;
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{AttemptReason, CallKind, ServerNeed, SlotNeed};
+use trestlerack::process::{AttemptReason, CallKind, ServerNeed, ServiceScope, SlotNeed};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp, event};
@@ -172,9 +172,12 @@
 ) -> Result<InFlightGuard, Option<Duration>> {
     // A stream that is resumed queues like a call that arrives now.
     let arrived = if is_resuming(route, history) { node.now() } else { history.started() };
-    let call = service_call(route, request, arrived, deadline).ok_or(None)?;
+    let call = service_call(node, route, request, arrived, deadline).ok_or(None)?;
+    if placement::lacks_servers(&node.balancer, &call.scope, call.id, &node.metrics.placement) {
+        return Err(None);
+    }
     let pick = |slot_need| pick_server(node, route, request, fingerprint, history.tried(), slot_need);
-    let guard = if admission::is_active(node, call.service) {
+    let guard = if admission::is_active(node, &call.scope.service) {
         find_slot(node, &call, history, pick).await?
     } else {
         search_server(node, &call, pick).await.ok_or(None)?
@@ -185,6 +188,7 @@
 
 /// Describes a client's request as a call for admission control; `None` if its route has no service.
 pub fn service_call<'a>(
+    node: &EntryNode,
     route: &'a RequestRoute,
     request: &'a ClientRequest,
     arrived: Timestamp,
@@ -193,7 +197,9 @@
     let id = request.id();
     let service = route.service_for(id)?;
     let customer = request.caller.customer();
-    Some(ServiceCall { id, service, route, customer, kind: CallKind::Client, arrived, deadline })
+    let placement = placement::decide(node.routing().as_deref(), route, request.customer());
+    let scope = ServiceScope::new(service.clone(), placement.placement());
+    Some(ServiceCall { id, scope, route, customer, kind: CallKind::Client, arrived, deadline })
 }
 
 /// Returns whether a client has received a part of its stream, which has to be completed.
@@ -270,7 +276,9 @@
     let zone = &node.settings.zone;
     let is_repeatable = route.kind == RouteKind::Safe && !route.streaming;
     let tokens = request.head.tokens;
+    let placement = placement::decide(node.routing().as_deref(), route, request.customer());
     let need = ServerNeed {
+        allowed_zones: placement.allowed_zones(),
         service,
         weights,
         tokens: tokens.as_ref(),
@@ -287,7 +295,7 @@
     let about: [(&str, &dyn std::fmt::Display); 3] =
         [("request", &id), ("config", &config), ("server", &entry.instance)];
     choice_log::log_choice(node, event::SERVER_CHOSEN, &about, &entry, model);
-    Some(InFlightGuard::new(node, entry, fingerprint).with_tokens(tokens))
+    Some(InFlightGuard::new(node, entry, fingerprint, placement).with_tokens(tokens))
 }
 
 pub fn engine_request<'a>(request: &'a ClientRequest, instance: &'a str, left: Duration) -> ServerRequest<'a> {
--- a/crates/trestlerackd/src/entry/run_moves.rs
+++ b/crates/trestlerackd/src/entry/run_moves.rs
@@ -73,13 +73,14 @@
         let tracker = driver.tracker.lock().unwrap();
         (tracker.pinned_version(index), tracker.is_long(index), tracker.remaining_events(index))
     };
+    let placement = job_runs::job_placement(node, driver);
     let balancer = node.balancer.lock().unwrap();
     let now = node.now();
     let slowness = balancer.slowness(now, engine);
     let item = &driver.spec.items[index];
     let is_final = final_groups.contains(&item.group);
     let model = driver.spec.model_of(item);
-    let need = job_runs::item_need(node, driver, route, index, model.as_deref())?;
+    let need = job_runs::item_need(node, driver, route, index, model.as_deref(), &placement)?;
     let avoid = std::slice::from_ref(engine);
     let need = ServerNeed { pinned_version, is_long: is_long || is_final, avoid, ..need };
     let target = balancer.choose(now, &need)?;
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -5,7 +5,7 @@
 use super::in_flight::InFlightGuard;
 use super::node::EntryNode;
 use super::server_responses::{self, ResponseTimer};
-use super::{engine_priority, hedging, plain, shares, suspects};
+use super::{engine_priority, hedging, placement, plain, shares, suspects};
 use crate::process::clock;
 use crate::process::logs;
 use futures_util::StreamExt;
@@ -13,9 +13,9 @@
 use http::{HeaderMap, Method, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{AttemptReason, CallKind, ServerNeed, SlotNeed};
+use trestlerack::process::{AttemptReason, CallKind, ServerNeed, ServiceScope, SlotNeed};
 use trestlerack::request::{RequestContent, RequestFingerprint, ScoreCall};
-use trestlerack::version::RequestRoute;
+use trestlerack::version::{RequestPlacement, RequestRoute};
 use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform::ServerRequest;
 
@@ -87,9 +87,11 @@
     let priority = engine_priority::of_score(&routing, route, service, customer);
     let fingerprint = fingerprint(call);
     let (kind, arrived) = (CallKind::Score, node.now());
+    let placement = placement::decide(Some(&routing), route, customer);
+    let scope = ServiceScope::new(service.clone(), placement.placement());
     let directory = routing.customers.as_ref();
     let customer = customer.and_then(|name| directory?.get(name));
-    let service_call = ServiceCall { id: &call.id, service, route, customer, kind, arrived, deadline };
+    let service_call = ServiceCall { id: &call.id, scope, route, customer, kind, arrived, deadline };
     let uses_admission = admission::is_active(node, service);
     let mut attempts = FuturesUnordered::new();
     let mut timers: Vec<ResponseTimer> = Vec::new();
@@ -109,7 +111,7 @@
         // A second server that runs a suspect content in parallel could crash too.
         let max_parallel = if suspects::is_suspect(node, fingerprint) { 1 } else { MAX_PARALLEL_SERVERS };
         let is_due = attempts.len() < max_parallel && node.now() >= next_at;
-        let pick = |slot_need| pick_server(node, fingerprint, service, tried, slot_need);
+        let pick = |slot_need| pick_server(node, fingerprint, service, &placement, tried, slot_need);
         let guard = match attempts.len() {
             _ if !is_due || !node.may_start_work() => None,
             pending if uses_admission => {
@@ -146,7 +148,7 @@
             Ok(Some((_, ScoreOutcome::NoResponse))) => next_at = node.now(),
             Err(_) => {
                 is_hedge = hedge_at.take_if(|hedge_at| *hedge_at < next_at).is_some();
-                if is_hedge && hedging::has_free_slot(node, service) {
+                if is_hedge && hedging::has_free_slot(node, &service_call.scope) {
                     next_at = node.now();
                 }
             }
@@ -181,10 +183,12 @@
     node: &Arc<EntryNode>,
     fingerprint: RequestFingerprint,
     service: &Name,
+    placement: &RequestPlacement,
     tried: &[Name],
     slot_need: SlotNeed,
 ) -> Option<InFlightGuard> {
     let need = ServerNeed {
+        allowed_zones: placement.allowed_zones(),
         service,
         avoid: tried,
         slot_need,
@@ -194,7 +198,7 @@
         ..ServerNeed::default()
     };
     let entry = suspects::choose_server(node, fingerprint, &need)?;
-    Some(InFlightGuard::new(node, entry, fingerprint))
+    Some(InFlightGuard::new(node, entry, fingerprint, placement.clone()))
 }
 
 /// Records that the servers that got the call before the responding one are slow or unresponsive. If latencies of
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -7,6 +7,7 @@
 
 use super::admission;
 use super::node::EntryNode;
+use super::placement;
 use super::resource_limits;
 use serde::Serialize;
 use std::time::Duration;
@@ -37,6 +38,9 @@
 /// Path of the source from which the node gets changes.
 const FOLLOWER_PATH: &str = "/v1/level";
 
+/// Path of the list of routes with the servers that their requests may use.
+const PLACEMENT_PATH: &str = "/v1/placement";
+
 /// Path of the list of memory in use.
 const MEMORY_PATH: &str = "/v1/memory";
 
@@ -130,6 +134,10 @@
         SERVERS_PATH => serde_json::to_vec(&servers(node)),
         ADMISSION_PATH => serde_json::to_vec(&admission::status(node)),
         FOLLOWER_PATH => serde_json::to_vec(&[follower(node)]),
+        PLACEMENT_PATH => {
+            let routing = node.routing();
+            serde_json::to_vec(&placement::status(routing.as_deref(), &node.balancer, node.now()))
+        }
         MEMORY_PATH => serde_json::to_vec(&resource_limits::memory_status(&node.resource_limits)),
         _ => return None,
     };
--- a/crates/trestlerackd/src/entry/store.rs
+++ b/crates/trestlerackd/src/entry/store.rs
@@ -203,7 +203,7 @@
 
     async fn call_relayed(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         let (mut error, mut unknown_outcomes) = (StoreError::Unavailable, 0);
-        for peer in self.peers.pick_relays() {
+        for peer in self.peers.pick_relays(call) {
             match self.peers.relay(&peer, call, time_limit(call, CALL_TIMEOUT)).await {
                 Ok(reply) => return Ok(reply),
                 Err(StoreError::Unknown) => {
--- a/crates/trestlerackd/src/entry/table_watch.rs
+++ b/crates/trestlerackd/src/entry/table_watch.rs
@@ -1,7 +1,7 @@
 //! Reads and watches the store's tables: the operator's, service discovery's and the system's own.
 
 use super::node::EntryNode;
-use super::{feed_relay, follower_state, server_discovery, suspects, tables};
+use super::{feed_relay, follower_state, placement, server_discovery, suspects, tables};
 use crate::process::clock;
 use crate::process::logs;
 use futures_util::{StreamExt, TryStreamExt, stream};
@@ -202,6 +202,10 @@
                 let table = Arc::new(table.with_zones(&node.zones));
                 *routing = Some(table.clone());
                 drop(routing);
+                placement::log_findings(&table, &node.zones, &row.key);
+                node.peers.limit_relays(
+                    table.has_restricted_placements().then(|| node.zones.zones_near(&node.settings.zone)),
+                );
                 node.balancer.lock().unwrap().memory.set_capacities(&table);
                 compare_shared_servers(node, &table);
             }
--- a/crates/trestlerackd/src/entry/tables.rs
+++ b/crates/trestlerackd/src/entry/tables.rs
@@ -9,6 +9,7 @@
 use trestlerack::Name;
 use trestlerack::interfaces::StoreError;
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply, StoredRow};
+use trestlerack_platform as platform;
 
 /// Small rows that every node watches: job records, ends of jobs, nodes, engine assignments and the lease.
 pub const STATE: &str = "state";
@@ -63,6 +64,21 @@
 /// Maximum bytes written by a transaction. The store allows 1 MB, and its encoding adds a third.
 pub const MAX_COMMIT_BYTES: usize = 600_000;
 
+/// Returns whether a store call or its reply may contain the body of a request or a text that was generated for one.
+/// The tables that nodes watch contain none.
+pub fn contains_bodies(call: &StoreCall) -> bool {
+    let is_watched = |table: &str| [STATE, platform::OPERATOR_TABLE, platform::SERVER_TABLE].contains(&table);
+    match call {
+        StoreCall::Read { table, .. } | StoreCall::Watch { table, .. } | StoreCall::Partitions { table, .. } => {
+            !is_watched(table)
+        }
+        StoreCall::Commit(_)
+        | StoreCall::PutObject { .. }
+        | StoreCall::GetObject { .. }
+        | StoreCall::RemoveObject { .. } => true,
+    }
+}
+
 /// Encodes the content of a row as CBOR.
 pub fn encode(content: &impl Serialize) -> Bytes {
     let mut bytes = Vec::new();
