Test allowed regions with nodes and servers in several regions

Cause: the placement of requests was tested as pure decisions only. Change: six tests with real nodes check which server each request reached: while a zone of the region fails, after the owner of a job is killed, when the regions change during a job, without a server in the region, without any allowed zone, and for a node that the store does not serve. The check at the send is a pure function with a test.

--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -35,6 +35,7 @@
 mod run_move;
 mod run_timeouts;
 mod scope_counts;
+mod send_check;
 mod server_health;
 mod server_observations;
 mod server_pace;
@@ -96,6 +97,7 @@
 pub use run_move::{FINAL_MOVE_SLOWNESS, MOVE_SLOWNESS, RunMove};
 pub use run_timeouts::RunTimeouts;
 pub use scope_counts::ScopeCounts;
+pub use send_check::check_send;
 pub use server_health::{ServerHealth, ServerStats};
 pub use server_observations::server_gossip_settings;
 pub use server_scope::{ServerScope, ServiceScope};
--- a/crates/trestlerack/tests/allowed_regions.rs
+++ b/crates/trestlerack/tests/allowed_regions.rs
@@ -6,8 +6,8 @@
 use load::{balancer_of, plain_server, safe_route};
 use std::time::Duration;
 use trestlerack::process::{
-    OwnerCandidate, ServerCounts, ServerEntry, ServerNeed, ServiceScope, SlotNeed, TakeoverRule, choose_job_owner,
-    may_relay,
+    OwnerCandidate, ServerCounts, ServerEntry, ServerNeed, ServiceScope, SlotNeed, TakeoverRule, check_send,
+    choose_job_owner, may_relay,
 };
 use trestlerack::version::{
     AllowedRegions, ClientLimits, Customer, CustomerDirectory, Placement, RequestRoute, RoutingTable, Zone, ZoneMap,
@@ -119,6 +119,23 @@
     assert_eq!(balancer.scope_counts(NOW, "s").missing_reason(), None);
 }
 
+/// Guards against a request that is sent although its server's entry moved to another zone, or to another address, after
+/// the server was chosen.
+#[test]
+fn the_send_is_checked_against_the_present_entry() {
+    let east = Placement::within(zone_map().zones_of(&["east".into()]).into());
+    let chosen = in_zone("a", "e1");
+    assert_eq!(check_send(&east, &chosen, Some(&in_zone("a", "e2"))), Ok(()));
+    let moved = in_zone("a", "w1");
+    let replaced = ServerEntry { address: "10.0.0.2:1".into(), ..chosen.clone() };
+    for registered in [Some(&moved), Some(&replaced), None] {
+        assert!(check_send(&east, &chosen, registered).is_err(), "{registered:?}");
+        assert!(check_send(&Placement::Nowhere, &chosen, registered).is_err());
+        assert_eq!(check_send(&Placement::Anywhere, &chosen, registered), Ok(()));
+    }
+    assert!(check_send(&Placement::Nowhere, &chosen, Some(&chosen)).is_err());
+}
+
 /// Guards against a status page that gives a wrong reason to an operator.
 #[test]
 fn the_reason_for_a_missing_server_names_the_state_of_all() {
--- a/crates/trestlerackd/src/entry/placement/mod.rs
+++ b/crates/trestlerackd/src/entry/placement/mod.rs
@@ -16,7 +16,7 @@
 use std::fmt::Display;
 use std::sync::Mutex;
 use std::time::Duration;
-use trestlerack::process::{LoadBalancer, ServerEntry, ServiceScope};
+use trestlerack::process::{self, LoadBalancer, ServerEntry, ServiceScope};
 use trestlerack::version::{FindingReason, Placement, RequestPlacement, RequestRoute, RoutingTable, ZoneMap};
 use trestlerack::{Name, event};
 use trestlerack_platform as platform;
@@ -82,14 +82,11 @@
     server: &ServerEntry,
 ) -> Result<(), &'static str> {
     let current = routing.map_or_else(|| placement.placement().clone(), |routing| routing.current_placement(placement));
-    let Some(zones) = current.allowed_zones() else { return Ok(()) };
-    let balancer = balancer.lock().unwrap();
-    let Some(state) = balancer.get(&server.instance) else { return Err("the server is not registered any more") };
-    // An entry with another address belongs to another process, whose zone says nothing about this address.
-    if state.entry.address != server.address {
-        return Err("the server has another address now");
+    if current == Placement::Anywhere {
+        return Ok(());
     }
-    if zones.allows(&state.entry.zone) { Ok(()) } else { Err("the zone of the server is not allowed") }
+    let balancer = balancer.lock().unwrap();
+    process::check_send(&current, server, balancer.get(&server.instance).map(|state| &state.entry))
 }
 
 /// Logs an attempt that [`check_send`] prevented, and counts it.
--- /dev/null
+++ b/crates/trestlerackd/tests/entry/placement.rs
@@ -0,0 +1,294 @@
+//! Requests of restricted routes stay in their regions, whichever server, node or link fails.
+
+use super::support::*;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::net::TcpStream;
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Indexes of routes in the configuration of the platform.
+const SAFE: usize = 0;
+const RESUMED: usize = 4;
+const JOBS: usize = 6;
+
+/// A daemon that logs to a file.
+struct LoggedNode {
+    daemon: EntryDaemon,
+    log: PathBuf,
+}
+
+impl LoggedNode {
+    fn has_logged(&self, text: &str) -> bool {
+        std::fs::read_to_string(&self.log).unwrap_or_default().lines().any(|line| line.contains(text))
+    }
+
+    fn kill(&mut self) {
+        self.daemon.signal("-KILL");
+        self.daemon.wait_end();
+    }
+}
+
+impl Drop for LoggedNode {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.log);
+    }
+}
+
+/// Servers in the zones `e1` and `e2` of the region `east` and `w1` of the region `west`. Their names begin with the
+/// name of their zone.
+struct Fleet {
+    platform: Platform,
+    /// Server and id of each request that reached a server.
+    runs: Arc<Mutex<Vec<(String, String)>>>,
+    /// Servers that fail: plain ones close the connection of each request, engines break off after two events.
+    failing: Arc<Mutex<BTreeSet<String>>>,
+    event_interval: Duration,
+}
+
+impl Fleet {
+    fn start(event_interval: Duration) -> Self {
+        let platform = Platform::start_with_counts(0, 0);
+        let fleet = Self { platform, runs: Arc::default(), failing: Arc::default(), event_interval };
+        for zone in ["e1", "e2", "w1"] {
+            fleet.add("plain", zone);
+            fleet.add("models", zone);
+        }
+        fleet
+    }
+
+    /// Starts and registers a server.
+    fn add(&self, service: &str, zone: &str) {
+        let name = format!("{zone}-{service}");
+        let (runs, failing, interval) = (self.runs.clone(), self.failing.clone(), self.event_interval);
+        let (server, is_engine) = (name.clone(), service == "models");
+        let address = serve(move |request, stream| {
+            if request.path.starts_with("/trestlerack/") {
+                return reply(stream, 200, &[], r#"{"models":[{"name":"m","version":1}],"busy":false,"seq":0}"#);
+            }
+            let id = request.headers["request-id"].clone();
+            runs.lock().unwrap().push((server.clone(), id.clone()));
+            let is_failing = failing.lock().unwrap().contains(&server);
+            if is_engine {
+                let last = request.headers.get("last-event-id").map_or(0, |last| last.parse().unwrap());
+                let end = if is_failing { (last + 2).min(EVENTS_PER_STREAM) } else { EVENTS_PER_STREAM };
+                return write_events(stream, &id, last + 1..=end, interval);
+            }
+            if is_failing {
+                return false;
+            }
+            reply(stream, 200, &[("request-id", &id), ("response-stamp", "s")], "")
+        });
+        let models = if service == "models" { json!([{ "name": "m", "version": 1 }]) } else { json!([]) };
+        let row = json!({ "service": service, "addr": address.to_string(), "zone": zone, "version": "v1", "slots": 4,
+            "state": "ready", "cold_left_ms": 0, "models": models, "seq": 1 });
+        self.platform.store.put("servers", &name, &row);
+    }
+
+    /// Removes the servers of a region from service discovery.
+    fn remove(&self, zones: &[&str]) {
+        for zone in zones {
+            ["plain", "models"].iter().for_each(|service| {
+                self.platform.store.remove("servers", &format!("{zone}-{service}"));
+            });
+        }
+    }
+
+    /// Restricts routes to regions.
+    fn restrict(&self, version: u64, routes: &[usize], regions: &[&str]) {
+        self.platform.reconfigure(version, |config| {
+            routes.iter().for_each(|route| config["routes"][*route]["allowed_regions"] = json!(regions));
+        });
+    }
+
+    /// Starts a node in a zone.
+    fn start_node(&self, name: &str, zone: &str, seeds: &[&EntryDaemon], more: Value) -> LoggedNode {
+        let log = std::env::temp_dir().join(format!("placement-{name}-{}-{}", std::process::id(), free_address()));
+        let zones = [("e1", "east"), ("e2", "east"), ("w1", "west")];
+        let mut settings = json!({ "zone": zone,
+            "zones": zones.map(|(zone, region)| json!({ "name": zone, "region": region })) });
+        settings.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
+        let settings = DaemonSettings {
+            store: self.platform.store.address.to_string(),
+            seeds: seeds.iter().map(|seed| seed.peer.clone()).collect(),
+            log: Some(log.clone()),
+            more: settings,
+            ..DaemonSettings::default()
+        };
+        LoggedNode { daemon: EntryDaemon::start_with(name, &settings), log }
+    }
+
+    /// Returns the ids of the requests that servers of zones with a prefix received.
+    fn runs_in(&self, prefix: &str) -> Vec<String> {
+        let runs = self.runs.lock().unwrap();
+        runs.iter().filter(|(server, _)| server.starts_with(prefix)).map(|(_, id)| id.clone()).collect()
+    }
+}
+
+fn write_events(stream: &mut TcpStream, id: &str, numbers: RangeInclusive<u64>, interval: Duration) -> bool {
+    let head = format!(
+        "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\nrequest-id: {id}\r\nresponse-stamp: s\r\n\
+         weight-versions: 1\r\n\r\n"
+    );
+    let mut write = |text: String| stream.write_all(text.as_bytes()).is_ok();
+    let mut is_written = write(head);
+    let is_complete = *numbers.end() == EVENTS_PER_STREAM;
+    for number in numbers {
+        std::thread::sleep(interval);
+        let event = format!("id: {number}\ndata: {number}\n\n");
+        is_written = is_written && write(format!("{:x}\r\n{event}\r\n", event.len()));
+    }
+    is_written && is_complete && write("0\r\n\r\n".into())
+}
+
+fn call_safe(daemon: &EntryDaemon, id: &str) -> HttpResponse {
+    call(&daemon.client, "POST", "/safe/x", &[("request-id", id)], "body").unwrap()
+}
+
+/// Guards against a retry, resumption, item or score call that leaves the region because its first server there fails,
+/// at a node that is in another region itself.
+#[test]
+fn all_requests_stay_in_the_region_while_a_zone_there_fails() {
+    let fleet = Fleet::start(Duration::from_millis(5));
+    fleet.restrict(2, &[SAFE, RESUMED, JOBS], &["east"]);
+    let node = fleet.start_node("a", "w1", &[], json!({}));
+    let daemon = &node.daemon;
+    fleet.failing.lock().unwrap().extend(["e1-plain".into(), "e1-models".into()]);
+    for number in 0..10 {
+        assert_eq!(call_safe(daemon, &format!("call-{number}")).status, 200);
+        let stream = read_stream_from(&daemon.client, "/resumed/x", &format!("stream-{number}"));
+        assert_eq!(stream, Some(("1,2,3,4,5".into(), true)));
+    }
+    assert_eq!(submit(daemon, "job1", 8), 202);
+    assert_eq!(read_results(daemon, "job1", 8).len(), 8);
+    assert!(!fleet.runs_in("e1").is_empty() && !fleet.runs_in("e2").is_empty());
+    assert_eq!(fleet.runs_in("w"), Vec::<String>::new());
+    // The check itself: a route without regions uses the node's own zone.
+    assert_eq!(call(&daemon.client, "POST", "/once/x", &[("request-id", "free")], "").unwrap().status, 200);
+    assert_eq!(fleet.runs_in("w"), ["free"]);
+}
+
+/// Guards against an owner outside of the region, and against a takeover by the accepting node in another region when
+/// the owner is killed.
+#[test]
+fn a_job_is_driven_and_taken_over_in_its_region() {
+    let fleet = Fleet::start(Duration::from_millis(300));
+    fleet.restrict(2, &[SAFE, JOBS], &["east"]);
+    let west = fleet.start_node("w", "w1", &[], json!({}));
+    let mut east: Vec<LoggedNode> =
+        [("e", "e1"), ("f", "e2")].map(|(name, zone)| fleet.start_node(name, zone, &[&west.daemon], json!({}))).into();
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(submit(&west.daemon, "job1", 12), 202);
+    let owner = |east: &[LoggedNode]| east.iter().position(|node| node.has_logged("job-driven"));
+    eventually("a node of the region drives the job", || owner(&east).is_some());
+    eventually("its items run", || !fleet.runs_in("e").is_empty());
+    east.remove(owner(&east).unwrap()).kill();
+    assert_eq!(read_results(&west.daemon, "job1", 12).len(), 12);
+    assert!(east[0].has_logged("job-taken"));
+    assert!(!west.has_logged("job-driven") && !west.has_logged("job-taken"));
+    assert_eq!(fleet.runs_in("w"), Vec::<String>::new());
+}
+
+/// Guards against items that ignore a change of the regions, and against running ones that are cancelled by it.
+#[test]
+fn items_that_have_not_started_follow_a_change_of_the_regions() {
+    let fleet = Fleet::start(Duration::from_millis(700));
+    fleet.restrict(2, &[JOBS], &["east"]);
+    let node = fleet.start_node("a", "w1", &[], json!({}));
+    let daemon = &node.daemon;
+    assert_eq!(submit(daemon, "job1", 16), 202);
+    eventually("all slots of the region are in use", || fleet.runs_in("e").len() == 8);
+    fleet.restrict(3, &[JOBS], &["west"]);
+    assert_eq!(read_results(daemon, "job1", 16).len(), 16);
+    let is_item = |id: &String| !id.ends_with("-score");
+    let (east, west): (Vec<String>, Vec<String>) = (
+        fleet.runs_in("e").into_iter().filter(is_item).collect(),
+        fleet.runs_in("w").into_iter().filter(is_item).collect(),
+    );
+    assert_eq!((east.len(), west.len()), (8, 8), "{east:?} {west:?}");
+    assert!(east.iter().all(|id| !west.contains(id)), "no item ran twice: {east:?} {west:?}");
+}
+
+/// Guards against requests that wait for, or are sent to, another region when all servers of theirs are gone.
+#[test]
+fn without_a_server_in_the_region_calls_are_refused_at_once_and_items_wait() {
+    let fleet = Fleet::start(Duration::from_millis(5));
+    fleet.restrict(2, &[SAFE, RESUMED, JOBS], &["east"]);
+    let metrics = free_address();
+    let node = fleet.start_node("a", "w1", &[], json!({ "metrics_listen": metrics }));
+    let daemon = &node.daemon;
+    fleet.remove(&["e1", "e2"]);
+    let row_of = |route: &str| {
+        let rows = call(&metrics, "GET", "/v1/placement", &[], "").unwrap().json();
+        rows.as_array().unwrap().iter().find(|row| row["route"] == route).unwrap().clone()
+    };
+    eventually("the removal is known", || row_of("safe")["allowed"] == 0);
+    assert_eq!(row_of("safe")["why"], "none registered in an allowed zone");
+    assert_eq!((&row_of("safe")["zones"], &row_of("safe")["servers"]), (&json!("e1,e2"), &json!(1)));
+    assert_eq!((&row_of("once")["zones"], &row_of("once")["eligible"]), (&Value::Null, &json!(1)));
+    for path in ["/safe/x", "/resumed/x"] {
+        let started = Instant::now();
+        let headers = [("request-id", "refused"), ("model", "m")];
+        assert_eq!(call(&daemon.client, "POST", path, &headers, "").unwrap().status, 503);
+        // A search for a server would take 0.2 of the target latency of 150 ms or longer.
+        assert!(started.elapsed() < Duration::from_millis(30), "{path}: {:?}", started.elapsed());
+    }
+    assert_eq!(submit(daemon, "job1", 4), 202);
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(fleet.runs.lock().unwrap().len(), 0);
+    fleet.add("models", "e1");
+    fleet.add("plain", "e1");
+    assert_eq!(read_results(daemon, "job1", 4).len(), 4);
+    assert_eq!(fleet.runs_in("w"), Vec::<String>::new());
+}
+
+/// Guards against a request without any allowed zone that waits, runs or is stored.
+#[test]
+fn requests_without_an_allowed_zone_are_refused_with_the_reason() {
+    let fleet = Fleet::start(Duration::from_millis(5));
+    fleet.restrict(2, &[SAFE, RESUMED], &["unknown"]);
+    fleet.platform.reconfigure(3, |config| {
+        config["routes"][SAFE]["allowed_regions"] = json!(["unknown"]);
+        config["routes"][RESUMED]["allowed_regions"] = json!([]);
+        config["routes"][JOBS]["allowed_regions"] = json!("east");
+    });
+    let node = fleet.start_node("a", "e1", &[], json!({}));
+    let daemon = &node.daemon;
+    let body = job_body_of("job1", 2, 1);
+    let refused = [
+        call_safe(daemon, "call"),
+        call(&daemon.client, "POST", "/jobs/job1", &[("request-id", "job1")], &body).unwrap(),
+    ];
+    for response in refused {
+        assert_eq!((response.status, response.headers["retry-after"].as_str()), (503, "60.000"));
+        assert!(response.body.contains("no known zone"), "{}", response.body);
+    }
+    assert_eq!(fleet.platform.store.row_count("state", "job1"), 0);
+    assert_eq!(fleet.runs.lock().unwrap().len(), 0);
+    assert!(node.has_logged("regions-unreadable") && node.has_logged("region-unknown"));
+    let (text, is_complete) = read_stream_from(&daemon.client, "/resumed/x", "stream").unwrap();
+    assert!(is_complete, "the rest of the configuration stays in effect: {text}");
+}
+
+/// Guards against a body that a node which the store does not serve sends to a node of another region.
+#[test]
+fn a_node_cut_off_from_the_store_relays_only_in_its_region() {
+    let fleet = Fleet::start(Duration::from_millis(5));
+    let west = fleet.start_node("w", "w1", &[], json!({}));
+    let store = rate_limiting_store().to_string();
+    let cut_off = fleet.start_node("x", "e1", &[&west.daemon], json!({ "store": store }));
+    assert_eq!(submit(&cut_off.daemon, "job1", 2), 202, "without a restriction the other region relays");
+    let mut east = fleet.start_node("e", "e2", &[&west.daemon], json!({}));
+    std::thread::sleep(Duration::from_secs(1));
+    fleet.restrict(2, &[JOBS], &["east"]);
+    eventually("the restriction is known", || cut_off.has_logged("relays-limited"));
+    assert_eq!(submit(&cut_off.daemon, "job2", 2), 202);
+    assert_eq!(read_results(&cut_off.daemon, "job2", 2).len(), 2);
+    east.kill();
+    assert_ne!(submit(&cut_off.daemon, "job3", 2), 202);
+    assert_eq!(fleet.platform.store.row_count("state", "job3"), 0);
+    assert_eq!(submit(&west.daemon, "job4", 2), 202, "the other region is served");
+}
