--- a/crates/trestlerack/tests/allowed_regions.rs
+++ b/crates/trestlerack/tests/allowed_regions.rs
@@ -208,3 +208,47 @@
     assert!(choose_job_owner("m", "own", Some("out"), &[]).is_none());
     assert!(!AllowedZones::default().allows("w1"));
 }
+
+/// Guards against a choice that leaves the allowed zones for any state of the servers: full, slow, failing, evacuated,
+/// draining, assigned to another model.
+#[test]
+fn no_choice_leaves_the_allowed_zones() {
+    const ZONES: [&str; 3] = ["e1", "e2", "w1"];
+    bolero::check!().with_type::<(Vec<(u8, u8, u8)>, u8, u8)>().for_each(|(servers, allowed, flags)| {
+        let entry = |(number, (zone, state, _)): (usize, &(u8, u8, u8))| ServerEntry {
+            is_draining: state % 8 == 0,
+            models: vec![("m".into(), 1)],
+            ..in_zone(&format!("s{number}"), ZONES[usize::from(zone % 3)])
+        };
+        let entries: Vec<ServerEntry> = servers.iter().take(20).enumerate().map(entry).collect();
+        let mut balancer = balancer_of(&entries);
+        for (entry, (_, state, load)) in entries.iter().zip(servers) {
+            (0..load % 6).for_each(|_| balancer.started(&entry.instance));
+            if state % 5 == 1 {
+                balancer.failed(NOW, &entry.instance);
+            }
+            if state % 3 == 1 {
+                balancer.assign(&entry.instance, Some(&"m".into()));
+            }
+        }
+        if flags & 1 == 1 {
+            balancer.compare_servers(&"s".into());
+        }
+        let zones = AllowedZones::new((0..3).filter(|bit| allowed >> bit & 1 == 1).map(|bit| ZONES[bit].into()));
+        let slot_need = if flags & 2 == 2 { SlotNeed::One } else { SlotNeed::Any };
+        let weights = (flags & 4 == 4).then_some(("m", 1));
+        let is_repeatable = flags & 8 == 8;
+        let allowed_zones = Some(&zones);
+        let need = ServerNeed {
+            service: "s",
+            zone: "w1",
+            allowed_zones,
+            slot_need,
+            weights,
+            is_repeatable,
+            ..ServerNeed::default()
+        };
+        let chosen = balancer.choose(NOW, &need);
+        assert!(chosen.is_none_or(|server| zones.allows(&server.entry.zone)));
+    });
+}
--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -179,14 +179,10 @@
 
 /// Returns this node's rank in the order of a job's successors, from 0.
 fn own_rank(node: &EntryNode, job: &Name, record: &JobRecord) -> usize {
-    let others = node.peers.rows(|name, row| (name.clone(), row.capacity, row.zone.clone()));
-    let is_successor = |(name, _, zone): &&(Name, u32, Name)| {
-        *name != record.owner
-            && node.follower.is_follower(name)
-            && with_takeover_rule(node, record, |rule| rule.permits(zone))
-    };
-    let others: Vec<(Name, u32)> =
-        others.iter().filter(is_successor).map(|(name, capacity, _)| (name.clone(), *capacity)).collect();
+    let mut others = node.peers.rows(|name, row| (name.clone(), row.capacity, row.zone.clone()));
+    others.retain(|(name, ..)| *name != record.owner && node.follower.is_follower(name));
+    with_takeover_rule(node, record, |rule| others.retain(|(.., zone)| rule.permits(zone)));
+    let others: Vec<(Name, u32)> = others.into_iter().map(|(name, capacity, _)| (name, capacity)).collect();
     successor_rank(job, (&node.settings.name, node.settings.capacity()), &others)
 }
 
