--- a/crates/trestlerack/src/process/expected_latency.rs
+++ b/crates/trestlerack/src/process/expected_latency.rs
@@ -317,8 +317,7 @@
         let mut accepting: Vec<&ServerState> = candidates.iter().filter(accepts).copied().collect();
         if accepting.is_empty() {
             // A request that needs a free slot can wait for one at a server that is not degraded.
-            if need.slot_need != SlotNeed::Any
-                && self.in_scope(need.into()).any(|server| self.accepts_calls(now, server))
+            if need.slot_need != SlotNeed::Any && self.in_set(need.into()).any(|server| self.accepts_calls(now, server))
             {
                 return None;
             }
--- a/crates/trestlerack/src/process/hedging.rs
+++ b/crates/trestlerack/src/process/hedging.rs
@@ -5,7 +5,7 @@
 
 use super::load_balancer::LoadBalancer;
 use super::server_health::ServerHealth;
-use super::server_scope::ServerScope;
+use super::server_set::ServerSetRef;
 use crate::Timestamp;
 use std::time::Duration;
 
@@ -44,7 +44,7 @@
     }
 
     /// Returns whether a service, or its servers in some zones, have a free slot for a second attempt.
-    pub fn has_free_slot<'a>(&'a self, now: Timestamp, scope: impl Into<ServerScope<'a>>) -> bool {
-        self.wait_estimate(now, scope).free_slots > 0
+    pub fn has_free_slot<'a>(&'a self, now: Timestamp, server_set: impl Into<ServerSetRef<'a>>) -> bool {
+        self.wait_estimate(now, server_set).free_slots > 0
     }
 }
--- a/crates/trestlerack/src/process/load_balancer.rs
+++ b/crates/trestlerack/src/process/load_balancer.rs
@@ -8,7 +8,7 @@
 use super::latency_estimate::LatencyEstimates;
 use super::registry::{ServerEntry, ServerRegistry};
 use super::server_observations::ObservationOutbox;
-use super::server_scope::ServerScope;
+use super::server_set::ServerSetRef;
 use super::server_state::{ReportedLoad, ServerSnapshot, ServerState};
 use crate::hash::{hash_parts, rendezvous_weight};
 use crate::time::millis;
@@ -324,14 +324,14 @@
 
     /// Returns when the first server of a service, or of its servers in some zones, can be used; `None` if none
     /// accepts work.
-    pub fn available_at<'a>(&'a self, scope: impl Into<ServerScope<'a>>) -> Option<Timestamp> {
-        let available = self.in_scope(scope.into()).filter(|server| server.accepts_work());
+    pub fn available_at<'a>(&'a self, server_set: impl Into<ServerSetRef<'a>>) -> Option<Timestamp> {
+        let available = self.in_set(server_set.into()).filter(|server| server.accepts_work());
         available.map(|server| server.paused_until).min()
     }
 
     /// Returns the total number of slots of a service, or of its servers in some zones.
-    pub fn slot_count<'a>(&'a self, scope: impl Into<ServerScope<'a>>) -> u32 {
-        self.in_scope(scope.into()).filter(|server| server.accepts_work()).map(ServerState::slots).sum()
+    pub fn slot_count<'a>(&'a self, server_set: impl Into<ServerSetRef<'a>>) -> u32 {
+        self.in_set(server_set.into()).filter(|server| server.accepts_work()).map(ServerState::slots).sum()
     }
 
     /// Returns the time after which a response of a service is late, once enough responses are known.
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -34,15 +34,15 @@
 mod resource_limits;
 mod run_move;
 mod run_timeouts;
-mod scope_counts;
 mod send_check;
 mod server_health;
 mod server_observations;
 mod server_pace;
-mod server_scope;
+mod server_set;
 mod server_state;
 mod server_status;
 mod server_subset;
+mod set_counts;
 mod settings;
 mod shares;
 mod spool;
@@ -96,14 +96,14 @@
 };
 pub use run_move::{FINAL_MOVE_SLOWNESS, MOVE_SLOWNESS, RunMove};
 pub use run_timeouts::RunTimeouts;
-pub use scope_counts::ScopeCounts;
 pub use send_check::check_send;
 pub use server_health::{ServerHealth, ServerStats};
 pub use server_observations::server_gossip_settings;
-pub use server_scope::{ServerScope, ServiceScope};
+pub use server_set::{ServerSet, ServerSetRef};
 pub use server_state::{ServerSnapshot, ServerState};
 pub use server_status::{PeerObservation, ServerStatus};
 pub use server_subset::ServerCounts;
+pub use set_counts::SetCounts;
 pub use settings::{DaemonSettings, SETTINGS_FIELDS, parse_settings};
 pub use shares::{
     AggregatorSelector, CallThrottle, CountedCall, ShareAggregator, ShareDecision, ShareDemand, ShareLimiter,
--- a/crates/trestlerack/src/process/server_scope.rs
+++ b/crates/trestlerack/src/process/server_set.rs
@@ -8,26 +8,26 @@
 
 /// The servers of a service in the zones where a request may be served.
 #[derive(Clone, Copy, Debug)]
-pub struct ServerScope<'a> {
+pub struct ServerSetRef<'a> {
     /// Service.
     pub service: &'a str,
     /// Availability zones of the servers; `None` for all.
     pub allowed_zones: Option<&'a AllowedZones>,
 }
 
-impl<'a> From<&'a str> for ServerScope<'a> {
+impl<'a> From<&'a str> for ServerSetRef<'a> {
     fn from(service: &'a str) -> Self {
         Self { service, allowed_zones: None }
     }
 }
 
-impl<'a> From<&'a Name> for ServerScope<'a> {
+impl<'a> From<&'a Name> for ServerSetRef<'a> {
     fn from(service: &'a Name) -> Self {
         Self { service, allowed_zones: None }
     }
 }
 
-impl<'a> From<&ServerNeed<'a>> for ServerScope<'a> {
+impl<'a> From<&ServerNeed<'a>> for ServerSetRef<'a> {
     fn from(need: &ServerNeed<'a>) -> Self {
         Self { service: need.service, allowed_zones: need.allowed_zones }
     }
@@ -36,15 +36,15 @@
 /// A service and the zones in which some of its requests may be served. Each has a queue of its own, because
 /// requests wait for different servers.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ServiceScope {
+pub struct ServerSet {
     /// Service.
     pub service: Name,
     /// Availability zones; `None` for all.
     pub allowed_zones: Option<Arc<AllowedZones>>,
 }
 
-impl ServiceScope {
-    /// Builds the scope of the requests to a service that have a placement.
+impl ServerSet {
+    /// Builds the set of servers of a service that requests with a placement may use.
     pub fn new(service: Name, placement: &Placement) -> Self {
         let allowed_zones = match placement {
             Placement::Anywhere => None,
@@ -60,17 +60,17 @@
     }
 }
 
-impl<'a> From<&'a ServiceScope> for ServerScope<'a> {
-    fn from(scope: &'a ServiceScope) -> Self {
-        Self { service: &scope.service, allowed_zones: scope.allowed_zones.as_deref() }
+impl<'a> From<&'a ServerSet> for ServerSetRef<'a> {
+    fn from(server_set: &'a ServerSet) -> Self {
+        Self { service: &server_set.service, allowed_zones: server_set.allowed_zones.as_deref() }
     }
 }
 
 impl LoadBalancer {
-    /// Returns the servers of a scope.
-    pub fn in_scope<'a>(&'a self, scope: ServerScope<'a>) -> impl Iterator<Item = &'a ServerState> {
+    /// Returns the known servers of a set.
+    pub fn in_set<'a>(&'a self, server_set: ServerSetRef<'a>) -> impl Iterator<Item = &'a ServerState> {
         let is_allowed =
-            move |server: &&ServerState| scope.allowed_zones.is_none_or(|zones| zones.allows(&server.entry.zone));
-        self.of_service(scope.service).filter(is_allowed)
+            move |server: &&ServerState| server_set.allowed_zones.is_none_or(|zones| zones.allows(&server.entry.zone));
+        self.of_service(server_set.service).filter(is_allowed)
     }
 }
--- a/crates/trestlerack/src/process/scope_counts.rs
+++ b/crates/trestlerack/src/process/set_counts.rs
@@ -1,12 +1,12 @@
-//! Counts the servers of a scope by state, to tell operators why none is eligible.
+//! Counts a set of servers by state, to tell operators why none is eligible.
 
 use super::load_balancer::LoadBalancer;
-use super::server_scope::ServerScope;
+use super::server_set::ServerSetRef;
 use crate::Timestamp;
 
 /// How many servers of a service a request may use.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ScopeCounts {
+pub struct SetCounts {
     /// Registered servers of the service.
     pub registered: usize,
     /// Servers in allowed zones.
@@ -19,7 +19,7 @@
     pub draining: usize,
 }
 
-impl ScopeCounts {
+impl SetCounts {
     /// Returns why no server is eligible; `None` if one is.
     pub fn missing_reason(&self) -> Option<&'static str> {
         let reason = match *self {
@@ -36,12 +36,12 @@
 }
 
 impl LoadBalancer {
-    /// Counts the servers of a scope by their state.
-    pub fn scope_counts<'a>(&'a self, now: Timestamp, scope: impl Into<ServerScope<'a>>) -> ScopeCounts {
-        let scope = scope.into();
-        let registered = self.of_service(scope.service).count();
-        let mut counts = ScopeCounts { registered, ..ScopeCounts::default() };
-        for server in self.in_scope(scope) {
+    /// Counts a set of servers by state.
+    pub fn set_counts<'a>(&'a self, now: Timestamp, server_set: impl Into<ServerSetRef<'a>>) -> SetCounts {
+        let server_set = server_set.into();
+        let registered = self.of_service(server_set.service).count();
+        let mut counts = SetCounts { registered, ..SetCounts::default() };
+        for server in self.in_set(server_set) {
             counts.allowed += 1;
             if server.is_evacuated {
                 counts.evacuated += 1;
--- a/crates/trestlerack/src/process/wait_estimate.rs
+++ b/crates/trestlerack/src/process/wait_estimate.rs
@@ -1,7 +1,7 @@
 //! Estimates how long a service takes for one more call.
 
 use super::load_balancer::LoadBalancer;
-use super::server_scope::ServerScope;
+use super::server_set::ServerSetRef;
 use super::server_state::ServerState;
 use crate::Timestamp;
 use std::time::Duration;
@@ -27,15 +27,15 @@
 impl LoadBalancer {
     /// Estimates the wait of one more call to a service, or to its servers in some zones. Servers that are paused,
     /// draining or in an evacuated zone are ignored.
-    pub fn wait_estimate<'a>(&'a self, now: Timestamp, scope: impl Into<ServerScope<'a>>) -> WaitEstimate {
-        let scope = scope.into();
+    pub fn wait_estimate<'a>(&'a self, now: Timestamp, server_set: impl Into<ServerSetRef<'a>>) -> WaitEstimate {
+        let server_set = server_set.into();
         let is_available = |server: &&ServerState| server.accepts_work() && server.paused_until <= now;
-        let available: Vec<&ServerState> = self.in_scope(scope).filter(is_available).collect();
+        let available: Vec<&ServerState> = self.in_set(server_set).filter(is_available).collect();
         let busy = |server: &ServerState| server.requests(now, self.settings.max_load_age);
         let slots = available.iter().map(|server| server.slots()).sum();
         let free_slots = available.iter().map(|server| server.slots().saturating_sub(busy(server))).sum();
         let waiting: u32 = available.iter().map(|server| busy(server).saturating_sub(server.slots())).sum();
-        let service_time = self.service_latencies.median(scope.service).unwrap_or_default();
+        let service_time = self.service_latencies.median(server_set.service).unwrap_or_default();
         let wait = match (free_slots, slots) {
             (1.., _) => Duration::ZERO,
             (0, 0) => Duration::MAX,
--- a/crates/trestlerack/tests/allowed_regions.rs
+++ b/crates/trestlerack/tests/allowed_regions.rs
@@ -6,7 +6,7 @@
 use load::{balancer_of, plain_server, safe_route};
 use std::time::Duration;
 use trestlerack::process::{
-    OwnerCandidate, ServerCounts, ServerEntry, ServerNeed, ServiceScope, SlotNeed, TakeoverRule, check_send,
+    OwnerCandidate, ServerCounts, ServerEntry, ServerNeed, ServerSet, SlotNeed, TakeoverRule, check_send,
     choose_job_owner, may_relay,
 };
 use trestlerack::version::{
@@ -92,11 +92,11 @@
 fn estimates_and_choices_use_only_servers_in_allowed_zones() {
     let mut balancer = balancer_of(&[in_zone("a", "e1"), in_zone("b", "w1"), in_zone("c", "w1")]);
     let east = Placement::within(zone_map().zones_of(&["east".into()]).into());
-    let scope = ServiceScope::new("s".into(), &east);
-    assert_eq!(balancer.slot_count(&scope), balancer.slot_count("s") / 3);
-    (0..balancer.slot_count(&scope)).for_each(|_| balancer.started("a"));
+    let server_set = ServerSet::new("s".into(), &east);
+    assert_eq!(balancer.slot_count(&server_set), balancer.slot_count("s") / 3);
+    (0..balancer.slot_count(&server_set)).for_each(|_| balancer.started("a"));
     balancer.record_latency(&"s".into(), Duration::from_millis(100));
-    assert!(!balancer.has_free_slot(NOW, &scope));
+    assert!(!balancer.has_free_slot(NOW, &server_set));
     assert!(balancer.has_free_slot(NOW, "s"));
     for is_compared in [false, true] {
         if is_compared {
@@ -114,9 +114,9 @@
         assert_eq!(&*balancer.choose(NOW, &any_slot).unwrap().entry.instance, "a");
     }
     balancer.remove("a");
-    assert_eq!(balancer.available_at(&scope), None);
-    assert_eq!(balancer.scope_counts(NOW, &scope).missing_reason(), Some("none registered in an allowed zone"));
-    assert_eq!(balancer.scope_counts(NOW, "s").missing_reason(), None);
+    assert_eq!(balancer.available_at(&server_set), None);
+    assert_eq!(balancer.set_counts(NOW, &server_set).missing_reason(), Some("none registered in an allowed zone"));
+    assert_eq!(balancer.set_counts(NOW, "s").missing_reason(), None);
 }
 
 /// Guards against a request that is sent although its server's entry moved to another zone, or to another address, after
@@ -141,7 +141,7 @@
 fn the_reason_for_a_missing_server_names_the_state_of_all() {
     let draining = ServerEntry { is_draining: true, ..in_zone("a", "e1") };
     let mut balancer = balancer_of(&[draining]);
-    let reason = |balancer: &trestlerack::process::LoadBalancer| balancer.scope_counts(NOW, "s").missing_reason();
+    let reason = |balancer: &trestlerack::process::LoadBalancer| balancer.set_counts(NOW, "s").missing_reason();
     assert_eq!(reason(&balancer), Some("all draining"));
     balancer.put(&in_zone("b", "w1"));
     assert_eq!(reason(&balancer), None);
@@ -151,7 +151,7 @@
     assert_eq!(reason(&balancer), Some("all paused"));
     balancer.set_evacuated_zones(["w1".into()].into());
     assert_eq!(reason(&balancer), Some("all evacuated"));
-    assert_eq!(balancer.scope_counts(NOW, "none").missing_reason(), Some("none registered"));
+    assert_eq!(balancer.set_counts(NOW, "none").missing_reason(), Some("none registered"));
 }
 
 /// Guards against a job that is taken over where its data may not be.
--- a/crates/trestlerackd/src/entry/admission/mod.rs
+++ b/crates/trestlerackd/src/entry/admission/mod.rs
@@ -22,7 +22,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use trestlerack::process::{
-    AdmissionQueue, AdmissionSettings, CallRefusal, QueuedCallId, SecondAttemptBudget, ServiceLoad, ServiceScope,
+    AdmissionQueue, AdmissionSettings, CallRefusal, QueuedCallId, SecondAttemptBudget, ServerSet, ServiceLoad,
     WaitOutcome,
 };
 use trestlerack::{Name, Timestamp};
@@ -37,7 +37,7 @@
 /// Result of a call's wait in the queue.
 type WaitResult = Result<(), CallRefusal>;
 
-/// The queue of one scope.
+/// The queue of one set of servers.
 struct ServiceQueue {
     queue: AdmissionQueue,
     waiters: HashMap<QueuedCallId, oneshot::Sender<WaitResult>>,
@@ -71,7 +71,7 @@
 
 /// The admission queues of a node, by the servers that their calls may use.
 pub struct AdmissionControl {
-    queues: Mutex<HashMap<ServiceScope, ServiceQueue>>,
+    queues: Mutex<HashMap<ServerSet, ServiceQueue>>,
     /// Number of waiting calls in all queues, so that a finished request locks no queue while none wait.
     waiting: AtomicUsize,
     second_attempts: Mutex<SecondAttemptBudget>,
@@ -87,41 +87,42 @@
         }
     }
 
-    fn is_overloaded(&self, now: Timestamp, scope: &ServiceScope) -> bool {
-        self.queues().get(scope).is_some_and(|service_queue| service_queue.queue.is_overloaded(now))
+    fn is_overloaded(&self, now: Timestamp, server_set: &ServerSet) -> bool {
+        self.queues().get(server_set).is_some_and(|service_queue| service_queue.queue.is_overloaded(now))
     }
 
-    fn has_waiting_calls(&self, scope: &ServiceScope) -> bool {
-        self.queues().get(scope).is_some_and(|service_queue| !service_queue.queue.is_empty())
+    fn has_waiting_calls(&self, server_set: &ServerSet) -> bool {
+        self.queues().get(server_set).is_some_and(|service_queue| !service_queue.queue.is_empty())
     }
 
-    /// Returns the scopes of a service for which calls wait. Restricted ones come first, since their calls can use
+    /// Returns the sets of servers of a service for which calls wait. Restricted ones come first, since their calls can use
     /// fewer servers.
-    fn waiting_scopes(&self, service: &str) -> Vec<ServiceScope> {
+    fn waiting_sets(&self, service: &str) -> Vec<ServerSet> {
         let queues = self.queues();
-        let is_waiting = |(scope, service_queue): &(&ServiceScope, &ServiceQueue)| {
-            &*scope.service == service && !service_queue.queue.is_empty()
+        let is_waiting = |(server_set, service_queue): &(&ServerSet, &ServiceQueue)| {
+            &*server_set.service == service && !service_queue.queue.is_empty()
         };
-        let mut scopes: Vec<ServiceScope> = queues.iter().filter(is_waiting).map(|(scope, _)| scope.clone()).collect();
-        scopes.sort_by(|left, right| right.cmp(left));
-        scopes
+        let mut sets: Vec<ServerSet> =
+            queues.iter().filter(is_waiting).map(|(server_set, _)| server_set.clone()).collect();
+        sets.sort_by(|left, right| right.cmp(left));
+        sets
     }
 
     fn has_any_waiting(&self) -> bool {
         self.waiting.load(Ordering::Relaxed) > 0
     }
 
-    fn queues(&self) -> MutexGuard<'_, HashMap<ServiceScope, ServiceQueue>> {
+    fn queues(&self) -> MutexGuard<'_, HashMap<ServerSet, ServiceQueue>> {
         self.queues.lock().unwrap()
     }
 
-    /// Runs `change` on the queue of a scope, which is created if it does not exist.
-    fn with_queue<T>(&self, scope: &ServiceScope, change: impl FnOnce(&mut ServiceQueue) -> T) -> T {
+    /// Runs `change` on the queue of a set of servers, which is created if it does not exist.
+    fn with_queue<T>(&self, server_set: &ServerSet, change: impl FnOnce(&mut ServiceQueue) -> T) -> T {
         let mut queues = self.queues();
-        if let Some(service_queue) = queues.get_mut(scope) {
+        if let Some(service_queue) = queues.get_mut(server_set) {
             return change(service_queue);
         }
-        change(queues.entry(scope.clone()).or_insert_with(ServiceQueue::new))
+        change(queues.entry(server_set.clone()).or_insert_with(ServiceQueue::new))
     }
 }
 
@@ -132,33 +133,33 @@
 }
 
 /// Records that a server had no free slot for a call.
-pub fn record_full_server(node: &EntryNode, scope: &ServiceScope) {
-    if is_active(node, &scope.service) {
+pub fn record_full_server(node: &EntryNode, server_set: &ServerSet) {
+    if is_active(node, &server_set.service) {
         let now = node.now();
-        node.admission.with_queue(scope, |service_queue| service_queue.queue.record_full_server(now));
+        node.admission.with_queue(server_set, |service_queue| service_queue.queue.record_full_server(now));
     }
 }
 
-/// Returns the load of the servers of a scope. If all are paused, a slot is expected when the first pause
+/// Returns the load of a set of servers. If all are paused, a slot is expected when the first pause
 /// ends.
-fn service_load(node: &EntryNode, scope: &ServiceScope) -> ServiceLoad {
+fn service_load(node: &EntryNode, server_set: &ServerSet) -> ServiceLoad {
     let now = node.now();
     let balancer = node.balancer.lock().unwrap();
-    let mut estimate = balancer.wait_estimate(now, scope);
+    let mut estimate = balancer.wait_estimate(now, server_set);
     if estimate.slots == 0
-        && let Some(available_at) = balancer.available_at(scope)
+        && let Some(available_at) = balancer.available_at(server_set)
     {
         estimate.wait = available_at.since(now);
     }
-    let in_flight = balancer.in_scope(scope.into()).map(|server| server.in_flight).sum();
+    let in_flight = balancer.in_set(server_set.into()).map(|server| server.in_flight).sum();
     ServiceLoad { estimate, in_flight }
 }
 
 /// Called when a slot of a service may have become free.
 pub fn slot_freed(node: &EntryNode, service: &Name) {
     if node.admission.has_any_waiting() {
-        for scope in &node.admission.waiting_scopes(service) {
-            advance(node, scope);
+        for server_set in &node.admission.waiting_sets(service) {
+            advance(node, server_set);
         }
     }
 }
@@ -168,19 +169,19 @@
     if !node.admission.has_any_waiting() {
         return;
     }
-    let scopes: Vec<ServiceScope> = node.admission.queues().keys().cloned().collect();
-    for scope in &scopes {
-        advance(node, scope);
+    let sets: Vec<ServerSet> = node.admission.queues().keys().cloned().collect();
+    for server_set in &sets {
+        advance(node, server_set);
     }
 }
 
 /// Admits the waiting calls for which there is a slot, and refuses those that cannot be served in time.
 /// Returns when to check again, or `None` if no call waits.
-fn advance(node: &EntryNode, scope: &ServiceScope) -> Option<Timestamp> {
-    let service_load = service_load(node, scope);
+fn advance(node: &EntryNode, server_set: &ServerSet) -> Option<Timestamp> {
+    let service_load = service_load(node, server_set);
     let now = node.now();
     let mut results = Vec::new();
-    let next_due = node.admission.with_queue(scope, |service_queue| {
+    let next_due = node.admission.with_queue(server_set, |service_queue| {
         for outcome in service_queue.queue.advance(now, &service_load) {
             let (id, result) = match outcome {
                 WaitOutcome::Admit(id) => (id, Ok(())),
@@ -202,14 +203,14 @@
     next_due
 }
 
-/// Checks the queue of a scope until no call waits.
-async fn drive(node: Arc<EntryNode>, scope: ServiceScope) {
-    let wake = node.admission.with_queue(&scope, |service_queue| service_queue.wake.clone());
-    while !node.admission.with_queue(&scope, ServiceQueue::try_release_driver) {
-        let next_due = advance(&node, &scope);
+/// Checks the queue of a set of servers until no call waits.
+async fn drive(node: Arc<EntryNode>, server_set: ServerSet) {
+    let wake = node.admission.with_queue(&server_set, |service_queue| service_queue.wake.clone());
+    while !node.admission.with_queue(&server_set, ServiceQueue::try_release_driver) {
+        let next_due = advance(&node, &server_set);
         let now = node.now();
         let delay = next_due.map_or(Duration::ZERO, |due| due.since(now)).clamp(MIN_RECHECK_DELAY, MAX_RECHECK_DELAY);
-        node.admission.with_queue(&scope, |service_queue| service_queue.next_check = now + delay);
+        node.admission.with_queue(&server_set, |service_queue| service_queue.next_check = now + delay);
         // Whether woken or timed out, the queue is checked again.
         let _ = clock::timeout(delay, wake.notified()).await;
     }
--- a/crates/trestlerackd/src/entry/admission/queue_wait.rs
+++ b/crates/trestlerackd/src/entry/admission/queue_wait.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use trestlerack::process::{
-    AdmissionDecision, AdmissionSettings, CallRefusal, QueuedCallId, RefusalReason, ServiceScope, WaitEstimate,
+    AdmissionDecision, AdmissionSettings, CallRefusal, QueuedCallId, RefusalReason, ServerSet, WaitEstimate,
     WaitingCall,
 };
 use trestlerack::{Name, event};
@@ -18,7 +18,7 @@
 /// Keeps a call in the queue, or reserves the slot that it was given, until it is dropped.
 pub struct QueueGuard {
     node: Arc<EntryNode>,
-    scope: ServiceScope,
+    server_set: ServerSet,
     state: GuardState,
 }
 
@@ -37,21 +37,21 @@
             GuardState::Released => false,
             GuardState::Admitted => true,
             GuardState::Waiting(id, result) => {
-                remove_waiting(&self.node, &self.scope, *id);
+                remove_waiting(&self.node, &self.server_set, *id);
                 matches!(result.try_recv(), Ok(Ok(())))
             }
         };
         if has_slot {
-            self.node.admission.with_queue(&self.scope, |service_queue| service_queue.queue.finish_dispatch());
+            self.node.admission.with_queue(&self.server_set, |service_queue| service_queue.queue.finish_dispatch());
             // Another call may use the slot if this one did not.
-            super::slot_freed(&self.node, &self.scope.service);
+            super::slot_freed(&self.node, &self.server_set.service);
         }
     }
 }
 
 /// Removes a call from the queue if it still waits.
-fn remove_waiting(node: &EntryNode, scope: &ServiceScope, id: QueuedCallId) {
-    node.admission.with_queue(scope, |service_queue| {
+fn remove_waiting(node: &EntryNode, server_set: &ServerSet, id: QueuedCallId) {
+    node.admission.with_queue(server_set, |service_queue| {
         service_queue.queue.remove(id);
         if service_queue.waiters.remove(&id).is_some() {
             node.admission.waiting.fetch_sub(1, Ordering::Relaxed);
@@ -62,13 +62,13 @@
 /// Waits until a call may be sent to a server, or returns why it is refused.
 pub async fn wait_for_slot(
     node: &Arc<EntryNode>,
-    scope: &ServiceScope,
+    server_set: &ServerSet,
     call: WaitingCall,
 ) -> Result<QueueGuard, CallRefusal> {
-    let service_load = service_load(node, scope);
+    let service_load = service_load(node, server_set);
     let (now, logged_call) = (node.now(), call.clone());
     let mut waiting = None;
-    let (admission, length) = node.admission.with_queue(scope, |service_queue| {
+    let (admission, length) = node.admission.with_queue(server_set, |service_queue| {
         let length = service_queue.queue.len();
         let admission = service_queue.queue.submit(now, call, &service_load);
         if let AdmissionDecision::Wait { id, .. } = admission {
@@ -79,22 +79,22 @@
         }
         (admission, length)
     });
-    let guard = |state| QueueGuard { node: node.clone(), scope: scope.clone(), state };
+    let guard = |state| QueueGuard { node: node.clone(), server_set: server_set.clone(), state };
     match (admission, waiting) {
         (AdmissionDecision::Refuse(refusal), _) => {
-            record_overload(node, scope, &service_load.estimate);
-            log_refusal(node, scope, &logged_call, refusal, &service_load.estimate);
+            record_overload(node, server_set, &service_load.estimate);
+            log_refusal(node, server_set, &logged_call, refusal, &service_load.estimate);
             Err(refusal)
         }
         (AdmissionDecision::Wait { id, expected }, Some((receiver, is_first))) => {
-            record_overload(node, scope, &service_load.estimate);
+            record_overload(node, server_set, &service_load.estimate);
             let guard = guard(GuardState::Waiting(id, receiver));
-            node.metrics.admission.record_queued(&scope.service, length);
-            log_wait(&scope.service, &logged_call, length, expected, &service_load.estimate);
+            node.metrics.admission.record_queued(&server_set.service, length);
+            log_wait(&server_set.service, &logged_call, length, expected, &service_load.estimate);
             if is_first {
-                tokio::spawn(drive(node.clone(), scope.clone()));
+                tokio::spawn(drive(node.clone(), server_set.clone()));
             } else {
-                advance(node, scope);
+                advance(node, server_set);
             }
             wait_in_queue(guard, &logged_call).await
         }
@@ -104,9 +104,9 @@
 
 /// Records that a service is overloaded, so that its customers get shares. Calls that may only use zones without an
 /// available server do not show that: the servers elsewhere may be idle.
-fn record_overload(node: &EntryNode, scope: &ServiceScope, estimate: &WaitEstimate) {
-    if !scope.is_restricted() || estimate.slots > 0 {
-        shares::record_overload(node, &scope.service);
+fn record_overload(node: &EntryNode, server_set: &ServerSet, estimate: &WaitEstimate) {
+    if !server_set.is_restricted() || estimate.slots > 0 {
+        shares::record_overload(node, &server_set.service);
     }
 }
 
@@ -117,11 +117,11 @@
         GuardState::Waiting(_, receiver) => receiver.await.unwrap_or(Ok(())),
         GuardState::Admitted | GuardState::Released => Ok(()),
     };
-    guard.node.metrics.admission.record_wait(&guard.scope.service, guard.node.now().since(started));
+    guard.node.metrics.admission.record_wait(&guard.server_set.service, guard.node.now().since(started));
     guard.state = if result.is_ok() { GuardState::Admitted } else { GuardState::Released };
     if let Err(refusal) = result {
-        let estimate = service_load(&guard.node, &guard.scope).estimate;
-        log_refusal(&guard.node, &guard.scope, call, refusal, &estimate);
+        let estimate = service_load(&guard.node, &guard.server_set).estimate;
+        log_refusal(&guard.node, &guard.server_set, call, refusal, &estimate);
         return Err(refusal);
     }
     Ok(guard)
@@ -129,10 +129,10 @@
 
 /// Refuses a call for which none of the servers with a free slot is suitable. Returns the delay after which
 /// its caller is to retry.
-pub fn refuse_without_server(node: &EntryNode, scope: &ServiceScope, call: &WaitingCall) -> Duration {
+pub fn refuse_without_server(node: &EntryNode, server_set: &ServerSet, call: &WaitingCall) -> Duration {
     let retry_after = AdmissionSettings::default().default_retry_after;
     let refusal = CallRefusal { reason: RefusalReason::NoServer, retry_after };
-    log_refusal(node, scope, call, refusal, &service_load(node, scope).estimate);
+    log_refusal(node, server_set, call, refusal, &service_load(node, server_set).estimate);
     retry_after
 }
 
@@ -152,13 +152,13 @@
 
 fn log_refusal(
     node: &EntryNode,
-    scope: &ServiceScope,
+    server_set: &ServerSet,
     call: &WaitingCall,
     refusal: CallRefusal,
     estimate: &WaitEstimate,
 ) {
-    let service = &scope.service;
-    let length = node.admission.with_queue(scope, |service_queue| {
+    let service = &server_set.service;
+    let length = node.admission.with_queue(server_set, |service_queue| {
         service_queue.counts.add(refusal.reason, call.customer.as_ref());
         service_queue.queue.len()
     });
--- a/crates/trestlerackd/src/entry/admission/service_calls.rs
+++ b/crates/trestlerackd/src/entry/admission/service_calls.rs
@@ -8,7 +8,7 @@
 use crate::process::{clock, logs};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{AdmissionSettings, AttemptReason, CallKind, CallRank, ServiceScope, SlotNeed, WaitingCall};
+use trestlerack::process::{AdmissionSettings, AttemptReason, CallKind, CallRank, ServerSet, SlotNeed, WaitingCall};
 use trestlerack::version::{Customer, RequestRoute};
 use trestlerack::{Name, Timestamp, event};
 
@@ -17,7 +17,7 @@
     /// Id of the request.
     pub id: &'a str,
     /// Service that is called, and the zones of the servers that may serve the call.
-    pub scope: ServiceScope,
+    pub server_set: ServerSet,
     /// Route of the request.
     pub route: &'a RequestRoute,
     /// Customer on whose behalf the call is made.
@@ -36,7 +36,7 @@
     }
 
     fn waiting_call(&self, node: &EntryNode) -> WaitingCall {
-        let is_over_share = shares::is_over_share(node, &self.scope.service, self.customer_name());
+        let is_over_share = shares::is_over_share(node, &self.server_set.service, self.customer_name());
         let target = Duration::from_millis(self.route.target_latency_ms);
         WaitingCall {
             id: self.id.into(),
@@ -59,11 +59,12 @@
     let waiting_call = call.waiting_call(node);
     // A slot is tried even if it only appears to be free: a full server replies sooner than a wait in the
     // queue would end, and another server may have a slot.
-    if !node.admission.has_waiting_calls(&call.scope)
+    if !node.admission.has_waiting_calls(&call.server_set)
         && let Some(guard) = pick(SlotNeed::One)
     {
         let now = node.now();
-        node.admission.with_queue(&call.scope, |service_queue| service_queue.queue.record_bypass(now, &waiting_call));
+        node.admission
+            .with_queue(&call.server_set, |service_queue| service_queue.queue.record_bypass(now, &waiting_call));
         return Ok(guard);
     }
     if call.kind == CallKind::Score {
@@ -71,7 +72,7 @@
         return Err(None);
     }
     let longest_wait = waiting_call.max_wait(&AdmissionSettings::default());
-    let queue_guard = wait_for_slot(node, &call.scope, waiting_call.clone()).await;
+    let queue_guard = wait_for_slot(node, &call.server_set, waiting_call.clone()).await;
     let queue_guard = queue_guard.map_err(|refusal| Some(refusal.retry_after))?;
     let pick = || pick(SlotNeed::One).or_else(|| pick(SlotNeed::Any));
     let guard = pick();
@@ -82,7 +83,7 @@
         Some(guard) => Ok(guard),
         None => match retry_pick(node, call.arrived + longest_wait, pick).await {
             Some(guard) => Ok(guard),
-            None => Err(Some(refuse_without_server(node, &call.scope, &waiting_call))),
+            None => Err(Some(refuse_without_server(node, &call.server_set, &waiting_call))),
         },
     }
 }
@@ -106,12 +107,12 @@
 /// Records a call, which adds a fraction of a second attempt to the budget.
 pub fn record_call(node: &EntryNode, call: &ServiceCall<'_>) {
     node.admission.second_attempts.lock().unwrap().record_call(call.customer_name(), &call.route.name);
-    node.metrics.admission.record_call(&call.scope.service);
+    node.metrics.admission.record_call(&call.server_set.service);
 }
 
 /// Records that a call is sent to a server, if its service is subject to admission control.
 pub fn record_attempt(node: &EntryNode, service: &Name) {
-    let is_counted = node.admission.queues().keys().any(|scope| scope.service == *service);
+    let is_counted = node.admission.queues().keys().any(|server_set| server_set.service == *service);
     if is_counted {
         node.metrics.admission.record_attempt(service);
     }
@@ -119,15 +120,15 @@
 
 /// Returns whether a call may be sent to another server, and spends the budget of second attempts for it.
 pub fn try_spend_attempt(node: &EntryNode, call: &ServiceCall<'_>, reason: AttemptReason) -> bool {
-    let is_overloaded = node.admission.is_overloaded(node.now(), &call.scope);
+    let is_overloaded = node.admission.is_overloaded(node.now(), &call.server_set);
     let mut second_attempts = node.admission.second_attempts.lock().unwrap();
     let is_allowed = second_attempts.try_spend(call.customer_name(), &call.route.name, reason, is_overloaded);
     drop(second_attempts);
     if !is_allowed {
-        node.metrics.admission.record_retry_refused(&call.scope.service);
+        node.metrics.admission.record_retry_refused(&call.server_set.service);
         let fields: [(&str, &dyn std::fmt::Display); 4] = [
             ("request", &call.id),
-            ("service", &call.scope.service),
+            ("service", &call.server_set.service),
             ("short", &is_overloaded),
             ("reason", &reason.as_str()),
         ];
--- a/crates/trestlerackd/src/entry/admission/status.rs
+++ b/crates/trestlerackd/src/entry/admission/status.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use trestlerack::Name;
-use trestlerack::process::{RefusalReason, ServiceScope};
+use trestlerack::process::{RefusalReason, ServerSet};
 
 /// Maximum number of customers that a row lists.
 const MAX_LISTED_CUSTOMERS: usize = 5;
@@ -60,15 +60,15 @@
 
 /// Returns a row for each queue of this node.
 pub fn status(node: &EntryNode) -> Vec<AdmissionStatus> {
-    let mut scopes: Vec<ServiceScope> = node.admission.queues().keys().cloned().collect();
-    scopes.sort();
-    scopes.into_iter().map(|scope| scope_status(node, &scope)).collect()
+    let mut sets: Vec<ServerSet> = node.admission.queues().keys().cloned().collect();
+    sets.sort();
+    sets.into_iter().map(|server_set| set_status(node, &server_set)).collect()
 }
 
-fn scope_status(node: &EntryNode, scope: &ServiceScope) -> AdmissionStatus {
-    let estimate = service_load(node, scope).estimate;
+fn set_status(node: &EntryNode, server_set: &ServerSet) -> AdmissionStatus {
+    let estimate = service_load(node, server_set).estimate;
     let millis = |time: std::time::Duration| u64::try_from(time.as_millis()).ok();
-    node.admission.with_queue(scope, |service_queue| {
+    node.admission.with_queue(server_set, |service_queue| {
         let mut waiting_customers: BTreeMap<Name, u64> = BTreeMap::new();
         for customer in service_queue.queue.calls().filter_map(|call| call.customer.clone()) {
             *waiting_customers.entry(customer).or_default() += 1;
@@ -76,8 +76,8 @@
         let refused =
             service_queue.counts.by_reason.iter().map(|(reason, count)| format!("{}:{count}", reason.as_str()));
         AdmissionStatus {
-            service: scope.service.clone(),
-            zones: placement::zone_list(scope),
+            service: server_set.service.clone(),
+            zones: placement::zone_list(server_set),
             waiting: service_queue.queue.len(),
             first_priority: service_queue.queue.calls().next().map(|call| call.rank.priority),
             slots: estimate.slots,
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -147,7 +147,7 @@
         let is_gone = platform::responding_instance(&parts.headers).is_some_and(|other| other != instance);
         record_refusal(node, &instance, is_gone);
         if !is_gone {
-            admission::record_full_server(node, &guard.scope());
+            admission::record_full_server(node, &guard.server_set());
         }
         keep_after_refusal(node, body, lease, &head).await;
         return Err(AttemptError::NotRun(format!("refused with {}", parts.status)));
--- a/crates/trestlerackd/src/entry/attempts.rs
+++ b/crates/trestlerackd/src/entry/attempts.rs
@@ -16,7 +16,7 @@
 use futures_util::stream::FuturesUnordered;
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{AttemptReason, ServiceScope, SlotNeed};
+use trestlerack::process::{AttemptReason, ServerSet, SlotNeed};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp};
@@ -250,8 +250,8 @@
         } else {
             let routing = self.node.routing();
             let placement = placement::decide(routing.as_deref(), self.route, self.request.customer());
-            let scope = ServiceScope::new(service.clone(), placement.placement());
-            state.wants_server = hedging::has_free_slot(self.node, &scope);
+            let server_set = ServerSet::new(service.clone(), placement.placement());
+            state.wants_server = hedging::has_free_slot(self.node, &server_set);
         }
     }
 
--- a/crates/trestlerackd/src/entry/hedging.rs
+++ b/crates/trestlerackd/src/entry/hedging.rs
@@ -4,7 +4,7 @@
 use super::node::EntryNode;
 use crate::process::logs;
 use std::time::Duration;
-use trestlerack::process::ServiceScope;
+use trestlerack::process::ServerSet;
 use trestlerack::version::RequestRoute;
 use trestlerack::{Name, event};
 
@@ -20,9 +20,9 @@
     node.balancer.lock().unwrap().is_probe(node.now(), server)
 }
 
-/// Returns whether a scope has a free slot for a second attempt.
-pub fn has_free_slot(node: &EntryNode, scope: &ServiceScope) -> bool {
-    node.balancer.lock().unwrap().has_free_slot(node.now(), scope)
+/// Returns whether a set of servers has a free slot for a second attempt.
+pub fn has_free_slot(node: &EntryNode, server_set: &ServerSet) -> bool {
+    node.balancer.lock().unwrap().has_free_slot(node.now(), server_set)
 }
 
 /// Logs a hedged request: `server` was asked after `waited`.
--- a/crates/trestlerackd/src/entry/in_flight.rs
+++ b/crates/trestlerackd/src/entry/in_flight.rs
@@ -4,7 +4,7 @@
 use super::node::EntryNode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use trestlerack::process::{ServerEntry, ServiceScope, SuspectRun, TokenNeed};
+use trestlerack::process::{ServerEntry, ServerSet, SuspectRun, TokenNeed};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::RequestPlacement;
 
@@ -60,8 +60,8 @@
     }
 
     /// Returns the servers that the request may use.
-    pub fn scope(&self) -> ServiceScope {
-        ServiceScope::new(self.server.service.clone(), self.placement.placement())
+    pub fn server_set(&self) -> ServerSet {
+        ServerSet::new(self.server.service.clone(), self.placement.placement())
     }
 
     /// Records that the request is sent to the server.
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::event;
-use trestlerack::process::ServiceScope;
+use trestlerack::process::ServerSet;
 
 /// Delay before a score call without a response is retried.
 const SCORE_RETRY_DELAY: Duration = Duration::from_millis(30);
@@ -47,8 +47,8 @@
     let service = route.zip(scorer).and_then(|(route, scorer)| route.service_for(&scorer.id));
     let slots = service.zip(route).map_or(0, |(service, route)| {
         let placement = placement::decide(routing.as_deref(), route, driver.customer.as_ref());
-        let scope = ServiceScope::new(service.clone(), placement.placement());
-        node.balancer.lock().unwrap().slot_count(&scope)
+        let server_set = ServerSet::new(service.clone(), placement.placement());
+        node.balancer.lock().unwrap().slot_count(&server_set)
     });
     ((f64::from(slots) * MAX_SCORE_SLOT_FRACTION) as usize).max(1)
 }
--- a/crates/trestlerackd/src/entry/placement/mod.rs
+++ b/crates/trestlerackd/src/entry/placement/mod.rs
@@ -16,7 +16,7 @@
 use std::fmt::Display;
 use std::sync::Mutex;
 use std::time::Duration;
-use trestlerack::process::{self, LoadBalancer, ServerEntry, ServiceScope};
+use trestlerack::process::{self, LoadBalancer, ServerEntry, ServerSet};
 use trestlerack::version::{FindingReason, Placement, RequestPlacement, RequestRoute, RoutingTable, ZoneMap};
 use trestlerack::{Name, event};
 use trestlerack_platform as platform;
@@ -53,23 +53,24 @@
 /// Logs and counts that.
 pub fn lacks_servers(
     balancer: &Mutex<LoadBalancer>,
-    scope: &ServiceScope,
+    server_set: &ServerSet,
     request: &str,
     metrics: &PlacementMetrics,
 ) -> bool {
-    let lacks = scope.is_restricted() && balancer.lock().unwrap().available_at(scope).is_none();
+    let lacks = server_set.is_restricted() && balancer.lock().unwrap().available_at(server_set).is_none();
     if lacks {
-        metrics.record_unserved(&scope.service);
+        metrics.record_unserved(&server_set.service);
         let fields: [(&str, &dyn Display); 3] =
-            [("request", &request), ("service", &scope.service), ("zones", &zone_list(scope))];
+            [("request", &request), ("service", &server_set.service), ("zones", &zone_list(server_set))];
         logs::write(event::REGION_UNSERVED, &fields);
     }
     lacks
 }
 
-/// Returns the allowed zones of a scope, separated by commas; empty for all.
-pub fn zone_list(scope: &ServiceScope) -> String {
-    let zones: Vec<&str> = scope.allowed_zones.iter().flat_map(|zones| zones.zones()).map(|zone| &**zone).collect();
+/// Returns the allowed zones of a set of servers, separated by commas; empty for all.
+pub fn zone_list(server_set: &ServerSet) -> String {
+    let zones: Vec<&str> =
+        server_set.allowed_zones.iter().flat_map(|zones| zones.zones()).map(|zone| &**zone).collect();
     zones.join(",")
 }
 
--- a/crates/trestlerackd/src/entry/placement/status.rs
+++ b/crates/trestlerackd/src/entry/placement/status.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 use std::sync::Mutex;
-use trestlerack::process::{LoadBalancer, ScopeCounts, ServiceScope};
+use trestlerack::process::{LoadBalancer, ServerSet, SetCounts};
 use trestlerack::version::{Placement, PlacementRule, RoutingTable};
 use trestlerack::{Name, Timestamp};
 
@@ -36,7 +36,7 @@
 
 fn rule_status(rule: &PlacementRule, balancer: &LoadBalancer, now: Timestamp) -> Vec<PlacementStatus> {
     let row = |service: &Name| {
-        let counts = balancer.scope_counts(now, &ServiceScope::new(service.clone(), &rule.placement));
+        let counts = balancer.set_counts(now, &ServerSet::new(service.clone(), &rule.placement));
         let zones = rule.placement.allowed_zones().map(|zones| joined(zones.zones()));
         PlacementStatus {
             route: rule.route.clone(),
@@ -57,7 +57,7 @@
     names.map(|name| &**name).collect::<Vec<_>>().join(",")
 }
 
-fn missing_reason(rule: &PlacementRule, counts: &ScopeCounts) -> Option<&'static str> {
+fn missing_reason(rule: &PlacementRule, counts: &SetCounts) -> Option<&'static str> {
     if rule.placement != Placement::Nowhere {
         return counts.missing_reason();
     }
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{AttemptReason, CallKind, ServerNeed, ServiceScope, SlotNeed};
+use trestlerack::process::{AttemptReason, CallKind, ServerNeed, ServerSet, SlotNeed};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp, event};
@@ -173,11 +173,11 @@
     // A stream that is resumed queues like a call that arrives now.
     let arrived = if is_resuming(route, history) { node.now() } else { history.started() };
     let call = service_call(node, route, request, arrived, deadline).ok_or(None)?;
-    if placement::lacks_servers(&node.balancer, &call.scope, call.id, &node.metrics.placement) {
+    if placement::lacks_servers(&node.balancer, &call.server_set, call.id, &node.metrics.placement) {
         return Err(None);
     }
     let pick = |slot_need| pick_server(node, route, request, fingerprint, history.tried(), slot_need);
-    let guard = if admission::is_active(node, &call.scope.service) {
+    let guard = if admission::is_active(node, &call.server_set.service) {
         find_slot(node, &call, history, pick).await?
     } else {
         search_server(node, &call, pick).await.ok_or(None)?
@@ -198,8 +198,8 @@
     let service = route.service_for(id)?;
     let customer = request.caller.customer();
     let placement = placement::decide(node.routing().as_deref(), route, request.customer());
-    let scope = ServiceScope::new(service.clone(), placement.placement());
-    Some(ServiceCall { id, scope, route, customer, kind: CallKind::Client, arrived, deadline })
+    let server_set = ServerSet::new(service.clone(), placement.placement());
+    Some(ServiceCall { id, server_set, route, customer, kind: CallKind::Client, arrived, deadline })
 }
 
 /// Returns whether a client has received a part of its stream, which has to be completed.
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{AttemptReason, CallKind, ServerNeed, ServiceScope, SlotNeed};
+use trestlerack::process::{AttemptReason, CallKind, ServerNeed, ServerSet, SlotNeed};
 use trestlerack::request::{RequestContent, RequestFingerprint, ScoreCall};
 use trestlerack::version::{RequestPlacement, RequestRoute};
 use trestlerack::{Name, Timestamp, event};
@@ -88,10 +88,10 @@
     let fingerprint = fingerprint(call);
     let (kind, arrived) = (CallKind::Score, node.now());
     let placement = placement::decide(Some(&routing), route, customer);
-    let scope = ServiceScope::new(service.clone(), placement.placement());
+    let server_set = ServerSet::new(service.clone(), placement.placement());
     let directory = routing.customers.as_ref();
     let customer = customer.and_then(|name| directory?.get(name));
-    let service_call = ServiceCall { id: &call.id, scope, route, customer, kind, arrived, deadline };
+    let service_call = ServiceCall { id: &call.id, server_set, route, customer, kind, arrived, deadline };
     let uses_admission = admission::is_active(node, service);
     let mut attempts = FuturesUnordered::new();
     let mut timers: Vec<ResponseTimer> = Vec::new();
@@ -148,7 +148,7 @@
             Ok(Some((_, ScoreOutcome::NoResponse))) => next_at = node.now(),
             Err(_) => {
                 is_hedge = hedge_at.take_if(|hedge_at| *hedge_at < next_at).is_some();
-                if is_hedge && hedging::has_free_slot(node, &service_call.scope) {
+                if is_hedge && hedging::has_free_slot(node, &service_call.server_set) {
                     next_at = node.now();
                 }
             }
--- a/crates/trestlerackd/tests/entry/placement.rs
+++ b/crates/trestlerackd/tests/entry/placement.rs
@@ -353,6 +353,9 @@
     eventually("the restriction is known", || cut_off.has_logged("relays-limited"));
     assert_eq!(submit(&cut_off.daemon, "job2", 2), 202);
     assert_eq!(read_results(&cut_off.daemon, "job2", 2).len(), 2);
+    let seeds = [&west.daemon, &east.daemon];
+    let late = fleet.start_node("y", "e1", &seeds, json!({ "store": store }));
+    eventually("a node that starts cut off learns of its region", || submit(&late.daemon, "job5", 2) == 202);
     east.kill();
     assert_ne!(submit(&cut_off.daemon, "job3", 2), 202);
     assert_eq!(fleet.platform.store.row_count("state", "job3"), 0);
