Wait for a lost region without holding up other jobs

Cause: items that wait for a lost region kept their node from starting speculative runs of other jobs, and no test had an owner that does not respond while the accepting node may not take over.

--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -8,7 +8,7 @@
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{ServerEntry, ServerNeed, SlotNeed};
+use trestlerack::process::{ServerEntry, ServerNeed, ServerSet, SlotNeed};
 use trestlerack::request::{ItemPhase, JobTracker, RequestFingerprint, RunEnd, RunKind};
 use trestlerack::version::{RequestPlacement, RequestRoute, RoutingTable};
 use trestlerack::{Name, event};
@@ -255,7 +255,23 @@
 fn is_any_item_waiting(node: &EntryNode) -> bool {
     let now = node.now();
     let drivers: Vec<Arc<JobDriver>> = node.drivers.lock().unwrap().values().cloned().collect();
-    drivers.iter().any(|driver| driver.tracker.lock().unwrap().waiting(now).next().is_some())
+    let has_waiting = |driver: &JobDriver| driver.tracker.lock().unwrap().waiting(now).next().is_some();
+    drivers.iter().any(|driver| has_waiting(driver) && has_server(node, driver))
+}
+
+/// Returns whether a server that may run a job's items accepts work. A job whose region is lost waits for it, however
+/// many slots other jobs leave free.
+fn has_server(node: &EntryNode, driver: &JobDriver) -> bool {
+    let placement = job_placement(node, driver);
+    if placement.allowed_zones().is_none() {
+        return true;
+    }
+    let routing = node.routing();
+    let route = routing.as_ref().and_then(|routing| routing.select(&driver.spec.host, &driver.spec.path));
+    let service = route.zip(driver.spec.items.first()).and_then(|(route, item)| route.service_for(&item.id));
+    let Some(service) = service else { return false };
+    let server_set = ServerSet::new(service.clone(), placement.placement());
+    node.balancer.lock().unwrap().available_at(&server_set).is_some()
 }
 
 /// Records the end of a run. Called by the task of the run.
