Refuse reads of a job's results that the store has not confirmed

Cause: a node whose watch lagged, or that polls a follower, answered with an empty page while the store was unavailable, although results were recorded that another reader may have got. While the rows of an expired job were removed, a read from position 0 got the result of a later position. A page whose texts have many quotation marks was larger than 1 MB once encoded. An end that could not be stored was answered with 502 without Retry-After, also if no attempt was applied (found by reading; the tests failed before that call).

Change: an empty page follows only a successful read of the record; pages end where a position is missing (entry/result_pages.rs); a refused end is 503, an unknown one 502, both with Retry-After; the encoder leaves out results beyond 1 MB. docs/design/job-readers.md lists the cases, the tests that existed and the new ones. The stand-ins can lose replies to reads, remove rows, return a row and fail single items.

Result: job_readers.rs has 16 cases, each for nodes that follow the store and nodes that poll a follower.

--- a/crates/trestlerackd/src/entry/job_calls.rs
+++ b/crates/trestlerackd/src/entry/job_calls.rs
@@ -2,7 +2,7 @@
 
 use super::client_requests::{ClientRequest, ReplyBody, empty_reply, full_body};
 use super::node::{EntryNode, JobView};
-use super::tables;
+use super::{result_pages, tables};
 use crate::process::clock;
 use crate::process::logs;
 use bytes::Bytes;
@@ -146,9 +146,9 @@
         }
         if node.is_stopping() || now >= deadline {
             // The watch may lag by 1.8 s at 300 nodes, and a client may already have read results at another
-            // node. So the store is read before the answer that there are none. While the store is
-            // unavailable no results are recorded either.
-            return Ok(read_job(node, job).await.unwrap_or(view));
+            // node. So the store is read before the answer that there are none. If that fails, results may have
+            // been recorded that this node has not seen.
+            return read_job(node, job).await;
         }
         if node.follower.is_direct() {
             // A change of any job and the deadline both lead to the next check, so the outcome is ignored.
@@ -161,28 +161,15 @@
     }
 }
 
-/// Returns the row key of the result at a position. Keys have the order of positions.
-pub fn result_key(position: usize) -> String {
-    format!("{position:08}")
-}
-
 /// Reads up to one page of recorded results from a position on.
 pub async fn load_results(node: &Arc<EntryNode>, job: &str, from: usize) -> Result<Vec<JobResult>, StoreError> {
-    let (rows, more) = tables::read_page(&node.store, tables::RESULTS, job, &result_key(from)).await?;
+    let (rows, more) = tables::read_page(&node.store, tables::RESULTS, job, &result_pages::result_key(from)).await?;
     let mut joined = tables::join_chunks(rows);
     if more && joined.len() > 1 {
         // The last result may have pieces on the next page.
         joined.pop();
     }
-    let (mut results, mut bytes) = (Vec::new(), 0);
-    for (_, content) in joined {
-        bytes += content.len();
-        if bytes > MAX_PAGE_BYTES && !results.is_empty() {
-            break;
-        }
-        results.push(tables::decode(&content)?);
-    }
-    Ok(results)
+    result_pages::decode_page(joined, from, MAX_PAGE_BYTES)
 }
 
 /// Returns the body of an item.
@@ -236,9 +223,8 @@
     if !view.is_ended {
         let transaction =
             RowTransaction::new(job.clone()).put(tables::STATE, tables::JOB_END, tables::encode(&node.settings.name));
-        if !retry_write(node, transaction).await {
-            logs::write(event::JOB_READ_FAILED, &[("job", job), ("why", &"the end could not be stored")]);
-            return empty_reply(StatusCode::BAD_GATEWAY, id);
+        if let Err(error) = retry_write(node, transaction).await {
+            return end_error_reply(&error, request, job);
         }
         logs::write(
             event::JOB_ENDED,
@@ -250,6 +236,18 @@
     empty_reply(StatusCode::OK, id)
 }
 
+fn end_error_reply(error: &WriteError, request: &ClientRequest, job: &Name) -> Response<ReplyBody> {
+    let id = request.head.request_id.as_ref();
+    logs::write(event::JOB_READ_FAILED, &[("job", job), ("why", &"the end could not be stored")]);
+    match error {
+        WriteError::NotApplied => platform::not_run_reply(id, UNAVAILABLE_RETRY_AFTER).map(full_body),
+        // The status of a call that was not run would be wrong, since the job may have ended.
+        WriteError::Unknown => {
+            platform::retry_reply(StatusCode::BAD_GATEWAY, id, UNAVAILABLE_RETRY_AFTER).map(full_body)
+        }
+    }
+}
+
 /// Tells the owner of a job that the job has ended, so that it does not run items until its watch reports it.
 async fn notify_owner(node: Arc<EntryNode>, job: Name, owner: Name) {
     if owner.is_empty() || owner == node.settings.peer_listen {
@@ -260,21 +258,30 @@
     }
 }
 
-/// Retries an idempotent write until the store has committed it, for at most [`CLIENT_WRITE_TIMEOUT`]. Returns
-/// whether it was committed.
-async fn retry_write(node: &Arc<EntryNode>, transaction: RowTransaction) -> bool {
+/// Why a write for a client failed.
+enum WriteError {
+    /// No attempt was applied.
+    NotApplied,
+    /// An attempt may have been applied.
+    Unknown,
+}
+
+/// Retries an idempotent write until the store has committed it, for at most [`CLIENT_WRITE_TIMEOUT`].
+async fn retry_write(node: &Arc<EntryNode>, transaction: RowTransaction) -> Result<(), WriteError> {
     let call = StoreCall::Commit(transaction);
     let deadline = node.now() + CLIENT_WRITE_TIMEOUT;
+    let mut may_be_applied = false;
     for failures in 1.. {
         let error = match node.store.call(&call).await {
-            Ok(StoreReply::Committed(_)) => return true,
+            Ok(StoreReply::Committed(_)) => return Ok(()),
             Ok(_) => StoreError::Unknown,
             Err(error) => error,
         };
+        may_be_applied |= error == StoreError::Unknown;
         if node.now() >= deadline {
             break;
         }
         node.store.wait_before_retry(error, failures, CLIENT_WRITE_RETRY_DELAY).await;
     }
-    false
+    Err(if may_be_applied { WriteError::Unknown } else { WriteError::NotApplied })
 }
--- a/crates/trestlerackd/src/entry/job_records.rs
+++ b/crates/trestlerackd/src/entry/job_records.rs
@@ -1,8 +1,8 @@
 //! Records the results of a job: each transaction stores results together with the job record that counts them.
 
-use super::job_calls::result_key;
 use super::job_driver::JobDriver;
 use super::node::EntryNode;
+use super::result_pages::result_key;
 use super::tables;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -41,6 +41,7 @@
 mod readiness;
 mod request_history;
 mod resource_limits;
+mod result_pages;
 mod retention;
 mod run_moves;
 mod score_calls;
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod engines;
 mod followers;
 mod held;
+mod job_readers;
 mod jobs;
 mod lease;
 mod requests;
--- a/crates/trestlerackd/tests/entry/soak/mod.rs
+++ b/crates/trestlerackd/tests/entry/soak/mod.rs
@@ -10,7 +10,7 @@
 mod cluster;
 mod fatal;
 mod faults;
-mod link;
+pub mod link;
 mod slow;
 
 use clients::ClientRecords;
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -41,6 +41,8 @@
     pub truncated_responses: AtomicUsize,
     /// Requests to run and answer with 504, as after a missed deadline.
     pub timeout_responses: AtomicUsize,
+    /// Status of the response to each run of an item, by its id; the other items are generated.
+    pub item_statuses: Mutex<BTreeMap<String, u16>>,
     /// Requests to reject as not run.
     pub rejections: AtomicUsize,
     /// Whether no request is answered.
@@ -272,6 +274,10 @@
         if take_one(&self.behaviour.timeout_responses) {
             return reply(stream, 504, &[("request-id", &id), ("response-stamp", "s")], "");
         }
+        let failure = self.behaviour.item_statuses.lock().unwrap().get(&id).copied();
+        if let Some(status) = failure {
+            return reply(stream, status, &[("request-id", &id), ("response-stamp", "s")], "");
+        }
         let mut version = self.version.load(Ordering::SeqCst);
         let head = format!(
             "HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\nrequest-id: {id}\r\nresponse-stamp: s\r\n\
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -31,6 +31,8 @@
     refuse_writes: Refusal,
     /// Number of the next transactions that are applied without a reply.
     lose_replies: usize,
+    /// Number of the next reads that get no reply.
+    lose_read_replies: usize,
     /// Whether every call is rejected.
     is_unavailable: bool,
     /// Table whose watches return no changes; its reads and writes work.
@@ -72,6 +74,12 @@
         Self { state, address }
     }
 
+    /// Removes rows of a partition whose keys are less than `to`, as the first transactions of a removal do.
+    pub fn remove_rows_before(&self, table: &str, partition: &str, to: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        state.rows.retain(|(t, p, key), _| t != table || p != partition || &**key >= to);
+    }
+
     /// Writes a row, as the operator, a trainer or a server does.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         let mut state = self.state.0.lock().unwrap();
@@ -139,6 +147,18 @@
         self.state.0.lock().unwrap().lose_replies = count;
     }
 
+    /// Leaves the next reads without a reply.
+    pub fn lose_read_replies(&self, count: usize) {
+        self.state.0.lock().unwrap().lose_read_replies = count;
+    }
+
+    /// Returns the content of a row.
+    pub fn row_content(&self, table: &str, partition: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.state.0.lock().unwrap();
+        let (value, _) = state.rows.get(&(table.into(), partition.into(), key.into()))?;
+        Some(BASE64_STANDARD.decode(value).unwrap())
+    }
+
     pub fn silence_watches(&self, table: Option<&'static str>) {
         self.state.0.lock().unwrap().silent_table = table;
         self.state.1.notify_all();
@@ -230,6 +250,10 @@
         "rows-get" => {
             let (table, partition, from) = (parameter("table"), parameter("part"), parameter("from"));
             *state.reads.entry(partition.clone()).or_default() += 1;
+            if state.lose_read_replies > 0 {
+                state.lose_read_replies -= 1;
+                return (0, json!({}));
+            }
             let is_requested = |key: &RowKey| key.0 == table && key.1 == partition && key.2 >= from;
             let rows: Vec<Value> = state
                 .rows
