Add readers of other clients' jobs to the soak

Cause: the soak's jobs were read, ended and submitted only by the client that owned them, and a page without results was not compared with what had been read before.

Clients continue at the first position without a result instead of at the number of results, since readers may know later positions. In job_readers.rs, the test of the slow store silences watches, so that the nodes must read the record.

--- a/crates/trestlerackd/tests/entry/job_readers.rs
+++ b/crates/trestlerackd/tests/entry/job_readers.rs
@@ -513,15 +513,16 @@
 /// Guards against a node that denies a job which it learns of late because each call of the store is slow.
 fn a_slow_store_denies_no_job(role: ReaderRole) {
     let fleet = ReaderFleet::start(role);
+    fleet.platform.store.silence_watches(Some("state"));
     fleet.platform.store.set_delay(300);
     assert_eq!(fleet.submit_at(0, "job1", 2), 202);
     for reader in READERS {
-        is_served(&fleet.page_at(reader, "job1", 0, 0), "a page");
-        is_served(&fleet.body_at(reader, "job1", "job1-item-0"), "a body");
+        assert!(is_served(&fleet.page_at(reader, "job1", 0, 0), "a page"));
+        assert!(is_served(&fleet.body_at(reader, "job1", "job1-item-0"), "a body"));
         assert_eq!(fleet.submit_at(reader, "job1", 2), 202);
     }
     assert_eq!(fleet.wait_listed(3, "job1", 2), fleet.listed_at(2, "job1"));
-    is_served(&fleet.end_at(2, "job1"), "an end");
+    assert!(is_served(&fleet.end_at(2, "job1"), "an end"));
     fleet.platform.store.set_delay(0);
     READERS.for_each(|reader| assert_eq!(fleet.end_at(reader, "job1").status, 200));
 }
--- a/crates/trestlerackd/tests/entry/soak/clients.rs
+++ b/crates/trestlerackd/tests/entry/soak/clients.rs
@@ -16,7 +16,7 @@
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Time after a disturbance for which a request may still fail.
-const AFTERMATH: Duration = Duration::from_secs(3);
+pub const AFTERMATH: Duration = Duration::from_secs(3);
 
 /// Upper bound of the requests that a client sends on one connection.
 const REQUESTS_PER_CONNECTION: usize = 40;
@@ -44,6 +44,13 @@
     pub results: BTreeMap<usize, Value>,
 }
 
+impl SoakJob {
+    /// Returns the first position without a known result. Other clients may have read results of later ones.
+    pub fn next_position(&self) -> usize {
+        (0..self.items).find(|position| !self.results.contains_key(position)).unwrap_or(self.items)
+    }
+}
+
 /// What all clients of a soak observed.
 #[derive(Default)]
 pub struct ClientRecords {
@@ -209,7 +216,7 @@
     while Instant::now() < until {
         let (items, result_count) = {
             let jobs = records.jobs.lock().unwrap();
-            (jobs[job].items, jobs[job].results.len())
+            (jobs[job].items, jobs[job].next_position())
         };
         if result_count == items {
             return true;
@@ -226,8 +233,9 @@
 pub fn read_results_page(cluster: &SoakCluster, records: &ClientRecords, node: usize, job: &str, from: usize) {
     let path = format!("/trestlerack/lots/{job}?after={from}");
     let asked_at = Instant::now();
+    let was_listed = records.jobs.lock().unwrap()[job].results.contains_key(&from);
     let Some(answer) = call(&cluster.nodes[node].client, "GET", &path, &[("wait-ms", "300")], "") else { return };
-    if answer.status == 404 {
+    if matches!(answer.status, 404 | 410) {
         cluster.violation(format!("node {node} says that {job} does not exist"));
     }
     if answer.status != 200 {
@@ -242,7 +250,14 @@
     if page["total"] != state.items {
         cluster.violation(format!("{job} has the total {}", page["total"]));
     }
-    for (offset, result) in page["results"].as_array().unwrap().iter().enumerate() {
+    let results = page["results"].as_array().unwrap();
+    if was_listed && results.is_empty() {
+        cluster.violation(format!("node {node} lists nothing of {job} from {from} on, where a result was read before"));
+    }
+    if page["next"] != from + results.len() {
+        cluster.violation(format!("{job} has {} results from {from} on and then {}", results.len(), page["next"]));
+    }
+    for (offset, result) in results.iter().enumerate() {
         let position = from + offset;
         match state.results.get(&position) {
             Some(earlier) if earlier != result => {
--- a/crates/trestlerackd/tests/entry/soak/mod.rs
+++ b/crates/trestlerackd/tests/entry/soak/mod.rs
@@ -11,6 +11,7 @@
 mod fatal;
 mod faults;
 pub mod link;
+mod readers;
 mod slow;
 
 use clients::ClientRecords;
@@ -60,6 +61,8 @@
         scope.spawn(move || slow::read_slowly(cluster, records, random(12)));
         scope.spawn(move || clients::run_trainer(cluster, records, random(6), true));
         scope.spawn(move || clients::run_trainer(cluster, records, random(7), false));
+        scope.spawn(move || readers::read_jobs(cluster, records, random(13)));
+        scope.spawn(move || readers::read_jobs(cluster, records, random(14)));
         let ends: Vec<_> = series.into_iter().chain([suspensions]).map(|series| series.join()).collect();
         if ends.iter().all(Result::is_ok) {
             checks::all_nodes_recover(cluster);
