Test other customers' readers, and the soak with nodes that poll a follower

Cause: no test read another customer's job at a node that polls a follower or reads the job from the store, and all nodes of the soak followed the store.

Change: a_job_does_not_exist_for_another_customer_at_any_node; with an even seed two of the soak's four nodes poll the other two, and seed 2 is played in every run besides seed 1.

--- a/crates/trestlerackd/tests/entry/job_readers.rs
+++ b/crates/trestlerackd/tests/entry/job_readers.rs
@@ -54,6 +54,7 @@
     readers_are_refused_while_the_store_does_not_respond,
     a_node_without_an_answer_of_the_store_does_not_deny_a_job,
     a_slow_store_denies_no_job,
+    a_job_does_not_exist_for_another_customer_at_any_node,
 );
 
 const NAMES: [&str; 4] = ["a", "b", "c", "d"];
@@ -526,3 +527,39 @@
     fleet.platform.store.set_delay(0);
     READERS.for_each(|reader| assert_eq!(fleet.end_at(reader, "job1").status, 200));
 }
+
+/// Guards against a node that serves another customer's reader, because it read the job from the store or was told of
+/// it by a follower.
+fn a_job_does_not_exist_for_another_customer_at_any_node(role: ReaderRole) {
+    let fleet = ReaderFleet::start(role);
+    fleet.platform.configure(
+        2,
+        json!([{ "name": "wash", "api_keys": ["key-one", "key-two"] }, { "name": "pension", "api_keys": ["other-key"] }]),
+    );
+    let status = |node: usize, key: &str, method: &str, path: &str, body: &str| {
+        let id = path.rsplit('/').next().unwrap();
+        let headers = [("request-id", id), ("authorization", &format!("Bearer {key}"))];
+        call(&fleet.nodes[node].client, method, path, &headers, body).unwrap().status
+    };
+    for node in 0..NAMES.len() {
+        eventually("the keys are known", || status(node, "unknown", "POST", "/safe/x", "x") == 401);
+    }
+    fleet.slow_down_engines(100);
+    // While watches are silent, the nodes read the job from the store.
+    for silences in [false, true] {
+        let job = format!("job-{silences}");
+        fleet.platform.store.silence_watches(silences.then_some("state"));
+        let submitted = status(0, "key-one", "POST", &format!("/jobs/{job}"), &job_body_of(&job, 2, 1));
+        assert_eq!(submitted, 202);
+        let (page, item) = (format!("/trestlerack/lots/{job}"), format!("/trestlerack/items/{job}?id={job}-item-0"));
+        for (method, path) in [("GET", &page), ("GET", &item), ("DELETE", &page)] {
+            for node in 0..NAMES.len() {
+                assert_eq!(status(node, "other-key", method, path, ""), 404, "{method} {path} at node {node}");
+            }
+            for node in (0..NAMES.len()).filter(|_| method == "GET") {
+                assert_eq!(status(node, "key-two", method, path, ""), 200, "{method} {path} at node {node}");
+            }
+        }
+        assert_eq!(fleet.platform.store.row_count("state", &job), 1, "the job has not ended");
+    }
+}
--- a/crates/trestlerackd/tests/entry/soak/cluster.rs
+++ b/crates/trestlerackd/tests/entry/soak/cluster.rs
@@ -17,6 +17,10 @@
 /// File descriptors of a small VM.
 const MAX_DESCRIPTORS: u64 = 3_075;
 
+/// Number of nodes that follow the store if the seed is even; the others poll them for changes. With an odd seed,
+/// all nodes follow the store.
+const FOLLOWERS: usize = 2;
+
 /// Number of plain servers, and of model engines.
 const SERVERS: usize = 3;
 
@@ -88,6 +92,7 @@
         let logs = std::env::temp_dir().join(format!("soak-{seed}-{}", std::process::id()));
         std::fs::create_dir_all(&logs).unwrap();
         let mut started: Vec<SoakNode> = Vec::new();
+        let followers = if seed.is_multiple_of(2) { FOLLOWERS } else { nodes };
         for number in 0..nodes {
             let store_link = Link::open(&runtime, platform.store.address);
             let seeds = started.iter().take(2).map(|node| node.daemon.lock().unwrap().peer.clone()).collect();
@@ -98,7 +103,7 @@
                 order_handover_ms: HANDOVER.as_millis() as u64,
                 retention_s: 600,
                 log: Some(logs.join(format!("{name}.log"))),
-                more: json!({ "memory_mb": MEMORY_MB, "max_descriptors": MAX_DESCRIPTORS }),
+                more: json!({ "memory_mb": MEMORY_MB, "max_descriptors": MAX_DESCRIPTORS, "followers": followers }),
                 ..DaemonSettings::default()
             };
             let daemon = EntryDaemon::start_with(&name, &settings);
--- a/crates/trestlerackd/tests/entry/soak/mod.rs
+++ b/crates/trestlerackd/tests/entry/soak/mod.rs
@@ -1,7 +1,7 @@
 //! Randomized soak test: several daemon processes, faults injected from outside them, and guarantees
 //! checked by what clients and servers observe.
 //!
-//! By default it runs a fixed seed and the regression seeds. `TRESTLERACK_SOAK_SEEDS` adds a number of
+//! By default it runs fixed seeds and the regression seeds. `TRESTLERACK_SOAK_SEEDS` adds a number of
 //! random seeds, and `TRESTLERACK_SOAK_SEED` runs only the given seed; see
 //! [docs/OPERATIONS.md](../../../../../docs/OPERATIONS.md#the-fault-soak).
 
@@ -31,8 +31,8 @@
 /// Number of concurrent series of faults.
 const SERIES: u64 = 2;
 
-/// Seed that every run uses.
-const FIXED_SEED: u64 = 1;
+/// Seeds that every run uses: one with which all nodes follow the store, and one with which some poll a follower.
+const FIXED_SEEDS: [u64; 2] = [1, 2];
 
 /// Seeds that violated a guarantee once, one per line, each with its cause.
 const REGRESSIONS: &str = include_str!("regressions.txt");
@@ -106,7 +106,7 @@
         REGRESSIONS.lines().filter(|line| !line.starts_with('#')).filter_map(|line| line.split(':').next());
     let regressions = regressions.map(|seed| seed.trim().parse().expect("a seed"));
     let fresh = (0..fresh).map(|_| rand::random::<u64>() % 1_000_000_000);
-    std::iter::once(FIXED_SEED).chain(regressions).chain(fresh).collect()
+    FIXED_SEEDS.into_iter().chain(regressions).chain(fresh).collect()
 }
 
 #[test]
