Leave an unmeasured store latency out of a node's row

Cause: in a deployment with one region the field made each row longer, which shifted the timing of plays.

--- a/crates/trestlerack/src/process/node_rows.rs
+++ b/crates/trestlerack/src/process/node_rows.rs
@@ -40,10 +40,14 @@
     pub zone: Name,
     /// Shortest time that the store took to answer the node, in milliseconds; 0 if it was not measured, which it
     /// is only in a deployment with several regions.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_unmeasured")]
     pub store_latency_ms: u32,
 }
 
+fn is_unmeasured(latency_ms: &u32) -> bool {
+    *latency_ms == 0
+}
+
 /// The newest known row of each node.
 ///
 /// The tables are watched independently of the replies to a node's own writes, so a row here may be older
