Stop sending work to evacuated zones

Cause: the rows evacuate/ZONE were decoded, but nothing followed from them.

Change: each node keeps the set of evacuated zones, fed by watched rows, full reads and the responses of followers, each with its store version. The set reaches the load balancer, the weight scheduler and the fleet controller; sends to servers and orders to engines check it again. A service without a server outside of the zones refuses requests at once. /v1/zones and "trestlerack show zones" list the zones. Events TR2621 to TR2625.

--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -144,6 +144,9 @@
 const ROOM_COLUMNS: [&str; 8] =
     ["service", "waiting", "places", "free", "wait_ms", "waiting_customers", "refused", "refused_customers"];
 
+/// Columns of the list of availability zones.
+const ZONE_COLUMNS: [&str; 8] = ["zone", "region", "state", "servers", "slots", "remaining", "engines", "in_progress"];
+
 /// Returns the path and the columns of what an entry node tells on its metrics address.
 fn entry_list(name: &str) -> Option<(&'static str, &'static [&'static str])> {
     match name {
@@ -166,6 +169,7 @@
         "room" => Some(("/v1/room", &ROOM_COLUMNS)),
         "level" => Some(("/v1/level", &["source", "followers", "passes_on", "servers"])),
         "memory" => Some(("/v1/memory", &["kind", "name", "used", "bound"])),
+        "zones" => Some(("/v1/zones", &ZONE_COLUMNS)),
         "duties" => Some(("/v1/duties", &["duty", "holder", "fence", "is_held_here"])),
         _ => None,
     }
@@ -195,7 +199,7 @@
         }
         _ => {
             return Err(usage(
-                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, level, memory, suspects, servers or room",
+                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, level, memory, suspects, servers, room or zones",
             ));
         }
     };
--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -251,4 +251,14 @@
     USAGE_MISSED = (2504, "usage-missed", Error);
     /// Engines were ordered from the platform; the line has the answer.
     ENGINES_ORDERED = (2511, "engines-ordered", Info);
+    /// The evacuation of an availability zone took effect on this node.
+    ZONE_EVACUATED = (2621, "zone-evacuated", Info);
+    /// The evacuation of an availability zone ended on this node.
+    EVACUATION_ENDED = (2622, "evacuation-ended", Info);
+    /// Evacuations leave a service without a server; its requests are refused.
+    SERVICE_EVACUATED = (2623, "service-evacuated", Warn);
+    /// The evacuated zone has no server and no VM, so its evacuation has no effect.
+    EVACUATION_EMPTY = (2624, "evacuation-empty", Warn);
+    /// No request of this node is in progress in an evacuated zone any more.
+    ZONE_VACATED = (2625, "zone-vacated", Info);
 }
--- a/crates/trestlerack/src/process/fleet_controller.rs
+++ b/crates/trestlerack/src/process/fleet_controller.rs
@@ -7,7 +7,7 @@
 
 use crate::{Name, Timestamp};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Scaling of a service as configured by its operator.
@@ -86,6 +86,11 @@
     stable_count: Option<(u32, Timestamp)>,
     missing_since: Option<Timestamp>,
     refused_zones: BTreeMap<Name, Timestamp>,
+    /// Zones in which nothing is ordered, and whose engines count as missing.
+    evacuated_zones: BTreeSet<Name>,
+    /// Number of ready engines of evacuated zones that were ordered again. Without it, engines that disappear
+    /// silently during an evacuation would count as missing at once too.
+    replaced: u32,
 }
 
 impl FleetController {
@@ -94,6 +99,11 @@
         Self { settings, ..Self::default() }
     }
 
+    /// Replaces the evacuated zones. Their engines count as missing at once and are ordered in other zones.
+    pub fn set_evacuated_zones(&mut self, zones: BTreeSet<Name>) {
+        self.evacuated_zones = zones;
+    }
+
     /// Returns the row to write if it changes; orders in it that are not in `row` are to be sent.
     ///
     /// `clock_ms` is the store's clock, by which the orders of the previous lease holder are also timed.
@@ -105,9 +115,10 @@
         config: &ScalingConfig,
         row: &FleetRow,
     ) -> Option<FleetRow> {
-        let ready: u32 = zones.values().map(|zone| zone.ready).sum();
+        let all_ready: u32 = zones.values().map(|zone| zone.ready).sum();
         if row.target == 0 {
-            return self.initial_target(now, ready);
+            // Engines of an evacuated zone are part of the fleet, which is to have as many again elsewhere.
+            return self.initial_target(now, all_ready);
         }
         let mut next = row.clone();
         let wait_ms = crate::time::millis(config.boot * self.settings.max_boot_times);
@@ -116,12 +127,26 @@
             ready < order.engines && clock_ms < order.ordered_ms + wait_ms
         });
         let pending = |zone: &Name, order: &ZoneOrder| order.engines - zones.get(zone).map_or(0, |zone| zone.ready);
+        let evacuated = |zone: &Name| self.evacuated_zones.contains(zone);
+        let evacuated_ready: u32 =
+            zones.iter().filter(|(zone, _)| evacuated(zone)).map(|(_, engines)| engines.ready).sum();
+        let dropped: u32 =
+            next.orders.iter().filter(|(zone, _)| evacuated(zone)).map(|(zone, order)| pending(zone, order)).sum();
+        next.orders.retain(|zone, _| !evacuated(zone));
+        let ready = all_ready - evacuated_ready;
         let expected: u32 = ready + next.orders.iter().map(|(zone, order)| pending(zone, order)).sum::<u32>();
         let missing = row.target.saturating_sub(expected);
         if missing == 0 {
             self.missing_since = None;
-        } else if self.is_missing(now, zones, missing) {
-            self.add_orders(now, clock_ms, missing, zones, config, &mut next);
+            self.replaced = evacuated_ready;
+        } else {
+            let newly_evacuated = evacuated_ready.saturating_sub(self.replaced) + dropped;
+            let is_missing = self.is_missing(now, zones, missing, newly_evacuated);
+            let needed = if is_missing { missing } else { newly_evacuated.min(missing) };
+            if needed > 0 {
+                self.replaced = evacuated_ready;
+                self.add_orders(now, clock_ms, needed, zones, config, &mut next);
+            }
         }
         (next != *row).then_some(next)
     }
@@ -140,11 +165,18 @@
         is_stable.then(|| FleetRow { target: ready, orders: BTreeMap::new() })
     }
 
-    /// Draining engines count as missing at once; others only after they have been missing for a while.
-    fn is_missing(&mut self, now: Timestamp, zones: &BTreeMap<Name, ZoneEngines>, missing: u32) -> bool {
+    /// Draining and evacuated engines count as missing at once; others only after they have been missing for a
+    /// while.
+    fn is_missing(
+        &mut self,
+        now: Timestamp,
+        zones: &BTreeMap<Name, ZoneEngines>,
+        missing: u32,
+        evacuated: u32,
+    ) -> bool {
         let since = *self.missing_since.get_or_insert(now);
         let draining: u32 = zones.values().map(|zone| zone.draining).sum();
-        draining >= missing || now.since(since) >= self.settings.missing_time
+        draining + evacuated >= missing || now.since(since) >= self.settings.missing_time
     }
 
     /// Adds orders for `missing` engines to `next`, cheapest zones first.
@@ -161,7 +193,8 @@
         self.refused_zones.retain(|_, at| now.since(*at) < refusal_time);
         let mut by_price: Vec<(&Name, f64)> = config.zone_prices.iter().map(|(zone, price)| (zone, *price)).collect();
         by_price.sort_by(|left, right| left.1.total_cmp(&right.1).then_with(|| left.0.cmp(right.0)));
-        for (zone, _) in by_price.into_iter().filter(|(zone, _)| !self.refused_zones.contains_key(*zone)) {
+        by_price.retain(|(zone, _)| !self.refused_zones.contains_key(*zone) && !self.evacuated_zones.contains(*zone));
+        for (zone, _) in by_price {
             let ready = zones.get(zone).map_or(0, |zone| zone.ready);
             let planned = next.orders.get(zone).map_or(ready, |order| order.engines.max(ready));
             let additional = missing.min(config.max.saturating_sub(planned));
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -12,6 +12,7 @@
 mod engine_memory;
 mod engine_priority;
 mod entry_settings;
+mod evacuations;
 mod event_pace;
 mod expected_latency;
 mod fleet_controller;
@@ -51,6 +52,7 @@
 mod suspension;
 mod usage;
 mod wait_estimate;
+mod zone_status;
 
 pub use admission::{
     AdmissionDecision, AdmissionQueue, AdmissionSettings, AttemptReason, CallKind, CallRefusal, QueuedCallId,
@@ -67,6 +69,7 @@
 pub use engine_memory::{EngineMemory, SharedPrompt, TokenNeed};
 pub use engine_priority::{CallHistory, ServicePriorities, engine_priority, shows_preemption};
 pub use entry_settings::{ENTRY_FIELDS, EntrySettings, parse_entry_settings};
+pub use evacuations::{EvacuatedZones, EvacuationChange, EvacuationList, EvacuationRefusals, engines_to_load};
 pub use event_pace::{EventPace, PaceSample};
 pub use fleet_controller::{FleetController, FleetRow, FleetSettings, ScalingConfig, ZoneEngines, ZoneOrder};
 pub use follower_choice::{FollowerCandidate, choose_followers, follower_count, follower_order};
@@ -121,3 +124,4 @@
     WindowSnapshots,
 };
 pub use wait_estimate::WaitEstimate;
+pub use zone_status::{ModelEngines, ServerCapacity, ZoneFacts, ZoneState, ZoneStatus};
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -98,6 +98,11 @@
     if suspects::is_suspect(node, guard.fingerprint) && !Box::pin(suspects::request_trial(node, &guard)).await {
         return Err(AttemptError::NotRun("another suspect content has its trial at this server".into()));
     }
+    // The zone may have been evacuated, or the server replaced by one there, since the server was chosen.
+    if node.evacuations.contains_server(&node.registry, &guard.server) {
+        node.metrics.evacuations.record_refused_send(&guard.server.service);
+        return Err(AttemptError::NotRun("the availability zone of the server is evacuated".into()));
+    }
     let span = node.hop("attempt", SpanKind::Client, &mut request.headers);
     if let Some(span) = &span {
         span.set("request", request_id.clone());
--- a/crates/trestlerackd/src/entry/duties/engines.rs
+++ b/crates/trestlerackd/src/entry/duties/engines.rs
@@ -64,6 +64,7 @@
     let Some(state) = states.get_mut(service) else { return Ok(()) };
     let Some(zones) = count_engines(node, service) else { return Ok(()) };
     let (now, clock_ms) = (node.now(), node.store.clock_ms());
+    state.controller.set_evacuated_zones(node.evacuations.zones());
     if let Some(new_row) = state.controller.decide(now, clock_ms, &zones, scaling, &state.row) {
         store_orders(node, service, state, new_row).await?;
     }
@@ -139,6 +140,10 @@
         state.unsent.remove(0);
         return;
     };
+    // The next check drops the order of a zone that was evacuated while it was stored.
+    if node.evacuations.contains(&zone) {
+        return;
+    }
     let encode =
         |holder: platform::LeaseHolder<'_>| platform::encode_scale_request(holder, service, &zone, order.engines);
     let Some((fence, answer)) = caller.call(node, encode).await else { return };
--- a/crates/trestlerackd/src/entry/engine_calls.rs
+++ b/crates/trestlerackd/src/entry/engine_calls.rs
@@ -68,6 +68,11 @@
     entry: &ServerEntry,
     mut request: http::Request<bytes::Bytes>,
 ) -> Result<(StatusCode, bytes::Bytes), ExchangeError> {
+    // The order may have been planned before the evacuation.
+    if node.evacuations.contains_server(&node.registry, entry) {
+        node.metrics.evacuations.record_refused_send(&entry.service);
+        return Err(ExchangeError::NotSent("the availability zone of the engine is evacuated".into()));
+    }
     if let Ok(host) = entry.address.parse() {
         request.headers_mut().insert(http::header::HOST, host);
     }
--- a/crates/trestlerackd/src/entry/feed_relay.rs
+++ b/crates/trestlerackd/src/entry/feed_relay.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use trestlerack::process::{
-    FeedPosition, FollowerCandidate, ServerCounts, ServerRegistry, follower_order, is_node_partition,
+    EvacuationList, FeedPosition, FollowerCandidate, ServerCounts, ServerRegistry, follower_order, is_node_partition,
 };
 use trestlerack::rows::StoredRow;
 use trestlerack::time::millis;
@@ -101,6 +101,10 @@
     is_store_down: bool,
     /// Store version as of which the follower has the system's own rows.
     state_version: u64,
+    /// The evacuations in force. They are in each response, because a follower does not know which of them the
+    /// caller learned from another follower and still has.
+    #[serde(default)]
+    evacuations: EvacuationList,
 }
 
 /// The subset of all servers that one node uses.
@@ -253,7 +257,8 @@
     changes: FeedChanges,
     requested_at: Timestamp,
 ) {
-    let FeedChanges { rows, position, is_snapshot, subset, age_ms, is_store_down, state_version } = changes;
+    let FeedChanges { rows, position, is_snapshot, subset, age_ms, is_store_down, state_version, evacuations } =
+        changes;
     follower_state::set_direct(node, false, "a follower responds");
     state.last_position = Some((follower.clone(), position));
     let (mut servers, mut states, mut operators) = (Vec::new(), Vec::new(), Vec::new());
@@ -267,6 +272,7 @@
     if is_snapshot {
         forget_missing(node, &states, state_version);
     }
+    table_watch::replace_evacuations(node, &evacuations);
     table_watch::apply_rows(node, platform::OPERATOR_TABLE, operators);
     table_watch::apply_rows(node, tables::STATE, states);
     if is_snapshot {
@@ -339,6 +345,9 @@
     is_counts_current: bool,
 ) -> FeedChanges {
     let is_snapshot = rows.is_none();
+    // The version is read first, so that the list is never older than the version that it is said to have.
+    let operator_version = node.follower.operator_version();
+    let evacuations = node.evacuations.list(operator_version);
     let rows = rows.unwrap_or_else(|| node.follower.change_feed().all(|row| &*row.table != platform::SERVER_TABLE));
     let subset = (is_snapshot || !is_counts_current).then(|| {
         let registry = node.registry.lock().unwrap();
@@ -349,7 +358,7 @@
     });
     let age_ms = millis(node.follower.age(node.now()).min(MAX_REPORTED_AGE));
     let (is_store_down, state_version) = (node.follower.is_store_down(), node.follower.state_version());
-    FeedChanges { rows, position, is_snapshot, subset, age_ms, is_store_down, state_version }
+    FeedChanges { rows, position, is_snapshot, subset, age_ms, is_store_down, state_version, evacuations }
 }
 
 /// Returns whether a row is sent to the caller: all rows are, except for servers outside of its subset.
--- a/crates/trestlerackd/src/entry/follower_state.rs
+++ b/crates/trestlerackd/src/entry/follower_state.rs
@@ -51,6 +51,8 @@
     max_servers: AtomicUsize,
     /// Store version as of which the system's own rows are known.
     state_version: AtomicU64,
+    /// Store version as of which the operator's rows are known.
+    operator_version: AtomicU64,
     /// Server counts from which nodes compute the subset of the servers that they use.
     counts: Mutex<ServerCounts>,
     /// Random id of `counts`, which differs from those of earlier counts here and at other followers.
@@ -75,6 +77,7 @@
             last_count: AtomicUsize::new(0),
             max_servers: AtomicUsize::new(0),
             state_version: AtomicU64::new(0),
+            operator_version: AtomicU64::new(0),
             counts: Mutex::default(),
             counts_id: AtomicU64::new(0),
             counts_changed_at: Mutex::default(),
@@ -166,9 +169,12 @@
     pub fn record_read(&self, table: &'static str, requested_at: Timestamp, version: Option<u64>) {
         self.requested_at.lock().unwrap().insert(table, requested_at);
         self.is_store_down.store(false, Ordering::Relaxed);
-        if let Some(version) = version.filter(|_| table == tables::STATE) {
-            self.state_version.fetch_max(version, Ordering::Relaxed);
-        }
+        let known_version = match table {
+            tables::STATE => &self.state_version,
+            platform::OPERATOR_TABLE => &self.operator_version,
+            _ => return,
+        };
+        known_version.fetch_max(version.unwrap_or(0), Ordering::Relaxed);
     }
 
     /// Records that a call to the store failed.
@@ -186,6 +192,11 @@
         self.state_version.load(Ordering::Relaxed)
     }
 
+    /// Returns the store version as of which the operator's rows are known.
+    pub fn operator_version(&self) -> u64 {
+        self.operator_version.load(Ordering::Relaxed)
+    }
+
     /// Returns the age of the table that was read least recently; the maximum duration if none was read.
     pub fn age(&self, now: Timestamp) -> Duration {
         let requested_at = self.requested_at.lock().unwrap();
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms, served as text on the metrics address.
 
 use super::admission::AdmissionMetrics;
+use super::evacuations::{self, EvacuationMetrics};
 use super::node::EntryNode;
 use super::{engine_memory, resource_limits, status};
 use http::StatusCode;
@@ -37,6 +38,8 @@
     over_share: Counter<u64>,
     /// Metrics of admission control.
     pub admission: AdmissionMetrics,
+    /// Metrics of evacuated zones.
+    pub evacuations: EvacuationMetrics,
 }
 
 impl EntryMetrics {
@@ -57,6 +60,7 @@
             server_crashes: meter.u64_counter("trestlerack.entry.servers.ended").build(),
             over_share: meter.u64_counter("trestlerack.entry.requests.over.share").build(),
             admission: AdmissionMetrics::start(&meter),
+            evacuations: EvacuationMetrics::start(&meter),
             registry,
             _meters: meters,
         })
@@ -132,6 +136,7 @@
     let mut page = node.metrics.render();
     page.extend_from_slice(engine_memory::metrics_lines(node).as_bytes());
     server_gauges(node, &mut page);
+    page.extend_from_slice(evacuations::zone_lines(&node.evacuations.zones(), &node.balancer).as_bytes());
     let mut lines = format!("trestlerack_entry_connections_opened {}\n", node.pool.opened_count());
     resource_limits::write_metrics(&node.resource_limits, &mut lines);
     page.extend_from_slice(lines.as_bytes());
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod engine_calls;
 mod engine_memory;
 mod engine_priority;
+mod evacuations;
 mod feed_relay;
 mod follower_state;
 mod hedging;
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -3,6 +3,7 @@
 use super::admission::AdmissionControl;
 use super::callers::KeyRefresh;
 use super::duties::UsageTracker;
+use super::evacuations::EvacuationControl;
 use super::follower_state::FollowerState;
 use super::job_driver::JobDriver;
 use super::lease_cache::LeaseCache;
@@ -94,6 +95,8 @@
     pub registry: Mutex<ServerRegistry>,
     /// Chooses among backend servers by their health and load.
     pub balancer: Mutex<LoadBalancer>,
+    /// Availability zones that the operator evacuates.
+    pub evacuations: EvacuationControl,
     /// Response latencies by route.
     pub route_latencies: Mutex<LatencyEstimates>,
     /// Notified when there may be server observations to send to peers.
@@ -169,6 +172,7 @@
             key_refresh: KeyRefresh::default(),
             registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
             balancer: Mutex::new(LoadBalancer::new(BalancerSettings::default())),
+            evacuations: EvacuationControl::default(),
             route_latencies: Mutex::default(),
             new_observations: Notify::new(),
             admission: AdmissionControl::new(),
@@ -238,7 +242,8 @@
     /// Returns whether this node is ready for traffic from clients.
     pub fn is_ready(&self) -> bool {
         let knows_servers = self.has_read_registry.load(Ordering::Relaxed) && self.suspects.has_read_reports();
-        !self.is_stopping() && self.routing().is_some() && knows_servers
+        // A configuration is applied only after the list of evacuations that was read with it.
+        !self.is_stopping() && self.routing().is_some() && self.evacuations.is_known() && knows_servers
     }
 
     /// Returns this node's registration row, by which peers find it.
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -7,7 +7,7 @@
 use super::node::EntryNode;
 use super::request_history::RequestHistory;
 use super::resource_limits::ResponseReservation;
-use super::{attempts, choice_log, engine_memory, shares, streams, suspects};
+use super::{attempts, choice_log, engine_memory, evacuations, shares, streams, suspects};
 use crate::process::clock;
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
@@ -173,16 +173,34 @@
     // A stream that is resumed queues like a call that arrives now.
     let arrived = if is_resuming(route, history) { node.now() } else { history.started() };
     let call = service_call(route, request, arrived, deadline).ok_or(None)?;
+    if let Some(retry_after) = refuse_evacuated(node, &call) {
+        return Err(Some(retry_after));
+    }
     let pick = |slot_need| pick_server(node, route, request, fingerprint, history.tried(), slot_need);
-    let guard = if admission::is_active(node, call.service) {
-        find_slot(node, &call, history, pick).await?
+    let found = if admission::is_active(node, call.service) {
+        find_slot(node, &call, history, pick).await
     } else {
-        search_server(node, &call, pick).await.ok_or(None)?
+        search_server(node, &call, pick).await.ok_or(None)
     };
+    // The last zone of the service may have been evacuated while the call waited.
+    let guard = found.map_err(|retry_after| refuse_evacuated(node, &call).or(retry_after))?;
     history.record_server(&guard.server.instance);
     Ok(guard)
 }
 
+/// Returns after which time the client may retry if evacuations leave the call's service without a server, so that
+/// neither a search nor a wait could find one.
+fn refuse_evacuated(node: &EntryNode, call: &ServiceCall<'_>) -> Option<Duration> {
+    let customer = call.customer.map(|customer| &*customer.name);
+    let placement = node.routing().map(|routing| routing.placement(call.route, customer)).unwrap_or_default();
+    let zones = placement.allowed_zones();
+    if !node.evacuations.is_service_evacuated(&node.balancer, call.service, zones) {
+        return None;
+    }
+    node.evacuations.record_refusal(&node.metrics.evacuations, node.now(), call.service);
+    Some(evacuations::EVACUATED_RETRY_AFTER)
+}
+
 /// Describes a client's request as a call for admission control; `None` if its route has no service.
 pub fn service_call<'a>(
     route: &'a RequestRoute,
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -6,12 +6,14 @@
 //! API keys; [docs/API.md](../../../../docs/API.md#entry-nodes) has the fields.
 
 use super::admission;
+use super::evacuations::{self, ZoneJson};
 use super::node::EntryNode;
 use super::resource_limits;
 use serde::Serialize;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use trestlerack::Name;
-use trestlerack::process::{ServerStatus, ShareStatus, SuspectState, SuspectStatus};
+use trestlerack::process::{ServerEntry, ServerStatus, ShareStatus, SuspectState, SuspectStatus, ZoneFacts};
 
 /// Path of the list of customers.
 const CUSTOMERS_PATH: &str = "/v1/customers";
@@ -40,6 +42,9 @@
 /// Path of the list of memory in use.
 const MEMORY_PATH: &str = "/v1/memory";
 
+/// Path of the list of availability zones.
+const ZONES_PATH: &str = "/v1/zones";
+
 #[derive(Serialize)]
 struct CustomerJson {
     name: Name,
@@ -131,6 +136,7 @@
         ADMISSION_PATH => serde_json::to_vec(&admission::status(node)),
         FOLLOWER_PATH => serde_json::to_vec(&[follower(node)]),
         MEMORY_PATH => serde_json::to_vec(&resource_limits::memory_status(&node.resource_limits)),
+        ZONES_PATH => serde_json::to_vec(&zones(node)),
         _ => return None,
     };
     body.ok()
@@ -154,6 +160,22 @@
     }
 }
 
+fn zones(node: &EntryNode) -> Vec<ZoneJson> {
+    let mut vm_zones: BTreeSet<Name> = node.peers.rows(|_, row| row.zone.clone()).into_iter().collect();
+    vm_zones.insert(node.settings.zone.clone());
+    // Rows of earlier releases have no zone.
+    vm_zones.remove("");
+    let entries: Vec<ServerEntry> = node.registry.lock().unwrap().entries().cloned().collect();
+    let facts = ZoneFacts {
+        regions: node.zones.clone(),
+        entries: entries.iter().collect(),
+        vm_zones,
+        evacuated_zones: node.evacuations.zones(),
+        newest_versions: node.weights.newest_versions(),
+    };
+    evacuations::zone_rows(&facts, &node.balancer)
+}
+
 fn shares(node: &EntryNode) -> Vec<ShareJson> {
     let to_json = |status: ShareStatus| {
         let ShareStatus { service, customer, requested_ms, served_ms, fraction } = status;
--- a/crates/trestlerackd/src/entry/table_watch.rs
+++ b/crates/trestlerackd/src/entry/table_watch.rs
@@ -1,15 +1,17 @@
 //! Reads and watches the store's tables: the operator's, service discovery's and the system's own.
 
+use super::evacuations::{self, ZoneUse};
 use super::node::EntryNode;
-use super::{feed_relay, follower_state, server_discovery, suspects, tables};
+use super::{admission, feed_relay, follower_state, server_discovery, suspects, tables};
 use crate::process::clock;
 use crate::process::logs;
 use futures_util::{StreamExt, TryStreamExt, stream};
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use trestlerack::interfaces::StoreError;
-use trestlerack::process::{failure_backoff, is_node_partition, watch_interval};
+use trestlerack::process::{EvacuationChange, EvacuationList, failure_backoff, is_node_partition, watch_interval};
 use trestlerack::rows::{RowStore, StoreCall, StoreReply, StoredRow};
 use trestlerack::version::{EngineAssignment, RoutingTable};
 use trestlerack::{Name, event};
@@ -148,6 +150,8 @@
             node.has_read_state.store(true, Ordering::Relaxed);
         }
         _ => {
+            // Before the configuration, so that no request is served without the evacuations.
+            replace_evacuations(node, &EvacuationList { as_of: version, zones: evacuation_rows(&all) });
             feed_relay::relay_table(node, table, &all);
             apply_rows(node, table, all);
         }
@@ -211,11 +215,64 @@
                 logs::write(event::WEIGHTS_TARGETED, &[("model", &model), ("version", &version)]);
             }
         }
-        Ok(platform::OperatorRow::Evacuation { .. } | platform::OperatorRow::Other) => {}
+        Ok(platform::OperatorRow::Evacuation { zone, is_active }) => {
+            let changes = node.evacuations.apply_row(&node.balancer, &zone, row.version, is_active);
+            handle_evacuations(node, changes);
+        }
+        Ok(platform::OperatorRow::Other) => {}
         Err(error) => logs::write(event::ROW_REFUSED, &[("key", &row.key), ("why", &error)]),
     }
 }
 
+/// Returns the evacuated zones of a full read of the operator's rows, with the versions of their rows.
+fn evacuation_rows(rows: &[StoredRow]) -> BTreeMap<Name, u64> {
+    let decode = |row: &StoredRow| match platform::decode_evacuation(row) {
+        Some((zone, true)) => Some((zone, row.version)),
+        _ => None,
+    };
+    rows.iter().filter_map(decode).collect()
+}
+
+/// Replaces the evacuated zones by a complete list. The end of an evacuation may show only in that its row is
+/// missing.
+pub fn replace_evacuations(node: &Arc<EntryNode>, list: &EvacuationList) {
+    let changes = node.evacuations.replace(&node.balancer, list);
+    handle_evacuations(node, changes);
+}
+
+/// Logs changes of the evacuated zones, and looks at the waiting calls again, which have other servers now.
+fn handle_evacuations(node: &Arc<EntryNode>, changes: Vec<EvacuationChange>) {
+    if changes.is_empty() {
+        return;
+    }
+    node.evacuations.log_changes(&changes);
+    admission::servers_changed(node);
+    let zones = node.evacuations.zones();
+    for service in node.routing().iter().flat_map(|routing| routing.services.keys()) {
+        if node.evacuations.is_service_evacuated(&node.balancer, service, None) {
+            evacuations::log_evacuated_service(&zones, service, 0);
+        }
+    }
+    for change in changes.into_iter().filter(|change| change.is_active) {
+        let (node, zone) = (node.clone(), change.zone.clone());
+        tokio::spawn(evacuations::observe(change.zone, move || examine_zone(&node, &zone)));
+    }
+}
+
+/// Returns the use of an evacuated zone; `None` while the servers or the nodes are not known yet.
+fn examine_zone(node: &EntryNode, zone: &Name) -> Option<ZoneUse> {
+    let is_read = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
+    if !is_read(&node.has_read_registry) || !is_read(&node.has_read_state) {
+        return None;
+    }
+    let has_node = node.settings.zone == *zone || node.peers.rows(|_, row| row.zone == *zone).contains(&true);
+    Some(ZoneUse {
+        has_members: has_node || node.registry.lock().unwrap().entries().any(|entry| entry.zone == *zone),
+        in_progress: node.balancer.lock().unwrap().in_flight_in_zone(zone),
+        is_evacuated: node.evacuations.contains(zone),
+    })
+}
+
 /// Enables comparison of server latencies for plain services that several customers share, because one slow server
 /// takes capacity from all of them.
 fn compare_shared_servers(node: &EntryNode, table: &RoutingTable) {
--- a/crates/trestlerackd/src/entry/weight_orders.rs
+++ b/crates/trestlerackd/src/entry/weight_orders.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
-use trestlerack::process::{EntrySettings, ServerEntry};
+use trestlerack::process::{EntrySettings, ServerEntry, engines_to_load};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall};
 use trestlerack::time::millis;
 use trestlerack::version::{
@@ -165,8 +165,7 @@
             return;
         }
         (service_scheduler.synced_at, service_scheduler.changes) = (Some(now), registry.changes());
-        let engines: Vec<&ServerEntry> =
-            registry.of_service(&service.name).filter(|entry| !entry.is_draining).collect();
+        let engines = engines_to_load(registry.of_service(&service.name), &node.evacuations.zones());
         let slots = engines.iter().map(|entry| entry.slots).min().unwrap_or(0);
         for model in &service.models {
             scheduler.set_needed_engines(model, engines_needed(node.open_items(model), slots));
