Test evacuations with real processes

Cause: evacuated zones were tested without a network only.

Change: tests/entry/evacuation.rs has a test per failure: all kinds of work, a node without the store, nodes that poll a follower with an end that only a full read shows, a start during an evacuation, several zones, restarted servers, the last zone of a service, an unknown zone, running work, queued calls. The stand-in servers record what arrives, the stand-in store forgets a row with its history, and servers that register again keep their zone.

--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod customers;
 mod duties;
 mod engines;
+mod evacuation;
 mod followers;
 mod held;
 mod jobs;
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -27,6 +27,8 @@
 pub struct ServerBehaviour {
     /// Ids of requests that ran; those of engines have the form `id@first_event`.
     pub runs: Mutex<Vec<String>>,
+    /// Everything that arrived at servers, with the server that was expected, the path and the time.
+    pub arrivals: Mutex<Vec<(String, String, Instant)>>,
     /// Headers of requests that ran, by request id.
     pub headers: Mutex<HashMap<String, BTreeMap<String, String>>>,
     /// Trace contexts received with requests.
@@ -108,6 +110,11 @@
         self.concurrency_limit.store(limit, Ordering::SeqCst);
     }
 
+    fn record_arrival(&self, request: &ReceivedRequest) {
+        let server = request.headers.get("expect-instance").cloned().unwrap_or_default();
+        self.arrivals.lock().unwrap().push((server, request.path.clone(), Instant::now()));
+    }
+
     fn is_full(&self) -> bool {
         let limit = self.concurrency_limit.load(Ordering::SeqCst);
         limit > 0 && self.concurrent_runs.load(Ordering::SeqCst) >= limit
@@ -121,6 +128,7 @@
 /// Starts a plain server, which is also the scoring service and returns the request body.
 fn plain_server(behaviour: Arc<ServerBehaviour>, number: usize) -> SocketAddr {
     serve(move |request, stream| {
+        behaviour.record_arrival(&request);
         let id = request.headers["request-id"].clone();
         if take_one(&behaviour.rejections) || behaviour.is_full() {
             return reply(stream, 503, &[("request-id", &id), ("not-executed", "1")], "");
@@ -209,6 +217,7 @@
 
 impl ModelEngine {
     fn answer(&self, request: &ReceivedRequest, stream: &mut TcpStream) -> bool {
+        self.behaviour.record_arrival(request);
         match &*request.path {
             "/trestlerack/report" if self.name == "i-engine-0" && take_one(&self.behaviour.unanswered_reports) => {
                 stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
@@ -311,11 +320,13 @@
     (1..=EVENTS_PER_STREAM).map(|number| event_data(id, number, version)).collect()
 }
 
+/// Registers a server. One that registers again keeps its zone and the time of its start.
 pub(super) fn register(store: &StandinStore, instance: &str, service: &str, address: &str, models: Value) {
+    let known = store.get("servers", instance).unwrap_or_else(|| json!({ "zone": "z", "born": 0 }));
     store.put(
         "servers",
         instance,
-        &json!({ "service": service, "addr": address, "zone": "z", "version": "v1", "slots": 4, "state": "ready",
+        &json!({ "service": service, "addr": address, "zone": known["zone"], "born": known["born"], "version": "v1", "slots": 4, "state": "ready",
             "cold_left_ms": 0, "models": models, "seq": 1 }),
     );
 }
@@ -408,6 +419,14 @@
         self.store.put("op", "config", &config);
     }
 
+    /// Moves a server to a zone, as a restart there does.
+    pub fn set_zone(&self, instance: &str, zone: &str) {
+        let mut row = self.store.get("servers", instance).unwrap();
+        row["zone"] = json!(zone);
+        row["born"] = json!(row["born"].as_u64().unwrap() + 1);
+        self.store.put("servers", instance, &row);
+    }
+
     /// Publishes a version of the weights, as a trainer does.
     pub fn publish_version(&self, version: u64) {
         self.store.put("op", "version/m", &json!({ "model": "m", "version": version }));
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -89,6 +89,22 @@
         self.state.1.notify_all();
     }
 
+    /// Returns the value of a row in the partition without a name.
+    pub fn get(&self, table: &str, key: &str) -> Option<Value> {
+        let state = self.state.0.lock().unwrap();
+        let (content, _) = state.rows.get(&(table.into(), String::new(), key.into()))?;
+        Some(serde_json::from_slice(&BASE64_STANDARD.decode(content).unwrap()).unwrap())
+    }
+
+    /// Removes a row and discards the history, so that only full reads show the removal.
+    pub fn remove_without_history(&self, table: &str, key: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        state.rows.remove(&(table.into(), String::new(), key.into()));
+        state.version += 1;
+        state.oldest_change = state.version;
+        self.state.1.notify_all();
+    }
+
     /// Changes the keys of a table's rows without reporting that to watches.
     pub fn rename_rows(&self, table: &str, rename: impl Fn(&str) -> String) {
         let mut state = self.state.0.lock().unwrap();
