--- a/crates/trestlerack/src/process/server_subset.rs
+++ b/crates/trestlerack/src/process/server_subset.rs
@@ -41,6 +41,11 @@
         self.counts.values().flat_map(|zones| zones.values()).sum()
     }
 
+    /// Returns whether a service has a server in an availability zone.
+    pub fn has_zone(&self, zone: &str) -> bool {
+        self.counts.values().any(|zones| zones.contains_key(zone))
+    }
+
     /// Replaces the counts if they differ enough to change the subsets. Returns whether they did.
     pub fn replace_if_changed(&mut self, counts: Self) -> bool {
         let is_similar = |before: usize, after: usize| {
--- a/crates/trestlerackd/src/entry/evacuations/mod.rs
+++ b/crates/trestlerackd/src/entry/evacuations/mod.rs
@@ -74,9 +74,14 @@
         self.zones.lock().unwrap().is_known()
     }
 
+    /// Returns whether any zone is evacuated.
+    pub fn has_any(&self) -> bool {
+        self.has_any.load(Ordering::SeqCst)
+    }
+
     /// Returns the evacuated zones.
     pub fn zones(&self) -> BTreeSet<Name> {
-        if self.has_any.load(Ordering::SeqCst) { self.zones.lock().unwrap().zones() } else { BTreeSet::new() }
+        if self.has_any() { self.zones.lock().unwrap().zones() } else { BTreeSet::new() }
     }
 
     /// Returns the evacuations as a list that is complete as of a store version, for nodes that poll this one.
@@ -86,13 +91,13 @@
 
     /// Returns whether a zone is evacuated.
     pub fn contains(&self, zone: &str) -> bool {
-        self.has_any.load(Ordering::SeqCst) && self.zones.lock().unwrap().contains(zone)
+        self.has_any() && self.zones.lock().unwrap().contains(zone)
     }
 
     /// Returns whether a server lies in an evacuated zone by its present entry in service discovery, or by the known
     /// one if it is no longer registered.
     pub fn contains_server(&self, registry: &Mutex<ServerRegistry>, server: &ServerEntry) -> bool {
-        if !self.has_any.load(Ordering::SeqCst) {
+        if !self.has_any() {
             return false;
         }
         let present = registry.lock().unwrap().get(&server.instance).map(|entry| entry.zone.clone());
@@ -106,7 +111,7 @@
         service: &str,
         allowed_zones: Option<&AllowedZones>,
     ) -> bool {
-        self.has_any.load(Ordering::SeqCst) && balancer.lock().unwrap().is_service_evacuated(service, allowed_zones)
+        self.has_any() && balancer.lock().unwrap().is_service_evacuated(service, allowed_zones)
     }
 
     /// Counts a request that is refused because of evacuations, and logs that at a bounded rate.
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -191,6 +191,9 @@
 /// Returns after which time the client may retry if evacuations leave the call's service without a server, so that
 /// neither a search nor a wait could find one.
 fn refuse_evacuated(node: &EntryNode, call: &ServiceCall<'_>) -> Option<Duration> {
+    if !node.evacuations.has_any() {
+        return None;
+    }
     let customer = call.customer.map(|customer| &*customer.name);
     let placement = node.routing().map(|routing| routing.placement(call.route, customer)).unwrap_or_default();
     let zones = placement.allowed_zones();
--- a/crates/trestlerackd/src/entry/table_watch.rs
+++ b/crates/trestlerackd/src/entry/table_watch.rs
@@ -266,8 +266,10 @@
         return None;
     }
     let has_node = node.settings.zone == *zone || node.peers.rows(|_, row| row.zone == *zone).contains(&true);
+    let has_server = node.registry.lock().unwrap().entries().any(|entry| entry.zone == *zone);
     Some(ZoneUse {
-        has_members: has_node || node.registry.lock().unwrap().entries().any(|entry| entry.zone == *zone),
+        // A node that polls a follower knows only the servers that it uses, but the counts of all.
+        has_members: has_node || has_server || node.follower.counts().has_zone(zone),
         in_progress: node.balancer.lock().unwrap().in_flight_in_zone(zone),
         is_evacuated: node.evacuations.contains(zone),
     })
