--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -265,4 +265,14 @@
     TAKEOVER_NOT_PERMITTED = (2606, "takeover-not-permitted", Info);
     /// The peers that may relay this node's store calls were limited to its region, or the limit ended.
     RELAYS_LIMITED = (2607, "relays-limited", Info);
+    /// The evacuation of an availability zone took effect on this node.
+    ZONE_EVACUATED = (2621, "zone-evacuated", Info);
+    /// The evacuation of an availability zone ended on this node.
+    EVACUATION_ENDED = (2622, "evacuation-ended", Info);
+    /// Evacuations leave a service without a server; its requests are refused.
+    SERVICE_EVACUATED = (2623, "service-evacuated", Warn);
+    /// The evacuated zone has no server and no VM, so its evacuation has no effect.
+    EVACUATION_EMPTY = (2624, "evacuation-empty", Warn);
+    /// No request of this node is in progress in an evacuated zone any more.
+    ZONE_VACATED = (2625, "zone-vacated", Info);
 }
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms, served as text on the metrics address.
 
 use super::admission::AdmissionMetrics;
+use super::evacuations::{self, EvacuationMetrics};
 use super::node::EntryNode;
 use super::placement::PlacementMetrics;
 use super::{engine_memory, resource_limits, status};
@@ -40,6 +41,8 @@
     pub admission: AdmissionMetrics,
     /// Metrics of allowed regions.
     pub placement: PlacementMetrics,
+    /// Metrics of evacuated zones.
+    pub evacuations: EvacuationMetrics,
 }
 
 impl EntryMetrics {
@@ -61,6 +64,7 @@
             over_share: meter.u64_counter("trestlerack.entry.requests.over.share").build(),
             admission: AdmissionMetrics::start(&meter),
             placement: PlacementMetrics::start(&meter),
+            evacuations: EvacuationMetrics::start(&meter),
             registry,
             _meters: meters,
         })
@@ -136,6 +140,7 @@
     let mut page = node.metrics.render();
     page.extend_from_slice(engine_memory::metrics_lines(node).as_bytes());
     server_gauges(node, &mut page);
+    page.extend_from_slice(evacuations::zone_lines(&node.evacuations.zones(), &node.balancer).as_bytes());
     let mut lines = format!("trestlerack_entry_connections_opened {}\n", node.pool.opened_count());
     resource_limits::write_metrics(&node.resource_limits, &mut lines);
     page.extend_from_slice(lines.as_bytes());
