--- a/crates/trestlerack/src/process/expected_latency.rs
+++ b/crates/trestlerack/src/process/expected_latency.rs
@@ -190,6 +190,7 @@
         if !self.is_compared(instance) {
             return;
         }
+        let took = self.without_transit(instance, took);
         self.history.route_latencies.record(route, took);
         if let Some(server) = self.servers.get(instance) {
             self.history.record_arrival(now, &server.entry.service);
@@ -208,6 +209,7 @@
         if !self.is_compared(instance) {
             return;
         }
+        let elapsed = self.without_transit(instance, elapsed);
         let factor = self.history.route_latencies.ratio_to_median(route, elapsed);
         self.update(instance, |server| {
             if factor > server.measured.stats(now).slowness {
@@ -221,7 +223,8 @@
     /// Records that a request was cancelled after `elapsed`, because a server that was asked later responded
     /// first. The response would have taken longer still.
     pub fn record_cancelled_response(&mut self, now: Timestamp, instance: &str, route: &Name, elapsed: Duration) {
-        self.record_pending_response(now, instance, route, elapsed * CANCELLED_FACTOR);
+        let more = self.without_transit(instance, elapsed) * (CANCELLED_FACTOR - 1);
+        self.record_pending_response(now, instance, route, elapsed + more);
     }
 
     /// Records that a server responded with a failure or broke off its response.
@@ -272,13 +275,14 @@
     }
 
     /// Returns the expected latency of one more call at a server, in median latencies.
-    fn expected_latency(&self, now: Timestamp, server: &ServerState, mean_other_requests: f64) -> f64 {
-        self.expected_slowness(now, server) * (1.0 + self.utilization(now, server, mean_other_requests))
+    pub(super) fn expected_latency(&self, now: Timestamp, server: &ServerState, mean_other_requests: f64) -> f64 {
+        let latency = self.expected_slowness(now, server) * (1.0 + self.utilization(now, server, mean_other_requests));
+        if server.is_remote { latency + self.transit_in_medians(&server.entry.service) } else { latency }
     }
 
     /// Returns the mean number of requests from other nodes at the servers of a service, with reported loads
     /// weighted by age; 0 if no server has reported its load recently.
-    fn mean_other_requests(&self, now: Timestamp, service: &str) -> f64 {
+    pub(super) fn mean_other_requests(&self, now: Timestamp, service: &str) -> f64 {
         let (mut weighted_sum, mut total_weight) = (0.0, 0.0);
         for server in self.of_service(service) {
             let weight = decay(now.since(server.load.reported_at), REPORT_HALF_LIFE);
@@ -310,6 +314,7 @@
         need: &ServerNeed<'_>,
         candidates: Vec<&'a ServerState>,
     ) -> Option<&'a ServerState> {
+        let candidates = self.prefer_own_region(now, need, candidates);
         if let Some(server) = self.choose_probe(now, need, &candidates) {
             return Some(server);
         }
@@ -385,7 +390,7 @@
         hash_parts(&[need.tie_key, &sent.to_string()])
     }
 
-    fn accepts_calls(&self, now: Timestamp, server: &ServerState) -> bool {
+    pub(super) fn accepts_calls(&self, now: Timestamp, server: &ServerState) -> bool {
         match self.health(now, &server.entry.instance) {
             ServerHealth::Healthy => true,
             ServerHealth::Degraded => false,
--- a/crates/trestlerack/src/process/follower_choice.rs
+++ b/crates/trestlerack/src/process/follower_choice.rs
@@ -7,6 +7,7 @@
 
 use crate::Name;
 use crate::hash::{hash_parts, rendezvous_weight};
+use crate::version::{OwnRegion, ZoneRelation};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -80,12 +81,22 @@
 }
 
 /// Returns the followers in the order in which the node `own` asks them for changes. Those of its zone
-/// come first, in an order that differs between nodes, so that the nodes of a zone spread over them.
-pub fn follower_order(own: &FollowerCandidate, followers: &[FollowerCandidate]) -> Vec<Name> {
+/// come first, then those of its region if the deployment spans regions, then all others, each in an order that
+/// differs between nodes, so that the nodes of a zone spread over them.
+pub fn follower_order(
+    own: &FollowerCandidate,
+    region: Option<&OwnRegion>,
+    followers: &[FollowerCandidate],
+) -> Vec<Name> {
+    let relation = |zone: &Name| match region {
+        Some(region) => region.relation(zone),
+        None if *zone == own.zone => ZoneRelation::OwnZone,
+        None => ZoneRelation::OwnRegion,
+    };
     let key = hash_parts(&[&own.name]);
     let mut order: Vec<&FollowerCandidate> = followers.iter().filter(|follower| follower.name != own.name).collect();
     let rank = |follower: &&FollowerCandidate| {
-        (follower.zone != own.zone, std::cmp::Reverse(rendezvous_weight(key, &follower.name)))
+        (relation(&follower.zone), std::cmp::Reverse(rendezvous_weight(key, &follower.name)))
     };
     order.sort_by_key(rank);
     order.into_iter().map(|follower| follower.name.clone()).collect()
--- a/crates/trestlerack/src/process/load_balancer.rs
+++ b/crates/trestlerack/src/process/load_balancer.rs
@@ -6,12 +6,13 @@
 use super::engine_memory::{EngineMemory, TokenNeed};
 use super::expected_latency::ResponseHistory;
 use super::latency_estimate::LatencyEstimates;
+use super::regional_choice::{RegionalCosts, RemoteZones};
 use super::registry::{ServerEntry, ServerRegistry};
 use super::server_observations::ObservationOutbox;
 use super::server_state::{ReportedLoad, ServerSnapshot, ServerState};
 use crate::hash::{hash_parts, rendezvous_weight};
 use crate::time::millis;
-use crate::version::WeightVersion;
+use crate::version::{OwnRegion, WeightVersion};
 use crate::{AllowedZones, Name, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -49,6 +50,8 @@
     /// Cost of each version that an engine is newer than needed, as a fraction of its pace. The next step needs
     /// the newer engines, so a step uses the older ones while they have free slots.
     pub newer_version_cost: f64,
+    /// Costs of servers in other regions.
+    pub regions: RegionalCosts,
 }
 
 impl Default for BalancerSettings {
@@ -66,6 +69,7 @@
             remote_zone_cost: 0.1,
             long_request_load_cost: 0.1,
             newer_version_cost: 0.2,
+            regions: RegionalCosts::default(),
         }
     }
 }
@@ -121,6 +125,10 @@
     assigned_models: BTreeMap<Name, Name>,
     /// Availability zones whose servers get no new work.
     evacuated_zones: BTreeSet<Name>,
+    /// The region of this node; `None` if the deployment does not span regions.
+    pub(super) own_region: Option<OwnRegion>,
+    /// Zones of other regions whose servers failed.
+    pub(super) remote_zones: RemoteZones,
     /// Response latencies by service.
     pub(super) service_latencies: LatencyEstimates,
     /// Tokens that this node's runs use at model engines.
@@ -161,6 +169,7 @@
         }
         server.entry = entry.clone();
         server.is_evacuated = self.evacuated_zones.contains(&entry.zone);
+        server.is_remote = self.is_in_other_region(&entry.zone);
         self.servers.insert(entry.instance.clone(), server);
     }
 
@@ -211,11 +220,16 @@
         }
         // Each cost is computed once: a driver with 3,000 engines places 200 items at a time.
         let costs = self.servers.values().filter(is_candidate);
-        let costs = costs.map(|server| (self.cost(now, server, need, median_pace), server));
+        let transit = self.transit_in_medians(need.service);
+        let costs = costs.map(|server| {
+            let is_deferred = self.is_deferred(now, server, need);
+            ((is_deferred, self.cost(now, server, need, median_pace, transit)), server)
+        });
         let key = hash_parts(&[need.tie_key]);
         let weight = |server: &ServerState| rendezvous_weight(key, &server.entry.instance);
-        let cheapest = costs.min_by(|(left_cost, left), (right_cost, right)| {
-            left_cost.total_cmp(right_cost).then_with(|| weight(left).cmp(&weight(right)))
+        let cheapest = costs.min_by(|((left_deferred, left_cost), left), ((right_deferred, right_cost), right)| {
+            let order = left_deferred.cmp(right_deferred).then_with(|| left_cost.total_cmp(right_cost));
+            order.then_with(|| weight(left).cmp(&weight(right)))
         });
         cheapest.map(|(_, server)| server)
     }
@@ -281,7 +295,7 @@
             SlotNeed::One => requests < server.slots(),
             SlotNeed::HalfFree => 2 * requests < server.slots(),
         };
-        let is_open = server.accepts_work() && server.paused_until <= now;
+        let is_open = server.accepts_work() && server.paused_until <= now && !self.is_unreachable(now, server);
         let has_memory = |tokens| self.memory.has_capacity(now, need.service, &server.entry.instance, tokens);
         is_open
             && need.allowed_zones.is_none_or(|zones| zones.allows(&server.entry.zone))
@@ -291,18 +305,24 @@
             && !need.avoid.contains(&server.entry.instance)
     }
 
-    fn cost(&self, now: Timestamp, server: &ServerState, need: &ServerNeed<'_>, median_pace: f64) -> f64 {
+    /// Returns the cost of a server. `transit` is the time to another region and back, in latencies of the service.
+    fn cost(&self, now: Timestamp, server: &ServerState, need: &ServerNeed<'_>, median_pace: f64, transit: f64) -> f64 {
         let utilization = f64::from(server.requests(now, self.settings.max_load_age)) / f64::from(server.slots());
         let remote_zone_cost = if &*server.entry.zone == need.zone { 0.0 } else { self.settings.remote_zone_cost };
         let pace = self.pace_slowness(now, server, median_pace);
-        let Some((model, min_version)) = need.weights else { return utilization + remote_zone_cost };
+        let Some((model, min_version)) = need.weights else {
+            let region_cost = if server.is_remote { transit } else { 0.0 };
+            return utilization + remote_zone_cost + region_cost;
+        };
         // A request that accepts any version has no reason to spare newer engines.
         let newer_by = match min_version {
             0 => 0,
             _ => server.version(model).map_or(0, |version| version.saturating_sub(min_version)),
         };
+        let used_slots = utilization;
         let utilization = if need.is_long { utilization * self.settings.long_request_load_cost } else { utilization };
-        pace * (1.0 + utilization + self.settings.newer_version_cost * newer_by as f64)
+        let region_cost = self.run_region_cost(server, used_slots, need.is_long);
+        pace * (1.0 + utilization + self.settings.newer_version_cost * newer_by as f64) + region_cost
     }
 
     /// Returns what is known of a server at `now`, with its version of `model`.
@@ -348,11 +368,13 @@
             server.in_flight += 1;
             server.sent += 1;
         });
+        self.count_probe(instance, true);
     }
 
     /// Records that a request of this node has ended at a server.
     pub fn ended(&mut self, instance: &str) {
         self.update(instance, |server| server.in_flight = server.in_flight.saturating_sub(1));
+        self.count_probe(instance, false);
     }
 
     /// Records a successful response.
@@ -361,6 +383,7 @@
             server.failures = 0;
             server.refusals = 0;
         });
+        self.record_remote_success(instance);
     }
 
     /// Records a failed connection or response. Returns the pause of the server.
@@ -372,6 +395,7 @@
             server.failures += 1;
             server.paused_until = now + pause;
         });
+        self.record_remote_failure(now, instance);
         pause
     }
 
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -29,6 +29,8 @@
 mod outlier;
 mod ownership;
 
+mod regional_choice;
+mod regional_peers;
 mod registry;
 mod relay_selector;
 mod resource_limits;
@@ -83,6 +85,8 @@
 pub use node_rows::{NODE_PARTITIONS, NodeRow, NodeRows, is_node_partition, node_partition};
 pub use outlier::{OutlierDetector, OutlierSettings};
 pub use ownership::{EligibleNode, EngineOwners, ModelOwner, OwnershipView};
+pub use regional_choice::RegionalCosts;
+pub use regional_peers::RegionalPeers;
 pub use registry::{RegistrySettings, ServerEntry, ServerRegistry};
 pub use relay_selector::RelaySelector;
 pub use resource_limits::{
--- /dev/null
+++ b/crates/trestlerack/src/process/regional_choice.rs
@@ -0,0 +1,198 @@
+//! The choice among servers of several regions, and which zones of other regions do not respond.
+//!
+//! See [docs/design/regions.md](../../../../docs/design/regions.md#choice-of-a-server).
+
+use super::load_balancer::{LoadBalancer, ServerNeed};
+use super::server_state::ServerState;
+use crate::version::OwnRegion;
+use crate::{Name, Timestamp};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Number of servers of a zone that must fail one after another, without a response of any, before the zone counts
+/// as unreachable. A single failing server has its own pause.
+const UNREACHABLE_AFTER: usize = 2;
+
+/// Costs of servers in other regions than the node's.
+#[derive(Clone, Debug)]
+pub struct RegionalCosts {
+    /// Time that a short call to another region takes longer than one in the own region: two transits of 30 ms.
+    pub transit: Duration,
+    /// Assumed latency of a service without measurements, to which the transit is compared.
+    pub default_latency: Duration,
+    /// Ratio of expected latencies from which the own region counts as much slower than another one. It is the
+    /// ratio from which a single response counts as slow, so differences between engines do not reach it.
+    pub much_slower: f64,
+    /// Cost of an engine in another region for a run, as a fraction of the median pace. The transit is small
+    /// compared with a run, but each byte is charged for. An idle engine elsewhere is cheaper than one at home
+    /// with more than 60 % of its slots in use.
+    pub run_cost: f64,
+    /// The same for a long run, on which its whole step waits. It is less than the 30 % by which engines of one
+    /// service differ, so that a long run gets a fast engine elsewhere rather than the slowest one at home.
+    pub long_run_cost: f64,
+    /// Fraction of the slots from which an engine of the own region counts as nearly full. It then has the same
+    /// cost as one elsewhere, so that the runs of a step, which is as slow as the slowest of them, do not share
+    /// a few nearly full engines.
+    pub nearly_full: f64,
+}
+
+impl Default for RegionalCosts {
+    fn default() -> Self {
+        Self {
+            transit: Duration::from_millis(60),
+            default_latency: Duration::from_millis(100),
+            much_slower: 2.0,
+            run_cost: 0.6,
+            long_run_cost: 0.2,
+            nearly_full: 0.8,
+        }
+    }
+}
+
+/// Zones of other regions with failed servers.
+///
+/// Without it, each of the servers behind a broken link would cost a call its connection timeout.
+#[derive(Debug, Default)]
+pub(super) struct RemoteZones {
+    zones: BTreeMap<Name, RemoteZone>,
+}
+
+#[derive(Debug, Default)]
+struct RemoteZone {
+    /// Servers that failed since the last response of the zone.
+    failed_servers: BTreeSet<Name>,
+    pauses: u32,
+    paused_until: Timestamp,
+    /// Requests in flight that were sent since the first failure.
+    probes: u32,
+}
+
+impl RemoteZone {
+    fn is_suspect(&self) -> bool {
+        self.failed_servers.len() >= UNREACHABLE_AFTER
+    }
+
+    /// After a pause, one request at a time finds out whether the zone responds again.
+    fn is_unreachable(&self, now: Timestamp) -> bool {
+        self.is_suspect() && (now < self.paused_until || self.probes > 0)
+    }
+}
+
+impl LoadBalancer {
+    /// Sets the region of this node. Servers in other regions are used only if the own region has no server with a
+    /// free slot or is much slower.
+    pub fn set_own_region(&mut self, region: Option<OwnRegion>) {
+        self.own_region = region;
+        let own_region = self.own_region.as_ref();
+        for server in self.servers.values_mut() {
+            server.is_remote = own_region.is_some_and(|region| !region.contains(&server.entry.zone));
+        }
+    }
+
+    /// Returns the zones of other regions that do not respond.
+    pub fn unreachable_zones(&self, now: Timestamp) -> Vec<Name> {
+        let unreachable = self.remote_zones.zones.iter().filter(|(_, zone)| zone.is_unreachable(now));
+        unreachable.map(|(zone, _)| zone.clone()).collect()
+    }
+
+    pub(super) fn is_in_other_region(&self, zone: &str) -> bool {
+        self.own_region.as_ref().is_some_and(|region| !region.contains(zone))
+    }
+
+    /// Returns whether a server lies in a zone of another region that does not respond.
+    pub(super) fn is_unreachable(&self, now: Timestamp, server: &ServerState) -> bool {
+        server.is_remote && self.remote_zones.zones.get(&server.entry.zone).is_some_and(|zone| zone.is_unreachable(now))
+    }
+
+    /// Returns the time to another region and back, in median latencies of a service.
+    pub(super) fn transit_in_medians(&self, service: &str) -> f64 {
+        if self.own_region.is_none() {
+            return 0.0;
+        }
+        let costs = &self.settings.regions;
+        let latency = self.service_latencies.median(service).unwrap_or(costs.default_latency);
+        costs.transit.as_secs_f64() / latency.as_secs_f64().max(0.001)
+    }
+
+    /// Returns the latency of a response without the transit from another region, by which servers are compared.
+    /// Otherwise nodes would report servers of other regions as slow to the nodes of those regions.
+    pub(super) fn without_transit(&self, instance: &str, took: Duration) -> Duration {
+        let is_remote = self.servers.get(instance).is_some_and(|server| server.is_remote);
+        if is_remote { took.saturating_sub(self.settings.regions.transit) } else { took }
+    }
+
+    /// Returns whether a call goes to a server only if none of the own region has a free slot. Runs on engines
+    /// leave the region by their cost.
+    pub(super) fn is_deferred(&self, now: Timestamp, server: &ServerState, need: &ServerNeed<'_>) -> bool {
+        self.own_region.is_some() && need.weights.is_none() && (server.is_remote || !self.has_free_slot_at(now, server))
+    }
+
+    /// Returns the cost of an engine for a run, as a fraction of the median pace, by its region.
+    pub(super) fn run_region_cost(&self, server: &ServerState, utilization: f64, is_long: bool) -> f64 {
+        let costs = &self.settings.regions;
+        let is_preferred = !server.is_remote && utilization < costs.nearly_full;
+        match (self.own_region.is_none() || is_preferred, is_long) {
+            (true, _) => 0.0,
+            (false, false) => costs.run_cost,
+            (false, true) => costs.long_run_cost,
+        }
+    }
+
+    /// Keeps only the candidates of the own region, unless none of them accepts a call in a free slot or other
+    /// regions are much faster.
+    pub(super) fn prefer_own_region<'a>(
+        &self,
+        now: Timestamp,
+        need: &ServerNeed<'_>,
+        mut candidates: Vec<&'a ServerState>,
+    ) -> Vec<&'a ServerState> {
+        if !candidates.iter().any(|server| server.is_remote) {
+            return candidates;
+        }
+        let mean_other_requests = self.mean_other_requests(now, need.service);
+        let best_latency = |is_remote: bool| {
+            let usable = candidates.iter().filter(|server| {
+                server.is_remote == is_remote && self.has_free_slot_at(now, server) && self.accepts_calls(now, server)
+            });
+            let latencies = usable.map(|server| self.expected_latency(now, server, mean_other_requests));
+            latencies.min_by(f64::total_cmp)
+        };
+        let (own, remote) = (best_latency(false), best_latency(true));
+        let stays =
+            own.is_some_and(|own| remote.is_none_or(|remote| own <= remote * self.settings.regions.much_slower));
+        if stays {
+            candidates.retain(|server| !server.is_remote);
+        }
+        candidates
+    }
+
+    fn has_free_slot_at(&self, now: Timestamp, server: &ServerState) -> bool {
+        server.requests(now, self.settings.max_load_age) < server.slots()
+    }
+
+    pub(super) fn record_remote_failure(&mut self, now: Timestamp, instance: &str) {
+        let Some(server) = self.servers.get(instance).filter(|server| server.is_remote) else { return };
+        let (first, longest) = (self.settings.failure_pause, self.settings.max_failure_pause);
+        let zone = self.remote_zones.zones.entry(server.entry.zone.clone()).or_default();
+        zone.failed_servers.insert(server.entry.instance.clone());
+        // Failures of requests that were sent together count as one.
+        if zone.is_suspect() && now >= zone.paused_until {
+            zone.paused_until = now + (first * 2_u32.saturating_pow(zone.pauses.min(16))).min(longest);
+            zone.pauses += 1;
+        }
+    }
+
+    pub(super) fn record_remote_success(&mut self, instance: &str) {
+        if let Some(server) = self.servers.get(instance).filter(|server| server.is_remote) {
+            self.remote_zones.zones.remove(&server.entry.zone);
+        }
+    }
+
+    /// Counts a request that was sent to, or has ended at, a server of a zone with failures.
+    pub(super) fn count_probe(&mut self, instance: &str, is_start: bool) {
+        let Some(server) = self.servers.get(instance).filter(|server| server.is_remote) else { return };
+        if let Some(zone) = self.remote_zones.zones.get_mut(&server.entry.zone) {
+            zone.probes = if is_start { zone.probes + 1 } else { zone.probes.saturating_sub(1) };
+        }
+    }
+}
--- a/crates/trestlerack/src/process/server_state.rs
+++ b/crates/trestlerack/src/process/server_state.rs
@@ -39,6 +39,8 @@
     pub(super) loading_until: Option<Timestamp>,
     /// Whether its availability zone is evacuated.
     pub(super) is_evacuated: bool,
+    /// Whether it lies in another region than this node.
+    pub(super) is_remote: bool,
 }
 
 impl ServerState {
@@ -61,6 +63,7 @@
             versions,
             loading_until: None,
             is_evacuated: false,
+            is_remote: false,
         }
     }
 
--- a/crates/trestlerack/src/process/suspects/gossip.rs
+++ b/crates/trestlerack/src/process/suspects/gossip.rs
@@ -1,9 +1,9 @@
 //! Gossip between nodes: crash reports while the store does not serve them, server observations and customer
 //! shares.
 
+use super::super::RegionalPeers;
 use crate::Name;
 use rand::Rng;
-use rand::seq::IndexedRandom;
 use std::time::Duration;
 
 /// Settings of a gossip protocol.
@@ -24,12 +24,12 @@
 
 impl GossipSettings {
     /// Returns random peers to push new information to.
-    pub fn pick_push_peers(&self, peers: &[Name], random: &mut impl Rng) -> Vec<Name> {
-        peers.choose_multiple(random, self.fanout).cloned().collect()
+    pub fn pick_push_peers(&self, peers: &RegionalPeers, random: &mut impl Rng) -> Vec<Name> {
+        peers.choose_push_peers(self.fanout, random)
     }
 
     /// Returns a random peer to pull from.
-    pub fn pick_pull_peer(&self, peers: &[Name], random: &mut impl Rng) -> Option<Name> {
-        peers.choose(random).cloned()
+    pub fn pick_pull_peer(&self, peers: &RegionalPeers, random: &mut impl Rng) -> Option<Name> {
+        peers.choose_pull_peer(random)
     }
 }
--- a/crates/trestlerack/src/process/wait_estimate.rs
+++ b/crates/trestlerack/src/process/wait_estimate.rs
@@ -25,9 +25,11 @@
 
 impl LoadBalancer {
     /// Estimates the wait of one more call to a service. Servers that are paused, draining or in an
-    /// evacuated zone are ignored.
+    /// evacuated zone, or unreachable in another region, are ignored.
     pub fn wait_estimate(&self, now: Timestamp, service: &str) -> WaitEstimate {
-        let is_available = |server: &&ServerState| server.accepts_work() && server.paused_until <= now;
+        let is_available = |server: &&ServerState| {
+            server.accepts_work() && server.paused_until <= now && !self.is_unreachable(now, server)
+        };
         let available: Vec<&ServerState> = self.of_service(service).filter(is_available).collect();
         let busy = |server: &ServerState| server.requests(now, self.settings.max_load_age);
         let slots = available.iter().map(|server| server.slots()).sum();
--- a/crates/trestlerack/src/version/mod.rs
+++ b/crates/trestlerack/src/version/mod.rs
@@ -7,6 +7,7 @@
 mod engine_need;
 mod follower;
 mod load_time;
+mod own_region;
 mod placement;
 mod plan;
 mod rollout;
@@ -25,6 +26,7 @@
 };
 pub use engine_need::engines_needed;
 pub use follower::{ConfigFollower, FollowAction, FollowEvent};
+pub use own_region::{OwnRegion, ZoneRelation};
 pub use placement::Placement;
 pub use plan::{ChangePlan, PlanError, plan_change};
 pub use rollout::{
--- a/crates/trestlerack/tests/followers.rs
+++ b/crates/trestlerack/tests/followers.rs
@@ -80,7 +80,7 @@
             all.iter().filter(|node| chosen.contains(&node.name)).cloned().collect();
         let mut asking: BTreeMap<Name, usize> = BTreeMap::new();
         for own in all.iter().filter(|node| !chosen.contains(&node.name)) {
-            let order = follower_order(own, &followers);
+            let order = follower_order(own, None, &followers);
             assert_eq!(order.len(), followers.len(), "each follower may be asked");
             let zone_of = |name: &Name| followers.iter().find(|node| node.name == *name).unwrap().zone.clone();
             assert_eq!(zone_of(&order[0]), own.zone);
--- a/crates/trestlerack/tests/job_owners.rs
+++ b/crates/trestlerack/tests/job_owners.rs
@@ -2,9 +2,10 @@
 
 use trestlerack::Name;
 use trestlerack::process::{OwnerCandidate, choose_job_owner, successor_rank};
+use trestlerack::version::ZoneRelation;
 
 fn candidate(name: &str, capacity: u32, models: usize) -> OwnerCandidate {
-    OwnerCandidate { name: name.into(), capacity, models }
+    OwnerCandidate { name: name.into(), capacity, models, relation: ZoneRelation::OwnZone }
 }
 
 fn owner_of(model: &str, own: &str, newest: Option<&str>, candidates: &[OwnerCandidate]) -> String {
@@ -53,8 +54,10 @@
 fn the_order_of_successors_has_each_node_once_and_large_nodes_first() {
     let nodes: Vec<(Name, u32)> =
         (0..20).map(|node| (format!("node-{node}").into(), if node % 4 == 0 { 500 } else { 120 })).collect();
-    let mut order: Vec<(usize, u32)> =
-        nodes.iter().map(|(name, capacity)| (successor_rank("job", (name, *capacity), &nodes), *capacity)).collect();
+    let mut order: Vec<(usize, u32)> = nodes
+        .iter()
+        .map(|(name, capacity)| (successor_rank("job", (name, *capacity), &nodes, |_| false), *capacity))
+        .collect();
     order.sort();
     assert!(order.iter().enumerate().all(|(index, (rank, _))| index == *rank), "{order:?}");
     assert!(order[..5].iter().all(|(_, capacity)| *capacity == 500), "{order:?}");
--- /dev/null
+++ b/crates/trestlerack/tests/regions.rs
@@ -0,0 +1,412 @@
+//! Choices in a fleet that spans regions, compared with those of a fleet whose settings name no zones.
+
+#[path = "support/load.rs"]
+mod load;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+use trestlerack::process::{
+    FollowerCandidate, LoadBalancer, OwnerCandidate, RegionalPeers, RelaySelector, ServerEntry, ServerNeed, SlotNeed,
+    choose_job_owner, follower_order, server_gossip_settings, successor_rank,
+};
+use trestlerack::version::{OwnRegion, Zone, ZoneMap};
+use trestlerack::{Name, Timestamp};
+
+const ZONES: [&str; 6] = ["a1", "a2", "b1", "b2", "c1", "c2"];
+/// Time for which a call at an unreachable server waits.
+const CONNECT_TIMEOUT_MS: u64 = 400;
+
+fn region_of(zone: &str) -> &str {
+    &zone[..1]
+}
+
+fn zone_map() -> ZoneMap {
+    let zone = |name: &&str| Zone { name: (*name).into(), region: region_of(name).into() };
+    ZoneMap::new(&ZONES.iter().map(zone).collect::<Vec<_>>())
+}
+
+fn own_region(zone: &str) -> Option<OwnRegion> {
+    OwnRegion::new(&zone_map(), &zone.into())
+}
+
+/// What happens in a simulation of short calls of 100 ms to 34 servers with 6 slots, from five nodes in each zone.
+#[derive(Clone, Copy, Default)]
+struct CallCase {
+    /// Calls as a fraction of the capacity of all servers.
+    load: f64,
+    /// Whether region `a` has no servers.
+    is_a_empty: bool,
+    /// Whether region `a` and the others cannot reach each other.
+    is_a_cut: bool,
+    /// Whether latencies of servers are compared.
+    is_compared: bool,
+}
+
+#[derive(Debug, Default)]
+struct CallOutcome {
+    /// Fraction of the served calls that another region served.
+    remote: f64,
+    /// Fraction of the calls for which no server had a free slot.
+    refused: f64,
+    /// Fraction of the calls of region `a` that waited for an unreachable server.
+    timed_out: f64,
+    /// Calls of the busiest server relative to the mean.
+    busiest: f64,
+}
+
+enum CallEvent {
+    Arrival,
+    Attempt { node: usize, tried: Vec<Name> },
+    Done { server: usize },
+    Response { node: usize, server: usize, sent_ms: u64 },
+    Timeout { node: usize, server: usize, tried: Vec<Name> },
+}
+
+fn simulate_calls(case: CallCase, knows_regions: bool) -> CallOutcome {
+    let servers: Vec<ServerEntry> = (0..34)
+        .map(|number| load::plain_server(&format!("i-{number}"), "s", ZONES[number % 6], 6))
+        .filter(|server| !(case.is_a_empty && region_of(&server.zone) == "a"))
+        .collect();
+    let node_zone = |node: usize| ZONES[node % 6];
+    let mut balancers: Vec<LoadBalancer> = (0..30).map(|_| load::balancer_of(&servers)).collect();
+    for (node, balancer) in balancers.iter_mut().enumerate() {
+        if knows_regions {
+            balancer.set_own_region(own_region(node_zone(node)));
+        }
+        if case.is_compared {
+            balancer.compare_servers(&"s".into());
+        }
+    }
+    let mut random = StdRng::seed_from_u64(11);
+    let rate_per_ms = case.load * servers.len() as f64 * 6.0 / 100.0;
+    let (mut running, mut counts) = (vec![0_u32; servers.len()], vec![0_u32; servers.len()]);
+    let (mut calls, mut remote, mut refused) = (0, 0, 0);
+    let (mut calls_of_a, mut timed_out) = (0, 0);
+    let mut events = vec![CallEvent::Arrival];
+    let mut queue = BinaryHeap::from([Reverse((1_000_u64, 0_usize))]);
+    let mut arrival = 1_000.0;
+    while let Some(Reverse((now_ms, event))) = queue.pop() {
+        let now = Timestamp(now_ms);
+        let event = std::mem::replace(&mut events[event], CallEvent::Arrival);
+        let mut schedule = |at: u64, event: CallEvent| {
+            events.push(event);
+            queue.push(Reverse((at, events.len() - 1)));
+        };
+        match event {
+            CallEvent::Arrival => {
+                let node = random.random_range(0..30);
+                calls += 1;
+                calls_of_a += u32::from(region_of(node_zone(node)) == "a");
+                schedule(now_ms, CallEvent::Attempt { node, tried: Vec::new() });
+                arrival += -(1.0 - random.random::<f64>()).ln() / rate_per_ms;
+                if arrival < 6_000.0 {
+                    schedule(arrival as u64, CallEvent::Arrival);
+                }
+            }
+            CallEvent::Attempt { node, mut tried } => {
+                let (zone, name) = (node_zone(node), format!("node-{node}"));
+                let need = ServerNeed { service: "s", zone, tie_key: &name, avoid: &tried, ..ServerNeed::default() };
+                let need = ServerNeed { slot_need: SlotNeed::One, is_repeatable: true, ..need };
+                let chosen = balancers[node].choose(now, &need).map(|server| server.entry.instance.clone());
+                let Some(chosen) = chosen else {
+                    refused += 1;
+                    continue;
+                };
+                let server = servers.iter().position(|server| server.instance == chosen).unwrap();
+                let (from, to) = (region_of(zone), region_of(&servers[server].zone));
+                balancers[node].started(&chosen);
+                if case.is_a_cut && from != to && (from == "a" || to == "a") {
+                    timed_out += u32::from(from == "a" && tried.is_empty());
+                    tried.push(chosen);
+                    schedule(now_ms + CONNECT_TIMEOUT_MS, CallEvent::Timeout { node, server, tried });
+                } else if running[server] >= 6 {
+                    balancers[node].ended(&chosen);
+                    balancers[node].refused(now, &chosen);
+                    tried.push(chosen);
+                    schedule(now_ms + 3, CallEvent::Attempt { node, tried });
+                } else {
+                    running[server] += 1;
+                    counts[server] += 1;
+                    remote += u32::from(from != to);
+                    let transit = if from == to { 2 } else { 60 };
+                    let work = random.random_range(60..140);
+                    schedule(now_ms + transit / 2 + work, CallEvent::Done { server });
+                    schedule(now_ms + transit + work, CallEvent::Response { node, server, sent_ms: now_ms });
+                }
+            }
+            CallEvent::Done { server } => running[server] -= 1,
+            CallEvent::Response { node, server, sent_ms } => {
+                let (instance, took) = (&servers[server].instance, Duration::from_millis(now_ms - sent_ms));
+                let balancer = &mut balancers[node];
+                balancer.record_load(now, instance, running[server], 0);
+                balancer.ended(instance);
+                balancer.succeeded(instance);
+                balancer.record_latency(&"s".into(), took);
+                balancer.record_response(now, instance, &"r".into(), took);
+            }
+            CallEvent::Timeout { node, server, tried } => {
+                balancers[node].ended(&servers[server].instance);
+                balancers[node].failed(now, &servers[server].instance);
+                balancers[node].record_failed_response(now, &servers[server].instance);
+                schedule(now_ms, CallEvent::Attempt { node, tried });
+            }
+        }
+    }
+    let served = f64::from(counts.iter().sum::<u32>());
+    CallOutcome {
+        remote: f64::from(remote) / served,
+        refused: f64::from(refused) / f64::from(calls),
+        timed_out: f64::from(timed_out) / f64::from(calls_of_a),
+        busiest: f64::from(*counts.iter().max().unwrap()) * counts.len() as f64 / served,
+    }
+}
+
+/// A step of runs that one driver in region `a` starts on 16 engines with 8 slots, whose pace differs by 30 %.
+#[derive(Clone, Copy)]
+struct StepCase {
+    items: usize,
+    is_a_empty: bool,
+    is_a_cut: bool,
+}
+
+#[derive(Debug)]
+struct StepOutcome {
+    /// Fraction of the runs that went to another region.
+    remote: f64,
+    /// Time until the last run ended, in milliseconds.
+    step_ms: u64,
+    /// Largest number of concurrent runs of one engine.
+    busiest: u32,
+}
+
+fn simulate_step(case: StepCase, knows_regions: bool) -> StepOutcome {
+    let engine = |number: usize| ServerEntry {
+        models: vec![("m".into(), 1)],
+        ..load::plain_server(&format!("e-{number}"), "models", ZONES[number % 6], 8)
+    };
+    let engines = (0..16).map(engine).filter(|engine| !(case.is_a_empty && region_of(&engine.zone) == "a"));
+    let engines: Vec<ServerEntry> = engines.collect();
+    let pace_ms = |engine: usize| 32.0 * (1.0 + 0.1 * (engine % 4) as f64);
+    let mut balancer = load::balancer_of(&engines);
+    if knows_regions {
+        balancer.set_own_region(own_region("a1"));
+    }
+    let (mut running, mut busiest, mut remote, mut step_ms) = (vec![0_u32; engines.len()], 0, 0, 0);
+    let mut waiting: Vec<usize> = (0..case.items).rev().collect();
+    // Ends of runs: time, engine, and the item if it has to run again.
+    let mut ends: BinaryHeap<Reverse<(u64, usize, Option<usize>)>> = BinaryHeap::new();
+    let mut now_ms = 10_000;
+    loop {
+        let now = Timestamp(now_ms);
+        while let Some(item) = waiting.pop() {
+            let is_long = item % 8 == 0;
+            let need = ServerNeed { service: "models", weights: Some(("m", 1)), zone: "a1", ..ServerNeed::default() };
+            let need = ServerNeed { slot_need: SlotNeed::One, is_long, tie_key: "n", ..need };
+            let Some(chosen) = balancer.choose(now, &need).map(|server| server.entry.instance.clone()) else {
+                waiting.push(item);
+                break;
+            };
+            let engine = engines.iter().position(|engine| engine.instance == chosen).unwrap();
+            let is_remote = region_of(&engines[engine].zone) != "a";
+            balancer.started(&chosen);
+            running[engine] += 1;
+            busiest = busiest.max(running[engine]);
+            if is_remote && case.is_a_cut {
+                ends.push(Reverse((now_ms + CONNECT_TIMEOUT_MS, engine, Some(item))));
+                continue;
+            }
+            remote += usize::from(is_remote);
+            // Each further run of an engine delays its events by 0.6 %.
+            let gap_ms = pace_ms(engine) * (1.0 + 0.006 * f64::from(running[engine] - 1));
+            balancer.record_event_gap(now, &chosen, Duration::from_secs_f64(gap_ms / 1_000.0));
+            let events = if is_long { 110.0 } else { 60.0 };
+            ends.push(Reverse((now_ms + (gap_ms * events) as u64 + if is_remote { 60 } else { 0 }, engine, None)));
+        }
+        let Some(Reverse((end_ms, engine, failed))) = ends.pop() else { break };
+        now_ms = end_ms;
+        step_ms = now_ms - 10_000;
+        running[engine] -= 1;
+        balancer.ended(&engines[engine].instance);
+        match failed {
+            Some(item) => {
+                balancer.failed(Timestamp(now_ms), &engines[engine].instance);
+                waiting.push(item);
+            }
+            None => balancer.succeeded(&engines[engine].instance),
+        }
+    }
+    StepOutcome { remote: remote as f64 / case.items as f64, step_ms, busiest }
+}
+
+/// Runs a case with the old choice and with regions.
+fn compare<C: Copy, O: std::fmt::Debug>(case: C, simulate: impl Fn(C, bool) -> O) -> (O, O) {
+    let outcomes = (simulate(case, false), simulate(case, true));
+    println!("without regions {:?}, with regions {:?}", outcomes.0, outcomes.1);
+    outcomes
+}
+
+/// Guards against calls that cross regions for a slot that their own region has free, and against a preference that
+/// refuses calls or overloads single servers.
+#[test]
+fn calls_leave_their_region_only_for_free_slots() {
+    let case = CallCase::default();
+    for (load, is_a_empty, max_remote) in [(0.5, false, 0.0), (0.9, false, 0.45), (1.0, false, 0.55), (0.5, true, 0.34)]
+    {
+        for is_compared in [false, true] {
+            let case = CallCase { load, is_a_empty, is_compared, ..case };
+            let (old, new) = compare(case, simulate_calls);
+            assert!(new.remote <= max_remote && new.remote <= old.remote + 0.01, "load {load}");
+            assert!(new.refused <= old.refused + 0.01, "load {load}");
+            assert!(new.busiest <= 1.05 * old.busiest, "load {load}");
+        }
+    }
+}
+
+/// Guards against calls that wait for servers behind a broken link while their own region has free slots.
+#[test]
+fn a_region_that_is_cut_off_serves_its_calls_with_its_own_servers() {
+    for (load, max_timed_out) in [(0.5, 0.0), (0.9, 0.03)] {
+        for is_compared in [false, true] {
+            let case = CallCase { load, is_a_cut: true, is_compared, ..CallCase::default() };
+            let (old, new) = compare(case, simulate_calls);
+            assert!(new.timed_out <= max_timed_out && new.timed_out <= old.timed_out / 2.0, "load {load}");
+            assert!(new.refused <= old.refused && new.busiest <= 1.05 * old.busiest, "load {load}");
+        }
+    }
+}
+
+/// Guards against runs that pay for bytes between regions without need, and against steps that wait for the own
+/// region.
+#[test]
+fn runs_stay_in_the_region_of_their_driver_without_delaying_the_step() {
+    let case = StepCase { items: 0, is_a_empty: false, is_a_cut: false };
+    for (items, max_remote) in [(24, 0.0), (40, 0.2), (64, 0.4), (128, 0.63)] {
+        let (old, new) = compare(StepCase { items, ..case }, simulate_step);
+        assert!(new.remote <= max_remote && new.remote <= old.remote, "{items} items");
+        assert!(new.step_ms <= old.step_ms && new.busiest <= old.busiest.max(7), "{items} items");
+    }
+    let (old, new) = compare(StepCase { items: 64, is_a_empty: true, ..case }, simulate_step);
+    assert!(new.step_ms <= old.step_ms);
+    let (old, new) = compare(StepCase { items: 64, is_a_cut: true, ..case }, simulate_step);
+    assert!(new.step_ms * 10 <= old.step_ms * 8, "no run of the own region waits for one that is lost");
+}
+
+/// Guards against any change of decisions where regions make no difference.
+#[test]
+fn zones_of_one_region_and_unknown_zones_are_no_regions() {
+    let one = Zone { name: "a1".into(), region: "a".into() };
+    let other = Zone { name: "a2".into(), region: "a".into() };
+    assert_eq!(OwnRegion::new(&ZoneMap::default(), &"a1".into()), None);
+    assert_eq!(OwnRegion::new(&ZoneMap::new(&[one, other]), &"a1".into()), None);
+    let region = own_region("a1").unwrap();
+    assert_eq!(["a1", "a2", "b1", "new"].map(|zone| region.relation(zone) as u8), [0, 1, 2, 2]);
+}
+
+fn node_names(zone: &str) -> Vec<Name> {
+    (0..5).map(|number| format!("{zone}-{number}").into()).collect()
+}
+
+#[test]
+fn drivers_and_followers_of_the_own_region_come_first() {
+    let region = own_region("a1").unwrap();
+    let nodes: Vec<(Name, &str)> =
+        ZONES.iter().flat_map(|zone| node_names(zone).into_iter().map(move |name| (name, *zone))).collect();
+    let candidate = |(name, zone): &(Name, &str)| OwnerCandidate {
+        name: name.clone(),
+        capacity: 500,
+        // The nodes of the own region are the busier ones.
+        models: usize::from(region.contains(zone)),
+        relation: region.relation(zone),
+    };
+    let candidates: Vec<OwnerCandidate> = nodes.iter().map(candidate).collect();
+    let owner = |newest, candidates: &[OwnerCandidate]| {
+        choose_job_owner("m", "small", newest, candidates).unwrap().name.to_string()
+    };
+    assert!(owner(None, &candidates).starts_with("a1"));
+    assert!(owner(Some("b1-2"), &candidates).starts_with("a1"), "an owner in another region is not kept");
+    assert_eq!(owner(Some("a2-2"), &candidates), "a2-2");
+    let remote: Vec<OwnerCandidate> = candidates.into_iter().filter(|node| !region.contains(&node.name[..2])).collect();
+    assert_eq!(owner(Some("b1-2"), &remote), "b1-2");
+
+    let follower =
+        |(name, zone): &(Name, &str)| FollowerCandidate { name: name.clone(), zone: (*zone).into(), capacity: 1 };
+    let followers: Vec<FollowerCandidate> = nodes.iter().map(follower).collect();
+    let own = FollowerCandidate { name: "own".into(), zone: "a1".into(), capacity: 1 };
+    let order = follower_order(&own, Some(&region), &followers);
+    assert!(
+        order[..5].iter().all(|name| name.starts_with("a1")) && order[5..10].iter().all(|name| name.starts_with("a2"))
+    );
+
+    let all: Vec<(Name, u32)> = nodes.iter().map(|(name, _)| (name.clone(), 500)).collect();
+    let rank = |name: &Name, region: &str| successor_rank("job", (name, 500), &all, |other| other.starts_with(region));
+    let mut near: Vec<(usize, &Name)> = all.iter().map(|(name, _)| (rank(name, "b"), name)).collect();
+    near.sort();
+    assert!(near.iter().enumerate().all(|(index, (rank, _))| index == *rank), "each node has a rank of its own");
+    assert!(near[..2].iter().all(|(_, name)| name.starts_with('b')), "{near:?}");
+    assert!(near.iter().all(|(rank, name)| *rank <= successor_rank("job", (name, 500), &all, |_| false) + 2));
+}
+
+/// Guards against calls to relays of other regions while the own region can relay, and against a region that the
+/// store does not serve waiting for all its own nodes.
+#[test]
+fn relays_of_the_own_region_are_asked_first_and_another_region_second() {
+    let peers = RegionalPeers { near: node_names("a1"), far: node_names("b1") };
+    let mut selector = RelaySelector::new("own");
+    let mut now = Timestamp(1_000_000);
+    let is_near = |name: &Name| name.starts_with("a1");
+    for _ in 0..10 {
+        let order = selector.pick(now, peers.clone());
+        assert_eq!(order.iter().map(is_near).collect::<Vec<_>>(), [true, false, true]);
+        selector.record_success(&order[0]);
+    }
+    let order = selector.pick(now, peers.clone());
+    selector.record_failure(now, &order[0]);
+    selector.record_success(&order[1]);
+    assert_eq!(selector.pick(now, peers.clone())[0], order[1], "the relay that works is kept");
+    now = now + Duration::from_secs(11);
+    assert!(is_near(&selector.pick(now, peers.clone())[0]), "the own region is tried again");
+}
+
+/// Guards against news that stays in its region, and against gossip that crosses regions as before.
+#[test]
+fn gossip_reaches_all_regions_with_few_messages_between_them() {
+    for (nodes_per_region, max_crossing) in [(3, 0.5), (30, 0.12), (100, 0.04)] {
+        let count = 3 * nodes_per_region;
+        let peers_of = |node: usize| {
+            let others = (0..count).filter(|other| *other != node);
+            let (near, far): (Vec<usize>, _) = others.partition(|other| other % 3 == node % 3);
+            let names = |nodes: Vec<usize>| nodes.iter().map(|node| node.to_string().into()).collect();
+            RegionalPeers { near: names(near), far: names(far) }
+        };
+        let peers: Vec<RegionalPeers> = (0..count).map(peers_of).collect();
+        let (mut crossing, mut sent, mut missed) = (0, 0, 0);
+        for seed in 0..100 {
+            let mut random = StdRng::seed_from_u64(seed);
+            let mut hops = vec![None; count];
+            hops[0] = Some(0);
+            let mut informed = vec![0];
+            for hop in 1..20 {
+                for node in std::mem::take(&mut informed) {
+                    for peer in server_gossip_settings().pick_push_peers(&peers[node], &mut random) {
+                        let peer: usize = peer.parse().unwrap();
+                        sent += 1;
+                        crossing += i32::from(peer % 3 != node % 3);
+                        if hops[peer].is_none() {
+                            hops[peer] = Some(hop);
+                            informed.push(peer);
+                        }
+                    }
+                }
+            }
+            let is_known_in = |region: usize| hops.iter().skip(region).step_by(3).flatten().any(|hop| *hop <= 6);
+            assert!((0..3).all(is_known_in), "seed {seed}: a region of {nodes_per_region} nodes hears too late");
+            missed += hops.iter().filter(|hop| hop.is_none()).count();
+        }
+        let (crossing, missed) = (f64::from(crossing) / f64::from(sent), missed as f64 / (100 * count) as f64);
+        println!("{nodes_per_region} nodes: {crossing:.3} crossing, {missed:.4} missed");
+        assert!(crossing <= max_crossing && missed <= 0.025, "{nodes_per_region} nodes");
+    }
+}
--- a/crates/trestlerack/tests/relay_selectors.rs
+++ b/crates/trestlerack/tests/relay_selectors.rs
@@ -21,7 +21,7 @@
         let (mut failures, mut tries) = (0, 0);
         for call in 0..200 {
             let now = NOW + Duration::from_millis(call * 100);
-            let selected = selector.pick(now, peers.clone());
+            let selected = selector.pick(now, peers.clone().into());
             let mut relayed = false;
             for peer in selected {
                 tries += 1;
@@ -42,7 +42,7 @@
 #[test]
 fn nodes_that_start_at_the_same_time_ask_different_peers() {
     let peers = addresses(294);
-    let first = |own: usize| RelaySelector::new(&format!("own-{own}")).pick(NOW, peers.clone())[0].clone();
+    let first = |own: usize| RelaySelector::new(&format!("own-{own}")).pick(NOW, peers.clone().into())[0].clone();
     let firsts: std::collections::BTreeSet<Name> = (0..100).map(first).collect();
     assert!(firsts.len() >= 70, "{}", firsts.len());
 }
@@ -52,10 +52,10 @@
     let peers = addresses(2);
     let mut selector = RelaySelector::new("own");
     selector.record_success(&peers[0]);
-    assert_eq!(selector.pick(NOW, peers.clone()), peers);
+    assert_eq!(selector.pick(NOW, peers.clone().into()), peers);
     selector.record_failure(NOW, &peers[0]);
-    assert_eq!(selector.pick(NOW, peers.clone()), peers[1..]);
+    assert_eq!(selector.pick(NOW, peers.clone().into()), peers[1..]);
     selector.record_failure(NOW, &peers[1]);
-    assert_eq!(selector.pick(NOW, peers.clone()).len(), 2);
-    assert!(selector.pick(NOW, Vec::new()).is_empty());
+    assert_eq!(selector.pick(NOW, peers.clone().into()).len(), 2);
+    assert!(selector.pick(NOW, Vec::new().into()).is_empty());
 }
--- a/crates/trestlerack/tests/server_observations.rs
+++ b/crates/trestlerack/tests/server_observations.rs
@@ -196,7 +196,7 @@
             return;
         }
         let others: Vec<Name> = self.names.iter().filter(|name| **name != self.names[node]).cloned().collect();
-        for peer in server_gossip_settings().pick_push_peers(&others, &mut self.random) {
+        for peer in server_gossip_settings().pick_push_peers(&others.into(), &mut self.random) {
             let message = LoadMessage {
                 sender: self.names[node].clone(),
                 servers: observations.to_vec(),
--- a/crates/trestlerack/tests/support/share_simulation.rs
+++ b/crates/trestlerack/tests/support/share_simulation.rs
@@ -372,7 +372,7 @@
             return;
         }
         let others: Vec<Name> = self.names.iter().filter(|name| **name != self.names[index]).cloned().collect();
-        let peers = ShareSettings::default().gossip().pick_push_peers(&others, &mut self.random);
+        let peers = ShareSettings::default().gossip().pick_push_peers(&others.into(), &mut self.random);
         for peer in peers {
             let to = self.names.iter().position(|name| *name == peer).unwrap();
             self.send(Message::Forward { from: index, to, shares: to_forward.clone() });
--- a/crates/trestlerack/tests/suspect_gossip.rs
+++ b/crates/trestlerack/tests/suspect_gossip.rs
@@ -66,7 +66,7 @@
     }
 
     fn push_reports(&mut self, now: u64, node: usize, new_reports: &[CrashReport]) {
-        for peer in self.settings.pick_push_peers(&self.others(node), &mut self.random) {
+        for peer in self.settings.pick_push_peers(&self.others(node).into(), &mut self.random) {
             self.send(now, node, &peer, new_reports.to_vec(), true);
         }
     }
@@ -92,7 +92,7 @@
             let at = START + Duration::from_millis(now);
             match message {
                 Message::PullTimer => {
-                    let peer = self.settings.pick_pull_peer(&self.others(node), &mut self.random).unwrap();
+                    let peer = self.settings.pick_pull_peer(&self.others(node).into(), &mut self.random).unwrap();
                     let known = self.trackers[node].reports(at);
                     self.send(now, node, &peer, known, true);
                     let next = now + u64::try_from(self.settings.pull_interval.as_millis()).unwrap();
--- a/crates/trestlerack/tests/uneven_load.rs
+++ b/crates/trestlerack/tests/uneven_load.rs
@@ -284,7 +284,7 @@
             return;
         }
         self.messages.push(observations);
-        for peer in server_gossip_settings().pick_push_peers(&others, &mut self.random) {
+        for peer in server_gossip_settings().pick_push_peers(&others.into(), &mut self.random) {
             if self.random.random_range(0..20) > 0 {
                 let peer = self.names.iter().position(|name| *name == peer).unwrap();
                 let at = now + self.random.random_range(2..40);
--- a/crates/trestlerackd/src/entry/feed_relay.rs
+++ b/crates/trestlerackd/src/entry/feed_relay.rs
@@ -230,7 +230,7 @@
     let own = FollowerCandidate { name: node.settings.name.clone(), zone: node.settings.zone.clone(), capacity: 0 };
     let mut followers = follower_state::candidates(node);
     followers.retain(|follower| node.follower.is_follower(&follower.name));
-    let order = follower_order(&own, &followers);
+    let order = follower_order(&own, node.own_region.as_ref(), &followers);
     order.iter().filter_map(|name| node.peers.get(name).map(|row| row.address)).collect()
 }
 
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -3,8 +3,7 @@
 use super::client_requests::{ClientRequest, ReplyBody, empty_reply, full_body};
 use super::job_calls::{CLIENT_WRITE_RETRY_DELAY, CLIENT_WRITE_TIMEOUT, spec_object};
 use super::node::EntryNode;
-use super::tables;
-use super::{job_driver, job_takeover};
+use super::{job_driver, job_takeover, regions, tables};
 use crate::process::logs;
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -194,8 +193,13 @@
         nodes.retain(|(name, _)| node.follower.is_follower(name));
     }
     let models = |name: &Name| models_by_owner.get(name).map_or(0, BTreeSet::len);
-    let candidates: Vec<OwnerCandidate> =
-        nodes.into_iter().map(|(name, capacity)| OwnerCandidate { models: models(&name), name, capacity }).collect();
+    let relations = regions::node_relations(node);
+    let relation = |name: &Name| relations.get(name).copied().unwrap_or_default();
+    let candidate = |(name, capacity): (Name, u32)| {
+        let (models, relation) = (models(&name), relation(&name));
+        OwnerCandidate { name, capacity, models, relation }
+    };
+    let candidates: Vec<OwnerCandidate> = nodes.into_iter().map(candidate).collect();
     let model = spec.model.as_deref().unwrap_or("");
     let newest_owner = newest_owner.as_ref().map(|(_, owner)| &**owner);
     let owner = choose_job_owner(model, &node.settings.name, newest_owner, &candidates);
--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -5,7 +5,7 @@
 
 use super::job_driver;
 use super::node::{EntryNode, JobView};
-use super::{job_calls, tables};
+use super::{job_calls, regions, tables};
 use crate::process::clock;
 use crate::process::logs;
 use std::collections::HashMap;
@@ -147,7 +147,8 @@
 fn own_rank(node: &EntryNode, job: &Name, owner: &Name) -> usize {
     let mut others = node.peers.capacities();
     others.retain(|(name, _)| name != owner && node.follower.is_follower(name));
-    successor_rank(job, (&node.settings.name, node.settings.capacity()), &others)
+    let near = regions::nodes_near(node, owner);
+    successor_rank(job, (&node.settings.name, node.settings.capacity()), &others, |name| near.contains(name))
 }
 
 /// Returns whether this node should take a job over now: the job has no owner, its owner was an earlier process of
--- a/crates/trestlerackd/src/entry/load_gossip/observations.rs
+++ b/crates/trestlerackd/src/entry/load_gossip/observations.rs
@@ -74,7 +74,7 @@
     }
     let own = observations.iter().filter(|observation| observation.origin == node.settings.name);
     own.for_each(|observation| log_changed(node, observation));
-    let chosen = server_gossip_settings().pick_push_peers(&node.peers.peer_addresses(), &mut rand::rng());
+    let chosen = server_gossip_settings().pick_push_peers(&node.peers.regional_peers(), &mut rand::rng());
     let message = LoadMessage { servers: observations, ..LoadMessage::default() };
     // A peer that does not respond gets the observations from other peers.
     send(node, &chosen, message).await;
@@ -86,7 +86,7 @@
 pub async fn pull_from_peer(node: Arc<EntryNode>) {
     let gossip = server_gossip_settings();
     for _ in 0..MAX_PULLED_PEERS {
-        let peer = gossip.pick_pull_peer(&node.peers.peer_addresses(), &mut rand::rng());
+        let peer = gossip.pick_pull_peer(&node.peers.regional_peers(), &mut rand::rng());
         if let Some(peer) = peer
             && exchange(&node, &peer, LoadMessage::default()).await
         {
--- a/crates/trestlerackd/src/entry/load_gossip/shares.rs
+++ b/crates/trestlerackd/src/entry/load_gossip/shares.rs
@@ -40,7 +40,7 @@
     if shares.is_empty() {
         return;
     }
-    let peers = node.shares.gossip_settings().pick_push_peers(&node.peers.peer_addresses(), &mut rand::rng());
+    let peers = node.shares.gossip_settings().pick_push_peers(&node.peers.regional_peers(), &mut rand::rng());
     let node = node.clone();
     tokio::spawn(async move { send(&node, &peers, LoadMessage { shares, ..LoadMessage::default() }).await });
 }
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -39,6 +39,7 @@
 mod plain;
 mod pool;
 mod readiness;
+mod regions;
 mod request_history;
 mod resource_limits;
 mod retention;
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -29,7 +29,7 @@
     ServerRegistry,
 };
 use trestlerack::request::JobRecord;
-use trestlerack::version::{RoutingTable, WeightVersion, ZoneMap};
+use trestlerack::version::{OwnRegion, RoutingTable, WeightVersion, ZoneMap};
 use trestlerack::{Name, Timestamp};
 
 /// What this node knows of a job from the store.
@@ -74,6 +74,8 @@
     pub live_settings: RwLock<LiveSettings>,
     /// Regions of the availability zones.
     pub zones: ZoneMap,
+    /// The region of this node; `None` if the deployment does not span regions.
+    pub own_region: Option<OwnRegion>,
     /// Tells this process from earlier ones on the same VM.
     pub incarnation: u64,
     /// Monotonic clock of this node.
@@ -154,11 +156,17 @@
         let now = clock.now();
         let resource_limits = Arc::new(ResourceLimiter::new(&settings));
         let pool = Arc::new(ConnectionPool::new(resource_limits.connections.clone(), settings.store.clone()));
-        let peers = Arc::new(PeerClient::new(pool.clone(), settings.peer_listen.clone(), settings.seeds.clone()));
+        let zones = ZoneMap::new(&settings.zones);
+        let own_region = OwnRegion::new(&zones, &settings.zone);
+        let (own_address, seeds) = (settings.peer_listen.clone(), settings.seeds.clone());
+        let peers = Arc::new(PeerClient::new(pool.clone(), own_address, own_region.clone(), seeds));
+        let mut balancer = LoadBalancer::new(BalancerSettings::default());
+        balancer.set_own_region(own_region.clone());
         let direct_store = Arc::new(DirectStore::new(pool.clone(), settings.store.clone()));
         Ok(Self {
             live_settings: RwLock::new(LiveSettings::from(&settings)),
-            zones: ZoneMap::new(&settings.zones),
+            zones,
+            own_region,
             incarnation: rand::random::<u64>() >> 1,
             clock,
             store: RelayedStore::new(direct_store.clone(), peers.clone()),
@@ -168,7 +176,7 @@
             routing: RwLock::new(None),
             key_refresh: KeyRefresh::default(),
             registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
-            balancer: Mutex::new(LoadBalancer::new(BalancerSettings::default())),
+            balancer: Mutex::new(balancer),
             route_latencies: Mutex::default(),
             new_observations: Notify::new(),
             admission: AdmissionControl::new(),
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -14,6 +14,7 @@
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -21,11 +22,12 @@
 use trestlerack::Name;
 use trestlerack::interfaces::{Clock, StoreError};
 use trestlerack::process::{
-    ConnectionKind, ConnectionPermit, CrashReport, LoadMessage, MemoryPurpose, NodeRow, NodeRows, RelaySelector,
-    UsageSender, UsageSnapshot,
+    ConnectionKind, ConnectionPermit, CrashReport, LoadMessage, MemoryPurpose, NodeRow, NodeRows, RegionalPeers,
+    RelaySelector, UsageSender, UsageSnapshot,
 };
 use trestlerack::request::RequestFingerprint;
 use trestlerack::rows::{StoreCall, StoreReply};
+use trestlerack::version::OwnRegion;
 
 /// Path of all calls between nodes.
 const PEER_PATH: &str = "/peer";
@@ -122,6 +124,7 @@
 pub struct PeerClient {
     pool: Arc<ConnectionPool>,
     own_address: Name,
+    own_region: Option<OwnRegion>,
     seeds: Mutex<Vec<Name>>,
     nodes: Mutex<NodeRows>,
     relays: Mutex<RelaySelector>,
@@ -130,10 +133,10 @@
 
 impl PeerClient {
     /// Creates a client that knows only the seeds.
-    pub fn new(pool: Arc<ConnectionPool>, own_address: Name, seeds: Vec<Name>) -> Self {
+    pub fn new(pool: Arc<ConnectionPool>, own_address: Name, own_region: Option<OwnRegion>, seeds: Vec<Name>) -> Self {
         let relays = Mutex::new(RelaySelector::new(&own_address));
         let (seeds, nodes, clock) = (Mutex::new(seeds), Mutex::default(), SystemClock::new());
-        Self { pool, own_address, seeds, nodes, relays, clock }
+        Self { pool, own_address, own_region, seeds, nodes, relays, clock }
     }
 
     /// Replaces the seeds.
@@ -204,10 +207,21 @@
         addresses
     }
 
+    /// Returns the addresses of all other known nodes by region. A seed that is not registered has no known region.
+    pub fn regional_peers(&self) -> RegionalPeers {
+        let addresses = self.peer_addresses();
+        let Some(region) = &self.own_region else { return addresses.into() };
+        let nodes = self.nodes.lock().unwrap();
+        let near_rows = nodes.iter().filter(|(_, row)| region.contains(&row.zone));
+        let near: HashSet<&Name> = near_rows.map(|(_, row)| &row.address).collect();
+        let (near, far) = addresses.into_iter().partition(|address| near.contains(address));
+        RegionalPeers { near, far }
+    }
+
     /// Returns the peers that may relay a store call, in the order in which to ask them.
     pub fn pick_relays(&self) -> Vec<Name> {
-        let addresses = self.peer_addresses();
-        self.relays.lock().unwrap().pick(self.clock.now(), addresses)
+        let peers = self.regional_peers();
+        self.relays.lock().unwrap().pick(self.clock.now(), peers)
     }
 
     /// Asks a peer to make a store call. A peer that does not answer may have passed the call on, which
--- a/crates/trestlerackd/src/entry/suspects/gossip.rs
+++ b/crates/trestlerackd/src/entry/suspects/gossip.rs
@@ -50,7 +50,7 @@
     loop {
         node.suspects.has_unsent.notified().await;
         let reports = node.suspects.take_unsent();
-        let chosen = gossip.pick_push_peers(&node.peers.peer_addresses(), &mut rand::rng());
+        let chosen = gossip.pick_push_peers(&node.peers.regional_peers(), &mut rand::rng());
         join_all(chosen.iter().map(|peer| exchange(&node, peer, &reports))).await;
     }
 }
@@ -68,7 +68,7 @@
     let gossip = GossipSettings::default();
     loop {
         if node.suspects.is_watch_down() {
-            let peer = gossip.pick_pull_peer(&node.peers.peer_addresses(), &mut rand::rng());
+            let peer = gossip.pick_pull_peer(&node.peers.regional_peers(), &mut rand::rng());
             if let Some(peer) = peer {
                 exchange(&node, &peer, &newest_reports(&node)).await;
             }
--- a/crates/trestlerackd/src/process/member_loop.rs
+++ b/crates/trestlerackd/src/process/member_loop.rs
@@ -110,7 +110,7 @@
         alive.map(|update| update.peer).filter(|peer| peer.name != *node.name()).collect()
     };
     let names: Vec<Name> = alive.iter().map(|peer| peer.name.clone()).collect();
-    let chosen = gossip.pick_push_peers(&names, &mut rand::rng());
+    let chosen = gossip.pick_push_peers(&names.into(), &mut rand::rng());
     for peer in alive.into_iter().filter(|peer| chosen.contains(&peer.name)) {
         tokio::spawn(probe(node.clone(), peer));
     }
