Count the traffic to other regions, and log zones there that do not respond

Cause: each byte between regions is charged for, and nothing showed how many there are or why calls leave their region.

Change: `TrafficCounter` counts requests where they leave, and the bytes of the connections to servers in other regions; four metrics show them, only in a deployment that spans regions. TR2631 and TR2632 name zones of other regions whose servers fail one after another. Tests with processes: a node whose region is cut off from two others and from the store, and calls that find no free slot at home.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -251,4 +251,8 @@
     USAGE_MISSED = (2504, "usage-missed", Error);
     /// Engines were ordered from the platform; the line has the answer.
     ENGINES_ORDERED = (2511, "engines-ordered", Info);
+    /// Several servers of a zone in another region failed and none has responded since; it gets only probes.
+    REMOTE_ZONE_LOST = (2631, "remote-zone-lost", Warn);
+    /// A server of that zone responded again.
+    REMOTE_ZONE_REGAINED = (2632, "remote-zone-regained", Info);
 }
--- a/crates/trestlerack/src/process/load_balancer.rs
+++ b/crates/trestlerack/src/process/load_balancer.rs
@@ -184,6 +184,7 @@
     /// Removes a server.
     pub fn remove(&mut self, instance: &str) {
         self.servers.remove(instance);
+        self.remote_zones.forget(instance);
     }
 
     /// Returns the known instances.
--- a/crates/trestlerack/src/process/regional_choice.rs
+++ b/crates/trestlerack/src/process/regional_choice.rs
@@ -78,6 +78,14 @@
     }
 }
 
+impl RemoteZones {
+    /// Forgets a server that was removed.
+    pub(super) fn forget(&mut self, instance: &str) {
+        self.zones.values_mut().for_each(|zone| _ = zone.failed_servers.remove(instance));
+        self.zones.retain(|_, zone| !zone.failed_servers.is_empty());
+    }
+}
+
 impl LoadBalancer {
     /// Sets the region of this node. Servers in other regions are used only if the own region has no server with a
     /// free slot or is much slower.
@@ -89,9 +97,9 @@
         }
     }
 
-    /// Returns the zones of other regions that do not respond.
-    pub fn unreachable_zones(&self, now: Timestamp) -> Vec<Name> {
-        let unreachable = self.remote_zones.zones.iter().filter(|(_, zone)| zone.is_unreachable(now));
+    /// Returns the zones of other regions that have not responded since several of their servers failed.
+    pub fn unreachable_zones(&self) -> Vec<Name> {
+        let unreachable = self.remote_zones.zones.iter().filter(|(_, zone)| zone.is_suspect());
         unreachable.map(|(zone, _)| zone.clone()).collect()
     }
 
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use super::in_flight::InFlightGuard;
 use super::node::EntryNode;
 use super::pool::{ConnectionLease, ExchangeError};
-use super::{admission, crash_detection, resource_limits, server_responses, suspects};
+use super::{admission, crash_detection, regions, resource_limits, server_responses, suspects};
 use crate::process::clock;
 use crate::process::tracing::HopSpan;
 use bytes::Bytes;
@@ -105,7 +105,11 @@
     }
     let encoded = platform::encode_request(request).map_err(|error| AttemptError::NotRun(error.to_string()))?;
     guard.record_sent();
-    let sent = node.pool.send(&guard.server.address, encoded, wants_fresh).await;
+    let traffic = regions::traffic_to(node, &guard.server.zone);
+    if let Some(traffic) = traffic {
+        traffic.record_request();
+    }
+    let sent = node.pool.send_counted(&guard.server.address, encoded, wants_fresh, traffic).await;
     let (response, lease) = match sent {
         Ok(response) => response,
         Err(error) => {
--- a/crates/trestlerackd/src/entry/engine_calls.rs
+++ b/crates/trestlerackd/src/entry/engine_calls.rs
@@ -2,6 +2,7 @@
 
 use super::node::EntryNode;
 use super::pool::ExchangeError;
+use super::regions;
 use crate::process::clock;
 use crate::process::logs;
 use http::StatusCode;
@@ -72,7 +73,8 @@
         request.headers_mut().insert(http::header::HOST, host);
     }
     let exchange = async {
-        let (response, lease) = node.pool.send(&entry.address, request, true).await?;
+        let (response, lease) =
+            node.pool.send_counted(&entry.address, request, true, regions::traffic_to(node, &entry.zone)).await?;
         let (parts, body) = response.into_parts();
         let head = platform::decode_response_head(&parts.headers);
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -2,7 +2,7 @@
 
 use super::admission::AdmissionMetrics;
 use super::node::EntryNode;
-use super::{engine_memory, resource_limits, status};
+use super::{engine_memory, regions, resource_limits, status};
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -134,6 +134,7 @@
     server_gauges(node, &mut page);
     let mut lines = format!("trestlerack_entry_connections_opened {}\n", node.pool.opened_count());
     resource_limits::write_metrics(&node.resource_limits, &mut lines);
+    regions::write_metrics(node, &mut lines);
     page.extend_from_slice(lines.as_bytes());
     page
 }
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -39,6 +39,7 @@
 mod plain;
 mod pool;
 mod readiness;
+mod region_traffic;
 mod regions;
 mod request_history;
 mod resource_limits;
@@ -105,6 +106,7 @@
     tokio::spawn(log_suspensions(node.clone()));
     tokio::spawn(keep_registered(node.clone()));
     tokio::spawn(probe_store(node.clone()));
+    tokio::spawn(regions::log_unreachable_zones(node.clone()));
     tokio::spawn(job_takeover::watch_owners(node.clone()));
     tokio::spawn(order_lease::run(node.clone()));
     duties::start(&node);
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -9,6 +9,7 @@
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
 use super::pool::ConnectionPool;
+use super::region_traffic::TrafficCounter;
 use super::resource_limits::ResourceLimiter;
 use super::shares::ShareControl;
 use super::store::{DirectStore, RelayedStore};
@@ -76,6 +77,8 @@
     pub zones: ZoneMap,
     /// The region of this node; `None` if the deployment does not span regions.
     pub own_region: Option<OwnRegion>,
+    /// Requests and bytes between this node and servers in other regions.
+    pub region_traffic: Arc<TrafficCounter>,
     /// Tells this process from earlier ones on the same VM.
     pub incarnation: u64,
     /// Monotonic clock of this node.
@@ -167,6 +170,7 @@
             live_settings: RwLock::new(LiveSettings::from(&settings)),
             zones,
             own_region,
+            region_traffic: Arc::default(),
             incarnation: rand::random::<u64>() >> 1,
             clock,
             store: RelayedStore::new(direct_store.clone(), peers.clone()),
--- a/crates/trestlerackd/src/entry/pool.rs
+++ b/crates/trestlerackd/src/entry/pool.rs
@@ -4,6 +4,7 @@
 //! request of that exchange. In any other case it is closed at once, which also cancels the work of a backend
 //! server.
 
+use super::region_traffic::{CountedStream, TrafficCounter};
 use crate::process::clock;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -179,6 +180,17 @@
         address: &Name,
         request: Request<Bytes>,
         wants_fresh: bool,
+    ) -> Result<(Response<Incoming>, ConnectionLease), ExchangeError> {
+        self.send_counted(address, request, wants_fresh, None).await
+    }
+
+    /// Like [`Self::send`]. If a connection is opened, its bytes are counted by `traffic` as long as it is used.
+    pub async fn send_counted(
+        &self,
+        address: &Name,
+        request: Request<Bytes>,
+        wants_fresh: bool,
+        traffic: Option<&Arc<TrafficCounter>>,
     ) -> Result<(Response<Incoming>, ConnectionLease), ExchangeError> {
         let mut request = request.map(Full::new);
         if !wants_fresh {
@@ -192,7 +204,7 @@
                 }
             }
         }
-        let mut lease = self.open(address).await?;
+        let mut lease = self.open(address, traffic).await?;
         match lease.connection.sender.send_request(request).await {
             Ok(response) => Ok((response, lease)),
             Err(error) => Err(ExchangeError::NoResponse(error.to_string())),
@@ -213,8 +225,8 @@
     }
 
     /// Checks whether an address accepts connections. The connection that it opens is kept for a later exchange.
-    pub async fn listen_state(self: &Arc<Self>, address: &Name) -> ListenState {
-        match clock::timeout(LISTEN_TIMEOUT, self.open(address)).await {
+    pub async fn listen_state(self: &Arc<Self>, address: &Name, traffic: Option<&Arc<TrafficCounter>>) -> ListenState {
+        match clock::timeout(LISTEN_TIMEOUT, self.open(address, traffic)).await {
             Ok(Ok(lease)) => {
                 self.keep(lease, None);
                 ListenState::Listening
@@ -224,7 +236,7 @@
         }
     }
 
-    async fn open(&self, address: &Name) -> Result<ConnectionLease, OpenError> {
+    async fn open(&self, address: &Name, traffic: Option<&Arc<TrafficCounter>>) -> Result<ConnectionLease, OpenError> {
         let Some(permit) = self.acquire_permit(address) else {
             return Err(OpenError::Failed(format!("no file descriptor is left for a connection to {address}")));
         };
@@ -238,7 +250,8 @@
         };
         self.opened_count.fetch_add(1, Ordering::Relaxed);
         set_socket_options(&stream);
-        let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(stream)).await;
+        let stream = TokioIo::new(CountedStream::new(stream, traffic.cloned()));
+        let handshake = http1::Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(stream).await;
         let (sender, connection) = handshake.map_err(|error| OpenError::Failed(error.to_string()))?;
         let task = tokio::spawn(async move {
             // The exchange that uses the connection gets the error too and reports it.
--- a/crates/trestlerackd/src/entry/regions.rs
+++ b/crates/trestlerackd/src/entry/regions.rs
@@ -4,9 +4,19 @@
 //! [docs/design/regions.md](../../../../docs/design/regions.md).
 
 use super::node::EntryNode;
+use super::region_traffic::TrafficCounter;
+use crate::process::{clock, logs};
 use std::collections::{BTreeMap, BTreeSet};
-use trestlerack::Name;
+use std::sync::Arc;
+use std::time::Duration;
 use trestlerack::version::ZoneRelation;
+use trestlerack::{Name, event};
+
+/// Interval at which the zones that do not respond are compared with those of the last log line.
+const LOG_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of zones of other regions that do not respond.
+const UNREACHABLE_METRIC: &str = "trestlerack_entry_remote_zones_unreachable";
 
 /// Returns where each registered node is, as seen from this one.
 pub fn node_relations(node: &EntryNode) -> BTreeMap<Name, ZoneRelation> {
@@ -21,3 +31,38 @@
     let is_near = |other: &str| node.zones.is_same_region(&zone, other);
     node.peers.rows(|other, row| is_near(&row.zone).then(|| other.clone())).into_iter().flatten().collect()
 }
+
+/// Returns the counter of the traffic to a zone; `None` if it lies in the own region.
+pub fn traffic_to<'a>(node: &'a EntryNode, zone: &str) -> Option<&'a Arc<TrafficCounter>> {
+    let is_remote = node.own_region.as_ref().is_some_and(|region| !region.contains(zone));
+    is_remote.then_some(&node.region_traffic)
+}
+
+/// Adds the metrics of other regions to a metrics page.
+pub fn write_metrics(node: &EntryNode, page: &mut String) {
+    if node.own_region.is_none() {
+        return;
+    }
+    node.region_traffic.write_metrics(page);
+    let unreachable = node.balancer.lock().unwrap().unreachable_zones().len();
+    page.push_str(&format!("{UNREACHABLE_METRIC} {unreachable}\n"));
+}
+
+/// Logs when zones of other regions stop to respond and when they respond again, until the process ends.
+pub async fn log_unreachable_zones(node: Arc<EntryNode>) {
+    if node.own_region.is_none() {
+        return;
+    }
+    let mut logged = BTreeSet::new();
+    loop {
+        clock::sleep(LOG_INTERVAL).await;
+        let unreachable: BTreeSet<Name> = node.balancer.lock().unwrap().unreachable_zones().into_iter().collect();
+        for zone in unreachable.difference(&logged) {
+            logs::write(event::REMOTE_ZONE_LOST, &[("zone", zone)]);
+        }
+        for zone in logged.difference(&unreachable) {
+            logs::write(event::REMOTE_ZONE_REGAINED, &[("zone", zone)]);
+        }
+        logged = unreachable;
+    }
+}
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod held;
 mod jobs;
 mod lease;
+mod regions;
 mod requests;
 mod room;
 mod server_health;
--- /dev/null
+++ b/crates/trestlerackd/tests/entry/regions.rs
@@ -0,0 +1,111 @@
+//! Nodes of a fleet that spans three regions, each with one zone.
+
+use super::support::*;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Target latency of the route that the tests call.
+const TARGET: Duration = Duration::from_millis(150);
+
+/// Starts a daemon in a zone, and returns it with its metrics address.
+fn start_daemon(name: &str, zone: &str, platform: &Platform, seeds: &[&str]) -> (EntryDaemon, String) {
+    let metrics = free_address();
+    let zones: Vec<_> =
+        ["z", "y", "x"].iter().map(|zone| json!({ "name": zone, "region": format!("r-{zone}") })).collect();
+    let settings = DaemonSettings {
+        store: platform.store.address.to_string(),
+        seeds: seeds.iter().map(ToString::to_string).collect(),
+        more: json!({ "metrics_listen": metrics, "zone": zone, "zones": zones }),
+        ..DaemonSettings::default()
+    };
+    (EntryDaemon::start_with(name, &settings), metrics)
+}
+
+fn register(platform: &Platform, instance: &str, zone: &str, address: &str) {
+    let row = json!({ "service": "plain", "addr": address, "zone": zone, "version": "v1", "slots": 4,
+        "state": "ready", "cold_left_ms": 0, "models": [], "seq": 2 });
+    platform.store.put("servers", instance, &row);
+}
+
+/// Makes calls from as many threads, and returns how long each took. All of them have to succeed.
+fn make_calls(daemon: &EntryDaemon, label: &str, threads: usize, calls: usize) -> Vec<Duration> {
+    let make_call = |id: String| {
+        let started = Instant::now();
+        let response = call(&daemon.client, "GET", "/safe/x", &[("request-id", &id)], "").unwrap();
+        assert_eq!(response.status, 200, "{id}");
+        started.elapsed()
+    };
+    let make_call = &make_call;
+    std::thread::scope(|scope| {
+        let spawn =
+            |thread| scope.spawn(move || (0..calls).map(|n| make_call(format!("{label}-{thread}-{n}"))).collect());
+        let workers: Vec<_> = (0..threads).map(spawn).collect();
+        workers.into_iter().flat_map(|worker| -> Vec<Duration> { worker.join().unwrap() }).collect()
+    })
+}
+
+/// Returns the metrics of the traffic to other regions by the last part of their names.
+fn remote_metrics(metrics: &str) -> BTreeMap<String, u64> {
+    let page = call(metrics, "GET", "/metrics", &[], "").unwrap().body;
+    let lines = page.lines().filter_map(|line| line.strip_prefix("trestlerack_entry_remote_"));
+    lines.filter_map(|line| line.split_once(' ')).map(|(name, value)| (name.into(), value.parse().unwrap())).collect()
+}
+
+/// Guards against calls that wait for servers, peers or a store of regions that cannot be reached.
+#[test]
+fn a_region_that_is_cut_off_answers_its_clients_within_the_target_latency() {
+    let platform = Platform::start_with_counts(3, 1);
+    platform.plain.work_ms.store(20, Ordering::SeqCst);
+    // Accepts connections, but nothing answers there.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let silent_address = silent.local_addr().unwrap().to_string();
+    for (number, zone) in [(0, "y"), (1, "y"), (2, "x"), (3, "x")] {
+        register(&platform, &format!("i-lost-{number}"), zone, &silent_address);
+    }
+    let (daemon, metrics) = start_daemon("a", "z", &platform, &[]);
+    let (second, _) = start_daemon("b", "y", &platform, &[&daemon.peer]);
+    let (third, _) = start_daemon("c", "x", &platform, &[&daemon.peer]);
+    make_calls(&daemon, "before", 1, 10);
+    [&second, &third].iter().for_each(|daemon| daemon.signal("-STOP"));
+    platform.store.set_unavailable(true);
+    // Three servers with four slots each are enough for nine calls at a time.
+    let took = make_calls(&daemon, "cut", 9, 40);
+    let late = took.iter().filter(|took| **took > TARGET).count();
+    assert!(
+        late * 50 <= took.len(),
+        "{late} of {} calls were late, the slowest by {:?}",
+        took.len(),
+        took.iter().max()
+    );
+    assert_eq!(remote_metrics(&metrics)["requests"], 0);
+    [&second, &third].iter().for_each(|daemon| daemon.signal("-CONT"));
+}
+
+/// Guards against calls that are refused while another region has free slots, and against traffic that is not
+/// counted.
+#[test]
+fn calls_that_find_no_free_slot_in_their_region_are_counted_in_another() {
+    let mut addresses = Vec::new();
+    let platform = Platform::start_behind_proxies(2, |address| {
+        addresses.push(address.to_string());
+        address.to_string()
+    });
+    platform.plain.work_ms.store(60, Ordering::SeqCst);
+    // The addresses are those of a plain server and an engine in turn.
+    register(&platform, "i-plain-1", "y", &addresses[2]);
+    let (daemon, metrics) = start_daemon("a", "z", &platform, &[]);
+    make_calls(&daemon, "few", 3, 10);
+    let before = remote_metrics(&metrics);
+    assert_eq!((before["requests"], before["sent_bytes"], before["received_bytes"]), (0, 0, 0));
+    make_calls(&daemon, "many", 7, 10);
+    let after = remote_metrics(&metrics);
+    assert!(after["requests"] > 0, "{after:?}");
+    assert!(
+        after["sent_bytes"] > 50 * after["requests"] && after["received_bytes"] > 50 * after["requests"],
+        "{after:?}"
+    );
+    assert_eq!(after["zones_unreachable"], 0);
+}
