Give subsets of large services enough servers of the own region

Cause: of a service with thousands of servers, a node uses about 16 servers in all other zones together. In a fleet that spans regions most of these lie elsewhere, so a node whose zone is full would find few servers at home.

Change: the zones of the own region and the other regions each have a minimum of 16 servers. Where regions make no difference, subsets are the same as before. The call in tests/followers.rs passes an empty zone map.

--- a/crates/trestlerack/src/process/server_subset.rs
+++ b/crates/trestlerack/src/process/server_subset.rs
@@ -2,18 +2,21 @@
 //!
 //! A node that used all servers of a large service would keep opening connections to new ones, and each choice
 //! would scan all of them. Instead it uses a stable subset: a hash of both names decides whether a server is in
-//! it. The subset has more servers of the node's own zone, and contains all servers of a small service.
+//! it. The subset has more servers of the node's own zone, enough of its region, and contains all servers of a small
+//! service.
 
 use super::registry::ServerEntry;
 use crate::Name;
 use crate::hash::hash_parts;
+use crate::version::ZoneMap;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Smallest subset of the servers in the node's own zone, if there are that many.
 const MIN_OWN_ZONE_SERVERS: usize = 32;
 
-/// Smallest subset of the servers in all other zones, which are used when the own zone has no free slot.
+/// Smallest subset of the servers in all other zones of the region, which are used when the own zone has no free slot,
+/// and of those in other regions.
 const MIN_OTHER_ZONE_SERVERS: usize = 16;
 
 /// Factor by which a number of servers must change before subsets are computed again, so that single servers
@@ -62,15 +65,23 @@
         true
     }
 
-    /// Returns whether a server is in the subset of a node.
-    pub fn is_in_subset(&self, node: &str, node_zone: &str, entry: &ServerEntry) -> bool {
+    /// Returns whether a server is in the subset of a node. `regions` tells which zones lie in the node's region.
+    pub fn is_in_subset(&self, node: &str, node_zone: &str, regions: &ZoneMap, entry: &ServerEntry) -> bool {
         let Some(zones) = self.counts.get(&entry.service) else { return true };
         let own = zones.get(node_zone).copied().unwrap_or(0);
-        let others = zones.values().sum::<usize>() - own;
-        let fraction = match (own, &*entry.zone == node_zone) {
-            (0, _) => subset_fraction(MIN_OWN_ZONE_SERVERS, others),
-            (_, true) => subset_fraction(MIN_OWN_ZONE_SERVERS, own),
-            (_, false) => subset_fraction(MIN_OTHER_ZONE_SERVERS, others),
+        let others = zones.iter().filter(|(zone, _)| ***zone != *node_zone);
+        let (mut near, mut far) = (0, 0);
+        for (zone, count) in others {
+            *(if regions.is_same_region(node_zone, zone) { &mut near } else { &mut far }) += count;
+        }
+        // The nearest servers, wherever they are, count as those of the own zone.
+        let minimum = |nearer: usize| if nearer == 0 { MIN_OWN_ZONE_SERVERS } else { MIN_OTHER_ZONE_SERVERS };
+        let fraction = if &*entry.zone == node_zone {
+            subset_fraction(MIN_OWN_ZONE_SERVERS, own)
+        } else if regions.is_same_region(node_zone, &entry.zone) {
+            subset_fraction(minimum(own), near)
+        } else {
+            subset_fraction(minimum(own + near), far)
         };
         fraction >= 1.0 || hash_parts(&[node, &entry.instance]) as f64 / u64::MAX as f64 <= fraction
     }
--- a/crates/trestlerack/tests/followers.rs
+++ b/crates/trestlerack/tests/followers.rs
@@ -10,6 +10,7 @@
     follower_order,
 };
 use trestlerack::rows::StoredRow;
+use trestlerack::version::ZoneMap;
 
 const FLEETS: [usize; 5] = [25, 100, 300, 1_000, 2_000];
 const SERVERS_PER_NODE: usize = 10;
@@ -113,7 +114,8 @@
         let counts = ServerCounts::of(servers.iter());
         for number in 0..20 {
             let own = node(number);
-            let used = servers.iter().filter(|entry| counts.is_in_subset(&own.name, &own.zone, entry));
+            let used =
+                servers.iter().filter(|entry| counts.is_in_subset(&own.name, &own.zone, &ZoneMap::default(), entry));
             let mut by_service: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
             for entry in used {
                 let (same_zone, other_zones) = by_service.entry(&entry.service).or_default();
--- a/crates/trestlerack/tests/regions.rs
+++ b/crates/trestlerack/tests/regions.rs
@@ -9,8 +9,8 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 use trestlerack::process::{
-    FollowerCandidate, LoadBalancer, OwnerCandidate, RegionalPeers, RelaySelector, ServerEntry, ServerNeed, SlotNeed,
-    choose_job_owner, follower_order, server_gossip_settings, successor_rank,
+    FollowerCandidate, LoadBalancer, OwnerCandidate, RegionalPeers, RelaySelector, ServerCounts, ServerEntry,
+    ServerNeed, SlotNeed, choose_job_owner, follower_order, server_gossip_settings, successor_rank,
 };
 use trestlerack::version::{OwnRegion, Zone, ZoneMap};
 use trestlerack::{Name, Timestamp};
@@ -410,3 +410,47 @@
         assert!(crossing <= max_crossing && missed <= 0.025, "{nodes_per_region} nodes");
     }
 }
+
+/// Guards against subsets of a large service that have hardly any servers of the own region, and against any change
+/// of subsets where regions make no difference.
+#[test]
+fn subsets_have_enough_servers_of_the_own_region() {
+    let servers: Vec<ServerEntry> =
+        (0..3_000).map(|number| load::plain_server(&format!("i-{number}"), "s", ZONES[number % 6], 6)).collect();
+    let counts = ServerCounts::of(servers.iter());
+    let one_region = ZoneMap::new(&ZONES.map(|zone| Zone { name: zone.into(), region: "r".into() }));
+    for node in node_names("a1") {
+        let subset = |zones: &ZoneMap| -> Vec<&str> {
+            let used = servers.iter().filter(|server| counts.is_in_subset(&node, "a1", zones, server));
+            used.map(|server| &*server.zone).collect()
+        };
+        let zones = subset(&zone_map());
+        let near = zones.iter().filter(|zone| **zone == "a2").count();
+        let far = zones.iter().filter(|zone| region_of(zone) != "a").count();
+        assert!(near >= 8 && far >= 8 && zones.len() < 150, "{near} near, {far} far, {} in all", zones.len());
+        assert_eq!(subset(&one_region), subset(&ZoneMap::default()));
+    }
+}
+
+/// Guards against a zone that stays paused after its link is back, and against single servers that pause a zone.
+#[test]
+fn a_zone_of_another_region_is_paused_after_two_servers_and_probed() {
+    let zones = ["a1", "b1", "b1", "b1"].iter().enumerate();
+    let servers: Vec<ServerEntry> =
+        zones.map(|(number, zone)| load::plain_server(&format!("i-{number}"), "s", zone, 1)).collect();
+    let mut balancer = load::balancer_of(&servers);
+    balancer.set_own_region(own_region("a1"));
+    let need = ServerNeed { service: "s", zone: "a1", slot_need: SlotNeed::One, ..ServerNeed::default() };
+    let at = |ms: u64| Timestamp(10_000 + ms);
+    balancer.started("i-0");
+    balancer.failed(at(0), "i-1");
+    assert!(balancer.choose(at(0), &need).is_some(), "one server that fails is no lost zone");
+    balancer.failed(at(0), "i-2");
+    assert!(balancer.choose(at(0), &need).is_none());
+    assert_eq!((balancer.unreachable_zones(), balancer.wait_estimate(at(0), "s").slots), (vec!["b1".into()], 1));
+    let probe = balancer.choose(at(250), &need).unwrap().entry.instance.clone();
+    balancer.started(&probe);
+    assert!(balancer.choose(at(250), &need).is_none(), "one probe at a time");
+    balancer.succeeded(&probe);
+    assert!(balancer.unreachable_zones().is_empty() && balancer.choose(at(250), &need).is_some());
+}
--- a/crates/trestlerackd/src/entry/feed_relay.rs
+++ b/crates/trestlerackd/src/entry/feed_relay.rs
@@ -357,7 +357,7 @@
     if &*row.table != platform::SERVER_TABLE || row.removed {
         return true;
     }
-    registry.get(&row.key).is_none_or(|entry| node.follower.is_in_subset(&call.node, &call.zone, entry))
+    registry.get(&row.key).is_none_or(|entry| node.follower.is_in_subset(&call.node, &call.zone, &node.zones, entry))
 }
 
 /// Adds changed rows of a table other than service discovery's to the change feed.
--- a/crates/trestlerackd/src/entry/follower_state.rs
+++ b/crates/trestlerackd/src/entry/follower_state.rs
@@ -14,6 +14,7 @@
 };
 use trestlerack::request::JobRecord;
 use trestlerack::rows::StoredRow;
+use trestlerack::version::ZoneMap;
 use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform as platform;
 
@@ -203,8 +204,8 @@
     }
 
     /// Returns whether a server is in a node's subset.
-    pub fn is_in_subset(&self, node: &str, zone: &str, entry: &ServerEntry) -> bool {
-        self.counts.lock().unwrap().is_in_subset(node, zone, entry)
+    pub fn is_in_subset(&self, node: &str, zone: &str, regions: &ZoneMap, entry: &ServerEntry) -> bool {
+        self.counts.lock().unwrap().is_in_subset(node, zone, regions, entry)
     }
 }
 
