--- a/crates/trestlerackd/src/entry/regions.rs
+++ b/crates/trestlerackd/src/entry/regions.rs
@@ -27,8 +27,15 @@
 /// Returns the registered nodes in the region of the node `name`; none if that node is not registered.
 pub fn nodes_near(node: &EntryNode, name: &str) -> BTreeSet<Name> {
     let row = node.own_region.as_ref().and_then(|_| node.peers.get(name));
-    let Some(zone) = row.map(|row| row.zone) else { return BTreeSet::new() };
-    let is_near = |other: &str| node.zones.is_same_region(&zone, other);
+    row.map(|row| nodes_in_region_of(node, &row.zone)).unwrap_or_default()
+}
+
+/// Returns the registered nodes in the region of a zone.
+pub fn nodes_in_region_of(node: &EntryNode, zone: &str) -> BTreeSet<Name> {
+    if node.own_region.is_none() {
+        return BTreeSet::new();
+    }
+    let is_near = |other: &str| node.zones.is_same_region(zone, other);
     node.peers.rows(|other, row| is_near(&row.zone).then(|| other.clone())).into_iter().flatten().collect()
 }
 
--- a/crates/trestlerackd/src/entry/suspects/trials.rs
+++ b/crates/trestlerackd/src/entry/suspects/trials.rs
@@ -1,14 +1,16 @@
 //! Trials of suspect contents: each runs at a server without suspects of other nodes.
 //!
-//! The trials of a server are granted by one node, which is chosen by rendezvous hash and keeps them in memory. If
-//! that node has just started or does not respond, the suspect is only separated from suspects of its own node.
+//! The trials of a server are granted by one node, which is chosen by rendezvous hash and keeps them in memory. It lies
+//! in the server's region, so that a region that is cut off waits for no node of another one. If that node has just started or does not respond, the suspect is only separated from suspects of its own node.
 
 use super::SuspectState;
 use crate::entry::in_flight::InFlightGuard;
 use crate::entry::node::EntryNode;
+use crate::entry::regions;
 use std::sync::Arc;
 use trestlerack::Name;
 use trestlerack::hash::{hash_parts, rendezvous_weight};
+use trestlerack::process::ServerEntry;
 use trestlerack::request::RequestFingerprint;
 
 /// Requests the trial of a suspect content at the server of its guard. Returns whether the request may be sent there:
@@ -21,7 +23,7 @@
         return true;
     }
     let server = &guard.server.instance;
-    let is_granted = match trial_owner(node, server) {
+    let is_granted = match trial_owner(node, &guard.server) {
         None => Some(grant_trial(node, server, guard.fingerprint)),
         Some(address) => node.peers.request_trial(&address, server, guard.fingerprint).await,
     };
@@ -37,9 +39,12 @@
 }
 
 /// Returns the address of the node that grants a server's trials; `None` if that is this node.
-fn trial_owner(node: &EntryNode, server: &Name) -> Option<Name> {
-    let key = hash_parts(&[server]);
-    let names = node.peers.names();
+fn trial_owner(node: &EntryNode, server: &ServerEntry) -> Option<Name> {
+    let key = hash_parts(&[&server.instance]);
+    let mut names: Vec<Name> = regions::nodes_in_region_of(node, &server.zone).into_iter().collect();
+    if names.is_empty() {
+        names = node.peers.names();
+    }
     let own = &node.settings.name;
     let trial_owner = names.iter().max_by_key(|name| rendezvous_weight(key, name)).filter(|name| *name != own)?;
     node.peers.get(trial_owner).map(|row| row.address)
