Simplify the cost of regions, and keep a driver in each region

Cause: the choice compared a pair of values per server, and services whose servers are compared evaluated all servers twice. A job that is accepted in another region made the next job of the model change its driver here.

Change: the region is part of the cost of a call. A region counts as much slower by comparison with an idle server of median speed elsewhere.

--- a/crates/trestlerack/src/process/job_owner.rs
+++ b/crates/trestlerack/src/process/job_owner.rs
@@ -56,7 +56,7 @@
 /// Returns the position of `own` in the order in which nodes take over a job whose owner is lost.
 ///
 /// Large nodes come first, and the rendezvous weight for the job breaks ties, so each node computes the
-/// same order. Before them come [`NEAR_SUCCESSORS`] large nodes for which `is_near` is true: those of the owner's
+/// same order. Before them come two large nodes for which `is_near` is true: those of the owner's
 /// region, in a deployment that spans regions.
 pub fn successor_rank(job: &str, own: (&str, u32), others: &[(Name, u32)], is_near: impl Fn(&str) -> bool) -> usize {
     let threshold = large_threshold(others.iter().map(|(_, capacity)| *capacity).chain([own.1]));
--- a/crates/trestlerack/src/process/load_balancer.rs
+++ b/crates/trestlerack/src/process/load_balancer.rs
@@ -222,15 +222,11 @@
         // Each cost is computed once: a driver with 3,000 engines places 200 items at a time.
         let costs = self.servers.values().filter(is_candidate);
         let transit = self.transit_in_medians(need.service);
-        let costs = costs.map(|server| {
-            let is_deferred = self.is_deferred(now, server, need);
-            ((is_deferred, self.cost(now, server, need, median_pace, transit)), server)
-        });
+        let costs = costs.map(|server| (self.cost(now, server, need, median_pace, transit), server));
         let key = hash_parts(&[need.tie_key]);
         let weight = |server: &ServerState| rendezvous_weight(key, &server.entry.instance);
-        let cheapest = costs.min_by(|((left_deferred, left_cost), left), ((right_deferred, right_cost), right)| {
-            let order = left_deferred.cmp(right_deferred).then_with(|| left_cost.total_cmp(right_cost));
-            order.then_with(|| weight(left).cmp(&weight(right)))
+        let cheapest = costs.min_by(|(left_cost, left), (right_cost, right)| {
+            left_cost.total_cmp(right_cost).then_with(|| weight(left).cmp(&weight(right)))
         });
         cheapest.map(|(_, server)| server)
     }
@@ -312,8 +308,7 @@
         let remote_zone_cost = if &*server.entry.zone == need.zone { 0.0 } else { self.settings.remote_zone_cost };
         let pace = self.pace_slowness(now, server, median_pace);
         let Some((model, min_version)) = need.weights else {
-            let region_cost = if server.is_remote { transit } else { 0.0 };
-            return utilization + remote_zone_cost + region_cost;
+            return utilization + remote_zone_cost + self.call_region_cost(now, server, transit);
         };
         // A request that accepts any version has no reason to spare newer engines.
         let newer_by = match min_version {
--- a/crates/trestlerack/src/process/regional_choice.rs
+++ b/crates/trestlerack/src/process/regional_choice.rs
@@ -13,6 +13,9 @@
 /// as unreachable. A single failing server has its own pause.
 const UNREACHABLE_AFTER: usize = 2;
 
+/// Cost of a server that gets calls only if no server of the own region has a free slot; more than any utilization.
+const DEFERRED_COST: f64 = 1_000.0;
+
 /// Costs of servers in other regions than the node's.
 #[derive(Clone, Debug)]
 pub struct RegionalCosts {
@@ -129,10 +132,15 @@
         if is_remote { took.saturating_sub(self.settings.regions.transit) } else { took }
     }
 
-    /// Returns whether a call goes to a server only if none of the own region has a free slot. Runs on engines
-    /// leave the region by their cost.
-    pub(super) fn is_deferred(&self, now: Timestamp, server: &ServerState, need: &ServerNeed<'_>) -> bool {
-        self.own_region.is_some() && need.weights.is_none() && (server.is_remote || !self.has_free_slot_at(now, server))
+    /// Returns the cost of a server for a call by its region, as a fraction of its slots. A server that is elsewhere
+    /// or full costs more than any that is neither.
+    pub(super) fn call_region_cost(&self, now: Timestamp, server: &ServerState, transit: f64) -> f64 {
+        match (&self.own_region, server.is_remote) {
+            (None, _) => 0.0,
+            (Some(_), true) => DEFERRED_COST + transit,
+            (Some(_), false) if self.has_free_slot_at(now, server) => 0.0,
+            (Some(_), false) => DEFERRED_COST,
+        }
     }
 
     /// Returns the cost of an engine for a run, as a fraction of the median pace, by its region.
@@ -146,29 +154,27 @@
         }
     }
 
-    /// Keeps only the candidates of the own region, unless none of them accepts a call in a free slot or other
-    /// regions are much faster.
+    /// Keeps only the candidates of the own region if one of them accepts a call in a free slot, and is not expected
+    /// to be much slower than an idle server of median speed in another region.
     pub(super) fn prefer_own_region<'a>(
         &self,
         now: Timestamp,
         need: &ServerNeed<'_>,
         mut candidates: Vec<&'a ServerState>,
     ) -> Vec<&'a ServerState> {
-        if !candidates.iter().any(|server| server.is_remote) {
+        if self.own_region.is_none() {
             return candidates;
         }
+        let remote_latency = 1.0 + self.transit_in_medians(need.service);
+        let max_latency = remote_latency * self.settings.regions.much_slower;
         let mean_other_requests = self.mean_other_requests(now, need.service);
-        let best_latency = |is_remote: bool| {
-            let usable = candidates.iter().filter(|server| {
-                server.is_remote == is_remote && self.has_free_slot_at(now, server) && self.accepts_calls(now, server)
-            });
-            let latencies = usable.map(|server| self.expected_latency(now, server, mean_other_requests));
-            latencies.min_by(f64::total_cmp)
+        let is_usable = |server: &&ServerState| {
+            !server.is_remote
+                && self.has_free_slot_at(now, server)
+                && self.accepts_calls(now, server)
+                && self.expected_latency(now, server, mean_other_requests) <= max_latency
         };
-        let (own, remote) = (best_latency(false), best_latency(true));
-        let stays =
-            own.is_some_and(|own| remote.is_none_or(|remote| own <= remote * self.settings.regions.much_slower));
-        if stays {
+        if candidates.iter().any(is_usable) {
             candidates.retain(|server| !server.is_remote);
         }
         candidates
--- a/crates/trestlerack/tests/regions.rs
+++ b/crates/trestlerack/tests/regions.rs
@@ -420,3 +420,26 @@
     balancer.succeeded(&probe);
     assert!(balancer.unreachable_zones().is_empty() && balancer.choose(at(250), &need).is_some());
 }
+
+/// Guards against calls that stay with much slower servers, and against servers of other regions that count as slow
+/// because of the transit.
+#[test]
+fn calls_leave_a_region_that_is_much_slower_and_transit_is_no_slowness() {
+    let zones = ["a1", "a1", "b1", "b1", "c1"].iter().enumerate();
+    let servers = zones.map(|(number, zone)| load::plain_server(&format!("i-{number}"), "s", zone, 6));
+    let mut balancer = load::balancer_of(&servers.collect::<Vec<_>>());
+    balancer.set_own_region(own_region("a1"));
+    balancer.compare_servers(&"s".into());
+    let need = ServerNeed { service: "s", zone: "a1", slot_need: SlotNeed::One, ..ServerNeed::default() };
+    let mut respond = |number: u64, own_ms: u64| {
+        let now = Timestamp(10_000 + number * 10);
+        for (server, took_ms) in [("i-0", own_ms), ("i-1", own_ms), ("i-2", 90), ("i-3", 90), ("i-4", 90)] {
+            balancer.record_response(now, server, &"r".into(), Duration::from_millis(took_ms));
+        }
+        let remote = balancer.server_statuses(now).into_iter().skip(2).map(|status| status.measured.slowness);
+        assert!(remote.into_iter().all(|slowness| slowness < 1.1), "the transit of 60 ms is no slowness");
+        balancer.choose(now, &need).unwrap().entry.zone.to_string()
+    };
+    assert!((0..100).all(|number| respond(number, if number < 50 { 30 } else { 50 }) == "a1"));
+    assert_ne!((100..120).map(|number| respond(number, 400)).last().unwrap(), "a1");
+}
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -14,7 +14,7 @@
 use trestlerack::process::{MemoryPurpose, NodeRow, OwnerCandidate, choose_job_owner};
 use trestlerack::request::{JobRecord, JobSpec};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
-use trestlerack::version::RequestRoute;
+use trestlerack::version::{RequestRoute, ZoneRelation};
 use trestlerack::{Name, event};
 use trestlerack_platform as platform;
 
@@ -173,12 +173,16 @@
 
 /// Chooses the node that is to drive a job. Returns its name and row.
 fn choose_owner(node: &EntryNode, spec: &JobSpec) -> (Name, NodeRow) {
-    let mut newest_owner: Option<(u64, Name)> = None;
+    let relations = regions::node_relations(node);
+    let relation = |name: &Name| relations.get(name).copied().unwrap_or_default();
+    // The newest job of the model that a node of the own region drives counts before newer ones of other regions.
+    let mut newest_owner: Option<(bool, u64, Name)> = None;
     let mut models_by_owner: BTreeMap<Name, BTreeSet<Option<Name>>> = BTreeMap::new();
     for view in node.jobs.lock().unwrap().values() {
         let record = &view.record;
         if record.model == spec.model && record.host == spec.host {
-            newest_owner = newest_owner.max(Some((record.accepted_ms, record.owner.clone())));
+            let is_near = relations.get(&record.owner).is_some_and(|relation| *relation != ZoneRelation::OtherRegion);
+            newest_owner = newest_owner.max(Some((is_near, record.accepted_ms, record.owner.clone())));
         } else if !view.is_ended && !record.is_complete() {
             models_by_owner.entry(record.owner.clone()).or_default().insert(record.model.clone());
         }
@@ -193,15 +197,13 @@
         nodes.retain(|(name, _)| node.follower.is_follower(name));
     }
     let models = |name: &Name| models_by_owner.get(name).map_or(0, BTreeSet::len);
-    let relations = regions::node_relations(node);
-    let relation = |name: &Name| relations.get(name).copied().unwrap_or_default();
     let candidate = |(name, capacity): (Name, u32)| {
         let (models, relation) = (models(&name), relation(&name));
         OwnerCandidate { name, capacity, models, relation }
     };
     let candidates: Vec<OwnerCandidate> = nodes.into_iter().map(candidate).collect();
     let model = spec.model.as_deref().unwrap_or("");
-    let newest_owner = newest_owner.as_ref().map(|(_, owner)| &**owner);
+    let newest_owner = newest_owner.as_ref().map(|(_, _, owner)| &**owner);
     let owner = choose_job_owner(model, &node.settings.name, newest_owner, &candidates);
     // A node that was registered a moment ago may have been removed since.
     let peer = owner.and_then(|owner| Some((owner.name.clone(), node.peers.get(&owner.name)?)));
