Count weight orders as requests to other regions

Cause: orders and reports of engines in other regions were counted by their bytes only.

Change: both places where requests leave count them in the same way.

Result: regions::, engines::, duties::, lease:: and jobs:: (40 tests) of the daemon pass.

--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -105,10 +105,7 @@
     }
     let encoded = platform::encode_request(request).map_err(|error| AttemptError::NotRun(error.to_string()))?;
     guard.record_sent();
-    let traffic = regions::traffic_to(node, &guard.server.zone);
-    if let Some(traffic) = traffic {
-        traffic.record_request();
-    }
+    let traffic = regions::record_request(node, &guard.server.zone);
     let sent = node.pool.send_counted(&guard.server.address, encoded, wants_fresh, traffic).await;
     let (response, lease) = match sent {
         Ok(response) => response,
--- a/crates/trestlerackd/src/entry/engine_calls.rs
+++ b/crates/trestlerackd/src/entry/engine_calls.rs
@@ -73,8 +73,8 @@
         request.headers_mut().insert(http::header::HOST, host);
     }
     let exchange = async {
-        let (response, lease) =
-            node.pool.send_counted(&entry.address, request, true, regions::traffic_to(node, &entry.zone)).await?;
+        let traffic = regions::record_request(node, &entry.zone);
+        let (response, lease) = node.pool.send_counted(&entry.address, request, true, traffic).await?;
         let (parts, body) = response.into_parts();
         let head = platform::decode_response_head(&parts.headers);
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
--- a/crates/trestlerackd/src/entry/regions.rs
+++ b/crates/trestlerackd/src/entry/regions.rs
@@ -45,6 +45,11 @@
     is_remote.then_some(&node.region_traffic)
 }
 
+/// Counts a request to a server if its zone lies in another region. Returns the counter for its bytes.
+pub fn record_request<'a>(node: &'a EntryNode, zone: &str) -> Option<&'a Arc<TrafficCounter>> {
+    traffic_to(node, zone).inspect(|traffic| traffic.record_request())
+}
+
 /// Adds the metrics of other regions to a metrics page.
 pub fn write_metrics(node: &EntryNode, page: &mut String) {
     if node.own_region.is_none() {
