Bound the time for which a lost probe pauses a zone

Cause: if the server of a probe was removed while the probe was in flight, its end was not counted, and a zone of another region stayed paused until a response that no request could bring.

Change: a probe without an outcome keeps further requests away for two seconds at most. The zones that do not respond stand in a file of their own.

--- a/crates/trestlerack/src/process/load_balancer.rs
+++ b/crates/trestlerack/src/process/load_balancer.rs
@@ -6,8 +6,9 @@
 use super::engine_memory::{EngineMemory, TokenNeed};
 use super::expected_latency::ResponseHistory;
 use super::latency_estimate::LatencyEstimates;
-use super::regional_choice::{RegionalCosts, RemoteZones};
+use super::regional_choice::RegionalCosts;
 use super::registry::{ServerEntry, ServerRegistry};
+use super::remote_zones::RemoteZones;
 use super::server_observations::ObservationOutbox;
 use super::server_state::{ReportedLoad, ServerSnapshot, ServerState};
 use crate::hash::{hash_parts, rendezvous_weight};
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -33,6 +33,7 @@
 mod regional_peers;
 mod registry;
 mod relay_selector;
+mod remote_zones;
 mod resource_limits;
 mod run_move;
 mod run_timeouts;
--- a/crates/trestlerack/tests/regions.rs
+++ b/crates/trestlerack/tests/regions.rs
@@ -417,6 +417,9 @@
     let probe = balancer.choose(at(250), &need).unwrap().entry.instance.clone();
     balancer.started(&probe);
     assert!(balancer.choose(at(250), &need).is_none(), "one probe at a time");
+    balancer.remove(&probe);
+    assert!(balancer.choose(at(2_500), &need).is_some(), "a probe without an outcome does not block the zone");
+    balancer.put(&servers[probe[2..].parse::<usize>().unwrap()]);
     balancer.succeeded(&probe);
     assert!(balancer.unreachable_zones().is_empty() && balancer.choose(at(250), &need).is_some());
 }
