--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -275,4 +275,8 @@
     EVACUATION_EMPTY = (2624, "evacuation-empty", Warn);
     /// No request of this node is in progress in an evacuated zone any more.
     ZONE_VACATED = (2625, "zone-vacated", Info);
+    /// Several servers of a zone in another region failed and none has responded since; it gets only probes.
+    REMOTE_ZONE_LOST = (2631, "remote-zone-lost", Warn);
+    /// A server of that zone responded again.
+    REMOTE_ZONE_REGAINED = (2632, "remote-zone-regained", Info);
 }
--- a/crates/trestlerack/src/process/wait_estimate.rs
+++ b/crates/trestlerack/src/process/wait_estimate.rs
@@ -26,10 +26,12 @@
 
 impl LoadBalancer {
     /// Estimates the wait of one more call to a service, or to its servers in some zones. Servers that are paused,
-    /// draining or in an evacuated zone are ignored.
+    /// draining, in an evacuated zone, or unreachable in another region, are ignored.
     pub fn wait_estimate<'a>(&'a self, now: Timestamp, server_set: impl Into<ServerSetRef<'a>>) -> WaitEstimate {
         let server_set = server_set.into();
-        let is_available = |server: &&ServerState| server.accepts_work() && server.paused_until <= now;
+        let is_available = |server: &&ServerState| {
+            server.accepts_work() && server.paused_until <= now && !self.is_unreachable(now, server)
+        };
         let available: Vec<&ServerState> = self.in_set(server_set).filter(is_available).collect();
         let busy = |server: &ServerState| server.requests(now, self.settings.max_load_age);
         let slots = available.iter().map(|server| server.slots()).sum();
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use super::in_flight::InFlightGuard;
 use super::node::EntryNode;
 use super::pool::{ConnectionLease, ExchangeError};
-use super::{admission, crash_detection, placement, resource_limits, server_responses, suspects};
+use super::{admission, crash_detection, placement, regions, resource_limits, server_responses, suspects};
 use crate::process::clock;
 use crate::process::tracing::HopSpan;
 use bytes::Bytes;
@@ -117,7 +117,8 @@
     }
     drop(routing);
     guard.record_sent();
-    let sent = node.pool.send(&guard.server.address, encoded, wants_fresh).await;
+    let traffic = regions::record_request(node, &guard.server.zone);
+    let sent = node.pool.send_counted(&guard.server.address, encoded, wants_fresh, traffic).await;
     let (response, lease) = match sent {
         Ok(response) => response,
         Err(error) => {
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -3,8 +3,7 @@
 use super::client_requests::{ClientRequest, ReplyBody, empty_reply, full_body};
 use super::job_calls::{CLIENT_WRITE_RETRY_DELAY, CLIENT_WRITE_TIMEOUT, spec_object};
 use super::node::EntryNode;
-use super::tables;
-use super::{job_driver, job_takeover};
+use super::{job_driver, job_takeover, regions, tables};
 use crate::process::logs;
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -15,7 +14,7 @@
 use trestlerack::process::{MemoryPurpose, NodeRow, OwnerCandidate, choose_job_owner};
 use trestlerack::request::{JobRecord, JobSpec};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
-use trestlerack::version::{Placement, RequestRoute};
+use trestlerack::version::{Placement, RequestRoute, ZoneRelation};
 use trestlerack::{Name, event};
 use trestlerack_platform as platform;
 
@@ -175,12 +174,16 @@
 /// Chooses the node that is to drive a job, in a zone where its requests may be served. If no such node is registered,
 /// this node drives it. Returns the name and row of the node.
 fn choose_owner(node: &EntryNode, spec: &JobSpec, placement: &Placement) -> (Name, NodeRow) {
-    let mut newest_owner: Option<(u64, Name)> = None;
+    let relations = regions::node_relations(node);
+    let relation = |name: &Name| relations.get(name).copied().unwrap_or_default();
+    // The newest job of the model that a node of the own region drives counts before newer ones of other regions.
+    let mut newest_owner: Option<(bool, u64, Name)> = None;
     let mut models_by_owner: BTreeMap<Name, BTreeSet<Option<Name>>> = BTreeMap::new();
     for view in node.jobs.lock().unwrap().values() {
         let record = &view.record;
         if record.model == spec.model && record.host == spec.host {
-            newest_owner = newest_owner.max(Some((record.accepted_ms, record.owner.clone())));
+            let is_near = relations.get(&record.owner).is_some_and(|relation| *relation != ZoneRelation::OtherRegion);
+            newest_owner = newest_owner.max(Some((is_near, record.accepted_ms, record.owner.clone())));
         } else if !view.is_ended && !record.is_complete() {
             models_by_owner.entry(record.owner.clone()).or_default().insert(record.model.clone());
         }
@@ -192,6 +195,7 @@
             name: name.clone(),
             capacity: row.capacity,
             store_latency_ms: row.store_latency_ms,
+            relation: relation(name),
         })
     };
     let mut candidates: Vec<OwnerCandidate> = node.peers.rows(candidate).into_iter().flatten().collect();
@@ -203,7 +207,7 @@
         candidates.retain(|candidate| node.follower.is_follower(&candidate.name));
     }
     let model = spec.model.as_deref().unwrap_or("");
-    let newest_owner = newest_owner.as_ref().map(|(_, owner)| &**owner);
+    let newest_owner = newest_owner.as_ref().map(|(_, _, owner)| &**owner);
     let owner = choose_job_owner(model, &node.settings.name, newest_owner, &candidates);
     // A node that was registered a moment ago may have been removed since.
     let peer = owner.and_then(|owner| Some((owner.name.clone(), node.peers.get(&owner.name)?)));
--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -5,7 +5,7 @@
 
 use super::job_driver;
 use super::node::{EntryNode, JobView};
-use super::{job_calls, job_texts, tables};
+use super::{job_calls, job_texts, regions, tables};
 use crate::process::clock;
 use crate::process::logs;
 use std::collections::HashMap;
@@ -200,7 +200,8 @@
     others.retain(|(name, ..)| *name != record.owner && node.follower.is_follower(name));
     with_takeover_rule(node, record, |rule| others.retain(|(.., zone)| rule.permits(zone)));
     let others: Vec<(Name, u32)> = others.into_iter().map(|(name, capacity, _)| (name, capacity)).collect();
-    successor_rank(job, (&node.settings.name, node.settings.capacity()), &others)
+    let near = regions::nodes_near(node, &record.owner);
+    successor_rank(job, (&node.settings.name, node.settings.capacity()), &others, |name| near.contains(name))
 }
 
 /// Returns whether this node should take a job over now: the job has no owner, its owner was an earlier process of
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -41,6 +41,8 @@
 mod plain;
 mod pool;
 mod readiness;
+mod region_traffic;
+mod regions;
 mod request_history;
 mod resource_limits;
 mod result_pages;
@@ -107,6 +109,7 @@
     tokio::spawn(log_suspensions(node.clone()));
     tokio::spawn(keep_registered(node.clone()));
     tokio::spawn(probe_store(node.clone()));
+    tokio::spawn(regions::log_unreachable_zones(node.clone()));
     tokio::spawn(job_takeover::watch_owners(node.clone()));
     tokio::spawn(order_lease::run(node.clone()));
     duties::start(&node);
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -10,6 +10,7 @@
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
 use super::pool::ConnectionPool;
+use super::region_traffic::TrafficCounter;
 use super::resource_limits::ResourceLimiter;
 use super::shares::ShareControl;
 use super::store::{DirectStore, RelayedStore};
@@ -30,7 +31,7 @@
     ServerRegistry,
 };
 use trestlerack::request::JobRecord;
-use trestlerack::version::{RoutingTable, WeightVersion, ZoneMap};
+use trestlerack::version::{OwnRegion, RoutingTable, WeightVersion, ZoneMap};
 use trestlerack::{Name, Timestamp};
 
 /// What this node knows of a job from the store.
@@ -75,6 +76,10 @@
     pub live_settings: RwLock<LiveSettings>,
     /// Regions of the availability zones.
     pub zones: ZoneMap,
+    /// The region of this node; `None` if the deployment does not span regions.
+    pub own_region: Option<OwnRegion>,
+    /// Requests and bytes between this node and servers in other regions.
+    pub region_traffic: Arc<TrafficCounter>,
     /// Tells this process from earlier ones on the same VM.
     pub incarnation: u64,
     /// Monotonic clock of this node.
@@ -159,11 +164,18 @@
         let now = clock.now();
         let resource_limits = Arc::new(ResourceLimiter::new(&settings));
         let pool = Arc::new(ConnectionPool::new(resource_limits.connections.clone(), settings.store.clone()));
-        let peers = Arc::new(PeerClient::new(pool.clone(), settings.peer_listen.clone(), settings.seeds.clone()));
+        let zones = ZoneMap::new(&settings.zones);
+        let own_region = OwnRegion::new(&zones, &settings.zone);
+        let (own_address, seeds) = (settings.peer_listen.clone(), settings.seeds.clone());
+        let peers = Arc::new(PeerClient::new(pool.clone(), own_address, own_region.clone(), seeds));
+        let mut balancer = LoadBalancer::new(BalancerSettings::default());
+        balancer.set_own_region(own_region.clone());
         let direct_store = Arc::new(DirectStore::new(pool.clone(), settings.store.clone()));
         Ok(Self {
             live_settings: RwLock::new(LiveSettings::from(&settings)),
-            zones: ZoneMap::new(&settings.zones),
+            zones,
+            own_region,
+            region_traffic: Arc::default(),
             incarnation: rand::random::<u64>() >> 1,
             clock,
             store: RelayedStore::new(direct_store.clone(), peers.clone()),
@@ -173,7 +185,7 @@
             routing: RwLock::new(None),
             key_refresh: KeyRefresh::default(),
             registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
-            balancer: Mutex::new(LoadBalancer::new(BalancerSettings::default())),
+            balancer: Mutex::new(balancer),
             evacuations: EvacuationControl::default(),
             route_latencies: Mutex::default(),
             new_observations: Notify::new(),
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -14,18 +14,19 @@
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use trestlerack::interfaces::{Clock, StoreError};
 use trestlerack::process::{
-    ConnectionKind, ConnectionPermit, CrashReport, LoadMessage, MemoryPurpose, NodeRow, NodeRows, RelaySelector,
-    UsageSender, UsageSnapshot, may_relay,
+    ConnectionKind, ConnectionPermit, CrashReport, LoadMessage, MemoryPurpose, NodeRow, NodeRows, RegionalPeers,
+    RelaySelector, UsageSender, UsageSnapshot, may_relay,
 };
 use trestlerack::request::{JobRecord, RequestFingerprint};
 use trestlerack::rows::{StoreCall, StoreReply};
+use trestlerack::version::OwnRegion;
 use trestlerack::{AllowedZones, Name, event};
 
 /// Path of all calls between nodes.
@@ -126,6 +127,7 @@
 pub struct PeerClient {
     pool: Arc<ConnectionPool>,
     own_address: Name,
+    own_region: Option<OwnRegion>,
     seeds: Mutex<Vec<Name>>,
     nodes: Mutex<NodeRows>,
     relays: Mutex<RelaySelector>,
@@ -136,10 +138,10 @@
 
 impl PeerClient {
     /// Creates a client that knows only the seeds.
-    pub fn new(pool: Arc<ConnectionPool>, own_address: Name, seeds: Vec<Name>) -> Self {
+    pub fn new(pool: Arc<ConnectionPool>, own_address: Name, own_region: Option<OwnRegion>, seeds: Vec<Name>) -> Self {
         let relays = Mutex::new(RelaySelector::new(&own_address));
         let (seeds, nodes, clock) = (Mutex::new(seeds), Mutex::default(), SystemClock::new());
-        Self { pool, own_address, seeds, nodes, relays, relay_zones: RwLock::default(), clock }
+        Self { pool, own_address, own_region, seeds, nodes, relays, relay_zones: RwLock::default(), clock }
     }
 
     /// Replaces the seeds.
@@ -217,16 +219,29 @@
         *current = zones;
     }
 
+    /// Returns the addresses of all other known nodes by region. A seed that is not registered has no known region.
+    pub fn regional_peers(&self) -> RegionalPeers {
+        let addresses = self.peer_addresses();
+        let Some(region) = &self.own_region else { return addresses.into() };
+        let nodes = self.nodes.lock().unwrap();
+        let near_rows = nodes.iter().filter(|(_, row)| region.contains(&row.zone));
+        let near: HashSet<&Name> = near_rows.map(|(_, row)| &row.address).collect();
+        let (near, far) = addresses.into_iter().partition(|address| near.contains(address));
+        RegionalPeers { near, far }
+    }
+
     /// Returns the peers that may relay a store call, in the order in which to ask them.
     pub fn pick_relays(&self, call: &StoreCall) -> Vec<Name> {
-        let mut addresses = self.peer_addresses();
+        let mut peers = self.regional_peers();
         if let Some(zones) = &*self.relay_zones.read().unwrap() {
             let known: BTreeMap<Name, Name> =
                 self.rows(|_, row| (row.address.clone(), row.zone.clone())).into_iter().collect();
             let zone = |address: &Name| known.get(address).map(|zone| &**zone);
-            addresses.retain(|address| may_relay(zones, zone(address), tables::contains_bodies(call)));
+            let is_permitted = |address: &Name| may_relay(zones, zone(address), tables::contains_bodies(call));
+            peers.near.retain(is_permitted);
+            peers.far.retain(is_permitted);
         }
-        self.relays.lock().unwrap().pick(self.clock.now(), addresses)
+        self.relays.lock().unwrap().pick(self.clock.now(), peers)
     }
 
     /// Asks a peer to make a store call. A peer that does not answer may have passed the call on, which
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod jobs;
 mod lease;
 mod placement;
+mod regions;
 mod requests;
 mod room;
 mod server_health;
