Limit requests to engines that are or may be cold

Cause: a cold engine crashes when it gets more requests than it tolerates, and nothing limited what all nodes together send to it. A change of cold_left_ms also counted as a change of the registry.

Change: ColdLimiter decides without messages from what a node knows: cold times, age of its information, drivers, registered nodes and assigned models. Weight orders and reports have a request of their own. Cold times are relayed for services with a limit and no longer count as changes of the registry. Invalid figures are replaced and logged.

--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -165,6 +165,7 @@
         )),
         "room" => Some(("/v1/room", &ROOM_COLUMNS)),
         "level" => Some(("/v1/level", &["source", "followers", "passes_on", "servers"])),
+        "cold" => Some(("/v1/cold", &["engine", "service", "state", "cold_for_ms", "allotment", "sent_last_second"])),
         "memory" => Some(("/v1/memory", &["kind", "name", "used", "bound"])),
         "duties" => Some(("/v1/duties", &["duty", "holder", "fence", "is_held_here"])),
         _ => None,
@@ -195,7 +196,7 @@
         }
         _ => {
             return Err(usage(
-                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, level, memory, suspects, servers or room",
+                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, level, memory, suspects, servers, room or cold",
             ));
         }
     };
--- a/crates/trestlerack-cli/src/main.rs
+++ b/crates/trestlerack-cli/src/main.rs
@@ -15,7 +15,7 @@
   plan FILE [--out PLAN]   show what a declaration would change; keep the plan for confirm
   confirm FILE --plan PLAN bring the planned change into force
   show nodes|backends|campaigns|steps CAMPAIGN
-  show customers|duties|level|memory|room|suspects|servers
+  show cold|customers|duties|level|memory|room|suspects|servers
                             of an entry service; --node is the metrics address of one of its nodes,
                            and no key is needed
   drain BACKEND [--undo]   send a backend server no new work, or use it again
--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -251,4 +251,12 @@
     USAGE_MISSED = (2504, "usage-missed", Error);
     /// Engines were ordered from the platform; the line has the answer.
     ENGINES_ORDERED = (2511, "engines-ordered", Info);
+    /// Engines became cold; a limit of requests applies to each.
+    ENGINES_COLD = (2611, "engines-cold", Info);
+    /// Engines are warm again.
+    ENGINES_WARM = (2612, "engines-warm", Info);
+    /// The limit of requests to an engine that is or may be cold refused requests.
+    COLD_LIMIT_REACHED = (2613, "cold-limit-reached", Warn);
+    /// A field about cold engines has an invalid value, which is replaced; the rest of its row applies.
+    COLD_FIELD_INVALID = (2614, "cold-field-invalid", Warn);
 }
--- a/crates/trestlerack/src/process/load_balancer.rs
+++ b/crates/trestlerack/src/process/load_balancer.rs
@@ -3,6 +3,7 @@
 //! What the node knows of servers comes from service discovery, from their responses and from its own runs on
 //! them; no server is queried only to learn its state.
 
+use super::cold_start::{AssignedModels, ColdLimiter, ColdStatus};
 use super::engine_memory::{EngineMemory, TokenNeed};
 use super::expected_latency::ResponseHistory;
 use super::latency_estimate::LatencyEstimates;
@@ -101,6 +102,8 @@
     pub tokens: Option<&'a TokenNeed>,
     /// Whether the request may run twice, so that it can probe a degraded server.
     pub is_repeatable: bool,
+    /// Whether the request is only worth sending to a server that is known to be warm.
+    pub needs_warm: bool,
     /// Availability zone to prefer.
     pub zone: &'a str,
     /// Availability zones in which the request may be served; `None` for all.
@@ -112,19 +115,32 @@
     pub tie_key: &'a str,
 }
 
+/// Cost that is added for a server that is or may be cold, or that has no free slot, in a service with a limit of
+/// requests to cold servers. It is above all differences of cost between servers.
+const LAST_CHOICE_COST: f64 = 1_000_000.0;
+
+/// The right to send one request to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SendPermit {
+    /// Whether the server is not known to be warm.
+    pub is_cold: bool,
+}
+
 /// All known servers, and the choice among them.
 #[derive(Debug, Default)]
 pub struct LoadBalancer {
     pub(super) settings: BalancerSettings,
     pub(super) servers: BTreeMap<Name, ServerState>,
     /// The model that each engine is assigned to, by instance, including engines that are not listed yet.
-    assigned_models: BTreeMap<Name, Name>,
+    pub(super) assigned_models: AssignedModels,
     /// Availability zones whose servers get no new work.
     evacuated_zones: BTreeSet<Name>,
     /// Response latencies by service.
     pub(super) service_latencies: LatencyEstimates,
     /// Tokens that this node's runs use at model engines.
     pub memory: EngineMemory,
+    /// Limits of requests to engines that are or may be cold.
+    pub cold: ColdLimiter,
     /// Measurements by which servers are compared.
     pub(super) history: ResponseHistory,
     /// Observations to be sent to peers.
@@ -137,6 +153,11 @@
         Self { settings, ..Self::default() }
     }
 
+    /// Returns the load balancer with a limiter of requests to cold engines.
+    pub fn with_cold_limiter(self, cold: ColdLimiter) -> Self {
+        Self { cold, ..self }
+    }
+
     /// Replaces the servers by those in a registry.
     pub fn sync(&mut self, registry: &ServerRegistry) {
         let removed = self.servers.keys().filter(|instance| registry.get(instance).is_none());
@@ -166,6 +187,10 @@
 
     /// Replaces the availability zones whose servers get no new work.
     pub fn set_evacuated_zones(&mut self, zones: BTreeSet<Name>) {
+        let opened: BTreeSet<Name> = self.evacuated_zones.difference(&zones).cloned().collect();
+        if !opened.is_empty() {
+            self.cold.record_opened_zones(&opened);
+        }
         for server in self.servers.values_mut() {
             server.is_evacuated = zones.contains(&server.entry.zone);
         }
@@ -205,13 +230,21 @@
             let is_open = !assigned_only || self.is_assigned(server, need);
             &*server.entry.service == need.service && is_open && self.is_eligible(now, server, need)
         };
+        let is_limited = self.cold.is_limited(need.service);
         if need.weights.is_none() && self.compares_servers(need.service) {
-            let candidates = self.servers.values().filter(is_candidate).collect();
+            let mut candidates: Vec<&ServerState> = self.servers.values().filter(is_candidate).collect();
+            if is_limited && candidates.iter().any(|server| self.is_warm_and_free(now, server)) {
+                candidates.retain(|server| self.is_warm_and_free(now, server));
+            }
             return self.choose_fastest(now, need, candidates);
         }
         // Each cost is computed once: a driver with 3,000 engines places 200 items at a time.
         let costs = self.servers.values().filter(is_candidate);
-        let costs = costs.map(|server| (self.cost(now, server, need, median_pace), server));
+        let costs = costs.map(|server| {
+            let is_last_choice = is_limited && !self.is_warm_and_free(now, server);
+            let cost = self.cost(now, server, need, median_pace);
+            (if is_last_choice { cost + LAST_CHOICE_COST } else { cost }, server)
+        });
         let key = hash_parts(&[need.tie_key]);
         let weight = |server: &ServerState| rendezvous_weight(key, &server.entry.instance);
         let cheapest = costs.min_by(|(left_cost, left), (right_cost, right)| {
@@ -225,7 +258,7 @@
         let need = ServerNeed { slot_need: SlotNeed::Any, avoid: &[], tokens: None, ..need.clone() };
         let mut of_service = self.of_service(need.service);
         need.weights.is_some()
-            && of_service.any(|server| self.is_assigned(server, &need) && self.is_eligible(now, server, &need))
+            && of_service.any(|server| self.is_assigned(server, &need) && self.fits(now, server, &need))
     }
 
     fn is_assigned(&self, server: &ServerState, need: &ServerNeed<'_>) -> bool {
@@ -233,10 +266,48 @@
         need.weights.is_some_and(|(needed_model, _)| model.is_some_and(|model| &**model == needed_model))
     }
 
-    /// Returns how many servers would be eligible if each had a free slot.
+    /// Returns whether a server is known to be warm and has a free slot.
+    fn is_warm_and_free(&self, now: Timestamp, server: &ServerState) -> bool {
+        server.requests(now, self.settings.max_load_age) < server.slots() && !self.cold.is_cold(now, &server.entry)
+    }
+
+    /// Returns whether a server accepts work, is not paused, and may get a request from this node although it is
+    /// or may be cold.
+    pub(super) fn is_usable(&self, now: Timestamp, server: &ServerState) -> bool {
+        server.accepts_work()
+            && server.paused_until <= now
+            && self.cold.may_send(now, &server.entry, &self.assigned_models)
+    }
+
+    /// Counts a request that this node sends to a server now; `None` if the server is or may be cold and the
+    /// request would exceed the limit.
+    pub fn try_send(&mut self, now: Timestamp, entry: &ServerEntry) -> Option<SendPermit> {
+        if !self.cold.may_send(now, entry, &self.assigned_models) {
+            return None;
+        }
+        Some(SendPermit { is_cold: self.cold.record_send(now, entry) })
+    }
+
+    /// Returns a server of a service that would be usable without the limit of requests to cold servers.
+    pub fn limited_server(&self, now: Timestamp, service: &str) -> Option<Name> {
+        if !self.cold.is_limited(service) {
+            return None;
+        }
+        let is_limited =
+            |server: &&ServerState| server.accepts_work() && server.paused_until <= now && !self.is_usable(now, server);
+        self.of_service(service).find(is_limited).map(|server| server.entry.instance.clone())
+    }
+
+    /// Returns the state of the engines of services with a limit of requests to cold engines.
+    pub fn cold_statuses(&self, now: Timestamp) -> Vec<ColdStatus> {
+        self.cold.statuses(now, &self.assigned_models)
+    }
+
+    /// Returns how many servers would be eligible if each had a free slot and a cold one could get any number of
+    /// requests.
     pub fn count_eligible(&self, now: Timestamp, need: &ServerNeed<'_>) -> usize {
         let need = ServerNeed { slot_need: SlotNeed::Any, tokens: None, ..need.clone() };
-        self.of_service(need.service).filter(|server| self.is_eligible(now, server, &need)).count()
+        self.of_service(need.service).filter(|server| self.fits(now, server, &need)).count()
     }
 
     /// Reserves one engine for a request that needs the whole memory of one.
@@ -269,6 +340,13 @@
     }
 
     fn is_eligible(&self, now: Timestamp, server: &ServerState, need: &ServerNeed<'_>) -> bool {
+        self.fits(now, server, need)
+            && self.cold.may_send(now, &server.entry, &self.assigned_models)
+            && !(need.needs_warm && self.cold.is_cold(now, &server.entry))
+    }
+
+    /// Returns whether a server meets the need of a request, apart from the limit of requests to cold servers.
+    fn fits(&self, now: Timestamp, server: &ServerState, need: &ServerNeed<'_>) -> bool {
         let is_new_enough = need.weights.is_none_or(|(model, min_version)| {
             let is_loading = server.loading_until.is_some_and(|until| now < until);
             let is_matching =
@@ -321,15 +399,21 @@
         })
     }
 
-    /// Returns when the first server of a service can be used; `None` if none accepts work.
-    pub fn available_at(&self, service: &str) -> Option<Timestamp> {
+    /// Returns when the first server of a service can be used; `None` if none accepts work, or if it is not known
+    /// when this node may send to one that is or may be cold.
+    pub fn available_at(&self, now: Timestamp, service: &str) -> Option<Timestamp> {
         let available = self.of_service(service).filter(|server| server.accepts_work());
-        available.map(|server| server.paused_until).min()
+        let usable_at = |server: &ServerState| {
+            let permitted_at = self.cold.available_at(now, &server.entry, &self.assigned_models)?;
+            Some(if permitted_at > now { server.paused_until.max(permitted_at) } else { server.paused_until })
+        };
+        available.filter_map(usable_at).min()
     }
 
-    /// Returns the total number of slots of a service.
-    pub fn slot_count(&self, service: &str) -> u32 {
-        self.of_service(service).filter(|server| server.accepts_work()).map(ServerState::slots).sum()
+    /// Returns the total number of slots of the servers of a service that this node may use now.
+    pub fn slot_count(&self, now: Timestamp, service: &str) -> u32 {
+        let may_send = |server: &&ServerState| self.cold.may_send(now, &server.entry, &self.assigned_models);
+        self.of_service(service).filter(|server| server.accepts_work()).filter(may_send).map(ServerState::slots).sum()
     }
 
     /// Returns the time after which a response of a service is late, once enough responses are known.
@@ -410,6 +494,7 @@
             Some(model) => self.assigned_models.insert(instance.clone(), model.clone()),
             None => self.assigned_models.remove(instance),
         };
+        self.cold.assignment_changed();
     }
 
     /// Returns the model that an engine is assigned to.
--- a/crates/trestlerack/src/process/registry.rs
+++ b/crates/trestlerack/src/process/registry.rs
@@ -32,6 +32,20 @@
     pub heartbeat: u64,
 }
 
+impl ServerEntry {
+    /// Returns whether `later` differs from this entry only in what changes with each heartbeat.
+    pub fn is_heartbeat(&self, later: &Self) -> bool {
+        let Self { heartbeat, cold_left_ms, .. } = *later;
+        Self { heartbeat, cold_left_ms, ..self.clone() } == *later
+    }
+
+    /// Returns whether `later` is another report that the server is cold, or the first one that it is not.
+    pub fn is_cold_report(&self, later: &Self) -> bool {
+        let is_other = (self.heartbeat, self.cold_left_ms) != (later.heartbeat, later.cold_left_ms);
+        is_other && (self.cold_left_ms > 0 || later.cold_left_ms > 0) && self.is_heartbeat(later)
+    }
+}
+
 /// Settings of a [`ServerRegistry`].
 #[derive(Clone, Debug)]
 pub struct RegistrySettings {
@@ -54,7 +68,7 @@
     entries: BTreeMap<Name, ServerEntry>,
     /// Instance names by service.
     services: BTreeMap<Name, BTreeSet<Name>>,
-    /// Number of changes of entries other than heartbeats.
+    /// Number of changes of entries other than heartbeats and cold times.
     changes: u64,
     /// Removed entries that are still kept, and the time until which they are.
     pending_removals: BTreeMap<Name, Timestamp>,
@@ -88,14 +102,14 @@
     }
 
     /// Stores an entry, unless the known one is of a later start of the server. Returns whether more than
-    /// the heartbeat changed.
+    /// the heartbeat and the cold time changed, since the cold time changes with each heartbeat.
     pub fn put(&mut self, entry: ServerEntry) -> bool {
         let known = self.entries.get(&entry.instance);
         if known.is_some_and(|known| known.started_ms > entry.started_ms) {
             return false;
         }
         self.pending_removals.remove(&entry.instance);
-        let is_changed = known.is_none_or(|known| ServerEntry { heartbeat: entry.heartbeat, ..known.clone() } != entry);
+        let is_changed = known.is_none_or(|known| !known.is_heartbeat(&entry));
         if is_changed {
             self.changes += 1;
             self.remove_from_service(&entry.instance);
@@ -169,7 +183,7 @@
         self.entries.get(instance)
     }
 
-    /// Returns the number of changes of entries other than heartbeats.
+    /// Returns the number of changes of entries other than heartbeats and cold times.
     pub fn changes(&self) -> u64 {
         self.changes
     }
--- a/crates/trestlerack/src/process/wait_estimate.rs
+++ b/crates/trestlerack/src/process/wait_estimate.rs
@@ -24,14 +24,16 @@
 }
 
 impl LoadBalancer {
-    /// Estimates the wait of one more call to a service. Servers that are paused, draining or in an
-    /// evacuated zone are ignored.
+    /// Estimates the wait of one more call to a service. Servers that are paused, draining, in an evacuated zone
+    /// or so cold that this node may not send to them now are ignored.
     pub fn wait_estimate(&self, now: Timestamp, service: &str) -> WaitEstimate {
-        let is_available = |server: &&ServerState| server.accepts_work() && server.paused_until <= now;
+        let is_available = |server: &&ServerState| self.is_usable(now, server);
         let available: Vec<&ServerState> = self.of_service(service).filter(is_available).collect();
         let busy = |server: &ServerState| server.requests(now, self.settings.max_load_age);
         let slots = available.iter().map(|server| server.slots()).sum();
-        let free_slots = available.iter().map(|server| server.slots().saturating_sub(busy(server))).sum();
+        let permitted = |server: &ServerState| self.cold.remaining(now, &server.entry, &self.assigned_models);
+        let free = |server: &ServerState| server.slots().saturating_sub(busy(server)).min(permitted(server));
+        let free_slots = available.iter().map(|server| free(server)).sum();
         let waiting: u32 = available.iter().map(|server| busy(server).saturating_sub(server.slots())).sum();
         let service_time = self.service_latencies.median(service).unwrap_or_default();
         let wait = match (free_slots, slots) {
--- a/crates/trestlerack/tests/call_ranks.rs
+++ b/crates/trestlerack/tests/call_ranks.rs
@@ -48,10 +48,10 @@
 fn a_paused_service_opens_when_the_first_pause_of_its_servers_ends() {
     let now = Timestamp(1_000);
     let mut balancer = balancer_of(&["a", "b"].map(|name| plain_server(name, "s", "z", 4)));
-    assert_eq!(balancer.available_at("none"), None);
+    assert_eq!(balancer.available_at(now, "none"), None);
     let first_pause = balancer.failed(now, "a");
     balancer.failed(now + Duration::from_millis(50), "b");
-    assert_eq!(balancer.available_at("s"), Some(now + first_pause));
+    assert_eq!(balancer.available_at(now, "s"), Some(now + first_pause));
     assert_eq!(balancer.wait_estimate(now + Duration::from_millis(50), "s").slots, 0);
     assert_eq!(balancer.wait_estimate(now + first_pause, "s").slots, 4);
 }
@@ -60,5 +60,5 @@
 fn a_draining_server_never_opens_the_service() {
     let mut draining = plain_server("a", "s", "z", 4);
     draining.is_draining = true;
-    assert_eq!(balancer_of(&[draining]).available_at("s"), None);
+    assert_eq!(balancer_of(&[draining]).available_at(Timestamp(1_000), "s"), None);
 }
--- a/crates/trestlerackd/src/entry/admission/mod.rs
+++ b/crates/trestlerackd/src/entry/admission/mod.rs
@@ -133,7 +133,7 @@
     let balancer = node.balancer.lock().unwrap();
     let mut estimate = balancer.wait_estimate(now, service);
     if estimate.slots == 0
-        && let Some(available_at) = balancer.available_at(service)
+        && let Some(available_at) = balancer.available_at(now, service)
     {
         estimate.wait = available_at.since(now);
     }
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -105,16 +105,23 @@
     }
     let encoded = platform::encode_request(request).map_err(|error| AttemptError::NotRun(error.to_string()))?;
     guard.record_sent();
-    let sent = node.pool.send(&guard.server.address, encoded, wants_fresh).await;
+    let may_send = || node.cold.try_send(&node.balancer, &node.metrics.cold, node.now(), &guard.server);
+    let sent = node.pool.send_permitted(&guard.server.address, encoded, wants_fresh, may_send).await;
     let (response, lease) = match sent {
         Ok(response) => response,
         Err(error) => {
-            node.balancer.lock().unwrap().failed(node.now(), &instance);
+            if !matches!(error, ExchangeError::NotPermitted) {
+                node.balancer.lock().unwrap().failed(node.now(), &instance);
+            }
             return Err(match error {
                 ExchangeError::NotSent(detail) => {
                     guard.record_outcome();
                     AttemptError::NotRun(detail)
                 }
+                ExchangeError::NotPermitted => {
+                    guard.record_outcome();
+                    AttemptError::NotRun("the server is or may be cold, and its limit is reached".into())
+                }
                 ExchangeError::NoResponse(detail) => {
                     crash_detection::check_broken_connection(node, &guard, &request_id).await;
                     AttemptError::MayHaveRun(detail)
@@ -135,6 +142,9 @@
         }
     }
     let is_other_server = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    if let Some(cold_left) = head.cold_left.filter(|_| !is_other_server) {
+        node.balancer.lock().unwrap().cold.record_response(node.now(), &instance, cold_left);
+    }
     if head.is_not_run || is_other_server {
         guard.record_outcome();
         let is_gone = platform::responding_instance(&parts.headers).is_some_and(|other| other != instance);
--- a/crates/trestlerackd/src/entry/duties/calls.rs
+++ b/crates/trestlerackd/src/entry/duties/calls.rs
@@ -71,7 +71,9 @@
 async fn exchange(node: &Arc<EntryNode>, request: Request<Bytes>) -> DutyOutcome {
     let (response, connection) = match node.pool.send(&node.settings.duty_service, request, false).await {
         Ok(answer) => answer,
-        Err(ExchangeError::NotSent(_) | ExchangeError::NoResponse(_)) => return DutyOutcome::Unknown,
+        Err(ExchangeError::NotSent(_) | ExchangeError::NotPermitted | ExchangeError::NoResponse(_)) => {
+            return DutyOutcome::Unknown;
+        }
     };
     let (parts, body) = response.into_parts();
     let head = platform::decode_response_head(&parts.headers);
--- a/crates/trestlerackd/src/entry/engine_calls.rs
+++ b/crates/trestlerackd/src/entry/engine_calls.rs
@@ -43,7 +43,7 @@
         Ok((StatusCode::OK, _)) => OrderOutcome::AlreadyLoaded,
         Ok((status, _)) if status.is_client_error() => OrderOutcome::Refused,
         Ok(_) => OrderOutcome::Unknown,
-        Err(ExchangeError::NotSent(_)) => OrderOutcome::NotSent,
+        Err(ExchangeError::NotSent(_) | ExchangeError::NotPermitted) => OrderOutcome::NotSent,
         Err(ExchangeError::NoResponse(_)) => OrderOutcome::Unknown,
     }
 }
@@ -72,7 +72,8 @@
         request.headers_mut().insert(http::header::HOST, host);
     }
     let exchange = async {
-        let (response, lease) = node.pool.send(&entry.address, request, true).await?;
+        let may_send = || node.balancer.lock().unwrap().cold.try_order(node.now(), entry);
+        let (response, lease) = node.pool.send_permitted(&entry.address, request, true, may_send).await?;
         let (parts, body) = response.into_parts();
         let head = platform::decode_response_head(&parts.headers);
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
--- a/crates/trestlerackd/src/entry/feed_relay.rs
+++ b/crates/trestlerackd/src/entry/feed_relay.rs
@@ -280,11 +280,13 @@
         None => table_watch::apply_rows(node, platform::SERVER_TABLE, servers),
     }
     node.suspects.set_watch_down(is_store_down);
+    let known_as_of = requested_at - Duration::from_millis(age_ms);
     let mut end_news = node.job_end_freshness.lock().unwrap();
     if is_store_down {
         end_news.record_failure();
     } else {
-        end_news.record_answer(requested_at - Duration::from_millis(age_ms));
+        end_news.record_answer(known_as_of);
+        node.balancer.lock().unwrap().cold.record_information(known_as_of);
     }
 }
 
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -221,7 +221,8 @@
     let Some((index, engine)) = tracker.speculation_candidates(newest).into_iter().find(is_unsuspected) else { return };
     let Some(need) = item_need(node, driver, route, index, Some(&model)) else { return };
     let avoid = std::slice::from_ref(&engine);
-    let need = ServerNeed { weights: Some((&model, newest)), slot_need: SlotNeed::HalfFree, avoid, ..need };
+    let need =
+        ServerNeed { weights: Some((&model, newest)), slot_need: SlotNeed::HalfFree, avoid, needs_warm: true, ..need };
     let entry = node.balancer.lock().unwrap().choose(node.now(), &need).map(|server| server.entry.clone());
     let Some(entry) = entry else { return };
     let kind = RunKind::Speculative;
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -44,7 +44,7 @@
     let routing = node.routing();
     let route = scorer.zip(routing.as_ref()).and_then(|(scorer, routing)| routing.select(&scorer.host, &scorer.path));
     let service = route.zip(scorer).and_then(|(route, scorer)| route.service_for(&scorer.id));
-    let slots = service.map_or(0, |service| node.balancer.lock().unwrap().slot_count(service));
+    let slots = service.map_or(0, |service| node.balancer.lock().unwrap().slot_count(node.now(), service));
     ((f64::from(slots) * MAX_SCORE_SLOT_FRACTION) as usize).max(1)
 }
 
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms, served as text on the metrics address.
 
 use super::admission::AdmissionMetrics;
+use super::cold::ColdMetrics;
 use super::node::EntryNode;
 use super::{engine_memory, resource_limits, status};
 use http::StatusCode;
@@ -37,6 +38,8 @@
     over_share: Counter<u64>,
     /// Metrics of admission control.
     pub admission: AdmissionMetrics,
+    /// Metrics of the limit of requests to cold engines.
+    pub cold: ColdMetrics,
 }
 
 impl EntryMetrics {
@@ -57,6 +60,7 @@
             server_crashes: meter.u64_counter("trestlerack.entry.servers.ended").build(),
             over_share: meter.u64_counter("trestlerack.entry.requests.over.share").build(),
             admission: AdmissionMetrics::start(&meter),
+            cold: ColdMetrics::start(&meter),
             registry,
             _meters: meters,
         })
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod choice_log;
 mod client_connections;
 mod client_requests;
+mod cold;
 mod crash_detection;
 mod drive_mode;
 mod duties;
@@ -102,6 +103,7 @@
     }
     tokio::spawn(feed_relay::maintain_role(node.clone()));
     tokio::spawn(log_suspensions(node.clone()));
+    tokio::spawn(update_cold_limits(node.clone()));
     tokio::spawn(keep_registered(node.clone()));
     tokio::spawn(probe_store(node.clone()));
     tokio::spawn(job_takeover::watch_owners(node.clone()));
@@ -133,10 +135,22 @@
     let resumed = |suspended: Duration| {
         logs::log_suspension(suspended);
         node.suspects.set_watch_down(true);
+        node.balancer.lock().unwrap().cold.record_resumption(node.now());
     };
     clock::watch_suspensions(resumed).await;
 }
 
+/// Keeps the limits of requests to cold engines up to date with the drivers of jobs and the registered nodes.
+async fn update_cold_limits(node: Arc<EntryNode>) {
+    loop {
+        clock::sleep(cold::UPDATE_INTERVAL).await;
+        if node.balancer.lock().unwrap().cold.is_active() {
+            let (drivers, nodes) = (node.job_drivers(), node.peers.names());
+            node.cold.update(&node.balancer, node.now(), drivers, nodes);
+        }
+    }
+}
+
 async fn bind(address: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address).await.with_context(|| format!("cannot listen on {address}"))
 }
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -2,6 +2,7 @@
 
 use super::admission::AdmissionControl;
 use super::callers::KeyRefresh;
+use super::cold::{self, ColdControl};
 use super::duties::UsageTracker;
 use super::follower_state::FollowerState;
 use super::job_driver::JobDriver;
@@ -25,8 +26,8 @@
 use tokio::sync::{Notify, watch};
 use trestlerack::interfaces::Clock;
 use trestlerack::process::{
-    BalancerSettings, EntrySettings, JobEndFreshness, LatencyEstimates, LoadBalancer, NodeRow, RegistrySettings,
-    ServerRegistry,
+    BalancerSettings, ColdLimiter, EntrySettings, JobDrivers, JobEndFreshness, LatencyEstimates, LoadBalancer, NodeRow,
+    RegistrySettings, ServerRegistry,
 };
 use trestlerack::request::JobRecord;
 use trestlerack::version::{RoutingTable, WeightVersion, ZoneMap};
@@ -94,6 +95,8 @@
     pub registry: Mutex<ServerRegistry>,
     /// Chooses among backend servers by their health and load.
     pub balancer: Mutex<LoadBalancer>,
+    /// Sends requests to engines that are or may be cold only within the limit.
+    pub cold: ColdControl,
     /// Response latencies by route.
     pub route_latencies: Mutex<LatencyEstimates>,
     /// Notified when there may be server observations to send to peers.
@@ -152,6 +155,7 @@
     pub fn open(settings: EntrySettings) -> anyhow::Result<Self> {
         let clock = SystemClock::new();
         let now = clock.now();
+        let cold_limiter = ColdLimiter::new(cold::limiter_settings(&settings), now);
         let resource_limits = Arc::new(ResourceLimiter::new(&settings));
         let pool = Arc::new(ConnectionPool::new(resource_limits.connections.clone(), settings.store.clone()));
         let peers = Arc::new(PeerClient::new(pool.clone(), settings.peer_listen.clone(), settings.seeds.clone()));
@@ -168,7 +172,8 @@
             routing: RwLock::new(None),
             key_refresh: KeyRefresh::default(),
             registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
-            balancer: Mutex::new(LoadBalancer::new(BalancerSettings::default())),
+            balancer: Mutex::new(LoadBalancer::new(BalancerSettings::default()).with_cold_limiter(cold_limiter)),
+            cold: ColdControl::new(),
             route_latencies: Mutex::default(),
             new_observations: Notify::new(),
             admission: AdmissionControl::new(),
@@ -286,6 +291,17 @@
         of_model().map(|view| view.record.total).max().unwrap_or(0).max(open)
     }
 
+    /// Returns the drivers of the open jobs that this node knows.
+    pub fn job_drivers(&self) -> JobDrivers {
+        let mut drivers = JobDrivers::default();
+        let jobs = self.jobs.lock().unwrap();
+        let is_open = |view: &&JobView| !view.is_ended && !view.record.is_complete() && !view.record.owner.is_empty();
+        for view in jobs.values().filter(is_open) {
+            drivers.add(view.record.model.as_ref(), view.record.owner.clone());
+        }
+        drivers
+    }
+
     /// Records that a client ended a job.
     pub fn record_job_end(&self, job: &Name) {
         match self.jobs.lock().unwrap().get_mut(job) {
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -174,11 +174,15 @@
     let arrived = if is_resuming(route, history) { node.now() } else { history.started() };
     let call = service_call(route, request, arrived, deadline).ok_or(None)?;
     let pick = |slot_need| pick_server(node, route, request, fingerprint, history.tried(), slot_need);
-    let guard = if admission::is_active(node, call.service) {
-        find_slot(node, &call, history, pick).await?
+    let found = if admission::is_active(node, call.service) {
+        find_slot(node, &call, history, pick).await
     } else {
-        search_server(node, &call, pick).await.ok_or(None)?
+        search_server(node, &call, pick).await.ok_or(None)
     };
+    if found.is_err() {
+        node.cold.record_unserved(&node.balancer, &node.metrics.cold, node.now(), call.service);
+    }
+    let guard = found?;
     history.record_server(&guard.server.instance);
     Ok(guard)
 }
--- a/crates/trestlerackd/src/entry/pool.rs
+++ b/crates/trestlerackd/src/entry/pool.rs
@@ -51,6 +51,8 @@
     NotSent(String),
     /// The request was sent and no response arrived.
     NoResponse(String),
+    /// The caller's condition for sending the request did not hold when it was about to be written.
+    NotPermitted,
 }
 
 impl std::fmt::Display for ExchangeError {
@@ -58,6 +60,7 @@
         match self {
             Self::NotSent(detail) => write!(formatter, "not sent: {detail}"),
             Self::NoResponse(detail) => write!(formatter, "no response: {detail}"),
+            Self::NotPermitted => write!(formatter, "not sent: not permitted now"),
         }
     }
 }
@@ -179,10 +182,25 @@
         address: &Name,
         request: Request<Bytes>,
         wants_fresh: bool,
+    ) -> Result<(Response<Incoming>, ConnectionLease), ExchangeError> {
+        self.send_permitted(address, request, wants_fresh, || true).await
+    }
+
+    /// Like [`Self::send`], but asks for permission immediately before the request is written, since opening a
+    /// connection may take long.
+    pub async fn send_permitted(
+        &self,
+        address: &Name,
+        request: Request<Bytes>,
+        wants_fresh: bool,
+        may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, ConnectionLease), ExchangeError> {
         let mut request = request.map(Full::new);
         if !wants_fresh {
             while let Some(mut lease) = self.take_idle(address) {
+                if !may_send() {
+                    return Err(ExchangeError::NotPermitted);
+                }
                 match lease.connection.sender.try_send_request(request).await {
                     Ok(response) => return Ok((response, lease)),
                     Err(mut error) => match error.take_message() {
@@ -193,6 +211,9 @@
             }
         }
         let mut lease = self.open(address).await?;
+        if !may_send() {
+            return Err(ExchangeError::NotPermitted);
+        }
         match lease.connection.sender.send_request(request).await {
             Ok(response) => Ok((response, lease)),
             Err(error) => Err(ExchangeError::NoResponse(error.to_string())),
--- a/crates/trestlerackd/src/entry/resource_limits/mod.rs
+++ b/crates/trestlerackd/src/entry/resource_limits/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::process::logs;
 use connection_table::ConnectionTable;
-use interval_limiter::IntervalLimiter;
+pub use interval_limiter::IntervalLimiter;
 use std::fmt::Display;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
--- a/crates/trestlerackd/src/entry/run_moves.rs
+++ b/crates/trestlerackd/src/entry/run_moves.rs
@@ -81,7 +81,7 @@
     let model = driver.spec.model_of(item);
     let need = job_runs::item_need(node, driver, route, index, model.as_deref())?;
     let avoid = std::slice::from_ref(engine);
-    let need = ServerNeed { pinned_version, is_long: is_long || is_final, avoid, ..need };
+    let need = ServerNeed { pinned_version, is_long: is_long || is_final, avoid, needs_warm: true, ..need };
     let target = balancer.choose(now, &need)?;
     let run_move = RunMove {
         slowness,
--- a/crates/trestlerackd/src/entry/server_discovery.rs
+++ b/crates/trestlerackd/src/entry/server_discovery.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use trestlerack::process::{LoadBalancer, ServerEntry, ServerRegistry};
 use trestlerack::rows::StoredRow;
+use trestlerack::version::RoutingTable;
 use trestlerack::{Name, event};
 use trestlerack_platform as platform;
 
@@ -30,11 +31,13 @@
             changes.ended.extend(previous);
             continue;
         }
-        match platform::decode_server(&row) {
+        match decode(node, &row) {
             Ok(entry) if is_kept(node, &entry) => {
                 let previous = registry.get(&entry.instance).cloned();
                 if registry.put(entry.clone()) {
                     changes.record_change(previous, entry, row);
+                } else if previous.is_some_and(|previous| previous.is_cold_report(&entry)) {
+                    changes.cold_reports.push((entry, row));
                 }
             }
             Ok(_) => {}
@@ -62,7 +65,7 @@
         registry.entries().map(|entry| (entry.instance.clone(), entry.clone())).collect();
     let count = rows.len();
     for row in rows {
-        match platform::decode_server(&row) {
+        match decode(node, &row) {
             Ok(entry) if is_kept(node, &entry) => entries.push((entry, row)),
             Ok(_) => {}
             Err(error) => {
@@ -78,9 +81,11 @@
         |row: &StoredRow| node.follower.change_feed().get(platform::SERVER_TABLE, &row.partition, &row.key).is_none();
     for (entry, row) in entries {
         let previous = before.get(&entry.instance);
-        let is_same = previous.is_some_and(|previous| is_only_heartbeat(previous, &entry));
+        let is_same = previous.is_some_and(|previous| previous.is_heartbeat(&entry));
         if !is_same || (node.follower.relays_changes() && is_unrelayed(&row)) {
             changes.record_change(previous.cloned(), entry, row);
+        } else if previous.is_some_and(|previous| previous.is_cold_report(&entry)) {
+            changes.cold_reports.push((entry, row));
         }
     }
     for (instance, previous) in before {
@@ -93,6 +98,7 @@
     if has_changed {
         apply_changes(node, changes);
     } else {
+        record_cold_times(node, &mut changes);
         node.follower.relay(changes.rows);
     }
     if node.follower.relays_changes() {
@@ -109,6 +115,8 @@
     removed: Vec<Name>,
     /// Former entries of servers that have ended or restarted.
     ended: Vec<ServerEntry>,
+    /// Entries in which only the cold time has changed, with their rows.
+    cold_reports: Vec<(ServerEntry, StoredRow)>,
     /// Rows of these changes, to be relayed to other nodes.
     rows: Vec<StoredRow>,
     /// New states of servers, for the log.
@@ -152,9 +160,11 @@
     }
 }
 
-fn apply_changes(node: &Arc<EntryNode>, changes: ServerChanges) {
+fn apply_changes(node: &Arc<EntryNode>, mut changes: ServerChanges) {
     changes.ended.iter().for_each(|server| suspects::record_server_gone(node, server));
+    record_cold_times(node, &mut changes);
     if changes.changed.is_empty() && changes.removed.is_empty() {
+        node.follower.relay(changes.rows);
         return;
     }
     changes.log();
@@ -172,14 +182,46 @@
         }
         for instance in changes.removed.iter().filter(|instance| registry.get(instance).is_none()) {
             balancer.remove(instance);
+            balancer.cold.remove(node.now(), instance);
         }
     }
     node.follower.relay(changes.rows);
     admission::servers_changed(node);
 }
 
-fn is_only_heartbeat(previous: &ServerEntry, entry: &ServerEntry) -> bool {
-    ServerEntry { heartbeat: entry.heartbeat, ..previous.clone() } == *entry
+/// Decodes an entry, and logs a cold time that is invalid.
+fn decode(node: &EntryNode, row: &StoredRow) -> Result<ServerEntry, platform::WireError> {
+    let (entry, invalid) = platform::decode_server_leniently(row)?;
+    if let Some(invalid) = invalid {
+        node.cold.log_invalid_entry(node.now(), &row.key, &invalid);
+    }
+    Ok(entry)
+}
+
+/// Records until when the servers of changed entries are cold. Entries in which only that has changed are relayed
+/// too if their service has a limit, because they change with each heartbeat of a cold engine.
+fn record_cold_times(node: &EntryNode, changes: &mut ServerChanges) {
+    let now = node.now();
+    let reports = std::mem::take(&mut changes.cold_reports);
+    let cold = &mut node.balancer.lock().unwrap().cold;
+    changes.changed.iter().for_each(|entry| cold.record_entry(now, entry));
+    for (entry, row) in reports {
+        cold.record_entry(now, &entry);
+        if cold.is_limited(&entry.service) {
+            changes.rows.push(row);
+        }
+    }
+}
+
+/// Applies the limits of requests to cold engines of a configuration, and records the entries that arrived before.
+pub fn set_cold_limits(node: &EntryNode, table: &RoutingTable) {
+    let now = node.now();
+    let registry = node.registry.lock().unwrap();
+    let cold = &mut node.balancer.lock().unwrap().cold;
+    cold.set_services(table);
+    if cold.is_active() {
+        registry.entries().for_each(|entry| cold.record_entry(now, entry));
+    }
 }
 
 fn removed_row(instance: &Name) -> StoredRow {
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -7,7 +7,7 @@
 
 use super::admission;
 use super::node::EntryNode;
-use super::resource_limits;
+use super::{cold, resource_limits};
 use serde::Serialize;
 use std::time::Duration;
 use trestlerack::Name;
@@ -40,6 +40,9 @@
 /// Path of the list of memory in use.
 const MEMORY_PATH: &str = "/v1/memory";
 
+/// Path of the list of engines that may be cold.
+const COLD_PATH: &str = "/v1/cold";
+
 #[derive(Serialize)]
 struct CustomerJson {
     name: Name,
@@ -130,6 +133,7 @@
         SERVERS_PATH => serde_json::to_vec(&servers(node)),
         ADMISSION_PATH => serde_json::to_vec(&admission::status(node)),
         FOLLOWER_PATH => serde_json::to_vec(&[follower(node)]),
+        COLD_PATH => serde_json::to_vec(&cold::statuses(&node.balancer, node.now())),
         MEMORY_PATH => serde_json::to_vec(&resource_limits::memory_status(&node.resource_limits)),
         _ => return None,
     };
--- a/crates/trestlerackd/src/entry/store.rs
+++ b/crates/trestlerackd/src/entry/store.rs
@@ -58,7 +58,7 @@
         self.calls.fetch_add(1, Ordering::Relaxed);
         let (response, lease) = match self.pool.send(&self.address, request, false).await {
             Ok(response) => response,
-            Err(ExchangeError::NotSent(_)) => return Err(StoreError::Unavailable),
+            Err(ExchangeError::NotSent(_) | ExchangeError::NotPermitted) => return Err(StoreError::Unavailable),
             Err(ExchangeError::NoResponse(_)) => return Err(StoreError::Unknown),
         };
         let (parts, body) = response.into_parts();
--- a/crates/trestlerackd/src/entry/table_watch.rs
+++ b/crates/trestlerackd/src/entry/table_watch.rs
@@ -1,7 +1,7 @@
 //! Reads and watches the store's tables: the operator's, service discovery's and the system's own.
 
 use super::node::EntryNode;
-use super::{feed_relay, follower_state, server_discovery, suspects, tables};
+use super::{cold, feed_relay, follower_state, server_discovery, suspects, tables};
 use crate::process::clock;
 use crate::process::logs;
 use futures_util::{StreamExt, TryStreamExt, stream};
@@ -52,6 +52,9 @@
                     node.suspects.set_watch_down(false);
                     node.job_end_freshness.lock().unwrap().record_answer(requested_at);
                 }
+                if table == platform::SERVER_TABLE {
+                    node.balancer.lock().unwrap().cold.record_information(requested_at);
+                }
                 node.registry.lock().unwrap().store_regained(node.now());
                 if version.is_none() {
                     logs::write(event::HISTORY_LOST, &[("table", &table)]);
@@ -203,6 +206,9 @@
                 *routing = Some(table.clone());
                 drop(routing);
                 node.balancer.lock().unwrap().memory.set_capacities(&table);
+                server_discovery::set_cold_limits(node, &table);
+                let invalid = platform::invalid_cold_start_fields(row).unwrap_or_default();
+                invalid.iter().for_each(|field| cold::log_invalid_field(&row.key, field));
                 compare_shared_servers(node, &table);
             }
         }
