Check the limit of cold engines in a simulated fleet

Cause: nothing checked that all nodes together stay within the limit.

Change: a simulation with differing views of nodes and drivers, lost and late news, transit delays, suspensions and restarts checks every span of one second; silent changes to cold are excluded for a heartbeat plus the longest age of trusted information. It showed four faults, which are mended: earlier entries of another follower could shorten a cold time; an engine counted as warm on information from before the first heartbeat after an evacuation; a restarted process forgot its sends and its orders.

--- a/crates/trestlerack/src/process/cold_start/allotment.rs
+++ b/crates/trestlerack/src/process/cold_start/allotment.rs
@@ -1,10 +1,6 @@
 //! How many requests per second the nodes may send to a cold engine.
 
-use super::ColdStartConfig;
-
-/// Fraction of the requests that no driver may send which the nodes may. The rest is reserved because nodes may
-/// have different views of the registered nodes.
-const NODE_FRACTION: f64 = 0.8;
+use super::{ColdSettings, ColdStartConfig};
 
 /// Requests per second that are reserved for weight orders and reports.
 const ORDER_REQUESTS: f64 = 1.0;
@@ -32,8 +28,8 @@
 impl ColdBudget {
     /// Computes the budget. A driver that is partitioned may not know yet that another node has taken over its
     /// job, so the budget covers two driver allotments.
-    pub fn new(config: ColdStartConfig, over: f64, slack: f64, service_use: ServiceUse) -> Self {
-        let bound = config.tolerated_per_s * over + slack;
+    pub fn new(config: ColdStartConfig, settings: &ColdSettings, service_use: ServiceUse) -> Self {
+        let bound = config.tolerated_per_s * settings.over + settings.slack;
         // Conversions to integers round down and turn values below 0 into 0.
         let total = (bound.floor() - ORDER_REQUESTS) as u32;
         let wanted = (config.tolerated_per_s as u32).max(1);
@@ -41,7 +37,7 @@
             ServiceUse::JobsOnly => Self { total, driver: wanted.min(total / 2), nodes: 0 },
             ServiceUse::Mixed => {
                 let driver = wanted.min(total / 3);
-                let nodes = (f64::from(total - 2 * driver) * NODE_FRACTION) as u32;
+                let nodes = (f64::from(total - 2 * driver) * settings.node_fraction) as u32;
                 Self { total, driver, nodes }
             }
         }
--- a/crates/trestlerack/src/process/cold_start/engine_state.rs
+++ b/crates/trestlerack/src/process/cold_start/engine_state.rs
@@ -41,21 +41,25 @@
 }
 
 impl EngineState {
-    /// Applies an entry that arrived now, unless it is the one that is known. Returns whether it was new.
-    pub(super) fn update(&mut self, now: Timestamp, entry: &ServerEntry) -> bool {
+    /// Applies an entry that arrived now, unless it is the one that is known or of an earlier start.
+    pub(super) fn update(&mut self, now: Timestamp, entry: &ServerEntry) {
         let key = (entry.started_ms, entry.heartbeat, entry.cold_left_ms);
-        if self.is_listed && key == (self.started_ms, self.heartbeat, self.cold_left_ms) {
-            return false;
+        let is_known = key == (self.started_ms, self.heartbeat, self.cold_left_ms);
+        if self.is_listed && (is_known || entry.started_ms < self.started_ms) {
+            return;
         }
-        if self.started_ms != entry.started_ms {
+        let is_same_start = self.started_ms == entry.started_ms;
+        if !is_same_start {
             self.responded_until = Timestamp::default();
         }
+        // A follower to which the node has switched may know less than the previous one.
+        let is_earlier = self.is_listed && is_same_start && entry.heartbeat < self.heartbeat;
+        let listed_until = now + Duration::from_millis(entry.cold_left_ms);
+        self.listed_until = if is_earlier { self.listed_until.max(listed_until) } else { listed_until };
         (self.started_ms, self.heartbeat, self.cold_left_ms) = key;
-        self.listed_until = now + Duration::from_millis(entry.cold_left_ms);
         self.is_listed = true;
         self.service = entry.service.clone();
         self.zone = entry.zone.clone();
-        true
     }
 
     /// Applies the cold time that a response reported. It does not shorten the cold time of the entry, because
--- a/crates/trestlerack/src/process/cold_start/limiter.rs
+++ b/crates/trestlerack/src/process/cold_start/limiter.rs
@@ -3,6 +3,7 @@
 use super::JobDrivers;
 use super::allotment::{ColdBudget, ServiceUse};
 use super::engine_state::{EngineState, HeldAllotments};
+use super::send_window::SEND_SPAN;
 use super::status::{ColdChange, ColdStatus, EngineWarmth};
 use crate::hash::{hash_parts, rank_among};
 use crate::process::ServerEntry;
@@ -35,13 +36,16 @@
     pub over: f64,
     /// Requests per second that are added.
     pub slack: f64,
+    /// Fraction of the requests left by drivers that the nodes may send. The rest is reserved because nodes may
+    /// have different views of the registered nodes.
+    pub node_fraction: f64,
     /// Interval at which engines write their entries.
     pub heartbeat: Duration,
 }
 
 impl Default for ColdSettings {
     fn default() -> Self {
-        Self { node: "".into(), over: 1.5, slack: 5.0, heartbeat: Duration::from_millis(1_200) }
+        Self { node: "".into(), over: 1.5, slack: 5.0, node_fraction: 0.8, heartbeat: Duration::from_millis(1_200) }
     }
 }
 
@@ -77,15 +81,14 @@
     informed_at: Timestamp,
     /// Time until which the state of all engines is unknown, after a start or a suspension.
     unknown_until: Timestamp,
-    /// Time before which this node has no node allotment, because the first nodes that it knows may be few.
-    nodes_known_at: Timestamp,
+    started_at: Timestamp,
 }
 
 impl ColdLimiter {
     /// Builds the limiter of a process that starts at `now`.
     pub fn new(settings: ColdSettings, now: Timestamp) -> Self {
-        let known_at = now + settings.max_age();
-        Self { settings, unknown_until: known_at, nodes_known_at: known_at, ..Self::default() }
+        let unknown_until = now + settings.max_age();
+        Self { settings, unknown_until, started_at: now, ..Self::default() }
     }
 
     /// Returns whether any service has a limit.
@@ -105,7 +108,7 @@
                 .routes()
                 .any(|route| route.kind != RouteKind::Batch && route.shares.iter().any(|share| share.service == *name));
             let service_use = if is_other { ServiceUse::Mixed } else { ServiceUse::JobsOnly };
-            ColdBudget::new(config, self.settings.over, self.settings.slack, service_use)
+            ColdBudget::new(config, &self.settings, service_use)
         };
         let limits = table.services.iter().filter_map(|(name, service)| {
             let budget = limit(name, service.cold_start?);
@@ -220,9 +223,9 @@
         let Some(service) = self.limit_of(&entry.service) else { return Some(now) };
         let engine = self.engines.get(&entry.instance)?;
         let Some(limit) = self.limit(now, service, &entry.instance, Some(engine), models) else { return Some(now) };
-        let is_informed = now.since(self.informed_at) <= self.settings.max_age();
-        let warm_at = engine.cold_until().max(engine.unknown_until).max(self.unknown_until);
-        let warm_at = (is_informed && warm_at > now).then_some(warm_at);
+        let unknown_until = engine.unknown_until.max(self.unknown_until);
+        let warm_at = engine.cold_until().max(unknown_until);
+        let warm_at = (self.is_informed(now, Timestamp::default()) && warm_at > now).then_some(warm_at);
         engine.sends.free_at(now, limit).into_iter().chain(warm_at).min()
     }
 
@@ -243,7 +246,8 @@
         }
         let is_warm = self.warmth(now, self.engines.get(&entry.instance)) == EngineWarmth::Warm;
         let engine = self.engines.entry(entry.instance.clone()).or_default();
-        let may_send = is_warm || engine.orders.count(now) < MAX_ORDERS;
+        // The orders of an earlier process on this node may count still.
+        let may_send = is_warm || engine.orders.count(now) < MAX_ORDERS && now.since(self.started_at) > SEND_SPAN;
         if may_send {
             engine.orders.record(now, MAX_ORDERS);
         }
@@ -278,9 +282,8 @@
     }
 
     fn warmth(&self, now: Timestamp, engine: Option<&EngineState>) -> EngineWarmth {
-        let is_informed = now.since(self.informed_at) <= self.settings.max_age() && now >= self.unknown_until;
         match engine {
-            Some(engine) if is_informed && engine.is_listed && now >= engine.unknown_until => {
+            Some(engine) if engine.is_listed && self.is_informed(now, engine.unknown_until.max(self.unknown_until)) => {
                 match engine.cold_until().since(now) {
                     Duration::ZERO => EngineWarmth::Warm,
                     left => EngineWarmth::Cold(left),
@@ -290,6 +293,15 @@
         }
     }
 
+    /// Returns whether the cold times of engines that were unknown until a given time are known. Engines that
+    /// became cold when the unknown time began have written that within a heartbeat of it.
+    fn is_informed(&self, now: Timestamp, unknown_until: Timestamp) -> bool {
+        let max_age = self.settings.max_age();
+        now >= unknown_until
+            && now.since(self.informed_at) <= max_age
+            && self.informed_at >= (unknown_until - max_age) + self.settings.heartbeat
+    }
+
     /// Returns how many requests this node may send to an engine in any second; `None` if that is not limited.
     fn limit(
         &self,
@@ -302,12 +314,19 @@
         if self.warmth(now, engine) == EngineWarmth::Warm {
             return service.warm;
         }
+        let running_for = now.since(self.started_at);
+        if running_for <= SEND_SPAN {
+            // The sends of an earlier process on this node may count still.
+            return Some(0);
+        }
         let held = match engine {
             Some(engine) => self.cached_allotments(service, instance, engine, models),
             None => self.held_allotments(service, instance, models),
         };
         let of_driver = if held.has_driver { service.budget.driver } else { 0 };
-        Some(of_driver + u32::from(held.has_node && now >= self.nodes_known_at))
+        // The first nodes that a process knows may be few.
+        let knows_nodes = running_for >= self.settings.max_age();
+        Some(of_driver + u32::from(held.has_node && knows_nodes))
     }
 
     fn cached_allotments(
--- /dev/null
+++ b/crates/trestlerack/tests/cold_engines.rs
@@ -0,0 +1,117 @@
+//! Engines that are cold: the allotments of nodes, and the bound on what an engine gets from all nodes together.
+
+#[path = "support/cold_simulation.rs"]
+mod cold_simulation;
+#[path = "support/load.rs"]
+mod load;
+
+use bolero::check;
+use cold_simulation::{ColdSimulation, SentRequest, SimulatedFleet, check_bound, limiter, table};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use trestlerack::Timestamp;
+use trestlerack::process::{
+    BalancerSettings, ColdBudget, ColdSettings, ColdStartConfig, JobDrivers, LoadBalancer, ServerNeed, ServiceUse,
+};
+use trestlerack::version::RouteKind;
+
+const CONFIG: ColdStartConfig = ColdStartConfig { duration: Duration::from_secs(3), tolerated_per_s: 9.2 };
+
+/// Smallest number of requests to cold engines that the property test has to check.
+const MIN_REQUESTS: usize = 100_000;
+
+fn budget(tolerated_per_s: f64, slack: f64, service_use: ServiceUse) -> (u32, u32, u32) {
+    let config = ColdStartConfig { tolerated_per_s, ..CONFIG };
+    let ColdBudget { total, driver, nodes } =
+        ColdBudget::new(config, &ColdSettings { slack, ..ColdSettings::default() }, service_use);
+    (total, driver, nodes)
+}
+
+/// Guards against allotments that together exceed the total, also for limits below one request.
+#[test]
+fn two_drivers_and_all_nodes_stay_within_the_total() {
+    assert_eq!(budget(9.2, 5.0, ServiceUse::JobsOnly), (17, 8, 0));
+    assert_eq!(budget(9.2, 5.0, ServiceUse::Mixed), (17, 5, 5));
+    assert_eq!(budget(0.0, 0.0, ServiceUse::Mixed), (0, 0, 0));
+    assert_eq!(budget(1_000_000.0, 1_000_000.0, ServiceUse::JobsOnly).0, 2_499_999);
+    for tenths in 0..500 {
+        for service_use in [ServiceUse::JobsOnly, ServiceUse::Mixed] {
+            let (total, driver, nodes) = budget(f64::from(tenths) / 10.0, 0.0, service_use);
+            assert!(2 * driver + nodes <= total, "{tenths} {service_use:?}");
+        }
+    }
+}
+
+fn check_fleet(fleet: &SimulatedFleet, requests: &AtomicUsize) -> Result<(), String> {
+    let simulation = ColdSimulation::run(fleet);
+    requests.fetch_add(simulation.cold_requests(), Ordering::Relaxed);
+    simulation.check()
+}
+
+/// Guards against any combination of views, losses, delays, suspensions and restarts under which an engine gets
+/// more than it tolerates.
+#[test]
+fn a_cold_engine_never_gets_more_than_the_bound_in_a_second() {
+    let requests = AtomicUsize::new(0);
+    check!().with_type::<(u64, bool)>().with_iterations(160).for_each(|(seed, has_calls)| {
+        let kind = if *has_calls { RouteKind::Safe } else { RouteKind::Batch };
+        let fleet = SimulatedFleet { seed: *seed, kind, settings: ColdSettings::default() };
+        check_fleet(&fleet, &requests).unwrap_or_else(|error| panic!("{fleet:?}: {error}"));
+    });
+    let requests = requests.into_inner();
+    assert!(requests >= MIN_REQUESTS, "only {requests} requests to cold engines");
+}
+
+/// The check must be able to fail: with one node too many in the allotment, the bound is exceeded.
+#[test]
+fn the_check_detects_one_node_too_many() {
+    let settings = ColdSettings { node_fraction: 6.0 / 7.0, ..ColdSettings::default() };
+    assert_eq!(ColdBudget::new(CONFIG, &settings, ServiceUse::Mixed).nodes, 6, "one more than by default");
+    let fails = |seed: &u64| {
+        let fleet = SimulatedFleet { seed: *seed, kind: RouteKind::Safe, settings: settings.clone() };
+        check_fleet(&fleet, &AtomicUsize::new(0)).is_err()
+    };
+    let failed = (0..24).filter(fails).count();
+    assert!(failed > 0, "no run exceeded the bound");
+}
+
+/// The check itself counts a request only if it was both sent and received within the second.
+#[test]
+fn the_check_counts_spans_of_one_second() {
+    let request = |sent, received| SentRequest { sent, received };
+    let at_once: Vec<SentRequest> = (0..4).map(|number| request(100 * number, 100 * number + 50)).collect();
+    assert!(check_bound(&at_once, 4.0).is_ok() && check_bound(&at_once, 3.5).is_err());
+    assert!(check_bound(&[request(0, 5), request(0, 1_200), request(1_001, 1_300)], 1.0).is_ok());
+}
+
+/// Guards against a choice of cold engines while warm ones have free slots, and against requests beyond the limit.
+#[test]
+fn warm_engines_are_preferred_and_cold_ones_used_up_to_the_limit() {
+    let now = Timestamp(20_000);
+    let mut entries = ["cold", "warm"].map(|name| load::plain_server(name, "s", "z", 1));
+    entries[0].cold_left_ms = 3_000;
+    let mut cold = limiter("n", &ColdSettings::default(), Timestamp(0));
+    cold.set_services(&table(CONFIG, RouteKind::Batch, false));
+    cold.record_information(now);
+    let mut drivers = JobDrivers::default();
+    drivers.add(None, "n".into());
+    cold.set_drivers(drivers);
+    entries.iter().for_each(|entry| cold.record_entry(now, entry));
+    let mut balancer = LoadBalancer::new(BalancerSettings::default()).with_cold_limiter(cold);
+    entries.iter().for_each(|entry| balancer.put(entry));
+    let need = ServerNeed { service: "s", zone: "z", ..ServerNeed::default() };
+    let chosen = |balancer: &LoadBalancer, need: &ServerNeed<'_>| {
+        balancer.choose(now, need).map(|server| server.entry.instance.clone())
+    };
+    assert_eq!(chosen(&balancer, &need).as_deref(), Some("warm"));
+    balancer.started("warm");
+    assert_eq!(chosen(&balancer, &need).as_deref(), Some("cold"), "the warm one has no free slot");
+    assert_eq!(chosen(&balancer, &ServerNeed { needs_warm: true, ..need.clone() }).as_deref(), Some("warm"));
+    let sent = (0..20).filter(|_| balancer.try_send(now, &entries[0]).is_some()).count();
+    assert_eq!(sent, 8, "the driver allotment");
+    assert_eq!(chosen(&balancer, &need).as_deref(), Some("warm"));
+    assert_eq!(balancer.wait_estimate(now, "s").slots, 1, "a server that may get nothing now does not count");
+    balancer.remove("warm");
+    assert_eq!(balancer.available_at(now, "s"), Some(now + Duration::from_millis(1_101)));
+    assert_eq!(balancer.wait_estimate(now + Duration::from_millis(1_101), "s").free_slots, 1);
+}
--- a/crates/trestlerackd/src/entry/cold.rs
+++ b/crates/trestlerackd/src/entry/cold.rs
@@ -34,6 +34,7 @@
         over: settings.cold_over,
         slack: settings.cold_slack,
         heartbeat: Duration::from_millis(settings.server_heartbeat_ms),
+        ..ColdSettings::default()
     }
 }
 
