Test cold engines with daemons

Cause: the limit of cold engines was tested only in the core.

A benchmark measures the choice of a server with and without limits of placement.

--- a/crates/trestlerack/benches/decisions.rs
+++ b/crates/trestlerack/benches/decisions.rs
@@ -5,21 +5,23 @@
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeSet;
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::process::{
-    BalancerSettings, EligibleNode, EngineOwners, Heartbeat, Liveness, LoadBalancer, MembershipEvent,
-    MembershipSettings, OwnershipView, PeerInfo, PeerMembership, PeerUpdate, ServerEntry, ServerNeed, ServerRegistry,
-    SlotNeed,
+    BalancerSettings, ColdLimiter, ColdSettings, ColdStartConfig, EligibleNode, EngineOwners, Heartbeat, Liveness,
+    LoadBalancer, MembershipEvent, MembershipSettings, OwnershipView, PeerInfo, PeerMembership, PeerUpdate,
+    ServerEntry, ServerNeed, ServerRegistry, SlotNeed,
 };
 use trestlerack::request::{
     ChoicePolicy, DispatchEngine, DispatchEvent, DispatchSettings, EngineCandidate, EngineChooser, EngineDispatcher,
     GroupDriver, GroupEvent, GroupSettings, QueuedCall,
 };
 use trestlerack::version::{
-    Backend, BackendKind, ConfigContent, ConfigDelta, ConfigFollower, ConfigItem, FollowAction, FollowEvent,
-    RolloutEngine, RolloutEvent, RolloutPlanner, RolloutSettings, WeightTarget,
+    Backend, BackendKind, ClientLimits, ConfigContent, ConfigDelta, ConfigFollower, ConfigItem, FollowAction,
+    FollowEvent, RolloutEngine, RolloutEvent, RolloutPlanner, RolloutSettings, RoutedService, RoutingTable,
+    WeightTarget,
 };
 use trestlerack::{AllowedZones, Name, Timestamp};
 
@@ -135,6 +137,84 @@
     group.finish();
 }
 
+/// Numbers of servers among which a node chooses.
+const CHOICE_SERVER_COUNTS: [usize; 3] = [50, 500, 5_000];
+
+/// Limits of placement that a measured choice takes into account.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum PlacementLimits {
+    None,
+    /// All but two zones are allowed.
+    AllowedZones,
+    /// The service has a limit, and one server in eight is cold.
+    Cold,
+    /// One of the zones is evacuated.
+    Evacuated,
+    All,
+}
+
+impl PlacementLimits {
+    const EACH: [Self; 5] = [Self::None, Self::AllowedZones, Self::Cold, Self::Evacuated, Self::All];
+
+    fn includes(self, other: Self) -> bool {
+        self == other || self == Self::All
+    }
+}
+
+/// Limits the service of a board, whose servers are cold in turn.
+fn limit_cold_engines(balancer: &mut LoadBalancer, servers: usize) {
+    let limits = ClientLimits { max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
+    let service = RoutedService {
+        name: "models".into(),
+        max_connections: 0,
+        engine_slots: 8,
+        engine_tokens: 0,
+        models: vec!["model".into()],
+        scaling: None,
+        cold_start: Some(ColdStartConfig { duration: Duration::from_secs(3), tolerated_per_s: 9.2 }),
+    };
+    balancer.cold = ColdLimiter::new(ColdSettings { node: "node-1".into(), ..ColdSettings::default() }, Timestamp(0));
+    balancer.cold.set_services(&RoutingTable::new(1, Vec::new(), vec![service], limits));
+    balancer.cold.set_nodes((0..71).map(|number| format!("node-{number}").into()).collect());
+    balancer.cold.record_information(Timestamp(10_000));
+    for number in 0..servers {
+        let Some(server) = balancer.get(&engine_name(number)) else { continue };
+        let cold_left_ms = if number % 8 == 0 { 3_000 } else { 0 };
+        let entry = ServerEntry { cold_left_ms, ..server.entry.clone() };
+        balancer.cold.record_entry(Timestamp(10_000), &entry);
+    }
+}
+
+/// Measures the choice of a server without limits of placement, with each of them and with all.
+fn choose_server(criterion: &mut Criterion) {
+    let allowed = AllowedZones::new((0..ZONE_COUNT - 2).map(zone));
+    for limits in PlacementLimits::EACH {
+        let mut group = criterion.benchmark_group(format!("choose-server-{limits:?}"));
+        for servers in CHOICE_SERVER_COUNTS {
+            let mut balancer = server_board(servers);
+            if limits.includes(PlacementLimits::Cold) {
+                limit_cold_engines(&mut balancer, servers);
+            }
+            if limits.includes(PlacementLimits::Evacuated) {
+                balancer.set_evacuated_zones(BTreeSet::from([zone(3)]));
+            }
+            let need = ServerNeed {
+                service: "models",
+                weights: Some(("model", 1)),
+                slot_need: SlotNeed::One,
+                zone: "zone-1",
+                tie_key: "node-1",
+                allowed_zones: limits.includes(PlacementLimits::AllowedZones).then_some(&allowed),
+                ..ServerNeed::default()
+            };
+            group.bench_function(BenchmarkId::from_parameter(servers), |bencher| {
+                bencher.iter(|| black_box(balancer.choose(Timestamp(10_100), &need).is_some()));
+            });
+        }
+        group.finish();
+    }
+}
+
 fn admit_and_end(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("admit-start-end");
     for engines in ENGINE_COUNTS {
@@ -314,7 +394,7 @@
 criterion_group! {
     name = decisions;
     config = settings();
-    targets = choose_engine, place_item, admit_and_end, group_event, rollout_event, membership_event, owner_change,
+    targets = choose_engine, choose_server, place_item, admit_and_end, group_event, rollout_event, membership_event, owner_change,
         configuration_change
 }
 criterion_main!(decisions);
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the entry daemon as a process, against stand-ins of the users' platform.
 
+mod cold;
 mod crashes;
 mod customers;
 mod duties;
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -71,6 +71,8 @@
     pub event_padding: AtomicUsize,
     /// Streams to break off within their third event.
     pub broken_streams: AtomicUsize,
+    /// Servers that got requests, orders or polls, with the times of arrival.
+    pub arrivals: Mutex<Vec<(String, Instant)>>,
     /// Last start of each request, by id.
     pub last_runs: Mutex<HashMap<String, Instant>>,
     /// Orders that engines accepted, in order of arrival.
@@ -108,6 +110,10 @@
         self.concurrency_limit.store(limit, Ordering::SeqCst);
     }
 
+    fn record_arrival(&self, server: &str) {
+        self.arrivals.lock().unwrap().push((server.to_owned(), Instant::now()));
+    }
+
     fn is_full(&self) -> bool {
         let limit = self.concurrency_limit.load(Ordering::SeqCst);
         limit > 0 && self.concurrent_runs.load(Ordering::SeqCst) >= limit
@@ -122,6 +128,7 @@
 fn plain_server(behaviour: Arc<ServerBehaviour>, number: usize) -> SocketAddr {
     serve(move |request, stream| {
         let id = request.headers["request-id"].clone();
+        behaviour.record_arrival(&format!("i-plain-{number}"));
         if take_one(&behaviour.rejections) || behaviour.is_full() {
             return reply(stream, 503, &[("request-id", &id), ("not-executed", "1")], "");
         }
@@ -209,6 +216,7 @@
 
 impl ModelEngine {
     fn answer(&self, request: &ReceivedRequest, stream: &mut TcpStream) -> bool {
+        self.behaviour.record_arrival(&self.name);
         match &*request.path {
             "/trestlerack/report" if self.name == "i-engine-0" && take_one(&self.behaviour.unanswered_reports) => {
                 stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -81,6 +81,13 @@
         self.state.1.notify_all();
     }
 
+    /// Returns the value of a row.
+    pub fn get(&self, table: &str, key: &str) -> Option<Value> {
+        let state = self.state.0.lock().unwrap();
+        let (content, _) = state.rows.get(&(table.into(), String::new(), key.into()))?;
+        serde_json::from_slice(&BASE64_STANDARD.decode(content).unwrap()).ok()
+    }
+
     /// Removes a row, as the platform does.
     pub fn remove(&self, table: &str, key: &str) {
         let mut state = self.state.0.lock().unwrap();
