Find the state of cold engines by position

Change: servers of the load balancer hold the position of their engine in the limiter, with a number that shows when it is outdated. The limit of a service is looked up once per choice.

The tests of cold_engines, load_balancer, server_choice and call_ranks and 37 daemon tests of cold, followers, jobs and engines pass.

--- a/crates/trestlerack/benches/decisions.rs
+++ b/crates/trestlerack/benches/decisions.rs
@@ -174,15 +174,15 @@
         cold_start: Some(ColdStartConfig { duration: Duration::from_secs(3), tolerated_per_s: 9.2 }),
     };
     balancer.cold = ColdLimiter::new(ColdSettings { node: "node-1".into(), ..ColdSettings::default() }, Timestamp(0));
-    balancer.cold.set_services(&RoutingTable::new(1, Vec::new(), vec![service], limits));
     balancer.cold.set_nodes((0..71).map(|number| format!("node-{number}").into()).collect());
     balancer.cold.record_information(Timestamp(10_000));
-    for number in 0..servers {
-        let Some(server) = balancer.get(&engine_name(number)) else { continue };
-        let cold_left_ms = if number % 8 == 0 { 3_000 } else { 0 };
-        let entry = ServerEntry { cold_left_ms, ..server.entry.clone() };
-        balancer.cold.record_entry(Timestamp(10_000), &entry);
-    }
+    let entry = |number: usize| {
+        let server = balancer.get(&engine_name(number))?;
+        Some(ServerEntry { cold_left_ms: if number.is_multiple_of(8) { 3_000 } else { 0 }, ..server.entry.clone() })
+    };
+    let entries: Vec<ServerEntry> = (0..servers).filter_map(entry).collect();
+    let table = RoutingTable::new(1, Vec::new(), vec![service], limits);
+    balancer.set_cold_limits(Timestamp(10_000), &table, entries.iter());
 }
 
 /// Measures the choice of a server without limits of placement, with each of them and with all.
--- a/crates/trestlerack/src/process/cold_start/engine_state.rs
+++ b/crates/trestlerack/src/process/cold_start/engine_state.rs
@@ -16,6 +16,9 @@
 /// State of one engine, as known to this node.
 #[derive(Clone, Debug, Default)]
 pub(super) struct EngineState {
+    pub(super) name: Name,
+    /// Number that tells it from other engines at the same position; 0 for a free position.
+    pub(super) serial: u64,
     pub(super) service: Name,
     pub(super) zone: Name,
     started_ms: u64,
@@ -41,6 +44,11 @@
 }
 
 impl EngineState {
+    /// Builds the state of an engine of which nothing is known.
+    pub(super) fn new(name: &Name, serial: u64) -> Self {
+        Self { name: name.clone(), serial, ..Self::default() }
+    }
+
     /// Applies an entry that arrived now, unless it is the one that is known or of an earlier start.
     pub(super) fn update(&mut self, now: Timestamp, entry: &ServerEntry) {
         let key = (entry.started_ms, entry.heartbeat, entry.cold_left_ms);
--- a/crates/trestlerack/src/process/cold_start/limiter.rs
+++ b/crates/trestlerack/src/process/cold_start/limiter.rs
@@ -3,16 +3,15 @@
 use super::JobDrivers;
 use super::allotment::{ColdBudget, ServiceUse};
 use super::engine_state::{EngineState, HeldAllotments};
+use super::engine_table::{EngineRef, EngineTable};
 use super::send_window::SEND_SPAN;
 use super::status::{ColdChange, ColdStatus, EngineWarmth};
 use crate::hash::{hash_parts, rank_among};
 use crate::process::ServerEntry;
 use crate::version::{RouteKind, RoutingTable};
 use crate::{Name, Timestamp};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::hash::BuildHasherDefault;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use twox_hash::XxHash64;
 
 /// Time that a change takes to reach a node after an engine has written it, in addition to the heartbeats: 0.9 s,
 /// rounded up.
@@ -27,6 +26,15 @@
 /// The model that each engine is assigned to, by instance.
 pub type AssignedModels = BTreeMap<Name, Name>;
 
+/// An engine that may get a request.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::process) struct ColdCandidate<'a> {
+    pub(in crate::process) entry: &'a ServerEntry,
+    /// Its position in the limiter.
+    pub(in crate::process) reference: EngineRef,
+    pub(in crate::process) models: &'a AssignedModels,
+}
+
 /// Settings of a [`ColdLimiter`].
 #[derive(Clone, Debug)]
 pub struct ColdSettings {
@@ -58,7 +66,7 @@
 
 /// Limits of the engines of one service.
 #[derive(Clone, Copy, Debug)]
-struct ServiceLimit {
+pub(in crate::process) struct ServiceLimit {
     budget: ColdBudget,
     /// Most requests per second to a warm engine; `None` for plain servers, whose usual rate is far above the
     /// limit of a cold one.
@@ -72,7 +80,7 @@
 pub struct ColdLimiter {
     settings: ColdSettings,
     services: BTreeMap<Name, ServiceLimit>,
-    engines: HashMap<Name, EngineState, BuildHasherDefault<XxHash64>>,
+    engines: EngineTable,
     drivers: JobDrivers,
     nodes: BTreeSet<Name>,
     /// Number of changes of the input of allotments.
@@ -119,7 +127,7 @@
         self.services = limits.collect();
         self.revision += 1;
         if !self.is_active() {
-            self.engines.clear();
+            self.engines = EngineTable::default();
         }
     }
 
@@ -157,7 +165,7 @@
     /// Records an entry of service discovery that arrived now; one that is known already changes nothing.
     pub fn record_entry(&mut self, now: Timestamp, entry: &ServerEntry) {
         if self.is_active() {
-            self.engines.entry(entry.instance.clone()).or_default().update(now, entry);
+            self.engines.get_or_add(&entry.instance).update(now, entry);
         }
     }
 
@@ -165,7 +173,7 @@
     pub fn remove(&mut self, now: Timestamp, instance: &str) {
         if let Some(engine) = self.engines.get_mut(instance) {
             engine.is_listed = false;
-            self.engines.retain(|_, engine| engine.is_in_use(now));
+            self.engines.retain(|engine| engine.is_in_use(now));
         }
     }
 
@@ -179,7 +187,7 @@
     /// Records that the evacuation of zones has ended, after which their engines are usually cold. The time until
     /// which their state is unknown starts with the next [`Self::advance`].
     pub fn record_opened_zones(&mut self, zones: &BTreeSet<Name>) {
-        let opened = self.engines.values_mut().filter(|engine| zones.contains(&engine.zone));
+        let opened = self.engines.iter_mut().filter(|engine| zones.contains(&engine.zone));
         opened.for_each(|engine| engine.unknown_until = NOT_STARTED);
     }
 
@@ -188,7 +196,7 @@
     pub fn advance(&mut self, now: Timestamp) -> Vec<ColdChange> {
         let mut changes = Vec::new();
         let unknown_until = now + self.settings.max_age();
-        for (name, engine) in &mut self.engines {
+        for engine in self.engines.iter_mut() {
             if engine.unknown_until == NOT_STARTED {
                 engine.unknown_until = unknown_until;
             }
@@ -197,21 +205,31 @@
             if is_cold != engine.was_cold && self.services.contains_key(&engine.service) {
                 engine.was_cold = is_cold;
                 let warmth = if is_cold { EngineWarmth::Cold(left) } else { EngineWarmth::Warm };
-                changes.push(ColdChange { engine: name.clone(), warmth });
+                changes.push(ColdChange { engine: engine.name.clone(), warmth });
             }
         }
         changes
     }
 
-    /// Returns whether this node may send a request to an engine now.
-    pub fn may_send(&self, now: Timestamp, entry: &ServerEntry, models: &AssignedModels) -> bool {
-        self.remaining(now, entry, models) > 0
+    /// Returns the position of an engine, by which it is found faster than by its name.
+    pub(in crate::process) fn reference(&self, instance: &str) -> EngineRef {
+        if self.is_active() { self.engines.reference(instance) } else { EngineRef::default() }
     }
 
     /// Returns how many requests this node may send to an engine now.
-    pub fn remaining(&self, now: Timestamp, entry: &ServerEntry, models: &AssignedModels) -> u32 {
-        let Some(service) = self.limit_of(&entry.service) else { return u32::MAX };
-        let engine = self.engines.get(&entry.instance);
+    pub(in crate::process) fn remaining(&self, now: Timestamp, engine: &ColdCandidate<'_>) -> u32 {
+        self.limit_of(&engine.entry.service).map_or(u32::MAX, |service| self.remaining_within(now, service, engine))
+    }
+
+    /// Returns how many requests this node may send to an engine of a service with this limit now.
+    pub(in crate::process) fn remaining_within(
+        &self,
+        now: Timestamp,
+        service: &ServiceLimit,
+        candidate: &ColdCandidate<'_>,
+    ) -> u32 {
+        let ColdCandidate { entry, reference, models } = *candidate;
+        let engine = self.engines.find(reference, &entry.instance);
         match self.limit(now, service, &entry.instance, engine, models) {
             Some(limit) => limit.saturating_sub(engine.map_or(0, |engine| engine.sends.count(now))),
             None => u32::MAX,
@@ -219,9 +237,10 @@
     }
 
     /// Returns when this node may send the next request to an engine; `None` if that is not known.
-    pub fn available_at(&self, now: Timestamp, entry: &ServerEntry, models: &AssignedModels) -> Option<Timestamp> {
+    pub(in crate::process) fn available_at(&self, now: Timestamp, candidate: &ColdCandidate<'_>) -> Option<Timestamp> {
+        let ColdCandidate { entry, reference, models } = *candidate;
         let Some(service) = self.limit_of(&entry.service) else { return Some(now) };
-        let engine = self.engines.get(&entry.instance)?;
+        let engine = self.engines.find(reference, &entry.instance)?;
         let Some(limit) = self.limit(now, service, &entry.instance, Some(engine), models) else { return Some(now) };
         let unknown_until = engine.unknown_until.max(self.unknown_until);
         let warm_at = engine.cold_until().max(unknown_until);
@@ -233,7 +252,7 @@
     pub fn record_send(&mut self, now: Timestamp, entry: &ServerEntry) -> bool {
         let Some(service) = self.limit_of(&entry.service).copied() else { return false };
         let is_warm = self.warmth(now, self.engines.get(&entry.instance)) == EngineWarmth::Warm;
-        let engine = self.engines.entry(entry.instance.clone()).or_default();
+        let engine = self.engines.get_or_add(&entry.instance);
         engine.sends.record(now, service.budget.total.max(service.warm.unwrap_or(1)));
         !is_warm
     }
@@ -245,7 +264,7 @@
             return true;
         }
         let is_warm = self.warmth(now, self.engines.get(&entry.instance)) == EngineWarmth::Warm;
-        let engine = self.engines.entry(entry.instance.clone()).or_default();
+        let engine = self.engines.get_or_add(&entry.instance);
         // The orders of an earlier process on this node may count still.
         let may_send = is_warm || engine.orders.count(now) < MAX_ORDERS && now.since(self.started_at) > SEND_SPAN;
         if may_send {
@@ -254,21 +273,21 @@
         may_send
     }
 
-    /// Returns whether an engine of a service with a limit is not known to be warm.
-    pub fn is_cold(&self, now: Timestamp, entry: &ServerEntry) -> bool {
-        self.limit_of(&entry.service).is_some()
-            && self.warmth(now, self.engines.get(&entry.instance)) != EngineWarmth::Warm
+    /// Returns whether an engine of a service with a limit is known to be warm.
+    pub(in crate::process) fn is_warm(&self, now: Timestamp, candidate: &ColdCandidate<'_>) -> bool {
+        let engine = self.engines.find(candidate.reference, &candidate.entry.instance);
+        self.warmth(now, engine) == EngineWarmth::Warm
     }
 
     /// Returns the state of all engines of services with a limit, ordered by name.
     pub fn statuses(&self, now: Timestamp, models: &AssignedModels) -> Vec<ColdStatus> {
-        let status = |(name, engine): (&Name, &EngineState)| {
+        let status = |engine: &EngineState| {
             let service = self.limit_of(&engine.service).filter(|_| engine.is_listed)?;
             Some(ColdStatus {
-                engine: name.clone(),
+                engine: engine.name.clone(),
                 service: engine.service.clone(),
                 warmth: self.warmth(now, Some(engine)),
-                allotment: self.limit(now, service, name, Some(engine), models),
+                allotment: self.limit(now, service, &engine.name, Some(engine), models),
                 sent: engine.sends.count_last_second(now),
             })
         };
@@ -277,7 +296,8 @@
         statuses
     }
 
-    fn limit_of(&self, service: &str) -> Option<&ServiceLimit> {
+    /// Returns the limit of a service; `None` if it has none.
+    pub(in crate::process) fn limit_of(&self, service: &str) -> Option<&ServiceLimit> {
         if self.services.is_empty() { None } else { self.services.get(service) }
     }
 
--- a/crates/trestlerack/src/process/cold_start/mod.rs
+++ b/crates/trestlerack/src/process/cold_start/mod.rs
@@ -7,14 +7,17 @@
 
 mod allotment;
 mod engine_state;
+mod engine_table;
 mod job_drivers;
 mod limiter;
 mod send_window;
 mod status;
 
 pub use allotment::{ColdBudget, ServiceUse};
+pub use engine_table::EngineRef;
 pub use job_drivers::JobDrivers;
 pub use limiter::{AssignedModels, ColdLimiter, ColdSettings};
+pub(in crate::process) use limiter::{ColdCandidate, ServiceLimit};
 pub use status::{ColdChange, ColdStatus, EngineWarmth};
 
 use std::time::Duration;
--- a/crates/trestlerack/src/process/load_balancer.rs
+++ b/crates/trestlerack/src/process/load_balancer.rs
@@ -3,7 +3,7 @@
 //! What the node knows of servers comes from service discovery, from their responses and from its own runs on
 //! them; no server is queried only to learn its state.
 
-use super::cold_start::{AssignedModels, ColdLimiter, ColdStatus};
+use super::cold_start::{AssignedModels, ColdCandidate, ColdLimiter, ColdStatus, ServiceLimit};
 use super::engine_memory::{EngineMemory, TokenNeed};
 use super::expected_latency::ResponseHistory;
 use super::latency_estimate::LatencyEstimates;
@@ -12,7 +12,7 @@
 use super::server_state::{ReportedLoad, ServerSnapshot, ServerState};
 use crate::hash::{hash_parts, rendezvous_weight};
 use crate::time::millis;
-use crate::version::WeightVersion;
+use crate::version::{RoutingTable, WeightVersion};
 use crate::{AllowedZones, Name, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -182,6 +182,7 @@
         }
         server.entry = entry.clone();
         server.is_evacuated = self.evacuated_zones.contains(&entry.zone);
+        server.cold_ref = self.cold.reference(&entry.instance);
         self.servers.insert(entry.instance.clone(), server);
     }
 
@@ -226,14 +227,15 @@
     pub fn choose<'a>(&'a self, now: Timestamp, need: &ServerNeed<'_>) -> Option<&'a ServerState> {
         let median_pace = self.median_pace(now, need.service);
         let assigned_only = self.has_assigned(now, need);
+        let limit = self.cold.limit_of(need.service);
+        let is_permitted = |server: &ServerState| limit.is_none_or(|limit| self.is_permitted(now, limit, server, need));
         let is_candidate = |server: &&ServerState| {
             let is_open = !assigned_only || self.is_assigned(server, need);
-            &*server.entry.service == need.service && is_open && self.is_eligible(now, server, need)
+            &*server.entry.service == need.service && is_open && self.fits(now, server, need) && is_permitted(server)
         };
-        let is_limited = self.cold.is_limited(need.service);
         if need.weights.is_none() && self.compares_servers(need.service) {
             let mut candidates: Vec<&ServerState> = self.servers.values().filter(is_candidate).collect();
-            if is_limited && candidates.iter().any(|server| self.is_warm_and_free(now, server)) {
+            if limit.is_some() && candidates.iter().any(|server| self.is_warm_and_free(now, server)) {
                 candidates.retain(|server| self.is_warm_and_free(now, server));
             }
             return self.choose_fastest(now, need, candidates);
@@ -241,7 +243,7 @@
         // Each cost is computed once: a driver with 3,000 engines places 200 items at a time.
         let costs = self.servers.values().filter(is_candidate);
         let costs = costs.map(|server| {
-            let is_last_choice = is_limited && !self.is_warm_and_free(now, server);
+            let is_last_choice = limit.is_some() && !self.is_warm_and_free(now, server);
             let cost = self.cost(now, server, need, median_pace);
             (if is_last_choice { cost + LAST_CHOICE_COST } else { cost }, server)
         });
@@ -268,7 +270,8 @@
 
     /// Returns whether a server is known to be warm and has a free slot.
     fn is_warm_and_free(&self, now: Timestamp, server: &ServerState) -> bool {
-        server.requests(now, self.settings.max_load_age) < server.slots() && !self.cold.is_cold(now, &server.entry)
+        server.requests(now, self.settings.max_load_age) < server.slots()
+            && self.cold.is_warm(now, &self.cold_candidate(server))
     }
 
     /// Returns whether a server accepts work, is not paused, and may get a request from this node although it is
@@ -276,13 +279,41 @@
     pub(super) fn is_usable(&self, now: Timestamp, server: &ServerState) -> bool {
         server.accepts_work()
             && server.paused_until <= now
-            && self.cold.may_send(now, &server.entry, &self.assigned_models)
+            && self.cold.remaining(now, &self.cold_candidate(server)) > 0
+    }
+
+    pub(super) fn cold_candidate<'a>(&'a self, server: &'a ServerState) -> ColdCandidate<'a> {
+        ColdCandidate { entry: &server.entry, reference: server.cold_ref, models: &self.assigned_models }
+    }
+
+    /// Returns whether a server of a service with a limit may get a request from this node now.
+    fn is_permitted(&self, now: Timestamp, limit: &ServiceLimit, server: &ServerState, need: &ServerNeed<'_>) -> bool {
+        let candidate = self.cold_candidate(server);
+        let is_warm_enough = !need.needs_warm || self.cold.is_warm(now, &candidate);
+        is_warm_enough && self.cold.remaining_within(now, limit, &candidate) > 0
+    }
+
+    /// Applies the limits of requests to cold engines of a configuration. All entries of service discovery, which
+    /// arrived before, are recorded as if they arrived now.
+    pub fn set_cold_limits<'a>(
+        &mut self,
+        now: Timestamp,
+        table: &RoutingTable,
+        entries: impl Iterator<Item = &'a ServerEntry>,
+    ) {
+        self.cold.set_services(table);
+        entries.for_each(|entry| self.cold.record_entry(now, entry));
+        for server in self.servers.values_mut() {
+            server.cold_ref = self.cold.reference(&server.entry.instance);
+        }
     }
 
     /// Counts a request that this node sends to a server now; `None` if the server is or may be cold and the
     /// request would exceed the limit.
     pub fn try_send(&mut self, now: Timestamp, entry: &ServerEntry) -> Option<SendPermit> {
-        if !self.cold.may_send(now, entry, &self.assigned_models) {
+        let reference = self.servers.get(&entry.instance).map(|server| server.cold_ref).unwrap_or_default();
+        let candidate = ColdCandidate { entry, reference, models: &self.assigned_models };
+        if self.cold.remaining(now, &candidate) == 0 {
             return None;
         }
         Some(SendPermit { is_cold: self.cold.record_send(now, entry) })
@@ -340,9 +371,8 @@
     }
 
     fn is_eligible(&self, now: Timestamp, server: &ServerState, need: &ServerNeed<'_>) -> bool {
-        self.fits(now, server, need)
-            && self.cold.may_send(now, &server.entry, &self.assigned_models)
-            && !(need.needs_warm && self.cold.is_cold(now, &server.entry))
+        let limit = self.cold.limit_of(need.service);
+        self.fits(now, server, need) && limit.is_none_or(|limit| self.is_permitted(now, limit, server, need))
     }
 
     /// Returns whether a server meets the need of a request, apart from the limit of requests to cold servers.
@@ -404,7 +434,7 @@
     pub fn available_at(&self, now: Timestamp, service: &str) -> Option<Timestamp> {
         let available = self.of_service(service).filter(|server| server.accepts_work());
         let usable_at = |server: &ServerState| {
-            let permitted_at = self.cold.available_at(now, &server.entry, &self.assigned_models)?;
+            let permitted_at = self.cold.available_at(now, &self.cold_candidate(server))?;
             Some(if permitted_at > now { server.paused_until.max(permitted_at) } else { server.paused_until })
         };
         available.filter_map(usable_at).min()
@@ -412,7 +442,7 @@
 
     /// Returns the total number of slots of the servers of a service that this node may use now.
     pub fn slot_count(&self, now: Timestamp, service: &str) -> u32 {
-        let may_send = |server: &&ServerState| self.cold.may_send(now, &server.entry, &self.assigned_models);
+        let may_send = |server: &&ServerState| self.cold.remaining(now, &self.cold_candidate(server)) > 0;
         self.of_service(service).filter(|server| server.accepts_work()).filter(may_send).map(ServerState::slots).sum()
     }
 
--- a/crates/trestlerack/src/process/server_state.rs
+++ b/crates/trestlerack/src/process/server_state.rs
@@ -1,5 +1,6 @@
 //! What a node knows of one backend server.
 
+use super::cold_start::EngineRef;
 use super::expected_latency::{MeasuredSlowness, ReportedSlowness};
 use super::registry::ServerEntry;
 use super::server_health::{HealthRecord, ServerHealth};
@@ -39,6 +40,8 @@
     pub(super) loading_until: Option<Timestamp>,
     /// Whether its availability zone is evacuated.
     pub(super) is_evacuated: bool,
+    /// Position in the limiter of requests to cold engines.
+    pub(super) cold_ref: EngineRef,
 }
 
 impl ServerState {
@@ -61,6 +64,7 @@
             versions,
             loading_until: None,
             is_evacuated: false,
+            cold_ref: EngineRef::default(),
         }
     }
 
--- a/crates/trestlerack/src/process/wait_estimate.rs
+++ b/crates/trestlerack/src/process/wait_estimate.rs
@@ -31,7 +31,7 @@
         let available: Vec<&ServerState> = self.of_service(service).filter(is_available).collect();
         let busy = |server: &ServerState| server.requests(now, self.settings.max_load_age);
         let slots = available.iter().map(|server| server.slots()).sum();
-        let permitted = |server: &ServerState| self.cold.remaining(now, &server.entry, &self.assigned_models);
+        let permitted = |server: &ServerState| self.cold.remaining(now, &self.cold_candidate(server));
         let free = |server: &ServerState| server.slots().saturating_sub(busy(server)).min(permitted(server));
         let free_slots = available.iter().map(|server| free(server)).sum();
         let waiting: u32 = available.iter().map(|server| busy(server).saturating_sub(server.slots())).sum();
--- a/crates/trestlerackd/src/entry/server_discovery.rs
+++ b/crates/trestlerackd/src/entry/server_discovery.rs
@@ -217,11 +217,7 @@
 pub fn set_cold_limits(node: &EntryNode, table: &RoutingTable) {
     let now = node.now();
     let registry = node.registry.lock().unwrap();
-    let cold = &mut node.balancer.lock().unwrap().cold;
-    cold.set_services(table);
-    if cold.is_active() {
-        registry.entries().for_each(|entry| cold.record_entry(now, entry));
-    }
+    node.balancer.lock().unwrap().set_cold_limits(now, table, registry.entries());
 }
 
 fn removed_row(instance: &Name) -> StoredRow {
