--- /dev/null
+++ b/crates/trestlerack/src/process/cold_start/decisions.rs
@@ -0,0 +1,189 @@
+//! Decides whether this node may send a request to an engine that is or may be cold.
+
+use super::engine_state::{EngineState, HeldAllotments};
+use super::engine_table::EngineRef;
+use super::limiter::{AssignedModels, ColdLimiter, ServiceLimit};
+use super::send_window::SEND_SPAN;
+use super::status::{ColdStatus, EngineWarmth};
+use crate::Timestamp;
+use crate::hash::{hash_parts, rank_among};
+use crate::process::ServerEntry;
+use std::time::Duration;
+
+/// Weight orders and polls for reports that may be sent to an engine that is not known to be warm, per second.
+const MAX_ORDERS: u32 = 1;
+
+/// An engine that may get a request.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::process) struct ColdCandidate<'a> {
+    pub(in crate::process) entry: &'a ServerEntry,
+    /// Its position in the limiter.
+    pub(in crate::process) reference: EngineRef,
+    pub(in crate::process) models: &'a AssignedModels,
+}
+
+impl ColdLimiter {
+    /// Returns the position of an engine, by which it is found faster than by its name.
+    pub(in crate::process) fn reference(&self, instance: &str) -> EngineRef {
+        if self.is_active() { self.engines.reference(instance) } else { EngineRef::default() }
+    }
+
+    /// Returns how many requests this node may send to an engine now.
+    pub(in crate::process) fn remaining(&self, now: Timestamp, engine: &ColdCandidate<'_>) -> u32 {
+        self.limit_of(&engine.entry.service).map_or(u32::MAX, |service| self.remaining_within(now, service, engine))
+    }
+
+    /// Returns how many requests this node may send to an engine of a service with this limit now.
+    pub(in crate::process) fn remaining_within(
+        &self,
+        now: Timestamp,
+        service: &ServiceLimit,
+        candidate: &ColdCandidate<'_>,
+    ) -> u32 {
+        let ColdCandidate { entry, reference, models } = *candidate;
+        let engine = self.engines.find(reference, &entry.instance);
+        match self.limit(now, service, &entry.instance, engine, models) {
+            Some(limit) => limit.saturating_sub(engine.map_or(0, |engine| engine.sends.count(now))),
+            None => u32::MAX,
+        }
+    }
+
+    /// Returns when this node may send the next request to an engine; `None` if that is not known.
+    pub(in crate::process) fn available_at(&self, now: Timestamp, candidate: &ColdCandidate<'_>) -> Option<Timestamp> {
+        let ColdCandidate { entry, reference, models } = *candidate;
+        let Some(service) = self.limit_of(&entry.service) else { return Some(now) };
+        let engine = self.engines.find(reference, &entry.instance)?;
+        let Some(limit) = self.limit(now, service, &entry.instance, Some(engine), models) else { return Some(now) };
+        let unknown_until = engine.unknown_until.max(self.unknown_until);
+        let warm_at = engine.cold_until().max(unknown_until);
+        let warm_at = (self.is_informed(now, Timestamp::default()) && warm_at > now).then_some(warm_at);
+        engine.sends.free_at(now, limit).into_iter().chain(warm_at).min()
+    }
+
+    /// Records that a request is sent to an engine now. Returns whether the engine was not known to be warm.
+    pub fn record_send(&mut self, now: Timestamp, entry: &ServerEntry) -> bool {
+        let Some(service) = self.limit_of(&entry.service).copied() else { return false };
+        let is_warm = self.warmth(now, self.engines.get(&entry.instance)) == EngineWarmth::Warm;
+        let engine = self.engines.get_or_add(&entry.instance);
+        engine.sends.record(now, service.budget.total.max(service.warm.unwrap_or(1)));
+        !is_warm
+    }
+
+    /// Returns whether the lease holder may send a weight order or a poll for a report to an engine now, and counts
+    /// it if so.
+    pub fn try_order(&mut self, now: Timestamp, entry: &ServerEntry) -> bool {
+        if self.limit_of(&entry.service).is_none() {
+            return true;
+        }
+        let is_warm = self.warmth(now, self.engines.get(&entry.instance)) == EngineWarmth::Warm;
+        let engine = self.engines.get_or_add(&entry.instance);
+        // The orders of an earlier process on this node may count still.
+        let may_send = is_warm || engine.orders.count(now) < MAX_ORDERS && now.since(self.started_at) > SEND_SPAN;
+        if may_send {
+            engine.orders.record(now, MAX_ORDERS);
+        }
+        may_send
+    }
+
+    /// Returns whether an engine of a service with a limit is known to be warm.
+    pub(in crate::process) fn is_warm(&self, now: Timestamp, candidate: &ColdCandidate<'_>) -> bool {
+        let engine = self.engines.find(candidate.reference, &candidate.entry.instance);
+        self.warmth(now, engine) == EngineWarmth::Warm
+    }
+
+    /// Returns the state of all engines of services with a limit, ordered by name.
+    pub fn statuses(&self, now: Timestamp, models: &AssignedModels) -> Vec<ColdStatus> {
+        let status = |engine: &EngineState| {
+            let service = self.limit_of(&engine.service).filter(|_| engine.is_listed)?;
+            Some(ColdStatus {
+                engine: engine.name.clone(),
+                service: engine.service.clone(),
+                warmth: self.warmth(now, Some(engine)),
+                allotment: self.limit(now, service, &engine.name, Some(engine), models),
+                sent: engine.sends.count_last_second(now),
+            })
+        };
+        let mut statuses: Vec<ColdStatus> = self.engines.iter().filter_map(status).collect();
+        statuses.sort_by(|left, right| left.engine.cmp(&right.engine));
+        statuses
+    }
+
+    /// Returns the limit of a service; `None` if it has none.
+    pub(in crate::process) fn limit_of(&self, service: &str) -> Option<&ServiceLimit> {
+        if self.services.is_empty() { None } else { self.services.get(service) }
+    }
+
+    fn warmth(&self, now: Timestamp, engine: Option<&EngineState>) -> EngineWarmth {
+        match engine {
+            Some(engine) if engine.is_listed && self.is_informed(now, engine.unknown_until.max(self.unknown_until)) => {
+                match engine.cold_until().since(now) {
+                    Duration::ZERO => EngineWarmth::Warm,
+                    left => EngineWarmth::Cold(left),
+                }
+            }
+            _ => EngineWarmth::Unknown,
+        }
+    }
+
+    /// Returns whether the cold times of engines that were unknown until a given time are known. Engines that
+    /// became cold when the unknown time began have written that within a heartbeat of it.
+    fn is_informed(&self, now: Timestamp, unknown_until: Timestamp) -> bool {
+        let max_age = self.settings.max_age();
+        now >= unknown_until
+            && now.since(self.informed_at) <= max_age
+            && self.informed_at >= (unknown_until - max_age) + self.settings.heartbeat
+    }
+
+    /// Returns how many requests this node may send to an engine in any second; `None` if that is not limited.
+    fn limit(
+        &self,
+        now: Timestamp,
+        service: &ServiceLimit,
+        instance: &str,
+        engine: Option<&EngineState>,
+        models: &AssignedModels,
+    ) -> Option<u32> {
+        if self.warmth(now, engine) == EngineWarmth::Warm {
+            return service.warm;
+        }
+        let running_for = now.since(self.started_at);
+        if running_for <= SEND_SPAN {
+            // The sends of an earlier process on this node may count still.
+            return Some(0);
+        }
+        let held = match engine {
+            Some(engine) => self.cached_allotments(service, instance, engine, models),
+            None => self.held_allotments(service, instance, models),
+        };
+        let of_driver = if held.has_driver { service.budget.driver } else { 0 };
+        // The first nodes that a process knows may be few.
+        let knows_nodes = running_for >= self.settings.max_age();
+        Some(of_driver + u32::from(held.has_node && knows_nodes))
+    }
+
+    fn cached_allotments(
+        &self,
+        service: &ServiceLimit,
+        instance: &str,
+        engine: &EngineState,
+        models: &AssignedModels,
+    ) -> HeldAllotments {
+        match engine.held.get() {
+            Some((revision, held)) if revision == self.revision => held,
+            _ => {
+                let held = self.held_allotments(service, instance, models);
+                engine.held.set(Some((self.revision, held)));
+                held
+            }
+        }
+    }
+
+    fn held_allotments(&self, service: &ServiceLimit, instance: &str, models: &AssignedModels) -> HeldAllotments {
+        let own = &self.settings.node;
+        let model = models.get(instance).filter(|_| service.warm.is_some());
+        let has_driver = self.drivers.of_engine(instance, model) == Some(own);
+        let rank = || rank_among(hash_parts(&[instance]), own, self.nodes.iter().map(|node| &**node));
+        let nodes = service.budget.nodes as usize;
+        HeldAllotments { has_driver, has_node: nodes > 0 && self.nodes.contains(own) && rank() < nodes }
+    }
+}
--- a/crates/trestlerack/src/process/cold_start/mod.rs
+++ b/crates/trestlerack/src/process/cold_start/mod.rs
@@ -6,18 +6,20 @@
 //! [docs/design/cold-engines.md](../../../../../docs/design/cold-engines.md).
 
 mod allotment;
+mod decisions;
 mod engine_state;
 mod engine_table;
 mod job_drivers;
 mod limiter;
 mod send_window;
+mod server_limits;
 mod status;
 
 pub use allotment::{ColdBudget, ServiceUse};
 pub use engine_table::EngineRef;
 pub use job_drivers::JobDrivers;
 pub use limiter::{AssignedModels, ColdLimiter, ColdSettings};
-pub(in crate::process) use limiter::{ColdCandidate, ServiceLimit};
+pub use server_limits::SendPermit;
 pub use status::{ColdChange, ColdStatus, EngineWarmth};
 
 use std::time::Duration;
--- a/crates/trestlerack/src/process/load_balancer.rs
+++ b/crates/trestlerack/src/process/load_balancer.rs
@@ -3,7 +3,7 @@
 //! What the node knows of servers comes from service discovery, from their responses and from its own runs on
 //! them; no server is queried only to learn its state.
 
-use super::cold_start::{AssignedModels, ColdCandidate, ColdLimiter, ColdStatus, ServiceLimit};
+use super::cold_start::{AssignedModels, ColdLimiter};
 use super::engine_memory::{EngineMemory, TokenNeed};
 use super::expected_latency::ResponseHistory;
 use super::latency_estimate::LatencyEstimates;
@@ -12,7 +12,7 @@
 use super::server_state::{ReportedLoad, ServerSnapshot, ServerState};
 use crate::hash::{hash_parts, rendezvous_weight};
 use crate::time::millis;
-use crate::version::{RoutingTable, WeightVersion};
+use crate::version::WeightVersion;
 use crate::{AllowedZones, Name, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -119,13 +119,6 @@
 /// requests to cold servers. It is above all differences of cost between servers.
 const LAST_CHOICE_COST: f64 = 1_000_000.0;
 
-/// The right to send one request to a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SendPermit {
-    /// Whether the server is not known to be warm.
-    pub is_cold: bool,
-}
-
 /// All known servers, and the choice among them.
 #[derive(Debug, Default)]
 pub struct LoadBalancer {
@@ -153,11 +146,6 @@
         Self { settings, ..Self::default() }
     }
 
-    /// Returns the load balancer with a limiter of requests to cold engines.
-    pub fn with_cold_limiter(self, cold: ColdLimiter) -> Self {
-        Self { cold, ..self }
-    }
-
     /// Replaces the servers by those in a registry.
     pub fn sync(&mut self, registry: &ServerRegistry) {
         let removed = self.servers.keys().filter(|instance| registry.get(instance).is_none());
@@ -268,72 +256,6 @@
         need.weights.is_some_and(|(needed_model, _)| model.is_some_and(|model| &**model == needed_model))
     }
 
-    /// Returns whether a server is known to be warm and has a free slot.
-    fn is_warm_and_free(&self, now: Timestamp, server: &ServerState) -> bool {
-        server.requests(now, self.settings.max_load_age) < server.slots()
-            && self.cold.is_warm(now, &self.cold_candidate(server))
-    }
-
-    /// Returns whether a server accepts work, is not paused, and may get a request from this node although it is
-    /// or may be cold.
-    pub(super) fn is_usable(&self, now: Timestamp, server: &ServerState) -> bool {
-        server.accepts_work()
-            && server.paused_until <= now
-            && self.cold.remaining(now, &self.cold_candidate(server)) > 0
-    }
-
-    pub(super) fn cold_candidate<'a>(&'a self, server: &'a ServerState) -> ColdCandidate<'a> {
-        ColdCandidate { entry: &server.entry, reference: server.cold_ref, models: &self.assigned_models }
-    }
-
-    /// Returns whether a server of a service with a limit may get a request from this node now.
-    fn is_permitted(&self, now: Timestamp, limit: &ServiceLimit, server: &ServerState, need: &ServerNeed<'_>) -> bool {
-        let candidate = self.cold_candidate(server);
-        let is_warm_enough = !need.needs_warm || self.cold.is_warm(now, &candidate);
-        is_warm_enough && self.cold.remaining_within(now, limit, &candidate) > 0
-    }
-
-    /// Applies the limits of requests to cold engines of a configuration. All entries of service discovery, which
-    /// arrived before, are recorded as if they arrived now.
-    pub fn set_cold_limits<'a>(
-        &mut self,
-        now: Timestamp,
-        table: &RoutingTable,
-        entries: impl Iterator<Item = &'a ServerEntry>,
-    ) {
-        self.cold.set_services(table);
-        entries.for_each(|entry| self.cold.record_entry(now, entry));
-        for server in self.servers.values_mut() {
-            server.cold_ref = self.cold.reference(&server.entry.instance);
-        }
-    }
-
-    /// Counts a request that this node sends to a server now; `None` if the server is or may be cold and the
-    /// request would exceed the limit.
-    pub fn try_send(&mut self, now: Timestamp, entry: &ServerEntry) -> Option<SendPermit> {
-        let reference = self.servers.get(&entry.instance).map(|server| server.cold_ref).unwrap_or_default();
-        let candidate = ColdCandidate { entry, reference, models: &self.assigned_models };
-        if self.cold.remaining(now, &candidate) == 0 {
-            return None;
-        }
-        Some(SendPermit { is_cold: self.cold.record_send(now, entry) })
-    }
-
-    /// Returns a server of a service that would be usable without the limit of requests to cold servers.
-    pub fn limited_server(&self, now: Timestamp, service: &str) -> Option<Name> {
-        if !self.cold.is_limited(service) {
-            return None;
-        }
-        let is_limited =
-            |server: &&ServerState| server.accepts_work() && server.paused_until <= now && !self.is_usable(now, server);
-        self.of_service(service).find(is_limited).map(|server| server.entry.instance.clone())
-    }
-
-    /// Returns the state of the engines of services with a limit of requests to cold engines.
-    pub fn cold_statuses(&self, now: Timestamp) -> Vec<ColdStatus> {
-        self.cold.statuses(now, &self.assigned_models)
-    }
-
     /// Returns how many servers would be eligible if each had a free slot and a cold one could get any number of
     /// requests.
     pub fn count_eligible(&self, now: Timestamp, need: &ServerNeed<'_>) -> usize {
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -61,7 +61,7 @@
 pub use change_feed::{ChangeFeed, FeedPosition};
 pub use cold_start::{
     AssignedModels, ColdBudget, ColdChange, ColdLimiter, ColdSettings, ColdStartConfig, ColdStatus, EngineWarmth,
-    JobDrivers, ServiceUse,
+    JobDrivers, SendPermit, ServiceUse,
 };
 pub use direct_access::{AccessChange, DirectAccess};
 pub use draining::DrainingServers;
@@ -78,7 +78,7 @@
 pub use latency_estimate::LatencyEstimates;
 pub use lease::{LeaseAction, LeaseGrant, LeaseKeeper, LeaseRow, LeaseSettings};
 pub use limiter::{RetryBudget, UserLimiter};
-pub use load_balancer::{BalancerSettings, LoadBalancer, SendPermit, ServerNeed, SlotNeed};
+pub use load_balancer::{BalancerSettings, LoadBalancer, ServerNeed, SlotNeed};
 pub use load_message::{CustomerUsage, LoadMessage, ServerObservation, ServiceShares};
 pub use membership::{
     Heartbeat, Liveness, MembershipAction, MembershipEvent, MembershipSettings, PeerInfo, PeerMembership, PeerUpdate,
