Compare times only where a choice asks for warm engines

Cause: each check of an engine converted durations, and a server without a free slot or in a zone that is not allowed still had its weight version looked up.

Change: the limiter keeps the times up to which its information holds, and the load balancer checks cheap conditions first.

--- a/crates/trestlerack/src/process/cold_start/decisions.rs
+++ b/crates/trestlerack/src/process/cold_start/decisions.rs
@@ -63,7 +63,7 @@
     /// Records that a request is sent to an engine now. Returns whether the engine was not known to be warm.
     pub fn record_send(&mut self, now: Timestamp, entry: &ServerEntry) -> bool {
         let Some(service) = self.limit_of(&entry.service).copied() else { return false };
-        let is_warm = self.warmth(now, self.engines.get(&entry.instance)) == EngineWarmth::Warm;
+        let is_warm = self.is_known_warm(now, self.engines.get(&entry.instance));
         let engine = self.engines.get_or_add(&entry.instance);
         engine.sends.record(now, service.budget.total.max(service.warm.unwrap_or(1)));
         !is_warm
@@ -75,7 +75,7 @@
         if self.limit_of(&entry.service).is_none() {
             return true;
         }
-        let is_warm = self.warmth(now, self.engines.get(&entry.instance)) == EngineWarmth::Warm;
+        let is_warm = self.is_known_warm(now, self.engines.get(&entry.instance));
         let engine = self.engines.get_or_add(&entry.instance);
         // The orders of an earlier process on this node may count still.
         let may_send = is_warm || engine.orders.count(now) < MAX_ORDERS && now.since(self.started_at) > SEND_SPAN;
@@ -88,7 +88,7 @@
     /// Returns whether an engine of a service with a limit is known to be warm.
     pub(in crate::process) fn is_warm(&self, now: Timestamp, candidate: &ColdCandidate<'_>) -> bool {
         let engine = self.engines.find(candidate.reference, &candidate.entry.instance);
-        self.warmth(now, engine) == EngineWarmth::Warm
+        self.is_known_warm(now, engine)
     }
 
     /// Returns the state of all engines of services with a limit, ordered by name.
@@ -128,10 +128,17 @@
     /// Returns whether the cold times of engines that were unknown until a given time are known. Engines that
     /// became cold when the unknown time began have written that within a heartbeat of it.
     fn is_informed(&self, now: Timestamp, unknown_until: Timestamp) -> bool {
-        let max_age = self.settings.max_age();
-        now >= unknown_until
-            && now.since(self.informed_at) <= max_age
-            && self.informed_at >= (unknown_until - max_age) + self.settings.heartbeat
+        now >= unknown_until && now <= self.informed_until && self.settled_at >= unknown_until
+    }
+
+    /// Returns whether an engine is known to be warm. Compares times only, since each choice of a server asks this
+    /// for all engines.
+    fn is_known_warm(&self, now: Timestamp, engine: Option<&EngineState>) -> bool {
+        engine.is_some_and(|engine| {
+            engine.is_listed
+                && engine.cold_until() <= now
+                && self.is_informed(now, engine.unknown_until.max(self.unknown_until))
+        })
     }
 
     /// Returns how many requests this node may send to an engine in any second; `None` if that is not limited.
@@ -143,7 +150,7 @@
         engine: Option<&EngineState>,
         models: &AssignedModels,
     ) -> Option<u32> {
-        if self.warmth(now, engine) == EngineWarmth::Warm {
+        if self.is_known_warm(now, engine) {
             return service.warm;
         }
         let running_for = now.since(self.started_at);
--- a/crates/trestlerack/src/process/cold_start/limiter.rs
+++ b/crates/trestlerack/src/process/cold_start/limiter.rs
@@ -70,8 +70,10 @@
     pub(super) nodes: BTreeSet<Name>,
     /// Number of changes of the input of allotments.
     pub(super) revision: u64,
-    /// Time as of which the entries of service discovery are known.
-    pub(super) informed_at: Timestamp,
+    /// Time until which the entries of service discovery are recent enough.
+    pub(super) informed_until: Timestamp,
+    /// Latest end of an unknown time since whose start engines have written an entry that is known here.
+    pub(super) settled_at: Timestamp,
     /// Time until which the state of all engines is unknown, after a start or a suspension.
     pub(super) unknown_until: Timestamp,
     pub(super) started_at: Timestamp,
@@ -139,7 +141,11 @@
 
     /// Records that the entries of service discovery are known as of a time.
     pub fn record_information(&mut self, as_of: Timestamp) {
-        self.informed_at = self.informed_at.max(as_of);
+        let informed_until = as_of + self.settings.max_age();
+        if informed_until > self.informed_until {
+            self.informed_until = informed_until;
+            self.settled_at = informed_until - self.settings.heartbeat;
+        }
     }
 
     /// Records that the process has resumed after a suspension.
--- a/crates/trestlerack/src/process/load_balancer.rs
+++ b/crates/trestlerack/src/process/load_balancer.rs
@@ -299,12 +299,14 @@
 
     /// Returns whether a server meets the need of a request, apart from the limit of requests to cold servers.
     fn fits(&self, now: Timestamp, server: &ServerState, need: &ServerNeed<'_>) -> bool {
-        let is_new_enough = need.weights.is_none_or(|(model, min_version)| {
-            let is_loading = server.loading_until.is_some_and(|until| now < until);
-            let is_matching =
-                |version: WeightVersion| version >= min_version && need.pinned_version.is_none_or(|v| version == v);
-            !is_loading && server.version(model).is_some_and(is_matching)
-        });
+        let is_new_enough = || {
+            need.weights.is_none_or(|(model, min_version)| {
+                let is_loading = server.loading_until.is_some_and(|until| now < until);
+                let is_matching =
+                    |version: WeightVersion| version >= min_version && need.pinned_version.is_none_or(|v| version == v);
+                !is_loading && server.version(model).is_some_and(is_matching)
+            })
+        };
         let requests = server.requests(now, self.settings.max_load_age);
         let has_slot = match need.slot_need {
             SlotNeed::Any => true,
@@ -314,9 +316,9 @@
         let is_open = server.accepts_work() && server.paused_until <= now;
         let has_memory = |tokens| self.memory.has_capacity(now, need.service, &server.entry.instance, tokens);
         is_open
-            && need.allowed_zones.is_none_or(|zones| zones.allows(&server.entry.zone))
-            && is_new_enough
             && has_slot
+            && need.allowed_zones.is_none_or(|zones| zones.allows(&server.entry.zone))
+            && is_new_enough()
             && need.tokens.is_none_or(has_memory)
             && !need.avoid.contains(&server.entry.instance)
     }
