--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -173,6 +173,7 @@
         "placement" => Some(("/v1/placement", &PLACEMENT_COLUMNS)),
         "room" => Some(("/v1/room", &ROOM_COLUMNS)),
         "level" => Some(("/v1/level", &["source", "followers", "passes_on", "servers"])),
+        "cold" => Some(("/v1/cold", &["engine", "service", "state", "cold_for_ms", "allotment", "sent_last_second"])),
         "memory" => Some(("/v1/memory", &["kind", "name", "used", "bound"])),
         "zones" => Some(("/v1/zones", &ZONE_COLUMNS)),
         "duties" => Some(("/v1/duties", &["duty", "holder", "fence", "is_held_here"])),
@@ -204,7 +205,7 @@
         }
         _ => {
             return Err(usage(
-                "expected show nodes, backends, campaigns, steps CAMPAIGN, customers, duties, level, memory, placement, suspects, servers, room or zones",
+                "expected show nodes, backends, campaigns, steps CAMPAIGN, cold, customers, duties, level, memory, placement, suspects, servers, room or zones",
             ));
         }
     };
--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -279,4 +279,12 @@
     REMOTE_ZONE_LOST = (2631, "remote-zone-lost", Warn);
     /// A server of that zone responded again.
     REMOTE_ZONE_REGAINED = (2632, "remote-zone-regained", Info);
+    /// Engines became cold; a limit of requests applies to each.
+    ENGINES_COLD = (2611, "engines-cold", Info);
+    /// Engines are warm again.
+    ENGINES_WARM = (2612, "engines-warm", Info);
+    /// The limit of requests to an engine that is or may be cold refused requests.
+    COLD_LIMIT_REACHED = (2613, "cold-limit-reached", Warn);
+    /// A field about cold engines has an invalid value, which is replaced; the rest of its row applies.
+    COLD_FIELD_INVALID = (2614, "cold-field-invalid", Warn);
 }
--- a/crates/trestlerack/src/process/load_balancer.rs
+++ b/crates/trestlerack/src/process/load_balancer.rs
@@ -3,6 +3,7 @@
 //! What the node knows of servers comes from service discovery, from their responses and from its own runs on
 //! them; no server is queried only to learn its state.
 
+use super::cold_start::{AssignedModels, ColdLimiter};
 use super::engine_memory::{EngineMemory, TokenNeed};
 use super::expected_latency::ResponseHistory;
 use super::latency_estimate::LatencyEstimates;
@@ -107,6 +108,8 @@
     pub tokens: Option<&'a TokenNeed>,
     /// Whether the request may run twice, so that it can probe a degraded server.
     pub is_repeatable: bool,
+    /// Whether the request is only worth sending to a server that is known to be warm.
+    pub needs_warm: bool,
     /// Availability zone to prefer.
     pub zone: &'a str,
     /// Availability zones in which the request may be served; `None` for all.
@@ -118,13 +121,17 @@
     pub tie_key: &'a str,
 }
 
+/// Cost that is added for a server that is or may be cold, or that has no free slot, in a service with a limit of
+/// requests to cold servers. It is above all differences of cost between servers.
+const LAST_CHOICE_COST: f64 = 1_000_000.0;
+
 /// All known servers, and the choice among them.
 #[derive(Debug, Default)]
 pub struct LoadBalancer {
     pub(super) settings: BalancerSettings,
     pub(super) servers: BTreeMap<Name, ServerState>,
     /// The model that each engine is assigned to, by instance, including engines that are not listed yet.
-    assigned_models: BTreeMap<Name, Name>,
+    pub(super) assigned_models: AssignedModels,
     /// Availability zones whose servers get no new work.
     evacuated_zones: BTreeSet<Name>,
     /// The region of this node; `None` if the deployment does not span regions.
@@ -135,6 +142,8 @@
     pub(super) service_latencies: LatencyEstimates,
     /// Tokens that this node's runs use at model engines.
     pub memory: EngineMemory,
+    /// Limits of requests to engines that are or may be cold.
+    pub cold: ColdLimiter,
     /// Measurements by which servers are compared.
     pub(super) history: ResponseHistory,
     /// Observations to be sent to peers.
@@ -172,11 +181,16 @@
         server.entry = entry.clone();
         server.is_evacuated = self.evacuated_zones.contains(&entry.zone);
         server.is_remote = self.is_in_other_region(&entry.zone);
+        server.cold_ref = self.cold.reference(&entry.instance);
         self.servers.insert(entry.instance.clone(), server);
     }
 
     /// Replaces the availability zones whose servers get no new work.
     pub fn set_evacuated_zones(&mut self, zones: BTreeSet<Name>) {
+        let opened: BTreeSet<Name> = self.evacuated_zones.difference(&zones).cloned().collect();
+        if !opened.is_empty() {
+            self.cold.record_opened_zones(&opened);
+        }
         for server in self.servers.values_mut() {
             server.is_evacuated = zones.contains(&server.entry.zone);
         }
@@ -213,18 +227,27 @@
     pub fn choose<'a>(&'a self, now: Timestamp, need: &ServerNeed<'_>) -> Option<&'a ServerState> {
         let median_pace = self.median_pace(now, need.service);
         let assigned_only = self.has_assigned(now, need);
+        let limit = self.cold.limit_of(need.service);
+        let is_permitted = |server: &ServerState| limit.is_none_or(|limit| self.is_permitted(now, limit, server, need));
         let is_candidate = |server: &&ServerState| {
             let is_open = !assigned_only || self.is_assigned(server, need);
-            &*server.entry.service == need.service && is_open && self.is_eligible(now, server, need)
+            &*server.entry.service == need.service && is_open && self.fits(now, server, need) && is_permitted(server)
         };
         if need.weights.is_none() && self.compares_servers(need.service) {
-            let candidates = self.servers.values().filter(is_candidate).collect();
+            let mut candidates: Vec<&ServerState> = self.servers.values().filter(is_candidate).collect();
+            if limit.is_some() && candidates.iter().any(|server| self.is_warm_and_free(now, server)) {
+                candidates.retain(|server| self.is_warm_and_free(now, server));
+            }
             return self.choose_fastest(now, need, candidates);
         }
         // Each cost is computed once: a driver with 3,000 engines places 200 items at a time.
         let costs = self.servers.values().filter(is_candidate);
         let transit = self.transit_in_medians(need.service);
-        let costs = costs.map(|server| (self.cost(now, server, need, median_pace, transit), server));
+        let costs = costs.map(|server| {
+            let is_last_choice = limit.is_some() && !self.is_warm_and_free(now, server);
+            let cost = self.cost(now, server, need, median_pace, transit);
+            (if is_last_choice { cost + LAST_CHOICE_COST } else { cost }, server)
+        });
         let key = hash_parts(&[need.tie_key]);
         let weight = |server: &ServerState| rendezvous_weight(key, &server.entry.instance);
         let cheapest = costs.min_by(|(left_cost, left), (right_cost, right)| {
@@ -238,7 +261,7 @@
         let need = ServerNeed { slot_need: SlotNeed::Any, avoid: &[], tokens: None, ..need.clone() };
         let mut of_service = self.of_service(need.service);
         need.weights.is_some()
-            && of_service.any(|server| self.is_assigned(server, &need) && self.is_eligible(now, server, &need))
+            && of_service.any(|server| self.is_assigned(server, &need) && self.fits(now, server, &need))
     }
 
     fn is_assigned(&self, server: &ServerState, need: &ServerNeed<'_>) -> bool {
@@ -246,10 +269,11 @@
         need.weights.is_some_and(|(needed_model, _)| model.is_some_and(|model| &**model == needed_model))
     }
 
-    /// Returns how many servers would be eligible if each had a free slot.
+    /// Returns how many servers would be eligible if each had a free slot and a cold one could get any number of
+    /// requests.
     pub fn count_eligible(&self, now: Timestamp, need: &ServerNeed<'_>) -> usize {
         let need = ServerNeed { slot_need: SlotNeed::Any, tokens: None, ..need.clone() };
-        self.of_service(need.service).filter(|server| self.is_eligible(now, server, &need)).count()
+        self.of_service(need.service).filter(|server| self.fits(now, server, &need)).count()
     }
 
     /// Reserves one engine for a request that needs the whole memory of one.
@@ -282,12 +306,20 @@
     }
 
     fn is_eligible(&self, now: Timestamp, server: &ServerState, need: &ServerNeed<'_>) -> bool {
-        let is_new_enough = need.weights.is_none_or(|(model, min_version)| {
-            let is_loading = server.loading_until.is_some_and(|until| now < until);
-            let is_matching =
-                |version: WeightVersion| version >= min_version && need.pinned_version.is_none_or(|v| version == v);
-            !is_loading && server.version(model).is_some_and(is_matching)
-        });
+        let limit = self.cold.limit_of(need.service);
+        self.fits(now, server, need) && limit.is_none_or(|limit| self.is_permitted(now, limit, server, need))
+    }
+
+    /// Returns whether a server meets the need of a request, apart from the limit of requests to cold servers.
+    fn fits(&self, now: Timestamp, server: &ServerState, need: &ServerNeed<'_>) -> bool {
+        let is_new_enough = || {
+            need.weights.is_none_or(|(model, min_version)| {
+                let is_loading = server.loading_until.is_some_and(|until| now < until);
+                let is_matching =
+                    |version: WeightVersion| version >= min_version && need.pinned_version.is_none_or(|v| version == v);
+                !is_loading && server.version(model).is_some_and(is_matching)
+            })
+        };
         let requests = server.requests(now, self.settings.max_load_age);
         let has_slot = match need.slot_need {
             SlotNeed::Any => true,
@@ -297,9 +329,9 @@
         let is_open = server.accepts_work() && server.paused_until <= now && !self.is_unreachable(now, server);
         let has_memory = |tokens| self.memory.has_capacity(now, need.service, &server.entry.instance, tokens);
         is_open
-            && need.allowed_zones.is_none_or(|zones| zones.allows(&server.entry.zone))
-            && is_new_enough
             && has_slot
+            && need.allowed_zones.is_none_or(|zones| zones.allows(&server.entry.zone))
+            && is_new_enough()
             && need.tokens.is_none_or(has_memory)
             && !need.avoid.contains(&server.entry.instance)
     }
@@ -339,16 +371,28 @@
         })
     }
 
+    /// Returns whether a server of a service, or one of those in some zones, accepts work, now or after a pause.
+    pub fn has_accepting_server<'a>(&'a self, server_set: impl Into<ServerSetRef<'a>>) -> bool {
+        self.in_set(server_set.into()).any(ServerState::accepts_work)
+    }
+
     /// Returns when the first server of a service, or of its servers in some zones, can be used; `None` if none
-    /// accepts work.
-    pub fn available_at<'a>(&'a self, server_set: impl Into<ServerSetRef<'a>>) -> Option<Timestamp> {
+    /// accepts work, or if it is not known when this node may send to one that is or may be cold.
+    pub fn available_at<'a>(&'a self, now: Timestamp, server_set: impl Into<ServerSetRef<'a>>) -> Option<Timestamp> {
         let available = self.in_set(server_set.into()).filter(|server| server.accepts_work());
-        available.map(|server| server.paused_until).min()
+        let usable_at = |server: &ServerState| {
+            let permitted_at = self.cold.available_at(now, &self.cold_candidate(server))?;
+            Some(if permitted_at > now { server.paused_until.max(permitted_at) } else { server.paused_until })
+        };
+        available.filter_map(usable_at).min()
     }
 
-    /// Returns the total number of slots of a service, or of its servers in some zones.
-    pub fn slot_count<'a>(&'a self, server_set: impl Into<ServerSetRef<'a>>) -> u32 {
-        self.in_set(server_set.into()).filter(|server| server.accepts_work()).map(ServerState::slots).sum()
+    /// Returns the total number of slots of the servers of a service, or of those in some zones, that this node may
+    /// use now.
+    pub fn slot_count<'a>(&'a self, now: Timestamp, server_set: impl Into<ServerSetRef<'a>>) -> u32 {
+        let may_send = |server: &&ServerState| self.cold.remaining(now, &self.cold_candidate(server)) > 0;
+        let accepting = self.in_set(server_set.into()).filter(|server| server.accepts_work());
+        accepting.filter(may_send).map(ServerState::slots).sum()
     }
 
     /// Returns the time after which a response of a service is late, once enough responses are known.
@@ -433,6 +477,7 @@
             Some(model) => self.assigned_models.insert(instance.clone(), model.clone()),
             None => self.assigned_models.remove(instance),
         };
+        self.cold.assignment_changed();
     }
 
     /// Returns the model that an engine is assigned to.
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -67,7 +67,10 @@
 pub use broadcast::BroadcastQueue;
 pub use call_rank::{CallRank, call_priority};
 pub use change_feed::{ChangeFeed, FeedPosition};
-pub use cold_start::ColdStartConfig;
+pub use cold_start::{
+    AssignedModels, ColdBudget, ColdChange, ColdLimiter, ColdSettings, ColdStartConfig, ColdStatus, EngineWarmth,
+    JobDrivers, SendPermit, ServiceUse,
+};
 pub use direct_access::{AccessChange, DirectAccess};
 pub use draining::DrainingServers;
 pub use duty_gate::{DutyGate, DutySettings};
--- a/crates/trestlerack/src/process/server_state.rs
+++ b/crates/trestlerack/src/process/server_state.rs
@@ -1,5 +1,6 @@
 //! What a node knows of one backend server.
 
+use super::cold_start::EngineRef;
 use super::expected_latency::{MeasuredSlowness, ReportedSlowness};
 use super::registry::ServerEntry;
 use super::server_health::{HealthRecord, ServerHealth};
@@ -41,6 +42,8 @@
     pub(super) is_evacuated: bool,
     /// Whether it lies in another region than this node.
     pub(super) is_remote: bool,
+    /// Position in the limiter of requests to cold engines.
+    pub(super) cold_ref: EngineRef,
 }
 
 impl ServerState {
@@ -64,6 +67,7 @@
             loading_until: None,
             is_evacuated: false,
             is_remote: false,
+            cold_ref: EngineRef::default(),
         }
     }
 
--- a/crates/trestlerack/src/process/wait_estimate.rs
+++ b/crates/trestlerack/src/process/wait_estimate.rs
@@ -26,16 +26,17 @@
 
 impl LoadBalancer {
     /// Estimates the wait of one more call to a service, or to its servers in some zones. Servers that are paused,
-    /// draining, in an evacuated zone, or unreachable in another region, are ignored.
+    /// draining, in an evacuated zone, unreachable in another region, or so cold that this node may not send to them
+    /// now, are ignored.
     pub fn wait_estimate<'a>(&'a self, now: Timestamp, server_set: impl Into<ServerSetRef<'a>>) -> WaitEstimate {
         let server_set = server_set.into();
-        let is_available = |server: &&ServerState| {
-            server.accepts_work() && server.paused_until <= now && !self.is_unreachable(now, server)
-        };
+        let is_available = |server: &&ServerState| self.is_usable(now, server) && !self.is_unreachable(now, server);
         let available: Vec<&ServerState> = self.in_set(server_set).filter(is_available).collect();
         let busy = |server: &ServerState| server.requests(now, self.settings.max_load_age);
         let slots = available.iter().map(|server| server.slots()).sum();
-        let free_slots = available.iter().map(|server| server.slots().saturating_sub(busy(server))).sum();
+        let permitted = |server: &ServerState| self.cold.remaining(now, &self.cold_candidate(server));
+        let free = |server: &ServerState| server.slots().saturating_sub(busy(server)).min(permitted(server));
+        let free_slots = available.iter().map(|server| free(server)).sum();
         let waiting: u32 = available.iter().map(|server| busy(server).saturating_sub(server.slots())).sum();
         let service_time = self.service_latencies.median(server_set.service).unwrap_or_default();
         let wait = match (free_slots, slots) {
--- a/crates/trestlerack/tests/allowed_regions.rs
+++ b/crates/trestlerack/tests/allowed_regions.rs
@@ -87,8 +87,8 @@
     let mut balancer = balancer_of(&[in_zone("a", "e1"), in_zone("b", "w1"), in_zone("c", "w1")]);
     let east = Placement::within(zone_map().zones_of(&["east".into()]).into());
     let server_set = ServerSet::new("s".into(), &east);
-    assert_eq!(balancer.slot_count(&server_set), balancer.slot_count("s") / 3);
-    (0..balancer.slot_count(&server_set)).for_each(|_| balancer.started("a"));
+    assert_eq!(balancer.slot_count(NOW, &server_set), balancer.slot_count(NOW, "s") / 3);
+    (0..balancer.slot_count(NOW, &server_set)).for_each(|_| balancer.started("a"));
     balancer.record_latency(&"s".into(), Duration::from_millis(100));
     assert!(!balancer.has_free_slot(NOW, &server_set));
     assert!(balancer.has_free_slot(NOW, "s"));
@@ -108,7 +108,7 @@
         assert_eq!(&*balancer.choose(NOW, &any_slot).unwrap().entry.instance, "a");
     }
     balancer.remove("a");
-    assert_eq!(balancer.available_at(&server_set), None);
+    assert_eq!(balancer.available_at(NOW, &server_set), None);
     assert_eq!(balancer.set_counts(NOW, &server_set).missing_reason(), Some("none registered in an allowed zone"));
 }
 
--- a/crates/trestlerackd/src/entry/admission/mod.rs
+++ b/crates/trestlerackd/src/entry/admission/mod.rs
@@ -147,7 +147,7 @@
     let balancer = node.balancer.lock().unwrap();
     let mut estimate = balancer.wait_estimate(now, server_set);
     if estimate.slots == 0
-        && let Some(available_at) = balancer.available_at(server_set)
+        && let Some(available_at) = balancer.available_at(now, server_set)
     {
         estimate.wait = available_at.since(now);
     }
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -242,7 +242,8 @@
     let placement = job_placement(node, driver);
     let Some(need) = item_need(node, driver, route, index, Some(&model), &placement) else { return };
     let avoid = std::slice::from_ref(&engine);
-    let need = ServerNeed { weights: Some((&model, newest)), slot_need: SlotNeed::HalfFree, avoid, ..need };
+    let need =
+        ServerNeed { weights: Some((&model, newest)), slot_need: SlotNeed::HalfFree, avoid, needs_warm: true, ..need };
     let entry = node.balancer.lock().unwrap().choose(node.now(), &need).map(|server| server.entry.clone());
     let Some(entry) = entry else { return };
     let kind = RunKind::Speculative;
@@ -271,7 +272,7 @@
     let service = route.zip(driver.spec.items.first()).and_then(|(route, item)| route.service_for(&item.id));
     let Some(service) = service else { return false };
     let server_set = ServerSet::new(service.clone(), placement.placement());
-    node.balancer.lock().unwrap().available_at(&server_set).is_some()
+    node.balancer.lock().unwrap().has_accepting_server(&server_set)
 }
 
 /// Records the end of a run. Called by the task of the run.
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -48,7 +48,7 @@
     let slots = service.zip(route).map_or(0, |(service, route)| {
         let placement = placement::decide(routing.as_deref(), route, driver.customer.as_ref());
         let server_set = ServerSet::new(service.clone(), placement.placement());
-        node.balancer.lock().unwrap().slot_count(&server_set)
+        node.balancer.lock().unwrap().slot_count(node.now(), &server_set)
     });
     ((f64::from(slots) * MAX_SCORE_SLOT_FRACTION) as usize).max(1)
 }
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms, served as text on the metrics address.
 
 use super::admission::AdmissionMetrics;
+use super::cold::ColdMetrics;
 use super::evacuations::{self, EvacuationMetrics};
 use super::node::EntryNode;
 use super::placement::PlacementMetrics;
@@ -43,6 +44,8 @@
     pub placement: PlacementMetrics,
     /// Metrics of evacuated zones.
     pub evacuations: EvacuationMetrics,
+    /// Metrics of the limit of requests to cold engines.
+    pub cold: ColdMetrics,
 }
 
 impl EntryMetrics {
@@ -65,6 +68,7 @@
             admission: AdmissionMetrics::start(&meter),
             placement: PlacementMetrics::start(&meter),
             evacuations: EvacuationMetrics::start(&meter),
+            cold: ColdMetrics::start(&meter),
             registry,
             _meters: meters,
         })
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -2,6 +2,7 @@
 
 use super::admission::AdmissionControl;
 use super::callers::KeyRefresh;
+use super::cold::{self, ColdControl};
 use super::duties::UsageTracker;
 use super::evacuations::EvacuationControl;
 use super::follower_state::FollowerState;
@@ -27,8 +28,8 @@
 use tokio::sync::{Notify, watch};
 use trestlerack::interfaces::Clock;
 use trestlerack::process::{
-    BalancerSettings, EntrySettings, JobEndFreshness, LatencyEstimates, LoadBalancer, NodeRow, RegistrySettings,
-    ServerRegistry,
+    BalancerSettings, ColdLimiter, EntrySettings, JobDrivers, JobEndFreshness, LatencyEstimates, LoadBalancer, NodeRow,
+    RegistrySettings, ServerRegistry,
 };
 use trestlerack::request::JobRecord;
 use trestlerack::version::{OwnRegion, RoutingTable, WeightVersion, ZoneMap};
@@ -102,6 +103,8 @@
     pub balancer: Mutex<LoadBalancer>,
     /// Availability zones that the operator evacuates.
     pub evacuations: EvacuationControl,
+    /// Sends requests to engines that are or may be cold only within the limit.
+    pub cold: ColdControl,
     /// Response latencies by route.
     pub route_latencies: Mutex<LatencyEstimates>,
     /// Notified when there may be server observations to send to peers.
@@ -162,6 +165,7 @@
     pub fn open(settings: EntrySettings) -> anyhow::Result<Self> {
         let clock = SystemClock::new();
         let now = clock.now();
+        let cold_limiter = ColdLimiter::new(cold::limiter_settings(&settings), now);
         let resource_limits = Arc::new(ResourceLimiter::new(&settings));
         let pool = Arc::new(ConnectionPool::new(resource_limits.connections.clone(), settings.store.clone()));
         let zones = ZoneMap::new(&settings.zones);
@@ -185,8 +189,9 @@
             routing: RwLock::new(None),
             key_refresh: KeyRefresh::default(),
             registry: Mutex::new(ServerRegistry::new(RegistrySettings::default())),
-            balancer: Mutex::new(balancer),
+            balancer: Mutex::new(balancer.with_cold_limiter(cold_limiter)),
             evacuations: EvacuationControl::default(),
+            cold: ColdControl::new(),
             route_latencies: Mutex::default(),
             new_observations: Notify::new(),
             admission: AdmissionControl::new(),
@@ -307,6 +312,17 @@
         of_model().map(|view| view.record.total).max().unwrap_or(0).max(open)
     }
 
+    /// Returns the drivers of the open jobs that this node knows.
+    pub fn job_drivers(&self) -> JobDrivers {
+        let mut drivers = JobDrivers::default();
+        let jobs = self.jobs.lock().unwrap();
+        let is_open = |view: &&JobView| !view.is_ended && !view.record.is_complete() && !view.record.owner.is_empty();
+        for view in jobs.values().filter(is_open) {
+            drivers.add(view.record.model.as_ref(), view.record.owner.clone());
+        }
+        drivers
+    }
+
     /// Records that a client ended a job.
     pub fn record_job_end(&self, job: &Name) {
         match self.jobs.lock().unwrap().get_mut(job) {
--- a/crates/trestlerackd/src/entry/placement/mod.rs
+++ b/crates/trestlerackd/src/entry/placement/mod.rs
@@ -57,7 +57,7 @@
     request: &str,
     metrics: &PlacementMetrics,
 ) -> bool {
-    let lacks = server_set.is_restricted() && balancer.lock().unwrap().available_at(server_set).is_none();
+    let lacks = server_set.is_restricted() && !balancer.lock().unwrap().has_accepting_server(server_set);
     if lacks {
         metrics.record_unserved(&server_set.service);
         let fields: [(&str, &dyn Display); 3] =
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -185,6 +185,9 @@
     } else {
         search_server(node, &call, pick).await.ok_or(None)
     };
+    if found.is_err() {
+        node.cold.record_unserved(&node.balancer, &node.metrics.cold, node.now(), &call.server_set.service);
+    }
     // The last zone of the service may have been evacuated while the call waited.
     let guard = found.map_err(|retry_after| refuse_evacuated(node, &call).or(retry_after))?;
     history.record_server(&guard.server.instance);
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -8,8 +8,7 @@
 use super::admission;
 use super::evacuations::{self, ZoneJson};
 use super::node::EntryNode;
-use super::placement;
-use super::resource_limits;
+use super::{cold, placement, resource_limits};
 use serde::Serialize;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -48,6 +47,8 @@
 
 /// Path of the list of availability zones.
 const ZONES_PATH: &str = "/v1/zones";
+/// Path of the list of engines that may be cold.
+const COLD_PATH: &str = "/v1/cold";
 
 #[derive(Serialize)]
 struct CustomerJson {
@@ -143,6 +144,7 @@
             let routing = node.routing();
             serde_json::to_vec(&placement::status(routing.as_deref(), &node.balancer, node.now()))
         }
+        COLD_PATH => serde_json::to_vec(&cold::statuses(&node.balancer, node.now())),
         MEMORY_PATH => serde_json::to_vec(&resource_limits::memory_status(&node.resource_limits)),
         ZONES_PATH => serde_json::to_vec(&zones(node)),
         _ => return None,
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -89,6 +89,13 @@
         self.state.1.notify_all();
     }
 
+    /// Returns the value of a row.
+    pub fn get(&self, table: &str, key: &str) -> Option<Value> {
+        let state = self.state.0.lock().unwrap();
+        let (content, _) = state.rows.get(&(table.into(), String::new(), key.into()))?;
+        serde_json::from_slice(&BASE64_STANDARD.decode(content).unwrap()).ok()
+    }
+
     /// Removes a row, as the platform does.
     pub fn remove(&self, table: &str, key: &str) {
         let mut state = self.state.0.lock().unwrap();
@@ -97,13 +104,6 @@
         self.state.1.notify_all();
     }
 
-    /// Returns the value of a row in the partition without a name.
-    pub fn get(&self, table: &str, key: &str) -> Option<Value> {
-        let state = self.state.0.lock().unwrap();
-        let (content, _) = state.rows.get(&(table.into(), String::new(), key.into()))?;
-        Some(serde_json::from_slice(&BASE64_STANDARD.decode(content).unwrap()).unwrap())
-    }
-
     /// Removes a row and discards the history, so that only full reads show the removal.
     pub fn remove_without_history(&self, table: &str, key: &str) {
         let mut state = self.state.0.lock().unwrap();
