Give the view of regions narrow inputs

Cause: regions.rs took the whole entry node and so joined the circle of modules that depend on each other.

Change: RegionView holds the zone map, the own region and the traffic counters; nodes and their zones are passed to it.

--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use super::in_flight::InFlightGuard;
 use super::node::EntryNode;
 use super::pool::{ConnectionLease, ExchangeError};
-use super::{admission, crash_detection, placement, regions, resource_limits, server_responses, suspects};
+use super::{admission, crash_detection, placement, resource_limits, server_responses, suspects};
 use crate::process::clock;
 use crate::process::tracing::HopSpan;
 use bytes::Bytes;
@@ -117,7 +117,7 @@
     }
     drop(routing);
     guard.record_sent();
-    let traffic = regions::record_request(node, &guard.server.zone);
+    let traffic = node.regions.record_request(&guard.server.zone);
     let may_send = || node.cold.try_send(&node.balancer, &node.metrics.cold, node.now(), &guard.server);
     let sent = node.pool.send_permitted(&guard.server.address, encoded, wants_fresh, traffic, may_send).await;
     let (response, lease) = match sent {
--- a/crates/trestlerackd/src/entry/crash_detection.rs
+++ b/crates/trestlerackd/src/entry/crash_detection.rs
@@ -3,7 +3,7 @@
 use super::in_flight::InFlightGuard;
 use super::node::EntryNode;
 use super::pool::ListenState;
-use super::{regions, suspects};
+use super::suspects;
 use crate::process::{clock, logs};
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,7 +56,7 @@
 /// Checks whether a server's address accepts connections, and records a crash if it refuses them.
 async fn check_address(node: &Arc<EntryNode>, request: &InterruptedRequest) -> ListenState {
     let server = &request.server;
-    let state = node.pool.listen_state(&server.address, regions::traffic_to(node, &server.zone)).await;
+    let state = node.pool.listen_state(&server.address, node.regions.traffic_to(&server.zone)).await;
     let fields: [(&str, &dyn std::fmt::Display); 4] = [
         ("request", &request.id),
         ("fingerprint", &request.fingerprint),
--- a/crates/trestlerackd/src/entry/engine_calls.rs
+++ b/crates/trestlerackd/src/entry/engine_calls.rs
@@ -2,7 +2,6 @@
 
 use super::node::EntryNode;
 use super::pool::ExchangeError;
-use super::regions;
 use crate::process::clock;
 use crate::process::logs;
 use http::StatusCode;
@@ -78,7 +77,7 @@
         request.headers_mut().insert(http::header::HOST, host);
     }
     let exchange = async {
-        let traffic = regions::record_request(node, &entry.zone);
+        let traffic = node.regions.record_request(&entry.zone);
         let may_send = || node.balancer.lock().unwrap().cold.try_order(node.now(), entry);
         let (response, lease) = node.pool.send_permitted(&entry.address, request, true, traffic, may_send).await?;
         let (parts, body) = response.into_parts();
--- a/crates/trestlerackd/src/entry/feed_relay.rs
+++ b/crates/trestlerackd/src/entry/feed_relay.rs
@@ -234,7 +234,7 @@
     let own = FollowerCandidate { name: node.settings.name.clone(), zone: node.settings.zone.clone(), capacity: 0 };
     let mut followers = follower_state::candidates(node);
     followers.retain(|follower| node.follower.is_follower(&follower.name));
-    let order = follower_order(&own, node.own_region.as_ref(), &followers);
+    let order = follower_order(&own, node.regions.own.as_ref(), &followers);
     order.iter().filter_map(|name| node.peers.get(name).map(|row| row.address)).collect()
 }
 
@@ -368,7 +368,9 @@
     if &*row.table != platform::SERVER_TABLE || row.removed {
         return true;
     }
-    registry.get(&row.key).is_none_or(|entry| node.follower.is_in_subset(&call.node, &call.zone, &node.zones, entry))
+    registry
+        .get(&row.key)
+        .is_none_or(|entry| node.follower.is_in_subset(&call.node, &call.zone, &node.regions.zones, entry))
 }
 
 /// Adds changed rows of a table other than service discovery's to the change feed.
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -3,7 +3,7 @@
 use super::client_requests::{ClientRequest, ReplyBody, empty_reply, full_body};
 use super::job_calls::{CLIENT_WRITE_RETRY_DELAY, CLIENT_WRITE_TIMEOUT, spec_object};
 use super::node::EntryNode;
-use super::{job_driver, job_takeover, regions, tables};
+use super::{job_driver, job_takeover, tables};
 use crate::process::logs;
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -174,7 +174,7 @@
 /// Chooses the node that is to drive a job, in a zone where its requests may be served. If no such node is registered,
 /// this node drives it. Returns the name and row of the node.
 fn choose_owner(node: &EntryNode, spec: &JobSpec, placement: &Placement) -> (Name, NodeRow) {
-    let relations = regions::node_relations(node);
+    let relations = node.regions.node_relations(|| node.peers.zones());
     let relation = |name: &Name| relations.get(name).copied().unwrap_or_default();
     // The newest job of the model that a node of the own region drives counts before newer ones of other regions.
     let mut newest_owner: Option<(bool, u64, Name)> = None;
--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -5,7 +5,7 @@
 
 use super::job_driver;
 use super::node::{EntryNode, JobView};
-use super::{job_calls, job_texts, regions, tables};
+use super::{job_calls, job_texts, tables};
 use crate::process::clock;
 use crate::process::logs;
 use std::collections::HashMap;
@@ -132,7 +132,7 @@
 /// confirm.
 pub async fn ensure_driven(node: Arc<EntryNode>, job: Name, record: JobRecord, version: u64) {
     // Within one region the owner reads the record in some milliseconds.
-    let accepted = node.zones.has_several_regions().then(|| (record.clone(), version));
+    let accepted = node.regions.zones.has_several_regions().then(|| (record.clone(), version));
     for _ in 0..MAX_FAILED_PROBES {
         if node.peers.drive(&record.owner_address, &job, accepted.clone()).await == Some(true) {
             return;
@@ -161,7 +161,7 @@
     let placement = record_placement(routing.as_deref(), &record.host, &record.path, record.customer.as_ref());
     let previous = node.peers.get(&record.owner);
     let previous_zone = previous.as_ref().map(|row| &*row.zone);
-    decide(&TakeoverRule { placement: &placement, zones: &node.zones, previous_zone })
+    decide(&TakeoverRule { placement: &placement, zones: &node.regions.zones, previous_zone })
 }
 
 /// Returns whether this node may take a job over.
@@ -200,7 +200,8 @@
     others.retain(|(name, ..)| *name != record.owner && node.follower.is_follower(name));
     with_takeover_rule(node, record, |rule| others.retain(|(.., zone)| rule.permits(zone)));
     let others: Vec<(Name, u32)> = others.into_iter().map(|(name, capacity, _)| (name, capacity)).collect();
-    let near = regions::nodes_near(node, &record.owner);
+    let owner_zone = node.peers.get(&record.owner).map(|row| row.zone);
+    let near = owner_zone.map(|zone| node.regions.nodes_near(&zone, || node.peers.zones())).unwrap_or_default();
     successor_rank(job, (&node.settings.name, node.settings.capacity()), &others, |name| near.contains(name))
 }
 
--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -5,7 +5,7 @@
 use super::evacuations::{self, EvacuationMetrics};
 use super::node::EntryNode;
 use super::placement::PlacementMetrics;
-use super::{engine_memory, regions, resource_limits, status};
+use super::{engine_memory, resource_limits, status};
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -147,7 +147,7 @@
     page.extend_from_slice(evacuations::zone_lines(&node.evacuations.zones(), &node.balancer).as_bytes());
     let mut lines = format!("trestlerack_entry_connections_opened {}\n", node.pool.opened_count());
     resource_limits::write_metrics(&node.resource_limits, &mut lines);
-    regions::write_metrics(node, &mut lines);
+    node.regions.write_metrics(&node.balancer, &mut lines);
     page.extend_from_slice(lines.as_bytes());
     page
 }
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -111,7 +111,11 @@
     tokio::spawn(update_cold_limits(node.clone()));
     tokio::spawn(keep_registered(node.clone()));
     tokio::spawn(probe_store(node.clone()));
-    tokio::spawn(regions::log_unreachable_zones(node.clone()));
+    if node.regions.own.is_some() {
+        let node = node.clone();
+        let unreachable_zones = move || node.balancer.lock().unwrap().unreachable_zones();
+        tokio::spawn(regions::log_unreachable_zones(unreachable_zones));
+    }
     tokio::spawn(job_takeover::watch_owners(node.clone()));
     tokio::spawn(order_lease::run(node.clone()));
     duties::start(&node);
@@ -175,7 +179,7 @@
 
 /// Writes this node's registration row, and retries until the store has it.
 async fn register(node: &Arc<EntryNode>) {
-    if node.zones.has_several_regions() {
+    if node.regions.zones.has_several_regions() {
         let latency = node.direct_store.measure_latency().await;
         let latency_ms = latency.map_or(0, |latency| u32::try_from(latency.as_millis()).unwrap_or(u32::MAX));
         node.store_latency_ms.store(latency_ms, Ordering::Relaxed);
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -11,7 +11,7 @@
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
 use super::pool::ConnectionPool;
-use super::region_traffic::TrafficCounter;
+use super::regions::RegionView;
 use super::resource_limits::ResourceLimiter;
 use super::shares::ShareControl;
 use super::store::{DirectStore, RelayedStore};
@@ -32,7 +32,7 @@
     RegistrySettings, ServerRegistry,
 };
 use trestlerack::request::JobRecord;
-use trestlerack::version::{OwnRegion, RoutingTable, WeightVersion, ZoneMap};
+use trestlerack::version::{RoutingTable, WeightVersion, ZoneMap};
 use trestlerack::{Name, Timestamp};
 
 /// What this node knows of a job from the store.
@@ -75,12 +75,8 @@
     pub settings: EntrySettings,
     /// Settings that take effect as soon as the settings file is read again.
     pub live_settings: RwLock<LiveSettings>,
-    /// Regions of the availability zones.
-    pub zones: ZoneMap,
-    /// The region of this node; `None` if the deployment does not span regions.
-    pub own_region: Option<OwnRegion>,
-    /// Requests and bytes between this node and servers in other regions.
-    pub region_traffic: Arc<TrafficCounter>,
+    /// Regions of the availability zones, and the traffic that leaves the own one.
+    pub regions: RegionView,
     /// Tells this process from earlier ones on the same VM.
     pub incarnation: u64,
     /// Monotonic clock of this node.
@@ -168,18 +164,15 @@
         let cold_limiter = ColdLimiter::new(cold::limiter_settings(&settings), now);
         let resource_limits = Arc::new(ResourceLimiter::new(&settings));
         let pool = Arc::new(ConnectionPool::new(resource_limits.connections.clone(), settings.store.clone()));
-        let zones = ZoneMap::new(&settings.zones);
-        let own_region = OwnRegion::new(&zones, &settings.zone);
+        let regions = RegionView::new(ZoneMap::new(&settings.zones), &settings.zone);
         let (own_address, seeds) = (settings.peer_listen.clone(), settings.seeds.clone());
-        let peers = Arc::new(PeerClient::new(pool.clone(), own_address, own_region.clone(), seeds));
+        let peers = Arc::new(PeerClient::new(pool.clone(), own_address, regions.own.clone(), seeds));
         let mut balancer = LoadBalancer::new(BalancerSettings::default());
-        balancer.set_own_region(own_region.clone());
+        balancer.set_own_region(regions.own.clone());
         let direct_store = Arc::new(DirectStore::new(pool.clone(), settings.store.clone()));
         Ok(Self {
             live_settings: RwLock::new(LiveSettings::from(&settings)),
-            zones,
-            own_region,
-            region_traffic: Arc::default(),
+            regions,
             incarnation: rand::random::<u64>() >> 1,
             clock,
             store: RelayedStore::new(direct_store.clone(), peers.clone()),
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -176,6 +176,11 @@
         self.nodes.lock().unwrap().version(name)
     }
 
+    /// Returns the registered nodes with their zones.
+    pub fn zones(&self) -> Vec<(Name, Name)> {
+        self.rows(|name, row| (name.clone(), row.zone.clone()))
+    }
+
     /// Returns the names of all registered nodes.
     pub fn names(&self) -> Vec<Name> {
         self.nodes.lock().unwrap().iter().map(|(name, _)| name.clone()).collect()
--- a/crates/trestlerackd/src/entry/regions.rs
+++ b/crates/trestlerackd/src/entry/regions.rs
@@ -1,15 +1,15 @@
-//! Where registered nodes are, for decisions that prefer the own region.
+//! The regions of the deployment as this node sees them, for decisions that prefer the own region.
 //!
-//! All functions return nothing in a deployment that does not span regions. See
+//! In a deployment that does not span regions, no node is near or far and no traffic is counted. See
 //! [docs/design/regions.md](../../../../docs/design/regions.md).
 
-use super::node::EntryNode;
 use super::region_traffic::TrafficCounter;
 use crate::process::{clock, logs};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use trestlerack::version::ZoneRelation;
+use trestlerack::process::LoadBalancer;
+use trestlerack::version::{OwnRegion, ZoneMap, ZoneRelation};
 use trestlerack::{Name, event};
 
 /// Interval at which the zones that do not respond are compared with those of the last log line.
@@ -18,57 +18,69 @@
 /// Number of zones of other regions that do not respond.
 const UNREACHABLE_METRIC: &str = "trestlerack_entry_remote_zones_unreachable";
 
-/// Returns where each registered node is, as seen from this one.
-pub fn node_relations(node: &EntryNode) -> BTreeMap<Name, ZoneRelation> {
-    let Some(region) = &node.own_region else { return BTreeMap::new() };
-    node.peers.rows(|name, row| (name.clone(), region.relation(&row.zone))).into_iter().collect()
-}
+/// The registered nodes with their zones.
+type NodeZones = Vec<(Name, Name)>;
 
-/// Returns the registered nodes in the region of the node `name`; none if that node is not registered.
-pub fn nodes_near(node: &EntryNode, name: &str) -> BTreeSet<Name> {
-    let row = node.own_region.as_ref().and_then(|_| node.peers.get(name));
-    row.map(|row| nodes_in_region_of(node, &row.zone)).unwrap_or_default()
+/// Regions of the availability zones, and the traffic that leaves the own one.
+pub struct RegionView {
+    /// Region of each zone.
+    pub zones: ZoneMap,
+    /// The region of this node; `None` if the deployment does not span regions.
+    pub own: Option<OwnRegion>,
+    traffic: Arc<TrafficCounter>,
 }
 
-/// Returns the registered nodes in the region of a zone.
-pub fn nodes_in_region_of(node: &EntryNode, zone: &str) -> BTreeSet<Name> {
-    if node.own_region.is_none() {
-        return BTreeSet::new();
+impl RegionView {
+    /// Creates the view of a node in a zone.
+    pub fn new(zones: ZoneMap, zone: &Name) -> Self {
+        let own = OwnRegion::new(&zones, zone);
+        Self { zones, own, traffic: Arc::default() }
     }
-    let is_near = |other: &str| node.zones.is_same_region(zone, other);
-    node.peers.rows(|other, row| is_near(&row.zone).then(|| other.clone())).into_iter().flatten().collect()
-}
 
-/// Returns the counter of the traffic to a zone; `None` if it lies in the own region.
-pub fn traffic_to<'a>(node: &'a EntryNode, zone: &str) -> Option<&'a Arc<TrafficCounter>> {
-    let is_remote = node.own_region.as_ref().is_some_and(|region| !region.contains(zone));
-    is_remote.then_some(&node.region_traffic)
-}
+    /// Returns where each registered node is, as seen from this one.
+    pub fn node_relations(&self, nodes: impl FnOnce() -> NodeZones) -> BTreeMap<Name, ZoneRelation> {
+        let Some(region) = &self.own else { return BTreeMap::new() };
+        nodes().into_iter().map(|(name, zone)| (name, region.relation(&zone))).collect()
+    }
 
-/// Counts a request to a server if its zone lies in another region. Returns the counter for its bytes.
-pub fn record_request<'a>(node: &'a EntryNode, zone: &str) -> Option<&'a Arc<TrafficCounter>> {
-    traffic_to(node, zone).inspect(|traffic| traffic.record_request())
-}
+    /// Returns the registered nodes in the region of a zone.
+    pub fn nodes_near(&self, zone: &str, nodes: impl FnOnce() -> NodeZones) -> BTreeSet<Name> {
+        if self.own.is_none() {
+            return BTreeSet::new();
+        }
+        let near = nodes().into_iter().filter(|(_, other)| self.zones.is_same_region(zone, other));
+        near.map(|(name, _)| name).collect()
+    }
 
-/// Adds the metrics of other regions to a metrics page.
-pub fn write_metrics(node: &EntryNode, page: &mut String) {
-    if node.own_region.is_none() {
-        return;
+    /// Returns the counter of the traffic to a zone; `None` if it lies in the own region.
+    pub fn traffic_to(&self, zone: &str) -> Option<&Arc<TrafficCounter>> {
+        let is_remote = self.own.as_ref().is_some_and(|region| !region.contains(zone));
+        is_remote.then_some(&self.traffic)
+    }
+
+    /// Counts a request to a server if its zone lies in another region. Returns the counter for its bytes.
+    pub fn record_request(&self, zone: &str) -> Option<&Arc<TrafficCounter>> {
+        self.traffic_to(zone).inspect(|traffic| traffic.record_request())
+    }
+
+    /// Adds the metrics of other regions to a metrics page.
+    pub fn write_metrics(&self, balancer: &Mutex<LoadBalancer>, page: &mut String) {
+        if self.own.is_none() {
+            return;
+        }
+        self.traffic.write_metrics(page);
+        let unreachable = balancer.lock().unwrap().unreachable_zones().len();
+        page.push_str(&format!("{UNREACHABLE_METRIC} {unreachable}\n"));
     }
-    node.region_traffic.write_metrics(page);
-    let unreachable = node.balancer.lock().unwrap().unreachable_zones().len();
-    page.push_str(&format!("{UNREACHABLE_METRIC} {unreachable}\n"));
 }
 
 /// Logs when zones of other regions stop to respond and when they respond again, until the process ends.
-pub async fn log_unreachable_zones(node: Arc<EntryNode>) {
-    if node.own_region.is_none() {
-        return;
-    }
+/// `unreachable_zones` returns those that do not respond now.
+pub async fn log_unreachable_zones(unreachable_zones: impl Fn() -> Vec<Name>) {
     let mut logged = BTreeSet::new();
     loop {
         clock::sleep(LOG_INTERVAL).await;
-        let unreachable: BTreeSet<Name> = node.balancer.lock().unwrap().unreachable_zones().into_iter().collect();
+        let unreachable: BTreeSet<Name> = unreachable_zones().into_iter().collect();
         for zone in unreachable.difference(&logged) {
             logs::write(event::REMOTE_ZONE_LOST, &[("zone", zone)]);
         }
--- a/crates/trestlerackd/src/entry/server_discovery.rs
+++ b/crates/trestlerackd/src/entry/server_discovery.rs
@@ -237,7 +237,7 @@
 }
 
 fn is_in_own_subset(node: &EntryNode, entry: &ServerEntry) -> bool {
-    node.follower.is_in_subset(&node.settings.name, &node.settings.zone, &node.zones, entry)
+    node.follower.is_in_subset(&node.settings.name, &node.settings.zone, &node.regions.zones, entry)
 }
 
 /// Returns whether this node uses a server: the server is in the node's subset, or an engine of a model whose
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -177,7 +177,7 @@
     vm_zones.remove("");
     let entries: Vec<ServerEntry> = node.registry.lock().unwrap().entries().cloned().collect();
     let facts = ZoneFacts {
-        regions: node.zones.clone(),
+        regions: node.regions.zones.clone(),
         entries: entries.iter().collect(),
         vm_zones,
         evacuated_zones: node.evacuations.zones(),
--- a/crates/trestlerackd/src/entry/suspects/trials.rs
+++ b/crates/trestlerackd/src/entry/suspects/trials.rs
@@ -6,7 +6,6 @@
 use super::SuspectState;
 use crate::entry::in_flight::InFlightGuard;
 use crate::entry::node::EntryNode;
-use crate::entry::regions;
 use std::sync::Arc;
 use trestlerack::Name;
 use trestlerack::hash::{hash_parts, rendezvous_weight};
@@ -41,7 +40,7 @@
 /// Returns the address of the node that grants a server's trials; `None` if that is this node.
 fn trial_owner(node: &EntryNode, server: &ServerEntry) -> Option<Name> {
     let key = hash_parts(&[&server.instance]);
-    let mut names: Vec<Name> = regions::nodes_in_region_of(node, &server.zone).into_iter().collect();
+    let mut names: Vec<Name> = node.regions.nodes_near(&server.zone, || node.peers.zones()).into_iter().collect();
     if names.is_empty() {
         names = node.peers.names();
     }
--- a/crates/trestlerackd/src/entry/table_watch.rs
+++ b/crates/trestlerackd/src/entry/table_watch.rs
@@ -206,12 +206,12 @@
             if routing.as_ref().is_none_or(|current| current.version < table.version) {
                 let fields: [(&str, &dyn std::fmt::Display); 2] = [("version", &table.version), ("row", &row.version)];
                 logs::write(event::ROUTING_APPLIED, &fields);
-                let table = Arc::new(table.with_zones(&node.zones));
+                let table = Arc::new(table.with_zones(&node.regions.zones));
                 *routing = Some(table.clone());
                 drop(routing);
-                placement::log_findings(&table, &node.zones, &row.key);
+                placement::log_findings(&table, &node.regions.zones, &row.key);
                 node.peers.limit_relays(
-                    table.has_restricted_placements().then(|| node.zones.zones_near(&node.settings.zone)),
+                    table.has_restricted_placements().then(|| node.regions.zones.zones_near(&node.settings.zone)),
                 );
                 node.balancer.lock().unwrap().memory.set_capacities(&table);
                 server_discovery::set_cold_limits(node, &table);
