Assign engines to a restricted model in its allowed zones only

Change: the weight scheduler knows the zones in which the newest job of each model may run, and divides the engines by what each model can use of them. Without restricted jobs the division is unchanged.

Result: the new test of the scheduler gives a model of one zone all 16 engines there and none elsewhere; tests of engines, lease and placement of the daemon pass.

--- a/crates/trestlerack/src/version/mod.rs
+++ b/crates/trestlerack/src/version/mod.rs
@@ -8,6 +8,7 @@
 mod engine_need;
 mod follower;
 mod load_time;
+mod model_placement;
 mod own_region;
 mod placement;
 mod placement_report;
@@ -29,6 +30,7 @@
 };
 pub use engine_need::engines_needed;
 pub use follower::{ConfigFollower, FollowAction, FollowEvent};
+pub use model_placement::ModelPlacement;
 pub use own_region::{OwnRegion, ZoneRelation};
 pub use placement::{Placement, RequestPlacement};
 pub use placement_report::{ConfigFinding, FindingReason, PlacementRule};
--- a/crates/trestlerack/src/version/weight_scheduler.rs
+++ b/crates/trestlerack/src/version/weight_scheduler.rs
@@ -1,7 +1,8 @@
 //! Schedules which engine loads which weight version next; runs on the holder of the order lease.
 
-use super::WeightVersion;
 use super::load_time::{LoadReport, LoadTimeEstimator};
+use super::model_placement::{EngineDivision, PlacedEngine};
+use super::{ModelPlacement, WeightVersion};
 use crate::process::ServerEntry;
 use crate::{Name, Timestamp};
 use serde::{Deserialize, Serialize};
@@ -122,6 +123,8 @@
 #[derive(Clone, Debug)]
 struct EngineState {
     model: Name,
+    /// Availability zone of the engine.
+    zone: Name,
     /// Start time of the engine process to which the other fields apply, in milliseconds.
     started_ms: u64,
     loaded_version: WeightVersion,
@@ -143,6 +146,8 @@
     accepted_lags: BTreeMap<Name, WeightVersion>,
     /// Number of engines that the work of a model needs. Models without an entry share the engines equally.
     needed_engines: BTreeMap<Name, usize>,
+    /// Zones in which the jobs of restricted models may run.
+    placement: ModelPlacement,
     /// Engines that are assigned to a model.
     engines: BTreeMap<Name, EngineState>,
     /// Number of registered engines of the service, including those without a model.
@@ -184,6 +189,11 @@
         self.needed_engines.insert(model.clone(), engines);
     }
 
+    /// Records in which zones the jobs of models may run. A model is assigned engines in these zones only.
+    pub fn set_placement(&mut self, placement: ModelPlacement) {
+        self.placement = placement;
+    }
+
     /// Updates the engines of the service, which serves `models`, from service discovery (`entries`) and the
     /// store (`assigned`). Returns the engines that were assigned to a model now, each with that model.
     pub fn sync(
@@ -213,6 +223,9 @@
         }
         let mut engine_counts = self.engines_per_model(models);
         let mut assigned_now = Vec::new();
+        if !self.placement.is_empty() {
+            return self.assign_placed(now, models, unassigned);
+        }
         for entry in unassigned {
             let Some(model) = self.model_with_fewest_engines(&engine_counts) else { break };
             assigned_now.push((entry.instance.clone(), model.clone()));
@@ -227,7 +240,40 @@
     }
 
     fn assign(&mut self, entry: &ServerEntry, model: Name) {
-        self.engines.insert(entry.instance.clone(), EngineState::new(model, entry.started_ms));
+        self.engines.insert(entry.instance.clone(), EngineState::new(model, entry.zone.clone(), entry.started_ms));
+    }
+
+    /// Assigns engines and moves others, where some models may be assigned engines of some zones only.
+    fn assign_placed(&mut self, now: Timestamp, models: &[Name], unassigned: Vec<&ServerEntry>) -> Vec<(Name, Name)> {
+        let mut assigned_now = BTreeMap::new();
+        for entry in unassigned {
+            let counts = self.division(models).usable_counts();
+            let is_candidate = |(model, count): &(&Name, &usize)| {
+                self.lacks_engines(model, **count) && self.placement.allows(model, &entry.zone)
+            };
+            let model = counts.iter().filter(is_candidate).min_by_key(|(_, count)| **count);
+            let Some(model) = model.map(|(model, _)| model.clone()) else { continue };
+            self.assign(entry, model.clone());
+            self.observe(now, entry);
+            assigned_now.insert(entry.instance.clone(), model);
+        }
+        let moved = self.division(models).rebalance(|model, count| self.lacks_engines(model, count));
+        for (instance, model) in moved {
+            if let Some(state) = self.engines.get_mut(&instance) {
+                state.move_to(model.clone());
+                assigned_now.insert(instance, model);
+            }
+        }
+        assigned_now.into_iter().collect()
+    }
+
+    fn division<'a>(&'a self, models: &'a [Name]) -> EngineDivision<'a> {
+        let placed = |(instance, state): (&Name, &EngineState)| PlacedEngine {
+            instance: instance.clone(),
+            zone: state.zone.clone(),
+            model: state.model.clone(),
+        };
+        EngineDivision { placement: &self.placement, models, engines: self.engines.iter().map(placed).collect() }
     }
 
     fn engines_per_model(&self, models: &[Name]) -> BTreeMap<Name, usize> {
@@ -247,7 +293,7 @@
         if state.started_ms == entry.started_ms {
             return;
         }
-        *state = EngineState::new(state.model.clone(), entry.started_ms);
+        *state = EngineState::new(state.model.clone(), entry.zone.clone(), entry.started_ms);
         if self.load_time.is_measured(&entry.instance) {
             self.load_time.cancel_measurement();
         }
@@ -299,10 +345,7 @@
             let Some((instance, state)) = self.engines.iter_mut().find(|(_, state)| state.model == most) else {
                 return moved;
             };
-            *state = EngineState {
-                accepted_orders: state.accepted_orders,
-                ..EngineState::new(least.clone(), state.started_ms)
-            };
+            state.move_to(least.clone());
             moved.push((instance.clone(), least));
         }
     }
@@ -460,10 +503,17 @@
         self.ordered.map_or(self.loaded_version, |(version, _)| version)
     }
 
-    fn new(model: Name, started_ms: u64) -> Self {
+    /// Assigns the engine to another model, of which it may have any version.
+    fn move_to(&mut self, model: Name) {
+        let accepted_orders = self.accepted_orders;
+        *self = Self { accepted_orders, ..Self::new(model, self.zone.clone(), self.started_ms) };
+    }
+
+    fn new(model: Name, zone: Name, started_ms: u64) -> Self {
         let not_before = Timestamp::default();
         Self {
             model,
+            zone,
             started_ms,
             loaded_version: 0,
             ordered: None,
--- a/crates/trestlerack/tests/weight_scheduler.rs
+++ b/crates/trestlerack/tests/weight_scheduler.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use trestlerack::process::ServerEntry;
-use trestlerack::version::{DueOrder, EngineAssignment, OrderOutcome, WeightScheduler, WeightSchedulerSettings};
-use trestlerack::{Name, Timestamp};
+use trestlerack::version::{
+    DueOrder, EngineAssignment, ModelPlacement, OrderOutcome, WeightScheduler, WeightSchedulerSettings,
+};
+use trestlerack::{AllowedZones, Name, Timestamp};
 
 const NOW: Timestamp = Timestamp(100_000);
 
@@ -421,3 +423,40 @@
         );
     }
 }
+
+/// Guards against assigning engines to a model whose jobs may not run in their zones: with an even division it could
+/// use a third of the engines in its zone and none of the others.
+#[test]
+fn a_model_of_one_zone_gets_the_engines_of_that_zone_and_gives_up_the_others() {
+    let names = ["anywhere-1", "anywhere-2", "in-zone-0"];
+    let mut scheduler = WeightScheduler::new(WeightSchedulerSettings::default());
+    let zone = |number: usize| format!("zone-{}", number % 3).into();
+    let entries: Vec<ServerEntry> = engines(48, &[("anywhere-1", 1), ("anywhere-2", 1), ("in-zone-0", 1)])
+        .into_iter()
+        .enumerate()
+        .map(|(number, entry)| ServerEntry { zone: zone(number), ..entry })
+        .collect();
+    let count = |scheduler: &WeightScheduler, model: &str, zone: &str| {
+        let zone_of = |instance: &Name| &entries.iter().find(|entry| entry.instance == *instance).unwrap().zone;
+        scheduler.models().filter(|(instance, name)| ***name == *model && **zone_of(instance) == *zone).count()
+    };
+    sync(&mut scheduler, Timestamp(0), &names, &entries);
+    assert_eq!(scheduler.models().filter(|(_, model)| ***model == *"in-zone-0").count(), 16);
+
+    let mut placement = ModelPlacement::default();
+    placement.set(&"in-zone-0".into(), Some(AllowedZones::new(["zone-0".into()])));
+    scheduler.set_placement(placement.clone());
+    let moved = sync(&mut scheduler, Timestamp(1), &names, &entries);
+    assert!(!moved.is_empty());
+    assert_eq!(count(&scheduler, "in-zone-0", "zone-0"), 16);
+    for model in ["anywhere-1", "anywhere-2"] {
+        assert_eq!(count(&scheduler, model, "zone-1") + count(&scheduler, model, "zone-2"), 16, "{model}");
+    }
+    assert_eq!(sync(&mut scheduler, Timestamp(2), &names, &entries), [], "a division that holds is not changed");
+
+    // Half of the zone's engines are lost: the others stay with the model that can use no engine elsewhere.
+    let left: Vec<ServerEntry> =
+        entries.iter().enumerate().filter(|(n, _)| n % 6 != 0).map(|(_, e)| e.clone()).collect();
+    sync(&mut scheduler, Timestamp(3), &names, &left);
+    assert_eq!(count(&scheduler, "in-zone-0", "zone-0"), 8);
+}
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -296,6 +296,13 @@
         of_model.max_by_key(|view| view.record.accepted_ms).map_or(0, |view| view.accepted_lag)
     }
 
+    /// Returns the record of the newest known job of a model.
+    pub fn newest_job(&self, model: &Name) -> Option<JobRecord> {
+        let jobs = self.jobs.lock().unwrap();
+        let of_model = jobs.values().map(|view| &view.record).filter(|record| record.model.as_ref() == Some(model));
+        of_model.max_by_key(|record| record.accepted_ms).cloned()
+    }
+
     /// Returns the number of items in a model's open jobs, or in its largest known job if that has more,
     /// because the next job is likely to be as large.
     pub fn open_items(&self, model: &Name) -> usize {
--- a/crates/trestlerackd/src/entry/weight_orders.rs
+++ b/crates/trestlerackd/src/entry/weight_orders.rs
@@ -2,7 +2,7 @@
 
 use super::engine_calls::{self, ORDER_TIMEOUT};
 use super::node::EntryNode;
-use super::{table_watch, tables};
+use super::{job_takeover, table_watch, tables};
 use crate::process::logs;
 use futures_util::future;
 use std::collections::BTreeMap;
@@ -13,8 +13,8 @@
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall};
 use trestlerack::time::millis;
 use trestlerack::version::{
-    DueOrder, EngineAssignment, MAX_HEARTBEAT_LAG, OrderOutcome, RequestRoute, RoutedService, RoutingTable,
-    WeightScheduler, WeightSchedulerSettings, engines_needed,
+    DueOrder, EngineAssignment, MAX_HEARTBEAT_LAG, ModelPlacement, OrderOutcome, RequestRoute, RoutedService,
+    RoutingTable, WeightScheduler, WeightSchedulerSettings, engines_needed,
 };
 use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform::EngineReport;
@@ -170,6 +170,7 @@
         for model in &service.models {
             scheduler.set_needed_engines(model, engines_needed(node.open_items(model), slots));
         }
+        scheduler.set_placement(model_placement(node, service));
         scheduler.sync(now, &service.models, &engines, &node.weights.assignments())
     };
     let assigned: Vec<(Name, EngineAssignment)> = assigned
@@ -189,6 +190,21 @@
     }
 }
 
+/// Returns in which zones the jobs of a service's models may run, by the newest job of each. A model whose jobs have
+/// several routes gets engines for the route of that one.
+fn model_placement(node: &EntryNode, service: &RoutedService) -> ModelPlacement {
+    let mut placement = ModelPlacement::default();
+    let Some(routing) = node.routing().filter(|routing| routing.has_restricted_placements()) else { return placement };
+    for model in &service.models {
+        let record = node.newest_job(model);
+        let of_job = record.map(|record| {
+            job_takeover::record_placement(Some(&routing), &record.host, &record.path, record.customer.as_ref())
+        });
+        placement.set(model, of_job.and_then(|of_job| of_job.allowed_zones().cloned()));
+    }
+    placement
+}
+
 /// Processes the results of tasks that have ended, and starts the tasks that follow.
 fn process_results(node: &Arc<EntryNode>, schedulers: &mut BTreeMap<Name, ServiceScheduler>, running: &mut OrderTasks) {
     while let Some(Ok(result)) = running.tasks.try_join_next() {
