Update the limits of cold engines only while a limit is configured

Cause: every node woke ten times a second for the limit, also in deployments without one.

Change: the update waits until a configuration sets a limit.

--- a/crates/trestlerackd/src/entry/cold.rs
+++ b/crates/trestlerackd/src/entry/cold.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::time::Duration;
+use tokio::sync::Notify;
 use trestlerack::process::{
     ColdChange, ColdSettings, ColdStatus, EngineWarmth, EntrySettings, JobDrivers, LoadBalancer, ServerEntry,
     SuspensionDetector,
@@ -62,6 +63,8 @@
     entry_log: IntervalLimiter,
     /// Engines that became cold or warm and have not been logged yet, with their latest state.
     unlogged: Mutex<BTreeMap<Name, EngineWarmth>>,
+    /// Notified when a configuration sets a limit.
+    limit_set: Notify,
 }
 
 impl ColdControl {
@@ -73,9 +76,22 @@
             change_log: IntervalLimiter::every(LOG_INTERVAL),
             entry_log: IntervalLimiter::every(LOG_INTERVAL),
             unlogged: Mutex::default(),
+            limit_set: Notify::new(),
         }
     }
 
+    /// Waits until a configuration sets a limit, so that a deployment without one has no periodic work.
+    pub async fn wait_for_limit(&self, balancer: &Mutex<LoadBalancer>) {
+        while !balancer.lock().unwrap().cold.is_active() {
+            self.limit_set.notified().await;
+        }
+    }
+
+    /// Records that a configuration was applied, which may have set a limit.
+    pub fn record_configuration(&self) {
+        self.limit_set.notify_one();
+    }
+
     /// Counts a request that is sent to a server now, unless it would exceed the limit. Returns whether it may be
     /// sent.
     pub fn try_send(
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -153,11 +153,10 @@
 /// Keeps the limits of requests to cold engines up to date with the drivers of jobs and the registered nodes.
 async fn update_cold_limits(node: Arc<EntryNode>) {
     loop {
+        node.cold.wait_for_limit(&node.balancer).await;
+        let (drivers, nodes) = (node.job_drivers(), node.peers.names());
+        node.cold.update(&node.balancer, node.now(), drivers, nodes);
         clock::sleep(cold::UPDATE_INTERVAL).await;
-        if node.balancer.lock().unwrap().cold.is_active() {
-            let (drivers, nodes) = (node.job_drivers(), node.peers.names());
-            node.cold.update(&node.balancer, node.now(), drivers, nodes);
-        }
     }
 }
 
--- a/crates/trestlerackd/src/entry/server_discovery.rs
+++ b/crates/trestlerackd/src/entry/server_discovery.rs
@@ -218,6 +218,7 @@
     let now = node.now();
     let registry = node.registry.lock().unwrap();
     node.balancer.lock().unwrap().set_cold_limits(now, table, registry.entries());
+    node.cold.record_configuration();
 }
 
 fn removed_row(instance: &Name) -> StoredRow {
