--- a/crates/trestlerack/src/process/regional_peers.rs
+++ b/crates/trestlerack/src/process/regional_peers.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
-/// Messages of one piece of news that the nodes of a region together send to other regions, on average. Two of
+/// Messages of one update that the nodes of a region together send to other regions, on average. Two of
 /// three regions then miss it with a probability of less than 0.3 %, and the third one passes it on.
 const MESSAGES_TO_OTHER_REGIONS: f64 = 12.0;
 
--- a/crates/trestlerack/tests/regions.rs
+++ b/crates/trestlerack/tests/regions.rs
@@ -339,7 +339,7 @@
     assert!(is_near(&selector.pick(now, peers.clone())[0]), "the own region is tried again");
 }
 
-/// Guards against news that stays in its region, and against gossip that crosses regions as before.
+/// Guards against updates that stay in their region, and against gossip that crosses regions as before.
 #[test]
 fn gossip_reaches_all_regions_with_few_messages_between_them() {
     for (nodes_per_region, max_crossing) in [(3, 0.5), (30, 0.12), (100, 0.04)] {
--- a/crates/trestlerack/tests/support/cold_simulation.rs
+++ b/crates/trestlerack/tests/support/cold_simulation.rs
@@ -96,7 +96,7 @@
     name: Name,
     balancer: LoadBalancer,
     /// Entries that arrive at the given time, with the time of the request for them.
-    news: Vec<(u64, u64, Vec<ServerEntry>)>,
+    updates: Vec<(u64, u64, Vec<ServerEntry>)>,
     cut_until: u64,
     suspended_until: Option<u64>,
     /// Time at which the node learns of the current state of the zone.
@@ -155,7 +155,7 @@
             balancer.put(&engine.entry);
             balancer.assign(&engine.entry.instance, Some(&"m".into()));
         }
-        SimulatedNode { name, balancer, news: Vec::new(), cut_until: 0, suspended_until: None, learns_zone_at: None }
+        SimulatedNode { name, balancer, updates: Vec::new(), cut_until: 0, suspended_until: None, learns_zone_at: None }
     }
 
     /// Gives a node its view of the registered nodes, which lacks as many as are reserved for, and of the drivers.
@@ -248,7 +248,7 @@
         if now.is_multiple_of(200) && now >= self.nodes[index].cut_until {
             let delay = if self.rng.random_bool(0.02) { 2_500 } else { self.rng.random_range(20..700) };
             let entries = self.engines.iter().map(|engine| engine.entry.clone()).collect();
-            self.nodes[index].news.push((now + delay, now, entries));
+            self.nodes[index].updates.push((now + delay, now, entries));
         }
         self.read_news(index, now);
         if now.is_multiple_of(100)
@@ -285,9 +285,9 @@
     }
 
     fn read_news(&mut self, index: usize, now: u64) {
-        let SimulatedNode { balancer, news, learns_zone_at, .. } = &mut self.nodes[index];
-        let (arrived, later) = std::mem::take(news).into_iter().partition(|(at, _, _)| *at <= now);
-        *news = later;
+        let SimulatedNode { balancer, updates, learns_zone_at, .. } = &mut self.nodes[index];
+        let (arrived, later) = std::mem::take(updates).into_iter().partition(|(at, _, _)| *at <= now);
+        *updates = later;
         let mut arrived: Vec<_> = arrived;
         arrived.sort_by_key(|(_, requested_at, _)| *requested_at);
         for (_, requested_at, entries) in arrived {
--- a/crates/trestlerackd/tests/entry/job_readers.rs
+++ b/crates/trestlerackd/tests/entry/job_readers.rs
@@ -255,7 +255,7 @@
     assert_eq!(fleet.wait_listed(3, "job1", 2), fleet.listed_at(2, "job1"));
 }
 
-/// Guards against a body that is looked for only among the jobs that a node was told of.
+/// Guards against a body that is looked for only among the jobs that a node has in memory.
 fn bodies_are_read_at_nodes_that_never_saw_the_job(role: ReaderRole) {
     let fleet = ReaderFleet::start(role);
     fleet.slow_down_engines(150);
@@ -528,8 +528,8 @@
     READERS.for_each(|reader| assert_eq!(fleet.end_at(reader, "job1").status, 200));
 }
 
-/// Guards against a node that serves another customer's reader, because it read the job from the store or was told of
-/// it by a follower.
+/// Guards against a node that serves another customer's reader because it read the job from the store, or received it
+/// from a follower.
 fn a_job_does_not_exist_for_another_customer_at_any_node(role: ReaderRole) {
     let fleet = ReaderFleet::start(role);
     fleet.platform.configure(
