Repeat the checks of a send once its connection is open

Cause: opening a connection to a server that does not respond may take seconds, in which its zone may be evacuated or the configuration change; only the limit of cold engines was checked after it.

Change: the evacuation and the allowed zones are checked again immediately before the request is written.

--- a/crates/trestlerack/src/process/cold_start/limiter.rs
+++ b/crates/trestlerack/src/process/cold_start/limiter.rs
@@ -12,7 +12,7 @@
 
 /// Time that a change takes to reach a node after an engine has written it, in addition to the heartbeats: 0.9 s,
 /// rounded up.
-const NEWS_MARGIN: Duration = Duration::from_secs(1);
+const DISCOVERY_MARGIN: Duration = Duration::from_secs(1);
 
 /// Time that stands for the end of an unknown state whose start has no time yet.
 const NOT_STARTED: Timestamp = Timestamp(u64::MAX);
@@ -45,7 +45,7 @@
 impl ColdSettings {
     /// Returns the age of information from service discovery above which the state of engines is unknown.
     pub fn max_age(&self) -> Duration {
-        2 * self.heartbeat + NEWS_MARGIN
+        2 * self.heartbeat + DISCOVERY_MARGIN
     }
 }
 
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -109,7 +109,7 @@
         span.set("server", instance.to_string());
     }
     let encoded = platform::encode_request(request).map_err(|error| AttemptError::NotRun(error.to_string()))?;
-    // Checked last, because the configuration or the server's zone may have changed since the server was chosen.
+    // The configuration or the server's zone may have changed since the server was chosen.
     let routing = node.routing();
     if let Err(why) = placement::check_send(routing.as_deref(), &node.balancer, &guard.placement, &guard.server) {
         placement::log_prevented(&request_id, &guard.server, why, &node.metrics.placement);
@@ -118,7 +118,13 @@
     drop(routing);
     guard.record_sent();
     let traffic = node.regions.record_request(&guard.server.zone);
-    let may_send = || node.cold.try_send(&node.balancer, &node.metrics.cold, node.now(), &guard.server);
+    // Repeated once the connection is open, which may take seconds.
+    let may_send = || {
+        let routing = node.routing();
+        !node.evacuations.contains_server(&node.registry, &guard.server)
+            && placement::check_send(routing.as_deref(), &node.balancer, &guard.placement, &guard.server).is_ok()
+            && node.cold.try_send(&node.balancer, &node.metrics.cold, node.now(), &guard.server)
+    };
     let sent = node.pool.send_permitted(&guard.server.address, encoded, wants_fresh, traffic, may_send).await;
     let (response, lease) = match sent {
         Ok(response) => response,
@@ -133,7 +139,7 @@
                 }
                 ExchangeError::NotPermitted => {
                     guard.record_outcome();
-                    AttemptError::NotRun("the server is or may be cold, and its limit is reached".into())
+                    AttemptError::NotRun("the server may not get the request: cold, evacuated or not allowed".into())
                 }
                 ExchangeError::NoResponse(detail) => {
                     crash_detection::check_broken_connection(node, &guard, &request_id).await;
