Set the priority of a client's request where the request is built

Cause: plain::engine_request built requests without a priority, and its two callers, attempts and streams, each added it afterwards. A third caller could have sent requests without the priority of their customer and route. Change: engine_request takes the node, the route, the server and the event to resume after, and computes the priority itself.

--- a/crates/trestlerackd/src/entry/attempts.rs
+++ b/crates/trestlerackd/src/entry/attempts.rs
@@ -10,7 +10,7 @@
 use super::plain::{self, RequestFailure};
 use super::request_history::RequestHistory;
 use super::server_responses::{self, ResponseTimer};
-use super::{admission, engine_priority, hedging, placement, suspects};
+use super::{admission, hedging, placement, suspects};
 use crate::process::clock;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -356,11 +356,11 @@
     /// Makes one attempt and records how it ended.
     async fn attempt(&self, guard: InFlightGuard, limit: Duration) -> (Name, Result<CompleteResponse, AttemptError>) {
         let Self { node, route, request, deadline, .. } = *self;
-        let server = guard.server.instance.clone();
+        let entry = guard.server.clone();
+        let server = entry.instance.clone();
         let timer = ResponseTimer::start(node);
         let left = deadline.since(timer.started);
-        let mut engine_request = plain::engine_request(request, &server, left);
-        engine_request.priority = engine_priority::of_request(node, route, &guard.server.service, request, left, None);
+        let engine_request = plain::engine_request(node, route, request, &entry, left, None);
         let outcome = attempt::fetch_response(node, guard, engine_request, !self.is_safe(), limit).await;
         match &outcome {
             Ok(response) if response.status.is_server_error() => server_responses::record_failure(node, &server),
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -7,12 +7,12 @@
 use super::node::EntryNode;
 use super::request_history::RequestHistory;
 use super::resource_limits::ResponseReservation;
-use super::{attempts, choice_log, engine_memory, evacuations, placement, shares, streams, suspects};
+use super::{attempts, choice_log, engine_memory, engine_priority, evacuations, placement, shares, streams, suspects};
 use crate::process::clock;
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{AttemptReason, CallKind, ServerNeed, ServerSet, SlotNeed};
+use trestlerack::process::{AttemptReason, CallKind, ServerEntry, ServerNeed, ServerSet, SlotNeed};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp, event};
@@ -317,7 +317,16 @@
     Some(InFlightGuard::new(node, entry, fingerprint, placement).with_tokens(tokens))
 }
 
-pub fn engine_request<'a>(request: &'a ClientRequest, instance: &'a str, left: Duration) -> ServerRequest<'a> {
+/// Builds the request that is sent to `server` for a client's request. A stream that was interrupted resumes after
+/// the event `resume_after`.
+pub fn engine_request<'a>(
+    node: &EntryNode,
+    route: &RequestRoute,
+    request: &'a ClientRequest,
+    server: &'a ServerEntry,
+    left: Duration,
+    resume_after: Option<u64>,
+) -> ServerRequest<'a> {
     let mut headers = HeaderMap::new();
     copy_headers(&request.headers, &mut headers);
     ServerRequest {
@@ -326,12 +335,12 @@
         host: &request.host,
         request_id: request.id(),
         headers,
-        instance,
+        instance: &server.instance,
         customer: request.customer().map(|name| &**name),
         time_left: Some(left),
-        priority: None,
+        priority: engine_priority::of_request(node, route, &server.service, request, left, resume_after),
         exact_version: None,
-        resume_after: request.head.resume_after,
+        resume_after: resume_after.or(request.head.resume_after),
         body: request.body.clone(),
     }
 }
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -5,7 +5,7 @@
 use super::node::EntryNode;
 use super::plain::{self, RequestFailure};
 use super::request_history::RequestHistory;
-use super::{crash_detection, engine_priority, suspects};
+use super::{crash_detection, suspects};
 use crate::process::clock;
 use bytes::Bytes;
 use futures_util::stream;
@@ -98,12 +98,9 @@
                 break;
             }
         };
-        let instance = guard.server.instance.clone();
+        let server = guard.server.clone();
         let left = deadline.since(node.now());
-        let mut engine_request = plain::engine_request(request, &instance, left);
-        engine_request.resume_after = resume_after;
-        let service = &guard.server.service;
-        engine_request.priority = engine_priority::of_request(node, route, service, request, left, resume_after);
+        let engine_request = plain::engine_request(node, route, request, &server, left, resume_after);
         let opening = attempt::open_response(node, guard, engine_request, !route.resumable);
         match clock::timeout(left, opening).await {
             Ok(Ok(answer)) => {
@@ -113,7 +110,7 @@
                 return Ok(answer);
             }
             Ok(Err(error)) => {
-                history.log_failed_attempt(&instance, &error);
+                history.log_failed_attempt(&server.instance, &error);
                 if error.is_not_run() {
                     history.record_not_run();
                     continue;
