Print the results of a job whose items are not all scored in time

Cause: score_calls_that_crash_servers_together_are_each_blocked failed with "timed out waiting until all others are scored", which does not tell an item without a score from one score too many. Change: the failure message has the job and its results. The check, the number of servers and the time limit are unchanged.

--- a/crates/trestlerackd/tests/entry/crashes.rs
+++ b/crates/trestlerackd/tests/entry/crashes.rs
@@ -267,7 +267,12 @@
         assert_eq!(answer.status, 202);
     }
     for number in 0..fatal.len() {
-        eventually("all others are scored", || read_results(&nodes[0], &format!("job{number}")).len() == 5);
+        let job = format!("job{number}");
+        eventually_with_detail(
+            "all others are scored",
+            || read_results(&nodes[0], &job).len() == 5,
+            || format!("{job} has {:?}", read_results(&nodes[0], &job)),
+        );
     }
     std::thread::sleep(5 * ARRIVAL_PAUSE);
     for (number, score_body) in fatal.iter().enumerate() {
