Announce a weight order only if it may be sent to a cold engine

Cause: an engine that is not known to be warm got one poll or order per second. After a change of the lease holder an engine is polled and then ordered, so the order was announced and not sent for 1.1 s, and the drivers of jobs sent runs to engines that were not told to load.

The scheduler plans no order that may not be sent yet, so none is announced.

--- a/crates/trestlerack/src/process/cold_start/decisions.rs
+++ b/crates/trestlerack/src/process/cold_start/decisions.rs
@@ -1,5 +1,6 @@
 //! Decides whether this node may send a request to an engine that is or may be cold.
 
+use super::allotment::MAX_ORDERS;
 use super::engine_state::{EngineState, HeldAllotments};
 use super::engine_table::EngineRef;
 use super::limiter::{AssignedModels, ColdLimiter, ServiceLimit};
@@ -10,9 +11,6 @@
 use crate::process::ServerEntry;
 use std::time::Duration;
 
-/// Weight orders and polls for reports that may be sent to an engine that is not known to be warm, per second.
-const MAX_ORDERS: u32 = 1;
-
 /// An engine that may get a request.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::process) struct ColdCandidate<'a> {
@@ -75,14 +73,23 @@
         if self.limit_of(&entry.service).is_none() {
             return true;
         }
-        let is_warm = self.is_known_warm(now, self.engines.get(&entry.instance));
-        let engine = self.engines.get_or_add(&entry.instance);
-        // The orders of an earlier process on this node may count still.
-        let may_send = is_warm || engine.orders.count(now) < MAX_ORDERS && now.since(self.started_at) > SEND_SPAN;
-        if may_send {
-            engine.orders.record(now, MAX_ORDERS);
+        let may_order = self.may_order(now, entry);
+        if may_order {
+            self.engines.get_or_add(&entry.instance).orders.record(now, MAX_ORDERS);
+        }
+        may_order
+    }
+
+    /// Returns whether the lease holder may send a weight order to an engine now. It must not announce an order that
+    /// it may not send, because the drivers of jobs send runs to an engine whose order is announced.
+    pub fn may_order(&self, now: Timestamp, entry: &ServerEntry) -> bool {
+        if self.limit_of(&entry.service).is_none() {
+            return true;
         }
-        may_send
+        let engine = self.engines.get(&entry.instance);
+        let sent = engine.map_or(0, |engine| engine.orders.count(now));
+        // The orders of an earlier process on this node may count still.
+        self.is_known_warm(now, engine) || sent < MAX_ORDERS && now.since(self.started_at) > SEND_SPAN
     }
 
     /// Returns whether an engine of a service with a limit is known to be warm.
--- a/crates/trestlerack/src/process/cold_start/limiter.rs
+++ b/crates/trestlerack/src/process/cold_start/limiter.rs
@@ -98,17 +98,18 @@
 
     /// Applies the limits of a configuration. The entries of service discovery must be recorded again afterwards.
     pub fn set_services(&mut self, table: &RoutingTable) {
-        let limit = |name: &Name, config| {
+        let limit = |name: &Name, config, has_models| {
             let is_other = table
                 .routes()
                 .any(|route| route.kind != RouteKind::Batch && route.shares.iter().any(|share| share.service == *name));
             let service_use = if is_other { ServiceUse::Mixed } else { ServiceUse::JobsOnly };
-            ColdBudget::new(config, &self.settings, service_use)
+            ColdBudget::new(config, &self.settings, service_use, has_models)
         };
         let limits = table.services.iter().filter_map(|(name, service)| {
-            let budget = limit(name, service.cold_start?);
+            let has_models = !service.models.is_empty();
+            let budget = limit(name, service.cold_start?, has_models);
             // A warm engine must remain usable where the limit allows cold ones nothing.
-            let warm = (!service.models.is_empty()).then_some(budget.total.max(1));
+            let warm = has_models.then_some(budget.total.max(1));
             Some((name.clone(), ServiceLimit { budget, warm }))
         });
         self.services = limits.collect();
--- a/crates/trestlerackd/src/entry/weight_orders.rs
+++ b/crates/trestlerackd/src/entry/weight_orders.rs
@@ -273,8 +273,12 @@
         assignment.is_none_or(|assignment| assignment.may_be_ordered_by(&node.settings.name, clock_ms, handover))
     };
     let balancer = node.balancer.lock().unwrap();
-    let in_flight = |instance: &str| balancer.get(instance).map_or(0, |server| server.in_flight);
-    scheduler.next_orders(node.now(), |instance| may_be_ordered(instance).then(|| in_flight(instance)))
+    let now = node.now();
+    let in_flight = |instance: &str| match balancer.get(instance) {
+        Some(server) => balancer.cold.may_order(now, &server.entry).then_some(server.in_flight),
+        None => Some(0),
+    };
+    scheduler.next_orders(now, |instance| if may_be_ordered(instance) { in_flight(instance) } else { None })
 }
 
 /// Options common to all orders of a service.
