Print the node's log lines of a call that is refused late

The message did not tell whether the node or the client was late.

Change: the message has the log lines of the call, with their times. The bound is unchanged.

Measured: compiles; not failed again yet, so not traced.

--- a/crates/trestlerackd/tests/entry/room.rs
+++ b/crates/trestlerackd/tests/entry/room.rs
@@ -39,6 +39,12 @@
         text.lines().any(|line| line.contains(event) && line.contains(&format!("request={id} ")))
     }
 
+    /// Returns the log lines of a request, whose times tell a slow node from a slow client.
+    fn lines_of(&self, id: &str) -> String {
+        let text = std::fs::read_to_string(&self.log).unwrap();
+        text.lines().filter(|line| line.contains(&format!("request={id} "))).collect::<Vec<_>>().join("\n")
+    }
+
     fn count(&self, event: &str) -> usize {
         std::fs::read_to_string(&self.log).unwrap().lines().filter(|line| line.contains(event)).count()
     }
@@ -116,7 +122,7 @@
             let has_reason = || ["TR2122", "TR2123"].iter().any(|event| node.has_logged(event, id));
             eventually("the reason of a refusal is logged", has_reason);
             assert!(!runs.contains(id), "{id} ran and was refused as not run");
-            assert!(*took < Duration::from_millis(150), "{id} was refused after {took:?}");
+            assert!(*took < Duration::from_millis(150), "{id} was refused after {took:?}:\n{}", node.lines_of(id));
         }
     }
     assert!(refused >= outcomes.len() / 4, "{refused} refused");
