Make no score call while no server may get it

Cause: the driver of a job repeated a score call every 30 ms while all servers of the scoring service were in evacuated zones or no region was allowed, although only a change of the evacuations, the configuration or the servers' entries could end that. Each attempt was logged and counted as a call of the customer. Change: ScoreServers decides from the configuration, the load balancer and the evacuations whether a call has any server. The driver checks it when it checks the job, at least every 50 ms, and starts the call only then. Both new tests fail if the decision always says that there are servers; the one about evacuations also if the driver checks only every 4 s.

--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -3,6 +3,7 @@
 use super::job_driver::JobDriver;
 use super::node::EntryNode;
 use super::score_calls::{self, ScoreOutcome};
+use super::score_servers::ScoreServers;
 use super::{placement, suspects};
 use crate::process::clock;
 use crate::process::logs;
@@ -10,6 +11,8 @@
 use std::time::Duration;
 use trestlerack::event;
 use trestlerack::process::ServerSet;
+use trestlerack::request::ScoreCall;
+use trestlerack::version::RoutingTable;
 
 /// Delay before a score call without a response is retried.
 const SCORE_RETRY_DELAY: Duration = Duration::from_millis(30);
@@ -25,9 +28,13 @@
         return;
     }
     let max_scores = max_concurrent_scores(node, driver);
+    let routing = node.routing();
+    let mut servers = routing.as_ref().map(|routing| score_servers(node, driver, routing));
     for index in unscored {
-        // A call with blocked content waits without using up the limit.
-        if must_wait(node, driver, index) {
+        // A call with blocked content, or without any server that it may use, waits without using up the limit.
+        let scorer = driver.spec.items[index].scorer.as_ref();
+        let lacks_servers = servers.as_mut().zip(scorer).is_some_and(|(servers, call)| servers.are_missing(call));
+        if lacks_servers || is_blocked(node, driver, index) {
             continue;
         }
         let mut scoring = driver.scoring.lock().unwrap();
@@ -53,7 +60,19 @@
     ((f64::from(slots) * MAX_SCORE_SLOT_FRACTION) as usize).max(1)
 }
 
-fn must_wait(node: &EntryNode, driver: &JobDriver, index: usize) -> bool {
+fn score_servers<'a>(node: &'a EntryNode, driver: &'a JobDriver, routing: &'a RoutingTable) -> ScoreServers<'a> {
+    ScoreServers::new(routing, &node.balancer, &node.evacuations, driver.customer.as_ref())
+}
+
+/// Returns whether a call without a response is left to the driver. It checks at least every 50 ms whether the content
+/// is still blocked and whether servers are still missing.
+fn must_wait(node: &EntryNode, driver: &JobDriver, index: usize, call: &ScoreCall) -> bool {
+    let routing = node.routing();
+    let lacks_servers = || routing.is_some_and(|routing| score_servers(node, driver, &routing).are_missing(call));
+    is_blocked(node, driver, index) || lacks_servers()
+}
+
+fn is_blocked(node: &EntryNode, driver: &JobDriver, index: usize) -> bool {
     let fingerprint = driver.score_fingerprints[index];
     fingerprint.is_some_and(|fingerprint| !suspects::wait_time(node, fingerprint).is_zero())
 }
@@ -78,8 +97,7 @@
                     }
                 }
                 ScoreOutcome::Blocked(_) => break,
-                // The driver retries the call once its content is no longer blocked.
-                ScoreOutcome::NoResponse if must_wait(&node, &driver, index) => break,
+                ScoreOutcome::NoResponse if must_wait(&node, &driver, index, call) => break,
                 ScoreOutcome::NoResponse => clock::sleep(SCORE_RETRY_DELAY).await,
             }
         },
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -50,6 +50,7 @@
 mod retention;
 mod run_moves;
 mod score_calls;
+mod score_servers;
 mod server_discovery;
 mod server_responses;
 mod shares;
--- a/crates/trestlerackd/tests/entry/evacuation.rs
+++ b/crates/trestlerackd/tests/entry/evacuation.rs
@@ -374,3 +374,31 @@
     assert_eq!((arrived(0), arrived(1)), (4 + 4, 4 + 8), "with the calls before");
     std::fs::remove_file(log).unwrap();
 }
+
+/// Guards against score calls that are repeated without a pause while the zones of their servers are evacuated, and
+/// against items that are then not scored soon after the end or not given up in time.
+#[test]
+fn score_calls_wait_for_the_end_of_an_evacuation() {
+    let zoned = ZonedPlatform::start(&["a", "b"]);
+    zoned.platform.set_zone("i-plain-1", "a");
+    let (node, log, _) = zoned.node("scores");
+    zoned.evacuate("a");
+    eventually("the evacuation takes effect", || count_lines(&log, "TR2621") == 1);
+    assert_eq!(submit(&node, "job1", 4), 202);
+    let run = || zoned.platform.engine.runs.lock().unwrap().len();
+    eventually("the texts are generated", || run() == 4);
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(count_lines(&log, "TR2308"), 0, "no attempt is made without a server");
+    let ended = Instant::now();
+    zoned.end_evacuation("a");
+    assert!(read_results(&node, "job1", 4).iter().all(|result| result["state"] == "completed"));
+    // The row takes up to 0.7 s to reach the node, and the pause before the first attempt is at most 0.5 s.
+    let scored = zoned.platform.plain.arrivals.lock().unwrap().iter().map(|(.., at)| *at).min().unwrap();
+    assert!(scored - ended < Duration::from_millis(1_200), "{:?}", scored - ended);
+    zoned.evacuate("a");
+    eventually("the next evacuation takes effect", || count_lines(&log, "TR2621") == 2);
+    zoned.platform.reconfigure(2, |config| config["routes"][6]["max_wait_s"] = json!(1.5));
+    assert_eq!(submit(&node, "job2", 2), 202);
+    assert!(read_results(&node, "job2", 2).iter().all(|result| result["state"] == "down"));
+    std::fs::remove_file(log).unwrap();
+}
--- a/crates/trestlerackd/tests/entry/placement.rs
+++ b/crates/trestlerackd/tests/entry/placement.rs
@@ -267,6 +267,22 @@
     assert_eq!(fleet.runs_in("w"), Vec::<String>::new());
 }
 
+/// Guards against score calls that are repeated without a pause while no region is allowed for them, and against items
+/// that are not scored once one is.
+#[test]
+fn score_calls_without_an_allowed_zone_wait_for_the_configuration() {
+    let fleet = Fleet::start(Duration::from_millis(5));
+    fleet.restrict(2, &[SAFE], &["unknown"]);
+    let node = fleet.start_node("a", "e1", &[], json!({}));
+    assert_eq!(submit(&node.daemon, "job1", 4), 202);
+    eventually("the texts are generated", || fleet.runs.lock().unwrap().len() == 4);
+    std::thread::sleep(Duration::from_secs(1));
+    assert!(!node.has_logged("score-ended"), "no attempt is made without a server");
+    fleet.restrict(3, &[SAFE], &["east"]);
+    assert!(read_results(&node.daemon, "job1", 4).iter().all(|result| result["state"] == "completed"));
+    assert_eq!(fleet.runs_in("w"), Vec::<String>::new());
+}
+
 /// Guards against a customer's calls that queue for slots in another region, that go there, or that take the queue of
 /// calls which may run anywhere.
 #[test]
