Take a job over in the region of a driver that has stopped, or report that it waits

Cause: a job of a restricted route that its accepting node drives, because no node in an allowed region is registered, had no driver after a planned stop of that node. The stop removes the node's row and the released record does not name it, so no node knew the region of the previous owner. After a kill the row remains and the takeover worked. Where no node may take a job over, nothing told an operator. Change: the job's record has the zone of its owner (owner_zone), which a release keeps; the registered row decides only for records of earlier releases. A node that comes back with the same name in another region takes its earlier jobs over only if it may. TakeoverRule::obstacle tells why a node leaves a job to others. A task apart from the takeovers probes the owners of such jobs and writes TR2608 once per job and cause; the list placement counts them in waiting_jobs. Nothing of this runs without allowed regions. Result: the new test with a planned stop timed out (20 s) with the zone taken from the row only, and passes now; with the kill it passes either way. With only a node of a third region left, the job waits, the event is written once, and a node of the region that starts later takes it over. With a rule that permits all nodes four tests fail, without the memory of written causes the event came four times.

--- a/crates/trestlerack-cli/src/commands.rs
+++ b/crates/trestlerack-cli/src/commands.rs
@@ -145,8 +145,8 @@
     ["service", "zones", "waiting", "places", "free", "wait_ms", "waiting_customers", "refused", "refused_customers"];
 
 /// Columns of what an entry node tells of the servers that the requests of each route may use.
-const PLACEMENT_COLUMNS: [&str; 9] =
-    ["route", "customer", "service", "regions", "zones", "servers", "allowed", "eligible", "why"];
+const PLACEMENT_COLUMNS: [&str; 10] =
+    ["route", "customer", "service", "regions", "zones", "servers", "allowed", "eligible", "why", "waiting_jobs"];
 
 /// Columns of the list of availability zones.
 const ZONE_COLUMNS: [&str; 8] = ["zone", "region", "state", "servers", "slots", "remaining", "engines", "in_progress"];
--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -265,6 +265,8 @@
     TAKEOVER_NOT_PERMITTED = (2606, "takeover-not-permitted", Info);
     /// The peers that may relay this node's store calls were limited to its region, or the limit ended.
     RELAYS_LIMITED = (2607, "relays-limited", Info);
+    /// A job without a driver waits, because no node takes it over that may.
+    JOB_WAITS_FOR_NODE = (2608, "job-waits-for-node", Warn);
     /// The evacuation of an availability zone took effect on this node.
     ZONE_EVACUATED = (2621, "zone-evacuated", Info);
     /// The evacuation of an availability zone ended on this node.
--- a/crates/trestlerack/src/process/job_owner.rs
+++ b/crates/trestlerack/src/process/job_owner.rs
@@ -109,6 +109,25 @@
     pub previous_zone: Option<&'a str>,
 }
 
+/// Why a job without a driver is not taken over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TakeoverObstacle {
+    /// No registered node may take it over, because of their zones.
+    NoNode,
+    /// Some registered nodes may, and have not done it.
+    OtherNodes,
+}
+
+impl TakeoverObstacle {
+    /// Returns the value in log events.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoNode => "no node is registered in an allowed zone or in the region of the previous owner",
+            Self::OtherNodes => "the registered nodes that may take it over have not done so",
+        }
+    }
+}
+
 impl TakeoverRule<'_> {
     /// Returns whether a node in a zone may take the job over: the job's data may be in that zone, or the previous
     /// owner already had it in the same region.
@@ -121,11 +140,25 @@
         !previous.is_empty() && self.zones.is_same_region(previous, zone)
     }
 
+    /// Returns why a node in `zone` must leave the job to others; `None` if it may take the job over.
+    /// `registered_zones` excludes the previous owner.
+    pub fn obstacle<'z>(
+        &self,
+        zone: &str,
+        mut registered_zones: impl Iterator<Item = &'z str>,
+    ) -> Option<TakeoverObstacle> {
+        if self.permits(zone) {
+            return None;
+        }
+        let has_permitted = registered_zones.any(|other| self.permits(other));
+        Some(if has_permitted { TakeoverObstacle::OtherNodes } else { TakeoverObstacle::NoNode })
+    }
+
     /// Returns whether the node that accepted the job may drive it itself, although it is in `zone` and does not
     /// satisfy [`Self::permits`]: no other node that is registered may. `registered_zones` excludes the owner that
     /// does not respond.
-    pub fn permits_acceptor<'z>(&self, zone: &str, mut registered_zones: impl Iterator<Item = &'z str>) -> bool {
-        self.permits(zone) || !registered_zones.any(|other| self.permits(other))
+    pub fn permits_acceptor<'z>(&self, zone: &str, registered_zones: impl Iterator<Item = &'z str>) -> bool {
+        self.obstacle(zone, registered_zones) != Some(TakeoverObstacle::OtherNodes)
     }
 }
 
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -83,7 +83,7 @@
 pub use fleet_controller::{FleetController, FleetRow, FleetSettings, ScalingConfig, ZoneEngines, ZoneOrder};
 pub use follower_choice::{FollowerCandidate, choose_followers, follower_count, follower_order};
 pub use job_end_freshness::{JobEndFreshness, JobEndFreshnessSettings};
-pub use job_owner::{OwnerCandidate, TakeoverRule, choose_job_owner, successor_rank};
+pub use job_owner::{OwnerCandidate, TakeoverObstacle, TakeoverRule, choose_job_owner, successor_rank};
 pub use latency_estimate::LatencyEstimates;
 pub use lease::{LeaseAction, LeaseGrant, LeaseKeeper, LeaseRow, LeaseSettings};
 pub use limiter::{RetryBudget, UserLimiter};
--- a/crates/trestlerack/src/request/job.rs
+++ b/crates/trestlerack/src/request/job.rs
@@ -99,6 +99,10 @@
     pub owner: Name,
     /// Address of the owner for its peers.
     pub owner_address: Name,
+    /// Availability zone of the owner, or of the last one while no node drives the job. A released job names no other
+    /// trace of it. Empty in records of earlier releases.
+    #[serde(default)]
+    pub owner_zone: Name,
     /// Incarnation of the owner; a restarted node no longer drives its former jobs.
     pub incarnation: u64,
     /// Fencing number; it increases with each change of owner.
--- a/crates/trestlerack/tests/allowed_regions.rs
+++ b/crates/trestlerack/tests/allowed_regions.rs
@@ -6,7 +6,7 @@
 use load::{balancer_of, plain_server, safe_route};
 use std::time::Duration;
 use trestlerack::process::{
-    ServerCounts, ServerEntry, ServerNeed, ServerSet, SlotNeed, TakeoverRule, check_send, may_relay,
+    ServerCounts, ServerEntry, ServerNeed, ServerSet, SlotNeed, TakeoverObstacle, TakeoverRule, check_send, may_relay,
 };
 use trestlerack::version::{
     AllowedRegions, ClientLimits, Customer, CustomerDirectory, Placement, RequestRoute, RoutingTable, Zone, ZoneMap,
@@ -161,6 +161,22 @@
     assert!(rule.permits_acceptor("w1", ["w1"].into_iter()), "no registered node may");
 }
 
+/// Guards against a job that waits without an operator being told why, or while this node may take it over.
+#[test]
+fn a_node_that_may_not_take_a_job_over_knows_whether_another_one_may() {
+    let (placement, zones) = (Placement::within(zone_map().zones_of(&["east".into()]).into()), zone_map());
+    let rule = TakeoverRule { placement: &placement, zones: &zones, previous_zone: Some("w1") };
+    let obstacle = |zone, registered: &[&'static str]| rule.obstacle(zone, registered.iter().copied());
+    assert_eq!((obstacle("w1", &["n1"]), obstacle("e1", &["n1"])), (None, None));
+    assert_eq!(obstacle("n1", &["n1"]), Some(TakeoverObstacle::NoNode));
+    assert_eq!(obstacle("n1", &["n1", "e2"]), Some(TakeoverObstacle::OtherNodes));
+    assert_eq!(obstacle("n1", &["n1", "w1"]), Some(TakeoverObstacle::OtherNodes));
+    let nowhere = TakeoverRule { placement: &Placement::Nowhere, previous_zone: None, ..rule };
+    assert_eq!(nowhere.obstacle("e1", ["e2", "w1"].into_iter()), Some(TakeoverObstacle::NoNode));
+    let anywhere = TakeoverRule { placement: &Placement::Anywhere, ..nowhere };
+    assert_eq!(anywhere.obstacle("n1", [].into_iter()), None);
+}
+
 /// Guards against a request body that is relayed through a node of another region.
 #[test]
 fn store_calls_are_relayed_within_the_region() {
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -221,6 +221,7 @@
     JobRecord {
         owner,
         owner_address: row.address,
+        owner_zone: row.zone,
         incarnation: row.incarnation,
         fence: 1,
         write_id: node.write_id(),
--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -76,7 +76,8 @@
     }
 }
 
-fn open_jobs(node: &EntryNode) -> Vec<(Name, JobView)> {
+/// Returns the open jobs that this node does not drive.
+pub fn open_jobs(node: &EntryNode) -> Vec<(Name, JobView)> {
     let drivers = node.drivers.lock().unwrap();
     let jobs = node.jobs.lock().unwrap();
     let is_open = |id: &Name, view: &JobView| !view.is_ended && !view.record.is_complete() && !drivers.contains_key(id);
@@ -159,11 +160,17 @@
 fn with_takeover_rule<T>(node: &EntryNode, record: &JobRecord, decide: impl FnOnce(&TakeoverRule<'_>) -> T) -> T {
     let routing = node.routing();
     let placement = record_placement(routing.as_deref(), &record.host, &record.path, record.customer.as_ref());
-    let previous = node.peers.get(&record.owner);
-    let previous_zone = previous.as_ref().map(|row| &*row.zone);
+    let previous_zone = previous_zone(record, |owner| node.peers.get(owner).map(|row| row.zone));
+    let previous_zone = previous_zone.as_deref();
     decide(&TakeoverRule { placement: &placement, zones: &node.regions.zones, previous_zone })
 }
 
+/// Returns the zone of a job's owner, or of the last one while it has none. The registered zone of an owner, which a
+/// planned stop removes, counts only for records that do not name the zone.
+pub fn previous_zone(record: &JobRecord, registered_zone: impl FnOnce(&Name) -> Option<Name>) -> Option<Name> {
+    if record.owner_zone.is_empty() { registered_zone(&record.owner) } else { Some(record.owner_zone.clone()) }
+}
+
 /// Returns whether this node may take a job over.
 fn may_take_over(node: &EntryNode, record: &JobRecord) -> bool {
     with_takeover_rule(node, record, |rule| rule.permits(&node.settings.zone))
@@ -211,12 +218,13 @@
 async fn should_take_over(node: &Arc<EntryNode>, job: &Name, view: &JobView, probes: &mut OwnerProbes) -> bool {
     let now = node.now();
     let record = &view.record;
-    if record.owner == node.settings.name {
-        return record.incarnation != node.incarnation;
-    }
+    // An earlier process of this node may have been in another region.
     if !may_take_over(node, record) {
         return false;
     }
+    if record.owner == node.settings.name {
+        return record.incarnation != node.incarnation;
+    }
     let rank = own_rank(node, job, record);
     let rank_delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX);
     if record.owner.is_empty() {
@@ -273,6 +281,7 @@
     let record = JobRecord {
         owner: node.settings.name.clone(),
         owner_address: node.settings.peer_listen.clone(),
+        owner_zone: node.settings.zone.clone(),
         incarnation: node.incarnation,
         fence: stored.fence + 1,
         write_id: node.write_id(),
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -69,6 +69,7 @@
 use crate::process::logs;
 use anyhow::Context;
 use node::{EntryNode, LiveSettings};
+use placement::TakeoverView;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -118,6 +119,30 @@
         tokio::spawn(regions::log_unreachable_zones(unreachable_zones));
     }
     tokio::spawn(job_takeover::watch_owners(node.clone()));
+    let (peers, waiting_jobs, reserved_node) = (node.peers.clone(), node.waiting_jobs.clone(), node.clone());
+    tokio::spawn(async move {
+        let node = &reserved_node;
+        let reserved_jobs = || {
+            let routing = node.routing().filter(|routing| routing.has_restricted_placements());
+            // A node that does not follow the store sees no change of a job in time.
+            let Some(routing) = routing.filter(|_| node.follower.is_direct() && !node.is_stopping()) else {
+                return Vec::new();
+            };
+            let view = TakeoverView {
+                routing: &routing,
+                zones: &node.regions.zones,
+                own_name: &node.settings.name,
+                own_zone: &node.settings.zone,
+                nodes: &node.peers.zones(),
+            };
+            let jobs = job_takeover::open_jobs(node).into_iter();
+            jobs.filter_map(|(job, job_view)| {
+                view.reserved_job(job, job_view.record, node.now().since(job_view.changed_at))
+            })
+            .collect()
+        };
+        placement::report_waiting_jobs(&waiting_jobs, &peers, reserved_jobs).await;
+    });
     tokio::spawn(order_lease::run(node.clone()));
     duties::start(&node);
     tokio::spawn(close_idle_connections(node.clone()));
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -10,6 +10,7 @@
 use super::lease_cache::LeaseCache;
 use super::metrics::EntryMetrics;
 use super::peers::PeerClient;
+use super::placement::WaitingJobs;
 use super::pool::ConnectionPool;
 use super::regions::RegionView;
 use super::resource_limits::ResourceLimiter;
@@ -139,6 +140,8 @@
     pub early_ends: Mutex<HashSet<Name>>,
     /// Counter that increases with every change of a job, for tasks that wait for one.
     pub job_changes: watch::Sender<u64>,
+    /// Jobs without a driver that no node takes over.
+    pub waiting_jobs: Arc<WaitingJobs>,
     /// Jobs that this node drives.
     pub drivers: Mutex<HashMap<Name, Arc<JobDriver>>>,
     /// Counters and histograms of this node.
@@ -204,6 +207,7 @@
             jobs: Mutex::default(),
             early_ends: Mutex::default(),
             job_changes: watch::channel(0).0,
+            waiting_jobs: Arc::default(),
             drivers: Mutex::default(),
             metrics: EntryMetrics::start()?,
             tracer: start_tracer(&settings.otlp_endpoint)?,
--- a/crates/trestlerackd/src/entry/placement/mod.rs
+++ b/crates/trestlerackd/src/entry/placement/mod.rs
@@ -6,9 +6,11 @@
 
 mod metrics;
 mod status;
+mod waiting_jobs;
 
 pub use metrics::PlacementMetrics;
 pub use status::status;
+pub use waiting_jobs::{TakeoverView, WaitingJobs, report_waiting_jobs};
 
 use crate::process::logs;
 use bytes::Bytes;
--- a/crates/trestlerackd/src/entry/placement/status.rs
+++ b/crates/trestlerackd/src/entry/placement/status.rs
@@ -1,6 +1,8 @@
 //! Status page of placements: which servers the requests of each route may use, and why none is eligible.
 
+use super::waiting_jobs::WaitingJobs;
 use serde::Serialize;
+use std::collections::BTreeSet;
 use std::sync::Mutex;
 use trestlerack::process::{LoadBalancer, ServerSet, SetCounts};
 use trestlerack::version::{Placement, PlacementRule, RoutingTable};
@@ -25,16 +27,33 @@
     eligible: usize,
     /// Why there is none; `None` if there is one.
     why: Option<&'static str>,
+    /// Jobs of the route and customer without a driver that no node takes over.
+    waiting_jobs: usize,
 }
 
 /// Returns the rows of the status page.
-pub fn status(routing: Option<&RoutingTable>, balancer: &Mutex<LoadBalancer>, now: Timestamp) -> Vec<PlacementStatus> {
+pub fn status(
+    routing: Option<&RoutingTable>,
+    balancer: &Mutex<LoadBalancer>,
+    waiting_jobs: &WaitingJobs,
+    now: Timestamp,
+) -> Vec<PlacementStatus> {
     let rules = routing.map(RoutingTable::placement_rules).unwrap_or_default();
     let balancer = balancer.lock().unwrap();
-    rules.iter().flat_map(|rule| rule_status(rule, &balancer, now)).collect()
+    let own_rows: BTreeSet<&Name> = rules.iter().filter_map(|rule| rule.customer.as_ref()).collect();
+    let waiting_count = |rule: &PlacementRule| {
+        waiting_jobs
+            .count(&rule.route, |customer| customer.filter(|name| own_rows.contains(name)) == rule.customer.as_ref())
+    };
+    rules.iter().flat_map(|rule| rule_status(rule, &balancer, waiting_count(rule), now)).collect()
 }
 
-fn rule_status(rule: &PlacementRule, balancer: &LoadBalancer, now: Timestamp) -> Vec<PlacementStatus> {
+fn rule_status(
+    rule: &PlacementRule,
+    balancer: &LoadBalancer,
+    waiting_jobs: usize,
+    now: Timestamp,
+) -> Vec<PlacementStatus> {
     let row = |service: &Name| {
         let counts = balancer.set_counts(now, &ServerSet::new(service.clone(), &rule.placement));
         let zones = rule.placement.allowed_zones().map(|zones| joined(zones.zones()));
@@ -48,6 +67,7 @@
             allowed: counts.allowed,
             eligible: counts.eligible,
             why: missing_reason(rule, &counts),
+            waiting_jobs,
         }
     };
     rule.services.iter().map(row).collect()
--- a/crates/trestlerackd/src/entry/status.rs
+++ b/crates/trestlerackd/src/entry/status.rs
@@ -142,7 +142,7 @@
         FOLLOWER_PATH => serde_json::to_vec(&[follower(node)]),
         PLACEMENT_PATH => {
             let routing = node.routing();
-            serde_json::to_vec(&placement::status(routing.as_deref(), &node.balancer, node.now()))
+            serde_json::to_vec(&placement::status(routing.as_deref(), &node.balancer, &node.waiting_jobs, node.now()))
         }
         COLD_PATH => serde_json::to_vec(&cold::statuses(&node.balancer, node.now())),
         MEMORY_PATH => serde_json::to_vec(&resource_limits::memory_status(&node.resource_limits)),
--- a/crates/trestlerackd/tests/entry/placement.rs
+++ b/crates/trestlerackd/tests/entry/placement.rs
@@ -27,7 +27,11 @@
 
 impl LoggedNode {
     fn has_logged(&self, text: &str) -> bool {
-        std::fs::read_to_string(&self.log).unwrap_or_default().lines().any(|line| line.contains(text))
+        self.count_lines(text) > 0
+    }
+
+    fn count_lines(&self, text: &str) -> usize {
+        std::fs::read_to_string(&self.log).unwrap_or_default().lines().filter(|line| line.contains(text)).count()
     }
 
     fn kill(&mut self) {
@@ -115,7 +119,7 @@
     /// Starts a node in a zone.
     fn start_node(&self, name: &str, zone: &str, seeds: &[&EntryDaemon], more: Value) -> LoggedNode {
         let log = std::env::temp_dir().join(format!("placement-{name}-{}-{}", std::process::id(), free_address()));
-        let zones = [("e1", "east"), ("e2", "east"), ("w1", "west")];
+        let zones = [("e1", "east"), ("e2", "east"), ("w1", "west"), ("n1", "north")];
         let mut settings = json!({ "zone": zone,
             "zones": zones.map(|(zone, region)| json!({ "name": zone, "region": region })) });
         settings.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
@@ -213,11 +217,61 @@
     eventually("the owner is found unresponsive", || west.has_logged("takeover-not-permitted"));
     std::thread::sleep(Duration::from_secs(2));
     assert!(!west.has_logged("job-driven") && fleet.runs.lock().unwrap().is_empty());
+    eventually("the wait is logged", || west.has_logged("job-waits-for-node job=job1 "));
     east.iter().for_each(|node| node.daemon.signal("-CONT"));
     assert_eq!(read_results(&west.daemon, "job1", 2).len(), 2);
     assert!(!west.has_logged("job-driven"));
 }
 
+/// Guards against a job that nobody drives after its driver, which is in no allowed region, has stopped, and against a
+/// takeover in a third region.
+#[test]
+fn a_job_driven_outside_its_regions_is_taken_over_in_the_region_of_its_driver() {
+    for signal in ["-TERM", "-KILL"] {
+        let fleet = Fleet::start(Duration::from_millis(200));
+        fleet.restrict(2, &[SAFE, JOBS], &["east"]);
+        let mut driver = fleet.start_node("w", "w1", &[], json!({}));
+        let seeds = [&driver.daemon];
+        let (near, far) =
+            (fleet.start_node("v", "w1", &seeds, json!({})), fleet.start_node("n", "n1", &seeds, json!({})));
+        assert_eq!(submit(&driver.daemon, "job1", 12), 202);
+        eventually("the accepting node drives the job", || driver.has_logged("job-driven"));
+        eventually("its items run", || !fleet.runs_in("e").is_empty());
+        driver.daemon.signal(signal);
+        assert_eq!(read_results(&near.daemon, "job1", 12).len(), 12, "{signal}");
+        assert!(near.has_logged("job-taken") && !far.has_logged("job-taken"), "{signal}");
+        assert_eq!(fleet.runs_in("w"), Vec::<String>::new());
+        driver.daemon.wait_end();
+    }
+}
+
+/// Guards against a job that is taken over where its data may not be because no other node is left, and against one
+/// that waits for a node without an operator being told.
+#[test]
+fn a_job_that_no_registered_node_may_drive_waits_and_is_reported_once() {
+    let fleet = Fleet::start(Duration::from_millis(100));
+    fleet.restrict(2, &[SAFE, JOBS], &["east"]);
+    let mut driver = fleet.start_node("w", "w1", &[], json!({}));
+    let metrics = free_address();
+    let far = fleet.start_node("n", "n1", &[&driver.daemon], json!({ "metrics_listen": metrics }));
+    let waiting = |route: &str| {
+        let rows = call(&metrics, "GET", "/v1/placement", &[], "").unwrap().json();
+        rows.as_array().unwrap().iter().find(|row| row["route"] == route).unwrap()["waiting_jobs"].clone()
+    };
+    assert_eq!(submit(&driver.daemon, "job1", 12), 202);
+    eventually("its items run", || !fleet.runs_in("e").is_empty());
+    driver.kill();
+    eventually("the wait is reported", || waiting("jobs") == 1);
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!((waiting("jobs"), waiting("safe")), (json!(1), json!(0)));
+    assert_eq!(far.count_lines(r#"job-waits-for-node job=job1 route=jobs owner=w why="no node is registered"#), 1);
+    assert!(!far.has_logged("job-driven") && !far.has_logged("job-taken"));
+    let near = fleet.start_node("e", "e1", &[&far.daemon], json!({}));
+    assert_eq!(read_results(&far.daemon, "job1", 12).len(), 12);
+    assert!(near.has_logged("job-taken") && !far.has_logged("job-driven"));
+    eventually("the wait has ended", || waiting("jobs") == 0);
+}
+
 /// Guards against items that ignore a change of the regions, and against running ones that are cancelled by it.
 #[test]
 fn items_that_have_not_started_follow_a_change_of_the_regions() {
