Test the check at the send over sockets

Cause: the check that compares the server's current zone with the current configuration when a request is sent was tested in the library only. Change: a request whose content has crashed two servers waits up to 350 ms for the node that grants its trial, between the choice of a server and the check. That node is frozen, and the chosen server comes back in another region meanwhile. The request must reach only the server that is left in the region. With a check that always permits, the test fails because the moved server gets the request. If only the check before the connection is opened is ignored, the one immediately before the write still holds, so the test does not tell these two apart.

--- a/crates/trestlerackd/tests/entry/placement.rs
+++ b/crates/trestlerackd/tests/entry/placement.rs
@@ -223,6 +223,47 @@
     assert!(!west.has_logged("job-driven"));
 }
 
+/// Guards against a request that reaches a server which came back in a region that is not allowed, after the server was
+/// chosen and before the request was sent.
+///
+/// In between, the request waits up to 350 ms for the node of the server's region that grants trials, because its content
+/// has crashed two servers. That node is frozen, and the server moves meanwhile.
+#[test]
+fn a_server_that_moves_out_of_the_region_after_the_choice_gets_no_request() {
+    let fleet = Fleet::start(Duration::from_millis(5));
+    let crashing = CrashingServers::start(&fleet.platform.store, "fragile", 2, Duration::from_secs(600));
+    fleet.platform.reconfigure(2, |config| config["routes"][SAFE]["service"] = json!("fragile"));
+    let metrics = free_address();
+    let node = fleet.start_node("w", "w1", &[], json!({ "metrics_listen": metrics }));
+    let granting = fleet.start_node("e", "e2", &[&node.daemon], json!({}));
+    let send = |id: &str| call(&node.daemon.client, "POST", "/safe/x", &[("request-id", id)], FATAL).unwrap().status;
+    eventually("the content has crashed two servers", || {
+        send("crash");
+        node.count_lines("server-ended") == 2
+    });
+    assert_eq!(crashing.crash_count(), 2);
+    fleet.platform.store.remove("servers", "e2-plain");
+    fleet.restrict(3, &[SAFE], &["east"]);
+    eventually("one server is left in the region", || {
+        let rows = call(&metrics, "GET", "/v1/placement", &[], "").unwrap().json();
+        let row = rows.as_array().unwrap().iter().find(|row| row["route"] == "safe").unwrap().clone();
+        (&row["service"], &row["allowed"]) == (&json!("plain"), &json!(1))
+    });
+    granting.daemon.signal("-STOP");
+    std::thread::scope(|scope| {
+        let request = scope.spawn(|| send("moved"));
+        eventually("a server is chosen", || node.has_logged("server-chosen request=moved "));
+        let mut moved = fleet.platform.store.get("servers", "e1-plain").unwrap();
+        moved["zone"] = json!("w1");
+        fleet.platform.store.put("servers", "e1-plain", &moved);
+        fleet.add("plain", "e2");
+        assert_eq!(request.join().unwrap(), 200);
+    });
+    granting.daemon.signal("-CONT");
+    assert_eq!(*fleet.runs.lock().unwrap(), [("e2-plain".to_owned(), "moved".to_owned())]);
+    assert!(node.has_logged("send-prevented request=moved server=e1-plain "));
+}
+
 /// Guards against a job that nobody drives after its driver, which is in no allowed region, has stopped, and against a
 /// takeover in a third region.
 #[test]
