--- a/crates/trestlerackd/tests/entry/placement.rs
+++ b/crates/trestlerackd/tests/entry/placement.rs
@@ -27,7 +27,11 @@
 
 impl LoggedNode {
     fn has_logged(&self, text: &str) -> bool {
-        std::fs::read_to_string(&self.log).unwrap_or_default().lines().any(|line| line.contains(text))
+        self.count_lines(text) > 0
+    }
+
+    fn count_lines(&self, text: &str) -> usize {
+        std::fs::read_to_string(&self.log).unwrap_or_default().lines().filter(|line| line.contains(text)).count()
     }
 
     fn kill(&mut self) {
@@ -115,7 +119,7 @@
     /// Starts a node in a zone.
     fn start_node(&self, name: &str, zone: &str, seeds: &[&EntryDaemon], more: Value) -> LoggedNode {
         let log = std::env::temp_dir().join(format!("placement-{name}-{}-{}", std::process::id(), free_address()));
-        let zones = [("e1", "east"), ("e2", "east"), ("w1", "west")];
+        let zones = [("e1", "east"), ("e2", "east"), ("w1", "west"), ("n1", "north")];
         let mut settings = json!({ "zone": zone,
             "zones": zones.map(|(zone, region)| json!({ "name": zone, "region": region })) });
         settings.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
@@ -213,11 +217,102 @@
     eventually("the owner is found unresponsive", || west.has_logged("takeover-not-permitted"));
     std::thread::sleep(Duration::from_secs(2));
     assert!(!west.has_logged("job-driven") && fleet.runs.lock().unwrap().is_empty());
+    eventually("the wait is logged", || west.has_logged("job-waits-for-node job=job1 "));
     east.iter().for_each(|node| node.daemon.signal("-CONT"));
     assert_eq!(read_results(&west.daemon, "job1", 2).len(), 2);
     assert!(!west.has_logged("job-driven"));
 }
 
+/// Guards against a request that reaches a server which came back in a region that is not allowed, after the server was
+/// chosen and before the request was sent.
+///
+/// In between, the request waits up to 350 ms for the node of the server's region that grants trials, because its content
+/// has crashed two servers. That node is frozen, and the server moves meanwhile.
+#[test]
+fn a_server_that_moves_out_of_the_region_after_the_choice_gets_no_request() {
+    let fleet = Fleet::start(Duration::from_millis(5));
+    let crashing = CrashingServers::start(&fleet.platform.store, "fragile", 2, Duration::from_secs(600));
+    fleet.platform.reconfigure(2, |config| config["routes"][SAFE]["service"] = json!("fragile"));
+    let metrics = free_address();
+    let node = fleet.start_node("w", "w1", &[], json!({ "metrics_listen": metrics }));
+    let granting = fleet.start_node("e", "e2", &[&node.daemon], json!({}));
+    let send = |id: &str| call(&node.daemon.client, "POST", "/safe/x", &[("request-id", id)], FATAL).unwrap().status;
+    eventually("the content has crashed two servers", || {
+        send("crash");
+        node.count_lines("server-ended") == 2
+    });
+    assert_eq!(crashing.crash_count(), 2);
+    fleet.platform.store.remove("servers", "e2-plain");
+    fleet.restrict(3, &[SAFE], &["east"]);
+    eventually("one server is left in the region", || {
+        let rows = call(&metrics, "GET", "/v1/placement", &[], "").unwrap().json();
+        let row = rows.as_array().unwrap().iter().find(|row| row["route"] == "safe").unwrap().clone();
+        (&row["service"], &row["allowed"]) == (&json!("plain"), &json!(1))
+    });
+    granting.daemon.signal("-STOP");
+    std::thread::scope(|scope| {
+        let request = scope.spawn(|| send("moved"));
+        eventually("a server is chosen", || node.has_logged("server-chosen request=moved "));
+        let mut moved = fleet.platform.store.get("servers", "e1-plain").unwrap();
+        moved["zone"] = json!("w1");
+        fleet.platform.store.put("servers", "e1-plain", &moved);
+        fleet.add("plain", "e2");
+        assert_eq!(request.join().unwrap(), 200);
+    });
+    granting.daemon.signal("-CONT");
+    assert_eq!(*fleet.runs.lock().unwrap(), [("e2-plain".to_owned(), "moved".to_owned())]);
+    assert!(node.has_logged("send-prevented request=moved server=e1-plain "));
+}
+
+/// Guards against a job that nobody drives after its driver, which is in no allowed region, has stopped, and against a
+/// takeover in a third region.
+#[test]
+fn a_job_driven_outside_its_regions_is_taken_over_in_the_region_of_its_driver() {
+    for signal in ["-TERM", "-KILL"] {
+        let fleet = Fleet::start(Duration::from_millis(200));
+        fleet.restrict(2, &[SAFE, JOBS], &["east"]);
+        let mut driver = fleet.start_node("w", "w1", &[], json!({}));
+        let seeds = [&driver.daemon];
+        let (near, far) =
+            (fleet.start_node("v", "w1", &seeds, json!({})), fleet.start_node("n", "n1", &seeds, json!({})));
+        assert_eq!(submit(&driver.daemon, "job1", 12), 202);
+        eventually("the accepting node drives the job", || driver.has_logged("job-driven"));
+        eventually("its items run", || !fleet.runs_in("e").is_empty());
+        driver.daemon.signal(signal);
+        assert_eq!(read_results(&near.daemon, "job1", 12).len(), 12, "{signal}");
+        assert!(near.has_logged("job-taken") && !far.has_logged("job-taken"), "{signal}");
+        assert_eq!(fleet.runs_in("w"), Vec::<String>::new());
+        driver.daemon.wait_end();
+    }
+}
+
+/// Guards against a job that is taken over where its data may not be because no other node is left, and against one
+/// that waits for a node without an operator being told.
+#[test]
+fn a_job_that_no_registered_node_may_drive_waits_and_is_reported_once() {
+    let fleet = Fleet::start(Duration::from_millis(100));
+    fleet.restrict(2, &[SAFE, JOBS], &["east"]);
+    let mut driver = fleet.start_node("w", "w1", &[], json!({}));
+    let metrics = free_address();
+    let far = fleet.start_node("n", "n1", &[&driver.daemon], json!({ "metrics_listen": metrics }));
+    let waiting = |route: &str| {
+        let rows = call(&metrics, "GET", "/v1/placement", &[], "").unwrap().json();
+        rows.as_array().unwrap().iter().find(|row| row["route"] == route).unwrap()["waiting_jobs"].clone()
+    };
+    assert_eq!(submit(&driver.daemon, "job1", 12), 202);
+    eventually("its items run", || !fleet.runs_in("e").is_empty());
+    driver.kill();
+    eventually("the wait is reported", || waiting("jobs") == 1);
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!((waiting("jobs"), waiting("safe")), (json!(1), json!(0)));
+    assert_eq!(far.count_lines(r#"job-waits-for-node job=job1 route=jobs owner=w why="no node is registered"#), 1);
+    assert!(!far.has_logged("job-driven") && !far.has_logged("job-taken"));
+    let near = fleet.start_node("e", "e1", &[&far.daemon], json!({}));
+    assert_eq!(read_results(&far.daemon, "job1", 12).len(), 12);
+    assert!(near.has_logged("job-taken") && !far.has_logged("job-driven"));
+    eventually("the wait has ended", || waiting("jobs") == 0);
+}
+
 /// Guards against items that ignore a change of the regions, and against running ones that are cancelled by it.
 #[test]
 fn items_that_have_not_started_follow_a_change_of_the_regions() {
@@ -267,6 +362,22 @@
     assert_eq!(fleet.runs_in("w"), Vec::<String>::new());
 }
 
+/// Guards against score calls that are repeated without a pause while no region is allowed for them, and against items
+/// that are not scored once one is.
+#[test]
+fn score_calls_without_an_allowed_zone_wait_for_the_configuration() {
+    let fleet = Fleet::start(Duration::from_millis(5));
+    fleet.restrict(2, &[SAFE], &["unknown"]);
+    let node = fleet.start_node("a", "e1", &[], json!({}));
+    assert_eq!(submit(&node.daemon, "job1", 4), 202);
+    eventually("the texts are generated", || fleet.runs.lock().unwrap().len() == 4);
+    std::thread::sleep(Duration::from_secs(1));
+    assert!(!node.has_logged("score-ended"), "no attempt is made without a server");
+    fleet.restrict(3, &[SAFE], &["east"]);
+    assert!(read_results(&node.daemon, "job1", 4).iter().all(|result| result["state"] == "completed"));
+    assert_eq!(fleet.runs_in("w"), Vec::<String>::new());
+}
+
 /// Guards against a customer's calls that queue for slots in another region, that go there, or that take the queue of
 /// calls which may run anywhere.
 #[test]
