Check allowed regions and evacuated zones in the soak

Cause: the soak knew neither regions nor evacuations, so no test had them beside killed, paused and cut off nodes. Change: the nodes and servers of the soak are in three zones of two regions. One more client per node uses a route that is restricted to one region; no request of it may reach a server elsewhere. Servers of the route reject every fifth request, so that nodes retry. A further series evacuates a zone for 7 to 8 s; later than 5 s after the acknowledgement nothing may reach a server of the zone from a node that was in contact with the store or a peer for 5 s in between. Stand-ins record the request id and the connection of each arrival: ids name the node that sends a request, and items and score calls share its connections. All other series keep their random streams.

--- a/crates/trestlerackd/tests/entry/cold.rs
+++ b/crates/trestlerackd/tests/entry/cold.rs
@@ -80,10 +80,10 @@
     }
 
     /// Returns the largest number of arrivals at a server in one second after `since`.
-    fn peak(behaviour: &Mutex<Vec<(String, String, Instant)>>, server: &str, since: Instant) -> usize {
-        let arrivals = behaviour.lock().unwrap();
-        let times: Vec<Instant> =
-            arrivals.iter().filter(|(name, _, at)| name == server && *at >= since).map(|(.., at)| *at).collect();
+    fn peak(arrivals: &Mutex<Vec<Arrival>>, server: &str, since: Instant) -> usize {
+        let arrivals = arrivals.lock().unwrap();
+        let at_server = arrivals.iter().filter(|arrival| arrival.server == server && arrival.at >= since);
+        let times: Vec<Instant> = at_server.map(|arrival| arrival.at).collect();
         let within = |first: &Instant| {
             times.iter().filter(|at| *at >= first && at.duration_since(*first) < Duration::from_secs(1)).count()
         };
--- a/crates/trestlerackd/tests/entry/evacuation.rs
+++ b/crates/trestlerackd/tests/entry/evacuation.rs
@@ -74,8 +74,8 @@
         for (kind, servers) in [("plain", &self.platform.plain), ("engine", &self.platform.engine)] {
             let name = format!("i-{kind}-{number}");
             let arrivals = servers.arrivals.lock().unwrap();
-            let recent = arrivals.iter().filter(|(server, _, at)| *server == name && *at >= since);
-            arrived.extend(recent.map(|(_, path, at)| (kind, path.clone(), *at - since)));
+            let recent = arrivals.iter().filter(|arrival| arrival.server == name && arrival.at >= since);
+            arrived.extend(recent.map(|arrival| (kind, arrival.path.clone(), arrival.at - since)));
         }
         arrived
     }
--- a/crates/trestlerackd/tests/entry/soak/clients.rs
+++ b/crates/trestlerackd/tests/entry/soak/clients.rs
@@ -2,6 +2,7 @@
 
 use super::super::support::*;
 use super::cluster::SoakCluster;
+use super::placement::id_at;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use serde_json::Value;
@@ -94,7 +95,7 @@
     reader: &mut BufReader<TcpStream>,
     path: &str,
 ) -> bool {
-    let id = cluster.new_id(path.trim_matches('/'));
+    let id = id_at(cluster, node, path.trim_matches('/'));
     let body = format!("body of {id}");
     let sent_at = Instant::now();
     let headers = [("request-id", id.as_str()), ("deadline-ms", "4000")];
@@ -128,7 +129,7 @@
 pub fn read_streams(cluster: &Arc<SoakCluster>, records: &ClientRecords, mut random: Pcg64Mcg) {
     while !cluster.is_over() {
         let node = pick_node(&mut random, cluster);
-        let id = cluster.new_id("stream");
+        let id = id_at(cluster, node, "stream");
         let Some((text, is_complete)) = read_stream_from(&cluster.nodes[node].client, "/resumed/x", &id) else {
             continue;
         };
--- a/crates/trestlerackd/tests/entry/soak/cluster.rs
+++ b/crates/trestlerackd/tests/entry/soak/cluster.rs
@@ -2,6 +2,7 @@
 
 use super::super::support::*;
 use super::link::Link;
+use super::placement::{self, PlacementServers};
 use serde_json::json;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -36,6 +37,8 @@
     Node(usize),
     /// Any node, because the store, the servers or their links are disturbed.
     Everywhere,
+    /// No node, because the nodes must serve meanwhile as they do otherwise.
+    Zone(&'static str),
 }
 
 /// A fault or planned operation, with its time and scope.
@@ -68,6 +71,7 @@
     pub server_links: Vec<Link>,
     /// Servers that crash under fatal requests.
     pub fragile: Arc<CrashingServers>,
+    pub placement: Arc<PlacementServers>,
     pub is_over: AtomicBool,
     pub logs: PathBuf,
     started: Instant,
@@ -89,6 +93,7 @@
         });
         platform.engine.event_interval_ms.store(25, Ordering::SeqCst);
         let fragile = CrashingServers::start(&platform.store, "fragile", FRAGILE_SERVERS, FRAGILE_RESTART_TIME);
+        let placement = PlacementServers::start(&platform);
         let logs = std::env::temp_dir().join(format!("soak-{seed}-{}", std::process::id()));
         std::fs::create_dir_all(&logs).unwrap();
         let mut started: Vec<SoakNode> = Vec::new();
@@ -97,13 +102,17 @@
             let store_link = Link::open(&runtime, platform.store.address);
             let seeds = started.iter().take(2).map(|node| node.daemon.lock().unwrap().peer.clone()).collect();
             let name = format!("n{number}");
+            let mut more = placement::node_settings(number);
+            more["memory_mb"] = json!(MEMORY_MB);
+            more["max_descriptors"] = json!(MAX_DESCRIPTORS);
+            more["followers"] = json!(followers);
             let settings = DaemonSettings {
                 store: store_link.address.clone(),
                 seeds,
                 order_handover_ms: HANDOVER.as_millis() as u64,
                 retention_s: 600,
                 log: Some(logs.join(format!("{name}.log"))),
-                more: json!({ "memory_mb": MEMORY_MB, "max_descriptors": MAX_DESCRIPTORS, "followers": followers }),
+                more,
                 ..DaemonSettings::default()
             };
             let daemon = EntryDaemon::start_with(&name, &settings);
@@ -116,6 +125,7 @@
             nodes: started,
             server_links,
             fragile,
+            placement,
             is_over: AtomicBool::new(false),
             logs,
             started: Instant::now(),
@@ -192,6 +202,17 @@
         })
     }
 
+    /// Returns whether a disturbance of the node itself whose description begins with `what` was active at `at`.
+    pub fn was_active(&self, node: usize, what: &str, at: Instant) -> bool {
+        let disturbances = self.disturbances.lock().unwrap();
+        let of_node = |disturbance: &&Disturbance| disturbance.scope == FaultScope::Node(node);
+        let is_active = |disturbance: &Disturbance| disturbance.from <= at && disturbance.to.is_none_or(|end| at < end);
+        disturbances
+            .iter()
+            .filter(of_node)
+            .any(|disturbance| disturbance.what.starts_with(what) && is_active(disturbance))
+    }
+
     /// Returns a line with time, scope and description for each disturbance.
     pub fn disturbance_log(&self) -> Vec<String> {
         let seconds = |at: Instant| at.saturating_duration_since(self.started).as_secs_f64();
--- a/crates/trestlerackd/tests/entry/soak/mod.rs
+++ b/crates/trestlerackd/tests/entry/soak/mod.rs
@@ -11,6 +11,7 @@
 mod fatal;
 mod faults;
 pub mod link;
+mod placement;
 mod readers;
 mod slow;
 
@@ -63,7 +64,11 @@
         scope.spawn(move || clients::run_trainer(cluster, records, random(7), false));
         scope.spawn(move || readers::read_jobs(cluster, records, random(13)));
         scope.spawn(move || readers::read_jobs(cluster, records, random(14)));
-        let ends: Vec<_> = series.into_iter().chain([suspensions]).map(|series| series.join()).collect();
+        for node in 0..NODES {
+            scope.spawn(move || placement::send_requests(cluster, random(20 + node as u64), node));
+        }
+        let evacuation = scope.spawn(move || placement::run_evacuation(cluster, random(112)));
+        let ends: Vec<_> = series.into_iter().chain([suspensions, evacuation]).map(|series| series.join()).collect();
         if ends.iter().all(Result::is_ok) {
             checks::all_nodes_recover(cluster);
         }
@@ -74,6 +79,7 @@
     checks::open_jobs_complete(&cluster, &records);
     fatal::fatal_content_is_blocked(&cluster);
     checks::check_guarantees(&cluster, &records);
+    placement::check_limits(&cluster);
     slow::incomplete_uploads_never_ran(&cluster, &records);
     report(&cluster, &records, seed)
 }
--- a/crates/trestlerackd/tests/entry/soak/slow.rs
+++ b/crates/trestlerackd/tests/entry/soak/slow.rs
@@ -3,6 +3,7 @@
 use super::super::support::*;
 use super::clients::{ClientRecords, NOT_RUN};
 use super::cluster::SoakCluster;
+use super::placement::id_at;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::io::{BufReader, Write};
@@ -44,7 +45,7 @@
 pub fn read_slowly(cluster: &Arc<SoakCluster>, records: &ClientRecords, mut random: Pcg64Mcg) {
     while !cluster.is_over() {
         let node = random.random_range(0..cluster.nodes.len());
-        let id = cluster.new_id("unread");
+        let id = id_at(cluster, node, "unread");
         records.slow.lock().unwrap().push(id.clone());
         if let Ok(mut stream) = TcpStream::connect(&cluster.nodes[node].client) {
             // The node may be down.
--- a/crates/trestlerackd/tests/entry/support/mod.rs
+++ b/crates/trestlerackd/tests/entry/support/mod.rs
@@ -13,10 +13,11 @@
 pub use daemon::{DaemonSettings, EntryDaemon, STOP_LIMIT, free_address};
 pub use duties::{DutyCall, DutyPlatform};
 pub use platform::{
-    EVENTS_PER_STREAM, EngineOrder, Platform, ServerMode, complete_text, job_body_of, job_body_with, read_results,
-    read_stream_from, read_stream_with_body, submit,
+    Arrival, EVENTS_PER_STREAM, EngineOrder, Platform, ServerMode, complete_text, job_body_of, job_body_with,
+    read_results, read_stream_from, read_stream_with_body, submit,
 };
-pub use server::{rate_limiting_store, reply, serve};
+pub use server::{ReceivedRequest, rate_limiting_store, reply, serve};
+pub use store::StandinStore;
 
 use std::time::{Duration, Instant};
 
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -27,8 +27,8 @@
 pub struct ServerBehaviour {
     /// Ids of requests that ran; those of engines have the form `id@first_event`.
     pub runs: Mutex<Vec<String>>,
-    /// Everything that arrived at servers, with the server that was expected, the path and the time.
-    pub arrivals: Mutex<Vec<(String, String, Instant)>>,
+    /// Everything that arrived at servers.
+    pub arrivals: Mutex<Vec<Arrival>>,
     /// Headers of requests that ran, by request id.
     pub headers: Mutex<HashMap<String, BTreeMap<String, String>>>,
     /// Trace contexts received with requests.
@@ -96,6 +96,28 @@
     Failing,
 }
 
+/// A request that arrived at a server.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Instance that the sender expected; empty if it named none.
+    pub server: String,
+    pub path: String,
+    /// Request id; empty for requests without one.
+    pub id: String,
+    /// Address from which the connection was opened, unless it was reset already.
+    pub from: Option<SocketAddr>,
+    pub at: Instant,
+}
+
+impl Arrival {
+    /// Records a request that arrives now.
+    pub fn new(request: &ReceivedRequest, stream: &TcpStream) -> Self {
+        let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
+        let (server, id) = (header("expect-instance"), header("request-id"));
+        Self { server, path: request.path.clone(), id, from: stream.peer_addr().ok(), at: Instant::now() }
+    }
+}
+
 /// An order that an engine accepted.
 #[derive(Clone, Debug)]
 pub struct EngineOrder {
@@ -112,9 +134,8 @@
         self.concurrency_limit.store(limit, Ordering::SeqCst);
     }
 
-    fn record_arrival(&self, request: &ReceivedRequest) {
-        let server = request.headers.get("expect-instance").cloned().unwrap_or_default();
-        self.arrivals.lock().unwrap().push((server, request.path.clone(), Instant::now()));
+    fn record_arrival(&self, request: &ReceivedRequest, stream: &TcpStream) {
+        self.arrivals.lock().unwrap().push(Arrival::new(request, stream));
     }
 
     fn is_full(&self) -> bool {
@@ -130,7 +151,7 @@
 /// Starts a plain server, which is also the scoring service and returns the request body.
 fn plain_server(behaviour: Arc<ServerBehaviour>, number: usize) -> SocketAddr {
     serve(move |request, stream| {
-        behaviour.record_arrival(&request);
+        behaviour.record_arrival(&request, stream);
         let id = request.headers["request-id"].clone();
         if take_one(&behaviour.rejections) || behaviour.is_full() {
             return reply(stream, 503, &[("request-id", &id), ("not-executed", "1")], "");
@@ -219,7 +240,7 @@
 
 impl ModelEngine {
     fn answer(&self, request: &ReceivedRequest, stream: &mut TcpStream) -> bool {
-        self.behaviour.record_arrival(request);
+        self.behaviour.record_arrival(request, stream);
         match &*request.path {
             "/trestlerack/report" if self.name == "i-engine-0" && take_one(&self.behaviour.unanswered_reports) => {
                 stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
