--- a/crates/trestlerackd/tests/entry/evacuation.rs
+++ b/crates/trestlerackd/tests/entry/evacuation.rs
@@ -393,7 +393,7 @@
     zoned.end_evacuation("a");
     assert!(read_results(&node, "job1", 4).iter().all(|result| result["state"] == "completed"));
     // The row takes up to 0.7 s to reach the node, and the pause before the first attempt is at most 0.5 s.
-    let scored = zoned.platform.plain.arrivals.lock().unwrap().iter().map(|(.., at)| *at).min().unwrap();
+    let scored = zoned.platform.plain.arrivals.lock().unwrap().iter().map(|arrival| arrival.at).min().unwrap();
     assert!(scored - ended < Duration::from_millis(1_200), "{:?}", scored - ended);
     zoned.evacuate("a");
     eventually("the next evacuation takes effect", || count_lines(&log, "TR2621") == 2);
