Count bytes to peers by zone and region

Cause: each byte between regions is charged for, but the metrics counted only the traffic to servers, and not that to other nodes. Change: in a deployment that spans regions, a node counts its calls to other nodes and the bytes of the connections that it opens for them, by whether the peer is in its zone, its region, another region, or at an address that is not registered.

--- a/crates/trestlerackd/src/entry/metrics.rs
+++ b/crates/trestlerackd/src/entry/metrics.rs
@@ -148,6 +148,7 @@
     let mut lines = format!("trestlerack_entry_connections_opened {}\n", node.pool.opened_count());
     resource_limits::write_metrics(&node.resource_limits, &mut lines);
     node.regions.write_metrics(&node.balancer, &mut lines);
+    node.peers.write_metrics(&mut lines);
     page.extend_from_slice(lines.as_bytes());
     page
 }
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -37,6 +37,7 @@
 mod metrics;
 mod node;
 mod order_lease;
+mod peer_traffic;
 mod peers;
 mod placement;
 mod plain;
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -2,6 +2,7 @@
 
 use super::feed_relay::{self, FeedCall, FeedReply};
 use super::node::EntryNode;
+use super::peer_traffic::PeerTraffic;
 use super::pool::ConnectionPool;
 use super::resource_limits::LimitDecision;
 use super::suspects;
@@ -128,6 +129,8 @@
     pool: Arc<ConnectionPool>,
     own_address: Name,
     own_region: Option<OwnRegion>,
+    /// `None` if the deployment does not span regions.
+    traffic: Option<PeerTraffic>,
     seeds: Mutex<Vec<Name>>,
     nodes: Mutex<NodeRows>,
     relays: Mutex<RelaySelector>,
@@ -141,7 +144,8 @@
     pub fn new(pool: Arc<ConnectionPool>, own_address: Name, own_region: Option<OwnRegion>, seeds: Vec<Name>) -> Self {
         let relays = Mutex::new(RelaySelector::new(&own_address));
         let (seeds, nodes, clock) = (Mutex::new(seeds), Mutex::default(), SystemClock::new());
-        Self { pool, own_address, own_region, seeds, nodes, relays, relay_zones: RwLock::default(), clock }
+        let traffic = own_region.clone().map(PeerTraffic::new);
+        Self { pool, own_address, own_region, traffic, seeds, nodes, relays, relay_zones: RwLock::default(), clock }
     }
 
     /// Replaces the seeds.
@@ -235,6 +239,13 @@
         RegionalPeers { near, far }
     }
 
+    /// Adds the metrics of the traffic to peers to a metrics page.
+    pub fn write_metrics(&self, page: &mut String) {
+        if let Some(traffic) = &self.traffic {
+            traffic.write_metrics(page);
+        }
+    }
+
     /// Returns the peers that may relay a store call, in the order in which to ask them.
     pub fn pick_relays(&self, call: &StoreCall) -> Vec<Name> {
         let mut peers = self.regional_peers();
@@ -339,8 +350,16 @@
         clock::timeout(limit, self.exchange(peer, request)).await.ok()?
     }
 
+    /// Returns the zone of the registered node with a peer address, if the node states it.
+    fn zone_at(&self, address: &str) -> Option<Name> {
+        let nodes = self.nodes.lock().unwrap();
+        let row = nodes.iter().find(|(_, row)| *row.address == *address);
+        row.map(|(_, row)| row.zone.clone()).filter(|zone| !zone.is_empty())
+    }
+
     async fn exchange(&self, peer: &Name, request: Request<Bytes>) -> Option<PeerReply> {
-        let (response, lease) = self.pool.send(peer, request, false).await.ok()?;
+        let traffic = self.traffic.as_ref().map(|traffic| traffic.record_call(self.zone_at(peer).as_deref()));
+        let (response, lease) = self.pool.send_permitted(peer, request, false, traffic, || true).await.ok()?;
         let body = Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect().await.ok()?.to_bytes();
         self.pool.keep(lease, None);
         ciborium::from_reader(&body[..]).ok()
--- a/crates/trestlerackd/src/entry/region_traffic.rs
+++ b/crates/trestlerackd/src/entry/region_traffic.rs
@@ -1,4 +1,4 @@
-//! Counts requests to servers in other regions, and the bytes of their connections, which are charged for.
+//! Counts requests and the bytes of their connections. Those to other regions are charged for.
 
 use std::io;
 use std::pin::Pin;
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Requests and bytes between this node and servers in other regions since the start.
+/// Requests and bytes between this node and a group of servers or peers since the start.
 #[derive(Debug, Default)]
 pub struct TrafficCounter {
     requests: AtomicU64,
@@ -17,25 +17,22 @@
 }
 
 impl TrafficCounter {
-    /// Counts a request that is sent to a server.
+    /// Counts a request that is sent.
     pub fn record_request(&self) {
         self.requests.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Adds the counters to a metrics page.
-    pub fn write_metrics(&self, page: &mut String) {
-        let counters = [
-            ("trestlerack_entry_remote_requests", &self.requests),
-            ("trestlerack_entry_remote_sent_bytes", &self.sent_bytes),
-            ("trestlerack_entry_remote_received_bytes", &self.received_bytes),
-        ];
+    /// Adds the counters to a metrics page, with a prefix of their names and with labels, which may be empty.
+    pub fn write_metrics(&self, prefix: &str, labels: &str, page: &mut String) {
+        let counters =
+            [("requests", &self.requests), ("sent_bytes", &self.sent_bytes), ("received_bytes", &self.received_bytes)];
         for (name, counter) in counters {
-            page.push_str(&format!("{name} {}\n", counter.load(Ordering::Relaxed)));
+            page.push_str(&format!("{prefix}_{name}{labels} {}\n", counter.load(Ordering::Relaxed)));
         }
     }
 }
 
-/// A TCP stream whose bytes are counted if it leads to another region.
+/// A TCP stream whose bytes are counted if it has a counter.
 pub struct CountedStream {
     stream: TcpStream,
     traffic: Option<Arc<TrafficCounter>>,
--- a/crates/trestlerackd/src/entry/regions.rs
+++ b/crates/trestlerackd/src/entry/regions.rs
@@ -15,6 +15,9 @@
 /// Interval at which the zones that do not respond are compared with those of the last log line.
 const LOG_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Start of the names of the metrics of requests to servers in other regions.
+const REMOTE_PREFIX: &str = "trestlerack_entry_remote";
+
 /// Number of zones of other regions that do not respond.
 const UNREACHABLE_METRIC: &str = "trestlerack_entry_remote_zones_unreachable";
 
@@ -68,7 +71,7 @@
         if self.own.is_none() {
             return;
         }
-        self.traffic.write_metrics(page);
+        self.traffic.write_metrics(REMOTE_PREFIX, "", page);
         let unreachable = balancer.lock().unwrap().unreachable_zones().len();
         page.push_str(&format!("{UNREACHABLE_METRIC} {unreachable}\n"));
     }
