Test that calls to nodes of other regions are counted

Cause: the test of the counters does not show that calls to peers use them. Change: of two nodes in two regions one must ask the other to make its store calls, and its metrics must show them as calls to another region.

--- a/crates/trestlerackd/tests/entry/regions.rs
+++ b/crates/trestlerackd/tests/entry/regions.rs
@@ -109,3 +109,22 @@
     );
     assert_eq!(after["zones_unreachable"], 0);
 }
+
+/// Guards against calls to nodes of other regions that are not counted, or are counted as calls within the zone.
+#[test]
+fn calls_to_nodes_of_other_regions_are_counted() {
+    let platform = Platform::start_with_counts(3, 1);
+    let (first, _) = start_daemon("a", "z", &platform, &[]);
+    let (_second, metrics) = start_daemon("b", "y", &platform, &[&first.peer]);
+    let page = || call(&metrics, "GET", "/metrics", &[], "").unwrap().body;
+    let count = |name: &str| -> u64 {
+        let prefix = format!("trestlerack_entry_peer_{name}{{location=\"other_region\"}} ");
+        page().lines().find_map(|line| line.strip_prefix(&prefix)).unwrap().parse().unwrap()
+    };
+    // The second node then asks the first, which was registered before it started, to make its store calls.
+    platform.store.set_unavailable(true);
+    let is_counted = || count("requests") > 0 && count("received_bytes") > 0;
+    eventually_with_detail("the node calls one of another region", is_counted, page);
+    assert!(count("sent_bytes") > 50, "{}", page());
+    assert!(page().contains("trestlerack_entry_peer_requests{location=\"own_zone\"} 0\n"), "{}", page());
+}
