Test the takeover from a driver that another region cannot reach

Cause: the takeover of a job whose driver is cut off from another region was not provoked over sockets. Change: the stand-in store serves its rows at a further address with one node address replaced, so that a single node calls the driver through a link with faults. The link is silent in the test; the driver still reaches that node, the store and the nodes of its own region. While the driver records results, the job stays with it for 3.5 s. Once the runs are long, the node of the other region takes the job over, no earlier than after 1.5 s. Watches of the state table return nothing meanwhile, so that the driver writes its next result without knowing of the takeover; the write fails, and each item ends once.

--- a/crates/trestlerackd/tests/entry/regions.rs
+++ b/crates/trestlerackd/tests/entry/regions.rs
@@ -1,8 +1,9 @@
 //! Nodes of a fleet that spans three regions, each with one zone.
 
+use super::soak::link::{Link, LinkMode};
 use super::support::*;
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpListener;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -13,15 +14,17 @@
 /// Starts a daemon in a zone, and returns it with its metrics address.
 fn start_daemon(name: &str, zone: &str, platform: &Platform, seeds: &[&str]) -> (EntryDaemon, String) {
     let metrics = free_address();
+    let mut settings = zone_settings(zone, platform.store.address.to_string());
+    settings.seeds = seeds.iter().map(ToString::to_string).collect();
+    settings.more["metrics_listen"] = json!(metrics);
+    (EntryDaemon::start_with(name, &settings), metrics)
+}
+
+/// Returns the settings of a daemon in a zone that calls the store at an address.
+fn zone_settings(zone: &str, store: String) -> DaemonSettings {
     let zones: Vec<_> =
         ["z", "y", "x"].iter().map(|zone| json!({ "name": zone, "region": format!("r-{zone}") })).collect();
-    let settings = DaemonSettings {
-        store: platform.store.address.to_string(),
-        seeds: seeds.iter().map(ToString::to_string).collect(),
-        more: json!({ "metrics_listen": metrics, "zone": zone, "zones": zones }),
-        ..DaemonSettings::default()
-    };
-    (EntryDaemon::start_with(name, &settings), metrics)
+    DaemonSettings { store, more: json!({ "zone": zone, "zones": zones }), ..DaemonSettings::default() }
 }
 
 fn register(platform: &Platform, instance: &str, zone: &str, address: &str) {
@@ -109,3 +112,52 @@
     );
     assert_eq!(after["zones_unreachable"], 0);
 }
+
+/// Time in which a node of another region would have taken over a job without changes whose driver it cannot reach:
+/// 1.5 s, 0.2 s for each of the two nodes before it, and two probes of 0.35 s.
+const TAKEOVER_TIME: Duration = Duration::from_millis(2_600);
+
+/// Guards against a takeover while the driver records results, against none once it does not although it lives in a
+/// region that cannot be reached, and against results of both drivers for one item.
+#[test]
+fn a_job_whose_driver_is_cut_off_is_taken_over_and_each_item_ends_once() {
+    const ITEMS: usize = 160;
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+    let platform = Platform::start();
+    let log = |name: &str| std::env::temp_dir().join(format!("regions-cut-{name}-{}.log", std::process::id()));
+    let start = |name: &str, zone: &str, store: String| {
+        EntryDaemon::start_with(name, &DaemonSettings { log: Some(log(name)), ..zone_settings(zone, store) })
+    };
+    let has_logged = |name: &str, text: &str| std::fs::read_to_string(log(name)).unwrap().contains(text);
+    let store = platform.store.address.to_string();
+    let driver = start("driver", "z", store.clone());
+    // The only node so far drives the job.
+    platform.engine.event_interval_ms.store(50, Ordering::SeqCst);
+    assert_eq!(submit(&driver, "job1", ITEMS), 202);
+    let near = ["near1", "near2"].map(|name| start(name, "z", store.clone()));
+    // Only the node of the other region calls the driver through the link.
+    let link = Link::open(&runtime, driver.peer.parse().unwrap());
+    let remote = start("remote", "y", platform.store.serve_replaced(&driver.peer, &link.address).to_string());
+    link.set(LinkMode::Silent);
+    std::thread::sleep(TAKEOVER_TIME + Duration::from_millis(900));
+    let page = call(&remote.client, "GET", "/trestlerack/lots/job1?after=0", &[], "").unwrap().json();
+    let recorded = page["results"].as_array().unwrap().len();
+    assert!((1..ITEMS).contains(&recorded), "{recorded}");
+    assert!(!has_logged("remote", "job-taken"), "the record changes");
+    // The driver must not learn of the takeover before it writes its next result.
+    platform.engine.event_interval_ms.store(1_000, Ordering::SeqCst);
+    platform.store.silence_watches(Some("state"));
+    let silent_from = Instant::now();
+    eventually("the other region takes the job over", || has_logged("remote", "job-taken"));
+    assert!(silent_from.elapsed() >= Duration::from_millis(1_500), "{:?}", silent_from.elapsed());
+    eventually("a write of the first driver fails", || platform.store.conflicts("job1") > 0);
+    eventually("the first driver leaves the job", || has_logged("driver", "job-left"));
+    platform.engine.event_interval_ms.store(5, Ordering::SeqCst);
+    platform.store.silence_watches(None);
+    let results = read_results(&near[0], "job1", ITEMS);
+    let ids: BTreeSet<&str> = results.iter().map(|result| result["id"].as_str().unwrap()).collect();
+    assert_eq!(ids.len(), ITEMS, "each item ends once");
+    assert!(results.iter().all(|result| result["state"] == "completed"));
+    assert!(!has_logged("near1", "job-taken") && !has_logged("near2", "job-taken"));
+    ["driver", "near1", "near2", "remote"].iter().for_each(|name| std::fs::remove_file(log(name)).unwrap());
+}
--- a/crates/trestlerackd/tests/entry/support/store.rs
+++ b/crates/trestlerackd/tests/entry/support/store.rs
@@ -55,23 +55,35 @@
 #[derive(Clone)]
 pub struct StandinStore {
     state: Arc<(Mutex<StoreState>, Condvar)>,
+    started: Instant,
     pub address: SocketAddr,
 }
 
 impl StandinStore {
     pub fn start() -> Self {
-        let state: Arc<(Mutex<StoreState>, Condvar)> = Arc::default();
-        let started = Instant::now();
-        let handler_state = state.clone();
-        let address = serve(move |request, stream| {
-            if let Some((call, name)) = object_call(&request) {
-                let (status, content) = handle_object(&mut handler_state.0.lock().unwrap(), call, name, &request);
-                return reply_bytes(stream, status, &[], &content);
+        let (state, started) = (Arc::default(), Instant::now());
+        let address = serve_state(&state, started, |_| {});
+        Self { state, started, address }
+    }
+
+    /// Serves the same rows at a further address, where they contain `to` instead of the text `from`. A node that uses
+    /// it connects to `to` where the others connect to `from`. The texts have the same length, so that the encoding of
+    /// a row stays valid.
+    pub fn serve_replaced(&self, from: &str, to: &str) -> SocketAddr {
+        assert_eq!(from.len(), to.len());
+        let (from, to) = (from.as_bytes().to_owned(), to.as_bytes().to_owned());
+        serve_state(&self.state, self.started, move |body| {
+            for row in body.get_mut("rows").and_then(Value::as_array_mut).into_iter().flatten() {
+                let Some(value) = row["value"].as_str() else { continue };
+                let mut content = BASE64_STANDARD.decode(value).unwrap();
+                for start in 0..content.len().saturating_sub(from.len() - 1) {
+                    if content[start..].starts_with(&from) {
+                        content[start..start + to.len()].copy_from_slice(&to);
+                    }
+                }
+                row["value"] = json!(BASE64_STANDARD.encode(content));
             }
-            let (status, body) = handle(&handler_state, started, &request);
-            status != 0 && reply(stream, status, &[], &body.to_string())
-        });
-        Self { state, address }
+        })
     }
 
     /// Removes rows of a partition whose keys are less than `to`, as the first transactions of a removal do.
@@ -215,6 +227,24 @@
     }
 }
 
+/// Serves a store at a new address. `edit` changes each reply to a call about rows.
+fn serve_state(
+    state: &Arc<(Mutex<StoreState>, Condvar)>,
+    started: Instant,
+    edit: impl Fn(&mut Value) + Send + Sync + 'static,
+) -> SocketAddr {
+    let state = state.clone();
+    serve(move |request, stream| {
+        if let Some((call, name)) = object_call(&request) {
+            let (status, content) = handle_object(&mut state.0.lock().unwrap(), call, name, &request);
+            return reply_bytes(stream, status, &[], &content);
+        }
+        let (status, mut body) = handle(&state, started, &request);
+        edit(&mut body);
+        status != 0 && reply(stream, status, &[], &body.to_string())
+    })
+}
+
 fn write(state: &mut StoreState, key: RowKey, value: Option<String>) {
     let version = state.version;
     match &value {
