Check the limit of cold servers in the soak

Cause: the limit of requests to cold servers was tested with one fault at a time over sockets, and with several only in the library. Change: a further service has cold_start_s 3 and cold_per_s 4. Its servers restart as new instances in a series of their own and publish cold_left_ms. In no second may a cold one run more than 8 requests (cold_over 1.5, cold_slack 2); requests answered 421 do not count. A violation lists time and sending node of each request. The driver allotment of a server moves to a third node within a second when jobs are shorter than that; the budget covers two drivers.

--- a/crates/trestlerackd/tests/entry/soak/placement.rs
+++ b/crates/trestlerackd/tests/entry/soak/placement.rs
@@ -1,4 +1,4 @@
-//! Placement limits in the soak: a restricted route and an evacuated zone; see
+//! Placement limits in the soak: a restricted route, a service with cold servers, and an evacuated zone; see
 //! [docs/design/placement-limits.md](../../../../../docs/design/placement-limits.md).
 
 use super::super::support::*;
@@ -25,6 +25,26 @@
 /// Servers of the restricted route reject every this many requests as not run, so that nodes retry them elsewhere.
 const REJECTED_EVERY: usize = 5;
 
+/// Time for which a server of the cold service is cold after a restart.
+const COLD_START: Duration = Duration::from_secs(3);
+
+/// Requests per second that a cold server tolerates, and the settings of the nodes.
+const COLD_PER_S: f64 = 4.0;
+const COLD_OVER: f64 = 1.5;
+const COLD_SLACK: f64 = 2.0;
+
+/// Maximum number of requests that a cold server may get in any second.
+const COLD_BOUND: usize = (COLD_PER_S * COLD_OVER + COLD_SLACK) as usize;
+
+/// Text of the violations of that bound.
+const COLD_VIOLATION: &str = "cold server";
+
+/// Interval at which servers write their entries, the default of `server_heartbeat_ms`.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// Pause between two restarts of cold servers, in milliseconds.
+const RESTART_PAUSE_MS: std::ops::Range<u64> = 300..1_500;
+
 /// Time after the acknowledgement of an evacuation after which nothing may arrive in its zone.
 const EVACUATION_BOUND: Duration = Duration::from_secs(5);
 
@@ -36,6 +56,14 @@
 /// Resolution at which the contact of a node with the store and its peers is computed.
 const CONTACT_STEP: Duration = Duration::from_millis(20);
 
+/// A start of a cold server.
+struct ColdStart {
+    instance: String,
+    from: Instant,
+    /// Time and sender of each request that it did not answer with 421.
+    runs: Vec<(Instant, Option<usize>)>,
+}
+
 struct Evacuation {
     zone: &'static str,
     acknowledged: Instant,
@@ -43,10 +71,13 @@
     removed: Instant,
 }
 
-/// The servers of the restricted route, one per zone, and what they recorded.
+/// The servers of the restricted route and of the cold service, one of each per zone, and what they recorded.
 pub struct PlacementServers {
     store: StandinStore,
     arrivals: Mutex<Vec<Arrival>>,
+    /// Starts of the cold server of each zone; the last one is current.
+    cold_starts: [Mutex<Vec<ColdStart>>; ZONES.len()],
+    cold_addresses: Mutex<Vec<String>>,
     regional_count: AtomicUsize,
     evacuations: Mutex<Vec<Evacuation>>,
 }
@@ -54,7 +85,7 @@
 /// Returns the settings that a node has in addition.
 pub fn node_settings(node: usize) -> Value {
     let zones = ZONES.map(|(zone, region)| json!({ "name": zone, "region": region }));
-    json!({ "zone": ZONES[NODE_ZONES[node]].0, "zones": zones })
+    json!({ "zone": ZONES[NODE_ZONES[node]].0, "zones": zones, "cold_over": COLD_OVER, "cold_slack": COLD_SLACK })
 }
 
 fn zone_of(server: &str) -> Option<&'static str> {
@@ -77,15 +108,25 @@
     pub fn start(platform: &Platform) -> Arc<Self> {
         platform.reconfigure(2, |config| {
             let routes = config["routes"].as_array_mut().unwrap();
-            let mut route = routes[0].clone();
-            (route["name"], route["service"]) = (json!("regional"), json!("regional"));
-            (route["prefix"], route["allowed_regions"]) = (json!("/regional/"), json!([ALLOWED_REGION]));
-            routes.push(route);
-            config["services"].as_array_mut().unwrap().push(json!({ "name": "regional", "max_conns": 100 }));
+            for name in ["regional", "cold"] {
+                let mut route = routes[0].clone();
+                (route["name"], route["service"]) = (json!(name), json!(name));
+                route["prefix"] = json!(format!("/{name}/"));
+                if name == "regional" {
+                    route["allowed_regions"] = json!([ALLOWED_REGION]);
+                }
+                routes.push(route);
+            }
+            let services = config["services"].as_array_mut().unwrap();
+            services.push(json!({ "name": "regional", "max_conns": 100 }));
+            services.push(json!({ "name": "cold", "max_conns": 100, "cold_start_s": COLD_START.as_secs_f64(),
+                "cold_per_s": COLD_PER_S }));
         });
         let servers = Arc::new(Self {
             store: platform.store.clone(),
             arrivals: Mutex::default(),
+            cold_starts: Default::default(),
+            cold_addresses: Mutex::default(),
             regional_count: AtomicUsize::new(0),
             evacuations: Mutex::default(),
         });
@@ -93,7 +134,11 @@
             ["plain", "engine"].iter().for_each(|kind| platform.set_zone(&format!("i-{kind}-{number}"), zone));
             let regional = servers.clone();
             let address = serve(move |request, stream| regional.answer_regional(&request, stream));
-            servers.put(&format!("i-regional-{number}"), "regional", &address.to_string(), number);
+            servers.put(&format!("i-regional-{number}"), "regional", &address.to_string(), number, (0, 1));
+            let cold = servers.clone();
+            let address = serve(move |request, stream| cold.answer_cold(number, &request, stream));
+            servers.cold_addresses.lock().unwrap().push(address.to_string());
+            servers.restart_cold(number);
         }
         servers
     }
@@ -104,9 +149,38 @@
         if is_rejected { reply_not_run(request, 503, stream) } else { reply_as_run(request, stream) }
     }
 
-    fn put(&self, instance: &str, service: &str, address: &str, zone: usize) {
+    fn answer_cold(&self, zone: usize, request: &ReceivedRequest, stream: &mut TcpStream) -> bool {
+        let arrival = Arrival::new(request, stream);
+        let is_current = {
+            let mut starts = self.cold_starts[zone].lock().unwrap();
+            let current = starts.last_mut().filter(|start| start.instance == arrival.server);
+            current.map(|start| start.runs.push((arrival.at, sender_of(&arrival.id)))).is_some()
+        };
+        self.arrivals.lock().unwrap().push(arrival);
+        if is_current { reply_as_run(request, stream) } else { reply_not_run(request, 421, stream) }
+    }
+
+    /// Replaces the cold server of a zone by a new instance at the same address.
+    fn restart_cold(&self, zone: usize) {
+        let mut starts = self.cold_starts[zone].lock().unwrap();
+        if let Some(last) = starts.last() {
+            self.store.remove("servers", &last.instance);
+        }
+        let (instance, from) = (format!("i-cold{}-{zone}", starts.len()), Instant::now());
+        starts.push(ColdStart { instance, from, runs: Vec::new() });
+        self.write_heartbeat(zone, starts.last().unwrap());
+    }
+
+    fn write_heartbeat(&self, zone: usize, start: &ColdStart) {
+        let age = start.from.elapsed();
+        let left = COLD_START.saturating_sub(age).as_millis() as u64;
+        let address = self.cold_addresses.lock().unwrap()[zone].clone();
+        self.put(&start.instance, "cold", &address, zone, (left, 1 + age.as_millis() as u64));
+    }
+
+    fn put(&self, instance: &str, service: &str, address: &str, zone: usize, (cold_left, heartbeat): (u64, u64)) {
         let row = json!({ "service": service, "addr": address, "zone": ZONES[zone].0, "version": "v1", "slots": 4,
-            "state": "ready", "cold_left_ms": 0, "models": [], "seq": 1 });
+            "state": "ready", "cold_left_ms": cold_left, "models": [], "seq": heartbeat });
         self.store.put("servers", instance, &row);
     }
 }
@@ -121,18 +195,37 @@
     reply(stream, status, &[("request-id", &request.headers["request-id"]), ("not-executed", "1")], "")
 }
 
-/// Sends requests of the restricted route to one node until the soak is over. Each node has its own client, because
-/// calls wait while their node is paused.
+/// Sends requests of the restricted route, and more requests of the cold service than cold servers may get, to one
+/// node until the soak is over. Each node has its own client, because calls wait while their node is paused.
 pub fn send_requests(cluster: &Arc<SoakCluster>, mut random: Pcg64Mcg, node: usize) {
     while !cluster.is_over() {
-        let id = id_at(cluster, node, "regional");
+        let kind = if random.random_range(0..4) == 0 { "regional" } else { "cold" };
+        let id = id_at(cluster, node, kind);
         let headers = [("request-id", id.as_str()), ("deadline-ms", "1000")];
-        // The response is not checked: a request may be refused while its node is disturbed.
-        let _ = call(&cluster.nodes[node].client, "POST", "/regional/x", &headers, "body");
+        // The response is not checked: a request may be refused while nodes have no allotment.
+        let _ = call(&cluster.nodes[node].client, "POST", &format!("/{kind}/x"), &headers, "body");
         std::thread::sleep(Duration::from_millis(random.random_range(1..25)));
     }
 }
 
+/// Writes the heartbeats of the cold servers until the soak is over.
+pub fn write_heartbeats(cluster: &Arc<SoakCluster>) {
+    while !cluster.is_over() {
+        std::thread::sleep(HEARTBEAT);
+        for (zone, starts) in cluster.placement.cold_starts.iter().enumerate() {
+            cluster.placement.write_heartbeat(zone, starts.lock().unwrap().last().unwrap());
+        }
+    }
+}
+
+/// Restarts cold servers until `until`.
+pub fn run_restarts(cluster: &Arc<SoakCluster>, mut random: Pcg64Mcg, until: Instant) {
+    while Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(random.random_range(RESTART_PAUSE_MS)));
+        cluster.placement.restart_cold(random.random_range(0..ZONES.len()));
+    }
+}
+
 /// Evacuates a zone and ends the evacuation.
 pub fn run_evacuation(cluster: &Arc<SoakCluster>, mut random: Pcg64Mcg) {
     std::thread::sleep(Duration::from_millis(random.random_range(EVACUATION_PAUSE_MS)));
@@ -150,6 +243,7 @@
 /// Checks what servers received against the placement limits.
 pub fn check_limits(cluster: &SoakCluster) {
     check_regions(cluster);
+    check_cold_servers(cluster);
     cluster.placement.evacuations.lock().unwrap().iter().for_each(|evacuation| check_evacuation(cluster, evacuation));
 }
 
@@ -170,6 +264,42 @@
     }
 }
 
+/// Returns whether a violation is that a cold server got too many requests.
+pub fn is_cold_violation(violation: &str) -> bool {
+    violation.contains(COLD_VIOLATION)
+}
+
+fn check_cold_servers(cluster: &SoakCluster) {
+    let mut total = 0;
+    for starts in &cluster.placement.cold_starts {
+        for start in starts.lock().unwrap().iter() {
+            let mut runs = start.runs.clone();
+            runs.retain(|(at, _)| *at < start.from + COLD_START);
+            // Connections are served by different threads, which may record their requests in another order.
+            runs.sort_unstable();
+            total += runs.len();
+            let count = |first: usize| {
+                let until = runs[first].0 + Duration::from_secs(1);
+                runs[first..].iter().take_while(|(at, _)| *at < until).count()
+            };
+            // The window is the latest of the fullest ones.
+            let Some((peak, first)) = (0..runs.len()).map(|first| (count(first), first)).max() else { continue };
+            if peak > COLD_BOUND {
+                let age_ms = |at: &Instant| (*at - start.from).as_millis();
+                let sends: Vec<_> = runs[first..first + peak].iter().map(|(at, node)| (age_ms(at), node)).collect();
+                let instance = &start.instance;
+                cluster.violation(format!(
+                    "{COLD_VIOLATION} {instance} got {peak} requests in a second, at these ms after its start from \
+                     these nodes: {sends:?}"
+                ));
+            }
+        }
+    }
+    if total == 0 {
+        cluster.violation("no request reached a server while it was cold".to_owned());
+    }
+}
+
 fn check_evacuation(cluster: &SoakCluster, evacuation: &Evacuation) {
     let Evacuation { zone, acknowledged, removed } = *evacuation;
     let (placement, platform) = (&cluster.placement, &cluster.platform);
