Keep drivers that follow each other within the limit of a cold engine

Jobs of less than a second moved the driver allotment of a server to a third node within a second; the budget covers two. Besides, each of several drivers of a model could send T requests per second to a warm engine, which may become cold without a restart.

The drivers of a model share T for a warm engine.

Measured: without the wait, the new test of an allotment that moves twice and the property test, whose drivers now change twice in a row, fail; both pass with it.

--- a/crates/trestlerack/src/process/cold_start/decisions.rs
+++ b/crates/trestlerack/src/process/cold_start/decisions.rs
@@ -3,6 +3,7 @@
 use super::allotment::MAX_ORDERS;
 use super::engine_state::{EngineState, HeldAllotments};
 use super::engine_table::EngineRef;
+use super::job_drivers::JobDrivers;
 use super::limiter::{AssignedModels, ColdLimiter, ServiceLimit};
 use super::send_window::SEND_SPAN;
 use super::status::{ColdStatus, EngineWarmth};
@@ -157,18 +158,20 @@
         engine: Option<&EngineState>,
         models: &AssignedModels,
     ) -> Option<u32> {
+        let held = || match engine {
+            Some(engine) => self.cached_allotments(service, instance, engine, models),
+            None => self.held_allotments(service, instance, models),
+        };
         if self.is_known_warm(now, engine) {
-            return service.warm;
+            // It may have become cold without a restart, and nodes learn that only from its next entry.
+            return service.warm.map(|total| (total / held().driver_count.max(1)).max(1));
         }
         let running_for = now.since(self.started_at);
         if running_for <= SEND_SPAN {
             // The sends of an earlier process on this node may count still.
             return Some(0);
         }
-        let held = match engine {
-            Some(engine) => self.cached_allotments(service, instance, engine, models),
-            None => self.held_allotments(service, instance, models),
-        };
+        let held = held();
         let of_driver = if held.has_driver { service.budget.driver } else { 0 };
         // The first nodes that a process knows may be few.
         let knows_nodes = running_for >= self.settings.max_age();
@@ -195,9 +198,13 @@
     fn held_allotments(&self, service: &ServiceLimit, instance: &str, models: &AssignedModels) -> HeldAllotments {
         let own = &self.settings.node;
         let model = models.get(instance).filter(|_| service.warm.is_some());
-        let has_driver = self.drivers.of_engine(instance, model) == Some(own);
+        let is_driver = self.drivers.of_engine(instance, model) == Some(own);
+        let is_other =
+            |(_, former): &(_, JobDrivers)| former.of_engine(instance, model).is_some_and(|node| node != own);
+        let has_driver = is_driver && !self.former_drivers.iter().any(is_other);
         let rank = || rank_among(hash_parts(&[instance]), own, self.nodes.iter().map(|node| &**node));
         let nodes = service.budget.nodes as usize;
-        HeldAllotments { has_driver, has_node: nodes > 0 && self.nodes.contains(own) && rank() < nodes }
+        let has_node = nodes > 0 && self.nodes.contains(own) && rank() < nodes;
+        HeldAllotments { has_driver, has_node, driver_count: self.drivers.count(model) }
     }
 }
--- a/crates/trestlerack/src/process/cold_start/engine_state.rs
+++ b/crates/trestlerack/src/process/cold_start/engine_state.rs
@@ -11,6 +11,8 @@
 pub(super) struct HeldAllotments {
     pub(super) has_driver: bool,
     pub(super) has_node: bool,
+    /// Number of drivers that share what a warm engine may get.
+    pub(super) driver_count: u32,
 }
 
 /// State of one engine, as known to this node.
--- a/crates/trestlerack/src/process/cold_start/job_drivers.rs
+++ b/crates/trestlerack/src/process/cold_start/job_drivers.rs
@@ -24,12 +24,21 @@
     /// Returns the driver that has the driver allotment of an engine; `None` if there is no driver. An engine
     /// without a model belongs to all jobs.
     pub fn of_engine(&self, engine: &str, model: Option<&Name>) -> Option<&Name> {
+        let key = hash_parts(&[engine]);
+        self.of_model(model).max_by_key(|driver| rendezvous_weight(key, driver))
+    }
+
+    /// Returns the number of drivers that may send to the engines of a model.
+    pub fn count(&self, model: Option<&Name>) -> u32 {
+        let drivers: BTreeSet<&Name> = self.of_model(model).collect();
+        u32::try_from(drivers.len()).unwrap_or(u32::MAX)
+    }
+
+    fn of_model(&self, model: Option<&Name>) -> impl Iterator<Item = &Name> {
         let of_model = match model {
             Some(model) => self.by_model.get(model).into_iter().collect::<Vec<_>>(),
             None => self.by_model.values().collect(),
         };
-        let key = hash_parts(&[engine]);
-        let drivers = of_model.into_iter().flatten().chain(&self.of_any_model);
-        drivers.max_by_key(|driver| rendezvous_weight(key, driver))
+        of_model.into_iter().flatten().chain(&self.of_any_model)
     }
 }
--- a/crates/trestlerack/src/process/cold_start/limiter.rs
+++ b/crates/trestlerack/src/process/cold_start/limiter.rs
@@ -3,11 +3,12 @@
 use super::JobDrivers;
 use super::allotment::{ColdBudget, ServiceUse};
 use super::engine_table::EngineTable;
+use super::send_window::SEND_SPAN;
 use super::status::{ColdChange, EngineWarmth};
 use crate::process::ServerEntry;
 use crate::version::{RouteKind, RoutingTable};
 use crate::{Name, Timestamp};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Time that a change takes to reach a node after an engine has written it, in addition to the heartbeats: 0.9 s,
@@ -67,6 +68,8 @@
     pub(super) services: BTreeMap<Name, ServiceLimit>,
     pub(super) engines: EngineTable,
     pub(super) drivers: JobDrivers,
+    /// Earlier drivers, with the time at which each set was replaced. They are kept while what they sent counts.
+    pub(super) former_drivers: VecDeque<(Timestamp, JobDrivers)>,
     pub(super) nodes: BTreeSet<Name>,
     /// Number of changes of the input of allotments.
     pub(super) revision: u64,
@@ -119,10 +122,17 @@
         }
     }
 
-    /// Replaces the drivers of open jobs.
-    pub fn set_drivers(&mut self, drivers: JobDrivers) {
+    /// Replaces the drivers of open jobs. A node gets the driver allotment of an engine only once the requests of a
+    /// driver before it no longer count, because jobs of less than a second can move an allotment to three nodes within
+    /// a second, and the budget covers two.
+    pub fn set_drivers(&mut self, now: Timestamp, drivers: JobDrivers) {
         if self.drivers != drivers {
-            self.drivers = drivers;
+            let former = std::mem::replace(&mut self.drivers, drivers);
+            self.former_drivers.push_back((now, former));
+            self.revision += 1;
+        }
+        while self.former_drivers.front().is_some_and(|(replaced_at, _)| now.since(*replaced_at) > SEND_SPAN) {
+            self.former_drivers.pop_front();
             self.revision += 1;
         }
     }
--- a/crates/trestlerack/tests/cold_engines.rs
+++ b/crates/trestlerack/tests/cold_engines.rs
@@ -53,7 +53,7 @@
 #[test]
 fn a_cold_engine_never_gets_more_than_the_bound_in_a_second() {
     let requests = AtomicUsize::new(0);
-    check!().with_type::<(u64, bool)>().with_iterations(160).for_each(|(seed, has_calls)| {
+    check!().with_type::<(u64, bool)>().with_iterations(200).for_each(|(seed, has_calls)| {
         let kind = if *has_calls { RouteKind::Safe } else { RouteKind::Batch };
         let fleet = SimulatedFleet { seed: *seed, kind, settings: ColdSettings::default() };
         check_fleet(&fleet, &requests).unwrap_or_else(|error| panic!("{fleet:?}: {error}"));
@@ -84,6 +84,62 @@
     assert!(check_bound(&[request(0, 5), request(0, 1_200), request(1_001, 1_300)], 1.0).is_ok());
 }
 
+/// Guards against three drivers in a row that each send their allotment within a second, which the budget does not
+/// cover. Jobs of less than a second move the allotment that fast.
+#[test]
+fn an_allotment_that_moves_twice_within_a_second_stays_within_two_drivers() {
+    let entry = load::plain_server("i", "s", "z", 8);
+    let names = ["a", "b", "c"];
+    let node = |name: &str| {
+        let mut cold = limiter(name, &ColdSettings::default(), Timestamp(0));
+        cold.set_services(&table(CONFIG, RouteKind::Batch, false));
+        LoadBalancer::new(BalancerSettings::default()).with_cold_limiter(cold)
+    };
+    let mut nodes = names.map(node);
+    let mut sent = Vec::new();
+    for (now, driver) in [(5_000, Some("a")), (5_300, None), (5_400, Some("b")), (5_700, Some("c")), (7_000, Some("c"))]
+    {
+        let mut drivers = JobDrivers::default();
+        driver.iter().for_each(|name| drivers.add(None, (*name).into()));
+        for balancer in &mut nodes {
+            balancer.cold.set_drivers(Timestamp(now), drivers.clone());
+            let permitted = (0..20).filter(|_| balancer.try_send(Timestamp(now), &entry).is_some()).count();
+            sent.extend(std::iter::repeat_n(SentRequest { sent: now, received: now }, permitted));
+        }
+    }
+    let driver_allotment = 8;
+    check_bound(&sent, f64::from(driver_allotment)).unwrap();
+    assert_eq!(sent.len(), 2 * driver_allotment as usize, "the first driver and, after a second, the last one");
+}
+
+/// Guards against several drivers of a model that together send more than the bound to a warm engine, which becomes cold
+/// without a restart and whose nodes learn it a second later.
+#[test]
+fn the_drivers_of_a_model_share_what_a_warm_engine_may_get() {
+    let now = Timestamp(20_000);
+    let entry = load::plain_server("i", "s", "z", 32);
+    for count in 1..20 {
+        let names: Vec<String> = (0..count).map(|number| format!("n{number}")).collect();
+        let mut drivers = JobDrivers::default();
+        names.iter().for_each(|name| drivers.add(Some(&"m".into()), name.as_str().into()));
+        let sends = |name: &String| {
+            let mut cold = limiter(name, &ColdSettings::default(), Timestamp(0));
+            cold.set_services(&table(CONFIG, RouteKind::Batch, true));
+            cold.record_information(now);
+            cold.record_entry(now, &entry);
+            cold.set_drivers(now, drivers.clone());
+            let mut balancer = LoadBalancer::new(BalancerSettings::default()).with_cold_limiter(cold);
+            balancer.put(&entry);
+            balancer.assign(&entry.instance, Some(&"m".into()));
+            (0..40).filter(|_| balancer.try_send(now, &entry).is_some()).count()
+        };
+        let sent: usize = names.iter().map(sends).sum();
+        let bound = CONFIG.tolerated_per_s * 1.5 + 5.0;
+        assert!(sent as f64 <= bound.max(f64::from(count)), "{count} drivers sent {sent}");
+        assert!(sent >= 9, "{count} drivers may use more than half of 16: {sent}");
+    }
+}
+
 /// Guards against an order that is announced and then not sent: drivers would send runs to an engine that is not told
 /// to load. After a change of the lease holder, a poll and an order follow each other.
 #[test]
@@ -109,7 +165,7 @@
     cold.record_information(now);
     let mut drivers = JobDrivers::default();
     drivers.add(None, "n".into());
-    cold.set_drivers(drivers);
+    cold.set_drivers(now, drivers);
     entries.iter().for_each(|entry| cold.record_entry(now, entry));
     let mut balancer = LoadBalancer::new(BalancerSettings::default()).with_cold_limiter(cold);
     entries.iter().for_each(|entry| balancer.put(entry));
--- a/crates/trestlerack/tests/support/cold_simulation.rs
+++ b/crates/trestlerack/tests/support/cold_simulation.rs
@@ -112,6 +112,8 @@
     driver: usize,
     /// The previous driver, and when it learns of its successor.
     former_driver: Option<(usize, u64)>,
+    /// Time at which the driver changes once more.
+    next_move: u64,
 }
 
 impl ColdSimulation {
@@ -127,8 +129,16 @@
         };
         let count = rng.random_range(8..30);
         let engines = (0..ENGINES).map(engine).collect();
-        let mut simulation =
-            Self { engines, nodes: Vec::new(), driver: 0, former_driver: None, budget, rng, fleet: fleet.clone() };
+        let mut simulation = Self {
+            engines,
+            nodes: Vec::new(),
+            driver: 0,
+            former_driver: None,
+            next_move: 0,
+            budget,
+            rng,
+            fleet: fleet.clone(),
+        };
         for number in 0..count {
             let node = simulation.start_node(format!("n-{number}").into(), 0);
             simulation.nodes.push(node);
@@ -174,7 +184,7 @@
         drivers.add(Some(&"m".into()), self.nodes[driver].name.clone());
         let cold = &mut self.nodes[node].balancer.cold;
         cold.set_nodes(view);
-        cold.set_drivers(drivers);
+        cold.set_drivers(Timestamp(now), drivers);
     }
 
     fn advance(&mut self, now: u64) {
@@ -192,6 +202,12 @@
         if now.is_multiple_of(DRIVER_CYCLE_MS) {
             self.former_driver = Some((self.driver, now + self.rng.random_range(500..STALE_DRIVER_MS)));
             self.driver = self.rng.random_range(0..self.nodes.len());
+            self.next_move = now + self.rng.random_range(100..2_000);
+        }
+        if now / TICK_MS == self.next_move / TICK_MS {
+            // A second driver whose job is short learns at once of its successor.
+            let former = std::mem::replace(&mut self.driver, self.rng.random_range(0..self.nodes.len()));
+            self.update_view(former, now);
         }
         self.inject_fault(now);
         for node in 0..self.nodes.len() {
--- a/crates/trestlerackd/src/entry/cold.rs
+++ b/crates/trestlerackd/src/entry/cold.rs
@@ -138,7 +138,7 @@
     pub fn update(&self, balancer: &Mutex<LoadBalancer>, now: Timestamp, drivers: JobDrivers, nodes: Vec<Name>) {
         let changes = {
             let cold = &mut balancer.lock().unwrap().cold;
-            cold.set_drivers(drivers);
+            cold.set_drivers(now, drivers);
             cold.set_nodes(nodes.into_iter().collect());
             cold.advance(now)
         };
--- a/crates/trestlerackd/tests/entry/soak/mod.rs
+++ b/crates/trestlerackd/tests/entry/soak/mod.rs
@@ -19,8 +19,8 @@
 use cluster::SoakCluster;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, LazyLock};
 use std::time::{Duration, Instant};
 
 /// Number of daemon processes.
@@ -118,27 +118,9 @@
     FIXED_SEEDS.into_iter().chain(regressions).chain(fresh).collect()
 }
 
-/// Runs all seeds, once for all tests of this process, and returns the violations of each seed.
-fn violations() -> &'static [(u64, Vec<String>)] {
-    static VIOLATIONS: LazyLock<Vec<(u64, Vec<String>)>> =
-        LazyLock::new(|| seeds().into_iter().map(|seed| (seed, run_seed(seed))).collect());
-    &VIOLATIONS
-}
-
-/// Requires that no seed has a violation of a kind.
-fn assert_none(is_of_kind: impl Fn(&str) -> bool) {
-    let all = violations().iter().flat_map(|(seed, all)| all.iter().map(move |violation| (seed, violation)));
-    let broken: Vec<(&u64, &String)> = all.filter(|(_, violation)| is_of_kind(violation)).collect();
-    assert!(broken.is_empty(), "broken: {broken:#?}");
-}
-
 #[test]
 fn guarantees_hold_under_faults() {
-    assert_none(|violation| !placement::is_cold_violation(violation));
-}
-
-/// Apart from the other guarantees, because `KNOWN-RED.txt` lists it.
-#[test]
-fn cold_servers_get_no_more_than_their_bound_under_faults() {
-    assert_none(placement::is_cold_violation);
+    let broken: Vec<(u64, Vec<String>)> =
+        seeds().into_iter().map(|seed| (seed, run_seed(seed))).filter(|(_, broken)| !broken.is_empty()).collect();
+    assert!(broken.is_empty(), "broken: {broken:#?}");
 }
--- a/crates/trestlerackd/tests/entry/soak/placement.rs
+++ b/crates/trestlerackd/tests/entry/soak/placement.rs
@@ -36,9 +36,6 @@
 /// Maximum number of requests that a cold server may get in any second.
 const COLD_BOUND: usize = (COLD_PER_S * COLD_OVER + COLD_SLACK) as usize;
 
-/// Text of the violations of that bound.
-const COLD_VIOLATION: &str = "cold server";
-
 /// Interval at which servers write their entries, the default of `server_heartbeat_ms`.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -264,11 +261,6 @@
     }
 }
 
-/// Returns whether a violation is that a cold server got too many requests.
-pub fn is_cold_violation(violation: &str) -> bool {
-    violation.contains(COLD_VIOLATION)
-}
-
 fn check_cold_servers(cluster: &SoakCluster) {
     let mut total = 0;
     for starts in &cluster.placement.cold_starts {
@@ -289,7 +281,7 @@
                 let sends: Vec<_> = runs[first..first + peak].iter().map(|(at, node)| (age_ms(at), node)).collect();
                 let instance = &start.instance;
                 cluster.violation(format!(
-                    "{COLD_VIOLATION} {instance} got {peak} requests in a second, at these ms after its start from \
+                    "cold server {instance} got {peak} requests in a second, at these ms after its start from \
                      these nodes: {sends:?}"
                 ));
             }
