Print times of the client and the node's scheduling in two latency tests

room::a_burst_beyond_the_slots and regions::a_region_that_is_cut_off failed on loaded machines without telling whether the node, the client or the machine was late. On a failure they now print when the client started, sent and ended a call, the node's log lines, and for how long the node's threads ran and waited for a processor. The checks and bounds are the same.

--- a/crates/trestlerackd/tests/entry/regions.rs
+++ b/crates/trestlerackd/tests/entry/regions.rs
@@ -5,6 +5,7 @@
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpListener;
+use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -12,9 +13,16 @@
 const TARGET: Duration = Duration::from_millis(150);
 
 /// Starts a daemon in a zone, and returns it with its metrics address.
-fn start_daemon(name: &str, zone: &str, platform: &Platform, seeds: &[&str]) -> (EntryDaemon, String) {
+fn start_daemon(
+    name: &str,
+    zone: &str,
+    platform: &Platform,
+    seeds: &[&str],
+    log: Option<&Path>,
+) -> (EntryDaemon, String) {
     let metrics = free_address();
     let mut settings = zone_settings(zone, platform.store.address.to_string());
+    settings.log = log.map(Path::to_owned);
     settings.seeds = seeds.iter().map(ToString::to_string).collect();
     settings.more["metrics_listen"] = json!(metrics);
     (EntryDaemon::start_with(name, &settings), metrics)
@@ -33,20 +41,20 @@
     platform.store.put("servers", instance, &row);
 }
 
-/// Makes calls from as many threads, and returns how long each took. All of them have to succeed.
-fn make_calls(daemon: &EntryDaemon, label: &str, threads: usize, calls: usize) -> Vec<Duration> {
+/// Makes calls from as many threads, and returns the id and the times of each. All of them have to succeed.
+fn make_calls(daemon: &EntryDaemon, label: &str, threads: usize, calls: usize) -> Vec<(String, CallTimes)> {
     let make_call = |id: String| {
-        let started = Instant::now();
-        let response = call(&daemon.client, "GET", "/safe/x", &[("request-id", &id)], "").unwrap();
-        assert_eq!(response.status, 200, "{id}");
-        started.elapsed()
+        let (response, times) = timed_call(&daemon.client, "GET", "/safe/x", &[("request-id", &id)], "");
+        let lines = || daemon.log_lines(&format!("request={id} "));
+        assert_eq!(response.unwrap().status, 200, "{id} after {times}:\n{}", lines());
+        (id, times)
     };
     let make_call = &make_call;
     std::thread::scope(|scope| {
         let spawn =
             |thread| scope.spawn(move || (0..calls).map(|n| make_call(format!("{label}-{thread}-{n}"))).collect());
         let workers: Vec<_> = (0..threads).map(spawn).collect();
-        workers.into_iter().flat_map(|worker| -> Vec<Duration> { worker.join().unwrap() }).collect()
+        workers.into_iter().flat_map(|worker| -> Vec<(String, CallTimes)> { worker.join().unwrap() }).collect()
     })
 }
 
@@ -68,23 +76,34 @@
     for (number, zone) in [(0, "y"), (1, "y"), (2, "x"), (3, "x")] {
         register(&platform, &format!("i-lost-{number}"), zone, &silent_address);
     }
-    let (daemon, metrics) = start_daemon("a", "z", &platform, &[]);
-    let (second, _) = start_daemon("b", "y", &platform, &[&daemon.peer]);
-    let (third, _) = start_daemon("c", "x", &platform, &[&daemon.peer]);
+    let log = std::env::temp_dir().join(format!("regions-cut-off-{}.log", std::process::id()));
+    let (daemon, metrics) = start_daemon("a", "z", &platform, &[], Some(&log));
+    let (second, _) = start_daemon("b", "y", &platform, &[&daemon.peer], None);
+    let (third, _) = start_daemon("c", "x", &platform, &[&daemon.peer], None);
     make_calls(&daemon, "before", 1, 10);
     [&second, &third].iter().for_each(|daemon| daemon.signal("-STOP"));
     platform.store.set_unavailable(true);
     // Three servers with four slots each are enough for nine calls at a time.
+    let before = daemon.scheduling();
     let took = make_calls(&daemon, "cut", 9, 40);
-    let late = took.iter().filter(|took| **took > TARGET).count();
+    let after = daemon.scheduling();
+    let late: Vec<_> = took.iter().filter(|(_, times)| times.took > TARGET).collect();
+    let lines_of = |(id, times): &&(String, CallTimes)| {
+        format!("{id} took {times}:\n{}", daemon.log_lines(&format!("request={id} ")))
+    };
     assert!(
-        late * 50 <= took.len(),
-        "{late} of {} calls were late, the slowest by {:?}",
+        late.len() * 50 <= took.len(),
+        "{} of {} calls were late; meanwhile the threads of the node ran for {:?} and waited for a processor for \
+         {:?}:\n{}",
+        late.len(),
         took.len(),
-        took.iter().max()
+        after.0.saturating_sub(before.0),
+        after.1.saturating_sub(before.1),
+        late.iter().map(lines_of).collect::<Vec<_>>().join("\n")
     );
     assert_eq!(remote_metrics(&metrics)["requests"], 0);
     [&second, &third].iter().for_each(|daemon| daemon.signal("-CONT"));
+    std::fs::remove_file(log).unwrap();
 }
 
 /// Guards against calls that are refused while another region has free slots, and against traffic that is not
@@ -99,7 +118,7 @@
     platform.plain.work_ms.store(60, Ordering::SeqCst);
     // The addresses are those of a plain server and an engine in turn.
     register(&platform, "i-plain-1", "y", &addresses[2]);
-    let (daemon, metrics) = start_daemon("a", "z", &platform, &[]);
+    let (daemon, metrics) = start_daemon("a", "z", &platform, &[], None);
     make_calls(&daemon, "few", 3, 10);
     let before = remote_metrics(&metrics);
     assert_eq!((before["requests"], before["sent_bytes"], before["received_bytes"]), (0, 0, 0));
@@ -117,8 +136,8 @@
 #[test]
 fn calls_to_nodes_of_other_regions_are_counted() {
     let platform = Platform::start_with_counts(3, 1);
-    let (first, _) = start_daemon("a", "z", &platform, &[]);
-    let (_second, metrics) = start_daemon("b", "y", &platform, &[&first.peer]);
+    let (first, _) = start_daemon("a", "z", &platform, &[], None);
+    let (_second, metrics) = start_daemon("b", "y", &platform, &[&first.peer], None);
     let page = || call(&metrics, "GET", "/metrics", &[], "").unwrap().body;
     let count = |name: &str| -> u64 {
         let prefix = format!("trestlerack_entry_peer_{name}{{location=\"other_region\"}} ");
--- a/crates/trestlerackd/tests/entry/room.rs
+++ b/crates/trestlerackd/tests/entry/room.rs
@@ -5,7 +5,7 @@
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Number of slots of each simulated server.
 const SERVER_SLOTS: usize = 4;
@@ -39,12 +39,6 @@
         text.lines().any(|line| line.contains(event) && line.contains(&format!("request={id} ")))
     }
 
-    /// Returns the log lines of a request, whose times tell a slow node from a slow client.
-    fn lines_of(&self, id: &str) -> String {
-        let text = std::fs::read_to_string(&self.log).unwrap();
-        text.lines().filter(|line| line.contains(&format!("request={id} "))).collect::<Vec<_>>().join("\n")
-    }
-
     fn count(&self, event: &str) -> usize {
         std::fs::read_to_string(&self.log).unwrap().lines().filter(|line| line.contains(event)).count()
     }
@@ -56,21 +50,21 @@
     }
 }
 
-/// Makes a call with an API key and returns the response and the latency.
-fn timed_call(client: &str, path: &str, id: &str, key: &str) -> (Option<HttpResponse>, Duration) {
-    let (bearer, started) = (format!("Bearer {key}"), Instant::now());
+/// Makes a call with an API key and returns the response and the times.
+fn call_with_key(client: &str, path: &str, id: &str, key: &str) -> (Option<HttpResponse>, CallTimes) {
+    let bearer = format!("Bearer {key}");
     let headers = [("request-id", id), ("authorization", bearer.as_str()), ("connection", "close")];
-    (call(client, "POST", path, &headers, "x"), started.elapsed())
+    timed_call(client, "POST", path, &headers, "x")
 }
 
 /// Makes concurrent calls with the given ids.
-fn burst(client: &str, path: &str, ids: &[String]) -> Vec<(String, Option<HttpResponse>, Duration)> {
+fn burst(client: &str, path: &str, ids: &[String]) -> Vec<(String, Option<HttpResponse>, CallTimes)> {
     let start = |id: String| {
         let (client, path) = (client.to_owned(), path.to_owned());
         std::thread::spawn(move || {
             let key = if id.starts_with("urgent") { URGENT_KEY } else { OTHER_KEY };
-            let (response, took) = timed_call(&client, &path, &id, key);
-            (id, response, took)
+            let (response, times) = call_with_key(&client, &path, &id, key);
+            (id, response, times)
         })
     };
     let calls: Vec<_> = ids.iter().cloned().map(start).collect();
@@ -85,7 +79,7 @@
 fn warm_up(platform: &Platform, node: &LoggedNode, work_ms: usize) {
     platform.plain.work_ms.store(work_ms, Ordering::SeqCst);
     eventually("the configuration is applied", || {
-        timed_call(&node.daemon.client, "/untimed/x", "first", "no key").0.unwrap().status == 401
+        call_with_key(&node.daemon.client, "/untimed/x", "first", "no key").0.unwrap().status == 401
     });
     for (id, response, _) in burst(&node.daemon.client, "/once/x", &ids("warm", 2 * SERVER_SLOTS)) {
         assert_eq!(response.unwrap().status, 200, "{id}");
@@ -106,7 +100,10 @@
     warm_up(&platform, &node, 40);
     platform.plain.peak_concurrent_runs.store(0, Ordering::SeqCst);
     let calls = [ids("other", 12), ids("urgent", 12)].concat();
+    let before = node.daemon.scheduling();
     let outcomes = burst(&node.daemon.client, "/safe/x", &calls);
+    let after = node.daemon.scheduling();
+    let (ran, waited) = (after.0.saturating_sub(before.0), after.1.saturating_sub(before.1));
     let max_concurrent = platform.plain.peak_concurrent_runs.load(Ordering::SeqCst);
     assert!(
         max_concurrent <= SERVER_SLOTS + SERVER_SLOTS / 2,
@@ -114,7 +111,7 @@
     );
     let runs = platform.plain.runs.lock().unwrap().clone();
     let mut refused = 0;
-    for (id, response, took) in &outcomes {
+    for (id, response, times) in &outcomes {
         let response = response.as_ref().unwrap();
         assert!(matches!(response.status, 200 | 503), "{id}: {}", response.status);
         if response.status == 503 {
@@ -122,7 +119,12 @@
             let has_reason = || ["TR2122", "TR2123"].iter().any(|event| node.has_logged(event, id));
             eventually("the reason of a refusal is logged", has_reason);
             assert!(!runs.contains(id), "{id} ran and was refused as not run");
-            assert!(*took < Duration::from_millis(150), "{id} was refused after {took:?}:\n{}", node.lines_of(id));
+            assert!(
+                times.took < Duration::from_millis(150),
+                "{id} was refused after {times}; in the burst the threads of the node ran for {ran:?} and waited for a \
+                 processor for {waited:?}; log of the node meanwhile:\n{}",
+                node.daemon.log_during(times)
+            );
         }
     }
     assert!(refused >= outcomes.len() / 4, "{refused} refused");
@@ -161,7 +163,7 @@
     (platform, node)
 }
 
-fn is_served((_, response, _): &(String, Option<HttpResponse>, Duration)) -> bool {
+fn is_served((_, response, _): &(String, Option<HttpResponse>, CallTimes)) -> bool {
     response.as_ref().is_some_and(|response| response.status == 200)
 }
 
@@ -169,7 +171,7 @@
 fn occupy_slots(
     platform: &Platform,
     node: &LoggedNode,
-) -> std::thread::JoinHandle<Vec<(String, Option<HttpResponse>, Duration)>> {
+) -> std::thread::JoinHandle<Vec<(String, Option<HttpResponse>, CallTimes)>> {
     platform.plain.work_ms.store(600, Ordering::SeqCst);
     let client = node.daemon.client.clone();
     let calls = std::thread::spawn(move || burst(&client, "/once/x", &ids("fill", SERVER_SLOTS)));
@@ -193,7 +195,7 @@
     let occupying = occupy_slots(&platform, &node);
     drop(send_waiting(&node, "gone"));
     eventually("the disconnect is logged", || node.has_logged("TR2104", "gone"));
-    let stays = timed_call(&node.daemon.client, "/untimed/x", "stays", OTHER_KEY).0.unwrap();
+    let stays = call_with_key(&node.daemon.client, "/untimed/x", "stays", OTHER_KEY).0.unwrap();
     assert_eq!(stays.status, 200, "the next call is served");
     assert!(occupying.join().unwrap().iter().all(is_served));
     assert!(!platform.plain.runs.lock().unwrap().contains(&"gone".to_owned()));
@@ -208,6 +210,6 @@
     node.daemon.signal("-KILL");
     assert!(occupying.join().unwrap().iter().all(|(_, response, _)| response.is_none()), "the connections broke");
     assert!(!platform.plain.runs.lock().unwrap().contains(&"waits".to_owned()), "the queued call did not run");
-    let returns = timed_call(&other.daemon.client, "/untimed/x", "waits", OTHER_KEY).0.unwrap();
+    let returns = call_with_key(&other.daemon.client, "/untimed/x", "waits", OTHER_KEY).0.unwrap();
     assert_eq!(returns.status, 200);
 }
--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -1,7 +1,7 @@
 //! Starts and controls the entry daemon as a process.
 
 use super::store::StandinStore;
-use super::{call, eventually};
+use super::{CallTimes, call, eventually, time_of_day};
 use serde_json::{Value, json};
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
@@ -154,6 +154,23 @@
         assert!(status.success());
     }
 
+    /// Returns the log lines that contain a text; none if the node has no log.
+    pub fn log_lines(&self, text: &str) -> String {
+        self.log_lines_where(|line| line.contains(text))
+    }
+
+    /// Returns the log lines from the start to the end of a call, which show whether the node was working meanwhile.
+    pub fn log_during(&self, times: &CallTimes) -> String {
+        let (from, to) = (time_of_day(times.started), time_of_day(times.started + times.took));
+        // A line starts with its time in the form 2026-01-31T23:59:59.123456789Z.
+        self.log_lines_where(|line| line.get(11..23).is_some_and(|time| (&*from..=&*to).contains(&time)))
+    }
+
+    fn log_lines_where(&self, is_wanted: impl Fn(&str) -> bool) -> String {
+        let log = self.log.as_ref().map(|log| std::fs::read_to_string(log).unwrap()).unwrap_or_default();
+        log.lines().filter(|line| is_wanted(line)).collect::<Vec<_>>().join("\n")
+    }
+
     /// Returns how long the process has used the processor.
     pub fn cpu_time(&self) -> Duration {
         const TICK: Duration = Duration::from_millis(10);
@@ -164,6 +181,19 @@
         fields.map(|ticks| TICK * ticks.parse::<u32>().unwrap()).sum()
     }
 
+    /// Returns how long the threads of the process, added up, have run and have waited for a processor while they could
+    /// run. The wait tells a node that is slow from a machine that has no processor for it.
+    pub fn scheduling(&self) -> (Duration, Duration) {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap().flatten();
+        let times = threads.filter_map(|thread| {
+            // A thread may have ended since.
+            let stat = std::fs::read_to_string(thread.path().join("schedstat")).ok()?;
+            let mut fields = stat.split_whitespace().map(|field| Duration::from_nanos(field.parse().unwrap()));
+            Some((fields.next()?, fields.next()?))
+        });
+        times.fold(<_>::default(), |(ran, waited), (more_ran, more_waited)| (ran + more_ran, waited + more_waited))
+    }
+
     /// Returns the current and the peak resident memory of the process, in bytes.
     pub fn resident_bytes(&self) -> (usize, usize) {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
--- a/crates/trestlerackd/tests/entry/support/mod.rs
+++ b/crates/trestlerackd/tests/entry/support/mod.rs
@@ -8,7 +8,7 @@
 mod server;
 mod store;
 
-pub use client::{HttpResponse, call, read_response, send};
+pub use client::{CallTimes, HttpResponse, call, read_response, send, time_of_day, timed_call};
 pub use crashing::{CrashingServers, FATAL};
 pub use daemon::{DaemonSettings, EntryDaemon, STOP_LIMIT, free_address};
 pub use duties::{DutyCall, DutyPlatform};
