Evacuate zones in tests of queued calls while no slot can become free

The tests waited 100 ms after the slots were taken and then evacuated. On a loaded machine the evacuation may take effect after the first slot is free (after 1 s; a row may take 0.7 s to reach the node), or a call may not be queued yet, so that the check covers another case. The calls in the slots now run for 3 s, and the test waits until four calls are queued and the evacuation has taken effect, and requires that all slots are still in use.

The check of the servers also counted the eight calls before, whose spread depends on all of them being concurrent. Only the 12 calls of the check are counted now. A call that is not served prints its times, its arrivals and the node's log lines of it.

Both tests fail if servers of evacuated zones are chosen and sent to.

--- a/crates/trestlerackd/tests/entry/evacuation.rs
+++ b/crates/trestlerackd/tests/entry/evacuation.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Time after the acknowledgement of the row after which nothing may arrive in the zone.
 const BOUND: Duration = Duration::from_secs(5);
@@ -15,6 +15,14 @@
 /// Interval between two calls of a load.
 const CALL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Outcome of a call; the status is 0 without a response.
+#[derive(Debug)]
+struct Outcome {
+    id: String,
+    status: u16,
+    times: CallTimes,
+}
+
 /// A platform whose server number `n` of each kind is in the zone with that number.
 struct ZonedPlatform {
     platform: Platform,
@@ -80,17 +88,35 @@
         arrived
     }
 
-    fn call(&self, node: &EntryDaemon, path: &str) -> u16 {
+    fn call(&self, node: &EntryDaemon, path: &str) -> Outcome {
         let id = format!("{}-{}", node.name, self.call_count.fetch_add(1, Ordering::SeqCst));
         let headers = [("request-id", id.as_str()), ("connection", "close")];
-        call(&node.client, "POST", path, &headers, "x").map_or(0, |answer| answer.status)
+        let (response, times) = timed_call(&node.client, "POST", path, &headers, "x");
+        Outcome { id, status: response.map_or(0, |response| response.status), times }
+    }
+
+    /// Makes a call and requires that it is served. A failure prints when the call arrived at servers, and the node's
+    /// log lines of it.
+    fn call_served(&self, node: &EntryDaemon, path: &str) {
+        let outcome = self.call(node, path);
+        let id = &outcome.id;
+        let arrived = || {
+            let arrivals = self.platform.plain.arrivals.lock().unwrap();
+            let of_call = arrivals.iter().filter(|arrival| arrival.id == *id);
+            let describe = |arrival: &Arrival| {
+                format!("{} at {}", arrival.server, time_of_day(SystemTime::now() - arrival.at.elapsed()))
+            };
+            of_call.map(describe).collect::<Vec<_>>()
+        };
+        let lines = || node.log_lines(&format!("request={id} "));
+        assert_eq!(outcome.status, 200, "{outcome:?}, arrived {:?}:\n{}", arrived(), lines());
     }
 
     /// Makes calls for some time and requires that all are served.
     fn serve(&self, node: &EntryDaemon, time: Duration) {
         let until = Instant::now() + time;
         while Instant::now() < until {
-            assert_eq!(self.call(node, "/once/x"), 200, "{}", node.name);
+            self.call_served(node, "/once/x");
             std::thread::sleep(CALL_INTERVAL);
         }
     }
@@ -99,7 +125,7 @@
     fn wait_used(&self, node: &EntryDaemon, zone: &str) {
         let since = Instant::now();
         eventually(&format!("{} uses zone {zone}", node.name), || {
-            self.call(node, "/once/x") == 200 && !self.arrivals(zone, since).is_empty()
+            self.call(node, "/once/x").status == 200 && !self.arrivals(zone, since).is_empty()
         });
     }
 
@@ -154,7 +180,7 @@
         let end_load = EndLoad(&is_over);
         scope.spawn(|| load(&run_job));
         scope.spawn(|| load(&stream));
-        scope.spawn(|| load(&|_| assert_eq!(zoned.call(&node, "/safe/x"), 200)));
+        scope.spawn(|| load(&|_| zoned.call_served(&node, "/safe/x")));
         scope.spawn(|| {
             load(&|number| {
                 zoned.platform.publish_version(2 + number as u64 / 50);
@@ -326,23 +352,31 @@
     std::fs::remove_file(log).unwrap();
 }
 
-/// Makes 12 concurrent calls to eight slots, evacuates zones while four calls are queued, and returns the statuses and
-/// times of the responses.
-fn evacuate_with_queue(zoned: &ZonedPlatform, node: &EntryDaemon, zones: &[&str]) -> Vec<(u16, Duration)> {
-    zoned.platform.plain.work_ms.store(1_000, Ordering::SeqCst);
-    let timed_call = || {
-        let started = Instant::now();
-        (zoned.call(node, "/once/x"), started.elapsed())
-    };
+/// Makes 12 concurrent calls to eight slots, evacuates zones while four calls are queued, and returns the outcomes and
+/// the number of calls that each server ran. The calls in the slots end only after the evacuations have taken effect:
+/// before that, a queued call may take a slot that becomes free in any zone.
+fn evacuate_with_queue(zoned: &ZonedPlatform, node: &EntryDaemon, zones: &[&str]) -> (Vec<Outcome>, [usize; 2]) {
+    let plain = &zoned.platform.plain;
+    let count = |event: &str| node.log_lines(event).lines().count();
+    plain.work_ms.store(1_000, Ordering::SeqCst);
+    let make_call = || zoned.call(node, "/once/x");
     std::thread::scope(|scope| {
         // By these calls the node learns the service time.
-        let calls: Vec<_> = (0..8).map(|_| scope.spawn(timed_call)).collect();
-        calls.into_iter().for_each(|call| assert_eq!(call.join().unwrap().0, 200));
-        let calls: Vec<_> = (0..12).map(|_| scope.spawn(timed_call)).collect();
-        eventually("the slots are taken", || zoned.platform.plain.concurrent_runs.load(Ordering::SeqCst) == 8);
-        std::thread::sleep(Duration::from_millis(100));
+        let calls: Vec<_> = (0..8).map(|_| scope.spawn(make_call)).collect();
+        calls.into_iter().for_each(|call| assert_eq!(call.join().unwrap().status, 200));
+        let runs = || [0, 1].map(|server| plain.runs_by_server.lock().unwrap().get(&server).copied().unwrap_or(0));
+        let (waited, before) = (count("TR2121"), runs());
+        plain.work_ms.store(3_000, Ordering::SeqCst);
+        let calls: Vec<_> = (0..12).map(|_| scope.spawn(make_call)).collect();
+        eventually("the slots are taken", || plain.concurrent_runs.load(Ordering::SeqCst) == 8);
+        plain.work_ms.store(1_000, Ordering::SeqCst);
+        eventually("the other calls are queued", || count("TR2121") == waited + 4);
         zones.iter().for_each(|zone| _ = zoned.evacuate(zone));
-        calls.into_iter().map(|call| call.join().unwrap()).collect()
+        eventually("the evacuations take effect", || count("TR2621") == zones.len());
+        assert_eq!(plain.concurrent_runs.load(Ordering::SeqCst), 8, "no slot is free yet:\n{}", node.log_lines(""));
+        let outcomes = calls.into_iter().map(|call| call.join().unwrap()).collect();
+        let after = runs();
+        (outcomes, [after[0] - before[0], after[1] - before[1]])
     })
 }
 
@@ -352,12 +386,14 @@
     let zoned = ZonedPlatform::start(&["a", "b"]);
     zoned.queue_calls();
     let (node, log, _) = zoned.node("refused");
-    let outcomes = evacuate_with_queue(&zoned, &node, &["a", "b"]);
-    let refused: Vec<_> = outcomes.iter().filter(|(status, _)| *status == 503).collect();
-    assert_eq!((refused.len(), outcomes.iter().filter(|(status, _)| *status == 200).count()), (4, 8), "{outcomes:?}");
+    let (outcomes, _) = evacuate_with_queue(&zoned, &node, &["a", "b"]);
+    let refused: Vec<_> = outcomes.iter().filter(|outcome| outcome.status == 503).collect();
+    let served = outcomes.iter().filter(|outcome| outcome.status == 200).count();
+    assert_eq!((refused.len(), served), (4, 8), "{outcomes:?}\n{}", node.log_lines(""));
     assert!(
-        refused.iter().all(|(_, took)| *took < Duration::from_millis(1_400)),
-        "before a slot is free: {outcomes:?}"
+        refused.iter().all(|outcome| outcome.times.took < Duration::from_millis(1_400)),
+        "before a slot is free: {outcomes:?}\n{}",
+        node.log_lines("")
     );
     std::fs::remove_file(log).unwrap();
 }
@@ -368,10 +404,9 @@
     let zoned = ZonedPlatform::start(&["a", "b"]);
     zoned.queue_calls();
     let (node, log, _) = zoned.node("queued");
-    let outcomes = evacuate_with_queue(&zoned, &node, &["a"]);
-    assert!(outcomes.iter().all(|(status, _)| *status == 200), "{outcomes:?}");
-    let arrived = |number| zoned.platform.plain.runs_by_server.lock().unwrap()[&number];
-    assert_eq!((arrived(0), arrived(1)), (4 + 4, 4 + 8), "with the calls before");
+    let (outcomes, runs) = evacuate_with_queue(&zoned, &node, &["a"]);
+    assert!(outcomes.iter().all(|outcome| outcome.status == 200), "{outcomes:?}\n{}", node.log_lines(""));
+    assert_eq!(runs, [4, 4 + 4], "{}", node.log_lines(""));
     std::fs::remove_file(log).unwrap();
 }
 
