Test evacuations with a node that does poll a follower

nodes_that_poll_a_follower_learn_of_an_evacuation had two faults in its set-up.

Each node's thread evacuated the zone as soon as any call had arrived there. If that took effect before the call of another node arrived, that node's thread waited 20 s in vain for a call to the zone. The zone is now evacuated once, after calls of every node have arrived in it; all nodes serve until after the same bound.

No node polled a follower: of the three nodes two were followers, and the third held the lease, so it followed the store too. The test passed with nodes that ignore the evacuations of a follower. There are four nodes now, and the test waits until one polls, before the evacuation and before its end.

The test fails if a node that polls ignores the lists and rows of evacuations from its follower (the test of three nodes passed), if a full read ends no evacuation, and if servers of evacuated zones are chosen and sent to.

--- a/crates/trestlerackd/tests/entry/evacuation.rs
+++ b/crates/trestlerackd/tests/entry/evacuation.rs
@@ -2,6 +2,7 @@
 
 use super::support::*;
 use serde_json::{Value, json};
+use std::cell::RefCell;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime};
@@ -123,17 +124,28 @@
 
     /// Requires that calls to a node reach a zone soon.
     fn wait_used(&self, node: &EntryDaemon, zone: &str) {
-        let since = Instant::now();
-        eventually(&format!("{} uses zone {zone}", node.name), || {
-            self.call(node, "/once/x").status == 200 && !self.arrivals(zone, since).is_empty()
-        });
+        let number = self.zones.iter().position(|other| *other == zone).unwrap();
+        let server = format!("i-plain-{number}");
+        let has_arrived = |id: &str| {
+            let arrivals = self.platform.plain.arrivals.lock().unwrap();
+            arrivals.iter().any(|arrival| arrival.server == server && arrival.id == id)
+        };
+        let last = RefCell::default();
+        let is_used = || {
+            last.replace(Some(self.call(node, "/once/x")));
+            last.borrow().as_ref().is_some_and(|outcome: &Outcome| outcome.status == 200 && has_arrived(&outcome.id))
+        };
+        let detail = || format!("{:?}:\n{}", last.borrow(), node.log_lines(" [INFO] event=TR26"));
+        eventually_with_detail(&format!("{} uses zone {zone}", node.name), is_used, detail);
     }
 
-    /// Evacuates a zone that a node uses, and requires that calls to the node no longer reach it after the bound.
-    fn check_stop(&self, node: &EntryDaemon, zone: &str) {
-        self.wait_used(node, zone);
+    /// Evacuates a zone that all the nodes use, and requires that calls to them no longer reach it after the bound.
+    fn check_stop(&self, nodes: &[&EntryDaemon], zone: &str) {
+        nodes.iter().for_each(|node| self.wait_used(node, zone));
         let acknowledged = self.evacuate(zone);
-        self.serve(node, BOUND + LOAD_AFTER_BOUND);
+        std::thread::scope(|scope| {
+            nodes.iter().for_each(|node| _ = scope.spawn(|| self.serve(node, BOUND + LOAD_AFTER_BOUND)));
+        });
         assert_eq!(self.arrivals(zone, acknowledged + BOUND), []);
     }
 }
@@ -214,28 +226,39 @@
     let (store, seeds) = (rate_limiting_store().to_string(), vec![peer.peer.clone()]);
     let more = json!({ "zone": "a" });
     let node = EntryDaemon::start_with("b", &DaemonSettings { store, seeds, more, ..DaemonSettings::default() });
-    zoned.check_stop(&node, "a");
+    zoned.check_stop(&[&node], "a");
 }
 
-/// Guards against nodes that poll a follower and miss an evacuation, or its end where only a full read shows it.
+/// Guards against nodes that poll a follower and miss an evacuation, or its end where only a full read shows it. Two
+/// nodes are followers, and the holder of the lease follows the store too, so four nodes are needed for one that polls.
 #[test]
 fn nodes_that_poll_a_follower_learn_of_an_evacuation_and_of_an_end_without_history() {
     let zoned = ZonedPlatform::start(&["a", "b"]);
     let mut nodes: Vec<EntryDaemon> = Vec::new();
-    for name in ["a", "b", "c"] {
+    let log =
+        |name: &str| std::env::temp_dir().join(format!("entry-evacuation-follow-{name}-{}.log", std::process::id()));
+    for name in ["a", "b", "c", "d"] {
         let settings = DaemonSettings {
             store: zoned.platform.store.address.to_string(),
+            log: Some(log(name)),
             seeds: nodes.iter().map(|node| node.peer.clone()).collect(),
             more: json!({ "followers": 1, "zone": "a" }),
             ..DaemonSettings::default()
         };
         nodes.push(EntryDaemon::start_with(name, &settings));
     }
-    std::thread::scope(|scope| nodes.iter().for_each(|node| _ = scope.spawn(|| zoned.check_stop(node, "a"))));
+    let polls = |node: &EntryDaemon| {
+        node.log_lines(" event=TR2011 ").lines().last().is_some_and(|line| line.contains(" source=follower "))
+    };
+    let wait_polls = || eventually("a node polls a follower", || nodes.iter().any(polls));
+    wait_polls();
+    zoned.check_stop(&nodes.iter().collect::<Vec<_>>(), "a");
+    wait_polls();
     zoned.platform.store.remove_without_history("op", "evacuate/a");
     let ended = Instant::now();
     nodes.iter().for_each(|node| zoned.wait_used(node, "a"));
     assert!(ended.elapsed() < BOUND, "{:?}", ended.elapsed());
+    nodes.iter().for_each(|node| std::fs::remove_file(log(&node.name)).unwrap());
 }
 
 /// Guards against requests and orders of a node that has read a configuration or the servers before the evacuation.
@@ -258,7 +281,7 @@
     let zoned = ZonedPlatform::start(&["a", "b", "c"]);
     let (node, log, metrics) = zoned.node("two");
     let acknowledged = zoned.evacuate("c");
-    zoned.check_stop(&node, "a");
+    zoned.check_stop(&[&node], "a");
     zoned.end_evacuation("a");
     zoned.wait_used(&node, "a");
     assert_eq!(zoned.arrivals("c", acknowledged + BOUND), []);
