Keep waiting jobs and cold limits out of the import circle round EntryNode

Cause: with re-exports counted, placement, its status and waiting_jobs, and score_servers had joined the files of entry/ that import each other in a circle, since waiting_jobs used job_takeover and the peer client. cold had joined it earlier through resource_limits.

Change: the pure functions of a job's placement stand in placement/job_placement.rs, report_waiting_jobs takes a function that probes an owner, and IntervalLimiter stands in process/.

No behaviour changes.

--- a/crates/trestlerackd/src/entry/cold.rs
+++ b/crates/trestlerackd/src/entry/cold.rs
@@ -1,7 +1,7 @@
 //! Carries out the limit of requests to engines that are or may be cold; see
 //! [docs/design/cold-engines.md](../../../../docs/design/cold-engines.md).
 
-use super::resource_limits::IntervalLimiter;
+use crate::process::interval_limiter::IntervalLimiter;
 use crate::process::{clock, logs};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -3,7 +3,7 @@
 use super::client_requests::{ClientRequest, ReplyBody, empty_reply, full_body};
 use super::job_calls::{CLIENT_WRITE_RETRY_DELAY, CLIENT_WRITE_TIMEOUT, spec_object};
 use super::node::EntryNode;
-use super::{job_driver, job_takeover, tables};
+use super::{job_driver, job_takeover, placement, tables};
 use crate::process::logs;
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -216,7 +216,7 @@
 
 fn new_record(node: &Arc<EntryNode>, spec: &JobSpec, spec_rows: usize, customer: Option<&Name>) -> JobRecord {
     let routing = node.routing();
-    let placement = job_takeover::record_placement(routing.as_deref(), &spec.host, &spec.path, customer);
+    let placement = placement::record_placement(routing.as_deref(), &spec.host, &spec.path, customer);
     let (owner, row) = choose_owner(node, spec, &placement);
     JobRecord {
         owner,
--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -5,7 +5,7 @@
 
 use super::job_driver;
 use super::node::{EntryNode, JobView};
-use super::{job_calls, job_texts, tables};
+use super::{job_calls, job_texts, placement, tables};
 use crate::process::clock;
 use crate::process::logs;
 use std::collections::HashMap;
@@ -15,7 +15,6 @@
 use trestlerack::process::{TakeoverRule, node_partition, successor_rank};
 use trestlerack::request::JobRecord;
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
-use trestlerack::version::{Placement, RoutingTable};
 use trestlerack::{Name, Timestamp, event};
 
 /// Interval between two checks of all open jobs.
@@ -149,28 +148,16 @@
     unregister_node(&node, &record.owner).await;
 }
 
-/// Returns where the requests of a job may be served. A job without a route is only waiting to be given up, which any
-/// node may do.
-pub fn record_placement(routing: Option<&RoutingTable>, host: &str, path: &str, customer: Option<&Name>) -> Placement {
-    let route = routing.and_then(|routing| Some((routing, routing.select(host, path)?)));
-    route.map_or(Placement::Anywhere, |(routing, route)| routing.placement(route, customer.map(|name| &**name)))
-}
-
 /// Runs `decide` with the rule that says which nodes may take a job over.
 fn with_takeover_rule<T>(node: &EntryNode, record: &JobRecord, decide: impl FnOnce(&TakeoverRule<'_>) -> T) -> T {
     let routing = node.routing();
-    let placement = record_placement(routing.as_deref(), &record.host, &record.path, record.customer.as_ref());
-    let previous_zone = previous_zone(record, |owner| node.peers.get(owner).map(|row| row.zone));
+    let placement =
+        placement::record_placement(routing.as_deref(), &record.host, &record.path, record.customer.as_ref());
+    let previous_zone = placement::previous_zone(record, |owner| node.peers.get(owner).map(|row| row.zone));
     let previous_zone = previous_zone.as_deref();
     decide(&TakeoverRule { placement: &placement, zones: &node.regions.zones, previous_zone })
 }
 
-/// Returns the zone of a job's owner, or of the last one while it has none. The registered zone of an owner, which a
-/// planned stop removes, counts only for records that do not name the zone.
-pub fn previous_zone(record: &JobRecord, registered_zone: impl FnOnce(&Name) -> Option<Name>) -> Option<Name> {
-    if record.owner_zone.is_empty() { registered_zone(&record.owner) } else { Some(record.owner_zone.clone()) }
-}
-
 /// Returns whether this node may take a job over.
 fn may_take_over(node: &EntryNode, record: &JobRecord) -> bool {
     with_takeover_rule(node, record, |rule| rule.permits(&node.settings.zone))
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -76,9 +76,9 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use trestlerack::event;
 use trestlerack::process::{EntrySettings, failure_backoff, node_partition};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
+use trestlerack::{Name, event};
 use trestlerack_platform as platform;
 
 /// Interval between two searches for idle connections to close.
@@ -142,7 +142,11 @@
             })
             .collect()
         };
-        placement::report_waiting_jobs(&waiting_jobs, &peers, reserved_jobs).await;
+        let probe_owner = |address: Name, job: Name| {
+            let peers = peers.clone();
+            async move { peers.is_driving(&address, &job).await }
+        };
+        placement::report_waiting_jobs(&waiting_jobs, probe_owner, reserved_jobs).await;
     });
     tokio::spawn(order_lease::run(node.clone()));
     duties::start(&node);
--- a/crates/trestlerackd/src/entry/placement/mod.rs
+++ b/crates/trestlerackd/src/entry/placement/mod.rs
@@ -4,10 +4,12 @@
 //! [docs/design/allowed-regions.md](../../../../../docs/design/allowed-regions.md). A request carries it, so that it
 //! can be repeated when the request is sent.
 
+mod job_placement;
 mod metrics;
 mod status;
 mod waiting_jobs;
 
+pub use job_placement::{previous_zone, record_placement};
 pub use metrics::PlacementMetrics;
 pub use status::status;
 pub use waiting_jobs::{TakeoverView, WaitingJobs, report_waiting_jobs};
--- a/crates/trestlerackd/src/entry/placement/waiting_jobs.rs
+++ b/crates/trestlerackd/src/entry/placement/waiting_jobs.rs
@@ -2,8 +2,7 @@
 //!
 //! A job waits rather than be driven where its data may not be, so an operator has to know of it.
 
-use super::super::job_takeover;
-use super::super::peers::PeerClient;
+use super::job_placement::{previous_zone, record_placement};
 use crate::process::{clock, logs};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
@@ -63,11 +62,10 @@
     /// changed for `silent_for`.
     pub fn reserved_job(&self, job: Name, record: JobRecord, silent_for: Duration) -> Option<ReservedJob> {
         let route = self.routing.select(&record.host, &record.path)?.name.clone();
-        let placement =
-            job_takeover::record_placement(Some(self.routing), &record.host, &record.path, record.customer.as_ref());
+        let placement = record_placement(Some(self.routing), &record.host, &record.path, record.customer.as_ref());
         let registered = |owner: &Name| self.nodes.iter().find(|(name, _)| name == owner).map(|(_, zone)| zone.clone());
-        let previous_zone = job_takeover::previous_zone(&record, registered);
-        let rule = TakeoverRule { placement: &placement, zones: self.zones, previous_zone: previous_zone.as_deref() };
+        let owner_zone = previous_zone(&record, registered);
+        let rule = TakeoverRule { placement: &placement, zones: self.zones, previous_zone: owner_zone.as_deref() };
         let others = self.nodes.iter().filter(|(name, _)| *name != record.owner).map(|(_, zone)| &**zone);
         let obstacle = rule.obstacle(self.own_zone, others)?;
         // An earlier process of this node drives nothing any more.
@@ -135,11 +133,12 @@
 }
 
 /// Finds out which jobs wait and logs each once for each cause, until the process ends. `reserved_jobs` returns the
-/// jobs to check. The owners are probed here and not where jobs are taken over, since each probe of a lost owner takes
-/// until its time limit.
-pub async fn report_waiting_jobs(
+/// jobs to check. `probe_owner` asks the node with an address whether it drives a job, and returns `None` if it does not
+/// answer. The owners are probed here and not where jobs are taken over, since each probe of a lost owner takes until its
+/// time limit.
+pub async fn report_waiting_jobs<F: Future<Output = Option<bool>>>(
     waiting: &WaitingJobs,
-    peers: &PeerClient,
+    probe_owner: impl Fn(Name, Name) -> F,
     reserved_jobs: impl Fn() -> Vec<ReservedJob>,
 ) {
     loop {
@@ -150,7 +149,7 @@
             let is_driven = match &candidate.owner_address {
                 _ if !candidate.is_silent() => Some(true),
                 None => Some(false),
-                Some(address) => peers.is_driving(address, &candidate.job).await,
+                Some(address) => probe_owner(address.clone(), candidate.job.clone()).await,
             };
             if waiting.record(candidate, is_driven) {
                 let why = candidate.obstacle.as_str();
--- a/crates/trestlerackd/src/entry/resource_limits/mod.rs
+++ b/crates/trestlerackd/src/entry/resource_limits/mod.rs
@@ -5,7 +5,6 @@
 
 mod body_reader;
 mod connection_table;
-mod interval_limiter;
 mod reply_body;
 mod response_reader;
 mod status;
@@ -19,9 +18,9 @@
 pub use status::{memory_status, write_metrics};
 pub use watched_stream::WatchedStream;
 
+use crate::process::interval_limiter::IntervalLimiter;
 use crate::process::logs;
 use connection_table::ConnectionTable;
-pub use interval_limiter::IntervalLimiter;
 use std::fmt::Display;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
--- a/crates/trestlerackd/src/entry/weight_orders.rs
+++ b/crates/trestlerackd/src/entry/weight_orders.rs
@@ -2,7 +2,7 @@
 
 use super::engine_calls::{self, ORDER_TIMEOUT};
 use super::node::EntryNode;
-use super::{job_takeover, table_watch, tables};
+use super::{placement, table_watch, tables};
 use crate::process::logs;
 use futures_util::future;
 use std::collections::BTreeMap;
@@ -198,7 +198,7 @@
     for model in &service.models {
         let record = node.newest_job(model);
         let of_job = record.map(|record| {
-            job_takeover::record_placement(Some(&routing), &record.host, &record.path, record.customer.as_ref())
+            placement::record_placement(Some(&routing), &record.host, &record.path, record.customer.as_ref())
         });
         placement.set(model, of_job.and_then(|of_job| of_job.allowed_zones().cloned()));
     }
--- a/crates/trestlerackd/src/process/mod.rs
+++ b/crates/trestlerackd/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod groups_in_progress;
+pub mod interval_limiter;
 pub mod keys;
 pub mod logs;
 pub mod member_loop;
