--- a/crates/trestlerackd/src/entry/peer_traffic.rs
+++ b/crates/trestlerackd/src/entry/peer_traffic.rs
@@ -1,12 +1,16 @@
 //! Counts the calls to peers and the bytes of their connections by where the peer is, since each byte between
 //! regions is charged for.
 
-use super::region_traffic::TrafficCounter;
+use super::region_traffic::{TrafficCounter, TrafficMetrics};
 use std::sync::Arc;
 use trestlerack::version::{OwnRegion, ZoneRelation};
 
-/// Start of the names of the metrics.
-const METRIC_PREFIX: &str = "trestlerack_entry_peer";
+/// Names of the metrics of calls to peers.
+const PEER_METRICS: TrafficMetrics = TrafficMetrics {
+    requests: "trestlerack_entry_peer_requests",
+    sent_bytes: "trestlerack_entry_peer_sent_bytes",
+    received_bytes: "trestlerack_entry_peer_received_bytes",
+};
 
 /// Calls and bytes between this node and its peers since the start, on the connections that this node opened.
 pub struct PeerTraffic {
@@ -51,7 +55,7 @@
             ("unknown", &self.unknown_peers),
         ];
         for (location, counter) in counters {
-            counter.write_metrics(METRIC_PREFIX, &format!("{{location=\"{location}\"}}"), page);
+            counter.write_metrics(&PEER_METRICS, &format!("{{location=\"{location}\"}}"), page);
         }
     }
 }
--- a/crates/trestlerackd/src/entry/region_traffic.rs
+++ b/crates/trestlerackd/src/entry/region_traffic.rs
@@ -8,6 +8,13 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Names of the metrics of a [`TrafficCounter`].
+pub struct TrafficMetrics {
+    pub requests: &'static str,
+    pub sent_bytes: &'static str,
+    pub received_bytes: &'static str,
+}
+
 /// Requests and bytes between this node and a group of servers or peers since the start.
 #[derive(Debug, Default)]
 pub struct TrafficCounter {
@@ -22,12 +29,15 @@
         self.requests.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Adds the counters to a metrics page, with a prefix of their names and with labels, which may be empty.
-    pub fn write_metrics(&self, prefix: &str, labels: &str, page: &mut String) {
-        let counters =
-            [("requests", &self.requests), ("sent_bytes", &self.sent_bytes), ("received_bytes", &self.received_bytes)];
+    /// Adds the counters to a metrics page, with labels, which may be empty.
+    pub fn write_metrics(&self, names: &TrafficMetrics, labels: &str, page: &mut String) {
+        let counters = [
+            (names.requests, &self.requests),
+            (names.sent_bytes, &self.sent_bytes),
+            (names.received_bytes, &self.received_bytes),
+        ];
         for (name, counter) in counters {
-            page.push_str(&format!("{prefix}_{name}{labels} {}\n", counter.load(Ordering::Relaxed)));
+            page.push_str(&format!("{name}{labels} {}\n", counter.load(Ordering::Relaxed)));
         }
     }
 }
--- a/crates/trestlerackd/src/entry/regions.rs
+++ b/crates/trestlerackd/src/entry/regions.rs
@@ -3,7 +3,7 @@
 //! In a deployment that does not span regions, no node is near or far and no traffic is counted. See
 //! [docs/design/regions.md](../../../../docs/design/regions.md).
 
-use super::region_traffic::TrafficCounter;
+use super::region_traffic::{TrafficCounter, TrafficMetrics};
 use crate::process::{clock, logs};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
@@ -15,8 +15,12 @@
 /// Interval at which the zones that do not respond are compared with those of the last log line.
 const LOG_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Start of the names of the metrics of requests to servers in other regions.
-const REMOTE_PREFIX: &str = "trestlerack_entry_remote";
+/// Names of the metrics of requests to servers in other regions.
+const REMOTE_METRICS: TrafficMetrics = TrafficMetrics {
+    requests: "trestlerack_entry_remote_requests",
+    sent_bytes: "trestlerack_entry_remote_sent_bytes",
+    received_bytes: "trestlerack_entry_remote_received_bytes",
+};
 
 /// Number of zones of other regions that do not respond.
 const UNREACHABLE_METRIC: &str = "trestlerack_entry_remote_zones_unreachable";
@@ -71,7 +75,7 @@
         if self.own.is_none() {
             return;
         }
-        self.traffic.write_metrics(REMOTE_PREFIX, "", page);
+        self.traffic.write_metrics(&REMOTE_METRICS, "", page);
         let unreachable = balancer.lock().unwrap().unreachable_zones().len();
         page.push_str(&format!("{UNREACHABLE_METRIC} {unreachable}\n"));
     }
