Treat engines that are listed after the end of an evacuation as unknown

The trace shows a node that was cut off from its start until 10.3 s; the zone was opened at 10.0 s, and the first entries that the node read were those of 9.6 s, which say warm. record_opened_zones marked only engines that the limiter knew, and this node knew none, so it sent 16 requests as to a warm engine beside the driver's 8.

Change: the limiter keeps the opened zones until entries from after the end are known, and an engine that is recorded in one of them is unknown for as long as the others.

--- a/crates/trestlerack/src/process/cold_start/limiter.rs
+++ b/crates/trestlerack/src/process/cold_start/limiter.rs
@@ -79,6 +79,9 @@
     pub(super) settled_at: Timestamp,
     /// Time until which the state of all engines is unknown, after a start or a suspension.
     pub(super) unknown_until: Timestamp,
+    /// Zones whose evacuation has ended, with the time until which the state of their engines is unknown. Engines of
+    /// them may be listed only after the end, with an entry from before it.
+    opened_zones: BTreeMap<Name, Timestamp>,
     pub(super) started_at: Timestamp,
 }
 
@@ -166,8 +169,13 @@
 
     /// Records an entry of service discovery that arrived now; one that is known already changes nothing.
     pub fn record_entry(&mut self, now: Timestamp, entry: &ServerEntry) {
-        if self.is_active() {
-            self.engines.get_or_add(&entry.instance).update(now, entry);
+        if !self.is_active() {
+            return;
+        }
+        let engine = self.engines.get_or_add(&entry.instance);
+        engine.update(now, entry);
+        if let Some(unknown_until) = self.opened_zones.get(&engine.zone) {
+            engine.unknown_until = *unknown_until;
         }
     }
 
@@ -189,6 +197,10 @@
     /// Records that the evacuation of zones has ended, after which their engines are usually cold. The time until
     /// which their state is unknown starts with the next [`Self::advance`].
     pub fn record_opened_zones(&mut self, zones: &BTreeSet<Name>) {
+        if !self.is_active() {
+            return;
+        }
+        self.opened_zones.extend(zones.iter().map(|zone| (zone.clone(), NOT_STARTED)));
         let opened = self.engines.iter_mut().filter(|engine| zones.contains(&engine.zone));
         opened.for_each(|engine| engine.unknown_until = NOT_STARTED);
     }
@@ -198,6 +210,10 @@
     pub fn advance(&mut self, now: Timestamp) -> Vec<ColdChange> {
         let mut changes = Vec::new();
         let unknown_until = now + self.settings.max_age();
+        // Entries from before the end may arrive until the information is recent enough.
+        let settled_at = self.settled_at.min(now);
+        self.opened_zones.retain(|_, until| settled_at < *until);
+        self.opened_zones.values_mut().filter(|until| **until == NOT_STARTED).for_each(|until| *until = unknown_until);
         for engine in self.engines.iter_mut() {
             if engine.unknown_until == NOT_STARTED {
                 engine.unknown_until = unknown_until;
--- a/crates/trestlerack/tests/cold_engines.rs
+++ b/crates/trestlerack/tests/cold_engines.rs
@@ -20,6 +20,10 @@
 /// Smallest number of requests to cold engines that the property test has to check.
 const MIN_REQUESTS: usize = 100_000;
 
+/// Seed with which a node that was cut off from the start sent too many requests to an engine of a zone that had just
+/// been opened, because its first entry of the engine was older than that.
+const REGRESSION: u64 = 5_855_931_244_654_906_196;
+
 fn budget(tolerated_per_s: f64, slack: f64, service_use: ServiceUse) -> (u32, u32, u32) {
     let config = ColdStartConfig { tolerated_per_s, ..CONFIG };
     let ColdBudget { total, driver, nodes } =
@@ -53,6 +57,8 @@
 #[test]
 fn a_cold_engine_never_gets_more_than_the_bound_in_a_second() {
     let requests = AtomicUsize::new(0);
+    let regression = SimulatedFleet { seed: REGRESSION, kind: RouteKind::Batch, settings: ColdSettings::default() };
+    check_fleet(&regression, &requests).unwrap();
     check!().with_type::<(u64, bool)>().with_iterations(200).for_each(|(seed, has_calls)| {
         let kind = if *has_calls { RouteKind::Safe } else { RouteKind::Batch };
         let fleet = SimulatedFleet { seed: *seed, kind, settings: ColdSettings::default() };
@@ -154,6 +160,28 @@
     assert!(cold.may_order(now + Duration::from_millis(1_101), &entry));
 }
 
+/// Guards against an engine that counts as warm because its first entry, which arrives after the end of an evacuation, was
+/// written before it.
+#[test]
+fn an_engine_that_is_listed_after_the_end_of_an_evacuation_is_unknown() {
+    let entry = load::plain_server("i", "s", "z", 8);
+    let mut cold = limiter("n", &ColdSettings::default(), Timestamp(0));
+    cold.set_services(&table(CONFIG, RouteKind::Batch, true));
+    let mut balancer = LoadBalancer::new(BalancerSettings::default()).with_cold_limiter(cold);
+    balancer.put(&entry);
+    balancer.set_evacuated_zones(["z".into()].into());
+    balancer.set_evacuated_zones([].into());
+    balancer.cold.advance(Timestamp(10_000));
+    let permits = |balancer: &mut LoadBalancer, now: u64| {
+        balancer.cold.record_entry(Timestamp(now), &entry);
+        balancer.cold.record_information(Timestamp(now));
+        balancer.cold.advance(Timestamp(now));
+        balancer.try_send(Timestamp(now), &entry).is_some()
+    };
+    assert!(!permits(&mut balancer, 10_100) && !permits(&mut balancer, 13_300), "no driver, and not known to be warm");
+    assert!(permits(&mut balancer, 15_000), "entries from after the end are known");
+}
+
 /// Guards against a choice of cold engines while warm ones have free slots, and against requests beyond the limit.
 #[test]
 fn warm_engines_are_preferred_and_cold_ones_used_up_to_the_limit() {
