--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -524,14 +524,14 @@
 
 /// Number of times that engines crash, the pause between, the number that crash at once, and for how long.
 const CRASHES: usize = 10;
-const CRASH_PAUSE: Duration = Duration::from_millis(1_000);
+const CRASH_PAUSE: Duration = Duration::from_millis(800);
 const CRASHED_AT_ONCE: usize = 2;
 const CRASH_TIME: Duration = Duration::from_millis(1_500);
 
 /// Steps of a round. Engines crash at the start of a round, and the other steps are asked for while all is calm or will
-/// be. As the engines that crash are drawn by lot, a second round follows if the first one showed nothing.
-const ROUND_STEPS: usize = 4;
-const ROUNDS: usize = 2;
+/// be. As the engines that crash are drawn by lot, another round follows if one showed nothing.
+const ROUND_STEPS: usize = 3;
+const ROUNDS: usize = 3;
 
 /// Bounds of the rule: time at no engine, time without a new version, and time after a disruption until it is over.
 const IDLE_LIMIT: Duration = Duration::from_secs(5);
@@ -542,7 +542,7 @@
 fn item_events(id: &str) -> u64 {
     let number = |text: &str| text.parse::<u64>().unwrap_or(0);
     let (group, item) = id.split_once('-').map_or((0, 0), |(group, item)| (number(prompt_of(group)), number(item)));
-    if group % 8 == 5 { 120 + (group + 11 * item) % 41 } else { 8 + (group * 7 + 3 * item) % 13 }
+    if group % 8 == 5 { 150 + (group + 11 * item) % 16 } else { 8 + (group * 7 + 3 * item) % 13 }
 }
 
 /// One step of the trainer.
@@ -556,7 +556,7 @@
     is_done: bool,
 }
 
-/// Returns the prompt of a group. Each step asks for the same prompts again, under other ids.
+/// Returns the prompt of a group. The steps of a round ask for the same prompts, under other ids.
 fn prompt_of(group: &str) -> &str {
     group.split_once('p').map_or(group, |(_, prompt)| prompt)
 }
@@ -696,8 +696,10 @@
     };
     let record = &setting.record;
     let last_trouble = Arc::new(Mutex::new(None));
+    // The steps of a round ask for the same prompts.
     let fresh = |step: usize, count: usize| -> Vec<String> {
-        (0..count).map(|number| format!("g{step}p{number:03}")).collect()
+        let round = step / ROUND_STEPS;
+        (0..count).map(|number| format!("g{step}p{round}{number:03}")).collect()
     };
     let mut last_version = None;
     let mut groups = fresh(0, GROUPS);
@@ -709,7 +711,7 @@
             break;
         }
         if is_round_start && setting.has_trouble {
-            start_crashes(record, &deployment, engine_settings, &last_trouble);
+            start_crashes(record, &deployment, engine_settings, &last_trouble, SEED + number as u64);
         }
         let Some(step) = run_step(record, &deployment, number, groups, carried) else {
             return Outcome::NotRun("a step was not accepted".into());
@@ -745,12 +747,13 @@
     deployment: &Deployment,
     settings: impl Fn() -> EngineSettings + Send + Copy + 'static,
     last_trouble: &Arc<Mutex<Option<Instant>>>,
+    seed: u64,
 ) {
     let (record, last_trouble) = (record.clone(), last_trouble.clone());
     let (engines, runs, store) = (deployment.engines.clone(), deployment.runs.clone(), deployment.store.clone());
     std::thread::spawn(move || {
         // A small generator of numbers that are the same in each run.
-        let mut state: u64 = SEED;
+        let mut state = seed;
         for crash in 0..CRASHES {
             std::thread::sleep(CRASH_PAUSE);
             let mut chosen: Vec<usize> = Vec::new();
@@ -768,7 +771,7 @@
                 engine.crash();
                 std::thread::spawn(move || {
                     std::thread::sleep(CRASH_TIME);
-                    let instance = format!("i-engine-{number}-{}", crash + 1);
+                    let instance = format!("i-engine-{number}-{}", seed % 100 * 100 + crash as u64 + 1);
                     let next = Engine::start(&instance, engine.version(), settings(), &record, &runs);
                     store.put("servers", &instance, &next.entry(1));
                     record.write(&format!("{instance} starts"));
@@ -819,7 +822,7 @@
         if status != Some(202) {
             return Outcome::NotRun("a job was not accepted".into());
         }
-        if setting.has_trouble && number == TRAINERS - 1 {
+        if setting.has_trouble && number == 0 {
             record.write(&format!("trainer {number} leaves"));
             open.push(job);
         } else if !read_results(record, address, &job) {
--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -5,12 +5,23 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+/// Ports of the daemons lie below those that the system gives to stand-ins, so that none is taken before its daemon starts.
+const DAEMON_PORTS: std::ops::Range<u32> = 20_000..32_000;
+
 /// Returns a loopback address that is free now.
 pub fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-    listener.local_addr().expect("the listener has an address").to_string()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id() * 31 + NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = DAEMON_PORTS.start + number % (DAEMON_PORTS.end - DAEMON_PORTS.start);
+        let address = format!("127.0.0.1:{port}");
+        if TcpListener::bind(&address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Addresses of a node.
