Log how far a run got that the crash of its server cut

Cause: a blocked content's log lines did not tell whether its runs were cut at one point, as a request that crashes servers is, or wherever a crash of another cause met them. Change: an in-flight request counts its events and the number of the last one; server-ended (TR2107) has both.

--- a/crates/trestlerack/src/process/suspects/mod.rs
+++ b/crates/trestlerack/src/process/suspects/mod.rs
@@ -17,6 +17,7 @@
 //! [docs/PLATFORM.md](../../../../../docs/PLATFORM.md#requests-that-end-servers) explains the reasons.
 
 mod gossip;
+mod run_progress;
 mod runs;
 mod suspect_record;
 mod trial_grants;
@@ -26,6 +27,7 @@
 use crate::request::RequestFingerprint;
 use crate::{Name, Timestamp};
 pub use gossip::GossipSettings;
+pub use run_progress::RunProgress;
 pub use runs::SuspectRun;
 use runs::SuspectRuns;
 use serde::{Deserialize, Serialize};
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -108,6 +108,7 @@
         span.set("request", request_id.clone());
         span.set("server", instance.to_string());
     }
+    let resume_after = request.resume_after;
     let encoded = platform::encode_request(request).map_err(|error| AttemptError::NotRun(error.to_string()))?;
     // The configuration or the server's zone may have changed since the server was chosen.
     let routing = node.routing();
@@ -116,6 +117,7 @@
         return Err(AttemptError::NotRun(why.into()));
     }
     drop(routing);
+    guard.record_resumption(resume_after);
     guard.record_sent();
     let traffic = node.regions.record_request(&guard.server.zone);
     // Repeated once the connection is open, which may take seconds.
--- a/crates/trestlerackd/src/entry/crash_detection.rs
+++ b/crates/trestlerackd/src/entry/crash_detection.rs
@@ -7,7 +7,7 @@
 use crate::process::{clock, logs};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::ServerEntry;
+use trestlerack::process::{RunProgress, ServerEntry};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::{Name, event};
 
@@ -17,11 +17,17 @@
 const RECHECK_DELAYS: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(100)];
 
 /// A request whose connection broke before the response was complete.
-struct InterruptedRequest {
-    id: Name,
-    fingerprint: RequestFingerprint,
-    server: ServerEntry,
-    is_trial: bool,
+pub struct InterruptedRequest {
+    /// Id of the request.
+    pub id: Name,
+    /// Fingerprint of its content.
+    pub fingerprint: RequestFingerprint,
+    /// Server that it was in flight at.
+    pub server: ServerEntry,
+    /// Whether it was the trial of a suspect content.
+    pub is_trial: bool,
+    /// How far it got on the server.
+    pub progress: RunProgress,
 }
 
 /// Checks whether a server crashed after the connection that carried a request to it broke.
@@ -31,7 +37,8 @@
 pub async fn check_broken_connection(node: &Arc<EntryNode>, guard: &InFlightGuard, request: &str) {
     guard.record_outcome();
     let (node, server, fingerprint) = (node.clone(), guard.server.clone(), guard.fingerprint);
-    let interrupted = InterruptedRequest { id: request.into(), fingerprint, server, is_trial: guard.is_trial() };
+    let (is_trial, progress) = (guard.is_trial(), guard.progress());
+    let interrupted = InterruptedRequest { id: request.into(), fingerprint, server, is_trial, progress };
     let check = tokio::spawn(async move {
         let state = check_address(&node, &interrupted).await;
         // A draining server may stop at any time.
@@ -65,7 +72,7 @@
     ];
     logs::write(event::CONNECTION_BROKEN, &fields);
     if state == ListenState::Refusing && !is_expected_to_stop(node, server) {
-        suspects::record_crash(node, &request.id, request.fingerprint, server, request.is_trial);
+        suspects::record_crash(node, request);
     }
     state
 }
--- a/crates/trestlerackd/src/entry/in_flight.rs
+++ b/crates/trestlerackd/src/entry/in_flight.rs
@@ -2,9 +2,9 @@
 
 use super::admission;
 use super::node::EntryNode;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, Ordering};
-use trestlerack::process::{ServerEntry, ServerSet, SuspectRun, TokenNeed};
+use trestlerack::process::{RunProgress, ServerEntry, ServerSet, SuspectRun, TokenNeed};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::RequestPlacement;
 
@@ -25,6 +25,8 @@
     is_outcome_pending: AtomicBool,
     /// Whether the server may also run a suspect content of another node.
     may_share_server: AtomicBool,
+    /// How far the request got on the server.
+    progress: Mutex<RunProgress>,
 }
 
 impl InFlightGuard {
@@ -47,6 +49,7 @@
             tokens: None,
             is_outcome_pending,
             may_share_server,
+            progress: Mutex::default(),
         }
     }
 
@@ -70,6 +73,23 @@
         admission::record_attempt(&self.node, &self.server.service);
     }
 
+    /// Records that the request continues a stream after the event `last_event`.
+    pub fn record_resumption(&self, last_event: Option<u64>) {
+        *self.progress.lock().unwrap() = RunProgress::after_event(last_event);
+    }
+
+    /// Records the numbers of events that the server sent. Returns how far the request got.
+    pub fn record_events(&self, numbers: impl Iterator<Item = u64>) -> RunProgress {
+        let mut progress = self.progress.lock().unwrap();
+        numbers.for_each(|number| progress.record_event(number));
+        *progress
+    }
+
+    /// Returns how far the request got.
+    pub fn progress(&self) -> RunProgress {
+        *self.progress.lock().unwrap()
+    }
+
     /// Records that the outcome is known: a response, a refusal or a broken connection.
     pub fn record_outcome(&self) {
         self.is_outcome_pending.store(false, Ordering::Relaxed);
--- a/crates/trestlerackd/src/entry/suspects/mod.rs
+++ b/crates/trestlerackd/src/entry/suspects/mod.rs
@@ -15,6 +15,7 @@
 pub use rows::{apply_row, read_at_start, store_reports, sweep_rows};
 pub use trials::{grant_trial, request_trial};
 
+use super::crash_detection::InterruptedRequest;
 use super::in_flight::InFlightGuard;
 use super::node::EntryNode;
 use crate::process::{clock, logs};
@@ -108,21 +109,18 @@
 }
 
 /// Records that a server crashed while it ran a request of this node.
-pub fn record_crash(
-    node: &Arc<EntryNode>,
-    request: &str,
-    fingerprint: RequestFingerprint,
-    server: &ServerEntry,
-    is_trial: bool,
-) {
-    let now = node.now();
+pub fn record_crash(node: &Arc<EntryNode>, request: &InterruptedRequest) {
+    let InterruptedRequest { id, fingerprint, server, is_trial, progress } = request;
+    let (now, fingerprint, is_trial) = (node.now(), *fingerprint, *is_trial);
     let report = node.suspects.tracker().record_crash(now, fingerprint, server, is_trial);
     let crashes = node.suspects.tracker().crash_count(fingerprint);
-    let fields: [(&str, &dyn std::fmt::Display); 5] = [
-        ("request", &request),
+    let fields: [(&str, &dyn std::fmt::Display); 7] = [
+        ("request", &id),
         ("fingerprint", &fingerprint),
         ("server", &server.instance),
         ("trial", &is_trial),
+        ("events", &progress.events),
+        ("position", &progress.position),
         ("ended", &crashes),
     ];
     logs::write(event::SERVER_ENDED, &fields);
