Let harmless contents return to work after crashes around them

Cause: three crashes that no other content explains block a content, and only a complete answer cleared it, which a blocked content cannot get. A long prompt with several samples is in progress at most crashes, whatever their cause.

Change: crash reports bear the progress of the run that was cut, in events of the run and in the position in the text; only crashes at the furthest point count, and a run that gets further clears those that it has passed. A content that is blocked beside other crashes gets two recovery trials in calm. Contents with three crashes run at one server of a node at a time.

Ruled out: a bound on the number of events from which a run is not blamed, as a content may crash servers late; trials without a row, as all nodes would have their own.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -145,12 +145,14 @@
     REQUEST_HELD = (2106, "request-held", Warn);
     /// A server crashed while it ran a request of this node.
     SERVER_ENDED = (2107, "server-ended", Warn);
-    /// A complete answer showed that a suspected content does not crash servers.
+    /// A complete answer, or a run that got further than others, showed that a suspected content did not cause crashes.
     SUSPECT_CLEARED = (2108, "suspect-cleared", Info);
     /// This node blocks a content: it is not sent to servers for a while.
     CONTENT_HELD = (2109, "content-held", Warn);
     /// Crash reports could not be stored and are queued; peers are notified directly.
     STRIKES_WAIT = (2110, "strikes-wait", Warn);
+    /// A blocked content may run once, to find out whether other crashes were taken for its own.
+    RECOVERY_TRIAL = (2111, "recovery-trial", Info);
     /// A call waits for a free slot of its service.
     CALL_WAITS = (2121, "call-waits", Info);
     /// A call was refused, because its service has no free slot for it in time.
--- a/crates/trestlerack/src/process/suspects/mod.rs
+++ b/crates/trestlerack/src/process/suspects/mod.rs
@@ -8,7 +8,8 @@
 //! A content is blocked once enough servers crashed under it whose crashes no other content explains. One of these
 //! crashes must have happened on a trial: a run of a known suspect on a server that ran no other suspect. Crashes
 //! count after a settle time, in which reports about other contents can arrive. A complete answer clears the
-//! crashes of its content.
+//! crashes of its content, and a run that gets past the point at which another one was cut shows that the point
+//! crashes no servers.
 //!
 //! Several contents may crash servers while few servers are left, so that each explains crashes of the others. A
 //! content is then also blocked if the same number of servers crashed under it in total and one crash happened on a
@@ -17,8 +18,10 @@
 //! [docs/PLATFORM.md](../../../../../docs/PLATFORM.md#requests-that-end-servers) explains the reasons.
 
 mod gossip;
+mod recovery;
 mod run_progress;
 mod runs;
+mod server_crashes;
 mod suspect_record;
 mod trial_grants;
 
@@ -27,10 +30,13 @@
 use crate::request::RequestFingerprint;
 use crate::{Name, Timestamp};
 pub use gossip::GossipSettings;
+pub use recovery::RecoverySettings;
+use recovery::RecoveryTrials;
 pub use run_progress::RunProgress;
 pub use runs::SuspectRun;
 use runs::SuspectRuns;
 use serde::{Deserialize, Serialize};
+use server_crashes::ServerCrashes;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 use suspect_record::{Crash, SuspectRecord};
@@ -60,6 +66,8 @@
     pub max_crashes: usize,
     /// Maximum number of recently answered contents that are remembered, and of unresolved disconnects.
     pub max_recent: usize,
+    /// Settings of the recovery trials of blocked contents.
+    pub recovery: RecoverySettings,
 }
 
 /// How late an expired entry may be noticed at this node: the interval of a watch, the answer of a slow store, and
@@ -78,6 +86,7 @@
             max_suspects: 512,
             max_crashes: 16,
             max_recent: 256,
+            recovery: RecoverySettings::default(),
         }
     }
 }
@@ -99,6 +108,22 @@
     pub age_ms: u64,
 }
 
+/// What a run that was cut tells about the crash of its server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunEvidence {
+    /// Whether the content was a known suspect and ran there without other suspects.
+    pub is_trial: bool,
+    /// How far the run got.
+    pub progress: RunProgress,
+}
+
+impl From<bool> for RunEvidence {
+    /// Returns the evidence of a run without events, such as a plain call.
+    fn from(is_trial: bool) -> Self {
+        Self { is_trial, ..Self::default() }
+    }
+}
+
 /// Returns a digest that identifies one start of a server.
 pub fn server_start(instance: &str, started_ms: u64) -> u64 {
     hash_parts(&[instance, &started_ms.to_string()])
@@ -121,7 +146,7 @@
     fingerprint: RequestFingerprint,
     instance: Name,
     started_ms: u64,
-    is_trial: bool,
+    evidence: RunEvidence,
     at: Timestamp,
 }
 
@@ -146,7 +171,9 @@
     /// Contents with a complete answer and the time of the answer, oldest first.
     recently_answered: VecDeque<(RequestFingerprint, Timestamp)>,
     unresolved: VecDeque<UnresolvedDisconnect>,
+    server_crashes: ServerCrashes,
     runs: SuspectRuns,
+    recovery_trials: RecoveryTrials,
 }
 
 impl SuspectTracker {
@@ -162,9 +189,9 @@
         now: Timestamp,
         fingerprint: RequestFingerprint,
         server: &ServerEntry,
-        is_trial: bool,
+        evidence: impl Into<RunEvidence>,
     ) -> Option<CrashReport> {
-        self.record_crash_by_start(now, fingerprint, server_start(&server.instance, server.started_ms), is_trial)
+        self.record_crash_by_start(now, fingerprint, server_start(&server.instance, server.started_ms), evidence)
     }
 
     /// Records a crash like [`SuspectTracker::record_crash`], for callers that compute their own digest of the
@@ -174,17 +201,24 @@
         now: Timestamp,
         fingerprint: RequestFingerprint,
         server_start: u64,
-        is_trial: bool,
+        evidence: impl Into<RunEvidence>,
     ) -> Option<CrashReport> {
+        self.server_crashes.record(now, server_start, self.settings.max_recent);
         if self.was_answered_recently(now, fingerprint) {
             return None;
         }
+        let RunEvidence { is_trial, progress } = evidence.into();
         let report = CrashReport { fingerprint, server_start, is_trial, is_cleared: false, age_ms: 0 };
-        self.merge(now, &report).then_some(report)
+        self.merge_with_progress(now, &report, progress).then_some(report)
     }
 
-    /// Merges a report. Returns whether it contained anything new.
+    /// Merges a report without the progress of the run, which is not known. Returns whether it contained anything new.
     pub fn merge(&mut self, now: Timestamp, report: &CrashReport) -> bool {
+        self.merge_with_progress(now, report, RunProgress::default())
+    }
+
+    /// Merges a report of a crash that cut a run. Returns whether it contained anything new.
+    pub fn merge_with_progress(&mut self, now: Timestamp, report: &CrashReport, progress: RunProgress) -> bool {
         self.expire(now);
         let at = now - Duration::from_millis(report.age_ms);
         if now.since(at) >= self.settings.retention {
@@ -194,7 +228,7 @@
         let record = self.records.entry(report.fingerprint).or_default();
         let is_new = record.merge(
             report.server_start,
-            Crash { at, is_trial: report.is_trial, is_cleared: report.is_cleared },
+            Crash { at, is_trial: report.is_trial, is_cleared: report.is_cleared, progress },
             max_crashes,
         );
         self.evict();
@@ -215,9 +249,31 @@
             self.recently_answered.pop_front();
         }
         let Some(record) = self.records.get_mut(&fingerprint) else { return Vec::new() };
-        let active: Vec<u64> = record.active().map(|(server_start, _)| *server_start).collect();
-        active.iter().for_each(|server_start| record.clear(*server_start));
-        record.reports(now, fingerprint).filter(|report| active.contains(&report.server_start)).collect()
+        let uncleared: Vec<u64> =
+            record.all().filter(|(_, crash)| !crash.is_cleared).map(|(server_start, _)| *server_start).collect();
+        uncleared.iter().for_each(|server_start| record.clear(*server_start));
+        record.reports(now, fingerprint).filter(|report| uncleared.contains(&report.server_start)).collect()
+    }
+
+    /// Records how far a run got that is still in progress. Returns the reports of the crashes that this clears.
+    pub fn record_progress(
+        &mut self,
+        now: Timestamp,
+        fingerprint: RequestFingerprint,
+        progress: RunProgress,
+    ) -> Vec<CrashReport> {
+        let Some(record) = self.records.get_mut(&fingerprint) else { return Vec::new() };
+        let passed = record.record_progress(progress);
+        if passed.is_empty() {
+            return Vec::new();
+        }
+        record.reports(now, fingerprint).filter(|report| passed.contains(&report.server_start)).collect()
+    }
+
+    /// Returns how far the furthest run got on a server that crashed under a content.
+    pub fn progress_at(&self, fingerprint: RequestFingerprint, server_start: u64) -> RunProgress {
+        let crash = self.records.get(&fingerprint).and_then(|record| record.crash(server_start));
+        crash.map_or_else(RunProgress::default, |crash| crash.progress)
     }
 
     fn was_answered_recently(&self, now: Timestamp, fingerprint: RequestFingerprint) -> bool {
@@ -232,24 +288,22 @@
         now: Timestamp,
         fingerprint: RequestFingerprint,
         server: &ServerEntry,
-        is_trial: bool,
+        evidence: impl Into<RunEvidence>,
     ) {
-        let (instance, started_ms) = (server.instance.clone(), server.started_ms);
-        self.unresolved.push_back(UnresolvedDisconnect { fingerprint, instance, started_ms, is_trial, at: now });
+        let (instance, started_ms, evidence) = (server.instance.clone(), server.started_ms, evidence.into());
+        self.unresolved.push_back(UnresolvedDisconnect { fingerprint, instance, started_ms, evidence, at: now });
         if self.unresolved.len() > self.settings.max_recent {
             self.unresolved.pop_front();
         }
     }
 
-    /// Returns whether a broken connection waits for service discovery to show whether its server crashed.
-    pub fn has_unresolved(&self) -> bool {
-        !self.unresolved.is_empty()
-    }
-
     /// Records that a server that had not asked to leave disappeared from service discovery, or is listed with a
     /// later start. Returns reports of the crashes that broke connections to it.
     pub fn resolve_server_gone(&mut self, now: Timestamp, server: &ServerEntry) -> Vec<CrashReport> {
         let unresolved_ttl = self.settings.unresolved_ttl;
+        // The server may have crashed that long ago.
+        let server_start = server_start(&server.instance, server.started_ms);
+        self.server_crashes.record(now - unresolved_ttl, server_start, self.settings.max_recent);
         self.unresolved.retain(|disconnect| now.since(disconnect.at) < unresolved_ttl);
         let is_of = |disconnect: &UnresolvedDisconnect| {
             disconnect.instance == server.instance && disconnect.started_ms == server.started_ms
@@ -259,7 +313,7 @@
         self.unresolved = unresolved.into();
         let reports = resolved
             .iter()
-            .filter_map(|disconnect| self.record_crash(now, disconnect.fingerprint, server, disconnect.is_trial));
+            .filter_map(|disconnect| self.record_crash(now, disconnect.fingerprint, server, disconnect.evidence));
         reports.collect()
     }
 
@@ -295,7 +349,7 @@
         })
     }
 
-    /// Returns the number of servers that crashed under a content, without cleared crashes.
+    /// Returns the number of servers that crashed under a content, of the crashes that count.
     pub fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
         self.records.get(&fingerprint).map_or(0, |record| record.active().count())
     }
@@ -331,7 +385,9 @@
     /// the content is suspected.
     pub fn begin_run(&mut self, now: Timestamp, server: &Name, fingerprint: RequestFingerprint) -> Option<SuspectRun> {
         let is_suspect = self.state(now, fingerprint) != SuspectState::Clear;
-        is_suspect.then(|| self.runs.begin(server, fingerprint))
+        let records = &self.records;
+        let has_crashes = |other| records.get(&other).is_some_and(|record| record.active().next().is_some());
+        is_suspect.then(|| self.runs.begin(server, fingerprint, has_crashes))
     }
 
     /// Returns whether a run is a trial: no other suspect of this node ran on the server at the same time.
@@ -339,6 +395,16 @@
         self.runs.is_alone(server, run)
     }
 
+    /// Returns whether a content that can be delayed has to wait for the end of another run at this node. As many
+    /// servers crashed under it as block a content, so runs in parallel could crash several more.
+    pub fn waits_for_other_run(&self, now: Timestamp, fingerprint: RequestFingerprint) -> bool {
+        let has_enough_crashes = match self.state(now, fingerprint) {
+            SuspectState::Suspected(crashes) => crashes >= self.settings.block_threshold,
+            SuspectState::Clear | SuspectState::Blocked(_) => false,
+        };
+        has_enough_crashes && self.runs.has_run(fingerprint)
+    }
+
     /// Records that a server no longer runs a suspect.
     pub fn end_run(&mut self, server: &str, run: SuspectRun) {
         self.runs.end(server, run);
@@ -346,7 +412,7 @@
 
     /// Returns the servers that run other suspects of this node, where a suspect would not be alone.
     pub fn servers_with_other_suspects(&self, fingerprint: RequestFingerprint) -> Vec<Name> {
-        self.runs.servers_with_others(fingerprint)
+        self.runs.servers_with_others(fingerprint, |other| self.crash_count(other) > 0)
     }
 
     /// Returns all kept reports, including cleared ones, for a node that may have missed some.
--- a/crates/trestlerack/src/process/suspects/runs.rs
+++ b/crates/trestlerack/src/process/suspects/runs.rs
@@ -24,12 +24,19 @@
 }
 
 impl SuspectRuns {
-    pub(super) fn begin(&mut self, server: &Name, fingerprint: RequestFingerprint) -> SuspectRun {
+    /// Begins a run. Runs of contents that are no suspects any more do not count as company.
+    pub(super) fn begin(
+        &mut self,
+        server: &Name,
+        fingerprint: RequestFingerprint,
+        is_suspect: impl Fn(RequestFingerprint) -> bool,
+    ) -> SuspectRun {
         self.started_runs += 1;
         let run = SuspectRun(self.started_runs);
         let runs = self.servers.entry(server.clone()).or_default();
+        let has_company = runs.iter().any(|state| state.fingerprint != fingerprint && is_suspect(state.fingerprint));
         runs.push(RunState { run, fingerprint, is_alone: true });
-        if runs.iter().any(|state| state.fingerprint != runs[0].fingerprint) {
+        if has_company {
             runs.iter_mut().for_each(|state| state.is_alone = false);
         }
         run
@@ -49,9 +56,19 @@
         }
     }
 
+    /// Returns whether a run of the content is in progress that began when it was a suspect.
+    pub(super) fn has_run(&self, fingerprint: RequestFingerprint) -> bool {
+        self.servers.values().flatten().any(|state| state.fingerprint == fingerprint)
+    }
+
     /// Returns the servers that run suspects other than this one.
-    pub(super) fn servers_with_others(&self, fingerprint: RequestFingerprint) -> Vec<Name> {
-        let has_other = |runs: &Vec<RunState>| runs.iter().any(|state| state.fingerprint != fingerprint);
+    pub(super) fn servers_with_others(
+        &self,
+        fingerprint: RequestFingerprint,
+        is_suspect: impl Fn(RequestFingerprint) -> bool,
+    ) -> Vec<Name> {
+        let is_other = |state: &RunState| state.fingerprint != fingerprint && is_suspect(state.fingerprint);
+        let has_other = |runs: &Vec<RunState>| runs.iter().any(is_other);
         self.servers.iter().filter(|(_, runs)| has_other(runs)).map(|(server, _)| server.clone()).collect()
     }
 }
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -3,6 +3,7 @@
 use super::in_flight::InFlightGuard;
 use super::node::EntryNode;
 use super::pool::{ConnectionLease, ExchangeError};
+use super::suspects::RunPermit;
 use super::{admission, crash_detection, placement, resource_limits, server_responses, suspects};
 use crate::process::clock;
 use crate::process::tracing::HopSpan;
@@ -90,13 +91,18 @@
     let instance = guard.server.instance.clone();
     let request_id = request.request_id.to_owned();
     // All requests of callers, of whatever kind, are sent from here, so none bypasses this check.
-    if let Some(left) = suspects::blocked_for(node, guard.fingerprint) {
-        suspects::log_blocked(node, &request_id, guard.fingerprint, left);
-        return Err(AttemptError::Blocked(left));
-    }
-    // Boxed because few requests are suspects, and the future would enlarge each request in progress.
-    if suspects::is_suspect(node, guard.fingerprint) && !Box::pin(suspects::request_trial(node, &guard)).await {
-        return Err(AttemptError::NotRun("another suspect content has its trial at this server".into()));
+    if suspects::is_suspect(node, guard.fingerprint) {
+        // Boxed because few requests are suspects, and the future would enlarge each request in progress.
+        match Box::pin(suspects::request_permit(node, &guard, &request_id)).await {
+            RunPermit::Granted => {}
+            RunPermit::Blocked(left) => {
+                suspects::log_blocked(node, &request_id, guard.fingerprint, left);
+                return Err(AttemptError::Blocked(left));
+            }
+            RunPermit::ServerTaken => {
+                return Err(AttemptError::NotRun("another suspect content has its trial at this server".into()));
+            }
+        }
     }
     // The zone may have been evacuated, or the server replaced by one there, since the server was chosen.
     if node.evacuations.contains_server(&node.registry, &guard.server) {
--- a/crates/trestlerackd/src/entry/crash_detection.rs
+++ b/crates/trestlerackd/src/entry/crash_detection.rs
@@ -7,7 +7,7 @@
 use crate::process::{clock, logs};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{RunProgress, ServerEntry};
+use trestlerack::process::{RunEvidence, ServerEntry};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::{Name, event};
 
@@ -24,10 +24,8 @@
     pub fingerprint: RequestFingerprint,
     /// Server that it was in flight at.
     pub server: ServerEntry,
-    /// Whether it was the trial of a suspect content.
-    pub is_trial: bool,
-    /// How far it got on the server.
-    pub progress: RunProgress,
+    /// What it tells about its content if the server crashed.
+    pub evidence: RunEvidence,
 }
 
 /// Checks whether a server crashed after the connection that carried a request to it broke.
@@ -37,8 +35,7 @@
 pub async fn check_broken_connection(node: &Arc<EntryNode>, guard: &InFlightGuard, request: &str) {
     guard.record_outcome();
     let (node, server, fingerprint) = (node.clone(), guard.server.clone(), guard.fingerprint);
-    let (is_trial, progress) = (guard.is_trial(), guard.progress());
-    let interrupted = InterruptedRequest { id: request.into(), fingerprint, server, is_trial, progress };
+    let interrupted = InterruptedRequest { id: request.into(), fingerprint, server, evidence: guard.evidence() };
     let check = tokio::spawn(async move {
         let state = check_address(&node, &interrupted).await;
         // A draining server may stop at any time.
@@ -49,7 +46,7 @@
                 node.now(),
                 interrupted.fingerprint,
                 &interrupted.server,
-                interrupted.is_trial,
+                interrupted.evidence,
             );
             if state == ListenState::Listening {
                 tokio::spawn(recheck_address(node, interrupted));
--- a/crates/trestlerackd/src/entry/in_flight.rs
+++ b/crates/trestlerackd/src/entry/in_flight.rs
@@ -2,9 +2,9 @@
 
 use super::admission;
 use super::node::EntryNode;
-use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, Ordering};
-use trestlerack::process::{RunProgress, ServerEntry, ServerSet, SuspectRun, TokenNeed};
+use std::sync::{Arc, Mutex};
+use trestlerack::process::{RunEvidence, RunProgress, ServerEntry, ServerSet, SuspectRun, TokenNeed};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::RequestPlacement;
 
@@ -85,9 +85,9 @@
         *progress
     }
 
-    /// Returns how far the request got.
-    pub fn progress(&self) -> RunProgress {
-        *self.progress.lock().unwrap()
+    /// Returns what the request tells about its content if the server crashes.
+    pub fn evidence(&self) -> RunEvidence {
+        RunEvidence { is_trial: self.is_trial(), progress: *self.progress.lock().unwrap() }
     }
 
     /// Records that the outcome is known: a response, a refusal or a broken connection.
@@ -121,8 +121,8 @@
         if self.is_outcome_pending.load(Ordering::Relaxed) {
             // The client disconnected or the request timed out. If the server crashes now, only service
             // discovery reports it.
-            let (now, is_trial) = (self.node.now(), self.is_trial());
-            self.node.suspects.tracker().record_unresolved(now, self.fingerprint, &self.server, is_trial);
+            let (now, evidence) = (self.node.now(), self.evidence());
+            self.node.suspects.tracker().record_unresolved(now, self.fingerprint, &self.server, evidence);
         }
         if let Some(suspect_run) = self.suspect_run {
             self.node.suspects.tracker().end_run(&self.server.instance, suspect_run);
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -188,7 +188,7 @@
             Ok(events) => events,
             Err(error) => return (RunEnd::Broken, error.to_string()),
         };
-        guard.record_events(events.iter().map(|event| event.number));
+        suspects::record_events(node, &guard, events.iter().map(|event| event.number));
         let gap = record_pace(node, &instance, &mut pace, events.len());
         detect_preemption(node, driver, trace, &guard.server.service, gap);
         trace.longest_gap = gap.max(trace.longest_gap);
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -189,7 +189,7 @@
         }
         // Only complete events are relayed, since the next server starts with a complete one.
         let (raw, events) = self.decoder.feed_raw(&bytes)?;
-        self.open.guard.record_events(events.iter().map(|event| event.number));
+        suspects::record_events(&self.node, &self.open.guard, events.iter().map(|event| event.number));
         for event in events {
             let follows = self.last_event.is_none_or(|last| event.number == last + 1);
             if !follows {
--- a/crates/trestlerackd/src/entry/suspects/control.rs
+++ b/crates/trestlerackd/src/entry/suspects/control.rs
@@ -17,22 +17,29 @@
 /// Most crash reports in one message to a peer, newest first; about 50 bytes each.
 pub(super) const MAX_SENT_REPORTS: usize = 1_000;
 
-/// A change of the row of a crash report that waits to be stored.
+/// A change of the row of a crash report or recovery trial that waits to be stored.
 #[derive(Clone, Copy)]
 pub(super) enum RowChange {
     /// The server crashed at this time on this node's clock.
     Put { at: Timestamp, is_trial: bool },
-    /// The report was cleared.
+    /// The report was cleared, or the recovery trial is available again.
     Remove,
 }
 
-pub(super) type CrashKey = (RequestFingerprint, u64);
+/// Identifies a row about a suspect content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum SuspectKey {
+    /// The crash of a start of a server.
+    Crash(RequestFingerprint, u64),
+    /// A recovery trial that was used, by its number.
+    RecoveryTrial(RequestFingerprint, u32),
+}
 
 /// State of suspect contents at a node, and the crash reports that are still to be stored or sent to peers.
 pub struct SuspectControl {
     tracker: Mutex<SuspectTracker>,
     trial_grants: Mutex<TrialGrants>,
-    unstored: Mutex<BTreeMap<CrashKey, RowChange>>,
+    unstored: Mutex<BTreeMap<SuspectKey, RowChange>>,
     unsent: Mutex<Vec<CrashReport>>,
     pub(super) has_unstored: Notify,
     pub(super) has_unsent: Notify,
@@ -100,7 +107,7 @@
             let change =
                 if report.is_cleared { RowChange::Remove } else { RowChange::Put { at, is_trial: report.is_trial } };
             if unstored.len() < MAX_UNSTORED_CHANGES {
-                unstored.insert((report.fingerprint, report.server_start), change);
+                unstored.insert(SuspectKey::Crash(report.fingerprint, report.server_start), change);
             }
         }
         drop(unstored);
@@ -110,6 +117,15 @@
         }
     }
 
+    /// Queues the removal of the rows of recovery trials that a content may use again.
+    pub(super) fn publish_restored_trials(&self, fingerprint: RequestFingerprint, numbers: &[u32]) {
+        let mut unstored = self.unstored.lock().unwrap();
+        let keys = numbers.iter().map(|number| SuspectKey::RecoveryTrial(fingerprint, *number));
+        unstored.extend(keys.map(|key| (key, RowChange::Remove)));
+        drop(unstored);
+        self.has_unstored.notify_one();
+    }
+
     /// Queues crash reports for peers.
     pub(super) fn queue_for_peers(&self, reports: &[CrashReport]) {
         let mut unsent = self.unsent.lock().unwrap();
@@ -126,14 +142,14 @@
     }
 
     /// Takes the row changes for one transaction.
-    pub(super) fn take_unstored(&self) -> Vec<(CrashKey, RowChange)> {
+    pub(super) fn take_unstored(&self) -> Vec<(SuspectKey, RowChange)> {
         let mut unstored = self.unstored.lock().unwrap();
-        let keys: Vec<CrashKey> = unstored.keys().take(tables::MAX_COMMIT_ROWS).copied().collect();
+        let keys: Vec<SuspectKey> = unstored.keys().take(tables::MAX_COMMIT_ROWS).copied().collect();
         keys.into_iter().filter_map(|key| unstored.remove(&key).map(|change| (key, change))).collect()
     }
 
     /// Requeues changes that could not be stored, unless newer changes of their rows were queued meanwhile.
-    pub(super) fn requeue_unstored(&self, changes: Vec<(CrashKey, RowChange)>) {
+    pub(super) fn requeue_unstored(&self, changes: Vec<(SuspectKey, RowChange)>) {
         let mut unstored = self.unstored.lock().unwrap();
         for (key, change) in changes {
             unstored.entry(key).or_insert(change);
--- a/crates/trestlerackd/src/entry/suspects/mod.rs
+++ b/crates/trestlerackd/src/entry/suspects/mod.rs
@@ -7,13 +7,15 @@
 
 mod control;
 mod gossip;
+mod recovery;
 mod rows;
 mod trials;
 
 pub use control::SuspectControl;
 pub use gossip::{pull_from_peers, respond_to_peer, send_to_peers};
+pub use recovery::{RunPermit, request_permit};
 pub use rows::{apply_row, read_at_start, store_reports, sweep_rows};
-pub use trials::{grant_trial, request_trial};
+pub use trials::grant_trial;
 
 use super::crash_detection::InterruptedRequest;
 use super::in_flight::InFlightGuard;
@@ -21,9 +23,12 @@
 use crate::process::{clock, logs};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::event;
-use trestlerack::process::{CrashReport, ServerEntry, ServerNeed, SuspectState};
+use trestlerack::process::{CrashReport, RunEvidence, RunProgress, ServerEntry, ServerNeed, SuspectState};
 use trestlerack::request::RequestFingerprint;
+use trestlerack::{Name, event};
+
+/// Time until a content that waits for the end of another of its runs is checked again.
+const OTHER_RUN_RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Source of a crash report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,12 +48,13 @@
     }
 }
 
-/// Returns for how long a content is not sent to servers; `None` if it is not blocked.
+/// Returns for how long a content is not sent to servers; `None` if it may be sent now, also for a recovery trial.
 pub fn blocked_for(node: &EntryNode, fingerprint: RequestFingerprint) -> Option<Duration> {
-    match node.suspects.tracker().state(node.now(), fingerprint) {
-        SuspectState::Blocked(left) => Some(left),
-        SuspectState::Clear | SuspectState::Suspected(_) => None,
-    }
+    let now = node.now();
+    let tracker = node.suspects.tracker();
+    let SuspectState::Blocked(left) = tracker.state(now, fingerprint) else { return None };
+    let wait = tracker.time_to_recovery(now, fingerprint).map_or(left, |wait| wait.min(left));
+    (!wait.is_zero()).then_some(wait)
 }
 
 /// Chooses a server for a request. A suspect content goes to a server that runs no other suspect of this node, so
@@ -90,12 +96,15 @@
 /// Returns how long a content that can be delayed has to wait. A content with several crashes, of which it is not
 /// decided yet whether it is blocked, could crash one more server.
 pub fn wait_time(node: &EntryNode, fingerprint: RequestFingerprint) -> Duration {
+    if let Some(left) = blocked_for(node, fingerprint) {
+        return left;
+    }
     let now = node.now();
     let tracker = node.suspects.tracker();
     match tracker.state(now, fingerprint) {
-        SuspectState::Clear | SuspectState::Suspected(1) => Duration::ZERO,
-        SuspectState::Suspected(_) => tracker.time_to_settle(now, fingerprint),
-        SuspectState::Blocked(left) => left,
+        SuspectState::Suspected(_) if tracker.waits_for_other_run(now, fingerprint) => OTHER_RUN_RECHECK_INTERVAL,
+        SuspectState::Suspected(crashes) if crashes > 1 => tracker.time_to_settle(now, fingerprint),
+        SuspectState::Clear | SuspectState::Suspected(_) | SuspectState::Blocked(_) => Duration::ZERO,
     }
 }
 
@@ -110,9 +119,9 @@
 
 /// Records that a server crashed while it ran a request of this node.
 pub fn record_crash(node: &Arc<EntryNode>, request: &InterruptedRequest) {
-    let InterruptedRequest { id, fingerprint, server, is_trial, progress } = request;
-    let (now, fingerprint, is_trial) = (node.now(), *fingerprint, *is_trial);
-    let report = node.suspects.tracker().record_crash(now, fingerprint, server, is_trial);
+    let InterruptedRequest { id, fingerprint, server, evidence } = request;
+    let (now, fingerprint, RunEvidence { is_trial, progress }) = (node.now(), *fingerprint, *evidence);
+    let report = node.suspects.tracker().record_crash(now, fingerprint, server, *evidence);
     let crashes = node.suspects.tracker().crash_count(fingerprint);
     let fields: [(&str, &dyn std::fmt::Display); 7] = [
         ("request", &id),
@@ -132,7 +141,7 @@
 
 /// Records that a server is gone from service discovery, or listed with a later start.
 pub fn record_server_gone(node: &Arc<EntryNode>, server: &ServerEntry) {
-    if server.is_draining || !node.suspects.tracker().has_unresolved() {
+    if server.is_draining {
         return;
     }
     let now = node.now();
@@ -145,14 +154,40 @@
 pub fn record_response(node: &EntryNode, guard: &InFlightGuard) {
     guard.record_outcome();
     let (now, server, fingerprint) = (node.now(), &guard.server.instance, guard.fingerprint);
-    let cleared = node.suspects.tracker().record_answer(now, fingerprint);
+    let (cleared, used_trials) = {
+        let mut tracker = node.suspects.tracker();
+        let used_trials = tracker.used_recovery_trials(fingerprint);
+        used_trials.iter().for_each(|number| tracker.restore_recovery_trial(fingerprint, *number));
+        (tracker.record_answer(now, fingerprint), used_trials)
+    };
+    if !used_trials.is_empty() {
+        node.suspects.publish_restored_trials(fingerprint, &used_trials);
+    }
+    publish_cleared(node, fingerprint, server, "answered", &cleared);
+}
+
+/// Records the numbers of events that a server sent. They may show that a run has passed the points at which crashes
+/// cut other runs of its content.
+pub fn record_events(node: &EntryNode, guard: &InFlightGuard, numbers: impl Iterator<Item = u64>) {
+    let progress = guard.record_events(numbers);
+    let cleared = node.suspects.tracker().record_progress(node.now(), guard.fingerprint, progress);
+    publish_cleared(node, guard.fingerprint, &guard.server.instance, "got further", &cleared);
+}
+
+fn publish_cleared(
+    node: &EntryNode,
+    fingerprint: RequestFingerprint,
+    server: &Name,
+    why: &str,
+    cleared: &[CrashReport],
+) {
     if cleared.is_empty() {
         return;
     }
-    let fields: [(&str, &dyn std::fmt::Display); 3] =
-        [("fingerprint", &fingerprint), ("server", server), ("strikes", &cleared.len())];
+    let fields: [(&str, &dyn std::fmt::Display); 4] =
+        [("fingerprint", &fingerprint), ("server", server), ("strikes", &cleared.len()), ("why", &why)];
     logs::write(event::SUSPECT_CLEARED, &fields);
-    node.suspects.publish(now, &cleared);
+    node.suspects.publish(node.now(), cleared);
 }
 
 /// Logs which contents new crash reports cause to be blocked, when the reports take effect.
@@ -171,7 +206,8 @@
 async fn log_if_blocked(node: Arc<EntryNode>, fingerprint: RequestFingerprint, source: ReportSource, age_ms: u64) {
     let time_to_settle = node.suspects.tracker().time_to_settle(node.now(), fingerprint);
     clock::sleep(time_to_settle).await;
-    if blocked_for(&node, fingerprint).is_some() {
+    let state = node.suspects.tracker().state(node.now(), fingerprint);
+    if matches!(state, SuspectState::Blocked(_)) {
         let crashes = node.suspects.tracker().crash_count(fingerprint);
         let fields: [(&str, &dyn std::fmt::Display); 4] =
             [("fingerprint", &fingerprint), ("ended", &crashes), ("source", &source.as_str()), ("age_ms", &age_ms)];
@@ -179,7 +215,14 @@
     }
 }
 
-/// Merges crash reports and returns those that are new to this node.
+/// Merges a stored crash report.
+fn merge_stored(node: &Arc<EntryNode>, report: &CrashReport, progress: RunProgress) {
+    if node.suspects.tracker().merge_with_progress(node.now(), report, progress) {
+        log_blocked_contents(node, &[*report], ReportSource::Store);
+    }
+}
+
+/// Merges crash reports of this node or of a peer and returns those that are new to this node.
 fn merge(node: &Arc<EntryNode>, reports: &[CrashReport], source: ReportSource) -> Vec<CrashReport> {
     let now = node.now();
     let mut tracker = node.suspects.tracker();
--- /dev/null
+++ b/crates/trestlerackd/src/entry/suspects/recovery.rs
@@ -0,0 +1,68 @@
+//! Permits for runs of suspect contents, and recovery trials of blocked ones.
+//!
+//! The row of a recovery trial is written before the run is sent, on the condition that there is none. So all nodes
+//! together use each trial once, and none without the store; see
+//! [docs/PLATFORM.md](../../../../../docs/PLATFORM.md#requests-that-end-servers).
+
+use super::{rows, trials};
+use crate::entry::in_flight::InFlightGuard;
+use crate::entry::node::EntryNode;
+use crate::process::{clock, logs};
+use std::sync::Arc;
+use std::time::Duration;
+use trestlerack::event;
+use trestlerack::interfaces::StoreError;
+use trestlerack::process::SuspectState;
+use trestlerack::request::RequestFingerprint;
+use trestlerack::rows::StoreReply;
+
+/// Time limit of a reservation. The request holds its place at the server meanwhile.
+const RESERVATION_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Whether a request with a suspect content may be sent.
+pub enum RunPermit {
+    /// It may be sent.
+    Granted,
+    /// Its content is blocked for this time.
+    Blocked(Duration),
+    /// Another suspect content has its trial at the server.
+    ServerTaken,
+}
+
+/// Requests to send a suspect content to the server of its guard.
+pub async fn request_permit(node: &Arc<EntryNode>, guard: &InFlightGuard, request: &str) -> RunPermit {
+    let fingerprint = guard.fingerprint;
+    if let Some(left) = super::blocked_for(node, fingerprint) {
+        return RunPermit::Blocked(left);
+    }
+    if !trials::request_trial(node, guard).await {
+        return RunPermit::ServerTaken;
+    }
+    let state = node.suspects.tracker().state(node.now(), fingerprint);
+    let SuspectState::Blocked(left) = state else { return RunPermit::Granted };
+    if start_recovery_trial(node, fingerprint, request).await {
+        return RunPermit::Granted;
+    }
+    RunPermit::Blocked(super::blocked_for(node, fingerprint).unwrap_or(left))
+}
+
+/// Starts a recovery trial of a blocked content. Returns whether one was due and no other node has used it.
+async fn start_recovery_trial(node: &Arc<EntryNode>, fingerprint: RequestFingerprint, request: &str) -> bool {
+    let Some(number) = node.suspects.tracker().start_recovery_trial(node.now(), fingerprint) else { return false };
+    let reservation = rows::reserve_recovery_trial(node, fingerprint, number);
+    let reply = clock::timeout(RESERVATION_TIMEOUT, reservation).await.unwrap_or(Err(StoreError::Unknown));
+    let outcome = match &reply {
+        Ok(StoreReply::Committed(_)) => "reserved",
+        Ok(_) => "used by another node",
+        Err(StoreError::Unknown) => "perhaps used, the store's answer was lost",
+        Err(StoreError::Unavailable | StoreError::RateLimited) => "not reserved, the store is unavailable",
+    };
+    let fields: [(&str, &dyn std::fmt::Display); 4] =
+        [("request", &request), ("fingerprint", &fingerprint), ("number", &number), ("outcome", &outcome)];
+    logs::write(event::RECOVERY_TRIAL, &fields);
+    // A reservation that may have been stored counts as used, as another node may find its row.
+    if !matches!(reply, Err(StoreError::Unavailable | StoreError::RateLimited)) {
+        node.suspects.tracker().record_recovery_trial(node.now(), fingerprint, number);
+    }
+    matches!(reply, Ok(StoreReply::Committed(_)))
+}
--- a/crates/trestlerackd/src/entry/suspects/rows.rs
+++ b/crates/trestlerackd/src/entry/suspects/rows.rs
@@ -1,7 +1,7 @@
-//! Crash reports as rows of the system's own table, which every node watches.
+//! Crash reports and recovery trials as rows of the system's own table, which every node watches.
 
-use super::control::{CrashKey, RowChange};
-use super::{ReportSource, gossip, merge};
+use super::control::{RowChange, SuspectKey};
+use super::{gossip, merge_stored};
 use crate::entry::node::EntryNode;
 use crate::entry::tables;
 use crate::process::{clock, logs};
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::interfaces::StoreError;
-use trestlerack::process::{CrashReport, SuspectSettings, failure_backoff};
+use trestlerack::process::{CrashReport, RunProgress, SuspectSettings, failure_backoff};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply, StoredRow};
 use trestlerack::time::millis;
@@ -27,6 +27,16 @@
     is_trial: bool,
     /// Time of the crash on the store's clock, in milliseconds.
     at_ms: u64,
+    /// How far the content got on the server.
+    #[serde(default)]
+    progress: RunProgress,
+}
+
+/// A recovery trial that was used, and the part of a [`CrashRow`] that both kinds of rows have.
+#[derive(Serialize, Deserialize)]
+struct RecoveryRow {
+    /// Time on the store's clock, in milliseconds.
+    at_ms: u64,
 }
 
 /// Time limit for reading the stored reports at the start. After it the process serves without them: the store does
@@ -57,27 +67,61 @@
     node.suspects.set_reports_read();
 }
 
-/// Applies the row of a crash report.
+/// Applies the row of a crash report or of a recovery trial.
 pub fn apply_row(node: &Arc<EntryNode>, row: &StoredRow) -> Result<(), StoreError> {
-    if row.removed {
-        let (fingerprint, server_start) = decode_key(&row.key).ok_or(StoreError::Unknown)?;
-        node.suspects.tracker().clear(fingerprint, server_start);
-        return Ok(());
+    match decode_key(&row.key).ok_or(StoreError::Unknown)? {
+        SuspectKey::Crash(fingerprint, server_start) if row.removed => {
+            node.suspects.tracker().clear(fingerprint, server_start);
+        }
+        SuspectKey::RecoveryTrial(fingerprint, number) if row.removed => {
+            node.suspects.tracker().restore_recovery_trial(fingerprint, number);
+        }
+        SuspectKey::Crash(..) => {
+            let CrashRow { fingerprint, server_start, is_trial, at_ms, progress } = tables::decode(&row.value)?;
+            let age_ms = node.store.clock_ms().saturating_sub(at_ms);
+            let report = CrashReport { fingerprint, server_start, is_trial, is_cleared: false, age_ms };
+            merge_stored(node, &report, progress);
+        }
+        SuspectKey::RecoveryTrial(fingerprint, number) => {
+            let RecoveryRow { at_ms } = tables::decode(&row.value)?;
+            let age = Duration::from_millis(node.store.clock_ms().saturating_sub(at_ms));
+            node.suspects.tracker().record_recovery_trial(node.now() - age, fingerprint, number);
+        }
     }
-    let crash: CrashRow = tables::decode(&row.value)?;
-    let age_ms = node.store.clock_ms().saturating_sub(crash.at_ms);
-    let CrashRow { fingerprint, server_start, is_trial, .. } = crash;
-    merge(node, &[CrashReport { fingerprint, server_start, is_trial, is_cleared: false, age_ms }], ReportSource::Store);
     Ok(())
 }
 
-fn encode_key((fingerprint, server_start): &CrashKey) -> String {
-    format!("{fingerprint}-{server_start:016x}")
+/// Prefix of the number in the key of a recovery trial's row. It contains no hexadecimal number, so that the key differs
+/// from that of a crash report.
+const RECOVERY_PREFIX: &str = "recovery-";
+
+fn encode_key(key: &SuspectKey) -> String {
+    match key {
+        SuspectKey::Crash(fingerprint, server_start) => format!("{fingerprint}-{server_start:016x}"),
+        SuspectKey::RecoveryTrial(fingerprint, number) => format!("{fingerprint}-{RECOVERY_PREFIX}{number}"),
+    }
 }
 
-fn decode_key(key: &str) -> Option<CrashKey> {
-    let (fingerprint, server_start) = key.split_once('-')?;
-    Some((fingerprint.parse().ok()?, u64::from_str_radix(server_start, 16).ok()?))
+fn decode_key(key: &str) -> Option<SuspectKey> {
+    let (fingerprint, rest) = key.split_once('-')?;
+    let fingerprint = fingerprint.parse().ok()?;
+    match rest.strip_prefix(RECOVERY_PREFIX) {
+        Some(number) => Some(SuspectKey::RecoveryTrial(fingerprint, number.parse().ok()?)),
+        None => Some(SuspectKey::Crash(fingerprint, u64::from_str_radix(rest, 16).ok()?)),
+    }
+}
+
+/// Reserves a recovery trial at all nodes: the first to write its row may use it.
+pub(super) async fn reserve_recovery_trial(
+    node: &Arc<EntryNode>,
+    fingerprint: RequestFingerprint,
+    number: u32,
+) -> Result<StoreReply, StoreError> {
+    let row_key = encode_key(&SuspectKey::RecoveryTrial(fingerprint, number));
+    let row = tables::encode(&RecoveryRow { at_ms: node.store.clock_ms() });
+    let transaction =
+        RowTransaction::new(tables::SUSPECTS).expect(tables::STATE, &row_key, 0).put(tables::STATE, &row_key, row);
+    node.store.call(&StoreCall::Commit(transaction)).await
 }
 
 /// Stores crash reports until the process ends.
@@ -102,18 +146,21 @@
     }
 }
 
-async fn commit(node: &Arc<EntryNode>, changes: &[(CrashKey, RowChange)]) -> Result<(), StoreError> {
+async fn commit(node: &Arc<EntryNode>, changes: &[(SuspectKey, RowChange)]) -> Result<(), StoreError> {
     let now = node.now();
     let mut transaction = RowTransaction::new(tables::SUSPECTS);
     for (key, change) in changes {
         let row_key = encode_key(key);
-        transaction = match change {
-            RowChange::Remove => transaction.remove(tables::STATE, &row_key),
-            RowChange::Put { at, is_trial } => {
-                let at_ms = node.store.clock_ms().saturating_sub(millis(now.since(*at)));
-                let row = CrashRow { fingerprint: key.0, server_start: key.1, is_trial: *is_trial, at_ms };
+        transaction = match (*key, *change) {
+            (SuspectKey::Crash(fingerprint, server_start), RowChange::Put { at, is_trial }) => {
+                let at_ms = node.store.clock_ms().saturating_sub(millis(now.since(at)));
+                let progress = node.suspects.tracker().progress_at(fingerprint, server_start);
+                let row = CrashRow { fingerprint, server_start, is_trial, at_ms, progress };
                 transaction.put(tables::STATE, &row_key, tables::encode(&row))
             }
+            // The row of a recovery trial is written when the trial is reserved.
+            (SuspectKey::RecoveryTrial(..), RowChange::Put { .. }) => transaction,
+            (_, RowChange::Remove) => transaction.remove(tables::STATE, &row_key),
         };
     }
     match node.store.call(&StoreCall::Commit(transaction)).await? {
@@ -122,12 +169,12 @@
     }
 }
 
-/// Removes the rows of expired crash reports, and the oldest ones above [`MAX_ROWS`].
+/// Removes the rows of expired crash reports and recovery trials, and the oldest ones above [`MAX_ROWS`].
 pub async fn sweep_rows(node: &Arc<EntryNode>) -> Result<(), StoreError> {
     let rows = tables::read_all(&node.store, tables::STATE, tables::SUSPECTS).await?;
     let clock_ms = node.store.clock_ms();
     let retention_ms = millis(SuspectSettings::default().retention);
-    let at_ms = |row: &StoredRow| tables::decode::<CrashRow>(&row.value).map_or(0, |crash| crash.at_ms);
+    let at_ms = |row: &StoredRow| tables::decode::<RecoveryRow>(&row.value).map_or(0, |row| row.at_ms);
     let mut dated: Vec<(u64, Name)> = rows.iter().map(|row| (at_ms(row), row.key.clone())).collect();
     dated.sort();
     let surplus = dated.len().saturating_sub(MAX_ROWS);
--- a/crates/trestlerackd/src/entry/suspects/trials.rs
+++ b/crates/trestlerackd/src/entry/suspects/trials.rs
@@ -16,9 +16,8 @@
 /// a content with several crashes may not be sent to a server that has the trial of another one.
 pub async fn request_trial(node: &Arc<EntryNode>, guard: &InFlightGuard) -> bool {
     let state = node.suspects.tracker().state(node.now(), guard.fingerprint);
-    let SuspectState::Suspected(crashes) = state else { return true };
     // Runs on engines last longer than a trial, and a step has many of them, which would wait for each other.
-    if crashes == 1 || !guard.server.models.is_empty() {
+    if matches!(state, SuspectState::Clear | SuspectState::Suspected(1)) || !guard.server.models.is_empty() {
         return true;
     }
     let server = &guard.server.instance;
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the entry daemon as a process, against stand-ins of the users' platform.
 
 mod cold;
+mod crash_storms;
 mod crashes;
 mod customers;
 mod duties;
--- a/crates/trestlerackd/tests/entry/support/crashing.rs
+++ b/crates/trestlerackd/tests/entry/support/crashing.rs
@@ -4,11 +4,12 @@
 use super::server::{ReceivedRequest, read_request, reply};
 use super::store::StandinStore;
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A server crashes when it runs a request whose body contains this text.
 pub const FATAL: &str = "ends its server";
@@ -24,6 +25,9 @@
 pub struct CrashRun {
     pub id: String,
     pub body: String,
+    /// Position of the server among those of its service, the same after a restart.
+    pub server: usize,
+    pub at: Instant,
 }
 
 /// Servers of one service that crash on fatal requests, with their settings and the runs that they recorded.
@@ -34,6 +38,12 @@
     pub work_ms: AtomicUsize,
     /// Number of events that a fatal stream sends before its server crashes.
     pub events_before_crash: AtomicUsize,
+    /// Number of the event at which a fatal stream crashes its server, if that comes first.
+    pub fatal_event: AtomicU64,
+    /// Number of events of a stream.
+    pub events_per_stream: AtomicU64,
+    /// Servers that are to crash for another reason than a fatal request.
+    crash_orders: Mutex<BTreeSet<usize>>,
     service: &'static str,
     store: StandinStore,
     restart_delay: Duration,
@@ -48,21 +58,29 @@
             crashes: AtomicUsize::new(0),
             work_ms: AtomicUsize::new(WORK_TIME.as_millis() as usize),
             events_before_crash: AtomicUsize::new(0),
+            fatal_event: AtomicU64::new(u64::MAX),
+            events_per_stream: AtomicU64::new(EVENTS_PER_STREAM),
+            crash_orders: Mutex::default(),
             service,
             store: store.clone(),
             restart_delay,
             start_count: AtomicUsize::new(0),
         });
-        for _ in 0..count {
+        for number in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0").unwrap();
             let servers = servers.clone();
             let first = servers.register_instance(listener.local_addr().unwrap());
-            std::thread::spawn(move || servers.run_instances(listener, first));
+            std::thread::spawn(move || servers.run_instances(number, listener, first));
         }
         servers
     }
 
-    /// Returns the number of crashes so far.
+    /// Crashes a server, which is not counted as a crash under a fatal request.
+    pub fn crash_server(&self, number: usize) {
+        self.crash_orders.lock().unwrap().insert(number);
+    }
+
+    /// Returns the number of crashes under fatal requests so far.
     pub fn crash_count(&self) -> usize {
         self.crashes.load(Ordering::SeqCst)
     }
@@ -82,10 +100,10 @@
     }
 
     /// Serves at one address, as a new instance after each crash, until the test ends.
-    fn run_instances(self: Arc<Self>, mut listener: TcpListener, mut name: String) {
+    fn run_instances(self: Arc<Self>, number: usize, mut listener: TcpListener, mut name: String) {
         let address = listener.local_addr().unwrap();
         loop {
-            self.serve_until_crash(listener, &name);
+            self.serve_until_crash(number, listener, &name);
             std::thread::sleep(self.restart_delay);
             self.store.remove("servers", &name);
             listener = TcpListener::bind(address).unwrap();
@@ -94,11 +112,15 @@
     }
 
     /// Serves connections until a request crashes the server, which breaks all of them.
-    fn serve_until_crash(self: &Arc<Self>, listener: TcpListener, name: &str) {
+    fn serve_until_crash(self: &Arc<Self>, number: usize, listener: TcpListener, name: &str) {
         listener.set_nonblocking(true).unwrap();
         let has_crashed = Arc::new(AtomicBool::new(false));
         let mut connections: Vec<TcpStream> = Vec::new();
         while !has_crashed.load(Ordering::SeqCst) {
+            if self.crash_orders.lock().unwrap().remove(&number) {
+                has_crashed.store(true, Ordering::SeqCst);
+                break;
+            }
             let Ok((stream, _)) = listener.accept() else {
                 std::thread::sleep(POLL_INTERVAL);
                 continue;
@@ -106,7 +128,7 @@
             stream.set_nonblocking(false).unwrap();
             connections.push(stream.try_clone().unwrap());
             let (servers, name, has_crashed) = (self.clone(), name.to_owned(), has_crashed.clone());
-            std::thread::spawn(move || servers.serve_connection(stream, &name, &has_crashed));
+            std::thread::spawn(move || servers.serve_connection(stream, number, &name, &has_crashed));
         }
         // A crashed process no longer listens, and nodes check that as soon as their connections break. So the
         // listener is closed first.
@@ -115,17 +137,23 @@
         connections.iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
     }
 
-    fn serve_connection(&self, stream: TcpStream, name: &str, has_crashed: &AtomicBool) {
+    fn serve_connection(&self, stream: TcpStream, number: usize, name: &str, has_crashed: &AtomicBool) {
         let mut writer = stream.try_clone().unwrap();
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
-            if has_crashed.load(Ordering::SeqCst) || !self.answer(&request, &mut writer, name, has_crashed) {
+            if has_crashed.load(Ordering::SeqCst) || !self.answer(&request, &mut writer, (number, name), has_crashed) {
                 return;
             }
         }
     }
 
-    fn answer(&self, request: &ReceivedRequest, stream: &mut TcpStream, name: &str, has_crashed: &AtomicBool) -> bool {
+    fn answer(
+        &self,
+        request: &ReceivedRequest,
+        stream: &mut TcpStream,
+        (number, name): (usize, &str),
+        has_crashed: &AtomicBool,
+    ) -> bool {
         match &*request.path {
             "/trestlerack/report" => {
                 let report = json!({ "models": [{ "name": "m", "version": 1 }], "busy": false, "seq": 0 });
@@ -139,7 +167,7 @@
             return reply(stream, 421, &[("request-id", &id), ("not-executed", "1")], "");
         }
         let body = String::from_utf8(request.body.clone()).unwrap();
-        let run = CrashRun { id: id.clone(), body: body.clone() };
+        let run = CrashRun { id: id.clone(), body: body.clone(), server: number, at: Instant::now() };
         self.runs.lock().unwrap().push(run);
         let is_fatal = body.contains(FATAL);
         let is_alive = if self.service == "models" {
@@ -161,7 +189,13 @@
     /// Sends the events after the one that the request names; a fatal request gets only the first ones.
     fn stream_events(&self, request: &ReceivedRequest, stream: &mut TcpStream, id: &str, is_fatal: bool) -> bool {
         let first = request.headers.get("last-event-id").map_or(1, |last| last.parse::<u64>().unwrap() + 1);
-        let events = if is_fatal { self.events_before_crash.load(Ordering::SeqCst) as u64 } else { EVENTS_PER_STREAM };
+        let total = self.events_per_stream.load(Ordering::SeqCst);
+        let fatal_event = self.fatal_event.load(Ordering::SeqCst);
+        let events = match is_fatal {
+            true => (self.events_before_crash.load(Ordering::SeqCst) as u64)
+                .min(fatal_event.saturating_add(1).saturating_sub(first)),
+            false => total,
+        };
         if is_fatal && events == 0 {
             std::thread::sleep(WORK_TIME);
             return false;
@@ -174,7 +208,7 @@
         if !write(head) {
             return false;
         }
-        for number in (first..=EVENTS_PER_STREAM).take(events as usize) {
+        for number in (first..=total).take(events as usize) {
             std::thread::sleep(self.work_time() / 5);
             let event = format!("id: {number}\ndata: {}\n\n", event_data(id, number, 1));
             if !write(format!("{:x}\r\n{event}\r\n", event.len())) {
