Give blocked contents of the daemon's own interface a way back

Callers of keyed and other plain calls, completions and scores would have been refused for ten minutes after crashes around them, as in the entry service; the two share the tracker.

Change: completions report their tokens as progress. Nodes take turns with recovery trials, by the rank of their hashes, as there is no store to reserve them. A trial that no server runs is available again, in the entry service too.

--- a/crates/trestlerack-standins/tests/failures.rs
+++ b/crates/trestlerack-standins/tests/failures.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use serde_json::{Value, json};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::{Cluster, OPERATOR_KEY, Reply, USER_KEY, check_samples, eventually, request};
 
 const PLACES: [&str; 2] = ["a", "b"];
@@ -223,6 +223,44 @@
     assert_eq!(other.status, 200, "{}", other.body);
 }
 
+/// Services crash under two calls within seconds, and then are replaced by others that run both. Guards against calls
+/// that stay blocked although the crashes may have another cause.
+#[test]
+fn a_call_that_was_blocked_beside_other_crashes_is_served_in_calm() {
+    let mut cluster = campaign_cluster("3");
+    for _ in 0..6 {
+        cluster.service("plain", "a");
+    }
+    cluster.declare(&PLACES);
+    for (declared, process) in &cluster.backends {
+        if declared["kind"] == "plain" {
+            process.fault(json!({ "mode": "exit" }));
+        }
+    }
+    let mut arrivals = 0;
+    let mut send = |cluster: &Cluster, body: &str| {
+        arrivals += 1;
+        record(cluster, arrivals % 3, Some(&format!("call-{arrivals}")), body)
+    };
+    send(&cluster, "fatal other");
+    let is_held = |reply: &Reply| reply.json()["type"].as_str().unwrap_or_default().ends_with("content-held");
+    let was_held = (0..8).any(|_| {
+        let reply = send(&cluster, "fatal record");
+        std::thread::sleep(Duration::from_millis(900));
+        is_held(&reply)
+    });
+    assert!(was_held, "three services crashed under the call");
+    for _ in 0..3 {
+        cluster.service("plain", "a");
+    }
+    cluster.declare(&PLACES);
+    let until = Instant::now() + Duration::from_secs(15);
+    while send(&cluster, "fatal record").status != 200 {
+        assert!(Instant::now() < until, "the call is still blocked");
+        std::thread::sleep(Duration::from_millis(300));
+    }
+}
+
 #[test]
 fn an_engine_that_names_no_version_makes_no_sample() {
     let cluster = campaign_cluster("3");
--- a/crates/trestlerack/src/process/suspects/mod.rs
+++ b/crates/trestlerack/src/process/suspects/mod.rs
@@ -242,12 +242,14 @@
         }
     }
 
-    /// Records that a server answered a request completely. Returns the reports of the crashes that this clears.
+    /// Records that a server answered a request completely, so that its content has all recovery trials again. Returns
+    /// the reports of the crashes that this clears.
     pub fn record_answer(&mut self, now: Timestamp, fingerprint: RequestFingerprint) -> Vec<CrashReport> {
         self.recently_answered.push_back((fingerprint, now));
         if self.recently_answered.len() > self.settings.max_recent {
             self.recently_answered.pop_front();
         }
+        self.recovery_trials.restore_all(fingerprint);
         let Some(record) = self.records.get_mut(&fingerprint) else { return Vec::new() };
         let uncleared: Vec<u64> =
             record.all().filter(|(_, crash)| !crash.is_cleared).map(|(server_start, _)| *server_start).collect();
--- a/crates/trestlerack/src/process/suspects/recovery.rs
+++ b/crates/trestlerack/src/process/suspects/recovery.rs
@@ -65,6 +65,11 @@
         log
     }
 
+    /// Makes all trials of a content available again.
+    pub(super) fn restore_all(&mut self, fingerprint: RequestFingerprint) {
+        self.contents.remove(&fingerprint);
+    }
+
     fn next_number(&self, fingerprint: RequestFingerprint, max_trials: u32) -> Option<u32> {
         let used = self.contents.get(&fingerprint).map(|log| &log.used);
         (1..=max_trials).find(|number| used.is_none_or(|used| !used.contains(number)))
@@ -113,13 +118,22 @@
         self.recovery_trials.record_attempt(at, fingerprint, max_suspects).used.insert(number);
     }
 
-    /// Records that a recovery trial is available again, because an answer cleared the content.
+    /// Records that a recovery trial is available again, because an answer at another node cleared the
+    /// content.
     pub fn restore_recovery_trial(&mut self, fingerprint: RequestFingerprint, number: u32) {
         if let Some(log) = self.recovery_trials.contents.get_mut(&fingerprint) {
             log.used.remove(&number);
         }
     }
 
+    /// Records that a recovery trial did not take place, because no server ran its request.
+    pub fn cancel_recovery_trial(&mut self, fingerprint: RequestFingerprint, number: u32) {
+        self.restore_recovery_trial(fingerprint, number);
+        if self.used_recovery_trials(fingerprint).is_empty() {
+            self.recovery_trials.restore_all(fingerprint);
+        }
+    }
+
     /// Returns the numbers of the recovery trials that a content has used.
     pub fn used_recovery_trials(&self, fingerprint: RequestFingerprint) -> Vec<u32> {
         let log = self.recovery_trials.contents.get(&fingerprint);
--- a/crates/trestlerack/tests/suspect_storms.rs
+++ b/crates/trestlerack/tests/suspect_storms.rs
@@ -259,9 +259,6 @@
                 if let Some(suspect_run) = run.suspect_run {
                     self.tracker.end_run(instance, suspect_run);
                 }
-                for number in self.tracker.used_recovery_trials(content.fingerprint) {
-                    self.tracker.restore_recovery_trial(content.fingerprint, number);
-                }
                 self.tracker.record_answer(at, content.fingerprint);
                 // The next step asks for the same prompt.
                 (item.run, item.position, item.waits_since) = (None, 0, self.now);
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -85,25 +85,42 @@
 pub async fn open_response(
     node: &Arc<EntryNode>,
     guard: InFlightGuard,
-    mut request: ServerRequest<'_>,
+    request: ServerRequest<'_>,
     wants_fresh: bool,
 ) -> Result<StreamingResponse, AttemptError> {
-    let instance = guard.server.instance.clone();
-    let request_id = request.request_id.to_owned();
     // All requests of callers, of whatever kind, are sent from here, so none bypasses this check.
-    if suspects::is_suspect(node, guard.fingerprint) {
-        // Boxed because few requests are suspects, and the future would enlarge each request in progress.
-        match Box::pin(suspects::request_permit(node, &guard, &request_id)).await {
-            RunPermit::Granted => {}
-            RunPermit::Blocked(left) => {
-                suspects::log_blocked(node, &request_id, guard.fingerprint, left);
-                return Err(AttemptError::Blocked(left));
-            }
-            RunPermit::ServerTaken => {
-                return Err(AttemptError::NotRun("another suspect content has its trial at this server".into()));
+    if !suspects::is_suspect(node, guard.fingerprint) {
+        return send_request(node, guard, request, wants_fresh).await;
+    }
+    let fingerprint = guard.fingerprint;
+    // Boxed because few requests are suspects, and the future would enlarge each request in progress.
+    match Box::pin(suspects::request_permit(node, &guard, request.request_id)).await {
+        RunPermit::Granted => send_request(node, guard, request, wants_fresh).await,
+        RunPermit::RecoveryTrial(number) => {
+            let result = send_request(node, guard, request, wants_fresh).await;
+            if result.as_ref().is_err_and(AttemptError::is_not_run) {
+                suspects::cancel_recovery_trial(node, fingerprint, number);
             }
+            result
+        }
+        RunPermit::Blocked(left) => {
+            suspects::log_blocked(node, request.request_id, fingerprint, left);
+            Err(AttemptError::Blocked(left))
+        }
+        RunPermit::ServerTaken => {
+            Err(AttemptError::NotRun("another suspect content has its trial at this server".into()))
         }
     }
+}
+
+async fn send_request(
+    node: &Arc<EntryNode>,
+    guard: InFlightGuard,
+    mut request: ServerRequest<'_>,
+    wants_fresh: bool,
+) -> Result<StreamingResponse, AttemptError> {
+    let instance = guard.server.instance.clone();
+    let request_id = request.request_id.to_owned();
     // The zone may have been evacuated, or the server replaced by one there, since the server was chosen.
     if node.evacuations.contains_server(&node.registry, &guard.server) {
         node.metrics.evacuations.record_refused_send(&guard.server.service);
--- a/crates/trestlerackd/src/entry/suspects/mod.rs
+++ b/crates/trestlerackd/src/entry/suspects/mod.rs
@@ -13,7 +13,7 @@
 
 pub use control::SuspectControl;
 pub use gossip::{pull_from_peers, respond_to_peer, send_to_peers};
-pub use recovery::{RunPermit, request_permit};
+pub use recovery::{RunPermit, cancel_recovery_trial, request_permit};
 pub use rows::{apply_row, read_at_start, store_reports, sweep_rows};
 pub use trials::grant_trial;
 
@@ -157,7 +157,6 @@
     let (cleared, used_trials) = {
         let mut tracker = node.suspects.tracker();
         let used_trials = tracker.used_recovery_trials(fingerprint);
-        used_trials.iter().for_each(|number| tracker.restore_recovery_trial(fingerprint, *number));
         (tracker.record_answer(now, fingerprint), used_trials)
     };
     if !used_trials.is_empty() {
--- a/crates/trestlerackd/src/entry/suspects/recovery.rs
+++ b/crates/trestlerackd/src/entry/suspects/recovery.rs
@@ -23,6 +23,8 @@
 pub enum RunPermit {
     /// It may be sent.
     Granted,
+    /// It may be sent as the recovery trial of its content with this number.
+    RecoveryTrial(u32),
     /// Its content is blocked for this time.
     Blocked(Duration),
     /// Another suspect content has its trial at the server.
@@ -40,15 +42,21 @@
     }
     let state = node.suspects.tracker().state(node.now(), fingerprint);
     let SuspectState::Blocked(left) = state else { return RunPermit::Granted };
-    if start_recovery_trial(node, fingerprint, request).await {
-        return RunPermit::Granted;
+    match start_recovery_trial(node, fingerprint, request).await {
+        Some(number) => RunPermit::RecoveryTrial(number),
+        None => RunPermit::Blocked(super::blocked_for(node, fingerprint).unwrap_or(left)),
     }
-    RunPermit::Blocked(super::blocked_for(node, fingerprint).unwrap_or(left))
 }
 
-/// Starts a recovery trial of a blocked content. Returns whether one was due and no other node has used it.
-async fn start_recovery_trial(node: &Arc<EntryNode>, fingerprint: RequestFingerprint, request: &str) -> bool {
-    let Some(number) = node.suspects.tracker().start_recovery_trial(node.now(), fingerprint) else { return false };
+/// Records that no server ran a recovery trial, so that the content may have it later.
+pub fn cancel_recovery_trial(node: &EntryNode, fingerprint: RequestFingerprint, number: u32) {
+    node.suspects.tracker().cancel_recovery_trial(fingerprint, number);
+    node.suspects.publish_restored_trials(fingerprint, &[number]);
+}
+
+/// Starts a recovery trial of a blocked content. Returns its number if one was due and no other node has used it.
+async fn start_recovery_trial(node: &Arc<EntryNode>, fingerprint: RequestFingerprint, request: &str) -> Option<u32> {
+    let number = node.suspects.tracker().start_recovery_trial(node.now(), fingerprint)?;
     let reservation = rows::reserve_recovery_trial(node, fingerprint, number);
     let reply = clock::timeout(RESERVATION_TIMEOUT, reservation).await.unwrap_or(Err(StoreError::Unknown));
     let outcome = match &reply {
@@ -64,5 +72,5 @@
     if !matches!(reply, Err(StoreError::Unavailable | StoreError::RateLimited)) {
         node.suspects.tracker().record_recovery_trial(node.now(), fingerprint, number);
     }
-    matches!(reply, Ok(StoreReply::Committed(_)))
+    matches!(reply, Ok(StoreReply::Committed(_))).then_some(number)
 }
--- a/crates/trestlerackd/src/request/call_router.rs
+++ b/crates/trestlerackd/src/request/call_router.rs
@@ -1,6 +1,6 @@
 //! Routes calls to owners of engines: this node or a peer.
 
-use super::content_blocking::{self, BackendRequest};
+use super::content_blocking::{self, BackendRequest, ProgressMeter};
 use super::dispatchers::Grant;
 use crate::connection::links::{self, RemoteCall};
 use crate::node::Node;
@@ -17,7 +17,7 @@
 use trestlerack::connection::{CallEvent, CallOutcome, CallSpec, TokenChunk};
 use trestlerack::interfaces::ChunkSink;
 use trestlerack::process::PeerInfo;
-use trestlerack::request::{EngineCandidate, EngineChooser, QueuedCall};
+use trestlerack::request::{EngineCandidate, EngineChooser, QueuedCall, RequestFingerprint};
 use trestlerack::verdict::Reason;
 use trestlerack::{AllowedZones, Failure, Name, Timestamp, Verdict};
 
@@ -191,6 +191,8 @@
         sender: &sender,
         needs_version: spec.needs_version,
         tokens: 0,
+        fingerprint: spec.fingerprint,
+        meter: Arc::new(ProgressMeter::after_tokens(spec.offset)),
     };
     let result = run_engine(&node, &grant, &spec, deadline, &mut relay).await;
     let tokens = relay.tokens;
@@ -216,11 +218,13 @@
     relay: &mut ChunkRelay<'_>,
 ) -> Result<(), Failure> {
     let remaining = deadline.since(node.now());
+    let meter = relay.meter.clone();
     let call = node.engines.complete(&grant.address, spec, relay);
     let call = async {
         match spec.fingerprint {
             Some(fingerprint) => {
-                let send = BackendRequest { backend: &grant.engine, address: &grant.address, fingerprint };
+                let (backend, address) = (&grant.engine, &*grant.address);
+                let send = BackendRequest { backend, address, fingerprint, meter: Some(&meter) };
                 content_blocking::send_unless_blocked(node, send, call).await
             }
             None => call.await,
@@ -265,6 +269,8 @@
     sender: &'a mpsc::Sender<CallEvent>,
     needs_version: bool,
     tokens: u32,
+    fingerprint: Option<RequestFingerprint>,
+    meter: Arc<ProgressMeter>,
 }
 
 #[async_trait]
@@ -280,6 +286,7 @@
             return false;
         }
         self.tokens += chunk.tokens;
+        self.meter.record_tokens(self.node, self.fingerprint, chunk.tokens);
         self.sender.send(CallEvent::Chunk(chunk)).await.is_ok()
     }
 }
--- a/crates/trestlerackd/src/request/content_blocking.rs
+++ b/crates/trestlerackd/src/request/content_blocking.rs
@@ -3,6 +3,7 @@
 //! The rules are those of the entry service ([`SuspectTracker`]). Nodes exchange crash reports with their
 //! probes, so a node that starts or rejoins has them after its first probe. A new report triggers probes
 //! at once, because with regular probes only, the same content arrived at other nodes before the report.
+//! Without a store that could reserve recovery trials, nodes take turns with them.
 
 use crate::node::Node;
 use crate::process::clock::{self, SystemClock};
@@ -12,8 +13,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use trestlerack::hash::hash_parts;
-use trestlerack::process::{CrashReport, GossipSettings, SuspectSettings, SuspectState, SuspectTracker};
+use trestlerack::hash::{hash_parts, rank_among};
+use trestlerack::process::{
+    CrashReport, GossipSettings, Liveness, RunEvidence, RunProgress, SuspectSettings, SuspectState, SuspectTracker,
+};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::verdict::Reason;
 use trestlerack::{Failure, Name, Verdict, event};
@@ -36,6 +39,9 @@
 /// seconds.
 const SAME_CRASH_MS: u64 = 10_000;
 
+/// Time by which the recovery trials of two nodes are apart, in which a report of a crash reaches all nodes.
+const TRIAL_TURN: Duration = Duration::from_secs(1);
+
 /// Contents that crashed backend servers, as far as this node knows.
 pub struct ContentBlocker {
     tracker: Mutex<SuspectTracker>,
@@ -53,6 +59,36 @@
     }
 }
 
+/// How far a request got on a backend server.
+#[derive(Default)]
+pub struct ProgressMeter {
+    progress: Mutex<RunProgress>,
+}
+
+impl ProgressMeter {
+    /// Creates a meter for a request that continues an answer after this number of tokens.
+    pub fn after_tokens(offset: u32) -> Self {
+        Self { progress: Mutex::new(RunProgress::after_event(Some(u64::from(offset)))) }
+    }
+
+    /// Records tokens that the server sent. They may show that the request has passed the points at which crashes cut
+    /// others with the same content.
+    pub fn record_tokens(&self, node: &Arc<Node>, fingerprint: Option<RequestFingerprint>, tokens: u32) {
+        let mut progress = self.progress.lock().unwrap();
+        progress.events += u64::from(tokens);
+        progress.position += u64::from(tokens);
+        let Some(fingerprint) = fingerprint else { return };
+        let cleared = node.content_blocker.tracker().record_progress(node.now(), fingerprint, *progress);
+        if !cleared.is_empty() {
+            member_loop::probe_gossip_peers(node, &GossipSettings::default());
+        }
+    }
+
+    fn progress(&self) -> RunProgress {
+        *self.progress.lock().unwrap()
+    }
+}
+
 /// Destination and content of a request to a backend server.
 pub struct BackendRequest<'a> {
     /// Name of the backend server.
@@ -61,6 +97,8 @@
     pub address: &'a str,
     /// Fingerprint of the content.
     pub fingerprint: RequestFingerprint,
+    /// How far the request gets, if its answer is a stream.
+    pub meter: Option<&'a ProgressMeter>,
 }
 
 /// Runs `exchange` with a backend server unless the content is blocked, and records its outcome.
@@ -72,8 +110,12 @@
     let now = node.now();
     // Bound to a variable so that the lock is released: `blocked_failure` locks the tracker too.
     let state = node.content_blocker.tracker().state(now, request.fingerprint);
+    let mut recovery_trial = None;
     if let SuspectState::Blocked(remaining) = state {
-        return Err(blocked_failure(node, &request, remaining));
+        recovery_trial = start_recovery_trial(node, request.fingerprint);
+        if recovery_trial.is_none() {
+            return Err(blocked_failure(node, &request, remaining));
+        }
     }
     let run = node.content_blocker.tracker().begin_run(now, request.backend, request.fingerprint);
     let result = exchange.await;
@@ -81,13 +123,19 @@
     if let Some(run) = run {
         node.content_blocker.tracker().end_run(request.backend, run);
     }
+    if let (Some(number), Err(failure)) = (recovery_trial, &result)
+        && failure.verdict == Verdict::NotRun
+    {
+        node.content_blocker.tracker().cancel_recovery_trial(request.fingerprint, number);
+    }
     match &result {
         Ok(_) => {
             node.content_blocker.tracker().record_answer(node.now(), request.fingerprint);
         }
         Err(failure) if failure.verdict == Verdict::MayHaveRun && failure.reason == Reason::BackendFailed => {
             if refuses_connections(request.address).await {
-                record_crash(node, &request, is_trial);
+                let progress = request.meter.map_or_else(RunProgress::default, ProgressMeter::progress);
+                record_crash(node, &request, RunEvidence { is_trial, progress });
             }
         }
         Err(_) => {}
@@ -95,8 +143,36 @@
     result
 }
 
+/// Starts a recovery trial of a blocked content if one is due and it is this node's turn. A crash of the trial reaches
+/// the node with the next turn before that.
+fn start_recovery_trial(node: &Node, fingerprint: RequestFingerprint) -> Option<u32> {
+    let key = hash_parts(&[&fingerprint.to_string()]);
+    let rank = {
+        let membership = node.membership.lock().unwrap();
+        let alive: Vec<Name> = membership
+            .peers()
+            .filter(|update| update.liveness == Liveness::Alive)
+            .map(|update| update.peer.name)
+            .collect();
+        rank_among(key, node.name(), alive.iter().map(|name| &**name))
+    };
+    let turn = TRIAL_TURN * u32::try_from(rank).unwrap_or(u32::MAX);
+    let mut tracker = node.content_blocker.tracker();
+    let number = tracker.start_recovery_trial(node.now() - turn, fingerprint)?;
+    tracker.record_recovery_trial(node.now(), fingerprint, number);
+    let fields: [(&str, &dyn std::fmt::Display); 4] =
+        [("request", &"-"), ("fingerprint", &fingerprint), ("number", &number), ("outcome", &"reserved")];
+    logs::write(event::RECOVERY_TRIAL, &fields);
+    Some(number)
+}
+
 fn blocked_failure(node: &Node, request: &BackendRequest<'_>, remaining: Duration) -> Failure {
-    let crashes = node.content_blocker.tracker().crash_count(request.fingerprint);
+    let (crashes, recovery) = {
+        let tracker = node.content_blocker.tracker();
+        let recovery = tracker.time_to_recovery(node.now(), request.fingerprint);
+        (tracker.crash_count(request.fingerprint), recovery)
+    };
+    let remaining = recovery.map_or(remaining, |recovery| recovery.max(TRIAL_TURN).min(remaining));
     let fields: [(&str, &dyn std::fmt::Display); 4] = [
         ("request", &"-"),
         ("fingerprint", &request.fingerprint),
@@ -107,22 +183,24 @@
     Failure::not_run(Reason::ContentHeld, "backend servers crashed while they ran this content").retry_after(remaining)
 }
 
-fn record_crash(node: &Arc<Node>, request: &BackendRequest<'_>, is_trial: bool) {
+fn record_crash(node: &Arc<Node>, request: &BackendRequest<'_>, evidence: RunEvidence) {
     let crash_id = hash_parts(&[request.backend, &(SystemClock::unix_millis() / SAME_CRASH_MS).to_string()]);
     let is_new = node
         .content_blocker
         .tracker()
-        .record_crash_by_start(node.now(), request.fingerprint, crash_id, is_trial)
+        .record_crash_by_start(node.now(), request.fingerprint, crash_id, evidence)
         .is_some();
     if is_new {
         member_loop::probe_gossip_peers(node, &GossipSettings::default());
     }
     let crashes = node.content_blocker.tracker().crash_count(request.fingerprint);
-    let fields: [(&str, &dyn std::fmt::Display); 5] = [
+    let fields: [(&str, &dyn std::fmt::Display); 7] = [
         ("request", &"-"),
         ("fingerprint", &request.fingerprint),
         ("server", request.backend),
-        ("trial", &is_trial),
+        ("trial", &evidence.is_trial),
+        ("events", &evidence.progress.events),
+        ("position", &evidence.progress.position),
         ("ended", &crashes),
     ];
     logs::write(event::SERVER_ENDED, &fields);
--- a/crates/trestlerackd/src/request/group_runner.rs
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -316,7 +316,7 @@
     for _ in 0..MAX_SCORE_ATTEMPTS {
         let chosen = node.plain.choose(node.now(), &backends, &tried, |name| node.dispatchers.is_draining(name));
         let Some(backend) = chosen else { break };
-        let request = BackendRequest { backend: &backend.name, address: &backend.address, fingerprint };
+        let request = BackendRequest { backend: &backend.name, address: &backend.address, fingerprint, meter: None };
         let result =
             content_blocking::send_unless_blocked(node, request, node.scoring.score(&backend.address, prompt, text))
                 .await;
--- a/crates/trestlerackd/src/request/plain.rs
+++ b/crates/trestlerackd/src/request/plain.rs
@@ -137,8 +137,12 @@
             let failure = Failure::not_run(Reason::NoBackend, "no backend server of the service accepts requests");
             return Err(failure.retry_after(Duration::from_secs(1)));
         };
-        let request =
-            BackendRequest { backend: &backend.name, address: &backend.address, fingerprint: call.fingerprint() };
+        let request = BackendRequest {
+            backend: &backend.name,
+            address: &backend.address,
+            fingerprint: call.fingerprint(),
+            meter: None,
+        };
         let result = content_blocking::send_unless_blocked(node, request, send_attempt(node, call, &backend)).await;
         let succeeded = result.as_ref().is_ok_and(|response| !response.status.is_server_error());
         node.plain.record_response(node.now(), &backend, succeeded);
