End streams at the time limit of their route

Cause: the limit bounds the attempts of other requests, and streams are passed on outside of it; a silent engine keeps no limit. Change: the relay breaks a stream off 100 ms after the limit, with which it also leaves the engine.

--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -23,12 +23,18 @@
 /// seconds at the earliest.
 const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after the time limit of the route for which a stream may still end by itself. Its server ends it at the limit
+/// unless it has gone silent, and its last bytes may be on their way.
+const LIMIT_SLACK: Duration = Duration::from_millis(100);
+
 /// An event stream that is relayed from a server to a client.
 struct StreamRelay {
     node: Arc<EntryNode>,
     route: RequestRoute,
     request: ClientRequest,
     deadline: Timestamp,
+    /// When the stream is broken off if it has not ended; `None` if its route sets no time limit.
+    ends_at: Option<Timestamp>,
     history: RequestHistory,
     open: StreamingResponse,
     decoder: EventDecoder,
@@ -61,11 +67,14 @@
         }
     };
     history.record_response(open.status);
+    let limit = Duration::from_millis(route.timeout_ms);
+    let ends_at = (!limit.is_zero()).then(|| history.started() + limit + LIMIT_SLACK);
     let relay = StreamRelay {
         node: node.clone(),
         route: route.clone(),
         request,
         deadline,
+        ends_at,
         history,
         open,
         decoder: EventDecoder::default(),
@@ -157,8 +166,20 @@
         }
     }
 
-    /// Returns the next bytes for the client, or `None` at the regular end of the stream.
+    /// Returns the next bytes for the client, or `None` at the regular end of the stream. Fails at the time limit of the
+    /// route, also if the server has gone silent.
     async fn next(&mut self) -> Result<Option<Bytes>, ReplyError> {
+        let Some(ends_at) = self.ends_at else { return self.relay_next().await };
+        let left = ends_at.since(self.node.now());
+        let relayed = clock::timeout(left, self.relay_next()).await;
+        relayed.unwrap_or_else(|_| {
+            let error = ReplyError::from("the time limit of the route has passed");
+            self.history.log_failed_attempt(&self.open.guard.server.instance, &error);
+            Err(error)
+        })
+    }
+
+    async fn relay_next(&mut self) -> Result<Option<Bytes>, ReplyError> {
         loop {
             let error = match self.read_frame().await {
                 Ok(Some(bytes)) if bytes.is_empty() => continue,
--- a/crates/trestlerackd/tests/entry/requests.rs
+++ b/crates/trestlerackd/tests/entry/requests.rs
@@ -5,6 +5,24 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+/// Guards against streams that stay open for as long as their server is silent.
+#[test]
+fn a_stream_of_a_silent_server_ends_at_the_time_limit_of_its_route() {
+    const ROUTE_LIMIT: Duration = Duration::from_secs(5);
+    let platform = Platform::start_with_counts(0, 0);
+    let engines = CrashingServers::start(&platform.store, "models", 2, Duration::from_millis(400));
+    // The servers send the head of the response, and then nothing for half a minute.
+    engines.work_ms.store(150_000, Ordering::SeqCst);
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    for path in ["/streamed/x", "/resumed/x"] {
+        let started = Instant::now();
+        let is_complete = read_stream_from(&daemon.client, path, "s1").is_some_and(|(_, is_complete)| is_complete);
+        let took = started.elapsed();
+        assert!(!is_complete, "{path}: a broken stream must not look complete");
+        assert!(took < ROUTE_LIMIT + Duration::from_millis(400), "{path} ended after {took:?}");
+    }
+}
+
 #[test]
 fn requests_are_forwarded_unchanged_and_unroutable_ones_are_rejected() {
     let platform = Platform::start();
