--- a/crates/trestlerack/src/process/entry_settings.rs
+++ b/crates/trestlerack/src/process/entry_settings.rs
@@ -219,7 +219,13 @@
         "3000",
         "Time that a new holder of the order lease waits before its first order, so that none of the previous holder is in flight.",
     ),
-    count("retention_s", 1, 30 * 86_400, "600", "Time after its submission for which a finished job can be read."),
+    count(
+        "retention_s",
+        1,
+        30 * 86_400,
+        "600",
+        "Time after its submission for which a job that a client has ended can be read; others are kept.",
+    ),
     count(
         "server_heartbeat_ms",
         1,
--- a/crates/trestlerackd/src/entry/retention.rs
+++ b/crates/trestlerackd/src/entry/retention.rs
@@ -46,15 +46,14 @@
     row.is_some_and(|row| row.holder == node.settings.name && row.incarnation == node.incarnation)
 }
 
-/// Returns the jobs that have ended or are complete, and whose retention time since their acceptance has passed.
+/// Returns the jobs that a client has ended, and whose retention time since their acceptance has passed. A job that
+/// nobody has ended can still be read, also if it is complete.
 fn expired_jobs(node: &EntryNode) -> Vec<Name> {
     let clock_ms = node.store.clock_ms();
     let retention_ms = node.settings.retention_s * 1_000;
     let jobs = node.jobs.lock().unwrap();
-    let is_expired = |view: &super::node::JobView| {
-        let is_over = view.is_ended || view.record.is_complete();
-        is_over && clock_ms.saturating_sub(view.record.accepted_ms) >= retention_ms
-    };
+    let is_expired =
+        |view: &super::node::JobView| view.is_ended && clock_ms.saturating_sub(view.record.accepted_ms) >= retention_ms;
     jobs.iter().filter(|(_, view)| is_expired(view)).map(|(id, _)| id.clone()).collect()
 }
 
--- a/crates/trestlerackd/tests/entry/jobs.rs
+++ b/crates/trestlerackd/tests/entry/jobs.rs
@@ -128,6 +128,7 @@
     assert_eq!((body.status, body.body.len(), &body.body[..1]), (200, 150_000, "y"));
     assert_eq!(read_results(&other, "large", 4).len(), 4);
     assert_eq!(platform.store.object_count(), 2);
+    assert_eq!(call(&other.client, "DELETE", "/trestlerack/lots/large", &[], "").unwrap().status, 200);
     eventually("its object is removed", || platform.store.object_count() == 1);
 }
 
@@ -337,6 +338,26 @@
     assert_eq!(answer.status, 404);
 }
 
+/// Guards against jobs that cannot be read any more because all of their results are there, though nobody has ended
+/// them.
+#[test]
+fn a_complete_job_can_be_read_until_a_client_ends_it() {
+    let platform = Platform::start();
+    let settings =
+        DaemonSettings { store: platform.store.address.to_string(), retention_s: 3, ..DaemonSettings::default() };
+    let daemon = EntryDaemon::start_with("a", &settings);
+    assert_eq!(submit(&daemon, "job1", 2), 202);
+    let results = read_results(&daemon, "job1", 2);
+    assert_eq!(results.len(), 2);
+    // Several sweeps after the retention time of the job.
+    std::thread::sleep(Duration::from_secs(7));
+    assert_eq!(read_results(&daemon, "job1", 2), results);
+    assert_eq!(call(&daemon.client, "DELETE", "/trestlerack/lots/job1", &[], "").unwrap().status, 200);
+    eventually("the job is removed", || {
+        call(&daemon.client, "GET", "/trestlerack/lots/job1?after=0", &[], "").unwrap().status == 404
+    });
+}
+
 /// The store refuses writes while a node that drives a job stops. The node must still exit in time, and another
 /// node finishes the job once the store accepts writes.
 #[test]
