--- a/crates/trestlerackd/tests/entry/crash_storms.rs
+++ b/crates/trestlerackd/tests/entry/crash_storms.rs
@@ -31,16 +31,6 @@
 /// Time between two events, in milliseconds.
 const EVENT_MS: usize = 20;
 
-fn start_nodes(platform: &Platform, names: &[&str]) -> Vec<EntryDaemon> {
-    let mut nodes: Vec<EntryDaemon> = Vec::new();
-    for name in names {
-        let seeds: Vec<&str> = nodes.iter().map(|node| &*node.peer).collect();
-        let node = EntryDaemon::start(name, &platform.store, &seeds);
-        nodes.push(node);
-    }
-    nodes
-}
-
 fn start_long_engines(platform: &Platform, count: usize) -> Arc<CrashingServers> {
     let engines = CrashingServers::start(&platform.store, "models", count, RESTART_DELAY);
     engines.events_per_stream.store(LONG_STREAM, Ordering::SeqCst);
--- a/crates/trestlerackd/tests/entry/crashes.rs
+++ b/crates/trestlerackd/tests/entry/crashes.rs
@@ -30,16 +30,6 @@
 /// Number of arrivals of the same request, each with another id and at another node.
 const ARRIVALS: usize = 10;
 
-fn start_nodes(platform: &Platform, names: &[&str]) -> Vec<EntryDaemon> {
-    let mut nodes: Vec<EntryDaemon> = Vec::new();
-    for name in names {
-        let seeds: Vec<&str> = nodes.iter().map(|node| &*node.peer).collect();
-        let node = EntryDaemon::start(name, &platform.store, &seeds);
-        nodes.push(node);
-    }
-    nodes
-}
-
 fn plain_servers(platform: &Platform, count: usize) -> Arc<CrashingServers> {
     CrashingServers::start(&platform.store, "plain", count, RESTART_DELAY)
 }
--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -1,5 +1,6 @@
 //! Starts and controls the entry daemon as a process.
 
+use super::platform::Platform;
 use super::store::StandinStore;
 use super::{CallTimes, call, eventually, time_of_day};
 use serde_json::{Value, json};
@@ -254,3 +255,14 @@
         let _ = std::fs::remove_file(&self.settings);
     }
 }
+
+/// Starts nodes one after the other, each with those before as its seeds.
+pub fn start_nodes(platform: &Platform, names: &[&str]) -> Vec<EntryDaemon> {
+    let mut nodes: Vec<EntryDaemon> = Vec::new();
+    for name in names {
+        let seeds: Vec<&str> = nodes.iter().map(|node| &*node.peer).collect();
+        let node = EntryDaemon::start(name, &platform.store, &seeds);
+        nodes.push(node);
+    }
+    nodes
+}
