Record no failure of a server for a call that was not sent to it

Callers of the daemon's own interface lost healthy plain and scoring services for five seconds and more after somebody had repeated a blocked call to them.

Cause: the server is chosen before the content is looked up, and a refusal as blocked was recorded as a failure of the chosen server; three in a row eject it, up to half of the servers of a service. Change: such a call releases its slot and records nothing. Test: failures::refusals_of_a_blocked_call_are_no_failures_of_its_services; failed on and on (a live service got none of 100 calls).

--- a/crates/trestlerack-standins/tests/failures.rs
+++ b/crates/trestlerack-standins/tests/failures.rs
@@ -289,6 +289,27 @@
     }
 }
 
+/// Guards against services that get no calls any more because a blocked call, which was not sent, counted as a failure
+/// of theirs.
+#[test]
+fn refusals_of_a_blocked_call_are_no_failures_of_its_services() {
+    let mut cluster = cluster_of_fatal_calls();
+    block_fatal_call(&cluster);
+    for round in 0..60 {
+        record(&cluster, 0, Some(&format!("refused-{round}")), "fatal record");
+    }
+    for round in 0..100 {
+        assert_eq!(record(&cluster, 0, Some(&format!("other-{round}")), "another record").status, 200);
+    }
+    let services = live_services(&mut cluster);
+    let is_unused = |service: &&usize| {
+        let address = &cluster.backends[**service].1.address;
+        request("GET", address, "/runs", &[], b"").json() == json!({})
+    };
+    let unused: Vec<&usize> = services.iter().filter(is_unused).collect();
+    assert!(unused.is_empty(), "{unused:?} got no calls: {:#?}", suspect_lines(&cluster));
+}
+
 #[test]
 fn an_engine_that_names_no_version_makes_no_sample() {
     let cluster = campaign_cluster("3");
--- a/crates/trestlerackd/src/request/content_blocking.rs
+++ b/crates/trestlerackd/src/request/content_blocking.rs
@@ -143,6 +143,11 @@
     result
 }
 
+/// Returns whether a request was not sent because its content is blocked.
+pub fn is_blocked(failure: &Failure) -> bool {
+    failure.reason == Reason::ContentHeld
+}
+
 /// Starts a recovery trial of a blocked content if one is due and it is this node's turn. A crash of the trial reaches
 /// the node with the next turn before that.
 fn start_recovery_trial(node: &Node, fingerprint: RequestFingerprint) -> Option<u32> {
--- a/crates/trestlerackd/src/request/group_runner.rs
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -320,7 +320,11 @@
         let result =
             content_blocking::send_unless_blocked(node, request, node.scoring.score(&backend.address, prompt, text))
                 .await;
-        node.plain.record_response(node.now(), &backend, result.is_ok());
+        if result.as_ref().is_err_and(content_blocking::is_blocked) {
+            node.plain.release(&backend);
+        } else {
+            node.plain.record_response(node.now(), &backend, result.is_ok());
+        }
         match result {
             Ok(score) => return Ok(score),
             Err(failure) => last = failure,
--- a/crates/trestlerackd/src/request/plain.rs
+++ b/crates/trestlerackd/src/request/plain.rs
@@ -144,8 +144,12 @@
             meter: None,
         };
         let result = content_blocking::send_unless_blocked(node, request, send_attempt(node, call, &backend)).await;
-        let succeeded = result.as_ref().is_ok_and(|response| !response.status.is_server_error());
-        node.plain.record_response(node.now(), &backend, succeeded);
+        if result.as_ref().is_err_and(content_blocking::is_blocked) {
+            node.plain.release(&backend);
+        } else {
+            let succeeded = result.as_ref().is_ok_and(|response| !response.status.is_server_error());
+            node.plain.record_response(node.now(), &backend, succeeded);
+        }
         let failure = match result {
             Ok(response) => return Ok(response),
             Err(failure) => failure,
--- a/crates/trestlerackd/src/request/plain_pool.rs
+++ b/crates/trestlerackd/src/request/plain_pool.rs
@@ -30,6 +30,14 @@
     }
 }
 
+impl ServiceState {
+    fn release(&mut self, backend: &Name) {
+        if let Some(in_flight) = self.in_flight.get_mut(backend) {
+            *in_flight = in_flight.saturating_sub(1);
+        }
+    }
+}
+
 /// Backend servers by service, with the requests and failures that this node has observed.
 #[derive(Default)]
 pub struct PlainPool {
@@ -89,14 +97,18 @@
         Some(chosen)
     }
 
+    /// Records the end of a request that was not sent, which tells nothing of its backend server.
+    pub fn release(&self, backend: &Backend) {
+        let mut shard = self.states.lock(&backend.service);
+        shard.entry(backend.service.clone()).or_default().release(&backend.name);
+    }
+
     /// Records the end of a request and whether it succeeded.
     pub fn record_response(&self, now: Timestamp, backend: &Backend, succeeded: bool) {
         let count = self.backends.read().unwrap().get(&backend.service).map_or(0, Vec::len);
         let mut shard = self.states.lock(&backend.service);
         let state = shard.entry(backend.service.clone()).or_default();
-        if let Some(in_flight) = state.in_flight.get_mut(&backend.name) {
-            *in_flight = in_flight.saturating_sub(1);
-        }
+        state.release(&backend.name);
         state.outliers.record_response(now, &backend.name, succeeded, count);
     }
 }
