Let a recovery trial that no server ran delay no other

Cause: a trial whose server had no process any more was given back, but the time of the attempt stayed, so the next one came three seconds later. Seen at the own interface: trial 2 met a crashed server, and the next arrival was refused. Change: a restored trial clears the time of the attempt. Trials that were cancelled and those whose row was removed take the same way.

--- a/crates/trestlerack/src/process/suspects/recovery.rs
+++ b/crates/trestlerack/src/process/suspects/recovery.rs
@@ -6,7 +6,7 @@
 use super::{SuspectState, SuspectTracker};
 use crate::Timestamp;
 use crate::request::RequestFingerprint;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 /// Settings of recovery trials.
@@ -42,8 +42,16 @@
 /// Recovery trials of one content.
 #[derive(Clone, Debug, Default)]
 struct TrialLog {
-    used: BTreeSet<u32>,
-    last_at: Timestamp,
+    /// Times of the trials that were used, by their numbers.
+    used: BTreeMap<u32, Timestamp>,
+    /// Time at which this node last tried to reserve one.
+    attempted_at: Option<Timestamp>,
+}
+
+impl TrialLog {
+    fn last_at(&self) -> Option<Timestamp> {
+        self.used.values().copied().max().max(self.attempted_at)
+    }
 }
 
 /// Recovery trials that contents have used, at all nodes.
@@ -53,16 +61,15 @@
 }
 
 impl RecoveryTrials {
-    fn record_attempt(&mut self, at: Timestamp, fingerprint: RequestFingerprint, max_contents: usize) -> &mut TrialLog {
+    /// Returns the log of a content. A new one replaces the oldest if there are `max_contents`.
+    fn log_mut(&mut self, fingerprint: RequestFingerprint, max_contents: usize) -> &mut TrialLog {
         if self.contents.len() >= max_contents && !self.contents.contains_key(&fingerprint) {
-            let oldest = self.contents.iter().min_by_key(|(fingerprint, log)| (log.last_at, **fingerprint));
+            let oldest = self.contents.iter().min_by_key(|(fingerprint, log)| (log.last_at(), **fingerprint));
             if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
                 self.contents.remove(&oldest);
             }
         }
-        let log = self.contents.entry(fingerprint).or_default();
-        log.last_at = log.last_at.max(at);
-        log
+        self.contents.entry(fingerprint).or_default()
     }
 
     /// Makes all trials of a content available again.
@@ -72,11 +79,11 @@
 
     fn next_number(&self, fingerprint: RequestFingerprint, max_trials: u32) -> Option<u32> {
         let used = self.contents.get(&fingerprint).map(|log| &log.used);
-        (1..=max_trials).find(|number| used.is_none_or(|used| !used.contains(number)))
+        (1..=max_trials).find(|number| used.is_none_or(|used| !used.contains_key(number)))
     }
 
     fn last_at(&self, fingerprint: RequestFingerprint) -> Option<Timestamp> {
-        self.contents.get(&fingerprint).map(|log| log.last_at)
+        self.contents.get(&fingerprint).and_then(TrialLog::last_at)
     }
 }
 
@@ -108,36 +115,29 @@
             return None;
         }
         let max_suspects = self.settings.max_suspects;
-        self.recovery_trials.record_attempt(now, fingerprint, max_suspects);
+        self.recovery_trials.log_mut(fingerprint, max_suspects).attempted_at = Some(now);
         self.recovery_trials.next_number(fingerprint, self.settings.recovery.max_trials)
     }
 
     /// Records that a recovery trial was used, at any node.
     pub fn record_recovery_trial(&mut self, at: Timestamp, fingerprint: RequestFingerprint, number: u32) {
         let max_suspects = self.settings.max_suspects;
-        self.recovery_trials.record_attempt(at, fingerprint, max_suspects).used.insert(number);
+        self.recovery_trials.log_mut(fingerprint, max_suspects).used.insert(number, at);
     }
 
-    /// Records that a recovery trial is available again, because an answer at another node cleared the
-    /// content.
+    /// Records that a recovery trial is available again, because no server ran its request or an answer at another node
+    /// cleared the content. It delays no other trial.
     pub fn restore_recovery_trial(&mut self, fingerprint: RequestFingerprint, number: u32) {
         if let Some(log) = self.recovery_trials.contents.get_mut(&fingerprint) {
             log.used.remove(&number);
-        }
-    }
-
-    /// Records that a recovery trial did not take place, because no server ran its request.
-    pub fn cancel_recovery_trial(&mut self, fingerprint: RequestFingerprint, number: u32) {
-        self.restore_recovery_trial(fingerprint, number);
-        if self.used_recovery_trials(fingerprint).is_empty() {
-            self.recovery_trials.restore_all(fingerprint);
+            log.attempted_at = None;
         }
     }
 
     /// Returns the numbers of the recovery trials that a content has used.
     pub fn used_recovery_trials(&self, fingerprint: RequestFingerprint) -> Vec<u32> {
         let log = self.recovery_trials.contents.get(&fingerprint);
-        log.map_or_else(Vec::new, |log| log.used.iter().copied().collect())
+        log.map_or_else(Vec::new, |log| log.used.keys().copied().collect())
     }
 
     /// Returns the number of crashes that happened late after those that suffice to block the content.
--- a/crates/trestlerack/tests/recovery_trials.rs
+++ b/crates/trestlerack/tests/recovery_trials.rs
@@ -128,6 +128,21 @@
     assert_eq!(tracker.time_to_recovery(calm(calm(now)), content), None);
 }
 
+/// Guards against a trial that met a server without a process and delayed the next one by seconds.
+#[test]
+fn a_trial_that_no_server_ran_delays_no_other() {
+    let mut tracker = tracker();
+    let content = blocked_beside_a_crash(&mut tracker);
+    tracker.record_recovery_trial(NOW, content, 1);
+    let now = calm(NOW);
+    for _ in 0..3 {
+        assert_eq!(tracker.start_recovery_trial(now, content), Some(2));
+        tracker.record_recovery_trial(now, content, 2);
+        assert_eq!(tracker.start_recovery_trial(now, content), None);
+        tracker.restore_recovery_trial(content, 2);
+    }
+}
+
 #[test]
 fn trials_used_at_other_nodes_count_until_an_answer() {
     let mut tracker = tracker();
--- a/crates/trestlerackd/src/entry/suspects/recovery.rs
+++ b/crates/trestlerackd/src/entry/suspects/recovery.rs
@@ -50,7 +50,7 @@
 
 /// Records that no server ran a recovery trial, so that the content may have it later.
 pub fn cancel_recovery_trial(node: &EntryNode, fingerprint: RequestFingerprint, number: u32) {
-    node.suspects.tracker().cancel_recovery_trial(fingerprint, number);
+    node.suspects.tracker().restore_recovery_trial(fingerprint, number);
     node.suspects.publish_restored_trials(fingerprint, &[number]);
 }
 
--- a/crates/trestlerackd/src/request/content_blocking.rs
+++ b/crates/trestlerackd/src/request/content_blocking.rs
@@ -126,7 +126,7 @@
     if let (Some(number), Err(failure)) = (recovery_trial, &result)
         && failure.verdict == Verdict::NotRun
     {
-        node.content_blocker.tracker().cancel_recovery_trial(request.fingerprint, number);
+        node.content_blocker.tracker().restore_recovery_trial(request.fingerprint, number);
     }
     match &result {
         Ok(_) => {
