Share the start of clusters with fatal calls among tests

Cause: two functions started services that crash under fatal calls in the same way. Change: one function, told the number of services; the tests and their checks are the same.

--- a/crates/trestlerack-standins/tests/failures.rs
+++ b/crates/trestlerack-standins/tests/failures.rs
@@ -182,6 +182,21 @@
     assert_eq!(runs(&cluster, "lost-unkeyed"), 1, "not tried again on the other backend server");
 }
 
+/// Returns a cluster with this number of plain services, each of which crashes under calls whose body begins with
+/// `fatal`.
+fn cluster_of_fatal_calls(services: usize) -> Cluster {
+    let mut cluster = campaign_cluster("3");
+    let is_plain = |backend: &&(Value, support::Process)| backend.0["kind"] == "plain";
+    for _ in cluster.backends.iter().filter(is_plain).count()..services {
+        cluster.service("plain", "a");
+    }
+    cluster.declare(&PLACES);
+    for (_, process) in cluster.backends.iter().filter(is_plain) {
+        process.fault(json!({ "mode": "exit" }));
+    }
+    cluster
+}
+
 /// Returns the lines of each daemon's log that tell how contents were blocked and tried.
 fn suspect_lines(cluster: &Cluster) -> Vec<Vec<String>> {
     const NAMES: [&str; 4] = ["server-ended", "request-held", "recovery-trial", "plain-broken"];
@@ -194,16 +209,7 @@
 /// sent to three of them, and from then on refused as not run, also by a daemon that starts later.
 #[test]
 fn a_call_that_ends_its_services_is_held_by_all_daemons() {
-    let mut cluster = campaign_cluster("3");
-    for _ in 0..4 {
-        cluster.service("plain", "a");
-    }
-    cluster.declare(&PLACES);
-    for (declared, process) in &cluster.backends {
-        if declared["kind"] == "plain" {
-            process.fault(json!({ "mode": "exit" }));
-        }
-    }
+    let mut cluster = cluster_of_fatal_calls(6);
     let is_held = |reply: &Reply| {
         let kind = reply.json()["type"].as_str().unwrap_or_default().to_owned();
         kind.ends_with("content-held") && reply.header("retry-after").is_some()
@@ -228,21 +234,6 @@
     assert_eq!(other.status, 200, "{}", other.body);
 }
 
-/// Returns a cluster in which each plain service crashes under calls whose body begins with `fatal`.
-fn cluster_of_fatal_calls() -> Cluster {
-    let mut cluster = campaign_cluster("3");
-    for _ in 0..6 {
-        cluster.service("plain", "a");
-    }
-    cluster.declare(&PLACES);
-    for (declared, process) in &cluster.backends {
-        if declared["kind"] == "plain" {
-            process.fault(json!({ "mode": "exit" }));
-        }
-    }
-    cluster
-}
-
 /// Returns the plain services whose processes run, by their places among the backend servers.
 fn live_services(cluster: &mut Cluster) -> Vec<usize> {
     let backends = cluster.backends.iter_mut().enumerate();
@@ -268,7 +259,7 @@
 /// blocked although the crashes may have another cause.
 #[test]
 fn a_call_that_was_blocked_beside_other_crashes_is_served_in_calm() {
-    let mut cluster = cluster_of_fatal_calls();
+    let mut cluster = cluster_of_fatal_calls(8);
     let mut arrivals = block_fatal_call(&cluster);
     for service in live_services(&mut cluster) {
         cluster.backends[service].1.fault(json!({ "mode": "none" }));
@@ -293,7 +284,7 @@
 /// of theirs.
 #[test]
 fn refusals_of_a_blocked_call_are_no_failures_of_its_services() {
-    let mut cluster = cluster_of_fatal_calls();
+    let mut cluster = cluster_of_fatal_calls(8);
     block_fatal_call(&cluster);
     for round in 0..60 {
         record(&cluster, 0, Some(&format!("refused-{round}")), "fatal record");
