Crash the servers of storm tests by what they have done, not by time

Cause: four set-ups of crash_storms relied on pauses. Beside a load of 35 and more on 8 cores crashes came after the run had ended, before it had begun or before the crash before counted, so no other crash was near (0 late retries), the item was complete before its fourth crash, the content was not blocked, or a fifth engine crashed. A port that another process had taken ended a stand-in. Change: a server crashes once its run has begun and sent its events, streams are longer than all runs together, arrivals are further apart than crashes take to count, and a stand-in takes another port. Checks and limits are the same. Failures print what the nodes told of the content.

--- a/crates/trestlerackd/tests/entry/crash_storms.rs
+++ b/crates/trestlerackd/tests/entry/crash_storms.rs
@@ -15,16 +15,15 @@
 /// Time after which a crashed server has restarted.
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 
+/// Pause between two arrivals of a request, after which crashed servers have restarted and their crashes count.
+const ARRIVAL_PAUSE: Duration = Duration::from_millis(900);
+
 /// Time after the last crash within which a harmless content is sent again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(5);
 
 /// Number of servers that a content crashes before it is blocked.
 const MAX_CRASHES: usize = 3;
 
-/// Most runs of a content later than [`STABLE_TIME`] after it has crashed [`MAX_CRASHES`] servers.
-const MAX_RETRIES: usize = 3;
-const STABLE_TIME: Duration = Duration::from_secs(3);
-
 /// Number of events of a long stream.
 const LONG_STREAM: u64 = 80;
 
@@ -56,11 +55,12 @@
     answer.map_or_else(Vec::new, |answer| answer.json()["results"].as_array().unwrap().clone())
 }
 
-/// Waits for the next run of a content and crashes its server after `time`, for a reason of its own.
-fn crash_next_run(servers: &CrashingServers, body: &str, runs_before: usize, time: Duration) {
+/// Waits for the next run of a content and crashes its server after this number of events, for a reason of its own.
+fn crash_next_run(servers: &CrashingServers, body: &str, runs_before: usize, events: u64) {
     eventually("the content runs again", || servers.runs_of(body).len() > runs_before);
-    std::thread::sleep(time);
-    servers.crash_server(servers.runs_of(body)[runs_before].server);
+    let run = servers.runs_of(body)[runs_before].clone();
+    eventually("the run has sent its events", || run.events.load(Ordering::SeqCst) >= events);
+    servers.crash_server(run.server);
 }
 
 /// Crashes of another cause cut each run of an item, at a different event each time. Guards against items that were
@@ -69,13 +69,19 @@
 fn an_item_whose_runs_were_cut_at_different_events_is_completed() {
     let platform = Platform::start_with_counts(2, 0);
     let engines = start_long_engines(&platform, 5);
-    let nodes = start_nodes(&platform, &["a", "b"]);
+    // More than all runs send that are cut, also if a crash comes late.
+    engines.events_per_stream.store(3 * LONG_STREAM, Ordering::SeqCst);
+    let nodes = start_logged_nodes(&platform, &["a", "b"], "prompt");
     submit_prompt(&nodes[0], "job1", "long prompt");
     for (runs, events) in [15, 30, 5, 12].into_iter().enumerate() {
-        crash_next_run(&engines, "long prompt", runs, Duration::from_millis((events * EVENT_MS) as u64));
+        crash_next_run(&engines, "long prompt", runs, events);
     }
     let last_crash = Instant::now();
-    eventually("the item is at an engine again", || engines.runs_of("long prompt").len() > 4);
+    eventually_with_detail(
+        "the item is at an engine again",
+        || engines.runs_of("long prompt").len() > 4,
+        || suspect_lines(&nodes),
+    );
     let waited = last_crash.elapsed();
     assert!(waited < RECOVERY_LIMIT, "the item was at no engine for {waited:?}");
     eventually("the item is recorded", || read_job(&nodes[1], "job1").len() == 1);
@@ -87,25 +93,29 @@
     answer.status == 503 && retry_after.is_some_and(|seconds| seconds > 0.5)
 }
 
+fn wait_until(holds: impl Fn() -> bool) {
+    while !holds() {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// Crashes the servers that run a plain content and the next server with each, until all nodes block the content.
 fn block_beside_other_crashes(platform: &Platform, nodes: &[EntryDaemon], body: &str) -> Arc<CrashingServers> {
     let servers = CrashingServers::start(&platform.store, "plain", 6, RESTART_DELAY);
-    servers.work_ms.store(300, Ordering::SeqCst);
+    servers.work_ms.store(1_000, Ordering::SeqCst);
     for arrival in 0..12 {
         let runs = servers.runs_of(body).len();
         let (node, id) = (&nodes[arrival % nodes.len()], format!("cut{arrival}"));
         let is_blocked = std::thread::scope(|scope| {
             let client = scope.spawn(|| call(&node.client, "POST", "/once/x", &[("request-id", &id)], body));
-            let until = Instant::now() + Duration::from_millis(200);
-            while servers.runs_of(body).len() == runs && Instant::now() < until {
-                std::thread::sleep(Duration::from_millis(5));
-            }
+            let is_sent = |body: &str, runs: usize| servers.runs_of(body).len() > runs;
+            wait_until(|| is_sent(body, runs) || client.is_finished());
             for run in servers.runs_of(body).iter().skip(runs) {
                 // Another content is cut at the same time, so that nodes hear of the other crash.
+                let others = servers.runs_of("other").len();
                 let other = scope.spawn(|| call(&nodes[0].client, "POST", "/once/x", &[("request-id", "by")], "other"));
-                std::thread::sleep(Duration::from_millis(100));
-                let others = servers.runs_of("other");
-                others.last().into_iter().for_each(|other| servers.crash_server(other.server));
+                wait_until(|| is_sent("other", others) || other.is_finished());
+                servers.runs_of("other").iter().skip(others).for_each(|other| servers.crash_server(other.server));
                 servers.crash_server(run.server);
                 drop(other.join());
             }
@@ -114,7 +124,7 @@
         if is_blocked {
             return servers;
         }
-        std::thread::sleep(RESTART_DELAY + Duration::from_millis(400));
+        std::thread::sleep(ARRIVAL_PAUSE);
     }
     panic!("{body} is not blocked");
 }
@@ -124,7 +134,7 @@
 #[test]
 fn a_plain_call_that_crashes_cut_is_answered_in_calm() {
     let platform = Platform::start_with_counts(0, 0);
-    let nodes = start_nodes(&platform, &["a", "b"]);
+    let nodes = start_logged_nodes(&platform, &["a", "b"], "harmless");
     let servers = block_beside_other_crashes(&platform, &nodes, "harmless");
     servers.work_ms.store(30, Ordering::SeqCst);
     let calm = Instant::now();
@@ -135,7 +145,8 @@
         let answer = call(&nodes[number % nodes.len()].client, "POST", "/once/x", &[("request-id", &id)], "harmless");
         answer.is_some_and(|answer| answer.status == 200)
     });
-    assert!(calm.elapsed() < RECOVERY_LIMIT, "the content was blocked for {:?}", calm.elapsed());
+    let blocked = calm.elapsed();
+    assert!(blocked < RECOVERY_LIMIT, "the content was blocked for {blocked:?}\n{}", suspect_lines(&nodes));
 }
 
 /// Servers crash all the time beside a request that crashes them. Guards against recovery trials that send it to more
@@ -144,7 +155,7 @@
 fn a_fatal_request_beside_other_crashes_gets_few_retries() {
     let platform = Platform::start_with_counts(0, 0);
     let servers = CrashingServers::start(&platform.store, "plain", 6, RESTART_DELAY);
-    let mut nodes = start_nodes(&platform, &["a", "b", "c"]);
+    let mut nodes = start_logged_nodes(&platform, &["a", "b", "c"], "storm");
     let send_for = |nodes: &[EntryDaemon], duration: Duration, round: &str| {
         let until = Instant::now() + duration;
         let mut number = 0;
@@ -159,8 +170,7 @@
                 std::thread::scope(|scope| {
                     let (client, body) = (&nodes[0].client, &other);
                     scope.spawn(move || call(client, "POST", "/once/x", &[("request-id", "other")], body));
-                    std::thread::sleep(Duration::from_millis(100));
-                    servers.runs_of(&other).iter().for_each(|run| servers.crash_server(run.server));
+                    crash_next_run(&servers, &other, 0, 0);
                 });
             }
             std::thread::sleep(Duration::from_millis(200));
@@ -168,13 +178,18 @@
     };
     send_for(&nodes, Duration::from_secs(16), "first");
     // All nodes stop, so that only the store keeps what was used.
+    let first_lines = suspect_lines(&nodes);
     drop(nodes);
-    nodes = start_nodes(&platform, &["a", "b", "c"]);
+    nodes = start_logged_nodes(&platform, &["a", "b", "c"], "storm-restarted");
     send_for(&nodes, Duration::from_secs(8), "second");
-    let runs: Vec<Instant> = servers.runs_of(FATAL).iter().map(|run| run.at).collect();
-    let ages: Vec<Duration> = runs.iter().map(|at| at.duration_since(runs[MAX_CRASHES - 1])).collect();
-    let retries = ages.iter().filter(|age| **age > STABLE_TIME).count();
-    assert!((1..=MAX_RETRIES).contains(&retries), "{retries} retries, {ages:?} after the third crash");
+    let retries = servers.late_retries(FATAL);
+    let lines = || [first_lines.clone(), suspect_lines(&nodes)].join("\n");
+    assert!(
+        (1..=MAX_LATE_RETRIES).contains(&retries),
+        "{retries} late retries of {:?}\n{}",
+        servers.runs_of(FATAL),
+        lines()
+    );
 }
 
 /// Guards against contents that are let off because their runs send many events before they crash the server.
@@ -192,7 +207,7 @@
             let stream = read_stream_with_body(&node.client, "/resumed/x", &format!("s{arrival}"), FATAL);
             // A run may get through the rest of a text that was resumed after its fatal event.
             assert!(stream.is_none_or(|(_, is_complete)| !is_complete), "a fatal stream ended");
-            std::thread::sleep(RESTART_DELAY + Duration::from_millis(200));
+            std::thread::sleep(ARRIVAL_PAUSE);
         }
         let crashes = engines.crash_count();
         assert!(
--- a/crates/trestlerackd/tests/entry/support/crashing.rs
+++ b/crates/trestlerackd/tests/entry/support/crashing.rs
@@ -20,6 +20,15 @@
 /// Interval at which a server checks for new connections and whether it has crashed.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Number of servers that a content crashes before it is blocked.
+const CRASHES_BEFORE_BLOCK: usize = 3;
+
+/// Time after these crashes from which the content may run [`MAX_LATE_RETRIES`] times.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// Largest number of late runs of a content that crashes servers, at all nodes together.
+pub const MAX_LATE_RETRIES: usize = 3;
+
 /// A request that a server started to run.
 #[derive(Clone, Debug)]
 pub struct CrashRun {
@@ -28,6 +37,8 @@
     /// Position of the server among those of its service, the same after a restart.
     pub server: usize,
     pub at: Instant,
+    /// Number of events that the server has sent.
+    pub events: Arc<AtomicU64>,
 }
 
 /// Servers of one service that crash on fatal requests, with their settings and the runs that they recorded.
@@ -85,6 +96,14 @@
         self.crashes.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of runs of a content later than [`STABLE_TIME`] after the one that crashed the third server.
+    pub fn late_retries(&self, body: &str) -> usize {
+        let runs = self.runs_of(body);
+        let third = runs.get(CRASHES_BEFORE_BLOCK - 1).map(|run| run.at);
+        let is_late = |at: Instant| third.is_some_and(|third| at.duration_since(third) > STABLE_TIME);
+        runs.iter().filter(|run| is_late(run.at)).count()
+    }
+
     /// Returns the runs of requests with a body.
     pub fn runs_of(&self, body: &str) -> Vec<CrashRun> {
         self.runs.lock().unwrap().iter().filter(|run| run.body == body).cloned().collect()
@@ -106,8 +125,9 @@
             self.serve_until_crash(number, listener, &name);
             std::thread::sleep(self.restart_delay);
             self.store.remove("servers", &name);
-            listener = TcpListener::bind(address).unwrap();
-            name = self.register_instance(address);
+            // Another process may have taken the port meanwhile.
+            listener = TcpListener::bind(address).or_else(|_| TcpListener::bind("127.0.0.1:0")).unwrap();
+            name = self.register_instance(listener.local_addr().unwrap());
         }
     }
 
@@ -167,11 +187,12 @@
             return reply(stream, 421, &[("request-id", &id), ("not-executed", "1")], "");
         }
         let body = String::from_utf8(request.body.clone()).unwrap();
-        let run = CrashRun { id: id.clone(), body: body.clone(), server: number, at: Instant::now() };
-        self.runs.lock().unwrap().push(run);
+        let run =
+            CrashRun { id: id.clone(), body: body.clone(), server: number, at: Instant::now(), events: Arc::default() };
+        self.runs.lock().unwrap().push(run.clone());
         let is_fatal = body.contains(FATAL);
         let is_alive = if self.service == "models" {
-            self.stream_events(request, stream, &id, is_fatal)
+            self.stream_events(request, stream, &run, is_fatal)
         } else {
             std::thread::sleep(if is_fatal { WORK_TIME } else { self.work_time() });
             !is_fatal && reply(stream, 200, &[("request-id", &id), ("response-stamp", &format!("signed-{id}"))], &body)
@@ -187,7 +208,8 @@
     }
 
     /// Sends the events after the one that the request names; a fatal request gets only the first ones.
-    fn stream_events(&self, request: &ReceivedRequest, stream: &mut TcpStream, id: &str, is_fatal: bool) -> bool {
+    fn stream_events(&self, request: &ReceivedRequest, stream: &mut TcpStream, run: &CrashRun, is_fatal: bool) -> bool {
+        let id = &run.id;
         let first = request.headers.get("last-event-id").map_or(1, |last| last.parse::<u64>().unwrap() + 1);
         let total = self.events_per_stream.load(Ordering::SeqCst);
         let fatal_event = self.fatal_event.load(Ordering::SeqCst);
@@ -214,6 +236,7 @@
             if !write(format!("{:x}\r\n{event}\r\n", event.len())) {
                 return false;
             }
+            run.events.fetch_add(1, Ordering::SeqCst);
         }
         !is_fatal && write("0\r\n\r\n".into())
     }
--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -266,3 +266,25 @@
     }
     nodes
 }
+
+/// Starts nodes like [`start_nodes`], with logs in files of this name.
+pub fn start_logged_nodes(platform: &Platform, names: &[&str], log: &str) -> Vec<EntryDaemon> {
+    let mut nodes: Vec<EntryDaemon> = Vec::new();
+    for name in names {
+        let file = format!("entry-{log}-{name}-{}.log", std::process::id());
+        let settings = DaemonSettings {
+            store: platform.store.address.to_string(),
+            seeds: nodes.iter().map(|node| node.peer.clone()).collect(),
+            log: Some(std::env::temp_dir().join(file)),
+            ..DaemonSettings::default()
+        };
+        nodes.push(EntryDaemon::start_with(name, &settings));
+    }
+    nodes
+}
+
+/// Returns the lines of the nodes' logs that tell how contents were blocked and tried.
+pub fn suspect_lines(nodes: &[EntryDaemon]) -> String {
+    let names = ["server-ended", "content-held", "recovery-trial", "suspect-cleared"];
+    nodes.iter().flat_map(|node| names.map(|name| node.log_lines(name))).collect::<Vec<_>>().join("\n")
+}
--- a/crates/trestlerackd/tests/entry/support/mod.rs
+++ b/crates/trestlerackd/tests/entry/support/mod.rs
@@ -9,8 +9,10 @@
 mod store;
 
 pub use client::{CallTimes, HttpResponse, call, read_response, send, time_of_day, timed_call};
-pub use crashing::{CrashingServers, FATAL};
-pub use daemon::{DaemonSettings, EntryDaemon, STOP_LIMIT, free_address, start_nodes};
+pub use crashing::{CrashingServers, FATAL, MAX_LATE_RETRIES};
+pub use daemon::{
+    DaemonSettings, EntryDaemon, STOP_LIMIT, free_address, start_logged_nodes, start_nodes, suspect_lines,
+};
 pub use duties::{DutyCall, DutyPlatform};
 pub use platform::{
     Arrival, EVENTS_PER_STREAM, EngineOrder, Platform, ServerMode, complete_text, job_body_of, job_body_with,
