--- a/crates/trestlerackd/tests/entry/support/daemon.rs
+++ b/crates/trestlerackd/tests/entry/support/daemon.rs
@@ -288,3 +288,9 @@
     let names = ["server-ended", "content-held", "recovery-trial", "suspect-cleared"];
     nodes.iter().flat_map(|node| names.map(|name| node.log_lines(name))).collect::<Vec<_>>().join("\n")
 }
+
+/// Returns the number of recovery trials that the nodes reserved for a request.
+pub fn recovery_trials(nodes: &[EntryDaemon], request: &str) -> usize {
+    let is_given = |line: &&str| line.contains(&format!("request={request} ")) && line.contains("outcome=reserved");
+    nodes.iter().map(|node| node.log_lines("recovery-trial").lines().filter(is_given).count()).sum()
+}
