Show that three nodes drive the job of a frozen owner at once

A node whose probe of a silent owner is pending takes the job from the sound node that has taken it meanwhile, since the check for another owner uses the newest record rather than the probed one. A driver that has lost its job goes on until it records its next result.

--- a/review/platform-2/src/nodes.rs
+++ b/review/platform-2/src/nodes.rs
@@ -116,6 +116,13 @@
         }
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: &str) {
+        let Some(child) = &self.child else { return };
+        let status = Command::new("kill").args([signal, &child.id().to_string()]).status();
+        assert!(status.is_ok_and(|status| status.success()), "the signal could not be sent");
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/platform-2/src/servers.rs
+++ b/review/platform-2/src/servers.rs
@@ -8,16 +8,13 @@
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Interval of the heartbeats, `heartbeat_ms` of the settings.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
-/// Events of each text.
-pub const EVENTS: u64 = 8;
-
 /// Time before each event.
-const EVENT_TIME: Duration = Duration::from_millis(20);
+pub const EVENT_TIME: Duration = Duration::from_millis(30);
 
 /// Time that a plain server works.
 const WORK_TIME: Duration = Duration::from_millis(30);
@@ -25,11 +22,22 @@
 /// Requests that an engine runs at once.
 const SLOTS: u64 = 12;
 
+/// Work of a server on a request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub server: String,
+    /// Last event that the sender had; `None` for a run from the beginning.
+    pub resumed_after: Option<u64>,
+    pub started: Instant,
+    /// When the server finished the request or stopped, because its connection was closed.
+    pub ended: Option<Instant>,
+}
+
 /// What all servers have seen.
 #[derive(Clone)]
 pub struct Seen {
-    /// Ids of the requests that ran, in their order.
-    pub runs: Arc<Mutex<Vec<String>>>,
+    runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
 }
 
@@ -38,9 +46,29 @@
         Self { runs: Arc::default(), record }
     }
 
-    fn add(&self, server: &str, id: &str) {
-        self.record.line(&format!("run       {id} at {server}"));
-        self.runs.lock().unwrap().push(id.to_owned());
+    /// Returns all runs so far, in the order of their start.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().unwrap().clone()
+    }
+
+    /// Records the start of a run. Returns its number.
+    fn start(&self, server: &str, id: &str, resumed_after: Option<u64>) -> usize {
+        let from = resumed_after.map_or_else(String::new, |event| format!(" after event {event}"));
+        self.record.line(&format!("run       {id} begins at {server}{from}"));
+        let (id, server) = (id.to_owned(), server.to_owned());
+        let mut runs = self.runs.lock().unwrap();
+        runs.push(Run { id, server, resumed_after, started: Instant::now(), ended: None });
+        runs.len() - 1
+    }
+
+    /// Records the end of a run.
+    fn end(&self, number: usize, why: &str) {
+        let run = {
+            let mut runs = self.runs.lock().unwrap();
+            runs[number].ended = Some(Instant::now());
+            runs[number].clone()
+        };
+        self.record.line(&format!("run       {} ends at {}: {why}", run.id, run.server));
     }
 }
 
@@ -116,8 +144,9 @@
     if request.header("expect-instance") != instance {
         return http::reply(stream, 421, &[("request-id", id), ("instance-id", instance)], b"");
     }
-    seen.add(instance, id);
+    let run = seen.start(instance, id, None);
     std::thread::sleep(WORK_TIME);
+    seen.end(run, "done");
     let stamp = format!("stamp-{instance}-{id}");
     http::reply(stream, 200, &[("request-id", id), ("response-stamp", &stamp), ("server-load", "1,0,6")], b"done")
 }
@@ -205,28 +234,48 @@
         http::reply(stream, 202, &[], b"")
     }
 
-    /// Streams the events after the last event id of the request.
+    /// Streams the events after the last event id of the request, until its connection is closed. The number of
+    /// events is the limit of output tokens in the request.
     fn generate(&self, request: &Request, stream: &mut TcpStream) -> bool {
         let id = request.header("request-id");
-        self.seen.add(&self.instance, id);
-        let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
+        let resumed_after = request.header("last-event-id").parse().ok();
+        let run = self.seen.start(&self.instance, id, resumed_after);
+        let is_complete = self.stream_events(request, resumed_after, stream);
+        self.seen.end(run, if is_complete { "done" } else { "its connection was closed" });
+        is_complete
+    }
+
+    fn stream_events(&self, request: &Request, resumed_after: Option<u64>, stream: &mut TcpStream) -> bool {
+        let id = request.header("request-id");
+        let last = request.header("token-usage").split(',').nth(1).and_then(|tokens| tokens.trim().parse().ok());
         let version = self.version.load(Ordering::SeqCst);
         let head = format!(
             "HTTP/1.1 200 X\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\nrequest-id: {id}\r\n\
              response-stamp: stamp-{}-{id}\r\nweight-versions: {version}\r\n\r\n",
             self.instance,
         );
-        let mut write = |text: String| stream.write_all(text.as_bytes()).is_ok();
-        if !write(head) {
+        if stream.write_all(head.as_bytes()).is_err() {
             return false;
         }
-        for number in first..=EVENTS {
+        for number in resumed_after.unwrap_or(0) + 1..=last.unwrap_or(1) {
             std::thread::sleep(EVENT_TIME);
             let event = format!("id: {number}\ndata: {id}-{number}\n\n");
-            if !write(format!("{:x}\r\n{event}\r\n", event.len())) {
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if is_closed(stream) || stream.write_all(chunk.as_bytes()).is_err() {
                 return false;
             }
         }
-        write("0\r\n\r\n".into())
+        stream.write_all(b"0\r\n\r\n").is_ok()
+    }
+}
+
+/// Returns whether the caller has closed the connection.
+fn is_closed(stream: &TcpStream) -> bool {
+    if stream.set_nonblocking(true).is_err() {
+        return true;
     }
+    let peeked = stream.peek(&mut [0]);
+    let is_open =
+        matches!(&peeked, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock) || matches!(peeked, Ok(1..));
+    !is_open || stream.set_nonblocking(false).is_err()
 }
