Judge the many drivers of a frozen owner's job by the attempts of an item

That an item runs at several engines at once is open to the reading that an item may run more than once, so the case now judges BUDGET, which names items.

Replaces the check of review/5: one item of the job fails at each run, and each of the drivers counts its failures from zero.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/release/trestlerackd ] && [ -x target/review-2/release/review-2 ] || exit 2
-exec target/review-2/release/review-2 two-drivers "$folder/record.txt"
+exec target/review-2/release/review-2 many-drivers "$folder/record.txt"
--- a/review/platform-2/src/cases/deployment.rs
+++ b/review/platform-2/src/cases/deployment.rs
@@ -18,6 +18,9 @@
 /// Zones of the deployment, with their region.
 pub const ZONES: [(&str, &str); 3] = [("leeds-a", "leeds"), ("leeds-b", "leeds"), ("leeds-c", "leeds")];
 
+/// `max_attempts` of the rollout routes.
+pub const MAX_ATTEMPTS: u64 = 3;
+
 /// Time after which an item may be given up, `max_wait_s`.
 pub const MAX_WAIT: Duration = Duration::from_secs(40);
 
@@ -102,12 +105,14 @@
     }
 }
 
-/// A job of items that are all alike.
+/// A job of items that are all alike, but for the first one if that fails.
 pub struct JobShape<'a> {
     pub id: &'a str,
     pub items: usize,
     /// Events of each text.
     pub events: u64,
+    /// Whether each run of the first item is answered with 500.
+    pub first_fails: bool,
 }
 
 impl JobShape<'_> {
@@ -125,6 +130,7 @@
 
     fn item(&self, prefix: &str, number: usize) -> Json {
         let id = format!("{}-item-{number}", self.id);
+        let suffix = if self.first_fails && number == 0 { servers::FAILING_PATH } else { "" };
         let usage = format!("16,{}", self.events);
         let scorer = object([
             ("id", format!("{id}-score").into()),
@@ -134,7 +140,7 @@
         ]);
         object([
             ("id", id.as_str().into()),
-            ("path", format!("{prefix}run/{number}").into()),
+            ("path", format!("{prefix}run/{number}{suffix}").into()),
             ("headers", object([("Model", MODEL.into()), ("Token-Usage", usage.into())])),
             ("body", base64(id.as_bytes()).into()),
             ("tokens", (16 + self.events).into()),
@@ -169,7 +175,7 @@
             ("max_wait_s", MAX_WAIT.as_secs().into()),
             ("priority", 0.into()),
             ("service", "drafter".into()),
-            ("max_attempts", 3.into()),
+            ("max_attempts", MAX_ATTEMPTS.into()),
         ]));
     }
     let engine = object([
--- /dev/null
+++ b/review/platform-2/src/cases/many_drivers.rs
@@ -0,0 +1,114 @@
+//! The owner of a job stands still. Several nodes take the job over, each from the one before, and all of them run it.
+
+use super::Context;
+use super::deployment::{self, Client, JobShape, MAX_ATTEMPTS, ZONES};
+use crate::nodes::{self, Node};
+use crate::servers::{Run, Seen};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+const PREFIX: &str = "/rollout-a/";
+
+/// Items of the job: two groups. The first item fails at each run.
+const ITEMS: usize = 8;
+
+/// Events of each text: the longest that the site file names.
+const EVENTS: u64 = 165;
+
+/// Time from the submission to the freeze, in which the owner stores the texts so far.
+const RUN_TIME: Duration = Duration::from_millis(1_800);
+
+/// Time for which the machine stands still: `for_s` of `node_freeze` in the site file.
+const FREEZE_TIME: Duration = Duration::from_secs(4);
+
+/// Answers of 500, in multiples of `max_attempts`, after which an item must reach no engine again.
+const MAX_ROUNDS: u64 = 3;
+
+/// Machines of the site.
+const NAMES: [(&str, &str); 9] = [
+    ("edge-a-1", "leeds-a"),
+    ("edge-a-2", "leeds-a"),
+    ("edge-a-3", "leeds-a"),
+    ("edge-b-1", "leeds-b"),
+    ("edge-b-2", "leeds-b"),
+    ("edge-b-3", "leeds-b"),
+    ("edge-c-1", "leeds-c"),
+    ("edge-c-2", "leeds-c"),
+    ("edge-c-3", "leeds-c"),
+];
+
+pub fn run(context: &Context) -> Option<Vec<String>> {
+    let record = &context.record;
+    let seen = Seen::new(record.clone());
+    let store = deployment::start_platform(&seen, PREFIX);
+    let mut nodes = nodes::prepare(&context.folder, &store.address.to_string(), &ZONES, &NAMES);
+    nodes.iter_mut().for_each(Node::start);
+    nodes.iter().for_each(Node::wait_ready);
+    sleep(Duration::from_secs(1));
+    let client = Client { context, nodes: &nodes };
+    let job = JobShape { id: "job-1", items: ITEMS, events: EVENTS, first_fails: true };
+    // The node that accepts the first job of a model drives it.
+    client.submit(0, PREFIX, &job)?;
+    sleep(RUN_TIME);
+    let frozen_at = Instant::now();
+    if context.has_trouble {
+        record.line("trouble   edge-a-1 stands still");
+        nodes[0].signal("-STOP");
+    }
+    sleep(FREEZE_TIME);
+    let runs = seen.runs();
+    if context.has_trouble {
+        nodes[0].signal("-CONT");
+        record.line("trouble   edge-a-1 goes on");
+    }
+    let results = client.read_all(1, &job)?;
+    let completed = results.iter().filter(|result| result.text("state") == "completed").count();
+    record.line(&format!("read      {completed} of {ITEMS} items are completed"));
+    for node in &nodes {
+        for line in node.log_lines("job=job-1").iter().filter(|line| is_about_drivers(line)) {
+            record.line(&format!("log       {}: {line}", node.name));
+        }
+    }
+    record_doubled_work(context, &runs, frozen_at);
+    Some(excess_runs(&runs, frozen_at))
+}
+
+/// Returns the runs of the failing item that began after enough answers of 500. They are judged only while the owner
+/// stood still, so each was sent by a calm machine.
+fn excess_runs(runs: &[Run], frozen_at: Instant) -> Vec<String> {
+    let of_item: Vec<&Run> = runs.iter().filter(|run| run.id == "job-1-item-0").collect();
+    let mut findings = Vec::new();
+    for run in of_item.iter().filter(|run| run.started > frozen_at) {
+        let has_answered = |other: &&&Run| other.has_failed && other.ended.is_some_and(|ended| ended < run.started);
+        let answers = of_item.iter().filter(has_answered).count() as u64;
+        if answers >= MAX_ROUNDS * MAX_ATTEMPTS {
+            findings.push(format!(
+                "BUDGET: {} reaches {} after {answers} answers of 500; max_attempts is {MAX_ATTEMPTS}",
+                run.id, run.server,
+            ));
+        }
+    }
+    findings
+}
+
+/// Records how long engines worked on the same item at the same time, for calm machines.
+fn record_doubled_work(context: &Context, runs: &[Run], frozen_at: Instant) {
+    let calm: Vec<&Run> = runs.iter().filter(|run| run.started > frozen_at).collect();
+    for (number, later) in calm.iter().enumerate() {
+        let Some(event) = later.resumed_after else { continue };
+        for earlier in calm[..number].iter().filter(|run| run.id == later.id && run.server != later.server) {
+            let worked_on = earlier.ended.unwrap_or_else(Instant::now).saturating_duration_since(later.started);
+            context.record.line(&format!(
+                "doubled   {} goes on at {} after event {event}, and {} works on it {} ms longer",
+                later.id,
+                later.server,
+                earlier.server,
+                worked_on.as_millis(),
+            ));
+        }
+    }
+}
+
+fn is_about_drivers(line: &str) -> bool {
+    ["job-driven", "job-taken", "job-left", "job-not-taken", "owner-silent"].iter().any(|name| line.contains(name))
+}
--- a/review/platform-2/src/cases/mod.rs
+++ b/review/platform-2/src/cases/mod.rs
@@ -1,8 +1,8 @@
 //! The cases.
 
 mod deployment;
+mod many_drivers;
 mod stale_route;
-mod two_drivers;
 
 use crate::record::Record;
 use std::path::PathBuf;
@@ -20,7 +20,7 @@
 pub fn run(name: &str, context: &Context) -> Option<Vec<String>> {
     match name {
         "stale-route" => stale_route::run(context),
-        "two-drivers" => two_drivers::run(context),
+        "many-drivers" => many_drivers::run(context),
         _ => None,
     }
 }
--- a/review/platform-2/src/nodes.rs
+++ b/review/platform-2/src/nodes.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 /// Program of the deploy file, in the root of the repository.
@@ -40,10 +41,26 @@
     child: Option<Child>,
 }
 
+/// First port for daemons. It is below the range of ephemeral ports, so that no outgoing connection takes a port before
+/// its daemon does.
+const FIRST_PORT: u16 = 15_000;
+
+/// Number of ports for daemons.
+const PORTS: u16 = 15_000;
+
 /// Returns loopback addresses that are free now.
 fn free_addresses<const N: usize>() -> [String; N] {
-    let listeners: [TcpListener; N] = std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("the address of the listener").to_string())
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    // Runs at the same time begin at different ports.
+    let offset = (std::process::id() % 1_000) as u16 * 15;
+    std::array::from_fn(|_| {
+        loop {
+            let port = FIRST_PORT + (offset + NEXT.fetch_add(1, Ordering::SeqCst)) % PORTS;
+            if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+                return format!("127.0.0.1:{port}");
+            }
+        }
+    })
 }
 
 /// Prepares nodes in the given zones, with up to three of them as seeds.
--- a/review/platform-2/src/servers.rs
+++ b/review/platform-2/src/servers.rs
@@ -16,6 +16,12 @@
 /// Time before each event.
 pub const EVENT_TIME: Duration = Duration::from_millis(30);
 
+/// Path whose requests an engine works on for [`FAILURE_TIME`] and then answers with 500.
+pub const FAILING_PATH: &str = "/fails";
+
+/// Work on a request before it fails.
+const FAILURE_TIME: Duration = Duration::from_millis(800);
+
 /// Time that a plain server works.
 const WORK_TIME: Duration = Duration::from_millis(30);
 
@@ -32,6 +38,8 @@
     pub started: Instant,
     /// When the server finished the request or stopped, because its connection was closed.
     pub ended: Option<Instant>,
+    /// Whether the server answered with 500.
+    pub has_failed: bool,
 }
 
 /// What all servers have seen.
@@ -57,7 +65,7 @@
         self.record.line(&format!("run       {id} begins at {server}{from}"));
         let (id, server) = (id.to_owned(), server.to_owned());
         let mut runs = self.runs.lock().unwrap();
-        runs.push(Run { id, server, resumed_after, started: Instant::now(), ended: None });
+        runs.push(Run { id, server, resumed_after, started: Instant::now(), ended: None, has_failed: false });
         runs.len() - 1
     }
 
@@ -66,12 +74,16 @@
         let run = {
             let mut runs = self.runs.lock().unwrap();
             runs[number].ended = Some(Instant::now());
+            runs[number].has_failed = why == FAILED;
             runs[number].clone()
         };
         self.record.line(&format!("run       {} ends at {}: {why}", run.id, run.server));
     }
 }
 
+/// Why a run ended that was answered with 500.
+const FAILED: &str = "answered with 500";
+
 /// How a server registers itself.
 struct Entry {
     instance: String,
@@ -240,6 +252,12 @@
         let id = request.header("request-id");
         let resumed_after = request.header("last-event-id").parse().ok();
         let run = self.seen.start(&self.instance, id, resumed_after);
+        if request.path.ends_with(FAILING_PATH) {
+            std::thread::sleep(FAILURE_TIME);
+            self.seen.end(run, FAILED);
+            let stamp = format!("stamp-{}-{id}", self.instance);
+            return http::reply(stream, 500, &[("request-id", id), ("response-stamp", &stamp)], b"");
+        }
         let is_complete = self.stream_events(request, resumed_after, stream);
         self.seen.end(run, if is_complete { "done" } else { "its connection was closed" });
         is_complete
