Show that a resumed stream loses the events before a spoiled one

A frame with an event out of sequence is dropped whole, while the good events before it count as delivered, so the next engine is asked to go on after them.

--- a/review/platform-2/src/cases/deployment.rs
+++ b/review/platform-2/src/cases/deployment.rs
@@ -9,8 +9,11 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-const HOST: &str = "ficu95.example";
-const MODEL: &str = "m0";
+pub const HOST: &str = "ficu95.example";
+pub const MODEL: &str = "m0";
+
+/// Prefix of the route for streams of clients.
+pub const STREAM_PREFIX: &str = "/draft/";
 
 /// Items of each group.
 const GROUP: usize = 4;
@@ -163,6 +166,19 @@
         ("service", "statements".into()),
         ("max_attempts", 4.into()),
     ])];
+    routes.push(object([
+        ("name", "r-stream".into()),
+        ("host", HOST.into()),
+        ("prefix", STREAM_PREFIX.into()),
+        ("kind", "unsafe".into()),
+        ("streaming", true.into()),
+        ("resumable", true.into()),
+        ("timeout_ms", 10_000.into()),
+        ("target_latency_ms", 400.into()),
+        ("priority", 1.into()),
+        ("service", "drafter".into()),
+        ("max_attempts", MAX_ATTEMPTS.into()),
+    ]));
     for prefix in prefixes {
         routes.push(object([
             ("name", format!("r{}", prefix.replace('/', "")).into()),
--- a/review/platform-2/src/cases/mod.rs
+++ b/review/platform-2/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod deployment;
 mod many_drivers;
 mod stale_route;
+mod stream_hole;
 
 use crate::record::Record;
 use std::path::PathBuf;
@@ -19,6 +20,7 @@
 /// Runs a case. Returns what broke the rule; `None` if there is no such case or it could not run.
 pub fn run(name: &str, context: &Context) -> Option<Vec<String>> {
     match name {
+        "stream-hole" => stream_hole::run(context),
         "stale-route" => stale_route::run(context),
         "many-drivers" => many_drivers::run(context),
         _ => None,
--- a/review/platform-2/src/http.rs
+++ b/review/platform-2/src/http.rs
@@ -114,3 +114,42 @@
     reader.read_exact(&mut body).ok()?;
     Some(Response { status, body: String::from_utf8(body).ok()? })
 }
+
+/// Makes a call whose response is chunked. Returns its status, the bytes of its body and whether the response is
+/// complete; `None` without a response.
+pub fn call_chunked(
+    address: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+    limit: Duration,
+) -> Option<(u16, Vec<u8>, bool)> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(limit)).ok()?;
+    let mut text = format!("POST {path} HTTP/1.1\r\ncontent-length: {}\r\nconnection: close\r\n", body.len());
+    headers.iter().for_each(|(name, value)| text.push_str(&format!("{name}: {value}\r\n")));
+    stream.write_all(format!("{text}\r\n{body}").as_bytes()).ok()?;
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    let status = line.split_whitespace().nth(1)?.parse().ok()?;
+    read_headers(&mut reader)?;
+    let mut bytes = Vec::new();
+    let is_complete = read_chunks(&mut reader, &mut bytes).is_some();
+    Some((status, bytes, is_complete))
+}
+
+/// Reads chunks up to the last one; `None` if the connection ends before.
+fn read_chunks(reader: &mut impl BufRead, bytes: &mut Vec<u8>) -> Option<()> {
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let length = usize::from_str_radix(line.trim(), 16).ok()?;
+        let mut chunk = vec![0; length + 2];
+        reader.read_exact(&mut chunk).ok()?;
+        bytes.extend_from_slice(&chunk[..length]);
+        if length == 0 {
+            return Some(());
+        }
+    }
+}
--- a/review/platform-2/src/servers.rs
+++ b/review/platform-2/src/servers.rs
@@ -6,7 +6,7 @@
 use crate::store::Store;
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,15 @@
 /// Time before each event.
 pub const EVENT_TIME: Duration = Duration::from_millis(30);
 
+/// Events that an engine writes at once.
+const EVENTS_PER_WRITE: u64 = 3;
+
+/// Event with a wrong id in a spoiled answer, the last one of its write.
+const SPOILED_EVENT: u64 = 6;
+
+/// How much that id is too high.
+const WRONG_BY: u64 = 90;
+
 /// Path whose requests an engine works on for [`FAILURE_TIME`] and then answers with 500.
 pub const FAILING_PATH: &str = "/fails";
 
@@ -46,12 +55,14 @@
 #[derive(Clone)]
 pub struct Seen {
     runs: Arc<Mutex<Vec<Run>>>,
+    /// Number of the next answers of engines to spoil: one event of them bears a wrong id.
+    spoiled_answers: Arc<AtomicUsize>,
     record: Record,
 }
 
 impl Seen {
     pub fn new(record: Record) -> Self {
-        Self { runs: Arc::default(), record }
+        Self { runs: Arc::default(), spoiled_answers: Arc::default(), record }
     }
 
     /// Returns all runs so far, in the order of their start.
@@ -59,6 +70,15 @@
         self.runs.lock().unwrap().clone()
     }
 
+    /// Lets engines spoil their next answer.
+    pub fn spoil_next_answer(&self) {
+        self.spoiled_answers.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn is_next_spoiled(&self) -> bool {
+        self.spoiled_answers.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1)).is_ok()
+    }
+
     /// Records the start of a run. Returns its number.
     fn start(&self, server: &str, id: &str, resumed_after: Option<u64>) -> usize {
         let from = resumed_after.map_or_else(String::new, |event| format!(" after event {event}"));
@@ -275,13 +295,27 @@
         if stream.write_all(head.as_bytes()).is_err() {
             return false;
         }
-        for number in resumed_after.unwrap_or(0) + 1..=last.unwrap_or(1) {
+        let is_spoiled = self.seen.is_next_spoiled();
+        let mut written = String::new();
+        let last = last.unwrap_or(1);
+        for number in resumed_after.unwrap_or(0) + 1..=last {
             std::thread::sleep(EVENT_TIME);
-            let event = format!("id: {number}\ndata: {id}-{number}\n\n");
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            if is_closed(stream) || stream.write_all(chunk.as_bytes()).is_err() {
+            let told = if is_spoiled && number == SPOILED_EVENT { number + WRONG_BY } else { number };
+            written.push_str(&format!("id: {told}\ndata: {id}-{number}\n\n"));
+            if is_closed(stream) {
+                return false;
+            }
+            if number % EVENTS_PER_WRITE != 0 && number != last {
+                continue;
+            }
+            if is_spoiled && (number == SPOILED_EVENT) {
+                self.seen.record.line(&format!("trouble   {} gives an event of {id} the id {told}", self.instance));
+            }
+            let chunk = format!("{:x}\r\n{written}\r\n", written.len());
+            if stream.write_all(chunk.as_bytes()).is_err() {
                 return false;
             }
+            written.clear();
         }
         stream.write_all(b"0\r\n\r\n").is_ok()
     }
