Show that jobs accepted elsewhere fill the memory of their owner

A node refuses a job by its own memory, but names another node as owner, which keeps every accepted job.

Adds the command owner-memory to review/platform-2: 20 jobs with bodies of 9.6 MB, below max_body_bytes, that two other nodes accept.

--- a/review/platform-2/src/cases/deployment.rs
+++ b/review/platform-2/src/cases/deployment.rs
@@ -51,6 +51,15 @@
 }
 
 impl Client<'_> {
+    /// Submits a job at the first node, once.
+    pub fn submit_once(&self, prefix: &str, job: &JobShape<'_>) {
+        let (node, path) = (&self.nodes[0], format!("{prefix}{}", job.id));
+        let headers = [("host", HOST), ("request-id", job.id), ("content-type", "application/json")];
+        let answer = http::call(&node.client, "POST", &path, &headers, &job.body(prefix), CALL_LIMIT);
+        let status = answer.map_or(0, |answer| answer.status);
+        self.context.record.line(&format!("sent      POST {path} ({} items) to {}: {status}", job.items, node.name));
+    }
+
     /// Submits a job at a node, and at the next ones until it is accepted. Returns how long that took.
     pub fn submit(&self, first: usize, prefix: &str, job: &JobShape<'_>) -> Option<Duration> {
         let (started, path, body) = (Instant::now(), format!("{prefix}{}", job.id), job.body(prefix));
@@ -116,6 +125,14 @@
     pub events: u64,
     /// Whether each run of the first item is answered with 500.
     pub first_fails: bool,
+    /// Bytes of the body of each item, at least.
+    pub body_bytes: usize,
+}
+
+impl Default for JobShape<'_> {
+    fn default() -> Self {
+        Self { id: "job-1", items: 2 * GROUP, events: 1, first_fails: false, body_bytes: 0 }
+    }
 }
 
 impl JobShape<'_> {
@@ -145,7 +162,7 @@
             ("id", id.as_str().into()),
             ("path", format!("{prefix}run/{number}{suffix}").into()),
             ("headers", object([("Model", MODEL.into()), ("Token-Usage", usage.into())])),
-            ("body", base64(id.as_bytes()).into()),
+            ("body", base64(id.repeat(1 + self.body_bytes / id.len()).as_bytes()).into()),
             ("tokens", (16 + self.events).into()),
             ("group", format!("{}-group-{}", self.id, number / GROUP).into()),
             ("scorer", scorer),
--- a/review/platform-2/src/cases/many_drivers.rs
+++ b/review/platform-2/src/cases/many_drivers.rs
@@ -46,7 +46,7 @@
     nodes.iter().for_each(Node::wait_ready);
     sleep(Duration::from_secs(1));
     let client = Client { context, nodes: &nodes };
-    let job = JobShape { id: "job-1", items: ITEMS, events: EVENTS, first_fails: true };
+    let job = JobShape { items: ITEMS, events: EVENTS, first_fails: true, ..JobShape::default() };
     // The node that accepts the first job of a model drives it.
     client.submit(0, PREFIX, &job)?;
     sleep(RUN_TIME);
--- a/review/platform-2/src/cases/mod.rs
+++ b/review/platform-2/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 mod many_drivers;
+mod owner_memory;
 mod stale_route;
 mod stream_hole;
 
@@ -21,6 +22,7 @@
 pub fn run(name: &str, context: &Context) -> Option<Vec<String>> {
     match name {
         "stream-hole" => stream_hole::run(context),
+        "owner-memory" => owner_memory::run(context),
         "stale-route" => stale_route::run(context),
         "many-drivers" => many_drivers::run(context),
         _ => None,
--- a/review/platform-2/src/cases/stale_route.rs
+++ b/review/platform-2/src/cases/stale_route.rs
@@ -30,7 +30,7 @@
     sleep(Duration::from_secs(1));
     let client = Client { context, nodes: &nodes };
     let [first_job, second_job] =
-        ["job-1", "job-2"].map(|id| JobShape { id, items: ITEMS, events: EVENTS, first_fails: false });
+        ["job-1", "job-2"].map(|id| JobShape { id, items: ITEMS, events: EVENTS, ..JobShape::default() });
     // The trainer's first step, at node b, which then drives the jobs of this model.
     client.submit(1, "/rollout-a/", &first_job)?;
     let first = client.read_all(0, &first_job)?;
--- a/review/platform-2/src/nodes.rs
+++ b/review/platform-2/src/nodes.rs
@@ -10,6 +10,9 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
+/// Memory of a machine, in MB, as on the sheet of hallworth-ops.
+pub const MEMORY_MB: u64 = 130;
+
 /// Program of the deploy file, in the root of the repository.
 const PROGRAM: &str = "target/release/trestlerackd";
 
@@ -85,7 +88,7 @@
             ("store_row_bytes", 65_536.into()),
             ("cpu_share", Json::Number(0.5)),
             ("cpu_speed", 1.into()),
-            ("memory_mb", 130.into()),
+            ("memory_mb", MEMORY_MB.into()),
             ("max_descriptors", 8_200.into()),
             ("stop_limit_s", 8.into()),
             ("order_handover_ms", 3_000.into()),
@@ -133,6 +136,14 @@
         }
     }
 
+    /// Returns the largest resident memory of the process so far, in MB.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok()).unwrap_or(0) / 1_024
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: &str) {
         let Some(child) = &self.child else { return };
