Let the case of the many drivers play up to five rounds

How many nodes take the job over depends on when each asks its owner: with two of them the item gets nine answers of 500, which the rule allows.

Each round has a new job, whose owner stands still for 4 s; the first round that breaks the rule ends the run.

--- a/review/platform-2/src/cases/many_drivers.rs
+++ b/review/platform-2/src/cases/many_drivers.rs
@@ -22,7 +22,14 @@
 const FREEZE_TIME: Duration = Duration::from_secs(4);
 
 /// Answers of 500, in multiples of `max_attempts`, after which an item must reach no engine again.
-const MAX_ROUNDS: u64 = 3;
+const ANSWER_FACTOR: u64 = 3;
+
+/// Most rounds of one run; it ends with the first one that breaks the rule. How many nodes take the job over depends on
+/// when each of them asks its owner.
+const MAX_ROUNDS: u32 = 5;
+
+/// Pause between two rounds, in which the owner of the last one registers again.
+const ROUND_PAUSE: Duration = Duration::from_secs(3);
 
 /// Machines of the site.
 const NAMES: [(&str, &str); 9] = [
@@ -45,43 +52,59 @@
     nodes.iter_mut().for_each(Node::start);
     nodes.iter().for_each(Node::wait_ready);
     sleep(Duration::from_secs(1));
-    let client = Client { context, nodes: &nodes };
-    let job = JobShape { items: ITEMS, events: EVENTS, first_fails: true, ..JobShape::default() };
-    // The node that accepts the first job of a model drives it.
-    client.submit(0, PREFIX, &job)?;
+    for round in 1..=MAX_ROUNDS {
+        let id = format!("job-{round}");
+        let job = JobShape { id: &id, items: ITEMS, events: EVENTS, first_fails: true, ..JobShape::default() };
+        let findings = play_round(context, &nodes, &seen, &job)?;
+        if !findings.is_empty() {
+            return Some(findings);
+        }
+        sleep(ROUND_PAUSE);
+    }
+    Some(Vec::new())
+}
+
+/// Submits a job, lets its owner stand still and returns what broke the rule meanwhile.
+fn play_round(context: &Context, nodes: &[Node], seen: &Seen, job: &JobShape<'_>) -> Option<Vec<String>> {
+    let (record, client) = (&context.record, Client { context, nodes });
+    client.submit(0, PREFIX, job)?;
     sleep(RUN_TIME);
+    let driven = format!("job={} fence=1", job.id);
+    let owner = nodes.iter().position(|node| !node.log_lines(&driven).is_empty())?;
     let frozen_at = Instant::now();
     if context.has_trouble {
-        record.line("trouble   edge-a-1 stands still");
-        nodes[0].signal("-STOP");
+        record.line(&format!("trouble   {}, the owner of {}, stands still", nodes[owner].name, job.id));
+        nodes[owner].signal("-STOP");
     }
     sleep(FREEZE_TIME);
     let runs = seen.runs();
     if context.has_trouble {
-        nodes[0].signal("-CONT");
-        record.line("trouble   edge-a-1 goes on");
+        nodes[owner].signal("-CONT");
+        record.line(&format!("trouble   {} goes on", nodes[owner].name));
     }
-    let results = client.read_all(1, &job)?;
+    let results = client.read_all((owner + 1) % nodes.len(), job)?;
     let completed = results.iter().filter(|result| result.text("state") == "completed").count();
     record.line(&format!("read      {completed} of {ITEMS} items are completed"));
-    for node in &nodes {
-        for line in node.log_lines("job=job-1").iter().filter(|line| is_about_drivers(line)) {
+    for node in nodes {
+        let lines = node.log_lines(&format!("job={} ", job.id));
+        for line in lines.iter().filter(|line| is_about_drivers(line)) {
             record.line(&format!("log       {}: {line}", node.name));
         }
     }
     record_doubled_work(context, &runs, frozen_at);
-    Some(excess_runs(&runs, frozen_at))
+    client.end((owner + 1) % nodes.len(), job)?;
+    Some(excess_runs(&runs, &format!("{}-item-0", job.id), frozen_at))
 }
 
 /// Returns the runs of the failing item that began after enough answers of 500. They are judged only while the owner
 /// stood still, so each was sent by a calm machine.
-fn excess_runs(runs: &[Run], frozen_at: Instant) -> Vec<String> {
-    let of_item: Vec<&Run> = runs.iter().filter(|run| run.id == "job-1-item-0").collect();
+fn excess_runs(runs: &[Run], item: &str, frozen_at: Instant) -> Vec<String> {
+    let of_item: Vec<&Run> = runs.iter().filter(|run| run.id == item).collect();
     let mut findings = Vec::new();
     for run in of_item.iter().filter(|run| run.started > frozen_at) {
         let has_answered = |other: &&&Run| other.has_failed && other.ended.is_some_and(|ended| ended < run.started);
         let answers = of_item.iter().filter(has_answered).count() as u64;
-        if answers >= MAX_ROUNDS * MAX_ATTEMPTS {
+        if answers >= ANSWER_FACTOR * MAX_ATTEMPTS {
             findings.push(format!(
                 "BUDGET: {} reaches {} after {answers} answers of 500; max_attempts is {MAX_ATTEMPTS}",
                 run.id, run.server,
