--- a/review/platform-2/src/servers.rs
+++ b/review/platform-2/src/servers.rs
@@ -49,6 +49,8 @@
     pub ended: Option<Instant>,
     /// Whether the server answered with 500.
     pub has_failed: bool,
+    /// Whether an event of the answer bears a wrong id.
+    pub is_spoiled: bool,
 }
 
 /// What all servers have seen.
@@ -85,7 +87,15 @@
         self.record.line(&format!("run       {id} begins at {server}{from}"));
         let (id, server) = (id.to_owned(), server.to_owned());
         let mut runs = self.runs.lock().unwrap();
-        runs.push(Run { id, server, resumed_after, started: Instant::now(), ended: None, has_failed: false });
+        runs.push(Run {
+            id,
+            server,
+            resumed_after,
+            started: Instant::now(),
+            ended: None,
+            has_failed: false,
+            is_spoiled: false,
+        });
         runs.len() - 1
     }
 
@@ -278,12 +288,12 @@
             let stamp = format!("stamp-{}-{id}", self.instance);
             return http::reply(stream, 500, &[("request-id", id), ("response-stamp", &stamp)], b"");
         }
-        let is_complete = self.stream_events(request, resumed_after, stream);
+        let is_complete = self.stream_events(request, run, resumed_after, stream);
         self.seen.end(run, if is_complete { "done" } else { "its connection was closed" });
         is_complete
     }
 
-    fn stream_events(&self, request: &Request, resumed_after: Option<u64>, stream: &mut TcpStream) -> bool {
+    fn stream_events(&self, request: &Request, run: usize, resumed_after: Option<u64>, stream: &mut TcpStream) -> bool {
         let id = request.header("request-id");
         let last = request.header("token-usage").split(',').nth(1).and_then(|tokens| tokens.trim().parse().ok());
         let version = self.version.load(Ordering::SeqCst);
@@ -296,6 +306,7 @@
             return false;
         }
         let is_spoiled = self.seen.is_next_spoiled();
+        self.seen.runs.lock().unwrap()[run].is_spoiled = is_spoiled;
         let mut written = String::new();
         let last = last.unwrap_or(1);
         for number in resumed_after.unwrap_or(0) + 1..=last {
