Judge the route of a job by a configuration that has it

Callers saw every item of a job listed as down within a second of its 202, on a route that had just been added.

Cause: the node that takes a submission reads the configuration again for a route that it does not know; the job's owner may still have the older one. The job's record did not say by which configuration it was accepted, so the owner, or whoever took the job over, took the missing route for a removed one and gave all items up. Limits of attempts came from the same old configuration and stayed, and score calls were counted by the limit of the route that scores the job's first item.

Ruled out: a wait before giving up, as a watch may lag for any time.

The record bears the version of the configuration by which the job was accepted. A node drives a job, or takes it over, only by one at least as new, and reads it if its own is older (TR2214); a missing route then is a removed one, which ends the items and their runs at once. Limits follow newer configurations, and a score call has the limit of its own route. Records of earlier releases bear no version: their driver reads the configuration first.

Of the six tests of job_routes, four failed on and the six pass: a job on a route that its owner does not know yet, one that a lagging node takes over, the limits of the accepting configuration, and the limit of a score call's own route.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -209,6 +209,8 @@
     JOB_TAKEN = (2208, "job-taken", Info);
     /// A job could not be taken over.
     JOB_NOT_TAKEN = (2209, "job-not-taken", Info);
+    /// The configuration of this node is older than the one by which a job was accepted, so that the job waits.
+    JOB_WAITS_FOR_CONFIG = (2214, "job-waits-for-config", Info);
     /// Progress of a job that this node drives; written once a second.
     JOB_PROGRESS = (2210, "job-progress", Info);
     /// The rows of an old job were removed.
--- a/crates/trestlerack/src/request/job.rs
+++ b/crates/trestlerack/src/request/job.rs
@@ -134,6 +134,10 @@
     /// Customer that the job belongs to; `None` if no customers are configured.
     #[serde(default)]
     pub customer: Option<Name>,
+    /// Version of the configuration by which the job was accepted, which has its route. A node with an older one cannot
+    /// tell whether the route was removed. 0 in records of earlier releases, where it is unknown.
+    #[serde(default)]
+    pub config_version: u64,
 }
 
 impl JobRecord {
--- a/crates/trestlerack/src/request/job_tracker/mod.rs
+++ b/crates/trestlerack/src/request/job_tracker/mod.rs
@@ -58,8 +58,6 @@
 pub struct TrackerSettings {
     /// Failed runs after which an item is given up: the maximum attempts of its route.
     pub max_failures: u32,
-    /// Failed score calls after which an item is given up: the maximum attempts of the scorer's route.
-    pub max_score_failures: u32,
     /// Whether all events of an item must come from a single version.
     pub single_version: bool,
     /// Delay before an item is retried after a broken run. An engine stops within this time after
@@ -69,7 +67,7 @@
 
 impl Default for TrackerSettings {
     fn default() -> Self {
-        Self { max_failures: 3, max_score_failures: 3, single_version: false, retry_delay: Duration::from_millis(30) }
+        Self { max_failures: 3, single_version: false, retry_delay: Duration::from_millis(30) }
     }
 }
 
@@ -269,6 +267,26 @@
         order
     }
 
+    /// Replaces the settings, which a newer configuration may change. Returns the items whose text comes from several
+    /// versions although it must come from one now. Their runs and score calls have to be cancelled, and the items
+    /// [restarted](Self::restart).
+    pub fn update_settings(&mut self, settings: TrackerSettings) -> Vec<usize> {
+        self.settings = settings;
+        let is_single = self.settings.single_version;
+        let is_mixed = |state: &ItemState| state.phase != ItemPhase::Finished && state.transcript.versions.len() > 1;
+        let items = self.items.iter().enumerate();
+        items.filter(|(_, state)| is_single && is_mixed(state)).map(|(index, _)| index).collect()
+    }
+
+    /// Discards the text of an item, which waits for an engine again unless it has a result.
+    pub fn restart(&mut self, index: usize) {
+        let state = &mut self.items[index];
+        if state.phase != ItemPhase::Finished {
+            state.phase = ItemPhase::Waiting;
+            state.clear_text();
+        }
+    }
+
     /// Returns the submitted job.
     pub fn spec(&self) -> &Arc<JobSpec> {
         &self.spec
@@ -422,11 +440,12 @@
         self.ready.push_back(JobResult { id, is_completed: true, text, versions, score });
     }
 
-    /// Records a failed score call. Returns whether the item was given up because of it.
-    pub fn fail_score(&mut self, index: usize) -> bool {
+    /// Records a failed score call on a route that allows `max_failures` of them. Returns whether the item was given up
+    /// because of it.
+    pub fn fail_score(&mut self, index: usize, max_failures: u32) -> bool {
         let state = &mut self.items[index];
         state.score_failures += 1;
-        let is_exhausted = state.score_failures >= self.settings.max_score_failures;
+        let is_exhausted = state.score_failures >= max_failures;
         if is_exhausted {
             self.give_up(index);
         }
--- a/crates/trestlerack/src/version/mod.rs
+++ b/crates/trestlerack/src/version/mod.rs
@@ -38,7 +38,7 @@
 pub use rollout::{
     EngineOrder, EngineRollout, RolloutEngine, RolloutEvent, RolloutPlanner, RolloutSettings, WeightTarget,
 };
-pub use routing::{ClientLimits, RequestRoute, RouteKind, RoutedService, RoutingTable, SplitShare};
+pub use routing::{ClientLimits, JobRoute, RequestRoute, RouteKind, RoutedService, RoutingTable, SplitShare};
 pub use staleness::{SampleAge, StalenessRule, WeightVersion};
 pub use weight_scheduler::{
     DueOrder, EngineAssignment, MAX_HEARTBEAT_LAG, OrderOutcome, WeightScheduler, WeightSchedulerSettings,
--- a/crates/trestlerack/src/version/routing.rs
+++ b/crates/trestlerack/src/version/routing.rs
@@ -116,6 +116,17 @@
     pub idle_timeout_ms: u64,
 }
 
+/// What a routing table says of the route of a job that was accepted earlier.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum JobRoute<'a> {
+    /// The route.
+    Current(&'a RequestRoute),
+    /// The table is at least as new as the one by which the job was accepted, and does not have the route any more.
+    Removed,
+    /// The table is older than the one by which the job was accepted, so it may lack the route or have another one.
+    Unknown,
+}
+
 /// One version of the routes, services, client limits and customers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RoutingTable {
@@ -179,6 +190,15 @@
         self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns the route of a job that was accepted by the table of `accepted_version`. See
+    /// [docs/PLATFORM.md](../../../../docs/PLATFORM.md#the-route-of-a-job).
+    pub fn job_route(&self, host: &str, path: &str, accepted_version: u64) -> JobRoute<'_> {
+        if self.version < accepted_version {
+            return JobRoute::Unknown;
+        }
+        self.select(host, path).map_or(JobRoute::Removed, JobRoute::Current)
+    }
+
     /// Returns every route.
     pub fn routes(&self) -> impl Iterator<Item = &RequestRoute> {
         self.routes.values().flatten()
--- a/crates/trestlerack/tests/job_tracker.rs
+++ b/crates/trestlerack/tests/job_tracker.rs
@@ -156,6 +156,27 @@
     assert_eq!(tracker.transcript(0).versions, [MIN_VERSION]);
 }
 
+/// A newer configuration may demand single versions of a job that runs.
+#[test]
+fn texts_of_several_versions_are_restarted_once_the_settings_demand_a_single_one() {
+    let mut mixed = transcript(2);
+    mixed.versions = vec![MIN_VERSION, MIN_VERSION + 1];
+    let checkpoint = |id: &str| ItemCheckpoint { id: id.into(), transcript: mixed.clone(), is_complete: true };
+    let sole = ItemCheckpoint { id: "b2".into(), transcript: transcript(1), is_complete: true };
+    let mut tracker =
+        tracker(TrackerSettings::default(), vec![], vec![checkpoint("a1"), checkpoint("a2"), checkpoint("b1"), sole]);
+    tracker.record_score(1, None);
+    let settings = TrackerSettings { single_version: true, ..TrackerSettings::default() };
+    assert_eq!(tracker.update_settings(settings.clone()), [0, 2], "an item with a result keeps it");
+    tracker.restart(0);
+    tracker.restart(2);
+    assert_eq!((tracker.phase(0), tracker.transcript(0).last_event), (&ItemPhase::Waiting, None));
+    assert_eq!(tracker.update_settings(settings), [] as [usize; 0]);
+    assert_eq!(tracker.unscored(), [3]);
+    tracker.restart(1);
+    assert_eq!(*tracker.phase(1), ItemPhase::Finished);
+}
+
 #[test]
 fn a_discarded_text_may_start_again_with_another_version() {
     let settings = TrackerSettings { single_version: true, ..TrackerSettings::default() };
--- a/crates/trestlerackd/src/entry/client_requests.rs
+++ b/crates/trestlerackd/src/entry/client_requests.rs
@@ -284,7 +284,7 @@
     match route {
         None => refuse(&request, routing, "no route matches", StatusCode::NOT_FOUND),
         Some(route) if route.kind == RouteKind::Batch && request.method == Method::POST => {
-            job_accept::submit(node, route, request).await
+            job_accept::submit(node, routing, route, request).await
         }
         Some(route) => plain::serve(node, route, request).await,
     }
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -14,7 +14,7 @@
 use trestlerack::process::{MemoryPurpose, NodeRow, OwnerCandidate, choose_job_owner};
 use trestlerack::request::{JobRecord, JobSpec};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
-use trestlerack::version::{Placement, RequestRoute, ZoneRelation};
+use trestlerack::version::{Placement, RequestRoute, RoutingTable, ZoneRelation};
 use trestlerack::{Name, event};
 use trestlerack_platform as platform;
 
@@ -26,7 +26,12 @@
 
 /// Accepts a batch job. It answers 202 only after the transaction that creates the job's record, which expects
 /// that no record exists, is committed.
-pub async fn submit(node: &Arc<EntryNode>, route: &RequestRoute, mut request: ClientRequest) -> Response<ReplyBody> {
+pub async fn submit(
+    node: &Arc<EntryNode>,
+    routing: &RoutingTable,
+    route: &RequestRoute,
+    mut request: ClientRequest,
+) -> Response<ReplyBody> {
     let started = node.now();
     let Some(id) = request.head.request_id.clone() else {
         return empty_reply(StatusCode::BAD_REQUEST, None);
@@ -40,7 +45,7 @@
     };
     // The decoded job replaces the body in memory; the body must not stay while the store is unavailable.
     request.drop_body();
-    let outcome = accept(node, &spec, request.customer()).await;
+    let outcome = accept(node, routing, &spec, request.customer()).await;
     let took = node.now().since(started);
     let (status, reply) = match &outcome {
         Ok(_) => (StatusCode::ACCEPTED, empty_reply(StatusCode::ACCEPTED, Some(&id))),
@@ -79,7 +84,12 @@
 }
 
 /// Stores a job and has it driven. Returns the version of its record row.
-async fn accept(node: &Arc<EntryNode>, spec: &Arc<JobSpec>, customer: Option<&Name>) -> Result<u64, SubmitError> {
+async fn accept(
+    node: &Arc<EntryNode>,
+    routing: &RoutingTable,
+    spec: &Arc<JobSpec>,
+    customer: Option<&Name>,
+) -> Result<u64, SubmitError> {
     if let Some(view) = node.job(&spec.id) {
         return check_known_job(&view.record, view.version, spec, customer);
     }
@@ -93,7 +103,7 @@
         put_object(node, spec, &content).await?;
     }
     let spec_rows = if fits_rows { content.len().div_ceil(node.settings.store_row_bytes).max(1) } else { 0 };
-    let record = new_record(node, spec, spec_rows, customer);
+    let record = new_record(node, routing, spec, spec_rows, customer);
     let mut transaction = RowTransaction::new(spec.id.clone()).expect(tables::STATE, tables::JOB_RECORD, 0).put(
         tables::STATE,
         tables::JOB_RECORD,
@@ -214,9 +224,14 @@
     peer.unwrap_or_else(|| (node.settings.name.clone(), node.node_row()))
 }
 
-fn new_record(node: &Arc<EntryNode>, spec: &JobSpec, spec_rows: usize, customer: Option<&Name>) -> JobRecord {
-    let routing = node.routing();
-    let placement = placement::record_placement(routing.as_deref(), &spec.host, &spec.path, customer);
+fn new_record(
+    node: &Arc<EntryNode>,
+    routing: &RoutingTable,
+    spec: &JobSpec,
+    spec_rows: usize,
+    customer: Option<&Name>,
+) -> JobRecord {
+    let placement = placement::record_placement(Some(routing), &spec.host, &spec.path, customer);
     let (owner, row) = choose_owner(node, spec, &placement);
     JobRecord {
         owner,
@@ -236,6 +251,7 @@
         step: spec.step,
         min_version: spec.min_version,
         customer: customer.cloned(),
+        config_version: routing.version,
     }
 }
 
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -1,22 +1,28 @@
 //! Drives one job on the node that owns it: starts item runs, has complete texts scored and records results.
 
 use super::drive_mode::DriveMode;
+use super::job_config::ConfigurationSource;
 use super::job_texts::StoredTexts;
 use super::node::EntryNode;
-use super::{job_records, job_runs, job_scores, job_texts, run_moves, score_calls, server_discovery};
+use super::table_watch;
+use super::{
+    callers, job_config, job_records, job_runs, job_scores, job_texts, run_moves, score_calls, server_discovery,
+};
 use crate::process::clock;
 use crate::process::logs;
+use async_trait::async_trait;
 use std::collections::{BTreeSet, HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
+use trestlerack::interfaces::StoreError;
 use trestlerack::process::{MemoryPurpose, MemoryReservation, ServerNeed, TokenNeed};
 use trestlerack::request::{
     JobItem, JobRecord, JobSpec, JobTracker, RequestContent, RequestFingerprint, RunEnd, RunKind, TrackerSettings,
 };
-use trestlerack::version::RoutingTable;
+use trestlerack::version::{JobRoute, RoutingTable};
 use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform as platform;
 
@@ -44,6 +50,10 @@
     pub customer: Option<Name>,
     /// Time at which the job was accepted, on the store's clock.
     pub accepted_ms: u64,
+    /// Version of the configuration by which the job was accepted.
+    config_version: u64,
+    /// Version of the configuration from which the settings of the tracker were taken.
+    applied_config: AtomicU64,
     /// Fingerprint of the request of each item, by its position.
     pub fingerprints: Vec<RequestFingerprint>,
     /// Fingerprint of the score call of each item, by its position.
@@ -62,8 +72,8 @@
     pub wake_recorder: Notify,
     /// Runs in progress.
     pub runs: Mutex<HashMap<(usize, RunKind), ItemRun>>,
-    /// Items whose score calls are in progress.
-    pub scoring: Mutex<HashSet<usize>>,
+    /// Score calls in progress, by the position of their item. Aborting one closes its connection to the server.
+    pub scoring: Mutex<HashMap<usize, AbortHandle>>,
     /// Bytes of the specification.
     spec_bytes: usize,
     /// Reservation for the bytes of the specification and the texts.
@@ -90,6 +100,8 @@
             spec,
             customer,
             accepted_ms: record.accepted_ms,
+            config_version: record.config_version,
+            applied_config: AtomicU64::new(0),
             fingerprints,
             score_fingerprints,
             tokens,
@@ -191,6 +203,45 @@
         cancelled.len()
     }
 
+    /// Takes the settings of the tracker from a configuration that is newer than the last one.
+    fn apply_configuration(&self, routing: &RoutingTable) {
+        if self.applied_config.fetch_max(routing.version, Ordering::Relaxed) >= routing.version {
+            return;
+        }
+        let settings = job_config::tracker_settings(routing, &self.spec);
+        let mixed = self.tracker.lock().unwrap().update_settings(settings);
+        for index in mixed {
+            self.cancel_item(index);
+            self.tracker.lock().unwrap().restart(index);
+        }
+    }
+
+    /// Cancels the runs and the score call of an item.
+    fn cancel_item(&self, index: usize) {
+        let kinds = [RunKind::Primary, RunKind::Speculative];
+        let runs: Vec<ItemRun> = {
+            let mut runs = self.runs.lock().unwrap();
+            kinds.iter().filter_map(|kind| runs.remove(&(index, *kind))).collect()
+        };
+        runs.iter().for_each(|run| run.handle.abort());
+        if let Some(score) = self.scoring.lock().unwrap().remove(&index) {
+            score.abort();
+        }
+    }
+
+    /// Gives up all items that have no result yet.
+    fn give_up(&self, now: Timestamp) {
+        self.cancel_runs(now);
+        self.cancel_scores();
+        self.tracker.lock().unwrap().give_up_all();
+        self.wake_recorder.notify_one();
+    }
+
+    /// Cancels all score calls.
+    fn cancel_scores(&self) {
+        self.scoring.lock().unwrap().drain().for_each(|(_, score)| score.abort());
+    }
+
     fn cancel_runs(&self, now: Timestamp) {
         let runs: Vec<((usize, RunKind), ItemRun)> = self.runs.lock().unwrap().drain().collect();
         let mut tracker = self.tracker.lock().unwrap();
@@ -204,6 +255,24 @@
     }
 }
 
+/// The configuration of this node.
+struct NodeConfiguration<'a>(&'a Arc<EntryNode>);
+
+#[async_trait]
+impl ConfigurationSource for NodeConfiguration<'_> {
+    fn current(&self) -> Option<Arc<RoutingTable>> {
+        self.0.routing()
+    }
+
+    async fn read(&self) -> Result<(), StoreError> {
+        table_watch::read_configuration(self.0).await
+    }
+
+    async fn refresh(&self) {
+        callers::refresh(self.0).await;
+    }
+}
+
 /// Starts a driver for a job that this node owns, unless it has one. `texts` are the stored texts if they were
 /// read together with the specification.
 pub fn start(node: &Arc<EntryNode>, spec: Arc<JobSpec>, record: JobRecord, version: u64, texts: Option<StoredTexts>) {
@@ -225,8 +294,11 @@
         driver.end();
     }
     tokio::spawn(async move {
-        let settings = wait_for_settings(&node, &spec).await;
-        let loaded = job_texts::load_state(&node, &spec, &record, settings, texts).await;
+        let is_stopping = || !driver.is_driving();
+        let source = NodeConfiguration(&node);
+        let routing = job_config::wait_for_configuration(&source, &spec.id, &record, is_stopping).await;
+        let settings = routing.map(|routing| job_config::tracker_settings(&routing, &spec));
+        let loaded = job_texts::load_state(&node, &spec, &record, settings.unwrap_or_default(), texts).await;
         match loaded {
             Ok(tracker) => {
                 *driver.tracker.lock().unwrap() = tracker;
@@ -239,30 +311,6 @@
     });
 }
 
-/// Returns the tracker settings of a job, once the configuration is known. A process that has just started may
-/// be given a job before it has the configuration, and would give up items by the default limits.
-async fn wait_for_settings(node: &EntryNode, spec: &JobSpec) -> TrackerSettings {
-    loop {
-        match node.routing() {
-            Some(routing) => return tracker_settings(&routing, spec),
-            None => clock::sleep(POLL_INTERVAL).await,
-        }
-    }
-}
-
-fn tracker_settings(routing: &RoutingTable, spec: &JobSpec) -> TrackerSettings {
-    let defaults = TrackerSettings::default();
-    let route = routing.select(&spec.host, &spec.path);
-    let scorer = spec.items.first().and_then(|item| item.scorer.as_ref());
-    let score_route = scorer.and_then(|scorer| routing.select(&scorer.host, &scorer.path));
-    TrackerSettings {
-        max_failures: route.map_or(defaults.max_failures, |route| route.max_attempts),
-        max_score_failures: score_route.map_or(defaults.max_score_failures, |route| route.max_attempts),
-        single_version: route.is_some_and(|route| route.single_version),
-        ..defaults
-    }
-}
-
 async fn drive(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, record: JobRecord, version: u64) {
     let job = driver.spec.id.clone();
     logs::write(event::JOB_DRIVEN, &[("job", &job), ("fence", &record.fence), ("listed", &record.recorded)]);
@@ -278,6 +326,7 @@
             driver.update_memory();
         }
         if let Some(routing) = node.routing() {
+            driver.apply_configuration(&routing);
             advance_job(node, driver, &routing);
         }
         // A wake-up and the end of the interval both lead to the next check, so the outcome is ignored.
@@ -285,6 +334,7 @@
     }
     text_logger.abort();
     driver.cancel_runs(node.now());
+    driver.cancel_scores();
     driver.wake_recorder.notify_one();
     let recorded = recorder.await.ok().flatten();
     if let (Some((record, version)), DriveMode::End | DriveMode::HandOver) = (recorded, driver.mode()) {
@@ -322,11 +372,14 @@
 
 /// Performs one check of the job: gives up an overdue job, moves and starts runs, and starts score calls.
 fn advance_job(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, routing: &RoutingTable) {
-    let Some(route) = routing.select(&driver.spec.host, &driver.spec.path) else {
-        logs::write(event::JOB_OVERDUE, &[("job", &driver.spec.id), ("why", &"its route was removed")]);
-        driver.tracker.lock().unwrap().give_up_all();
-        driver.wake_recorder.notify_one();
-        return;
+    let route = match routing.job_route(&driver.spec.host, &driver.spec.path, driver.config_version) {
+        JobRoute::Current(route) => route,
+        JobRoute::Unknown => return,
+        JobRoute::Removed => {
+            logs::write(event::JOB_OVERDUE, &[("job", &driver.spec.id), ("why", &"its route was removed")]);
+            driver.give_up(node.now());
+            return;
+        }
     };
     let age_ms = node.store.clock_ms().saturating_sub(driver.accepted_ms);
     if route.give_up_ms > 0 && age_ms >= route.give_up_ms {
@@ -334,9 +387,7 @@
             event::JOB_OVERDUE,
             &[("job", &driver.spec.id), ("why", &"the time limit of its route has passed")],
         );
-        driver.cancel_runs(node.now());
-        driver.tracker.lock().unwrap().give_up_all();
-        driver.wake_recorder.notify_one();
+        driver.give_up(node.now());
         return;
     }
     // The job may have ended without this node knowing it yet.
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -41,9 +41,10 @@
         if scoring.len() >= max_scores {
             return;
         }
-        if scoring.insert(index) {
-            tokio::spawn(score_item(node.clone(), driver.clone(), index));
-        }
+        // The task removes its entry at its end, which waits for the lock that is held here.
+        scoring
+            .entry(index)
+            .or_insert_with(|| tokio::spawn(score_item(node.clone(), driver.clone(), index)).abort_handle());
     }
 }
 
@@ -90,8 +91,8 @@
                     driver.tracker.lock().unwrap().record_score(index, Some(signature));
                     break;
                 }
-                ScoreOutcome::Failed => {
-                    if driver.tracker.lock().unwrap().fail_score(index) {
+                ScoreOutcome::Failed { max_failures } => {
+                    if driver.tracker.lock().unwrap().fail_score(index, max_failures) {
                         logs::write(event::ITEM_GIVEN_UP, &[("item", item), ("why", &"its score call failed")]);
                         break;
                     }
--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -5,7 +5,7 @@
 
 use super::job_driver;
 use super::node::{EntryNode, JobView};
-use super::{job_calls, job_texts, placement, tables};
+use super::{callers, job_calls, job_texts, placement, tables};
 use crate::process::clock;
 use crate::process::logs;
 use std::collections::HashMap;
@@ -205,6 +205,11 @@
 async fn should_take_over(node: &Arc<EntryNode>, job: &Name, view: &JobView, probes: &mut OwnerProbes) -> bool {
     let now = node.now();
     let record = &view.record;
+    // An older configuration cannot tell where the requests of the job may be served.
+    if node.routing().is_none_or(|routing| routing.version < record.config_version) {
+        callers::refresh(node).await;
+        return false;
+    }
     // An earlier process of this node may have been in another region.
     if !may_take_over(node, record) {
         return false;
--- a/crates/trestlerackd/src/entry/mod.rs
+++ b/crates/trestlerackd/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod item_run;
 mod job_accept;
 mod job_calls;
+mod job_config;
 mod job_driver;
 mod job_records;
 mod job_runs;
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -33,7 +33,10 @@
     /// The signature of the scoring service's response.
     Scored(Name),
     /// The scoring service responded with a failure, which counts against the item.
-    Failed,
+    Failed {
+        /// Number of failures from which the item is given up: the maximum attempts of the call's route.
+        max_failures: u32,
+    },
     /// There is no response; the call may be repeated.
     NoResponse,
     /// The call is blocked for this time, because servers crashed while they ran it.
@@ -56,7 +59,7 @@
     }
     let label = match &outcome {
         ScoreOutcome::Scored(_) => "scored",
-        ScoreOutcome::Failed => "failed",
+        ScoreOutcome::Failed { .. } => "failed",
         ScoreOutcome::NoResponse => "no answer",
         ScoreOutcome::Blocked(_) => "held",
     };
@@ -141,7 +144,7 @@
                 record_slower_servers(node, route, tried, &timers, &server);
                 return ScoreOutcome::Scored(signature);
             }
-            Ok(Some((_, ScoreOutcome::Failed))) => return ScoreOutcome::Failed,
+            Ok(Some((_, failed @ ScoreOutcome::Failed { .. }))) => return failed,
             Ok(Some((_, ScoreOutcome::Blocked(left)))) => return ScoreOutcome::Blocked(left),
             Ok(Some((_, ScoreOutcome::NoResponse))) if attempts.is_empty() => return ScoreOutcome::NoResponse,
             Ok(None) => return ScoreOutcome::NoResponse,
@@ -256,7 +259,9 @@
             }
             None => ScoreOutcome::NoResponse,
         },
-        Ok(response) if response.status == StatusCode::INTERNAL_SERVER_ERROR => ScoreOutcome::Failed,
+        Ok(response) if response.status == StatusCode::INTERNAL_SERVER_ERROR => {
+            ScoreOutcome::Failed { max_failures: route.max_attempts }
+        }
         // The deadline passed or something in front of the scorer failed, so the item did not fail.
         Ok(response) => {
             node.balancer.lock().unwrap().failed(node.now(), &instance);
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod followers;
 mod held;
 mod job_readers;
+mod job_routes;
 mod jobs;
 mod lease;
 mod placement;
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -45,6 +45,8 @@
     pub timeout_responses: AtomicUsize,
     /// Status of the response to each run of an item, by its id; the other items are generated.
     pub item_statuses: Mutex<BTreeMap<String, u16>>,
+    /// Score calls under `/patient/` to run and answer with 500.
+    pub failing_scores: AtomicUsize,
     /// Requests to reject as not run.
     pub rejections: AtomicUsize,
     /// Whether no request is answered.
@@ -184,6 +186,9 @@
         if take_one(&behaviour.timeout_responses) {
             return reply(stream, 504, &[("request-id", &id), ("response-stamp", "s")], "");
         }
+        if request.path.starts_with("/patient/") && take_one(&behaviour.failing_scores) {
+            return reply(stream, 500, &[("request-id", &id), ("response-stamp", "s")], "");
+        }
         let is_large = request.path.ends_with("large");
         let body = match is_large {
             true => "x".repeat(behaviour.large_bytes.load(Ordering::SeqCst)),
