Let the store settle who drives a job, and count failures over all drivers

Callers saw an item that fails at each run reach engines 12 to 16 times where its route allows three attempts, after the owner of its job had stood still for four seconds; engines worked on the other items two to four times.

Ruled out: a longer wait before takeovers, which delays each job of a lost node; a write for each attempt.

A takeover is conditional on the owner that was probed, at a node that the store answers. A driver stops when its watch shows a higher fencing number or its successor tells it. It starts work only on evidence that it still owns the job: an answer of the store newer than two seconds and than the last stall; without the store only if it was never without contact to peers (process/drive_evidence). A failed item runs again once its failure is stored, on condition of the record; the failures of all items share a write, each 200 ms at most.

--- a/crates/trestlerack/src/event.rs
+++ b/crates/trestlerack/src/event.rs
@@ -211,6 +211,8 @@
     JOB_NOT_TAKEN = (2209, "job-not-taken", Info);
     /// The configuration of this node is older than the one by which a job was accepted, so that the job waits.
     JOB_WAITS_FOR_CONFIG = (2214, "job-waits-for-config", Info);
+    /// The store could not be asked whether this node still drives a job.
+    DRIVER_UNCONFIRMED = (2215, "driver-unconfirmed", Warn);
     /// Progress of a job that this node drives; written once a second.
     JOB_PROGRESS = (2210, "job-progress", Info);
     /// The rows of an old job were removed.
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod cold_start;
 mod direct_access;
 mod draining;
+mod drive_evidence;
 mod duty_gate;
 
 mod engine_memory;
@@ -74,6 +75,7 @@
 };
 pub use direct_access::{AccessChange, DirectAccess};
 pub use draining::DrainingServers;
+pub use drive_evidence::{DriveDecision, DriveGuard, DriveSettings, StoreContact};
 pub use duty_gate::{DutyGate, DutySettings};
 
 pub use engine_memory::{EngineMemory, SharedPrompt, TokenNeed};
--- a/crates/trestlerack/src/request/job_tracker/mod.rs
+++ b/crates/trestlerack/src/request/job_tracker/mod.rs
@@ -1,6 +1,7 @@
 //! Tracks the items of a batch job on the node that drives it.
 
 mod estimates;
+mod failures;
 mod speculative;
 mod texts;
 
@@ -8,6 +9,7 @@
 use crate::version::WeightVersion;
 use crate::{Name, Timestamp};
 use estimates::LengthEstimator;
+pub use failures::{FailureCount, ItemFailures};
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -123,8 +125,9 @@
 struct ItemState {
     phase: ItemPhase,
     transcript: ItemTranscript,
-    failures: u32,
-    score_failures: u32,
+    failures: FailureCount,
+    /// The failures that the store has.
+    stored_failures: FailureCount,
     retry_at: Timestamp,
     is_carried_over: bool,
     /// Whether an engine seems to have preempted a run of the item.
@@ -202,8 +205,8 @@
             items.push(ItemState {
                 phase,
                 transcript,
-                failures: 0,
-                score_failures: 0,
+                failures: FailureCount::default(),
+                stored_failures: FailureCount::default(),
                 retry_at: Timestamp::default(),
                 is_carried_over,
                 was_preempted: false,
@@ -297,9 +300,12 @@
         self.by_id.get(id).copied()
     }
 
-    /// Returns the waiting items that may be started at `now`, most urgent first.
+    /// Returns the waiting items that may be started at `now`, most urgent first. An item whose last failure is not
+    /// stored yet is not one of them.
     pub fn waiting(&self, now: Timestamp) -> impl Iterator<Item = usize> + '_ {
-        let is_due = move |state: &ItemState| state.phase == ItemPhase::Waiting && state.retry_at <= now;
+        let is_due = move |state: &ItemState| {
+            state.phase == ItemPhase::Waiting && state.retry_at <= now && state.has_stored_failures()
+        };
         self.order.iter().copied().filter(move |index| is_due(&self.items[*index]))
     }
 
@@ -332,9 +338,13 @@
         self.spec.items[index].length_hint.is_some_and(|length| length >= self.long_item_tokens)
     }
 
-    /// Returns the items whose text is complete and not scored yet.
+    /// Returns the items whose text is complete and not scored yet, without those whose last failed score call is not
+    /// stored yet.
     pub fn unscored(&self) -> Vec<usize> {
-        let is_unscored = |index: &usize| self.items[*index].phase == ItemPhase::Scoring;
+        let is_unscored = |index: &usize| {
+            let state = &self.items[*index];
+            state.phase == ItemPhase::Scoring && state.has_stored_failures()
+        };
         (0..self.items.len()).filter(is_unscored).collect()
     }
 
@@ -414,9 +424,9 @@
             }
             RunEnd::NotRun => {}
             RunEnd::Failed => {
-                state.failures += 1;
+                state.failures.runs += 1;
                 state.retry_at = now + self.settings.retry_delay;
-                if state.failures >= self.settings.max_failures {
+                if state.failures.runs >= self.settings.max_failures {
                     self.give_up(index);
                 }
             }
@@ -444,8 +454,8 @@
     /// because of it.
     pub fn fail_score(&mut self, index: usize, max_failures: u32) -> bool {
         let state = &mut self.items[index];
-        state.score_failures += 1;
-        let is_exhausted = state.score_failures >= max_failures;
+        state.failures.scores += 1;
+        let is_exhausted = state.failures.scores >= max_failures;
         if is_exhausted {
             self.give_up(index);
         }
--- a/crates/trestlerack/src/request/mod.rs
+++ b/crates/trestlerack/src/request/mod.rs
@@ -24,6 +24,8 @@
     ItemCheckpoint, ItemEvent, ItemTranscript, JobItem, JobRecord, JobResult, JobSpec, ScoreCall, TextDelta,
     TranscriptError,
 };
-pub use job_tracker::{ItemPhase, JobProgress, JobTracker, RunEnd, RunKind, TrackerSettings};
+pub use job_tracker::{
+    FailureCount, ItemFailures, ItemPhase, JobProgress, JobTracker, RunEnd, RunKind, TrackerSettings,
+};
 pub use resume::{ResumeDecision, ResumePolicy, decide_resume};
 pub use sample::{Sample, SampleAssembler, SampleError, VersionRange};
--- a/crates/trestlerackd/src/entry/attempt.rs
+++ b/crates/trestlerackd/src/entry/attempt.rs
@@ -146,7 +146,8 @@
     // Repeated once the connection is open, which may take seconds.
     let may_send = || {
         let routing = node.routing();
-        !node.evacuations.contains_server(&node.registry, &guard.server)
+        guard.may_send()
+            && !node.evacuations.contains_server(&node.registry, &guard.server)
             && placement::check_send(routing.as_deref(), &node.balancer, &guard.placement, &guard.server).is_ok()
             && node.cold.try_send(&node.balancer, &node.metrics.cold, node.now(), &guard.server)
     };
@@ -164,7 +165,7 @@
                 }
                 ExchangeError::NotPermitted => {
                     guard.record_outcome();
-                    AttemptError::NotRun("the server may not get the request: cold, evacuated or not allowed".into())
+                    AttemptError::NotRun("the request may not be sent: its server is cold, evacuated or not allowed, or its job is driven by another node".into())
                 }
                 ExchangeError::NoResponse(detail) => {
                     crash_detection::check_broken_connection(node, &guard, &request_id).await;
--- a/crates/trestlerackd/src/entry/feed_relay.rs
+++ b/crates/trestlerackd/src/entry/feed_relay.rs
@@ -290,8 +290,10 @@
     let mut end_news = node.job_end_freshness.lock().unwrap();
     if is_store_down {
         end_news.record_failure();
+        node.store_contact.lock().unwrap().record_failure(requested_at);
     } else {
         end_news.record_answer(known_as_of);
+        node.store_contact.lock().unwrap().record_answer(known_as_of);
         node.balancer.lock().unwrap().cold.record_information(known_as_of);
     }
 }
--- a/crates/trestlerackd/src/entry/in_flight.rs
+++ b/crates/trestlerackd/src/entry/in_flight.rs
@@ -8,6 +8,18 @@
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::RequestPlacement;
 
+/// Whether a request may be sent, beside what its server and placement allow.
+pub trait SendPermission: Send + Sync {
+    /// Returns whether the request may be written now.
+    fn may_send(&self) -> bool;
+}
+
+impl<T: SendPermission + ?Sized> SendPermission for Arc<T> {
+    fn may_send(&self) -> bool {
+        (**self).may_send()
+    }
+}
+
 /// Counts a request as in flight at a backend server until the guard is dropped.
 pub struct InFlightGuard {
     node: Arc<EntryNode>,
@@ -27,6 +39,8 @@
     may_share_server: AtomicBool,
     /// How far the request got on the server.
     progress: Mutex<RunProgress>,
+    /// Permission to send it; `None` for a request of a client.
+    permission: Option<Box<dyn SendPermission>>,
 }
 
 impl InFlightGuard {
@@ -50,9 +64,21 @@
             is_outcome_pending,
             may_share_server,
             progress: Mutex::default(),
+            permission: None,
         }
     }
 
+    /// Makes the request wait for a further permission, which is asked immediately before it is written.
+    pub fn with_permission(mut self, permission: impl SendPermission + 'static) -> Self {
+        self.permission = Some(Box::new(permission));
+        self
+    }
+
+    /// Returns whether the request may be written now.
+    pub fn may_send(&self) -> bool {
+        self.permission.as_ref().is_none_or(|permission| permission.may_send())
+    }
+
     /// Also counts the tokens that the request occupies in the server's memory.
     pub fn with_tokens(mut self, tokens: Option<TokenNeed>) -> Self {
         if let Some(tokens) = &tokens {
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -1,7 +1,7 @@
 //! One run of a job item on one model engine.
 
 use super::attempt::{self, AttemptError, StreamingResponse};
-use super::in_flight::InFlightGuard;
+use super::in_flight::{InFlightGuard, SendPermission};
 use super::job_driver::JobDriver;
 use super::job_runs;
 use super::node::EntryNode;
@@ -76,6 +76,20 @@
     job_runs::record_run_end(&node, &driver, index, kind, end);
 }
 
+/// Permission to send an item or its score call, which is asked once more when its connection is open.
+pub struct ItemPermission {
+    /// Node that sends it.
+    pub node: Arc<EntryNode>,
+    /// Driver of its job.
+    pub driver: Arc<JobDriver>,
+}
+
+impl SendPermission for ItemPermission {
+    fn may_send(&self) -> bool {
+        self.driver.may_start(&self.node)
+    }
+}
+
 async fn attempt_run(
     node: &Arc<EntryNode>,
     driver: &Arc<JobDriver>,
@@ -105,9 +119,10 @@
         resume_after,
         body: item.body.clone(),
     };
-    if !node.may_start_work() {
-        return (RunEnd::NotRun, "the known ends of jobs are too old to start work".into());
+    if !driver.may_start(node) {
+        return (RunEnd::NotRun, "the job may have ended or have another driver".into());
     }
+    let guard = guard.with_permission(ItemPermission { node: node.clone(), driver: driver.clone() });
     let timeouts =
         RunTimeouts::for_event_gap(node.balancer.lock().unwrap().median_pace(node.now(), &guard.server.service));
     let opening = attempt::open_response(node, guard, request, false);
--- a/crates/trestlerackd/src/entry/job_accept.rs
+++ b/crates/trestlerackd/src/entry/job_accept.rs
@@ -2,8 +2,9 @@
 
 use super::client_requests::{ClientRequest, ReplyBody, empty_reply, full_body};
 use super::job_calls::{CLIENT_WRITE_RETRY_DELAY, CLIENT_WRITE_TIMEOUT, spec_object};
+use super::job_driver::{self, JobAssignment};
 use super::node::EntryNode;
-use super::{job_driver, job_takeover, placement, tables};
+use super::{job_takeover, placement, tables};
 use crate::process::logs;
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -15,7 +16,7 @@
 use trestlerack::request::{JobRecord, JobSpec};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
 use trestlerack::version::{Placement, RequestRoute, RoutingTable, ZoneRelation};
-use trestlerack::{Name, event};
+use trestlerack::{Name, Timestamp, event};
 use trestlerack_platform as platform;
 
 /// Retry-After of a submission that is refused because the store is unavailable.
@@ -122,12 +123,13 @@
     let deadline = node.now() + CLIENT_WRITE_TIMEOUT;
     let mut may_be_stored = false;
     for failures in 1.. {
+        let sent_at = node.now();
         let error = match node.store.call(&call).await {
             Ok(StoreReply::Committed(moment)) => {
-                start_accepted(node, spec, record, moment.version);
+                start_accepted(node, spec, JobAssignment { record, version: moment.version, named_at: sent_at });
                 return Ok(moment.version);
             }
-            Ok(StoreReply::Conflict(rows)) => return resolve_conflict(node, spec, &record, rows),
+            Ok(StoreReply::Conflict(rows)) => return resolve_conflict(node, spec, &record, sent_at, rows),
             Ok(_) => StoreError::Unknown,
             Err(error) => error,
         };
@@ -158,6 +160,7 @@
     node: &Arc<EntryNode>,
     spec: &Arc<JobSpec>,
     own_record: &JobRecord,
+    sent_at: Timestamp,
     rows: Vec<trestlerack::rows::StoredRow>,
 ) -> Result<u64, SubmitError> {
     let Some(row) = rows.into_iter().find(|row| &*row.key == tables::JOB_RECORD) else {
@@ -166,16 +169,17 @@
     let record: JobRecord = tables::decode(&row.value).map_err(|_| SubmitError::Unknown)?;
     let outcome = check_known_job(&record, row.version, spec, own_record.customer.as_ref());
     if record.write_id == own_record.write_id {
-        start_accepted(node, spec, record, row.version);
+        start_accepted(node, spec, JobAssignment { record, version: row.version, named_at: sent_at });
     }
     outcome
 }
 
 /// Starts to drive a job that was just stored, at the node that its record names.
-fn start_accepted(node: &Arc<EntryNode>, spec: &Arc<JobSpec>, record: JobRecord, version: u64) {
+fn start_accepted(node: &Arc<EntryNode>, spec: &Arc<JobSpec>, assignment: JobAssignment) {
+    let JobAssignment { record, version, .. } = assignment.clone();
     node.merge_job_record(record.clone(), version, &spec.id);
     if record.owner == node.settings.name {
-        job_driver::start(node, spec.clone(), record, version, None);
+        job_driver::start(node, spec.clone(), assignment, None);
     } else {
         tokio::spawn(job_takeover::ensure_driven(node.clone(), spec.id.clone(), record, version));
     }
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -1,12 +1,14 @@
 //! Drives one job on the node that owns it: starts item runs, has complete texts scored and records results.
 
 use super::drive_mode::DriveMode;
+use super::drive_permit::{DrivePermit, StoreQuestion};
 use super::job_config::ConfigurationSource;
 use super::job_texts::StoredTexts;
 use super::node::EntryNode;
 use super::table_watch;
 use super::{
-    callers, job_config, job_records, job_runs, job_scores, job_texts, run_moves, score_calls, server_discovery,
+    callers, job_config, job_records, job_runs, job_scores, job_takeover, job_texts, run_moves, score_calls,
+    server_discovery,
 };
 use crate::process::clock;
 use crate::process::logs;
@@ -18,7 +20,7 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use trestlerack::interfaces::StoreError;
-use trestlerack::process::{MemoryPurpose, MemoryReservation, ServerNeed, TokenNeed};
+use trestlerack::process::{DriveDecision, MemoryPurpose, MemoryReservation, ServerNeed, TokenNeed};
 use trestlerack::request::{
     JobItem, JobRecord, JobSpec, JobTracker, RequestContent, RequestFingerprint, RunEnd, RunKind, TrackerSettings,
 };
@@ -40,6 +42,17 @@
     pub started: Timestamp,
 }
 
+/// The record of a job that names this node as its owner.
+#[derive(Clone, Debug)]
+pub struct JobAssignment {
+    /// The record.
+    pub record: JobRecord,
+    /// Version of its row in the store.
+    pub version: u64,
+    /// Time at which the call was sent whose answer showed the record.
+    pub named_at: Timestamp,
+}
+
 /// The driver of one job.
 pub struct JobDriver {
     /// What was submitted.
@@ -79,12 +92,22 @@
     /// Reservation for the bytes of the specification and the texts.
     memory: Mutex<MemoryReservation>,
     mode: AtomicU8,
+    /// Fencing number with which the job is driven.
+    fence: u64,
+    /// Whether work may be started, as far as this node knows who drives the job.
+    permit: DrivePermit,
     /// Whether `tracker` reflects the stored state of the job, which is read after the driver is created.
     is_tracker_loaded: AtomicBool,
 }
 
 impl JobDriver {
-    fn new(spec: Arc<JobSpec>, record: &JobRecord, tracker: JobTracker, memory: MemoryReservation) -> Self {
+    fn new(
+        spec: Arc<JobSpec>,
+        record: &JobRecord,
+        tracker: JobTracker,
+        memory: MemoryReservation,
+        permit: DrivePermit,
+    ) -> Self {
         let customer = record.customer.clone();
         let fingerprint = |item: &JobItem| {
             let customer = customer.as_deref();
@@ -111,6 +134,8 @@
             wake: Notify::new(),
             wake_recorder: Notify::new(),
             mode: AtomicU8::new(DriveMode::Drive as u8),
+            fence: record.fence,
+            permit,
             is_tracker_loaded: AtomicBool::new(false),
             runs: Mutex::default(),
             scoring: Mutex::default(),
@@ -154,6 +179,25 @@
         self.mode() == DriveMode::HandOver
     }
 
+    /// Returns whether the driver may start work or send it to a server now.
+    pub fn may_start(&self, node: &EntryNode) -> bool {
+        let has_peers = || node.peers.has_registered();
+        self.is_driving() && node.may_start_work() && self.permit.check(has_peers) == DriveDecision::Start
+    }
+
+    /// Records the fencing number of the job's newest known record. A higher one shows that another node has taken the
+    /// job over.
+    pub fn record_fence(&self, fence: u64) {
+        if fence > self.fence {
+            self.mark_lost();
+        }
+    }
+
+    /// Records that the store has applied a write which it applies only while this node drives the job.
+    pub fn record_write(&self, sent_at: Timestamp) {
+        self.permit.confirm(sent_at);
+    }
+
     /// Stops because another node drives the job.
     pub fn mark_lost(&self) {
         self.stop_driving(DriveMode::Lost);
@@ -274,10 +318,15 @@
 }
 
 /// Starts a driver for a job that this node owns, unless it has one. `texts` are the stored texts if they were
-/// read together with the specification.
-pub fn start(node: &Arc<EntryNode>, spec: Arc<JobSpec>, record: JobRecord, version: u64, texts: Option<StoredTexts>) {
+/// read together with the specification. Returns whether this node drives the job.
+pub fn start(node: &Arc<EntryNode>, spec: Arc<JobSpec>, assignment: JobAssignment, texts: Option<StoredTexts>) -> bool {
+    let JobAssignment { record, version, named_at } = assignment;
+    let known = node.job(&spec.id);
+    if known.as_ref().is_some_and(|view| view.record.fence > record.fence) {
+        return false;
+    }
     if node.drivers.lock().unwrap().contains_key(&spec.id) {
-        return;
+        return true;
     }
     let node = node.clone();
     let tracker = JobTracker::new(spec.clone(), TrackerSettings::default(), Vec::new(), HashMap::new());
@@ -286,12 +335,16 @@
     if let Some(customer) = &record.customer {
         memory.set_customer(customer);
     }
-    let driver = Arc::new(JobDriver::new(spec.clone(), &record, tracker, memory));
+    let permit = DrivePermit::new(node.clock, node.store_contact.clone(), named_at);
+    let driver = Arc::new(JobDriver::new(spec.clone(), &record, tracker, memory, permit));
     node.drivers.lock().unwrap().insert(spec.id.clone(), driver.clone());
     server_discovery::add_driven_engines(&node);
-    // The job may have ended after its rows were read and before the driver was registered.
-    if node.job(&spec.id).is_some_and(|view| view.is_ended) {
-        driver.end();
+    // The job may have ended or been taken over after its rows were read and before the driver was registered.
+    if let Some(view) = node.job(&spec.id) {
+        driver.record_fence(view.record.fence);
+        if view.is_ended {
+            driver.end();
+        }
     }
     tokio::spawn(async move {
         let is_stopping = || !driver.is_driving();
@@ -309,6 +362,53 @@
         }
         node.drivers.lock().unwrap().remove(&spec.id);
     });
+    true
+}
+
+/// Reads the record of a job to find out whether this node still drives it.
+async fn confirm_ownership(node: Arc<EntryNode>, driver: Arc<JobDriver>) {
+    let sent_at = node.now();
+    let job = &driver.spec.id;
+    match job_takeover::read_record(&node, job).await {
+        Ok((record, version, is_ended)) => {
+            let is_own = record.fence == driver.fence;
+            node.merge_job_record(record, version, job);
+            if is_ended {
+                node.record_job_end(job);
+            }
+            if is_own {
+                driver.permit.confirm(sent_at);
+            }
+        }
+        Err(error) => {
+            node.store_contact.lock().unwrap().record_failure(sent_at);
+            logs::write(event::DRIVER_UNCONFIRMED, &[("job", job), ("why", &error)]);
+        }
+    }
+    driver.permit.end(StoreQuestion::Ownership);
+    driver.wake.notify_one();
+}
+
+/// Asks a peer, so that this node can tell an outage of the store from a cut of its own links.
+async fn renew_contact(node: Arc<EntryNode>, driver: Arc<JobDriver>) {
+    job_takeover::contact_peer(&node.peers, &driver.spec.id).await;
+    driver.permit.end(StoreQuestion::Contact);
+}
+
+/// Checks whether this node still drives a job, and finds it out if that is not certain. Work in progress is cancelled
+/// if another node is likely to do it again.
+fn check_ownership(node: &Arc<EntryNode>, driver: &Arc<JobDriver>) {
+    let decision = driver.permit.check(|| node.peers.has_registered());
+    if decision == DriveDecision::Cancel {
+        driver.cancel_runs(node.now());
+        driver.cancel_scores();
+    }
+    if decision != DriveDecision::Start && driver.permit.begin(StoreQuestion::Ownership) {
+        tokio::spawn(confirm_ownership(node.clone(), driver.clone()));
+    }
+    if driver.permit.needs_contact() && driver.permit.begin(StoreQuestion::Contact) {
+        tokio::spawn(renew_contact(node.clone(), driver.clone()));
+    }
 }
 
 async fn drive(node: &Arc<EntryNode>, driver: &Arc<JobDriver>, record: JobRecord, version: u64) {
@@ -325,6 +425,7 @@
         if node.resource_limits.is_bounded() {
             driver.update_memory();
         }
+        check_ownership(node, driver);
         if let Some(routing) = node.routing() {
             driver.apply_configuration(&routing);
             advance_job(node, driver, &routing);
@@ -390,8 +491,8 @@
         driver.give_up(node.now());
         return;
     }
-    // The job may have ended without this node knowing it yet.
-    if !node.may_start_work() {
+    // The job may have ended or have another driver without this node knowing it yet.
+    if !driver.may_start(node) {
         return;
     }
     run_moves::move_slow_run(node, driver, route);
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -41,6 +41,7 @@
             && job.customer == driver.customer
             && job.can_start_items()
             && acceptance_order(job) < driver_order
+            && job.may_start(node)
     };
     let drivers = node.drivers.lock().unwrap();
     let mut earlier: Vec<Arc<JobDriver>> = drivers.values().filter(is_earlier).cloned().collect();
@@ -298,7 +299,7 @@
         run.handle.abort();
     }
     drop(runs);
-    if is_finished {
+    if is_finished || end == RunEnd::Failed {
         driver.wake_recorder.notify_one();
     }
     driver.wake.notify_one();
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -1,5 +1,7 @@
 //! Has the complete texts of a job's items scored.
 
+use super::in_flight::SendPermission;
+use super::item_run::ItemPermission;
 use super::job_driver::JobDriver;
 use super::node::EntryNode;
 use super::score_calls::{self, ScoreOutcome};
@@ -79,14 +81,15 @@
 }
 
 async fn score_item(node: Arc<EntryNode>, driver: Arc<JobDriver>, index: usize) {
+    let permission: Arc<dyn SendPermission> = Arc::new(ItemPermission { node: node.clone(), driver: driver.clone() });
     match &driver.spec.items[index].scorer {
         None => driver.tracker.lock().unwrap().record_score(index, None),
         Some(call) => loop {
-            if !driver.is_driving() || !node.may_start_work() {
+            if !driver.may_start(&node) {
                 break;
             }
             let item = &driver.spec.items[index].id;
-            match score_calls::score(&node, item, driver.customer.as_ref(), call).await {
+            match score_calls::score(&node, item, driver.customer.as_ref(), call, &permission).await {
                 ScoreOutcome::Scored(signature) => {
                     driver.tracker.lock().unwrap().record_score(index, Some(signature));
                     break;
@@ -94,8 +97,9 @@
                 ScoreOutcome::Failed { max_failures } => {
                     if driver.tracker.lock().unwrap().fail_score(index, max_failures) {
                         logs::write(event::ITEM_GIVEN_UP, &[("item", item), ("why", &"its score call failed")]);
-                        break;
                     }
+                    // It is called again once the failure is stored.
+                    break;
                 }
                 ScoreOutcome::Blocked(_) => break,
                 ScoreOutcome::NoResponse if must_wait(&node, &driver, index, call) => break,
--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -3,8 +3,9 @@
 //! Any node may take a job over by a conditional write of its record, after which the writes of the previous owner
 //! fail. Nodes try it in the order of their rank as successors, so that they rarely race.
 
-use super::job_driver;
+use super::job_driver::{self, JobAssignment};
 use super::node::{EntryNode, JobView};
+use super::peers::PeerClient;
 use super::{callers, job_calls, job_texts, placement, tables};
 use crate::process::clock;
 use crate::process::logs;
@@ -12,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::interfaces::StoreError;
-use trestlerack::process::{TakeoverRule, node_partition, successor_rank};
+use trestlerack::process::{GossipSettings, TakeoverRule, node_partition, successor_rank};
 use trestlerack::request::JobRecord;
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
 use trestlerack::{Name, Timestamp, event};
@@ -38,6 +39,12 @@
 /// Number of failed probes after which the owner counts as unreachable.
 const MAX_FAILED_PROBES: u32 = 2;
 
+/// Interval at which the previous owner of a job is told that it has lost the job, until it answers.
+const LOSS_NOTICE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Number of attempts to tell it.
+const MAX_LOSS_NOTICES: u32 = 40;
+
 /// Probes of a job's owner by this node.
 #[derive(Default)]
 struct OwnerProbes {
@@ -66,7 +73,7 @@
             let probes = probes_by_job.entry(job.clone()).or_default();
             if should_take_over(&node, &job, &view, probes).await {
                 let is_unresponsive = probes.failed_probes >= MAX_FAILED_PROBES;
-                take_over(&node, &job).await;
+                take_over(&node, &job, &view.record).await;
                 if is_unresponsive {
                     unregister_node(&node, &view.record.owner).await;
                 }
@@ -87,6 +94,26 @@
     record.owner == node.settings.name && record.incarnation == node.incarnation
 }
 
+/// Tells the previous owner of a job that it has lost the job, which its watch would show only later. An owner that
+/// stands still or is cut off hears of it as soon as it is back.
+async fn notify_previous_owner(peers: Arc<PeerClient>, job: Name, owner_address: Name, taken: (JobRecord, u64)) {
+    let (record, version) = taken;
+    for _ in 0..MAX_LOSS_NOTICES {
+        if peers.announce_takeover(&owner_address, &job, record.clone(), version).await.is_some() {
+            return;
+        }
+        clock::sleep(LOSS_NOTICE_INTERVAL).await;
+    }
+}
+
+/// Asks a random peer about a job. The answer shows that this node is not cut off.
+pub async fn contact_peer(peers: &PeerClient, job: &Name) {
+    let peer = GossipSettings::default().pick_pull_peer(&peers.regional_peers(), &mut rand::rng());
+    if let Some(peer) = peer {
+        peers.is_driving(&peer, job).await;
+    }
+}
+
 /// Drives a job whose record names this node as its owner. Returns whether this node drives it now. `accepted` is
 /// the record with its version if the accepting node has sent it; otherwise it is read from the store.
 pub async fn drive_assigned(node: &Arc<EntryNode>, job: &Name, accepted: Option<(JobRecord, u64)>) -> bool {
@@ -97,7 +124,9 @@
     if node.is_stopping() {
         return false;
     }
+    let _starting = node.starting_jobs.begin(job);
     let is_accepted = accepted.is_some();
+    let sent_at = node.now();
     let current = match accepted {
         Some((record, version)) => Ok((record, version, false)),
         None => read_record(node, job).await,
@@ -117,11 +146,11 @@
     };
     let Ok(spec) = spec else { return false };
     node.merge_job_record(record.clone(), version, job);
-    job_driver::start(node, Arc::new(spec), record, version, texts);
-    true
+    job_driver::start(node, Arc::new(spec), JobAssignment { record, version, named_at: sent_at }, texts)
 }
 
-async fn read_record(node: &Arc<EntryNode>, job: &Name) -> Result<(JobRecord, u64, bool), StoreError> {
+/// Reads the record of a job, its version, and whether the job has ended.
+pub async fn read_record(node: &Arc<EntryNode>, job: &Name) -> Result<(JobRecord, u64, bool), StoreError> {
     let rows = tables::read_all(&node.store, tables::STATE, job).await?;
     let is_ended = rows.iter().any(|row| &*row.key == tables::JOB_END);
     let row = rows.into_iter().find(|row| &*row.key == tables::JOB_RECORD).ok_or(StoreError::Unknown)?;
@@ -140,7 +169,7 @@
     }
     logs::write(event::OWNER_SILENT, &[("job", &job), ("owner", &record.owner), ("strikes", &MAX_FAILED_PROBES)]);
     if may_replace_owner(&node, &record) {
-        take_over(&node, &job).await;
+        take_over(&node, &job, &record).await;
     } else {
         // A node in an allowed zone takes it over, because its owner's record does not change.
         logs::write(event::TAKEOVER_NOT_PERMITTED, &[("job", &job), ("owner", &record.owner)]);
@@ -237,6 +266,8 @@
             false
         }
         Some(false) => true,
+        // A node that is cut off itself learns nothing of the owner.
+        None if read_record(node, job).await.is_err() => false,
         None => {
             probes.failed_probes += 1;
             logs::write(
@@ -248,24 +279,25 @@
     }
 }
 
-/// Takes a job over if its record has not changed since it was read, and logs why not otherwise.
-async fn take_over(node: &Arc<EntryNode>, job: &Name) {
-    let why = match try_take_over(node, job).await {
+/// Takes a job over from the owner of `probed`, the record by which that was decided, and logs why not otherwise.
+async fn take_over(node: &Arc<EntryNode>, job: &Name, probed: &JobRecord) {
+    let _starting = node.starting_jobs.begin(job);
+    let why = match try_take_over(node, job, probed).await {
         Ok(true) => return,
-        Ok(false) => "the job has ended or has another owner".to_owned(),
+        Ok(false) => "the job is complete, has ended or has another owner".to_owned(),
         Err(error) => error.to_string(),
     };
     logs::write(event::JOB_NOT_TAKEN, &[("job", job), ("why", &why)]);
 }
 
-async fn try_take_over(node: &Arc<EntryNode>, job: &Name) -> Result<bool, StoreError> {
-    let known = node.job(job).ok_or(StoreError::Unknown)?;
+async fn try_take_over(node: &Arc<EntryNode>, job: &Name, probed: &JobRecord) -> Result<bool, StoreError> {
     let (stored, version, is_ended) = read_record(node, job).await?;
     if is_ended {
         node.record_job_end(job);
         return Ok(false);
     }
-    if stored.fence != known.record.fence || stored.owner != known.record.owner {
+    // The owner that did not respond may have lost the job meanwhile to one that does, or have completed it.
+    if stored.fence != probed.fence || stored.owner != probed.owner || stored.is_complete() {
         node.merge_job_record(stored, version, job);
         return Ok(false);
     }
@@ -284,13 +316,23 @@
         tables::JOB_RECORD,
         tables::encode(&record),
     );
+    let sent_at = node.now();
     match node.store.call(&StoreCall::Commit(transaction)).await? {
         StoreReply::Committed(moment) => {
             let fields: [(&str, &dyn std::fmt::Display); 4] =
                 [("job", job), ("from", &stored.owner), ("fence", &record.fence), ("listed", &record.recorded)];
             logs::write(event::JOB_TAKEN, &fields);
             node.merge_job_record(record.clone(), moment.version, job);
-            job_driver::start(node, spec, record, moment.version, None);
+            if !stored.owner.is_empty() {
+                tokio::spawn(notify_previous_owner(
+                    node.peers.clone(),
+                    job.clone(),
+                    stored.owner_address,
+                    (record.clone(), moment.version),
+                ));
+            }
+            let assignment = JobAssignment { record, version: moment.version, named_at: sent_at };
+            job_driver::start(node, spec, assignment, None);
             Ok(true)
         }
         StoreReply::Conflict(_) => Ok(false),
--- a/crates/trestlerackd/src/entry/job_texts.rs
+++ b/crates/trestlerackd/src/entry/job_texts.rs
@@ -2,7 +2,7 @@
 
 use super::job_calls::load_results;
 use super::job_driver::JobDriver;
-use super::job_records::{RECORD_RETRY_DELAY, commit_record};
+use super::job_records::{self, RECORD_RETRY_DELAY, commit_record};
 use super::node::{EntryNode, JobView};
 use super::tables;
 use crate::process::clock;
@@ -45,7 +45,7 @@
     stream::iter(reads).buffered(max_parallel).collect().await
 }
 
-/// Loads the recorded results of a job and the checkpoints that earlier drivers and jobs stored, which are read
+/// Loads the recorded results of a job, the failures of its items and the checkpoints that earlier drivers and jobs stored, which are read
 /// unless `texts` has them.
 pub async fn load_state(
     node: &Arc<EntryNode>,
@@ -62,6 +62,7 @@
         }
         recorded.extend(page);
     }
+    let failures = if record.fence > 1 { job_records::load_failures(node, &spec.id).await? } else { Vec::new() };
     let mut checkpoints: HashMap<Name, ItemCheckpoint> = HashMap::new();
     let texts = match texts {
         Some(texts) => texts,
@@ -78,7 +79,9 @@
     if count > 0 {
         logs::write(event::TEXTS_FOUND, &[("job", &spec.id), ("items", &count)]);
     }
-    Ok(JobTracker::new(spec.clone(), settings, recorded, checkpoints))
+    let mut tracker = JobTracker::new(spec.clone(), settings, recorded, checkpoints);
+    tracker.restore_failures(failures);
+    Ok(tracker)
 }
 
 /// Returns the jobs whose checkpoints are loaded: the job itself if it had another driver, then the newest ended
--- a/crates/trestlerackd/src/entry/node.rs
+++ b/crates/trestlerackd/src/entry/node.rs
@@ -9,12 +9,13 @@
 use super::job_driver::JobDriver;
 use super::lease_cache::LeaseCache;
 use super::metrics::EntryMetrics;
-use super::peers::PeerClient;
+use super::peers::{PeerClient, PeerContact};
 use super::placement::WaitingJobs;
 use super::pool::ConnectionPool;
 use super::regions::RegionView;
 use super::resource_limits::ResourceLimiter;
 use super::shares::ShareControl;
+use super::starting_jobs::StartingJobs;
 use super::store::{DirectStore, RelayedStore};
 use super::suspects::SuspectControl;
 use super::weight_state::WeightState;
@@ -30,7 +31,7 @@
 use trestlerack::interfaces::Clock;
 use trestlerack::process::{
     BalancerSettings, ColdLimiter, EntrySettings, JobDrivers, JobEndFreshness, LatencyEstimates, LoadBalancer, NodeRow,
-    RegistrySettings, ServerRegistry,
+    RegistrySettings, ServerRegistry, StoreContact,
 };
 use trestlerack::request::JobRecord;
 use trestlerack::version::{RoutingTable, WeightVersion, ZoneMap};
@@ -134,6 +135,8 @@
     pub registered_version: AtomicU64,
     /// Age of the known ends of jobs.
     pub job_end_freshness: Mutex<JobEndFreshness>,
+    /// When this node was last in contact with the store and with peers.
+    pub store_contact: Arc<Mutex<StoreContact>>,
     /// Jobs by id.
     pub jobs: Mutex<HashMap<Name, JobView>>,
     /// Jobs whose end was seen before their record.
@@ -144,6 +147,8 @@
     pub waiting_jobs: Arc<WaitingJobs>,
     /// Jobs that this node drives.
     pub drivers: Mutex<HashMap<Name, Arc<JobDriver>>>,
+    /// Jobs that this node is about to drive or to take over.
+    pub starting_jobs: StartingJobs,
     /// Counters and histograms of this node.
     pub metrics: EntryMetrics,
     /// Tracer of request spans; `None` unless the settings name a collector.
@@ -169,7 +174,9 @@
         let pool = Arc::new(ConnectionPool::new(resource_limits.connections.clone(), settings.store.clone()));
         let regions = RegionView::new(ZoneMap::new(&settings.zones), &settings.zone);
         let (own_address, seeds) = (settings.peer_listen.clone(), settings.seeds.clone());
-        let peers = Arc::new(PeerClient::new(pool.clone(), own_address, regions.own.clone(), seeds));
+        let store_contact = Arc::default();
+        let contact = PeerContact { clock, store_contact: Arc::clone(&store_contact) };
+        let peers = Arc::new(PeerClient::new(pool.clone(), own_address, regions.own.clone(), seeds, contact));
         let mut balancer = LoadBalancer::new(BalancerSettings::default());
         balancer.set_own_region(regions.own.clone());
         let direct_store = Arc::new(DirectStore::new(pool.clone(), settings.store.clone()));
@@ -204,11 +211,13 @@
             follower: FollowerState::new(clock.now()),
             registered_version: AtomicU64::new(u64::MAX),
             job_end_freshness: Mutex::default(),
+            store_contact,
             jobs: Mutex::default(),
             early_ends: Mutex::default(),
             job_changes: watch::channel(0).0,
             waiting_jobs: Arc::default(),
             drivers: Mutex::default(),
+            starting_jobs: StartingJobs::default(),
             metrics: EntryMetrics::start()?,
             tracer: start_tracer(&settings.otlp_endpoint)?,
             stopping: watch::channel(false).0,
@@ -289,7 +298,11 @@
                 jobs.insert(job.clone(), JobView { record, version, is_ended, accepted_lag, changed_at: now });
             }
         }
+        let fence = jobs.get(job).map_or(0, |view| view.record.fence);
         drop(jobs);
+        if let Some(driver) = self.drivers.lock().unwrap().get(job) {
+            driver.record_fence(fence);
+        }
         self.job_changes.send_modify(|changes| *changes += 1);
     }
 
--- a/crates/trestlerackd/src/entry/peers.rs
+++ b/crates/trestlerackd/src/entry/peers.rs
@@ -23,7 +23,7 @@
 use trestlerack::interfaces::{Clock, StoreError};
 use trestlerack::process::{
     ConnectionKind, ConnectionPermit, CrashReport, LoadMessage, MemoryPurpose, NodeRow, NodeRows, RegionalPeers,
-    RelaySelector, UsageSender, UsageSnapshot, may_relay,
+    RelaySelector, StoreContact, UsageSender, UsageSnapshot, may_relay,
 };
 use trestlerack::request::{JobRecord, RequestFingerprint};
 use trestlerack::rows::{StoreCall, StoreReply};
@@ -93,6 +93,13 @@
         /// The job.
         job: Name,
     },
+    /// Tells the previous owner of a job that the caller has taken the job over.
+    Taken {
+        /// The job.
+        job: Name,
+        /// The job's record with its version.
+        record: Box<(JobRecord, u64)>,
+    },
 }
 
 /// The reply of a peer.
@@ -124,8 +131,17 @@
     Trial(bool),
 }
 
+/// Where a client records that peers answered.
+pub struct PeerContact {
+    /// Clock of the node, by which the contact is measured.
+    pub clock: SystemClock,
+    /// Contacts of the node.
+    pub store_contact: Arc<Mutex<StoreContact>>,
+}
+
 /// Client for calls to peers, with the registered nodes.
 pub struct PeerClient {
+    contact: PeerContact,
     pool: Arc<ConnectionPool>,
     own_address: Name,
     own_region: Option<OwnRegion>,
@@ -141,11 +157,18 @@
 
 impl PeerClient {
     /// Creates a client that knows only the seeds.
-    pub fn new(pool: Arc<ConnectionPool>, own_address: Name, own_region: Option<OwnRegion>, seeds: Vec<Name>) -> Self {
+    pub fn new(
+        pool: Arc<ConnectionPool>,
+        own_address: Name,
+        own_region: Option<OwnRegion>,
+        seeds: Vec<Name>,
+        contact: PeerContact,
+    ) -> Self {
         let relays = Mutex::new(RelaySelector::new(&own_address));
         let (seeds, nodes, clock) = (Mutex::new(seeds), Mutex::default(), SystemClock::new());
         let traffic = own_region.clone().map(PeerTraffic::new);
-        Self { pool, own_address, own_region, traffic, seeds, nodes, relays, relay_zones: RwLock::default(), clock }
+        let relay_zones = RwLock::default();
+        Self { contact, pool, own_address, own_region, traffic, seeds, nodes, relays, relay_zones, clock }
     }
 
     /// Replaces the seeds.
@@ -200,6 +223,11 @@
         self.nodes.lock().unwrap().iter().count()
     }
 
+    /// Returns whether another node is registered.
+    pub fn has_registered(&self) -> bool {
+        self.nodes.lock().unwrap().iter().any(|(_, row)| row.address != self.own_address)
+    }
+
     /// Returns whether any peer is nodes.
     pub fn has_any(&self) -> bool {
         !self.peer_addresses().is_empty()
@@ -294,6 +322,11 @@
         self.call_about_job(peer, &PeerCall::End { job: job.clone() }).await
     }
 
+    /// Tells the previous owner of a job that this node has taken the job over. Returns `None` if it does not answer.
+    pub async fn announce_takeover(&self, peer: &Name, job: &Name, record: JobRecord, version: u64) -> Option<bool> {
+        self.call_about_job(peer, &PeerCall::Taken { job: job.clone(), record: Box::new((record, version)) }).await
+    }
+
     /// Sends counted usage to the lease holder. Returns `None` if it does not answer.
     pub async fn send_usage(&self, peer: &Name, sender: &UsageSender, snapshots: &[UsageSnapshot]) -> Option<()> {
         let call = PeerCall::Usage { sender: sender.clone(), snapshots: snapshots.to_vec() };
@@ -347,7 +380,10 @@
         let mut body = Vec::new();
         ciborium::into_writer(call, &mut body).ok()?;
         let request = Request::post(PEER_PATH).header(header::HOST, &**peer).body(Bytes::from(body)).ok()?;
-        clock::timeout(limit, self.exchange(peer, request)).await.ok()?
+        let sent_at = self.contact.clock.now();
+        let reply = clock::timeout(limit, self.exchange(peer, request)).await.ok()??;
+        self.contact.store_contact.lock().unwrap().record_peer_answer(sent_at);
+        Some(reply)
     }
 
     /// Returns the zone of the registered node with a peer address, if the node states it.
@@ -438,7 +474,15 @@
             node.record_job_end(&job);
             PeerReply::IsDriving(is_driven)
         }
-        PeerCall::IsDriving { job } => PeerReply::IsDriving(node.drivers.lock().unwrap().contains_key(&job)),
+        PeerCall::IsDriving { job } => {
+            let is_driving = node.drivers.lock().unwrap().contains_key(&job);
+            PeerReply::IsDriving(is_driving || node.starting_jobs.contains(&job))
+        }
+        PeerCall::Taken { job, record } => {
+            let (record, version) = *record;
+            node.merge_job_record(record, version, &job);
+            PeerReply::IsDriving(node.drivers.lock().unwrap().contains_key(&job))
+        }
     };
     let mut encoded = Vec::new();
     ciborium::into_writer(&reply, &mut encoded).ok()?;
--- a/crates/trestlerackd/src/entry/retention.rs
+++ b/crates/trestlerackd/src/entry/retention.rs
@@ -64,7 +64,7 @@
         let name = job_calls::spec_object(job, view.record.digest);
         node.store.call(&StoreCall::RemoveObject { name }).await?;
     }
-    for table in [tables::RESULTS, tables::SPECS, tables::CHECKPOINTS, tables::STATE] {
+    for table in [tables::RESULTS, tables::SPECS, tables::CHECKPOINTS, tables::FAILURES, tables::STATE] {
         let rows = tables::read_all(&node.store, table, job).await?;
         let keys: Vec<Name> = rows.into_iter().map(|row| row.key).collect();
         for keys in keys.chunks(tables::MAX_COMMIT_ROWS) {
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -2,7 +2,7 @@
 
 use super::admission::{self, ServiceCall};
 use super::attempt::{self, AttemptError};
-use super::in_flight::InFlightGuard;
+use super::in_flight::{InFlightGuard, SendPermission};
 use super::node::EntryNode;
 use super::server_responses::{self, ResponseTimer};
 use super::{engine_priority, hedging, placement, plain, shares, suspects};
@@ -49,11 +49,17 @@
 }
 
 /// Scores the text of `item` for a job of `customer`, within the time limit of the scorer's route.
-pub async fn score(node: &Arc<EntryNode>, item: &Name, customer: Option<&Name>, call: &ScoreCall) -> ScoreOutcome {
+pub async fn score(
+    node: &Arc<EntryNode>,
+    item: &Name,
+    customer: Option<&Name>,
+    call: &ScoreCall,
+    permission: &Arc<dyn SendPermission>,
+) -> ScoreOutcome {
     let started = node.now();
     let mut tried: Vec<Name> = Vec::new();
     let call_usage = call_service(node, call).map(|service| shares::count_call(node, &service, customer));
-    let outcome = try_servers(node, customer, call, &mut tried).await;
+    let outcome = try_servers(node, customer, call, permission, &mut tried).await;
     if let (ScoreOutcome::Scored(_), Some(call_usage)) = (&outcome, call_usage) {
         call_usage.record_served();
     }
@@ -81,6 +87,7 @@
     node: &Arc<EntryNode>,
     customer: Option<&Name>,
     call: &ScoreCall,
+    permission: &Arc<dyn SendPermission>,
     tried: &mut Vec<Name>,
 ) -> ScoreOutcome {
     let Some(routing) = node.routing() else { return ScoreOutcome::NoResponse };
@@ -116,7 +123,7 @@
         let is_due = attempts.len() < max_parallel && node.now() >= next_at;
         let pick = |slot_need| pick_server(node, fingerprint, service, &placement, tried, slot_need);
         let guard = match attempts.len() {
-            _ if !is_due || !node.may_start_work() => None,
+            _ if !is_due || !permission.may_send() => None,
             pending if uses_admission => {
                 find_slot(node, &service_call, pending == 0, is_probe || !is_hedge, pick).await
             }
@@ -126,6 +133,7 @@
             tried.push(guard.server.instance.clone());
             timers.push(ResponseTimer::start(node));
             is_probe = hedging::is_probe(node, &guard.server.instance);
+            let guard = guard.with_permission(permission.clone());
             attempts.push(send_score_call(node, call, route, guard, deadline, priority));
         }
         if is_due {
--- a/crates/trestlerackd/src/entry/table_watch.rs
+++ b/crates/trestlerackd/src/entry/table_watch.rs
@@ -52,7 +52,11 @@
             Ok(version) => {
                 if table == tables::STATE {
                     node.suspects.set_watch_down(false);
-                    node.job_end_freshness.lock().unwrap().record_answer(requested_at);
+                    // A watch that has lost its history shows nothing before the table is read again.
+                    if version.is_some() {
+                        node.job_end_freshness.lock().unwrap().record_answer(requested_at);
+                        node.store_contact.lock().unwrap().record_answer(requested_at);
+                    }
                 }
                 if table == platform::SERVER_TABLE {
                     node.balancer.lock().unwrap().cold.record_information(requested_at);
@@ -70,6 +74,7 @@
                 if table == tables::STATE {
                     node.suspects.set_watch_down(true);
                     node.job_end_freshness.lock().unwrap().record_failure();
+                    node.store_contact.lock().unwrap().record_failure(requested_at);
                 }
                 node.follower.record_store_failure();
                 // A store that rejects a call for its rate limit is available, and server entries do not expire
--- a/crates/trestlerackd/src/entry/tables.rs
+++ b/crates/trestlerackd/src/entry/tables.rs
@@ -20,6 +20,10 @@
 /// Submissions of jobs.
 pub const SPECS: &str = "specs";
 
+/// Failures of items without a result, one row for each write of a driver. The counts of all rows of an item are joined
+/// by their maximum.
+pub const FAILURES: &str = "failures";
+
 /// Checkpoints of items without a result: texts generated while the job is driven have keys with the
 /// prefix [`CHECKPOINT_LOG`], and those that its driver left at the end have the prefix
 /// [`FINAL_CHECKPOINT`].
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -9,6 +9,7 @@
 mod evacuation;
 mod followers;
 mod held;
+mod job_owners;
 mod job_readers;
 mod job_routes;
 mod jobs;
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -45,6 +45,8 @@
     pub timeout_responses: AtomicUsize,
     /// Status of the response to each run of an item, by its id; the other items are generated.
     pub item_statuses: Mutex<BTreeMap<String, u16>>,
+    /// Time that an engine works on an item before it answers with one of `item_statuses`, in milliseconds.
+    pub failure_delay_ms: AtomicUsize,
     /// Score calls under `/patient/` to run and answer with 500.
     pub failing_scores: AtomicUsize,
     /// Requests to reject as not run.
@@ -311,6 +313,8 @@
         }
         let failure = self.behaviour.item_statuses.lock().unwrap().get(&id).copied();
         if let Some(status) = failure {
+            let delay_ms = self.behaviour.failure_delay_ms.load(Ordering::SeqCst);
+            std::thread::sleep(Duration::from_millis(delay_ms as u64));
             return reply(stream, status, &[("request-id", &id), ("response-stamp", "s")], "");
         }
         let mut version = self.version.load(Ordering::SeqCst);
