Owe an item whatever crashed under it

Reported from another system: a sound item under which several servers died was never placed again. Here, an item of which three runs were cut at one event was at no engine for ten minutes, and so was one whose two recovery trials were cut by further bursts. 16 items that were in progress at two crashes of four engines ran four at a time, for 5.6 s, while the engines had 16 free places.

Cause: contents of items were judged like those of requests that crash servers. Three crashes at one point that nothing else explains block a content, it has two trials at most, and suspects are kept apart also in calm.

Ruled out: not blocking items at all, as an item that has just crashed three engines would go on to the next ones.

Recovery trials have a rule: limited, for requests, streams and score calls, as before; or owed, for items and samples: any number of trials, after 4 s of calm or 8 s after the last crash under the item, doubling from the third on up to 64 s. After 2 s without a crash items are not kept apart any more.

--- a/crates/trestlerack/src/connection/frame.rs
+++ b/crates/trestlerack/src/connection/frame.rs
@@ -45,6 +45,11 @@
 }
 
 impl CallSpec {
+    /// Returns whether the call generates a sample of a step, which is owed to its trainer, and no completion of a user.
+    pub fn is_sample(&self) -> bool {
+        self.needs_version
+    }
+
     /// Sets the fingerprint. It must be called before the first attempt, since `prompt` changes when
     /// the call is resumed.
     #[must_use]
--- a/crates/trestlerack/src/process/mod.rs
+++ b/crates/trestlerack/src/process/mod.rs
@@ -132,8 +132,8 @@
 pub use step_store::{GeneratedGroup, ManifestCache, OpenOutcome, RecordOutcome, SealOutcome, StepStore};
 pub use store_pacing::{failure_backoff, rate_limit_backoff, watch_interval};
 pub use suspects::{
-    CrashReport, DISCOVERY_LAG, GossipSettings, RecoverySettings, RunEvidence, RunProgress, SuspectRun,
-    SuspectSettings, SuspectState, SuspectStatus, SuspectTracker, TrialGrants, server_start,
+    CrashReport, DISCOVERY_LAG, GossipSettings, OwedSettings, RecoveryRule, RecoverySettings, RunEvidence, RunProgress,
+    SuspectRun, SuspectSettings, SuspectState, SuspectStatus, SuspectTracker, TrialGrants, server_start,
 };
 pub use suspension::SuspensionDetector;
 pub use usage::{
--- a/crates/trestlerack/src/process/suspects/mod.rs
+++ b/crates/trestlerack/src/process/suspects/mod.rs
@@ -18,6 +18,7 @@
 //! [docs/PLATFORM.md](../../../../../docs/PLATFORM.md#requests-that-end-servers) explains the reasons.
 
 mod gossip;
+mod owed_trials;
 mod recovery;
 mod run_progress;
 mod runs;
@@ -30,6 +31,7 @@
 use crate::request::RequestFingerprint;
 use crate::{Name, Timestamp};
 pub use gossip::GossipSettings;
+pub use owed_trials::{OwedSettings, RecoveryRule};
 pub use recovery::RecoverySettings;
 use recovery::RecoveryTrials;
 pub use run_progress::RunProgress;
@@ -68,6 +70,8 @@
     pub max_recent: usize,
     /// Settings of the recovery trials of blocked contents.
     pub recovery: RecoverySettings,
+    /// Settings of the recovery trials of blocked items.
+    pub owed: OwedSettings,
 }
 
 /// How late an expired entry may be noticed at this node: the interval of a watch, the answer of a slow store, and
@@ -87,6 +91,7 @@
             max_crashes: 16,
             max_recent: 256,
             recovery: RecoverySettings::default(),
+            owed: OwedSettings::default(),
         }
     }
 }
--- a/crates/trestlerack/src/process/suspects/recovery.rs
+++ b/crates/trestlerack/src/process/suspects/recovery.rs
@@ -82,7 +82,24 @@
         (1..=max_trials).find(|number| used.is_none_or(|used| !used.contains_key(number)))
     }
 
-    fn last_at(&self, fingerprint: RequestFingerprint) -> Option<Timestamp> {
+    /// Records that this node tries to reserve a trial. Returns its number.
+    pub(super) fn attempt(
+        &mut self,
+        now: Timestamp,
+        fingerprint: RequestFingerprint,
+        max_trials: u32,
+        max_contents: usize,
+    ) -> Option<u32> {
+        self.log_mut(fingerprint, max_contents).attempted_at = Some(now);
+        self.next_number(fingerprint, max_trials)
+    }
+
+    /// Returns the number of trials that a content has used.
+    pub(super) fn used_count(&self, fingerprint: RequestFingerprint) -> usize {
+        self.contents.get(&fingerprint).map_or(0, |log| log.used.len())
+    }
+
+    pub(super) fn last_at(&self, fingerprint: RequestFingerprint) -> Option<Timestamp> {
         self.contents.get(&fingerprint).and_then(TrialLog::last_at)
     }
 }
@@ -114,9 +131,8 @@
         if self.time_to_recovery(now, fingerprint)? > Duration::ZERO {
             return None;
         }
-        let max_suspects = self.settings.max_suspects;
-        self.recovery_trials.log_mut(fingerprint, max_suspects).attempted_at = Some(now);
-        self.recovery_trials.next_number(fingerprint, self.settings.recovery.max_trials)
+        let (max_trials, max_suspects) = (self.settings.recovery.max_trials, self.settings.max_suspects);
+        self.recovery_trials.attempt(now, fingerprint, max_trials, max_suspects)
     }
 
     /// Records that a recovery trial was used, at any node.
@@ -151,7 +167,7 @@
     }
 
     /// Returns the servers' starts and the times of crashes of servers that did not run the content.
-    fn foreign_crashes(&self, own: RequestFingerprint, record: &SuspectRecord) -> Vec<(u64, Timestamp)> {
+    pub(super) fn foreign_crashes(&self, own: RequestFingerprint, record: &SuspectRecord) -> Vec<(u64, Timestamp)> {
         let others = self.records.iter().filter(|(other, _)| **other != own);
         let reported = others.flat_map(|(_, other)| other.all()).map(|(server_start, crash)| (*server_start, crash.at));
         let crashes = reported.chain(self.server_crashes.iter());
@@ -179,7 +195,12 @@
     }
 
     /// Returns whether enough crashes happened while no foreign crash did.
-    fn is_caused_by_content(&self, now: Timestamp, record: &SuspectRecord, foreign: &[(u64, Timestamp)]) -> bool {
+    pub(super) fn is_caused_by_content(
+        &self,
+        now: Timestamp,
+        record: &SuspectRecord,
+        foreign: &[(u64, Timestamp)],
+    ) -> bool {
         let window = self.settings.recovery.doubt_window;
         let is_near = |at: Timestamp, foreign_at: Timestamp| at.since(foreign_at).max(foreign_at.since(at)) <= window;
         let stands_alone = |crash: &Crash| !foreign.iter().any(|(_, foreign_at)| is_near(crash.at, *foreign_at));
--- a/crates/trestlerackd/src/entry/in_flight.rs
+++ b/crates/trestlerackd/src/entry/in_flight.rs
@@ -4,7 +4,7 @@
 use super::node::EntryNode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use trestlerack::process::{RunEvidence, RunProgress, ServerEntry, ServerSet, SuspectRun, TokenNeed};
+use trestlerack::process::{RecoveryRule, RunEvidence, RunProgress, ServerEntry, ServerSet, SuspectRun, TokenNeed};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::RequestPlacement;
 
@@ -39,6 +39,8 @@
     may_share_server: AtomicBool,
     /// How far the request got on the server.
     progress: Mutex<RunProgress>,
+    /// Which rule limits the recovery trials of its content.
+    pub recovery_rule: RecoveryRule,
     /// Permission to send it; `None` for a request of a client.
     permission: Option<Box<dyn SendPermission>>,
 }
@@ -64,10 +66,17 @@
             is_outcome_pending,
             may_share_server,
             progress: Mutex::default(),
+            recovery_rule: RecoveryRule::default(),
             permission: None,
         }
     }
 
+    /// Sets the rule that limits the recovery trials of its content.
+    pub fn with_recovery_rule(mut self, recovery_rule: RecoveryRule) -> Self {
+        self.recovery_rule = recovery_rule;
+        self
+    }
+
     /// Makes the request wait for a further permission, which is asked immediately before it is written.
     pub fn with_permission(mut self, permission: impl SendPermission + 'static) -> Self {
         self.permission = Some(Box::new(permission));
--- a/crates/trestlerackd/src/entry/job_runs.rs
+++ b/crates/trestlerackd/src/entry/job_runs.rs
@@ -8,8 +8,8 @@
 use crate::process::logs;
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{ServerEntry, ServerNeed, ServerSet, SlotNeed};
-use trestlerack::request::{ItemPhase, JobTracker, RequestFingerprint, RunEnd, RunKind};
+use trestlerack::process::{RecoveryRule, ServerEntry, ServerNeed, ServerSet, SlotNeed};
+use trestlerack::request::{ItemPhase, JobTracker, RunEnd, RunKind};
 use trestlerack::version::{RequestPlacement, RequestRoute, RoutingTable};
 use trestlerack::{Name, event};
 
@@ -78,7 +78,9 @@
             need.pinned_version = None;
         }
         drop(balancer);
-        let (entry, needs_isolation) = choose_engine(node, driver.fingerprints[index], &need);
+        let entry = suspects::choose_item_server(node, driver.fingerprints[index], &need);
+        // It may have to stay apart from other suspects.
+        let is_separated = suspects::has_repeated_crashes(node, driver.fingerprints[index]);
         engine_memory::log_full_engines(node, &item.id, &need);
         let is_oversize = engine_memory::is_oversize(node, driver, index, need.service);
         match entry {
@@ -90,7 +92,7 @@
             }
             // Other items may still find a free slot.
             None if is_oversize => node.balancer.lock().unwrap().reserve_engine(now, &need),
-            None if need.pinned_version.is_some() || needs_isolation => {}
+            None if need.pinned_version.is_some() || is_separated => {}
             // No cancelled run would free a slot that this job may use.
             None if need.allowed_zones.is_some() && node.balancer.lock().unwrap().count_eligible(now, &need) == 0 => {
                 return;
@@ -144,34 +146,18 @@
 /// Returns whether the item was deferred.
 fn defer_suspect(node: &Arc<EntryNode>, driver: &JobDriver, tracker: &mut JobTracker, index: usize) -> bool {
     let fingerprint = driver.fingerprints[index];
-    let wait = suspects::wait_time(node, fingerprint);
+    let wait = suspects::wait_time(node, fingerprint, RecoveryRule::Owed);
     if wait.is_zero() {
         return false;
     }
     tracker.defer(index, node.now() + BLOCKED_RECHECK_INTERVAL.min(wait));
-    let Some(block_time) = suspects::blocked_for(node, fingerprint) else { return true };
+    let Some(block_time) = suspects::blocked_for(node, fingerprint, RecoveryRule::Owed) else { return true };
     if driver.logged_blocked.lock().unwrap().insert(index) {
         suspects::log_blocked(node, &driver.spec.items[index].id, fingerprint, block_time);
     }
     true
 }
 
-/// Chooses an engine for an item. Also returns whether the item has to be isolated from other suspects. An item
-/// that ran at only one crash goes to any engine: about a dozen innocent items run on each engine that crashes.
-fn choose_engine(
-    node: &EntryNode,
-    fingerprint: RequestFingerprint,
-    need: &ServerNeed<'_>,
-) -> (Option<ServerEntry>, bool) {
-    let needs_isolation = suspects::has_repeated_crashes(node, fingerprint);
-    let entry = if needs_isolation {
-        suspects::choose_server(node, fingerprint, need)
-    } else {
-        node.balancer.lock().unwrap().choose(node.now(), need).map(|server| server.entry.clone())
-    };
-    (entry, needs_isolation)
-}
-
 /// Cancels as many speculative runs of the model's jobs as items wait without a slot: a speculative run only
 /// saves work for a later job, while a waiting item delays its own job.
 fn cancel_speculative_runs(node: &Arc<EntryNode>, driver: &JobDriver, waiting_items: usize) {
@@ -205,7 +191,7 @@
     log_start(node, driver, start, &engine);
     let placement = job_placement(node, driver);
     let guard = InFlightGuard::new(node, engine, driver.fingerprints[index], placement);
-    let guard = guard.with_tokens(driver.tokens[index]);
+    let guard = guard.with_tokens(driver.tokens[index]).with_recovery_rule(RecoveryRule::Owed);
     let run = tokio::spawn(item_run::run(node.clone(), driver.clone(), start, guard));
     let run = ItemRun { handle: run.abort_handle(), started: node.now() };
     driver.runs.lock().unwrap().insert((index, kind), run);
--- a/crates/trestlerackd/src/entry/job_scores.rs
+++ b/crates/trestlerackd/src/entry/job_scores.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::event;
-use trestlerack::process::ServerSet;
+use trestlerack::process::{RecoveryRule, ServerSet};
 use trestlerack::request::ScoreCall;
 use trestlerack::version::RoutingTable;
 
@@ -77,7 +77,7 @@
 
 fn is_blocked(node: &EntryNode, driver: &JobDriver, index: usize) -> bool {
     let fingerprint = driver.score_fingerprints[index];
-    fingerprint.is_some_and(|fingerprint| !suspects::wait_time(node, fingerprint).is_zero())
+    fingerprint.is_some_and(|fingerprint| !suspects::wait_time(node, fingerprint, RecoveryRule::Limited).is_zero())
 }
 
 async fn score_item(node: Arc<EntryNode>, driver: Arc<JobDriver>, index: usize) {
--- a/crates/trestlerackd/src/entry/plain.rs
+++ b/crates/trestlerackd/src/entry/plain.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{AttemptReason, CallKind, ServerEntry, ServerNeed, ServerSet, SlotNeed};
+use trestlerack::process::{AttemptReason, CallKind, RecoveryRule, ServerEntry, ServerNeed, ServerSet, SlotNeed};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::version::{RequestRoute, RouteKind};
 use trestlerack::{Name, Timestamp, event};
@@ -156,7 +156,7 @@
 
 /// Returns for how long the content of a request is blocked, if it is, and logs that.
 pub fn check_blocked(node: &EntryNode, request: &ClientRequest, fingerprint: RequestFingerprint) -> Option<Duration> {
-    let left = suspects::blocked_for(node, fingerprint)?;
+    let left = suspects::blocked_for(node, fingerprint, RecoveryRule::Limited)?;
     suspects::log_blocked(node, request.id(), fingerprint, left);
     Some(left)
 }
--- a/crates/trestlerackd/src/entry/score_calls.rs
+++ b/crates/trestlerackd/src/entry/score_calls.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{AttemptReason, CallKind, ServerNeed, ServerSet, SlotNeed};
+use trestlerack::process::{AttemptReason, CallKind, RecoveryRule, ServerNeed, ServerSet, SlotNeed};
 use trestlerack::request::{RequestContent, RequestFingerprint, ScoreCall};
 use trestlerack::version::{RequestPlacement, RequestRoute};
 use trestlerack::{Name, Timestamp, event};
@@ -113,7 +113,7 @@
     }
     loop {
         if attempts.is_empty()
-            && let Some(left) = suspects::blocked_for(node, fingerprint)
+            && let Some(left) = suspects::blocked_for(node, fingerprint, RecoveryRule::Limited)
         {
             suspects::log_blocked(node, &call.id, fingerprint, left);
             return ScoreOutcome::Blocked(left);
--- a/crates/trestlerackd/src/entry/suspects/mod.rs
+++ b/crates/trestlerackd/src/entry/suspects/mod.rs
@@ -23,7 +23,9 @@
 use crate::process::{clock, logs};
 use std::sync::Arc;
 use std::time::Duration;
-use trestlerack::process::{CrashReport, RunEvidence, RunProgress, ServerEntry, ServerNeed, SuspectState};
+use trestlerack::process::{
+    CrashReport, RecoveryRule, RunEvidence, RunProgress, ServerEntry, ServerNeed, SuspectState,
+};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::{Name, event};
 
@@ -49,11 +51,11 @@
 }
 
 /// Returns for how long a content is not sent to servers; `None` if it may be sent now, also for a recovery trial.
-pub fn blocked_for(node: &EntryNode, fingerprint: RequestFingerprint) -> Option<Duration> {
+pub fn blocked_for(node: &EntryNode, fingerprint: RequestFingerprint, rule: RecoveryRule) -> Option<Duration> {
     let now = node.now();
     let tracker = node.suspects.tracker();
     let SuspectState::Blocked(left) = tracker.state(now, fingerprint) else { return None };
-    let wait = tracker.time_to_recovery(now, fingerprint).map_or(left, |wait| wait.min(left));
+    let wait = tracker.time_to_trial(now, fingerprint, rule).map_or(left, |wait| wait.min(left));
     (!wait.is_zero()).then_some(wait)
 }
 
@@ -79,6 +81,21 @@
     }
 }
 
+/// Chooses a server for an item. An item that ran at only one crash goes to any server: about a dozen innocent items run
+/// on each engine that crashes. A more suspect one is separated from the others as long as servers crash.
+pub fn choose_item_server(
+    node: &EntryNode,
+    fingerprint: RequestFingerprint,
+    need: &ServerNeed<'_>,
+) -> Option<ServerEntry> {
+    let choose = || node.balancer.lock().unwrap().choose(node.now(), need).map(|server| server.entry.clone());
+    if !has_repeated_crashes(node, fingerprint) {
+        return choose();
+    }
+    let is_calm = node.suspects.tracker().is_calm_for_items(node.now());
+    choose_server(node, fingerprint, need).or_else(|| if is_calm { choose() } else { None })
+}
+
 /// Returns whether servers crashed while they ran a content, so that it is not hedged.
 pub fn is_suspect(node: &EntryNode, fingerprint: RequestFingerprint) -> bool {
     node.suspects.tracker().state(node.now(), fingerprint) != SuspectState::Clear
@@ -95,12 +112,15 @@
 
 /// Returns how long a content that can be delayed has to wait. A content with several crashes, of which it is not
 /// decided yet whether it is blocked, could crash one more server.
-pub fn wait_time(node: &EntryNode, fingerprint: RequestFingerprint) -> Duration {
-    if let Some(left) = blocked_for(node, fingerprint) {
+pub fn wait_time(node: &EntryNode, fingerprint: RequestFingerprint, rule: RecoveryRule) -> Duration {
+    if let Some(left) = blocked_for(node, fingerprint, rule) {
         return left;
     }
     let now = node.now();
     let tracker = node.suspects.tracker();
+    if rule == RecoveryRule::Owed && tracker.is_calm_for_items(now) {
+        return Duration::ZERO;
+    }
     match tracker.state(now, fingerprint) {
         SuspectState::Suspected(_) if tracker.waits_for_other_run(now, fingerprint) => OTHER_RUN_RECHECK_INTERVAL,
         SuspectState::Suspected(crashes) if crashes > 1 => tracker.time_to_settle(now, fingerprint),
--- a/crates/trestlerackd/src/entry/suspects/recovery.rs
+++ b/crates/trestlerackd/src/entry/suspects/recovery.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use trestlerack::event;
 use trestlerack::interfaces::StoreError;
-use trestlerack::process::SuspectState;
+use trestlerack::process::{RecoveryRule, SuspectState};
 use trestlerack::request::RequestFingerprint;
 use trestlerack::rows::StoreReply;
 
@@ -33,8 +33,8 @@
 
 /// Requests to send a suspect content to the server of its guard.
 pub async fn request_permit(node: &Arc<EntryNode>, guard: &InFlightGuard, request: &str) -> RunPermit {
-    let fingerprint = guard.fingerprint;
-    if let Some(left) = super::blocked_for(node, fingerprint) {
+    let (fingerprint, rule) = (guard.fingerprint, guard.recovery_rule);
+    if let Some(left) = super::blocked_for(node, fingerprint, rule) {
         return RunPermit::Blocked(left);
     }
     if !trials::request_trial(node, guard).await {
@@ -42,9 +42,9 @@
     }
     let state = node.suspects.tracker().state(node.now(), fingerprint);
     let SuspectState::Blocked(left) = state else { return RunPermit::Granted };
-    match start_recovery_trial(node, fingerprint, request).await {
+    match start_recovery_trial(node, fingerprint, rule, request).await {
         Some(number) => RunPermit::RecoveryTrial(number),
-        None => RunPermit::Blocked(super::blocked_for(node, fingerprint).unwrap_or(left)),
+        None => RunPermit::Blocked(super::blocked_for(node, fingerprint, rule).unwrap_or(left)),
     }
 }
 
@@ -55,8 +55,13 @@
 }
 
 /// Starts a recovery trial of a blocked content. Returns its number if one was due and no other node has used it.
-async fn start_recovery_trial(node: &Arc<EntryNode>, fingerprint: RequestFingerprint, request: &str) -> Option<u32> {
-    let number = node.suspects.tracker().start_recovery_trial(node.now(), fingerprint)?;
+async fn start_recovery_trial(
+    node: &Arc<EntryNode>,
+    fingerprint: RequestFingerprint,
+    rule: RecoveryRule,
+    request: &str,
+) -> Option<u32> {
+    let number = node.suspects.tracker().start_trial(node.now(), fingerprint, rule)?;
     let reservation = rows::reserve_recovery_trial(node, fingerprint, number);
     let reply = clock::timeout(RESERVATION_TIMEOUT, reservation).await.unwrap_or(Err(StoreError::Unknown));
     let outcome = match &reply {
--- a/crates/trestlerackd/src/request/call_router.rs
+++ b/crates/trestlerackd/src/request/call_router.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 use trestlerack::connection::{CallEvent, CallOutcome, CallSpec, TokenChunk};
 use trestlerack::interfaces::ChunkSink;
-use trestlerack::process::PeerInfo;
+use trestlerack::process::{PeerInfo, RecoveryRule};
 use trestlerack::request::{EngineCandidate, EngineChooser, QueuedCall, RequestFingerprint};
 use trestlerack::verdict::Reason;
 use trestlerack::{AllowedZones, Failure, Name, Timestamp, Verdict};
@@ -224,7 +224,8 @@
         match spec.fingerprint {
             Some(fingerprint) => {
                 let (backend, address) = (&grant.engine, &*grant.address);
-                let send = BackendRequest { backend, address, fingerprint, meter: Some(&meter) };
+                let recovery_rule = if spec.is_sample() { RecoveryRule::Owed } else { RecoveryRule::Limited };
+                let send = BackendRequest { backend, address, fingerprint, meter: Some(&meter), recovery_rule };
                 content_blocking::send_unless_blocked(node, send, call).await
             }
             None => call.await,
--- a/crates/trestlerackd/src/request/content_blocking.rs
+++ b/crates/trestlerackd/src/request/content_blocking.rs
@@ -15,7 +15,8 @@
 use tokio::net::TcpStream;
 use trestlerack::hash::{hash_parts, rank_among};
 use trestlerack::process::{
-    CrashReport, GossipSettings, Liveness, RunEvidence, RunProgress, SuspectSettings, SuspectState, SuspectTracker,
+    CrashReport, GossipSettings, Liveness, RecoveryRule, RunEvidence, RunProgress, SuspectSettings, SuspectState,
+    SuspectTracker,
 };
 use trestlerack::request::RequestFingerprint;
 use trestlerack::verdict::Reason;
@@ -99,6 +100,8 @@
     pub fingerprint: RequestFingerprint,
     /// How far the request gets, if its answer is a stream.
     pub meter: Option<&'a ProgressMeter>,
+    /// Which rule limits the recovery trials of the content.
+    pub recovery_rule: RecoveryRule,
 }
 
 /// Runs `exchange` with a backend server unless the content is blocked, and records its outcome.
@@ -112,7 +115,7 @@
     let state = node.content_blocker.tracker().state(now, request.fingerprint);
     let mut recovery_trial = None;
     if let SuspectState::Blocked(remaining) = state {
-        recovery_trial = start_recovery_trial(node, request.fingerprint);
+        recovery_trial = start_recovery_trial(node, request.fingerprint, request.recovery_rule);
         if recovery_trial.is_none() {
             return Err(blocked_failure(node, &request, remaining));
         }
@@ -150,7 +153,7 @@
 
 /// Starts a recovery trial of a blocked content if one is due and it is this node's turn. A crash of the trial reaches
 /// the node with the next turn before that.
-fn start_recovery_trial(node: &Node, fingerprint: RequestFingerprint) -> Option<u32> {
+fn start_recovery_trial(node: &Node, fingerprint: RequestFingerprint, rule: RecoveryRule) -> Option<u32> {
     let key = hash_parts(&[&fingerprint.to_string()]);
     let rank = {
         let membership = node.membership.lock().unwrap();
@@ -163,7 +166,7 @@
     };
     let turn = TRIAL_TURN * u32::try_from(rank).unwrap_or(u32::MAX);
     let mut tracker = node.content_blocker.tracker();
-    let number = tracker.start_recovery_trial(node.now() - turn, fingerprint)?;
+    let number = tracker.start_trial(node.now() - turn, fingerprint, rule)?;
     tracker.record_recovery_trial(node.now(), fingerprint, number);
     let fields: [(&str, &dyn std::fmt::Display); 4] =
         [("request", &"-"), ("fingerprint", &fingerprint), ("number", &number), ("outcome", &"reserved")];
@@ -174,7 +177,7 @@
 fn blocked_failure(node: &Node, request: &BackendRequest<'_>, remaining: Duration) -> Failure {
     let (crashes, recovery) = {
         let tracker = node.content_blocker.tracker();
-        let recovery = tracker.time_to_recovery(node.now(), request.fingerprint);
+        let recovery = tracker.time_to_trial(node.now(), request.fingerprint, request.recovery_rule);
         (tracker.crash_count(request.fingerprint), recovery)
     };
     let remaining = recovery.map_or(remaining, |recovery| recovery.max(TRIAL_TURN).min(remaining));
--- a/crates/trestlerackd/src/request/group_runner.rs
+++ b/crates/trestlerackd/src/request/group_runner.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use trestlerack::connection::{CallSpec, GroupRequest, TokenChunk};
 use trestlerack::hash::hash_parts;
-use trestlerack::process::GeneratedGroup;
+use trestlerack::process::{GeneratedGroup, RecoveryRule};
 use trestlerack::request::{
     GroupAction, GroupDriver, GroupEvent, GroupSettings, RequestContent, ResumePolicy, Sample, SampleAssembler,
 };
@@ -316,7 +316,14 @@
     for _ in 0..MAX_SCORE_ATTEMPTS {
         let chosen = node.plain.choose(node.now(), &backends, &tried, |name| node.dispatchers.is_draining(name));
         let Some(backend) = chosen else { break };
-        let request = BackendRequest { backend: &backend.name, address: &backend.address, fingerprint, meter: None };
+        let recovery_rule = RecoveryRule::Limited;
+        let request = BackendRequest {
+            backend: &backend.name,
+            address: &backend.address,
+            fingerprint,
+            meter: None,
+            recovery_rule,
+        };
         let result =
             content_blocking::send_unless_blocked(node, request, node.scoring.score(&backend.address, prompt, text))
                 .await;
--- a/crates/trestlerackd/src/request/plain.rs
+++ b/crates/trestlerackd/src/request/plain.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::hash::digest_hex;
+use trestlerack::process::RecoveryRule;
 use trestlerack::request::{
     IdempotencyDecision, IdempotencyState, IdempotencyStore, RequestContent, RequestFingerprint, ResumeDecision,
     ResumePolicy, decide_resume, idempotency_row_key,
@@ -142,6 +143,7 @@
             address: &backend.address,
             fingerprint: call.fingerprint(),
             meter: None,
+            recovery_rule: RecoveryRule::Limited,
         };
         let result = content_blocking::send_unless_blocked(node, request, send_attempt(node, call, &backend)).await;
         if result.as_ref().is_err_and(content_blocking::is_blocked) {
--- a/crates/trestlerackd/tests/entry/crash_storms.rs
+++ b/crates/trestlerackd/tests/entry/crash_storms.rs
@@ -28,9 +28,9 @@
 const LONG_STREAM: u64 = 80;
 
 /// Time between two events, in milliseconds.
-const EVENT_MS: usize = 20;
+pub const EVENT_MS: usize = 20;
 
-fn start_long_engines(platform: &Platform, count: usize) -> Arc<CrashingServers> {
+pub fn start_long_engines(platform: &Platform, count: usize) -> Arc<CrashingServers> {
     let engines = CrashingServers::start(&platform.store, "models", count, RESTART_DELAY);
     engines.events_per_stream.store(LONG_STREAM, Ordering::SeqCst);
     // A stream sends an event in a fifth of the work time.
@@ -38,7 +38,7 @@
     engines
 }
 
-fn submit_prompt(node: &EntryDaemon, job: &str, body: &str) {
+pub fn submit_prompt(node: &EntryDaemon, job: &str, body: &str) {
     let id = format!("{job}-item");
     let item = json!({ "id": id, "path": "/jobs/run", "headers": { "Model": "m" }, "body": BASE64_STANDARD.encode(body),
         "tokens": 100, "group": job, "scorer": { "id": format!("{id}-score"), "host": "h.example",
@@ -49,14 +49,14 @@
     assert_eq!(answer.status, 202);
 }
 
-fn read_job(node: &EntryDaemon, job: &str) -> Vec<Value> {
+pub fn read_job(node: &EntryDaemon, job: &str) -> Vec<Value> {
     let answer = call(&node.client, "GET", &format!("/trestlerack/lots/{job}?after=0"), &[], "");
     let answer = answer.filter(|answer| answer.status == 200);
     answer.map_or_else(Vec::new, |answer| answer.json()["results"].as_array().unwrap().clone())
 }
 
 /// Waits for the next run of a content and crashes its server after this number of events, for a reason of its own.
-fn crash_next_run(servers: &CrashingServers, body: &str, runs_before: usize, events: u64) {
+pub fn crash_next_run(servers: &CrashingServers, body: &str, runs_before: usize, events: u64) {
     eventually("the content runs again", || servers.runs_of(body).len() > runs_before);
     let run = servers.runs_of(body)[runs_before].clone();
     eventually("the run has sent its events", || run.events.load(Ordering::SeqCst) >= events);
--- a/crates/trestlerackd/tests/entry/main.rs
+++ b/crates/trestlerackd/tests/entry/main.rs
@@ -14,6 +14,7 @@
 mod job_routes;
 mod jobs;
 mod lease;
+mod owed_items;
 mod placement;
 mod regions;
 mod requests;
