Relay the events before a spoiled one, and resume after them

A client of a resumable stream got a stream that looked complete and lacked two events, after an engine had sent a chunk with two good events and one with a wrong id. A stream that began with a wrong id ended after that event.

Cause: the number of the last event moved on for each good event of a frame, while the frame was dropped as a whole at the first bad one, so the next engine was asked for what follows events that nobody had got. The first event was taken with any number.

The decoder returns the bytes of each event. Those up to the first bad one are relayed, and the stream is resumed after them. A first event has number 0 or 1. The waits for an event and for a route's end also hold if bytes are always there, which a timeout alone does not show.

--- a/crates/trestlerack/src/request/job.rs
+++ b/crates/trestlerack/src/request/job.rs
@@ -213,7 +213,7 @@
 }
 
 /// Numbers that the first event of a stream may have; engines count from 0 or from 1.
-const FIRST_EVENT_NUMBERS: std::ops::RangeInclusive<u64> = 0..=1;
+pub const FIRST_EVENT_NUMBERS: std::ops::RangeInclusive<u64> = 0..=1;
 
 impl ItemTranscript {
     /// Appends an event that `version` generated.
--- a/crates/trestlerack/src/request/mod.rs
+++ b/crates/trestlerack/src/request/mod.rs
@@ -21,8 +21,8 @@
 };
 pub use idempotency_store::IdempotencyStore;
 pub use job::{
-    ItemCheckpoint, ItemEvent, ItemTranscript, JobItem, JobRecord, JobResult, JobSpec, ScoreCall, TextDelta,
-    TranscriptError,
+    FIRST_EVENT_NUMBERS, ItemCheckpoint, ItemEvent, ItemTranscript, JobItem, JobRecord, JobResult, JobSpec, ScoreCall,
+    TextDelta, TranscriptError,
 };
 pub use job_tracker::{
     FailureCount, ItemFailures, ItemPhase, JobProgress, JobTracker, RunEnd, RunKind, TrackerSettings,
--- a/crates/trestlerackd/src/entry/item_run.rs
+++ b/crates/trestlerackd/src/entry/item_run.rs
@@ -188,7 +188,7 @@
     let mut pace = EventPace::default();
     let mut event_at = node.now();
     loop {
-        // Bytes that complete no event do not prolong the wait.
+        // Bytes that complete no event do not prolong the wait, also if there are always some.
         let left = (event_at + timeouts.event_gap).since(node.now());
         let frame = match clock::timeout(left, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
@@ -212,8 +212,13 @@
                 return (RunEnd::Broken, error);
             }
         };
-        if !events.is_empty() {
-            event_at = node.now();
+        match events.is_empty() {
+            false => event_at = node.now(),
+            true if left.is_zero() => {
+                node.balancer.lock().unwrap().failed(node.now(), &instance);
+                return (RunEnd::Broken, "no event in time".into());
+            }
+            true => {}
         }
         suspects::record_events(node, &guard, events.iter().map(|event| event.number));
         let gap = record_pace(node, &instance, &mut pace, events.len());
--- a/crates/trestlerackd/src/entry/streams.rs
+++ b/crates/trestlerackd/src/entry/streams.rs
@@ -8,7 +8,7 @@
 use super::resource_limits::StreamMemory;
 use super::{crash_detection, server_responses, suspects};
 use crate::process::clock;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
@@ -17,8 +17,9 @@
 use std::time::Duration;
 use trestlerack::Timestamp;
 use trestlerack::process::{MemoryPurpose, MemoryReservation, STREAM_BYTES};
+use trestlerack::request::FIRST_EVENT_NUMBERS;
 use trestlerack::version::RequestRoute;
-use trestlerack_platform::EventDecoder;
+use trestlerack_platform::{EventBlock, EventDecoder};
 
 /// Maximum gap between two events before a stream is resumed at another server. Clients disconnect after two
 /// seconds at the earliest.
@@ -28,6 +29,9 @@
 /// unless it has gone silent, and its last bytes may be on their way.
 const LIMIT_SLACK: Duration = Duration::from_millis(100);
 
+/// Time after that for which bytes that have arrived are still relayed to a client that reads slowly.
+const LIMIT_GRACE: Duration = Duration::from_millis(500);
+
 /// An event stream that is relayed from a server to a client.
 struct StreamRelay {
     node: Arc<EntryNode>,
@@ -43,6 +47,8 @@
     /// Memory of the event that is not complete yet.
     event_memory: StreamMemory,
     last_event: Option<u64>,
+    /// Why the current server's stream cannot be continued after the events that were taken of it.
+    sequence_error: Option<ReplyError>,
     /// When the last event arrived from the current server, or its response was opened.
     event_at: Timestamp,
     /// Memory of the stream. Its size is fixed, since events are read only as the client reads them.
@@ -89,6 +95,7 @@
         decoder: EventDecoder::default(),
         event_memory: StreamMemory::new(node.resource_limits.memory.clone()),
         last_event: resume_after,
+        sequence_error: None,
         event_at: node.now(),
         _reservation: reservation,
     };
@@ -184,9 +191,13 @@
     /// route, also if the server has gone silent.
     async fn next(&mut self) -> Result<Option<Bytes>, ReplyError> {
         let Some(ends_at) = self.ends_at else { return self.relay_next().await };
-        let left = ends_at.since(self.node.now());
-        let relayed = clock::timeout(left, self.relay_next()).await;
-        relayed.unwrap_or_else(|_| {
+        let now = self.node.now();
+        let relayed = match now > ends_at + LIMIT_GRACE {
+            // The timeout does not end a stream whose next bytes are always there.
+            true => None,
+            false => clock::timeout(ends_at.since(now), self.relay_next()).await.ok(),
+        };
+        relayed.unwrap_or_else(|| {
             let error = ReplyError::from("the time limit of the route has passed");
             // A server ends its response at the limit by itself.
             if let Some(open) = &self.open {
@@ -216,12 +227,16 @@
     }
 
     async fn read_frame(&mut self) -> Result<Option<Bytes>, ReplyError> {
+        if let Some(error) = self.sequence_error.take() {
+            return Err(error);
+        }
         let Some(open) = &mut self.open else { return Err("no server has the stream".into()) };
         let can_resume = self.route.resumable && open.status.is_success();
+        let mut wait = EVENT_GAP_TIMEOUT;
         let frame = if can_resume {
-            // Bytes that complete no event do not prolong the wait.
-            let left = (self.event_at + EVENT_GAP_TIMEOUT).since(self.node.now());
-            clock::timeout(left, open.body.frame()).await?
+            // Bytes that complete no event do not prolong the wait, also if there are always some.
+            wait = (self.event_at + EVENT_GAP_TIMEOUT).since(self.node.now());
+            clock::timeout(wait, open.body.frame()).await?
         } else {
             open.body.frame().await
         };
@@ -231,21 +246,37 @@
             return Ok(Some(bytes));
         }
         // Only complete events are relayed, since the next server starts with a complete one.
-        let decoded = self.decoder.feed_raw(&bytes).map_err(|error| error.to_string());
-        let held = decoded.and_then(|decoded| self.event_memory.hold(self.decoder.buffered_bytes()).map(|()| decoded));
-        let (raw, events) = held.inspect_err(|why| server_responses::record_endless(&self.node, &open.guard, why))?;
-        if !events.is_empty() {
-            self.event_at = self.node.now();
+        let decoded = self.decoder.feed_blocks(&bytes).map_err(|error| error.to_string());
+        let held = decoded.and_then(|blocks| self.event_memory.hold(self.decoder.buffered_bytes()).map(|()| blocks));
+        let blocks = held.inspect_err(|why| server_responses::record_endless(&self.node, &open.guard, why))?;
+        if wait.is_zero() && blocks.iter().all(|block| block.event.is_none()) {
+            return Err("no event in time".into());
         }
-        suspects::record_events(&self.node, &open.guard, events.iter().map(|event| event.number));
-        for event in events {
-            let follows = self.last_event.is_none_or(|last| event.number == last + 1);
-            if !follows {
-                return Err(format!("event {} is out of sequence", event.number).into());
+        let numbers = blocks.iter().filter_map(|block| block.event.as_ref().map(|event| event.number));
+        suspects::record_events(&self.node, &open.guard, numbers);
+        Ok(Some(self.take_blocks(blocks)))
+    }
+
+    /// Returns the bytes of events that follow those before. What comes from the first other event on is dropped, and the
+    /// next read fails, so that the stream is resumed after the events that the client has got.
+    fn take_blocks(&mut self, blocks: Vec<EventBlock>) -> Bytes {
+        let mut taken = BytesMut::new();
+        for EventBlock { raw, event } in blocks {
+            if let Some(event) = event {
+                let follows = match self.last_event {
+                    Some(last) => event.number == last + 1,
+                    None => FIRST_EVENT_NUMBERS.contains(&event.number),
+                };
+                if !follows {
+                    self.sequence_error = Some(format!("event {} is out of sequence", event.number).into());
+                    break;
+                }
+                self.last_event = Some(event.number);
+                self.event_at = self.node.now();
             }
-            self.last_event = Some(event.number);
+            taken.extend_from_slice(&raw);
         }
-        Ok(Some(raw))
+        taken.freeze()
     }
 
     /// Resumes the stream at another server after the last complete event, if the route allows it.
--- a/crates/trestlerackd/tests/entry/requests.rs
+++ b/crates/trestlerackd/tests/entry/requests.rs
@@ -202,3 +202,18 @@
     std::thread::sleep(Duration::from_millis(1_100));
     assert_eq!((status("/late/x", "r2"), status("/none/x", "r3")), (200, 404));
 }
+
+/// Guards against a resumed stream without the events that came in one chunk with a spoiled one, and against one that
+/// begins with a spoiled event and goes on after its number.
+#[test]
+fn a_resumed_stream_has_all_events_before_a_spoiled_one() {
+    let platform = Platform::start_with_counts(1, 2 * EVENTS_PER_STREAM as usize);
+    let daemon = EntryDaemon::start("a", &platform.store, &[]);
+    for spoiled in 1..=EVENTS_PER_STREAM {
+        platform.engine.spoiled_event.store(spoiled, Ordering::SeqCst);
+        let id = format!("s{spoiled}");
+        let stream = read_stream_from(&daemon.client, "/resumed/x", &id).unwrap();
+        assert_eq!(stream, (complete_text(&id, 1).join(","), true), "event {spoiled} is spoiled");
+        assert_eq!(platform.engine.spoiled_event.load(Ordering::SeqCst), 0, "the event was sent");
+    }
+}
--- a/crates/trestlerackd/tests/entry/support/platform.rs
+++ b/crates/trestlerackd/tests/entry/support/platform.rs
@@ -79,6 +79,8 @@
     pub event_padding: AtomicUsize,
     /// Streams to break off within their third event.
     pub broken_streams: AtomicUsize,
+    /// Number of the event of the next stream that has a wrong number, in one chunk with all before it; 0 for none.
+    pub spoiled_event: AtomicU64,
     /// Last start of each request, by id.
     pub last_runs: Mutex<HashMap<String, Instant>>,
     /// Orders that engines accepted, in order of arrival.
@@ -326,8 +328,16 @@
         if !write(head) {
             return false;
         }
+        let spoiled = self.behaviour.spoiled_event.swap(0, Ordering::SeqCst);
+        if spoiled > 0 {
+            let number = |event: u64| if event == spoiled { 96 } else { event };
+            let events: String = (first..=spoiled)
+                .map(|event| format!("id: {}\ndata: {}\n\n", number(event), event_data(&id, event, version)))
+                .collect();
+            write(format!("{:x}\r\n{events}\r\n", events.len()));
+        }
         let is_broken = take_one(&self.behaviour.broken_streams);
-        for number in first..=EVENTS_PER_STREAM {
+        for number in first.max(spoiled + 1)..=EVENTS_PER_STREAM {
             if is_broken && number == 3 {
                 write("1c\r\nid: 3\ndata: ".into());
                 return false;
