Date the record of a call that waited by the job's acceptance

Found by reading: where a deployment spans regions, the node that accepts a job sends its record along with the call to drive it. The call may wait at an owner that stands still, and the owner took the record for evidence of the moment at which it woke.

The questions of a driver are called what they are, as one goes to a peer.

--- a/crates/trestlerackd/src/entry/drive_permit.rs
+++ b/crates/trestlerackd/src/entry/drive_permit.rs
@@ -13,7 +13,7 @@
 
 /// What a driver asks to find out whether it still drives its job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum StoreQuestion {
+pub enum DriveQuestion {
     /// Whom the store names as the owner.
     Ownership,
     /// Whether a peer answers, so that only the store is out of reach.
@@ -26,7 +26,7 @@
     contact: Arc<Mutex<StoreContact>>,
     clock: SystemClock,
     /// Time of the last question of each kind, and whether it is not answered yet.
-    questions: Mutex<HashMap<StoreQuestion, (Timestamp, bool)>>,
+    questions: Mutex<HashMap<DriveQuestion, (Timestamp, bool)>>,
 }
 
 impl DrivePermit {
@@ -54,7 +54,7 @@
     }
 
     /// Returns whether a question is to be asked now. The caller asks it if so, and calls [`Self::end`] then.
-    pub fn begin(&self, question: StoreQuestion) -> bool {
+    pub fn begin(&self, question: DriveQuestion) -> bool {
         let now = self.clock.now();
         let mut questions = self.questions.lock().unwrap();
         let (asked_at, is_pending) = questions.get(&question).copied().unwrap_or_default();
@@ -66,7 +66,7 @@
     }
 
     /// Records that a question was answered, or that there will be no answer.
-    pub fn end(&self, question: StoreQuestion) {
+    pub fn end(&self, question: DriveQuestion) {
         if let Some((_, is_pending)) = self.questions.lock().unwrap().get_mut(&question) {
             *is_pending = false;
         }
--- a/crates/trestlerackd/src/entry/job_driver.rs
+++ b/crates/trestlerackd/src/entry/job_driver.rs
@@ -1,14 +1,13 @@
 //! Drives one job on the node that owns it: starts item runs, has complete texts scored and records results.
 
 use super::drive_mode::DriveMode;
-use super::drive_permit::{DrivePermit, StoreQuestion};
+use super::drive_permit::{DrivePermit, DriveQuestion};
 use super::job_config::ConfigurationSource;
 use super::job_texts::StoredTexts;
 use super::node::EntryNode;
-use super::table_watch;
 use super::{
     callers, job_config, job_records, job_runs, job_scores, job_takeover, job_texts, run_moves, score_calls,
-    server_discovery,
+    server_discovery, table_watch,
 };
 use crate::process::clock;
 use crate::process::logs;
@@ -385,14 +384,14 @@
             logs::write(event::DRIVER_UNCONFIRMED, &[("job", job), ("why", &error)]);
         }
     }
-    driver.permit.end(StoreQuestion::Ownership);
+    driver.permit.end(DriveQuestion::Ownership);
     driver.wake.notify_one();
 }
 
 /// Asks a peer, so that this node can tell an outage of the store from a cut of its own links.
 async fn renew_contact(node: Arc<EntryNode>, driver: Arc<JobDriver>) {
     job_takeover::contact_peer(&node.peers, &driver.spec.id).await;
-    driver.permit.end(StoreQuestion::Contact);
+    driver.permit.end(DriveQuestion::Contact);
 }
 
 /// Checks whether this node still drives a job, and finds it out if that is not certain. Work in progress is cancelled
@@ -403,10 +402,10 @@
         driver.cancel_runs(node.now());
         driver.cancel_scores();
     }
-    if decision != DriveDecision::Start && driver.permit.begin(StoreQuestion::Ownership) {
+    if decision != DriveDecision::Start && driver.permit.begin(DriveQuestion::Ownership) {
         tokio::spawn(confirm_ownership(node.clone(), driver.clone()));
     }
-    if driver.permit.needs_contact() && driver.permit.begin(StoreQuestion::Contact) {
+    if driver.permit.needs_contact() && driver.permit.begin(DriveQuestion::Contact) {
         tokio::spawn(renew_contact(node.clone(), driver.clone()));
     }
 }
--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -132,6 +132,8 @@
         None => read_record(node, job).await,
     };
     let Ok((record, version, is_ended)) = current else { return false };
+    // The call may have waited here while this process stood still.
+    let named_at = if is_accepted { accepted_at(node, &record) } else { sent_at };
     if is_ended || !is_own(node, &record) {
         return false;
     }
@@ -146,7 +148,12 @@
     };
     let Ok(spec) = spec else { return false };
     node.merge_job_record(record.clone(), version, job);
-    job_driver::start(node, Arc::new(spec), JobAssignment { record, version, named_at: sent_at }, texts)
+    job_driver::start(node, Arc::new(spec), JobAssignment { record, version, named_at }, texts)
+}
+
+/// Returns when a job was accepted, on this node's clock.
+fn accepted_at(node: &EntryNode, record: &JobRecord) -> Timestamp {
+    node.now() - Duration::from_millis(node.store.clock_ms().saturating_sub(record.accepted_ms))
 }
 
 /// Reads the record of a job, its version, and whether the job has ended.
