Let an owner without memory leave a job to the node that accepted it

Jobs of 9.6 MB that two nodes accepted took the owner of their model's last job to 205 to 221 MB, where its VM has 130.

Cause: a node refuses a job by its own memory and names another one as owner, which keeps every accepted job, also over its limit.

An owner that has no memory for a job that was given to it answers that it does not drive the job, and the node that accepted it takes it over and counts its bytes. An owner that answers is not unregistered.

--- a/crates/trestlerackd/src/entry/job_takeover.rs
+++ b/crates/trestlerackd/src/entry/job_takeover.rs
@@ -13,8 +13,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use trestlerack::interfaces::StoreError;
-use trestlerack::process::{GossipSettings, TakeoverRule, node_partition, successor_rank};
-use trestlerack::request::JobRecord;
+use trestlerack::process::{GossipSettings, MemoryPurpose, TakeoverRule, node_partition, successor_rank};
+use trestlerack::request::{JobRecord, JobSpec};
 use trestlerack::rows::{RowStore, RowTransaction, StoreCall, StoreReply};
 use trestlerack::{Name, Timestamp, event};
 
@@ -147,10 +147,18 @@
         (load_spec.await, None)
     };
     let Ok(spec) = spec else { return false };
+    // The node that accepted the job, or another one that finds it without a driver, takes it over.
+    if node.peers.has_registered() && !has_memory_for(node, &spec) {
+        return false;
+    }
     node.merge_job_record(record.clone(), version, job);
     job_driver::start(node, Arc::new(spec), JobAssignment { record, version, named_at }, texts)
 }
 
+fn has_memory_for(node: &EntryNode, spec: &JobSpec) -> bool {
+    node.resource_limits.memory.try_reserve(MemoryPurpose::Texts, spec.bytes()).is_ok()
+}
+
 /// Returns when a job was accepted, on this node's clock.
 fn accepted_at(node: &EntryNode, record: &JobRecord) -> Timestamp {
     node.now() - Duration::from_millis(node.store.clock_ms().saturating_sub(record.accepted_ms))
@@ -169,19 +177,27 @@
 pub async fn ensure_driven(node: Arc<EntryNode>, job: Name, record: JobRecord, version: u64) {
     // Within one region the owner reads the record in some milliseconds.
     let accepted = node.regions.zones.has_several_regions().then(|| (record.clone(), version));
+    let mut failed_probes = 0;
     for _ in 0..MAX_FAILED_PROBES {
-        if node.peers.drive(&record.owner_address, &job, accepted.clone()).await == Some(true) {
-            return;
+        match node.peers.drive(&record.owner_address, &job, accepted.clone()).await {
+            Some(true) => return,
+            Some(false) => {}
+            None => failed_probes += 1,
         }
     }
-    logs::write(event::OWNER_SILENT, &[("job", &job), ("owner", &record.owner), ("strikes", &MAX_FAILED_PROBES)]);
+    let is_silent = failed_probes == MAX_FAILED_PROBES;
+    if is_silent {
+        logs::write(event::OWNER_SILENT, &[("job", &job), ("owner", &record.owner), ("strikes", &failed_probes)]);
+    }
     if may_replace_owner(&node, &record) {
         take_over(&node, &job, &record).await;
     } else {
         // A node in an allowed zone takes it over, because its owner's record does not change.
         logs::write(event::TAKEOVER_NOT_PERMITTED, &[("job", &job), ("owner", &record.owner)]);
     }
-    unregister_node(&node, &record.owner).await;
+    if is_silent {
+        unregister_node(&node, &record.owner).await;
+    }
 }
 
 /// Runs `decide` with the rule that says which nodes may take a job over.
--- a/crates/trestlerackd/tests/entry/job_owners.rs
+++ b/crates/trestlerackd/tests/entry/job_owners.rs
@@ -293,3 +293,49 @@
     assert_eq!(read_results(&nodes[owner], "job1", 400).len(), 400);
     assert_eq!(owner_of(&nodes, "job1", 2), None);
 }
+
+/// Guards against an owner whose memory is filled by jobs that other nodes accept, each of which names the driver of the
+/// model's last job as owner.
+#[test]
+fn jobs_that_other_nodes_accept_do_not_fill_the_memory_of_their_owner() {
+    const MEMORY_MB: usize = 130;
+    const JOBS: usize = 16;
+    let platform = Platform::start();
+    platform.reconfigure(2, |config| config["limits"]["max_body_bytes"] = json!(33_554_432));
+    let mut nodes: Vec<EntryDaemon> = Vec::new();
+    for name in ["a", "b", "c"] {
+        let log = std::env::temp_dir().join(format!("entry-memory-{name}-{}.log", std::process::id()));
+        let settings = DaemonSettings {
+            store: platform.store.address.to_string(),
+            seeds: nodes.iter().map(|node| node.peer.clone()).collect(),
+            log: Some(log),
+            more: json!({ "memory_mb": MEMORY_MB }),
+            ..DaemonSettings::default()
+        };
+        nodes.push(EntryDaemon::start_with(name, &settings));
+    }
+    assert_eq!(submit(&nodes[0], "first", 2), 202);
+    for node in &nodes {
+        assert_eq!(read_results(node, "first", 2).len(), 2);
+    }
+    platform.engine.event_interval_ms.store(1_000, Ordering::SeqCst);
+    let mut accepted = Vec::new();
+    for number in 0..JOBS {
+        let job = format!("job{number}");
+        let body = job_body_with(&job, 4, 1, &vec![b'x'; 1_800_000]);
+        let node = &nodes[1 + number % 2];
+        let answer = call(&node.client, "POST", &format!("/jobs/{job}"), &[("request-id", &job)], &body).unwrap();
+        assert!([202, 503].contains(&answer.status), "{}", answer.status);
+        accepted.extend((answer.status == 202).then_some(job));
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert!(accepted.len() > JOBS / 2, "{} jobs were accepted", accepted.len());
+    for (name, node) in ["a", "b", "c"].iter().zip(&nodes) {
+        let (_, peak) = node.resident_bytes();
+        assert!(peak <= MEMORY_MB * 1_000_000, "{name}: {peak} bytes were resident");
+    }
+    platform.engine.event_interval_ms.store(1, Ordering::SeqCst);
+    for job in &accepted {
+        assert_eq!(read_results(&nodes[0], job, 4).len(), 4, "{job}");
+    }
+}
