--- a/crates/trestlerackd/tests/entry/endless.rs
+++ b/crates/trestlerackd/tests/entry/endless.rs
@@ -14,6 +14,9 @@
 /// notices that the connection is closed.
 const CLOSE_LIMIT: Duration = Duration::from_secs(4);
 
+/// The same for streams, whose routes allow five seconds.
+const STREAM_CLOSE_LIMIT: Duration = Duration::from_secs(6);
+
 /// Memory of the VM, in megabytes.
 const MEMORY_MB: usize = 120;
 
@@ -38,13 +41,18 @@
     EntryDaemon::start_with("a", &settings)
 }
 
-/// Checks that every connection of endless servers was closed in time.
-fn assert_closed(servers: &EndlessServers, case: &str) {
-    let until = Instant::now() + CLOSE_LIMIT;
+/// Waits until the connections of endless servers are closed.
+fn wait_closed(servers: &EndlessServers, limit: Duration, case: &str) {
+    let until = Instant::now() + limit;
     while servers.writing.load(Ordering::SeqCst) > 0 {
         assert!(Instant::now() < until, "{case}: {} connections are open", servers.writing.load(Ordering::SeqCst));
         std::thread::sleep(Duration::from_millis(10));
     }
+}
+
+/// Checks that every connection of endless servers was closed in time.
+fn assert_closed(servers: &EndlessServers, case: &str) {
+    wait_closed(servers, CLOSE_LIMIT, case);
     let longest = *servers.longest.lock().unwrap();
     assert!(longest < CLOSE_LIMIT, "{case}: a server wrote for {longest:?}");
 }
@@ -132,11 +140,7 @@
                 assert!(started.elapsed() < Duration::from_millis(5_500), "{case}, {id}: {:?}", started.elapsed());
             }
         }
-        let until = Instant::now() + Duration::from_secs(6);
-        while servers.writing.load(Ordering::SeqCst) > 0 {
-            assert!(Instant::now() < until, "{case}: a connection is open");
-            std::thread::sleep(Duration::from_millis(10));
-        }
+        wait_closed(&servers, STREAM_CLOSE_LIMIT, case);
         assert_memory(&daemon, case);
     });
 }
@@ -174,11 +178,7 @@
             let goes_on = result["text"] == format!("from endless\n{tail}");
             assert!(is_sound || goes_on, "{case}: {result}");
         }
-        let until = Instant::now() + Duration::from_secs(6);
-        while servers.writing.load(Ordering::SeqCst) > 0 {
-            assert!(Instant::now() < until, "{case}: a connection is open");
-            std::thread::sleep(Duration::from_millis(10));
-        }
+        wait_closed(&servers, STREAM_CLOSE_LIMIT, case);
         assert_memory(&daemon, case);
     });
 }
@@ -259,11 +259,7 @@
         if is_stream {
             assert_eq!(read_results(&daemon, "job1", 2 * SERVERS).len(), 2 * SERVERS, "{case}");
         }
-        let until = Instant::now() + Duration::from_secs(6);
-        while servers.writing.load(Ordering::SeqCst) > 0 {
-            assert!(Instant::now() < until, "{case}: a connection is open");
-            std::thread::sleep(Duration::from_millis(10));
-        }
+        wait_closed(&servers, STREAM_CLOSE_LIMIT, &case);
     }
 }
 
